--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# Thin front for the CMake super-project. `make check` is what CI runs.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+PACKAGES = $(shell grep -v '^\#' packages.txt)
+SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h')
+
+.PHONY: all setup build asan check demo format format-check lint unit model bench clean
+
+all: build
+
+setup:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+	  (apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES) >/dev/null)
+
+$(BUILD)/CMakeCache.txt: setup
+	@cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+
+build: $(BUILD)/CMakeCache.txt
+	@cmake --build $(BUILD) -j $(JOBS) -- --no-print-directory
+
+format:
+	@clang-format -i $(SOURCES)
+
+format-check:
+	@clang-format --dry-run --Werror $(SOURCES)
+
+lint: build
+	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
+	  --enable=warning,portability,performance --suppress=missingIncludeSystem \
+	  -I core -I wire -I services -I runtime -I daemon $(filter %.c,$(SOURCES))
+	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2>/dev/null
+
+unit: build
+	@cd $(BUILD) && ctest --output-on-failure -j $(JOBS)
+
+asan: setup
+	@cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=Debug -DWL_SANITIZE=ON >/dev/null
+	@cmake --build build-asan -j $(JOBS) -- --no-print-directory
+	@cd build-asan && ctest --output-on-failure -j $(JOBS)
+
+model: setup
+	@models/check.sh
+
+check: build format-check lint unit asan model
+	@scripts/check-symbols.sh $(BUILD)
+	@echo "make check: all parts passed"
+
+demo: build
+	@scripts/demo.sh $(BUILD)
+
+clean:
+	@cmake -E rm -rf $(BUILD) build-asan
--- /dev/null
+++ b/core/wisterialoft.h
@@ -0,0 +1,488 @@
+#ifndef WISTERIALOFT_H
+#define WISTERIALOFT_H
+
+#include <stdint.h>
+#include <apr_pools.h>
+#include "wl_message.h"
+#include "wl_services.h"
+
+/*
+ * wisterialoft's decisions as one reducer.
+ *
+ * A WlCore holds the whole state of one node. wl_core_step () takes one
+ * WlEvent, changes the state and appends WlEffects, which are plain data. The
+ * core does no I/O, reads no clock and takes no lock: the current time is a
+ * member of every event, and random numbers come from a seed given at
+ * creation. The same sequence of events always gives the same effects.
+ *
+ * The caller (the "shell", package daemon) must carry out the effects of one
+ * batch in this order: all WL_EFFECT_STORE_* effects, one sync of the data
+ * folder if there was any, then everything else. That order is what makes
+ * "synced before acknowledged" hold.
+ *
+ * A node has up to three roles at once. Every node is an entry: it admits
+ * requests, asks a cell owner for a place, and streams the answer. An entry
+ * that holds a cell lease is also a cell owner. A node listed among the
+ * control peers is also a control replica.
+ *
+ * All times are microseconds. Fields named now_us and deadline_us are on the
+ * node's own monotonic clock; wall_us is wall time for records only.
+ */
+
+enum
+{
+  WL_MAX_REPLICAS = 7,   /* control replicas in one group */
+  WL_TICK_US = 10000,    /* interval of WL_EVENT_TICK */
+  WL_LEASE_US = 3000000, /* validity of a node lease from the time of its request */
+  WL_DRIFT_PPM = 100000, /* assumed bound on clock rate difference, parts per million */
+  WL_RENEW_INTERVAL_US = 1000000,
+  WL_RENEW_RETRY_US = 400000,
+  WL_HOLD_INTERVAL_US = 1000000,
+  WL_GRANT_EXPIRY_US = 4000000,     /* a grant not renewed for this long is cancelled */
+  WL_ENDPOINT_EXPIRY_US = 4000000,  /* an endpoint silent for this long gets no work */
+  WL_ADDRESS_LIFETIME_US = 5000000, /* how long callers may keep the entry list */
+  WL_SHORT_PROMPT_TOKENS = 8192,    /* prompts up to this length count as short */
+};
+
+/**
+ * struct WlSettings - fixed facts about the node
+ * @self: address, ports and failure domain of the node
+ * @incarnation: random number drawn at process start
+ * @control: node ids of the control replicas, @n_control of them
+ * @replica_incarnation: identity of the data folder, 0 when not a replica
+ * @seed: seed of the node's random numbers
+ * @claim_retention_us: how long the outcome of a non-idempotent request is kept
+ * @policy: placement policy, see WlPolicy
+ */
+typedef struct
+{
+  WlMember self;
+  uint64_t incarnation;
+  uint32_t control[WL_MAX_REPLICAS];
+  uint32_t n_control;
+  uint64_t replica_incarnation;
+  uint64_t seed;
+  uint64_t claim_retention_us;
+  uint32_t policy;
+} WlSettings;
+
+/**
+ * enum WlPolicy - placement policy of cell owners
+ * @WL_POLICY_ADAPTIVE: fair queueing, adaptive subset for long prompts, gangs with backfill
+ * @WL_POLICY_ROUND_ROBIN: baseline, next endpoint in turn, first come first served
+ * @WL_POLICY_LEAST_LOADED: baseline, fewest reserved tokens, first come first served
+ * @WL_POLICY_FIFO: baseline, adaptive placement with first come first served
+ */
+typedef enum
+{
+  WL_POLICY_ADAPTIVE,
+  WL_POLICY_ROUND_ROBIN,
+  WL_POLICY_LEAST_LOADED,
+  WL_POLICY_FIFO,
+} WlPolicy;
+
+/**
+ * struct WlStored - durable state read from the data folder at start
+ * @term: latest term
+ * @vote: node voted for in @term, 0 for none
+ * @snapshot_index: last log index covered by the snapshot, 0 for none
+ * @snapshot_term: term of that index
+ * @snapshot: encoded WlStateImage
+ * @entries: log after the snapshot, @n_entries of them
+ */
+typedef struct
+{
+  uint64_t term;
+  uint32_t vote;
+  uint64_t snapshot_index;
+  uint64_t snapshot_term;
+  WlBytes snapshot;
+  WlLogEntry *entries;
+  uint32_t n_entries;
+} WlStored;
+
+/**
+ * enum WlRunState - what the system can say about a request that has no whole answer
+ * @WL_RUN_NOT_RUN: no byte of the request can have reached an endpoint
+ * @WL_RUN_FAILED: it ran, at least in part, and failed
+ * @WL_RUN_UNKNOWN: it may have run
+ */
+typedef enum
+{
+  WL_RUN_NOT_RUN,
+  WL_RUN_FAILED,
+  WL_RUN_UNKNOWN,
+} WlRunState;
+
+/** enum WlEventKind - selects the member of the union in WlEvent */
+typedef enum
+{
+  WL_EVENT_TICK,             /* time passed */
+  WL_EVENT_FLUSH,            /* end of a batch of events: replicate what was proposed */
+  WL_EVENT_MESSAGE,          /* a message from another node */
+  WL_EVENT_REQUEST,          /* a caller's request */
+  WL_EVENT_CALLER_GONE,      /* the caller closed its connection */
+  WL_EVENT_ENGINE_OUTPUT,    /* an endpoint sent output, or only a sign of life */
+  WL_EVENT_ENGINE_END,       /* an endpoint's stream ended */
+  WL_EVENT_CANCEL_CONFIRMED, /* an endpoint confirmed that it holds nothing for an attempt */
+  WL_EVENT_ENDPOINT_REPORT,  /* an endpoint announced itself */
+  WL_EVENT_ORDER_END,        /* an endpoint answered an order */
+  WL_EVENT_SUBMIT,           /* an operator submitted a services text */
+  WL_EVENT_QUERY,            /* an operator asks for the status of the group */
+  WL_EVENT_STOP,             /* stop gracefully */
+} WlEventKind;
+
+/**
+ * struct WlRequestEvent - a caller's request as read by the HTTP adapter
+ * @id: request id, unique over all nodes and restarts
+ * @api_key: the caller's key
+ * @service: service name
+ * @path: path below a plain service, empty for a model service
+ * @key: idempotency key, empty for none
+ * @digest: BLAKE2b of the request
+ * @prompt_tokens: length of the prompt in tokens
+ * @max_tokens: longest answer in tokens
+ * @time_limit_us: time limit asked for by the caller, 0 for the service's
+ * @non_idempotent: the caller marks the request as non-idempotent
+ * @prefix: hashes of prompt prefixes, @n_prefix of them, shortest first
+ */
+typedef struct
+{
+  uint64_t id;
+  const char *api_key;
+  const char *service;
+  const char *path;
+  const char *key;
+  uint8_t digest[WL_DIGEST_SIZE];
+  uint64_t prompt_tokens;
+  uint64_t max_tokens;
+  uint64_t time_limit_us;
+  uint8_t non_idempotent;
+  WlPrefixMark *prefix;
+  uint32_t n_prefix;
+} WlRequestEvent;
+
+/**
+ * struct WlOutputEvent - output of one attempt
+ * @request: request id
+ * @attempt: attempt number
+ * @offset: number of tokens before this output
+ * @tokens: number of tokens, 0 for a sign of life
+ * @data: the text
+ */
+typedef struct
+{
+  uint64_t request;
+  uint32_t attempt;
+  uint64_t offset;
+  uint32_t tokens;
+  WlBytes data;
+} WlOutputEvent;
+
+/**
+ * enum WlEndKind - how an endpoint's stream ended
+ * @WL_END_DONE: the terminal event arrived
+ * @WL_END_NOT_SENT: no byte of the request left this node
+ * @WL_END_REJECTED: the endpoint refused the request before running it
+ * @WL_END_BROKEN: the stream broke after the request was sent
+ */
+typedef enum
+{
+  WL_END_DONE,
+  WL_END_NOT_SENT,
+  WL_END_REJECTED,
+  WL_END_BROKEN,
+} WlEndKind;
+
+/**
+ * struct WlEndEvent - end of one attempt on one endpoint
+ * @request: request id
+ * @attempt: attempt number
+ * @rank: rank of the endpoint within a gang, 0 for the one that streams
+ * @kind: how it ended
+ * @total_tokens: tokens of the whole answer, with WL_END_DONE
+ * @cached_tokens: prompt tokens that came from the endpoint's cache
+ * @prefill_us: time that the endpoint spent on the prompt
+ * @http_status: status of a plain service's answer
+ */
+typedef struct
+{
+  uint64_t request;
+  uint32_t attempt;
+  uint32_t rank;
+  WlEndKind kind;
+  uint64_t total_tokens;
+  uint64_t cached_tokens;
+  uint64_t prefill_us;
+  uint32_t http_status;
+} WlEndEvent;
+
+/** struct WlConfirmEvent - @endpoint holds nothing for the attempt */
+typedef struct
+{
+  uint64_t endpoint;
+  uint64_t request;
+  uint32_t attempt;
+} WlConfirmEvent;
+
+/** struct WlOrderEndEvent - @endpoint accepted (@ok) or refused an order */
+typedef struct
+{
+  uint64_t endpoint;
+  uint8_t ok;
+} WlOrderEndEvent;
+
+/**
+ * struct WlEvent - one input of the reducer
+ * @kind: selects the member of the union
+ * @now_us: monotonic time
+ * @wall_us: wall time, for records
+ */
+typedef struct
+{
+  WlEventKind kind;
+  uint64_t now_us;
+  uint64_t wall_us;
+  union
+  {
+    struct
+    {
+      uint32_t from;
+      const WlMessage *message;
+    } message;
+    WlRequestEvent request;
+    uint64_t caller_gone;
+    WlOutputEvent output;
+    WlEndEvent end;
+    WlConfirmEvent confirm;
+    WlEndpointReport report;
+    WlOrderEndEvent order_end;
+    WlSubmit submit;
+    WlQuery query;
+  } u;
+} WlEvent;
+
+/** enum WlEffectKind - selects the member of the union in WlEffect */
+typedef enum
+{
+  WL_EFFECT_STORE_TERM,     /* write term and vote */
+  WL_EFFECT_STORE_ENTRY,    /* append one log entry */
+  WL_EFFECT_STORE_TRUNCATE, /* remove log entries from an index on */
+  WL_EFFECT_STORE_SNAPSHOT, /* replace snapshot and the log that it covers */
+  WL_EFFECT_SEND,           /* send a message to another node */
+  WL_EFFECT_DISPATCH,       /* send a request to an endpoint */
+  WL_EFFECT_ABANDON,        /* close the connections of an attempt */
+  WL_EFFECT_CANCEL,         /* tell an endpoint to free an attempt */
+  WL_EFFECT_ORDER,          /* give an endpoint an order */
+  WL_EFFECT_REPLY_CHUNK,    /* send output to the caller */
+  WL_EFFECT_REPLY_END,      /* end the caller's answer */
+  WL_EFFECT_SUBMIT_DONE,    /* answer an operator's submission */
+  WL_EFFECT_QUERY_DONE,     /* answer an operator's query */
+  WL_EFFECT_LOG,            /* write a numbered event to the log */
+  WL_EFFECT_STOPPED,        /* the graceful stop is complete */
+} WlEffectKind;
+
+/** struct WlDispatch - sends a request to endpoint @rank of @n_seats */
+typedef struct
+{
+  uint64_t request;
+  uint32_t attempt;
+  uint32_t rank;
+  uint64_t offset;
+  uint32_t priority;
+  uint8_t fresh_connection;
+  uint64_t deadline_us;
+  WlSeat seats[WL_GANG_MAX];
+  uint32_t n_seats;
+} WlDispatch;
+
+/** struct WlCancel - tells an endpoint that an attempt has ended */
+typedef struct
+{
+  uint64_t endpoint;
+  char address[WL_ADDRESS_SIZE];
+  uint32_t port;
+  uint64_t request;
+  uint32_t attempt;
+} WlCancel;
+
+/** struct WlOrder - tells an endpoint to load @model in @version under @fence */
+typedef struct
+{
+  uint64_t endpoint;
+  char address[WL_ADDRESS_SIZE];
+  uint32_t port;
+  uint64_t fence;
+  char model[WL_LABEL_SIZE];
+  char version[WL_LABEL_SIZE];
+} WlOrder;
+
+/**
+ * enum WlOutcome - end of a request as the caller sees it
+ * @WL_OUTCOME_DONE: whole answer
+ * @WL_OUTCOME_REPLAYED: stored answer of an earlier run under the same key
+ * @WL_OUTCOME_REFUSED: not run
+ * @WL_OUTCOME_FAILED: failed or unknown, see WlReplyEnd.run
+ * @WL_OUTCOME_UNAUTHORIZED: unknown key
+ * @WL_OUTCOME_NO_SERVICE: unknown service
+ * @WL_OUTCOME_KEY_REQUIRED: a non-idempotent call without an idempotency key
+ */
+typedef enum
+{
+  WL_OUTCOME_DONE,
+  WL_OUTCOME_REPLAYED,
+  WL_OUTCOME_REFUSED,
+  WL_OUTCOME_FAILED,
+  WL_OUTCOME_UNAUTHORIZED,
+  WL_OUTCOME_NO_SERVICE,
+  WL_OUTCOME_KEY_REQUIRED,
+} WlOutcome;
+
+/**
+ * struct WlReplyEnd - end of a request
+ * @request: request id
+ * @outcome: outcome
+ * @run: what is known about the run, unless done
+ * @reason: reason of a refusal
+ * @retry_after_us: when to try again, 0 for unknown
+ * @http_status: status of a plain service's answer
+ * @tokens: tokens of the whole answer
+ * @cached_tokens: prompt tokens that came from a cache
+ * @timed_out: the time limit ended the request
+ * @body: stored answer of a replayed outcome
+ * @receipt: number of the receipt in the customer's chain
+ * @receipt_head: digest of the chain after that receipt
+ */
+typedef struct
+{
+  uint64_t request;
+  WlOutcome outcome;
+  WlRunState run;
+  WlRefusalReason reason;
+  uint64_t retry_after_us;
+  uint32_t http_status;
+  uint64_t tokens;
+  uint64_t cached_tokens;
+  uint8_t timed_out;
+  WlBytes body;
+  uint64_t receipt;
+  uint8_t receipt_head[WL_DIGEST_SIZE];
+} WlReplyEnd;
+
+/**
+ * struct WlEffect - one output of the reducer
+ * @kind: selects the member of the union
+ * @u: the content; pointers live in the pool of the effects
+ */
+typedef struct
+{
+  WlEffectKind kind;
+  union
+  {
+    struct
+    {
+      uint64_t term;
+      uint32_t vote;
+    } term;
+    WlLogEntry entry;
+    uint64_t truncate_from;
+    struct
+    {
+      uint64_t index;
+      uint64_t index_term;
+      WlBytes data;
+    } snapshot;
+    struct
+    {
+      uint32_t node;
+      WlMessageKind kind;
+      WlBytes bytes;
+    } send;
+    WlDispatch dispatch;
+    WlRunning abandon;
+    WlCancel cancel;
+    WlOrder order;
+    struct
+    {
+      uint64_t request;
+      WlBytes data;
+      uint32_t tokens;
+    } chunk;
+    WlReplyEnd end;
+    WlSubmitReply submit;
+    WlQueryReply query;
+    struct
+    {
+      uint32_t number;
+      const char *text;
+    } log;
+  } u;
+} WlEffect;
+
+/**
+ * struct WlEffects - the effects of one batch of events
+ * @pool: owner of everything that the effects point to
+ * @items: the effects, @count of them
+ * @capacity: allocated items
+ */
+typedef struct
+{
+  apr_pool_t *pool;
+  WlEffect *items;
+  uint32_t count;
+  uint32_t capacity;
+} WlEffects;
+
+/**
+ * struct WlCore - the state of one node
+ *
+ * Opaque; wl_core.h lists the parts for the other modules of the package.
+ */
+typedef struct WlCore WlCore;
+
+/**
+ * wl_core_create() - creates the state of a node
+ * @settings: fixed facts; copied
+ * @stored: durable state of a control replica, or NULL
+ * @now_us: monotonic time
+ * @out: receives the state
+ *
+ * Return: WL_OK, or WL_ERROR_CORRUPT when the stored state cannot be decoded.
+ */
+WlError wl_core_create (const WlSettings *settings, const WlStored *stored, uint64_t now_us,
+                        WlCore **out);
+
+/**
+ * wl_core_destroy() - frees the state
+ * @core: the state, or NULL
+ */
+void wl_core_destroy (WlCore *core);
+
+/**
+ * wl_core_step() - processes one event
+ * @core: the state
+ * @event: the event; what it points to may be freed afterwards
+ * @effects: receives the effects
+ */
+void wl_core_step (WlCore *core, const WlEvent *event, WlEffects *effects);
+
+/**
+ * wl_effects_create() - creates an empty list of effects
+ *
+ * Return: the list.
+ */
+WlEffects *wl_effects_create (void);
+
+/**
+ * wl_effects_clear() - empties the list and frees what it points to
+ * @effects: the list
+ */
+void wl_effects_clear (WlEffects *effects);
+
+/**
+ * wl_effects_destroy() - frees the list
+ * @effects: the list, or NULL
+ */
+void wl_effects_destroy (WlEffects *effects);
+
+#endif
--- /dev/null
+++ b/core/wl_accounts.c
@@ -0,0 +1,228 @@
+#include <stdlib.h>
+#include <string.h>
+#include "wl_accounts.h"
+#include "wl_table.h"
+
+WlEndpoint *
+wl_accounts_endpoint (const WlCell *cell, uint64_t id)
+{
+  return wl_table_get_id (cell->endpoints, id);
+}
+
+uint64_t
+wl_accounts_kv_free (const WlEndpoint *endpoint)
+{
+  uint64_t limit = endpoint->kv_capacity * WL_CELL_KV_PERCENT / 100;
+  uint64_t used = endpoint->kv_reserved;
+  if (endpoint->kv_reported > used)
+    used = endpoint->kv_reported;
+  return used < limit ? limit - used : 0;
+}
+
+static void
+grow_delays (WlCell *cell)
+{
+  uint32_t size = cell->delays_size > 0 ? 2 * cell->delays_size : 16;
+  uint64_t *delays = calloc ((size_t)size * size, sizeof *delays);
+  if (delays == NULL)
+    abort ();
+  for (uint32_t i = 0; i < cell->delays_size; i++)
+    memcpy (delays + (size_t)i * size, cell->delays + (size_t)i * cell->delays_size,
+            cell->delays_size * sizeof *delays);
+  free (cell->delays);
+  cell->delays = delays;
+  cell->delays_size = size;
+}
+
+WlShare *
+wl_accounts_share (WlCell *cell, const char *customer)
+{
+  WlShare *s = apr_hash_get (cell->shares, customer, APR_HASH_KEY_STRING);
+  if (s != NULL)
+    return s;
+  s = calloc (1, sizeof *s);
+  if (s == NULL)
+    abort ();
+  strncpy (s->name, customer, sizeof s->name - 1);
+  s->weight = 1;
+  s->index = cell->n_shares++;
+  if (cell->n_shares > cell->delays_size)
+    grow_delays (cell);
+  const WlCustomer *c = wl_services_find_customer (cell->services, customer);
+  if (c != NULL)
+    {
+      s->weight = c->weight;
+      s->max_running = c->max_running;
+      s->max_queued = c->max_queued;
+    }
+  apr_hash_set (cell->shares, s->name, APR_HASH_KEY_STRING, s);
+  return s;
+}
+
+WlGrantRecord *
+wl_accounts_find (const WlCell *cell, uint64_t request, uint32_t attempt)
+{
+  return wl_table_get_id (cell->grants, wl_mix (request, attempt));
+}
+
+static WlHolder *
+find_holder (const WlCell *cell, uint32_t node)
+{
+  return wl_table_get_id (cell->holders, node);
+}
+
+static void
+add_prefill (WlCell *cell, const WlGrantRecord *g, int sign)
+{
+  for (uint32_t i = 0; i < g->n_seats; i++)
+    {
+      WlEndpoint *e = wl_accounts_endpoint (cell, g->seats[i].endpoint);
+      if (e == NULL || g->seats[i].freed || g->seats[i].incarnation != e->incarnation)
+        continue;
+      if (g->is_long)
+        e->long_prefills += (uint32_t)sign;
+      else
+        e->prefill_tokens += (uint64_t)((int64_t)g->uncached * sign);
+    }
+}
+
+WlGrantRecord *
+wl_accounts_grant (WlCell *cell, const WlGrantRecord *grant)
+{
+  WlGrantRecord *g = malloc (sizeof *g);
+  if (g == NULL)
+    abort ();
+  *g = *grant;
+  g->id = wl_mix (g->request, g->attempt);
+  wl_table_put_id (cell->grants, &g->id, g);
+  for (uint32_t i = 0; i < g->n_seats; i++)
+    {
+      WlEndpoint *e = wl_accounts_endpoint (cell, g->seats[i].endpoint);
+      g->seats[i].incarnation = e->incarnation;
+      e->kv_reserved += g->seats[i].kv_tokens;
+      e->slots_used++;
+      e->granted++;
+    }
+  if (!g->first_token)
+    add_prefill (cell, g, 1);
+  g->share->running++;
+  g->share->running_cost_us += g->cost_us;
+  WlHolder *h = find_holder (cell, g->node);
+  if (h != NULL)
+    h->n_grants++;
+  return g;
+}
+
+void
+wl_accounts_first_token (WlCell *cell, WlGrantRecord *grant)
+{
+  if (grant->first_token)
+    return;
+  if (!grant->ended)
+    add_prefill (cell, grant, -1);
+  grant->first_token = 1;
+}
+
+void
+wl_accounts_end (WlCell *cell, WlGrantRecord *grant, uint64_t now_us)
+{
+  if (grant->ended)
+    return;
+  if (!grant->first_token)
+    add_prefill (cell, grant, -1);
+  grant->ended = 1;
+  grant->ended_us = now_us;
+  grant->share->running--;
+  grant->share->running_cost_us -= grant->cost_us;
+  WlHolder *h = find_holder (cell, grant->node);
+  if (h != NULL && h->n_grants > 0)
+    h->n_grants--;
+}
+
+int
+wl_accounts_free_seat (WlCell *cell, WlGrantRecord *grant, uint32_t seat)
+{
+  WlSeatUse *s = &grant->seats[seat];
+  if (!s->freed)
+    {
+      WlEndpoint *e = wl_accounts_endpoint (cell, s->endpoint);
+      s->freed = 1;
+      if (e != NULL && e->incarnation == s->incarnation)
+        {
+          e->kv_reserved -= s->kv_tokens;
+          e->slots_used--;
+        }
+    }
+  for (uint32_t i = 0; i < grant->n_seats; i++)
+    if (!grant->seats[i].freed)
+      return 0;
+  wl_table_put_id (cell->grants, &grant->id, NULL);
+  free (grant);
+  return 1;
+}
+
+void
+wl_accounts_remove_endpoint (WlCell *cell, WlEndpoint *endpoint, uint64_t now_us)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->grants); i; i = apr_hash_next (i))
+    {
+      WlGrantRecord *g = apr_hash_this_val (i);
+      for (uint32_t s = 0; s < g->n_seats; s++)
+        if (g->seats[s].endpoint == endpoint->id && !g->seats[s].freed)
+          {
+            wl_accounts_end (cell, g, now_us);
+            if (wl_accounts_free_seat (cell, g, s))
+              break;
+          }
+    }
+  wl_table_put_id (cell->endpoints, &endpoint->id, NULL);
+  free (endpoint);
+}
+
+typedef struct
+{
+  uint64_t kv;
+  uint64_t prefill;
+  uint32_t slots;
+  uint32_t longs;
+} Sums;
+
+static Sums
+sum_endpoint (const WlCell *cell, const WlEndpoint *e)
+{
+  Sums sums = { 0 };
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->grants); i; i = apr_hash_next (i))
+    {
+      const WlGrantRecord *g = apr_hash_this_val (i);
+      for (uint32_t s = 0; s < g->n_seats; s++)
+        {
+          if (g->seats[s].endpoint != e->id || g->seats[s].freed)
+            continue;
+          sums.kv += g->seats[s].kv_tokens;
+          sums.slots++;
+          if (g->first_token || g->ended)
+            continue;
+          sums.prefill += g->is_long ? 0 : g->uncached;
+          sums.longs += g->is_long;
+        }
+    }
+  return sums;
+}
+
+int
+wl_accounts_check (const WlCell *cell)
+{
+  WlEndpoint *list[1024];
+  uint32_t n = 0;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->endpoints); i && n < 1024;
+       i = apr_hash_next (i))
+    list[n++] = apr_hash_this_val (i);
+  for (uint32_t i = 0; i < n; i++)
+    {
+      Sums sums = sum_endpoint (cell, list[i]);
+      if (sums.kv != list[i]->kv_reserved || sums.slots != list[i]->slots_used
+          || sums.prefill != list[i]->prefill_tokens || sums.longs != list[i]->long_prefills)
+        return 0;
+    }
+  return 1;
+}
--- /dev/null
+++ b/core/wl_cell.c
@@ -0,0 +1,805 @@
+#include <stdlib.h>
+#include <string.h>
+#include "wl_accounts.h"
+#include "wl_cell.h"
+#include "wl_events.h"
+#include "wl_orders.h"
+#include "wl_placement.h"
+#include "wl_queue.h"
+#include "wl_table.h"
+
+enum
+{
+  INITIAL_PREFILL_NS = 50000,   /* per prompt token until observed */
+  INITIAL_DECODE_NS = 25000000, /* per generated token until observed */
+  LEARN_SHIFT = 4,              /* weight of a new observation: 1/16 */
+  LEARN_MIN_TOKENS = 256,       /* shorter prompts say little about the rate */
+  SAMPLE_US = 100000,           /* interval at which waiting is attributed */
+  RETRY_AFTER_MIN_US = 500000,
+  RETRY_AFTER_MAX_US = 30000000,
+  RESERVE_PROMPT_TOKENS = 32768, /* shorter requests get no reservation */
+  HOLD_MISMATCHES = 3,
+};
+
+WlCell *
+wl_cell_create (const WlCellLease *lease, const WlSettings *settings, uint64_t now_us)
+{
+  WlCell *cell = calloc (1, sizeof *cell);
+  if (cell == NULL)
+    abort ();
+  cell->lease = *lease;
+  cell->settings = settings;
+  apr_pool_create (&cell->pool, NULL);
+  cell->endpoints = wl_table_create (cell->pool);
+  cell->grants = wl_table_create (cell->pool);
+  cell->shares = wl_table_create (cell->pool);
+  cell->holders = wl_table_create (cell->pool);
+  cell->opened_us = now_us;
+  cell->order_refill_us = now_us;
+  cell->sample_us = now_us;
+  cell->cost.prefill_ns = INITIAL_PREFILL_NS;
+  cell->cost.decode_ns = INITIAL_DECODE_NS;
+  return cell;
+}
+
+static void
+free_values (apr_hash_t *table)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, table); i; i = apr_hash_next (i))
+    free (apr_hash_this_val (i));
+}
+
+void
+wl_cell_destroy (WlCell *cell)
+{
+  if (cell == NULL)
+    return;
+  while (cell->queue != NULL)
+    wl_queue_remove (cell, cell->queue);
+  free_values (cell->grants);
+  free_values (cell->endpoints);
+  free_values (cell->shares);
+  free_values (cell->holders);
+  free (cell->delays);
+  apr_pool_destroy (cell->pool);
+  free (cell);
+}
+
+void
+wl_cell_configure (WlCell *cell, const WlServices *services)
+{
+  cell->services = services;
+  cell->service = wl_services_find (services, cell->lease.service);
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->shares); i; i = apr_hash_next (i))
+    {
+      WlShare *s = apr_hash_this_val (i);
+      const WlCustomer *c = wl_services_find_customer (services, s->name);
+      if (c == NULL)
+        continue;
+      s->weight = c->weight;
+      s->max_running = c->max_running;
+      s->max_queued = c->max_queued;
+    }
+}
+
+static WlHolder *
+get_holder (WlCell *cell, uint32_t node, uint64_t now_us)
+{
+  WlHolder *h = wl_table_get_id (cell->holders, node);
+  if (h != NULL)
+    return h;
+  h = calloc (1, sizeof *h);
+  if (h == NULL)
+    abort ();
+  h->node = node;
+  h->heard_us = now_us;
+  wl_table_put_id (cell->holders, &h->node, h);
+  return h;
+}
+
+/* ---- scheduling ---- */
+
+static void
+refuse (WlCell *cell, const WlPlace *p, WlRefusalReason reason, uint64_t retry_after_us,
+        WlEffects *fx)
+{
+  WlMessage m = { .kind = WL_MESSAGE_PLACE_REFUSAL };
+  if (retry_after_us < RETRY_AFTER_MIN_US)
+    retry_after_us = RETRY_AFTER_MIN_US;
+  if (retry_after_us > RETRY_AFTER_MAX_US)
+    retry_after_us = RETRY_AFTER_MAX_US;
+  m.u.refusal = (WlPlaceRefusal){
+    .request = p->request,
+    .attempt = p->attempt,
+    .reason = (uint8_t)reason,
+    .retry_after_us = reason == WL_REFUSAL_TOO_LARGE ? 0 : retry_after_us,
+  };
+  cell->counters.refused++;
+  wl_effects_send (fx, p->node, &m);
+}
+
+static void
+send_grant (WlCell *cell, const WlGrantRecord *g, uint32_t prio, uint64_t cached,
+            uint64_t queued_us, WlEffects *fx)
+{
+  WlMessage m = { .kind = WL_MESSAGE_GRANT };
+  WlSeat seats[WL_GANG_MAX] = { 0 };
+  strcpy (m.u.grant.service, cell->lease.service);
+  m.u.grant.shard = cell->lease.shard;
+  m.u.grant.fence = cell->lease.fence;
+  m.u.grant.request = g->request;
+  m.u.grant.attempt = g->attempt;
+  m.u.grant.priority = prio;
+  m.u.grant.cached_tokens = cached;
+  m.u.grant.expires_us = WL_GRANT_EXPIRY_US;
+  m.u.grant.queued_us = queued_us;
+  for (uint32_t i = 0; i < g->n_seats; i++)
+    {
+      const WlEndpoint *e = wl_accounts_endpoint (cell, g->seats[i].endpoint);
+      seats[i].endpoint = e->id;
+      strcpy (seats[i].address, e->address);
+      seats[i].port = e->port;
+      seats[i].kv_tokens = g->seats[i].kv_tokens;
+    }
+  m.u.grant.seats = seats;
+  m.u.grant.n_seats = g->n_seats;
+  wl_effects_send (fx, g->node, &m);
+}
+
+static void
+start (WlCell *cell, WlWaiting *w, const WlChoice *choice, uint64_t now_us, WlEffects *fx)
+{
+  uint64_t uncached = w->place.prompt_tokens - choice->cached_tokens;
+  WlGrantRecord g = {
+    .request = w->place.request,
+    .attempt = w->place.attempt,
+    .node = w->place.node,
+    .share = w->share,
+    .prompt_tokens = w->place.prompt_tokens,
+    .uncached = uncached,
+    .cost_us = wl_queue_cost (cell, uncached, w->place.max_tokens),
+    .granted_us = now_us,
+    .end_us = now_us + wl_queue_duration (cell, uncached, w->place.max_tokens, choice->n),
+    .is_long = choice->is_long,
+    .n_seats = choice->n,
+  };
+  for (uint32_t i = 0; i < choice->n; i++)
+    {
+      g.seats[i].endpoint = choice->endpoints[i]->id;
+      g.seats[i].kv_tokens = choice->kv_tokens;
+    }
+  wl_placement_remember (choice->endpoints[0], w->place.prefix, w->place.n_prefix);
+  if (cell->reservation.request == g.request)
+    memset (&cell->reservation, 0, sizeof cell->reservation);
+  else if (cell->reservation.request != 0)
+    cell->counters.backfilled++;
+  cell->counters.granted++;
+  cell->counters.gangs += choice->n > 1;
+  cell->counters.cache_hits += choice->cached_tokens > 0;
+  w->share->waited_us += now_us - w->arrived_us;
+  wl_queue_started (cell, w);
+  send_grant (cell, wl_accounts_grant (cell, &g), choice->priority, choice->cached_tokens,
+              now_us - w->arrived_us, fx);
+  wl_queue_remove (cell, w);
+}
+
+static int
+is_late (const WlCell *cell, const WlWaiting *w, uint64_t now_us)
+{
+  uint64_t least_us = w->place.prompt_tokens * cell->cost.prefill_ns / 4000 / WL_GANG_MAX;
+  return now_us + least_us >= w->deadline_us;
+}
+
+static int
+is_capped (const WlWaiting *w)
+{
+  return w->share->max_running > 0 && w->share->running >= w->share->max_running;
+}
+
+/* Starts waiting requests in tag order, skipping those that cannot start yet. */
+static void
+schedule (WlCell *cell, uint64_t now_us, WlEffects *fx)
+{
+  uint32_t failed = 0;
+  WlWaiting *next = NULL;
+  if (!cell->ready)
+    return;
+  for (WlWaiting *w = cell->queue; w != NULL && failed < WL_CELL_SCAN_MAX; w = next)
+    {
+      WlChoice choice;
+      next = w->next;
+      if (is_capped (w))
+        continue;
+      if (wl_placement_choose (cell, w, now_us, &choice))
+        {
+          start (cell, w, &choice, now_us, fx);
+          continue;
+        }
+      failed++;
+      if (cell->reservation.request == 0 && w->place.prompt_tokens > RESERVE_PROMPT_TOKENS
+          && wl_placement_reserve (cell, w, now_us))
+        wl_effects_log (fx, WL3010_RESERVATION_MADE, "request=%lx endpoints=%u start_in_us=%lu",
+                        (unsigned long)w->place.request, cell->reservation.n_endpoints,
+                        (unsigned long)(cell->reservation.start_us - now_us));
+    }
+}
+
+static WlRefusalReason
+admission (WlCell *cell, const WlPlace *p, uint64_t *retry_after_us)
+{
+  const WlShare *share = wl_accounts_share (cell, p->customer);
+  uint64_t wait_us = wl_queue_predict_wait (cell, p);
+  uint64_t work_us = wl_queue_duration (cell, p->prompt_tokens, 0, WL_GANG_MAX);
+  *retry_after_us = wait_us;
+  if (p->prompt_tokens > cell->service->max_prompt_tokens)
+    return WL_REFUSAL_TOO_LARGE;
+  if (cell->ready && apr_hash_count (cell->endpoints) == 0)
+    return WL_REFUSAL_NO_ENDPOINT;
+  if (cell->ready && wl_placement_seats_needed (cell, p) == 0)
+    return WL_REFUSAL_TOO_LARGE;
+  if (cell->n_queued >= cell->service->queue_limit)
+    return WL_REFUSAL_QUEUE_FULL;
+  if (share->max_queued > 0 && share->queued >= share->max_queued)
+    return WL_REFUSAL_CUSTOMER_CAP;
+  if (wait_us + work_us / 4 > p->left_us)
+    return WL_REFUSAL_TIME_LIMIT;
+  return WL_REFUSAL_NONE;
+}
+
+void
+wl_cell_place (WlCell *cell, const WlPlace *place, uint64_t now_us, WlEffects *fx)
+{
+  uint64_t retry_after_us = 0;
+  get_holder (cell, place->node, now_us)->heard_us = now_us;
+  const WlGrantRecord *g = wl_accounts_find (cell, place->request, place->attempt);
+  if (g != NULL)
+    {
+      /* The grant was lost on its way, or expired before the entry learnt of it. */
+      if (!g->ended)
+        send_grant (cell, g, 0, 0, 0, fx);
+      else
+        refuse (cell, place, WL_REFUSAL_NO_OWNER, 0, fx);
+      return;
+    }
+  WlWaiting *w = wl_queue_find (cell, place->request);
+  if (w != NULL && w->place.attempt >= place->attempt)
+    return;
+  if (w != NULL)
+    wl_queue_remove (cell, w);
+  WlRefusalReason reason = admission (cell, place, &retry_after_us);
+  if (reason != WL_REFUSAL_NONE)
+    {
+      refuse (cell, place, reason, retry_after_us, fx);
+      return;
+    }
+  wl_queue_add (cell, place, now_us);
+  schedule (cell, now_us, fx);
+}
+
+/* ---- ends, cancels ---- */
+
+static void
+cancel_seat (const WlCell *cell, const WlSeatUse *seat, uint64_t request, uint32_t attempt,
+             WlEffects *fx)
+{
+  const WlEndpoint *e = wl_accounts_endpoint (cell, seat->endpoint);
+  if (e == NULL)
+    return;
+  WlCancel *c = &wl_effects_add (fx, WL_EFFECT_CANCEL)->u.cancel;
+  c->endpoint = e->id;
+  strcpy (c->address, e->address);
+  c->port = e->port;
+  c->request = request;
+  c->attempt = attempt;
+}
+
+static void
+cancel_grant (WlCell *cell, WlGrantRecord *g, uint64_t now_us, WlEffects *fx)
+{
+  g->cancelled_us = now_us;
+  for (uint32_t i = 0; i < g->n_seats; i++)
+    if (!g->seats[i].freed)
+      {
+        cell->counters.cancels++;
+        cancel_seat (cell, &g->seats[i], g->request, g->attempt, fx);
+      }
+}
+
+static void
+end_and_cancel (WlCell *cell, WlGrantRecord *g, uint64_t now_us, WlEffects *fx)
+{
+  if (g->ended)
+    return;
+  wl_accounts_end (cell, g, now_us);
+  cancel_grant (cell, g, now_us, fx);
+}
+
+static uint32_t
+count_ejected (const WlCell *cell, uint64_t now_us)
+{
+  uint32_t n = 0;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->endpoints); i; i = apr_hash_next (i))
+    n += ((const WlEndpoint *)apr_hash_this_val (i))->ejected_until_us > now_us;
+  return n;
+}
+
+/* Ejects an endpoint that fails repeatedly; at most a third of the cell at once. */
+static void
+note_failure (WlCell *cell, uint64_t endpoint, uint64_t now_us, WlEffects *fx)
+{
+  WlEndpoint *e = wl_accounts_endpoint (cell, endpoint);
+  if (e == NULL)
+    return;
+  e->failures++;
+  if (e->failures < WL_CELL_EJECT_FAILURES || e->ejected_until_us > now_us)
+    return;
+  if (3 * (count_ejected (cell, now_us) + 1) > apr_hash_count (cell->endpoints))
+    return;
+  uint64_t span_us = (uint64_t)WL_CELL_EJECT_US << (e->ejections < 4 ? e->ejections : 4);
+  if (span_us > WL_CELL_EJECT_MAX_US)
+    span_us = WL_CELL_EJECT_MAX_US;
+  e->ejected_until_us = now_us + span_us;
+  e->ejections++;
+  e->failures = 0;
+  cell->counters.ejections++;
+  wl_effects_log (fx, WL3004_ENDPOINT_EJECTED, "endpoint=%s for_us=%lu", e->name,
+                  (unsigned long)span_us);
+}
+
+static void
+note_success (WlCell *cell, const WlGrantRecord *g)
+{
+  WlEndpoint *e = wl_accounts_endpoint (cell, g->seats[0].endpoint);
+  if (e == NULL)
+    return;
+  e->failures = 0;
+  e->ejections = 0;
+}
+
+static uint64_t
+blend (uint64_t old, uint64_t sample)
+{
+  return old - (old >> LEARN_SHIFT) + (sample >> LEARN_SHIFT);
+}
+
+static void
+learn (WlCell *cell, const WlGrantRecord *g, const WlNote *n)
+{
+  uint64_t computed = g->prompt_tokens > n->cached_tokens ? g->prompt_tokens - n->cached_tokens : 0;
+  if (computed < LEARN_MIN_TOKENS || n->prefill_us == 0 || g->n_seats != 1)
+    return;
+  cell->cost.prefill_ns = blend (cell->cost.prefill_ns, n->prefill_us * 1000 / computed);
+  if (cell->cost.prefill_ns == 0)
+    cell->cost.prefill_ns = 1;
+}
+
+static void
+apply_end (WlCell *cell, WlGrantRecord *g, const WlNote *n, uint64_t now_us, WlEffects *fx)
+{
+  if (n->result == WL_ATTEMPT_FAILED)
+    note_failure (cell, n->failed_endpoint, now_us, fx);
+  if (n->result == WL_ATTEMPT_FINISHED)
+    {
+      learn (cell, g, n);
+      note_success (cell, g);
+      wl_accounts_end (cell, g, now_us);
+      /* Only the streaming endpoint has confirmed; the rest of a gang is cancelled. */
+      if (!wl_accounts_free_seat (cell, g, 0))
+        cancel_grant (cell, g, now_us, fx);
+    }
+  else if (n->result == WL_ATTEMPT_NOT_SENT)
+    {
+      if (n->failed_endpoint != 0)
+        note_failure (cell, n->failed_endpoint, now_us, fx);
+      wl_accounts_end (cell, g, now_us);
+      for (uint32_t i = g->n_seats; i > 0; i--)
+        if (wl_accounts_free_seat (cell, g, i - 1))
+          break;
+    }
+  else
+    end_and_cancel (cell, g, now_us, fx);
+}
+
+static void
+apply_note (WlCell *cell, const WlNote *n, uint64_t now_us, WlEffects *fx)
+{
+  WlGrantRecord *g = wl_accounts_find (cell, n->request, n->attempt);
+  WlWaiting *w = wl_queue_find (cell, n->request);
+  if (n->ended && w != NULL && w->place.attempt == n->attempt)
+    wl_queue_remove (cell, w);
+  if (g == NULL || g->ended)
+    return;
+  if (n->first_token)
+    wl_accounts_first_token (cell, g);
+  if (n->ended)
+    apply_end (cell, g, n, now_us, fx);
+}
+
+/* ---- holds ---- */
+
+static void
+adopt (WlCell *cell, uint32_t node, const WlHeldGrant *h, uint64_t now_us)
+{
+  if (wl_accounts_find (cell, h->request, h->attempt) != NULL)
+    return;
+  WlGrantRecord g = {
+    .request = h->request,
+    .attempt = h->attempt,
+    .node = node,
+    .share = wl_accounts_share (cell, h->customer),
+    .prompt_tokens = h->prompt_tokens,
+    .uncached = h->prompt_tokens,
+    .cost_us = wl_queue_cost (cell, h->first_token ? 0 : h->prompt_tokens, h->max_tokens),
+    .granted_us = now_us,
+    .end_us = now_us + wl_queue_duration (cell, h->prompt_tokens, h->max_tokens, h->n_seats),
+    .first_token = h->first_token,
+    .is_long = h->prompt_tokens > WL_SHORT_PROMPT_TOKENS,
+    .adopted = 1,
+  };
+  for (uint32_t i = 0; i < h->n_seats && i < WL_GANG_MAX; i++)
+    {
+      /* An endpoint that has not reported yet is accounted for by its report. */
+      if (wl_accounts_endpoint (cell, h->seats[i].endpoint) == NULL)
+        continue;
+      g.seats[g.n_seats].endpoint = h->seats[i].endpoint;
+      g.seats[g.n_seats++].kv_tokens = h->seats[i].kv_tokens;
+    }
+  if (g.n_seats > 0)
+    wl_accounts_grant (cell, &g);
+}
+
+static int
+is_listed (const WlHold *hold, const WlGrantRecord *g)
+{
+  for (uint32_t i = 0; i < hold->n_grants; i++)
+    if (hold->grants[i].request == g->request && hold->grants[i].attempt == g->attempt)
+      return 1;
+  return 0;
+}
+
+/* Ends grants of the entry for which the test holds. */
+typedef int (*GrantTest) (const WlGrantRecord *g, const void *context, uint64_t now_us);
+
+static void
+end_grants (WlCell *cell, uint32_t node, GrantTest test, const void *context, uint64_t now_us,
+            WlEffects *fx)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->grants); i; i = apr_hash_next (i))
+    {
+      WlGrantRecord *g = apr_hash_this_val (i);
+      if (g->node == node && !g->ended && test (g, context, now_us))
+        end_and_cancel (cell, g, now_us, fx);
+    }
+}
+
+static int
+test_any (const WlGrantRecord *g, const void *context, uint64_t now_us)
+{
+  (void)g;
+  (void)context;
+  (void)now_us;
+  return 1;
+}
+
+static int
+test_unlisted (const WlGrantRecord *g, const void *context, uint64_t now_us)
+{
+  /* A young grant may still be on its way to the entry. */
+  return now_us >= g->granted_us + WL_CELL_REPORT_LAG_US && !is_listed (context, g);
+}
+
+static void
+remove_waiting_of (WlCell *cell, uint32_t node)
+{
+  for (WlWaiting *w = cell->queue, *next; w != NULL; w = next)
+    {
+      next = w->next;
+      if (w->place.node == node)
+        wl_queue_remove (cell, w);
+    }
+}
+
+static int
+has_ready_endpoint (const WlCell *cell, uint64_t now_us)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->endpoints); i; i = apr_hash_next (i))
+    if (wl_placement_usable (cell, apr_hash_this_val (i), now_us))
+      return 1;
+  return 0;
+}
+
+void
+wl_cell_hold (WlCell *cell, const WlHold *hold, uint64_t now_us, WlEffects *fx)
+{
+  WlHolder *h = get_holder (cell, hold->node, now_us);
+  if (h->incarnation != 0 && h->incarnation != hold->incarnation)
+    {
+      end_grants (cell, hold->node, test_any, NULL, now_us, fx);
+      remove_waiting_of (cell, hold->node);
+    }
+  h->incarnation = hold->incarnation;
+  h->heard_us = now_us;
+  if (hold->full)
+    {
+      for (uint32_t i = 0; i < hold->n_grants; i++)
+        adopt (cell, hold->node, &hold->grants[i], now_us);
+      end_grants (cell, hold->node, test_unlisted, hold, now_us, fx);
+    }
+  for (uint32_t i = 0; i < hold->n_notes; i++)
+    apply_note (cell, &hold->notes[i], now_us, fx);
+  h->mismatches = h->n_grants == hold->n_held ? 0 : (uint8_t)(h->mismatches + 1);
+  WlMessage m = { .kind = WL_MESSAGE_HOLD_REPLY };
+  strcpy (m.u.hold_reply.service, cell->lease.service);
+  m.u.hold_reply.shard = cell->lease.shard;
+  m.u.hold_reply.fence = cell->lease.fence;
+  m.u.hold_reply.sequence = hold->sequence;
+  m.u.hold_reply.want_full = h->mismatches >= HOLD_MISMATCHES;
+  m.u.hold_reply.ready = (uint8_t)has_ready_endpoint (cell, now_us);
+  if (m.u.hold_reply.want_full)
+    h->mismatches = 0;
+  wl_effects_send (fx, hold->node, &m);
+  schedule (cell, now_us, fx);
+}
+
+/* ---- endpoint reports ---- */
+
+static WlEndpoint *
+get_endpoint (WlCell *cell, const WlEndpointReport *r, uint64_t now_us, WlEffects *fx)
+{
+  WlEndpoint *e = wl_accounts_endpoint (cell, r->endpoint);
+  if (e != NULL && e->incarnation != r->incarnation)
+    {
+      /* A restarted endpoint holds nothing of what it was granted before. */
+      wl_accounts_remove_endpoint (cell, e, now_us);
+      e = NULL;
+    }
+  if (e != NULL)
+    return e;
+  e = calloc (1, sizeof *e);
+  if (e == NULL)
+    abort ();
+  e->id = r->endpoint;
+  e->incarnation = r->incarnation;
+  wl_table_put_id (cell->endpoints, &e->id, e);
+  wl_effects_log (fx, WL3001_ENDPOINT_JOINED, "endpoint=%s service=%s address=%s:%u", r->name,
+                  r->service, r->address, r->port);
+  return e;
+}
+
+static int
+reports_attempt (const WlEndpointReport *r, uint64_t request, uint32_t attempt)
+{
+  for (uint32_t i = 0; i < r->n_running; i++)
+    if (r->running[i].request == request && r->running[i].attempt == attempt)
+      return 1;
+  return 0;
+}
+
+/* Frees seats of ended grants that the endpoint no longer reports, twice in a row. */
+static void
+free_absent_seats (WlCell *cell, const WlEndpoint *e, const WlEndpointReport *r, uint64_t now_us)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->grants); i; i = apr_hash_next (i))
+    {
+      WlGrantRecord *g = apr_hash_this_val (i);
+      if (!g->ended || now_us < g->ended_us + WL_CELL_REPORT_LAG_US)
+        continue;
+      for (uint32_t s = 0; s < g->n_seats; s++)
+        {
+          WlSeatUse *seat = &g->seats[s];
+          if (seat->endpoint != e->id || seat->freed)
+            continue;
+          seat->absent = reports_attempt (r, g->request, g->attempt) ? 0 : seat->absent + 1;
+          if (seat->absent >= 2 && wl_accounts_free_seat (cell, g, s))
+            break;
+        }
+    }
+}
+
+static WlStray *
+find_stray (WlEndpoint *e, uint64_t request, uint32_t attempt)
+{
+  for (uint32_t i = 0; i < e->n_strays; i++)
+    if (e->strays[i].request == request && e->strays[i].attempt == attempt)
+      return &e->strays[i];
+  return NULL;
+}
+
+static void
+watch_stray (WlCell *cell, WlEndpoint *e, const WlRunning *run, uint64_t now_us, WlEffects *fx)
+{
+  WlStray *s = find_stray (e, run->request, run->attempt);
+  if (s == NULL && e->n_strays < WL_CELL_STRAYS)
+    {
+      s = &e->strays[e->n_strays++];
+      *s = (WlStray){ .request = run->request, .attempt = run->attempt, .since_us = now_us };
+    }
+  if (s == NULL)
+    return;
+  s->seen_us = now_us;
+  if (!cell->ready || now_us < s->since_us + WL_CELL_STRAY_US)
+    return;
+  if (now_us < s->cancelled_us + WL_CELL_CANCEL_US)
+    return;
+  s->cancelled_us = now_us;
+  WlSeatUse seat = { .endpoint = e->id };
+  cell->counters.cancels++;
+  cancel_seat (cell, &seat, s->request, s->attempt, fx);
+  wl_effects_log (fx, WL3007_STRAY_CANCELLED, "endpoint=%s request=%lx attempt=%u", e->name,
+                  (unsigned long)s->request, s->attempt);
+}
+
+static void
+watch_strays (WlCell *cell, WlEndpoint *e, const WlEndpointReport *r, uint64_t now_us,
+              WlEffects *fx)
+{
+  for (uint32_t i = 0; i < r->n_running; i++)
+    if (wl_accounts_find (cell, r->running[i].request, r->running[i].attempt) == NULL)
+      watch_stray (cell, e, &r->running[i], now_us, fx);
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < e->n_strays; i++)
+    if (e->strays[i].seen_us == now_us)
+      e->strays[kept++] = e->strays[i];
+  e->n_strays = kept;
+}
+
+void
+wl_cell_report (WlCell *cell, const WlEndpointReport *report, uint64_t now_us, WlEffects *fx)
+{
+  WlEndpoint *e = get_endpoint (cell, report, now_us, fx);
+  if (report->sequence <= e->sequence && e->sequence > 0)
+    return;
+  e->sequence = report->sequence;
+  strcpy (e->name, report->name);
+  strcpy (e->address, report->address);
+  e->port = report->port;
+  strcpy (e->domain, report->domain);
+  e->kv_capacity = report->kv_capacity;
+  e->kv_reported = report->kv_used;
+  e->slots = report->slots;
+  if (report->leaving && !e->leaving)
+    wl_effects_log (fx, WL3002_ENDPOINT_LEAVING, "endpoint=%s", e->name);
+  e->leaving = report->leaving;
+  e->heard_us = now_us;
+  wl_orders_observe (cell, e, report);
+  wl_placement_remember (e, report->cached, report->n_cached);
+  wl_placement_forget (e, report->evicted, report->n_evicted);
+  free_absent_seats (cell, e, report, now_us);
+  watch_strays (cell, e, report, now_us, fx);
+  schedule (cell, now_us, fx);
+}
+
+void
+wl_cell_confirm (WlCell *cell, const WlConfirmEvent *confirm, uint64_t now_us, WlEffects *fx)
+{
+  WlGrantRecord *g = wl_accounts_find (cell, confirm->request, confirm->attempt);
+  if (g == NULL || !g->ended)
+    return;
+  for (uint32_t i = 0; i < g->n_seats; i++)
+    if (g->seats[i].endpoint == confirm->endpoint)
+      {
+        wl_accounts_free_seat (cell, g, i);
+        break;
+      }
+  schedule (cell, now_us, fx);
+}
+
+/* ---- time ---- */
+
+static void
+expire_endpoints (WlCell *cell, uint64_t now_us, WlEffects *fx)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->endpoints); i; i = apr_hash_next (i))
+    {
+      WlEndpoint *e = apr_hash_this_val (i);
+      if (e->ejected_until_us != 0 && e->ejected_until_us <= now_us)
+        {
+          e->ejected_until_us = 0;
+          wl_effects_log (fx, WL3005_ENDPOINT_RESTORED, "endpoint=%s", e->name);
+        }
+      if (now_us < e->heard_us + 10ULL * WL_ENDPOINT_EXPIRY_US)
+        continue;
+      wl_effects_log (fx, WL3003_ENDPOINT_EXPIRED, "endpoint=%s", e->name);
+      wl_accounts_remove_endpoint (cell, e, now_us);
+    }
+}
+
+static void
+expire_holders (WlCell *cell, uint64_t now_us, WlEffects *fx)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->holders); i; i = apr_hash_next (i))
+    {
+      WlHolder *h = apr_hash_this_val (i);
+      if (now_us < h->heard_us + WL_CELL_NODE_EXPIRY_US)
+        continue;
+      if (h->n_grants > 0)
+        wl_effects_log (fx, WL3006_GRANT_EXPIRED, "node=%lu grants=%u", (unsigned long)h->node,
+                        h->n_grants);
+      end_grants (cell, (uint32_t)h->node, test_any, NULL, now_us, fx);
+      remove_waiting_of (cell, (uint32_t)h->node);
+      wl_table_put_id (cell->holders, &h->node, NULL);
+      free (h);
+    }
+}
+
+static void
+repeat_cancels (WlCell *cell, uint64_t now_us, WlEffects *fx)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->grants); i; i = apr_hash_next (i))
+    {
+      WlGrantRecord *g = apr_hash_this_val (i);
+      if (g->ended && now_us >= g->cancelled_us + WL_CELL_CANCEL_US)
+        cancel_grant (cell, g, now_us, fx);
+    }
+}
+
+static void
+refuse_late (WlCell *cell, uint64_t now_us, WlEffects *fx)
+{
+  for (WlWaiting *w = cell->queue, *next; w != NULL; w = next)
+    {
+      next = w->next;
+      if (!is_late (cell, w, now_us))
+        continue;
+      refuse (cell, &w->place, WL_REFUSAL_TIME_LIMIT, now_us - w->arrived_us, fx);
+      wl_queue_remove (cell, w);
+    }
+}
+
+/* Attributes the waiting of the last interval to the customers whose work was running. */
+static void
+sample_delays (WlCell *cell, uint64_t now_us)
+{
+  WlShare *list[4096];
+  uint32_t n = 0;
+  uint64_t total_us = 0;
+  uint64_t passed_us = now_us - cell->sample_us;
+  cell->sample_us = now_us;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->shares); i && n < 4096;
+       i = apr_hash_next (i))
+    {
+      list[n] = apr_hash_this_val (i);
+      total_us += list[n++]->running_cost_us;
+    }
+  for (uint32_t a = 0; a < n && total_us > 0; a++)
+    for (uint32_t c = 0; c < n && list[a]->queued > 0; c++)
+      {
+        double share = (double)list[c]->running_cost_us / (double)total_us;
+        uint64_t *slot = &cell->delays[(size_t)list[a]->index * cell->delays_size + list[c]->index];
+        *slot += (uint64_t)(share * (double)passed_us * list[a]->queued);
+      }
+}
+
+static void
+refresh_reservation (WlCell *cell, uint64_t now_us)
+{
+  if (cell->reservation.request == 0)
+    return;
+  WlWaiting *w = wl_queue_find (cell, cell->reservation.request);
+  memset (&cell->reservation, 0, sizeof cell->reservation);
+  if (w != NULL)
+    wl_placement_reserve (cell, w, now_us);
+}
+
+void
+wl_cell_tick (WlCell *cell, uint64_t now_us, WlEffects *fx)
+{
+  if (!cell->ready && now_us >= cell->opened_us + WL_CELL_WARMUP_US)
+    {
+      cell->ready = 1;
+      wl_effects_log (fx, WL2304_CELL_READY, "service=%s shard=%u endpoints=%u grants=%u",
+                      cell->lease.service, cell->lease.shard, apr_hash_count (cell->endpoints),
+                      apr_hash_count (cell->grants));
+    }
+  refuse_late (cell, now_us, fx);
+  if (now_us >= cell->sample_us + SAMPLE_US)
+    {
+      sample_delays (cell, now_us);
+      expire_holders (cell, now_us, fx);
+      expire_endpoints (cell, now_us, fx);
+      repeat_cancels (cell, now_us, fx);
+      refresh_reservation (cell, now_us);
+      wl_orders_tick (cell, now_us, fx);
+    }
+  schedule (cell, now_us, fx);
+}
--- /dev/null
+++ b/core/wl_core.c
@@ -0,0 +1,383 @@
+#include <stdlib.h>
+#include <string.h>
+#include "wl_core.h"
+#include "wl_events.h"
+#include "wl_links.h"
+#include "wl_orders.h"
+#include "wl_table.h"
+
+enum
+{
+  STOP_ADDRESS_US = WL_ADDRESS_LIFETIME_US, /* callers may use an old entry list this long */
+};
+
+WlError
+wl_core_create (const WlSettings *settings, const WlStored *stored, uint64_t now_us, WlCore **out)
+{
+  WlCore *core = calloc (1, sizeof *core);
+  WlError error = WL_OK;
+  if (core == NULL)
+    return WL_ERROR_NO_MEMORY;
+  core->settings = *settings;
+  wl_session_init (&core->session, &core->settings);
+  core->entry = wl_entry_create (&core->settings, &core->session);
+  if (stored != NULL)
+    error = wl_control_create (&core->settings, stored, now_us, &core->control);
+  if (error != WL_OK)
+    {
+      wl_core_destroy (core);
+      return error;
+    }
+  *out = core;
+  return WL_OK;
+}
+
+void
+wl_core_destroy (WlCore *core)
+{
+  if (core == NULL)
+    return;
+  while (core->cells != NULL)
+    {
+      WlCell *next = core->cells->next;
+      wl_cell_destroy (core->cells);
+      core->cells = next;
+    }
+  wl_entry_destroy (core->entry);
+  wl_session_clear (&core->session);
+  wl_control_destroy (core->control);
+  free (core);
+}
+
+WlCell *
+wl_core_find_cell (const WlCore *core, const char *service, uint32_t shard)
+{
+  for (WlCell *c = core->cells; c != NULL; c = c->next)
+    if (c->lease.shard == shard && strcmp (c->lease.service, service) == 0)
+      return c;
+  return NULL;
+}
+
+int
+wl_core_has_lease (const WlCore *core, uint64_t now_us)
+{
+  return wl_session_is_valid (&core->session, now_us);
+}
+
+/* ---- cells follow the directory and the lease ---- */
+
+static int
+owns (const WlCore *core, const WlCellLease *lease)
+{
+  const WlCellLease *now = wl_session_find_cell (&core->session, lease->service, lease->shard);
+  return now != NULL && now->owner == core->settings.self.node && now->fence == lease->fence
+         && wl_services_find (core->session.services, lease->service) != NULL;
+}
+
+static void
+close_cells (WlCore *core, int all, WlEffects *fx)
+{
+  for (WlCell **slot = &core->cells; *slot != NULL;)
+    {
+      WlCell *c = *slot;
+      if (!all && owns (core, &c->lease))
+        {
+          slot = &c->next;
+          continue;
+        }
+      wl_effects_log (fx, WL2303_CELL_CLOSED, "service=%s shard=%u fence=%lu", c->lease.service,
+                      c->lease.shard, (unsigned long)c->lease.fence);
+      *slot = c->next;
+      wl_cell_destroy (c);
+    }
+}
+
+static void
+open_cells (WlCore *core, uint64_t now_us, WlEffects *fx)
+{
+  for (uint32_t i = 0; i < core->session.n_cells; i++)
+    {
+      const WlCellLease *lease = &core->session.cells[i];
+      if (!owns (core, lease))
+        continue;
+      WlCell *c = wl_core_find_cell (core, lease->service, lease->shard);
+      if (c == NULL)
+        {
+          c = wl_cell_create (lease, &core->settings, now_us);
+          c->next = core->cells;
+          core->cells = c;
+          wl_effects_log (fx, WL2302_CELL_OPENED, "service=%s shard=%u fence=%lu", lease->service,
+                          lease->shard, (unsigned long)lease->fence);
+        }
+    }
+}
+
+/*
+ * Opens and closes cells when the configuration, the directory or the
+ * validity of the lease has changed. Without a lease no cell is open: another
+ * entry may own it already.
+ */
+static void
+follow_session (WlCore *core, uint64_t now_us, WlEffects *fx)
+{
+  int may_own = wl_core_has_lease (core, now_us) && !core->session.draining;
+  if (!may_own)
+    close_cells (core, 1, fx);
+  if (core->session_change == core->session.change || !may_own)
+    return;
+  core->session_change = core->session.change;
+  close_cells (core, 0, fx);
+  open_cells (core, now_us, fx);
+  for (WlCell *c = core->cells; c != NULL; c = c->next)
+    wl_cell_configure (c, core->session.services);
+}
+
+/* A cell's dependencies are ready when each service that it needs has a ready cell. */
+static void
+follow_dependencies (WlCore *core)
+{
+  for (WlCell *c = core->cells; c != NULL; c = c->next)
+    {
+      c->dependencies_ready = 1;
+      for (size_t i = 0; i < c->service->n_depends_on; i++)
+        if (!wl_links_get (core->entry, c->service->depends_on[i], 0)->ready)
+          c->dependencies_ready = 0;
+    }
+}
+
+/* ---- messages ---- */
+
+static void
+forward_report (const WlCore *core, const WlEndpointReport *report, WlEffects *fx)
+{
+  const WlService *s = wl_services_find (core->session.services, report->service);
+  if (s == NULL)
+    return;
+  uint32_t shard = (uint32_t)(wl_mix (report->endpoint, 0) % s->cells);
+  const WlCellLease *cell = wl_session_find_cell (&core->session, report->service, shard);
+  if (cell == NULL || cell->owner == 0)
+    return;
+  WlMessage m = { .kind = WL_MESSAGE_ENDPOINT_REPORT };
+  m.u.report = *report;
+  m.u.report.fence = cell->fence;
+  wl_effects_send (fx, cell->owner, &m);
+}
+
+static WlCell *
+find_fenced (const WlCore *core, const char *service, uint32_t shard, uint64_t fence)
+{
+  WlCell *c = wl_core_find_cell (core, service, shard);
+  return c != NULL && (fence == 0 || c->lease.fence == fence) ? c : NULL;
+}
+
+static void
+receive_as_owner (WlCore *core, const WlMessage *message, uint64_t now_us, WlEffects *fx)
+{
+  const WlPlace *p = &message->u.place;
+  const WlHold *h = &message->u.hold;
+  const WlEndpointReport *r = &message->u.report;
+  WlCell *c = NULL;
+  switch (message->kind)
+    {
+    case WL_MESSAGE_PLACE:
+      c = find_fenced (core, p->service, p->shard, 0);
+      /* Without the cell there is no answer: the entry asks again, by then the new owner. */
+      if (c != NULL)
+        wl_cell_place (c, p, now_us, fx);
+      break;
+    case WL_MESSAGE_HOLD:
+      c = find_fenced (core, h->service, h->shard, h->fence);
+      if (c != NULL)
+        wl_cell_hold (c, h, now_us, fx);
+      break;
+    case WL_MESSAGE_ENDPOINT_REPORT:
+      for (c = core->cells; c != NULL; c = c->next)
+        if (strcmp (c->lease.service, r->service) == 0 && c->lease.fence == r->fence
+            && wl_mix (r->endpoint, 0) % c->service->cells == c->lease.shard)
+          wl_cell_report (c, r, now_us, fx);
+      break;
+    default:
+      break;
+    }
+}
+
+static int
+receive_operator_reply (const WlMessage *message, WlEffects *fx)
+{
+  if (message->kind == WL_MESSAGE_SUBMIT_REPLY)
+    {
+      wl_effects_add (fx, WL_EFFECT_SUBMIT_DONE)->u.submit = message->u.submit_reply;
+      return 1;
+    }
+  if (message->kind != WL_MESSAGE_QUERY_REPLY)
+    return 0;
+  WlQueryReply *q = &wl_effects_add (fx, WL_EFFECT_QUERY_DONE)->u.query;
+  *q = message->u.query_reply;
+  if (q->has_text)
+    q->text = wl_bytes_copy (fx->pool, q->text);
+  q->entries = apr_pmemdup (fx->pool, q->entries, q->n_entries * sizeof *q->entries);
+  q->voters = apr_pmemdup (fx->pool, q->voters, q->n_voters * sizeof *q->voters);
+  q->roots = apr_pmemdup (fx->pool, q->roots, q->n_roots * sizeof *q->roots);
+  return 1;
+}
+
+static void
+receive (WlCore *core, uint32_t from, const WlMessage *message, const WlEvent *event, WlEffects *fx)
+{
+  WlMoment at = { event->now_us, event->wall_us, fx };
+  if (receive_operator_reply (message, fx))
+    return;
+  if (core->control != NULL && wl_control_receive (core->control, from, message, event, fx))
+    return;
+  if (wl_session_receive (&core->session, from, message, event->now_us, fx))
+    follow_session (core, event->now_us, fx);
+  else if (!wl_entry_receive (core->entry, message, &at))
+    receive_as_owner (core, message, event->now_us, fx);
+}
+
+/* Processes messages to this node itself, which never leave it. */
+static void
+receive_own (WlCore *core, uint32_t first, const WlEvent *event, WlEffects *fx)
+{
+  for (uint32_t i = first; i < fx->count; i++)
+    {
+      WlMessage m;
+      if (fx->items[i].kind != WL_EFFECT_SEND)
+        continue;
+      if (fx->items[i].u.send.node != core->settings.self.node)
+        continue;
+      WlBytes bytes = fx->items[i].u.send.bytes;
+      fx->items[i].u.send.node = 0;
+      if (wl_message_decode (bytes, &m, fx->pool) == WL_OK)
+        receive (core, core->settings.self.node, &m, event, fx);
+    }
+}
+
+/* ---- operators ---- */
+
+static void
+forward_submit (const WlCore *core, const WlSubmit *submit, WlEffects *fx)
+{
+  WlMessage m = { .kind = WL_MESSAGE_SUBMIT };
+  m.u.submit = *submit;
+  m.u.submit.node = core->settings.self.node;
+  wl_effects_send (fx, wl_session_control (&core->session), &m);
+}
+
+static void
+forward_query (const WlCore *core, const WlQuery *query, WlEffects *fx)
+{
+  WlMessage m = { .kind = WL_MESSAGE_QUERY };
+  m.u.query = *query;
+  m.u.query.node = core->settings.self.node;
+  wl_effects_send (fx, wl_session_control (&core->session), &m);
+}
+
+/* ---- time and stop ---- */
+
+static void
+begin_stop (WlCore *core, uint64_t now_us, WlEffects *fx)
+{
+  if (core->stopping)
+    return;
+  core->stopping = 1;
+  core->stop_us = now_us;
+  core->session.draining = 1;
+  core->session.renew_us = now_us;
+  wl_effects_log (fx, WL1002_NODE_STOPPING, "requests=%u", apr_hash_count (core->entry->requests));
+  follow_session (core, now_us, fx);
+}
+
+static void
+continue_stop (WlCore *core, uint64_t now_us, WlEffects *fx)
+{
+  if (!core->stopping || core->stopped)
+    return;
+  if (now_us < core->stop_us + STOP_ADDRESS_US || !wl_entry_is_idle (core->entry))
+    return;
+  if (!core->session.leaving)
+    {
+      /* One last renewal takes the node out of the directory. */
+      core->session.leaving = 1;
+      core->session.renew_us = now_us;
+      return;
+    }
+  core->stopped = 1;
+  wl_effects_log (fx, WL1003_NODE_STOPPED, "after_us=%lu", (unsigned long)(now_us - core->stop_us));
+  wl_effects_add (fx, WL_EFFECT_STOPPED);
+}
+
+static void
+tick (WlCore *core, const WlEvent *event, WlEffects *fx)
+{
+  WlMoment at = { event->now_us, event->wall_us, fx };
+  if (core->control != NULL)
+    wl_control_tick (core->control, event, fx);
+  wl_session_tick (&core->session, event->now_us, fx);
+  follow_session (core, event->now_us, fx);
+  follow_dependencies (core);
+  for (WlCell *c = core->cells; c != NULL; c = c->next)
+    wl_cell_tick (c, event->now_us, fx);
+  wl_entry_tick (core->entry, &at);
+  continue_stop (core, event->now_us, fx);
+}
+
+static void
+confirm (WlCore *core, const WlConfirmEvent *e, uint64_t now_us, WlEffects *fx)
+{
+  for (WlCell *c = core->cells; c != NULL; c = c->next)
+    wl_cell_confirm (c, e, now_us, fx);
+}
+
+void
+wl_core_step (WlCore *core, const WlEvent *event, WlEffects *effects)
+{
+  uint32_t first = effects->count;
+  WlMoment at = { event->now_us, event->wall_us, effects };
+  core->entry->counters.events++;
+  switch (event->kind)
+    {
+    case WL_EVENT_TICK:
+      tick (core, event, effects);
+      break;
+    case WL_EVENT_FLUSH:
+      if (core->control != NULL)
+        wl_control_flush (core->control, event, effects);
+      break;
+    case WL_EVENT_MESSAGE:
+      receive (core, event->u.message.from, event->u.message.message, event, effects);
+      break;
+    case WL_EVENT_REQUEST:
+      wl_entry_request (core->entry, &event->u.request, &at);
+      break;
+    case WL_EVENT_CALLER_GONE:
+      wl_entry_caller_gone (core->entry, event->u.caller_gone, &at);
+      break;
+    case WL_EVENT_ENGINE_OUTPUT:
+      wl_entry_output (core->entry, &event->u.output, &at);
+      break;
+    case WL_EVENT_ENGINE_END:
+      wl_entry_end (core->entry, &event->u.end, &at);
+      break;
+    case WL_EVENT_CANCEL_CONFIRMED:
+      confirm (core, &event->u.confirm, event->now_us, effects);
+      break;
+    case WL_EVENT_ENDPOINT_REPORT:
+      forward_report (core, &event->u.report, effects);
+      break;
+    case WL_EVENT_ORDER_END:
+      for (WlCell *c = core->cells; c != NULL; c = c->next)
+        wl_orders_end (c, &event->u.order_end, event->now_us, effects);
+      break;
+    case WL_EVENT_SUBMIT:
+      forward_submit (core, &event->u.submit, effects);
+      break;
+    case WL_EVENT_QUERY:
+      forward_query (core, &event->u.query, effects);
+      break;
+    case WL_EVENT_STOP:
+      begin_stop (core, event->now_us, effects);
+      break;
+    }
+  receive_own (core, first, event, effects);
+}
--- /dev/null
+++ b/core/wl_core.h
@@ -0,0 +1,53 @@
+#ifndef WL_CORE_H
+#define WL_CORE_H
+
+#include "wl_cell.h"
+#include "wl_control.h"
+#include "wl_entry.h"
+#include "wl_session.h"
+
+/**
+ * struct WlCore - the state of one node
+ * @settings: fixed facts
+ * @control: control replica, or NULL
+ * @session: session with the control group
+ * @entry: the entry
+ * @cells: cells that this node owns
+ * @session_change: latest change of the session that the cells have seen
+ * @stopping: a graceful stop is under way
+ * @stop_us: time at which it began
+ * @stopped: it is complete
+ */
+struct WlCore
+{
+  WlSettings settings;
+  WlControl *control;
+  WlSession session;
+  WlEntry *entry;
+  WlCell *cells;
+  uint64_t session_change;
+  uint8_t stopping;
+  uint64_t stop_us;
+  uint8_t stopped;
+};
+
+/**
+ * wl_core_find_cell() - finds a cell that this node owns
+ * @core: the node
+ * @service: service name
+ * @shard: number of the cell
+ *
+ * Return: the cell, or NULL.
+ */
+WlCell *wl_core_find_cell (const WlCore *core, const char *service, uint32_t shard);
+
+/**
+ * wl_core_has_lease() - tells whether the node may act as entry and owner
+ * @core: the node
+ * @now_us: monotonic time
+ *
+ * Return: 1 or 0.
+ */
+int wl_core_has_lease (const WlCore *core, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/core/wl_orders.c
@@ -0,0 +1,99 @@
+#include <string.h>
+#include "wl_accounts.h"
+#include "wl_events.h"
+#include "wl_orders.h"
+
+enum
+{
+  PPM = 1000000,
+  ORDER_RETRY_US = 2000000, /* a refused order is given again after this long */
+  BURST = 4,                /* orders that may be issued at once */
+};
+
+static int
+has_model (const WlEndpointReport *report, const WlModel *model)
+{
+  for (uint32_t i = 0; i < report->n_loaded; i++)
+    if (strcmp (report->loaded[i].name, model->name) == 0
+        && strcmp (report->loaded[i].version, model->version) == 0)
+      return 1;
+  return 0;
+}
+
+void
+wl_orders_observe (const WlCell *cell, WlEndpoint *endpoint, const WlEndpointReport *report)
+{
+  uint32_t missing = UINT32_MAX;
+  for (size_t i = 0; i < cell->service->n_models; i++)
+    if (!has_model (report, &cell->service->models[i]))
+      {
+        missing = (uint32_t)i;
+        break;
+      }
+  if (endpoint->ordered_model != missing)
+    endpoint->ordered_us = 0;
+  endpoint->ordered_model = missing;
+  endpoint->ready = missing == UINT32_MAX;
+}
+
+/* Token bucket for the weight store, in millionths of a load. */
+static void
+refill (WlCell *cell, uint64_t now_us)
+{
+  uint64_t passed_us = now_us - cell->order_refill_us;
+  uint64_t rate = cell->services->weight_loads_per_minute;
+  if (passed_us > 60000000)
+    passed_us = 60000000;
+  cell->order_tokens_ppm += passed_us * rate / 60;
+  cell->order_refill_us = now_us;
+  if (cell->order_tokens_ppm > BURST * PPM)
+    cell->order_tokens_ppm = BURST * PPM;
+}
+
+static void
+issue (WlCell *cell, WlEndpoint *e, uint64_t now_us, WlEffects *fx)
+{
+  const WlModel *model = &cell->service->models[e->ordered_model];
+  WlOrder *o = &wl_effects_add (fx, WL_EFFECT_ORDER)->u.order;
+  o->endpoint = e->id;
+  strcpy (o->address, e->address);
+  o->port = e->port;
+  o->fence = cell->lease.fence;
+  strcpy (o->model, model->name);
+  strcpy (o->version, model->version);
+  e->ordered_us = now_us;
+  wl_effects_log (fx, WL3008_ORDER_ISSUED, "endpoint=%s model=%s version=%s fence=%lu", e->name,
+                  model->name, model->version, (unsigned long)cell->lease.fence);
+}
+
+void
+wl_orders_tick (WlCell *cell, uint64_t now_us, WlEffects *fx)
+{
+  refill (cell, now_us);
+  if (!cell->dependencies_ready)
+    return;
+  if (!cell->service->fenced && now_us < cell->opened_us + WL_CELL_STRAY_US)
+    return;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->endpoints); i; i = apr_hash_next (i))
+    {
+      WlEndpoint *e = apr_hash_this_val (i);
+      if (e->ready || e->leaving || e->ordered_model >= cell->service->n_models)
+        continue;
+      if (e->ordered_us != 0 && now_us < e->ordered_us + WL_CELL_ORDER_US)
+        continue;
+      if (cell->order_tokens_ppm < PPM)
+        return;
+      cell->order_tokens_ppm -= PPM;
+      issue (cell, e, now_us, fx);
+    }
+}
+
+void
+wl_orders_end (WlCell *cell, const WlOrderEndEvent *end, uint64_t now_us, WlEffects *fx)
+{
+  WlEndpoint *e = wl_accounts_endpoint (cell, end->endpoint);
+  if (e == NULL || end->ok)
+    return;
+  e->ordered_us = now_us - WL_CELL_ORDER_US + ORDER_RETRY_US;
+  wl_effects_log (fx, WL3009_ORDER_REFUSED, "endpoint=%s", e->name);
+}
--- /dev/null
+++ b/core/wl_outbox.c
@@ -0,0 +1,119 @@
+#include <stdlib.h>
+#include <string.h>
+#include "wl_outbox.h"
+
+static WlOutboxItem *
+add_item (WlEntry *entry, const WlClaimRecord *record)
+{
+  WlOutboxItem *item = calloc (1, sizeof *item);
+  if (item == NULL)
+    abort ();
+  item->record = *record;
+  item->record.body = (WlBytes){ NULL, 0 };
+  item->next = entry->outbox;
+  entry->outbox = item;
+  return item;
+}
+
+static void
+send_item (const WlEntry *entry, WlOutboxItem *item, const WlMoment *at)
+{
+  WlMessage m = { .kind = WL_MESSAGE_CLAIM_END };
+  m.u.claim_end.record = item->record;
+  item->timer_us = at->now_us + WL_ENTRY_CLAIM_RETRY_US;
+  wl_effects_send (at->fx, wl_session_control (entry->session), &m);
+}
+
+static WlClaimStatus
+claim_status (const WlRequest *request, const WlFinish *finish)
+{
+  if (finish->outcome == WL_OUTCOME_DONE)
+    return WL_CLAIM_DONE;
+  return request->sent ? WL_CLAIM_UNKNOWN : WL_CLAIM_NOT_RUN;
+}
+
+void
+wl_outbox_add (WlEntry *entry, const WlRequest *request, const WlFinish *finish, const WlMoment *at)
+{
+  WlClaimRecord record = {
+    .request = request->id,
+    .node = entry->settings->self.node,
+    .incarnation = entry->settings->incarnation,
+    .status = (uint8_t)claim_status (request, finish),
+    .http_status = finish->http_status,
+  };
+  /* A request that ended while another one held the key has nothing to end. */
+  if (finish->outcome == WL_OUTCOME_REPLAYED || finish->reason == WL_REFUSAL_CLAIM_TAKEN
+      || finish->reason == WL_REFUSAL_CLAIM_UNKNOWN || finish->reason == WL_REFUSAL_KEY_REUSED)
+    return;
+  strcpy (record.customer, request->customer);
+  strcpy (record.key, request->key);
+  memcpy (record.digest, request->digest, WL_DIGEST_SIZE);
+  WlOutboxItem *item = add_item (entry, &record);
+  if (record.status == WL_CLAIM_DONE && request->outcome.size > 0
+      && request->outcome.size <= WL_OUTCOME_MAX)
+    {
+      uint8_t *copy = malloc (request->outcome.size);
+      if (copy == NULL)
+        abort ();
+      memcpy (copy, request->outcome.data, request->outcome.size);
+      item->record.body = (WlBytes){ copy, request->outcome.size };
+    }
+  send_item (entry, item, at);
+}
+
+void
+wl_outbox_release (WlEntry *entry, const WlClaimRecord *record, const WlMoment *at)
+{
+  WlOutboxItem *item = add_item (entry, record);
+  item->record.status = WL_CLAIM_NOT_RUN;
+  send_item (entry, item, at);
+}
+
+static void
+free_item (WlOutboxItem *item)
+{
+  free ((void *)(uintptr_t)item->record.body.data);
+  free (item);
+}
+
+void
+wl_outbox_confirm (WlEntry *entry, uint64_t id)
+{
+  for (WlOutboxItem **slot = &entry->outbox; *slot != NULL; slot = &(*slot)->next)
+    if ((*slot)->record.request == id)
+      {
+        WlOutboxItem *item = *slot;
+        *slot = item->next;
+        free_item (item);
+        return;
+      }
+}
+
+int
+wl_outbox_contains (const WlEntry *entry, uint64_t id)
+{
+  for (const WlOutboxItem *i = entry->outbox; i != NULL; i = i->next)
+    if (i->record.request == id)
+      return 1;
+  return 0;
+}
+
+void
+wl_outbox_tick (WlEntry *entry, const WlMoment *at)
+{
+  for (WlOutboxItem *i = entry->outbox; i != NULL; i = i->next)
+    if (at->now_us >= i->timer_us)
+      send_item (entry, i, at);
+}
+
+void
+wl_outbox_destroy (WlEntry *entry)
+{
+  while (entry->outbox != NULL)
+    {
+      WlOutboxItem *item = entry->outbox;
+      entry->outbox = item->next;
+      free_item (item);
+    }
+}
--- /dev/null
+++ b/core/wl_raft_log.h
@@ -0,0 +1,71 @@
+#ifndef WL_RAFT_LOG_H
+#define WL_RAFT_LOG_H
+
+#include "wl_raft.h"
+
+/* The in-memory log of a replica and the voters that its entries define. */
+
+/**
+ * wl_raft_entry() - looks an entry up
+ * @raft: the replica
+ * @index: log index
+ *
+ * Return: the entry, or NULL when the index is not in the log.
+ */
+const WlLogEntry *wl_raft_entry (const WlRaft *raft, uint64_t index);
+
+/**
+ * wl_raft_term_at() - term of a log index
+ * @raft: the replica
+ * @index: log index, 0 allowed
+ *
+ * Return: the term, 0 when unknown.
+ */
+uint64_t wl_raft_term_at (const WlRaft *raft, uint64_t index);
+
+/**
+ * wl_raft_append() - appends one entry to memory and has it stored
+ * @raft: the replica
+ * @term: term of the entry
+ * @command: encoded command; copied
+ * @fx: receives the effect, NULL when the entry is already stored
+ */
+void wl_raft_append (WlRaft *raft, uint64_t term, WlBytes command, WlEffects *fx);
+
+/**
+ * wl_raft_truncate() - removes entries from an index on
+ * @raft: the replica
+ * @from: first removed index, above the commit index
+ * @fx: receives the effect
+ */
+void wl_raft_truncate (WlRaft *raft, uint64_t from, WlEffects *fx);
+
+/**
+ * wl_raft_drop_prefix() - forgets entries up to an index
+ * @raft: the replica
+ * @index: last forgotten index
+ */
+void wl_raft_drop_prefix (WlRaft *raft, uint64_t index);
+
+/**
+ * wl_raft_set_snapshot() - replaces the snapshot in memory
+ * @raft: the replica
+ * @index: last index covered
+ * @index_term: its term
+ * @image: encoded state
+ *
+ * Return: WL_OK, or WL_ERROR_INVALID when the image cannot be decoded.
+ */
+WlError wl_raft_set_snapshot (WlRaft *raft, uint64_t index, uint64_t index_term, WlBytes image);
+
+/**
+ * wl_raft_is_voter() - tells whether a replica may vote
+ * @raft: the replica whose view counts
+ * @node: node id
+ * @incarnation: identity of its disk
+ *
+ * Return: 1 or 0.
+ */
+int wl_raft_is_voter (const WlRaft *raft, uint32_t node, uint64_t incarnation);
+
+#endif
--- /dev/null
+++ b/core/wl_session.c
@@ -0,0 +1,244 @@
+#include <stdlib.h>
+#include <string.h>
+#include "wl_delta.h"
+#include "wl_events.h"
+#include "wl_session.h"
+
+void
+wl_session_init (WlSession *session, const WlSettings *settings)
+{
+  session->settings = settings;
+  apr_pool_create (&session->pool, NULL);
+}
+
+void
+wl_session_clear (WlSession *session)
+{
+  wl_services_destroy (session->services);
+  free (session->text);
+  free (session->members);
+  free (session->cells);
+  apr_pool_destroy (session->pool);
+}
+
+int
+wl_session_is_valid (const WlSession *session, uint64_t now_us)
+{
+  return session->services != NULL && now_us < session->lease_until_us;
+}
+
+uint32_t
+wl_session_control (const WlSession *session)
+{
+  const WlSettings *s = session->settings;
+  if (session->leader != 0)
+    return session->leader;
+  return s->n_control > 0 ? s->control[session->next_control % s->n_control] : 0;
+}
+
+void
+wl_session_suspect_leader (WlSession *session)
+{
+  session->leader = 0;
+  session->next_control++;
+}
+
+static void
+send_renew (WlSession *session, uint64_t now_us, WlEffects *fx)
+{
+  WlMessage m = { .kind = WL_MESSAGE_RENEW };
+  m.u.renew.member = session->settings->self;
+  m.u.renew.member.draining = session->draining;
+  m.u.renew.incarnation = session->settings->incarnation;
+  m.u.renew.sequence = ++session->sequence;
+  m.u.renew.sent_us = now_us;
+  m.u.renew.config_number = session->want_text ? 0 : session->number;
+  m.u.renew.directory = session->directory;
+  m.u.renew.leaving = session->leaving;
+  wl_effects_send (fx, wl_session_control (session), &m);
+  session->renew_us = now_us + WL_RENEW_RETRY_US;
+}
+
+static void
+watch_lease (WlSession *session, uint64_t now_us, WlEffects *fx)
+{
+  uint8_t valid = (uint8_t)wl_session_is_valid (session, now_us);
+  if (valid == session->lease_was_valid)
+    return;
+  session->lease_was_valid = valid;
+  session->change++;
+  wl_effects_log (fx, valid ? WL2105_LEASE_RENEWED : WL2104_LEASE_EXPIRED, "number=%lu",
+                  (unsigned long)session->number);
+}
+
+void
+wl_session_tick (WlSession *session, uint64_t now_us, WlEffects *fx)
+{
+  watch_lease (session, now_us, fx);
+  if (now_us < session->renew_us)
+    return;
+  /* The previous renewal went unanswered when the next one was not put off. */
+  if (session->answered_us + WL_RENEW_INTERVAL_US + WL_RENEW_RETRY_US < now_us)
+    wl_session_suspect_leader (session);
+  send_renew (session, now_us, fx);
+}
+
+/* Takes over a new text. Returns 0 when it cannot be read. */
+static int
+adopt_text (WlSession *session, WlBytes text, uint64_t number, WlEffects *fx)
+{
+  WlFindings findings = { 0 };
+  WlServices *services = NULL;
+  wl_services_parse ((const char *)text.data, text.size, &findings, &services);
+  wl_findings_clear (&findings);
+  if (services == NULL)
+    {
+      wl_effects_log (fx, WL2106_CONFIG_UNREADABLE, "number=%lu", (unsigned long)number);
+      return 0;
+    }
+  free (session->text);
+  session->text = malloc (text.size + 1);
+  if (session->text == NULL)
+    abort ();
+  memcpy (session->text, text.data, text.size);
+  session->text[text.size] = '\0';
+  session->text_size = text.size;
+  wl_services_destroy (session->services);
+  session->services = services;
+  session->number = number;
+  session->change++;
+  wl_effects_log (fx, WL2103_CONFIG_APPLIED, "number=%lu", (unsigned long)number);
+  return 1;
+}
+
+static int
+apply_deltas (WlSession *session, const WlRenewReply *r, WlEffects *fx)
+{
+  WlBytes text = { session->text, session->text_size };
+  uint64_t number = session->number;
+  for (uint32_t i = 0; i < r->n_deltas; i++)
+    {
+      const WlConfigChange *d = &r->deltas[i];
+      if (d->number <= number)
+        continue;
+      if (d->replaces != number || wl_delta_apply (text, d, fx->pool, &text) != WL_OK)
+        {
+          session->want_text = 1;
+          return 0;
+        }
+      number = d->number;
+    }
+  return number == session->number || adopt_text (session, text, number, fx);
+}
+
+static int
+apply_config (WlSession *session, const WlRenewReply *r, WlEffects *fx)
+{
+  if (r->config_number < session->number)
+    return 1; /* an old answer; never go back */
+  if (r->has_text && r->config_number > session->number)
+    {
+      if (!adopt_text (session, r->text, r->config_number, fx))
+        return 0;
+      session->want_text = 0;
+      return 1;
+    }
+  if (r->has_text)
+    session->want_text = 0;
+  if (r->has_delta && !apply_deltas (session, r, fx))
+    return 0;
+  return session->number >= r->config_number;
+}
+
+static void *
+copy_items (const void *items, size_t n, size_t size)
+{
+  void *out = malloc (n * size + 1);
+  if (out == NULL)
+    abort ();
+  if (n > 0)
+    memcpy (out, items, n * size);
+  return out;
+}
+
+static void
+apply_directory (WlSession *session, const WlRenewReply *r)
+{
+  if (!r->has_directory || r->directory <= session->directory)
+    return;
+  free (session->members);
+  free (session->cells);
+  session->members = copy_items (r->members, r->n_members, sizeof *r->members);
+  session->n_members = r->n_members;
+  session->cells = copy_items (r->cells, r->n_cells, sizeof *r->cells);
+  session->n_cells = r->n_cells;
+  session->directory = r->directory;
+  session->change++;
+}
+
+static void
+on_renew_reply (WlSession *session, const WlRenewReply *r, uint64_t now_us, WlEffects *fx)
+{
+  if (r->sequence > session->sequence || r->sent_us > now_us)
+    return;
+  uint64_t before = session->number;
+  session->leader = r->leader;
+  session->answered_us = now_us;
+  apply_directory (session, r);
+  if (!apply_config (session, r, fx))
+    {
+      session->renew_us = now_us + WL_RENEW_RETRY_US;
+      return;
+    }
+  if (r->sent_us + WL_LEASE_US > session->lease_until_us)
+    session->lease_until_us = r->sent_us + WL_LEASE_US;
+  watch_lease (session, now_us, fx);
+  /* A new configuration is acknowledged at once by the next renewal. */
+  session->renew_us = session->number != before ? now_us : now_us + WL_RENEW_INTERVAL_US;
+}
+
+int
+wl_session_receive (WlSession *session, uint32_t from, const WlMessage *message, uint64_t now_us,
+                    WlEffects *fx)
+{
+  switch (message->kind)
+    {
+    case WL_MESSAGE_RENEW_REPLY:
+      on_renew_reply (session, &message->u.renew_reply, now_us, fx);
+      return 1;
+    case WL_MESSAGE_CONFIG_NOTICE:
+      session->leader = from;
+      if (message->u.notice.config_number > session->number
+          || message->u.notice.directory > session->directory)
+        send_renew (session, now_us, fx);
+      return 1;
+    case WL_MESSAGE_NOT_LEADER:
+      if (from == wl_session_control (session))
+        {
+          wl_session_suspect_leader (session);
+          if (message->u.not_leader.leader != from)
+            session->leader = message->u.not_leader.leader;
+        }
+      return 1;
+    default:
+      return 0;
+    }
+}
+
+const WlCellLease *
+wl_session_find_cell (const WlSession *session, const char *service, uint32_t shard)
+{
+  for (uint32_t i = 0; i < session->n_cells; i++)
+    if (session->cells[i].shard == shard && strcmp (session->cells[i].service, service) == 0)
+      return &session->cells[i];
+  return NULL;
+}
+
+const WlMember *
+wl_session_find_member (const WlSession *session, uint32_t node)
+{
+  for (uint32_t i = 0; i < session->n_members; i++)
+    if (session->members[i].node == node)
+      return &session->members[i];
+  return NULL;
+}
--- /dev/null
+++ b/core/wl_state.c
@@ -0,0 +1,301 @@
+#include <stdlib.h>
+#include <string.h>
+#include "wl_claims.h"
+#include "wl_delta.h"
+#include "wl_state.h"
+#include "wl_table.h"
+
+static void *
+allocate (size_t n, size_t size)
+{
+  void *out = calloc (n, size);
+  if (out == NULL)
+    abort ();
+  return out;
+}
+
+WlState *
+wl_state_create (void)
+{
+  WlState *state = allocate (1, sizeof *state);
+  apr_pool_create (&state->pool, NULL);
+  state->history = allocate (WL_HISTORY_MAX, sizeof *state->history);
+  state->members = allocate (WL_MEMBERS_MAX, sizeof *state->members);
+  state->cells = allocate (WL_CELLS_MAX, sizeof *state->cells);
+  state->roots = allocate (WL_MEMBERS_MAX, sizeof *state->roots);
+  state->claims = wl_table_create (state->pool);
+  return state;
+}
+
+static void
+replace_bytes (WlBytes *slot, WlBytes bytes)
+{
+  uint8_t *copy = NULL;
+  if (bytes.size > 0)
+    {
+      copy = allocate (bytes.size, 1);
+      memcpy (copy, bytes.data, bytes.size);
+    }
+  free ((void *)(uintptr_t)slot->data);
+  *slot = (WlBytes){ copy, bytes.size };
+}
+
+void
+wl_state_destroy (WlState *state)
+{
+  if (state == NULL)
+    return;
+  wl_claims_clear (state);
+  for (uint32_t i = 0; i < WL_RECENT_MAX; i++)
+    {
+      replace_bytes (&state->recent[i].middle, (WlBytes){ NULL, 0 });
+      replace_bytes (&state->recent[i].removed, (WlBytes){ NULL, 0 });
+    }
+  replace_bytes (&state->text, (WlBytes){ NULL, 0 });
+  free (state->history);
+  free (state->members);
+  free (state->cells);
+  free (state->roots);
+  apr_pool_destroy (state->pool);
+  free (state);
+}
+
+static void
+remember_change (WlState *state, const WlConfigChange *change)
+{
+  WlAccepted *a = &state->history[change->number % WL_HISTORY_MAX];
+  a->number = change->number;
+  memcpy (a->digest, change->digest, WL_DIGEST_SIZE);
+  WlConfigChange *slot = &state->recent[change->number % WL_RECENT_MAX];
+  WlBytes middle = slot->middle;
+  WlBytes removed = slot->removed;
+  replace_bytes (&middle, change->middle);
+  replace_bytes (&removed, change->removed);
+  *slot = *change;
+  slot->middle = middle;
+  slot->removed = removed;
+}
+
+static WlApplied
+apply_config (WlState *state, const WlConfigChange *change)
+{
+  apr_pool_t *pool;
+  WlBytes text;
+  if (change->replaces != state->number || change->number != state->number + 1)
+    return WL_APPLIED_CONFLICT;
+  apr_pool_create (&pool, NULL);
+  WlError error = wl_delta_apply (state->text, change, pool, &text);
+  if (error == WL_OK)
+    {
+      WlConfigChange applied = *change;
+      uint32_t kept = change->prefix + change->suffix;
+      applied.removed = (WlBytes){ state->text.data + change->prefix, state->text.size - kept };
+      remember_change (state, &applied);
+      replace_bytes (&state->text, text);
+      memcpy (state->digest, change->digest, WL_DIGEST_SIZE);
+      state->number = change->number;
+    }
+  apr_pool_destroy (pool);
+  return error == WL_OK ? WL_APPLIED : WL_APPLIED_CONFLICT;
+}
+
+static WlMember *
+find_member (const WlState *state, uint32_t node)
+{
+  for (uint32_t i = 0; i < state->n_members; i++)
+    if (state->members[i].node == node)
+      return &state->members[i];
+  return NULL;
+}
+
+const WlMember *
+wl_state_find_member (const WlState *state, uint32_t node)
+{
+  return find_member (state, node);
+}
+
+static WlApplied
+put_member (WlState *state, const WlMember *member)
+{
+  WlMember *m = find_member (state, member->node);
+  if (m == NULL && state->n_members == WL_MEMBERS_MAX)
+    return WL_APPLIED_FULL;
+  if (m == NULL)
+    m = &state->members[state->n_members++];
+  *m = *member;
+  state->directory++;
+  return WL_APPLIED;
+}
+
+static WlApplied
+remove_member (WlState *state, uint32_t node)
+{
+  WlMember *m = find_member (state, node);
+  if (m == NULL)
+    return WL_APPLIED;
+  size_t after = (size_t)(state->members + state->n_members - (m + 1));
+  memmove (m, m + 1, after * sizeof *m);
+  state->n_members--;
+  state->directory++;
+  return WL_APPLIED;
+}
+
+static WlApplied
+put_cell (WlState *state, const WlCellLease *cell)
+{
+  WlCellLease *found = NULL;
+  for (uint32_t i = 0; i < state->n_cells; i++)
+    if (state->cells[i].shard == cell->shard
+        && strcmp (state->cells[i].service, cell->service) == 0)
+      found = &state->cells[i];
+  if (found != NULL && cell->fence <= found->fence)
+    return WL_APPLIED_CONFLICT;
+  if (found == NULL && state->n_cells == WL_CELLS_MAX)
+    return WL_APPLIED_FULL;
+  if (found == NULL)
+    found = &state->cells[state->n_cells++];
+  *found = *cell;
+  state->directory++;
+  return WL_APPLIED;
+}
+
+static WlApplied
+put_root (WlState *state, const WlReceiptRoot *root)
+{
+  WlReceiptRoot *found = NULL;
+  for (uint32_t i = 0; i < state->n_roots; i++)
+    if (state->roots[i].node == root->node)
+      found = &state->roots[i];
+  if (found == NULL && state->n_roots == WL_MEMBERS_MAX)
+    return WL_APPLIED_FULL;
+  if (found == NULL)
+    found = &state->roots[state->n_roots++];
+  if (found->incarnation == root->incarnation && root->sequence <= found->sequence)
+    return WL_APPLIED;
+  *found = *root;
+  return WL_APPLIED;
+}
+
+WlApplied
+wl_state_apply (WlState *state, const WlCommand *command)
+{
+  if (command->time_us > state->clock_us)
+    state->clock_us = command->time_us;
+  wl_claims_expire (state);
+  switch (command->kind)
+    {
+    case WL_COMMAND_CONFIG:
+      return apply_config (state, &command->u.config);
+    case WL_COMMAND_MEMBER_PUT:
+      return put_member (state, &command->u.member);
+    case WL_COMMAND_MEMBER_REMOVE:
+      return remove_member (state, command->u.member.node);
+    case WL_COMMAND_CELL:
+      return put_cell (state, &command->u.cell);
+    case WL_COMMAND_CLAIM:
+      return wl_claims_put (state, &command->u.claim);
+    case WL_COMMAND_CLAIM_END:
+      return wl_claims_end (state, &command->u.claim);
+    case WL_COMMAND_RECEIPT_ROOT:
+      return put_root (state, &command->u.root);
+    case WL_COMMAND_NONE:
+    case WL_COMMAND_GROUP:
+    case WL_COMMAND_KINDS:
+      break;
+    }
+  return WL_APPLIED;
+}
+
+int
+wl_state_text_at (const WlState *state, uint64_t number, apr_pool_t *pool, WlBytes *out)
+{
+  if (number == 0 || number > state->number)
+    return 0;
+  *out = state->text;
+  for (uint64_t n = state->number; n > number; n--)
+    {
+      const WlConfigChange *change = &state->recent[n % WL_RECENT_MAX];
+      if (change->number != n)
+        return 0;
+      *out = wl_delta_revert (*out, change, pool);
+    }
+  return 1;
+}
+
+const WlAccepted *
+wl_state_find_accepted (const WlState *state, uint64_t number)
+{
+  const WlAccepted *a = &state->history[number % WL_HISTORY_MAX];
+  return number > 0 && a->number == number ? a : NULL;
+}
+
+WlBytes
+wl_state_save (const WlState *state, const WlReplica *voters, uint32_t n_voters, apr_pool_t *pool)
+{
+  WlStateImage image = {
+    .number = state->number,
+    .text = state->text,
+    .members = state->members,
+    .n_members = state->n_members,
+    .cells = state->cells,
+    .n_cells = state->n_cells,
+    .roots = state->roots,
+    .n_roots = state->n_roots,
+    .voters = (WlReplica *)(uintptr_t)voters,
+    .n_voters = n_voters,
+    .clock_us = state->clock_us,
+    .directory = state->directory,
+  };
+  image.history = apr_pcalloc (pool, WL_HISTORY_MAX * sizeof *image.history);
+  image.recent = apr_pcalloc (pool, WL_RECENT_MAX * sizeof *image.recent);
+  image.claims = apr_pcalloc (pool, (state->n_claims + 1) * sizeof *image.claims);
+  for (uint32_t i = 0; i < WL_HISTORY_MAX; i++)
+    if (state->history[i].number > 0)
+      image.history[image.n_history++] = state->history[i];
+  for (uint32_t i = 0; i < WL_RECENT_MAX; i++)
+    if (state->recent[i].number > 0)
+      image.recent[image.n_recent++] = state->recent[i];
+  for (const WlClaimNode *c = state->oldest_claim; c != NULL; c = c->next)
+    image.claims[image.n_claims++] = c->record;
+  return wl_encode_bytes (wl_state_image_fields, &image, pool);
+}
+
+static void
+load_image (WlState *state, const WlStateImage *image)
+{
+  state->number = image->number;
+  replace_bytes (&state->text, image->text);
+  wl_digest (state->text, state->digest);
+  memset (state->history, 0, WL_HISTORY_MAX * sizeof *state->history);
+  for (uint32_t i = 0; i < image->n_history; i++)
+    state->history[image->history[i].number % WL_HISTORY_MAX] = image->history[i];
+  for (uint32_t i = 0; i < image->n_recent; i++)
+    remember_change (state, &image->recent[i]);
+  state->n_members = image->n_members;
+  memcpy (state->members, image->members, image->n_members * sizeof *image->members);
+  state->n_cells = image->n_cells;
+  memcpy (state->cells, image->cells, image->n_cells * sizeof *image->cells);
+  state->n_roots = image->n_roots;
+  memcpy (state->roots, image->roots, image->n_roots * sizeof *image->roots);
+  wl_claims_clear (state);
+  for (uint32_t i = 0; i < image->n_claims; i++)
+    wl_claims_load (state, &image->claims[i]);
+  state->clock_us = image->clock_us;
+  state->directory = image->directory;
+}
+
+WlError
+wl_state_load (WlState *state, WlBytes bytes)
+{
+  apr_pool_t *pool;
+  WlStateImage image = { 0 };
+  apr_pool_create (&pool, NULL);
+  WlError error = wl_decode_bytes (bytes, wl_state_image_fields, &image, pool);
+  if (error != WL_OK || image.n_members > WL_MEMBERS_MAX || image.n_cells > WL_CELLS_MAX
+      || image.n_roots > WL_MEMBERS_MAX)
+    error = WL_ERROR_CORRUPT;
+  else
+    load_image (state, &image);
+  apr_pool_destroy (pool);
+  return error;
+}
--- /dev/null
+++ b/core/wl_trace.h
@@ -0,0 +1,61 @@
+#ifndef WL_TRACE_H
+#define WL_TRACE_H
+
+#include <stdint.h>
+
+/* Bounded ring of decisions taken on requests, for `wisterialoft status --request`. */
+
+enum
+{
+  WL_TRACE_SIZE = 8192, /* decisions kept */
+};
+
+typedef enum
+{
+  WL_TRACE_ADMITTED, /* a: prompt tokens */
+  WL_TRACE_REFUSED,  /* a: WlRefusalReason */
+  WL_TRACE_CLAIM_SENT,
+  WL_TRACE_CLAIMED,
+  WL_TRACE_PLACE_SENT,  /* a: attempt, b: owner */
+  WL_TRACE_GRANTED,     /* a: endpoint id, b: time in the queue in microseconds */
+  WL_TRACE_FIRST_TOKEN, /* a: microseconds since admission */
+  WL_TRACE_ATTEMPT_END, /* a: attempt, b: WlEndKind */
+  WL_TRACE_STALLED,     /* a: attempt */
+  WL_TRACE_RETRY,       /* a: next attempt, b: delivered tokens */
+  WL_TRACE_NO_BUDGET,
+  WL_TRACE_TIMED_OUT,
+  WL_TRACE_CALLER_GONE,
+  WL_TRACE_ENDED, /* a: WlOutcome, b: tokens */
+} WlTraceKind;
+
+typedef struct
+{
+  uint64_t request;
+  uint64_t wall_us;
+  WlTraceKind kind;
+  uint64_t a;
+  uint64_t b;
+} WlTraceRecord;
+
+typedef struct
+{
+  WlTraceRecord ring[WL_TRACE_SIZE];
+  uint64_t count;
+} WlTrace;
+
+/**
+ * wl_trace_add() - records one decision
+ * @trace: the ring
+ * @record: the decision
+ */
+void wl_trace_add (WlTrace *trace, const WlTraceRecord *record);
+
+/**
+ * wl_trace_name() - names a kind of decision
+ * @kind: the kind
+ *
+ * Return: a static string.
+ */
+const char *wl_trace_name (WlTraceKind kind);
+
+#endif
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,82 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <sodium.h>
+#include "wl_log.h"
+#include "wl_node.h"
+
+enum
+{
+  EXIT_OK = 0,
+  EXIT_STORAGE = 1,
+  EXIT_SETTINGS = 2,
+};
+
+static volatile sig_atomic_t stop_requested;
+
+static void
+on_signal (int number)
+{
+  (void)number;
+  stop_requested = 1;
+}
+
+static void
+install_signals (void)
+{
+  struct sigaction stop = { .sa_handler = on_signal };
+  struct sigaction ignore = { .sa_handler = SIG_IGN };
+  sigaction (SIGTERM, &stop, NULL);
+  sigaction (SIGINT, &stop, NULL);
+  sigaction (SIGPIPE, &ignore, NULL);
+}
+
+static int
+run (const WlOptions *options)
+{
+  WlNode *node = NULL;
+  int was_requested = 0;
+  if (wl_node_create (options, &node) != WL_OK)
+    return EXIT_STORAGE;
+  while (!node->is_stopped)
+    {
+      if (stop_requested && !was_requested)
+        {
+          was_requested = 1;
+          wl_node_stop (node);
+        }
+      wl_node_run_once (node);
+    }
+  int status = node->error == WL_OK ? EXIT_OK : EXIT_STORAGE;
+  wl_node_destroy (node);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  WlOptions options;
+  int status = EXIT_SETTINGS;
+  if (apr_initialize () != APR_SUCCESS || sodium_init () < 0)
+    return EXIT_STORAGE;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  install_signals ();
+  switch (wl_options_read (argc, argv, &options))
+    {
+    case WL_OPTIONS_EXIT:
+      status = EXIT_OK;
+      break;
+    case WL_OPTIONS_INVALID:
+      break;
+    case WL_OPTIONS_RUN:
+      wl_log_open (options.settings.self.node);
+      status = run (&options);
+      wl_log_close ();
+      break;
+    }
+  curl_global_cleanup ();
+  apr_terminate ();
+  return status;
+}
--- /dev/null
+++ b/runtime/wl_log.h
@@ -0,0 +1,32 @@
+#ifndef WL_LOG_H
+#define WL_LOG_H
+
+#include <stdint.h>
+
+/**
+ * wl_log_open() - prepares logging to standard error through log4c
+ * @node: node id that every line carries
+ */
+void wl_log_open (uint32_t node);
+
+/**
+ * wl_log_event() - writes one numbered event
+ * @number: number from wl_events.h
+ * @fields: key=value fields separated by blanks
+ */
+void wl_log_event (uint32_t number, const char *fields);
+
+/**
+ * wl_log_eventf() - writes one numbered event with formatted fields
+ * @number: number from wl_events.h
+ * @format: printf format of the fields
+ */
+void wl_log_eventf (uint32_t number, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+/**
+ * wl_log_close() - closes the log
+ */
+void wl_log_close (void);
+
+#endif
--- /dev/null
+++ b/wire/wl_command.h
@@ -0,0 +1,277 @@
+#ifndef WL_COMMAND_H
+#define WL_COMMAND_H
+
+#include "wl_codec.h"
+
+/*
+ * Commands of the replicated log and the snapshot of the state that they
+ * build. Only rare facts are logged: configuration, membership, cell leases,
+ * claims of non-idempotent requests and receipt roots.
+ */
+
+enum
+{
+  WL_DIGEST_SIZE = 32,   /* bytes of BLAKE2b */
+  WL_LABEL_SIZE = 64,    /* bytes of a name, with the terminating zero */
+  WL_ADDRESS_SIZE = 46,  /* bytes of an IP number as text, with the terminating zero */
+  WL_KEY_SIZE = 128,     /* bytes of an idempotency key, with the terminating zero */
+  WL_OUTCOME_MAX = 4096, /* bytes of a stored outcome body */
+};
+
+/**
+ * struct WlReplica - one member of the control group
+ * @node: node id
+ * @incarnation: random number drawn when the data folder was created
+ */
+typedef struct
+{
+  uint32_t node;
+  uint64_t incarnation;
+} WlReplica;
+
+/**
+ * struct WlGroup - the voters of the control group
+ * @voters: the voters, @n_voters of them
+ */
+typedef struct
+{
+  WlReplica *voters;
+  uint32_t n_voters;
+} WlGroup;
+
+/**
+ * struct WlConfigChange - one accepted submission
+ * @replaces: number that the submission names as current
+ * @number: number of the new configuration
+ * @prefix: bytes kept from the start of the replaced text
+ * @suffix: bytes kept from the end of the replaced text
+ * @middle: bytes between the two
+ * @removed: bytes that @middle replaced; filled in when the change is applied
+ * @digest: BLAKE2b of the whole new text
+ */
+typedef struct
+{
+  uint64_t replaces;
+  uint64_t number;
+  uint32_t prefix;
+  uint32_t suffix;
+  WlBytes middle;
+  WlBytes removed;
+  uint8_t digest[WL_DIGEST_SIZE];
+} WlConfigChange;
+
+/**
+ * struct WlMember - one node of the system
+ * @node: node id
+ * @address: IP number
+ * @peer_port: TCP port for other nodes
+ * @http_port: TCP port for callers
+ * @domain: failure domain
+ * @draining: whether the node is stopping
+ */
+typedef struct
+{
+  uint32_t node;
+  char address[WL_ADDRESS_SIZE];
+  uint32_t peer_port;
+  uint32_t http_port;
+  char domain[WL_LABEL_SIZE];
+  uint8_t draining;
+} WlMember;
+
+/**
+ * struct WlCellLease - the owner of one cell
+ * @service: service name
+ * @shard: number of the cell within the service, from 0
+ * @owner: node id, 0 for none
+ * @fence: fencing number, increases with each owner
+ */
+typedef struct
+{
+  char service[WL_LABEL_SIZE];
+  uint32_t shard;
+  uint32_t owner;
+  uint64_t fence;
+} WlCellLease;
+
+/**
+ * enum WlClaimStatus - state of a claim
+ * @WL_CLAIM_IN_FLIGHT: dispatched or about to be
+ * @WL_CLAIM_DONE: the outcome is known and stored
+ * @WL_CLAIM_UNKNOWN: dispatched, and the outcome will never be known
+ * @WL_CLAIM_NOT_RUN: never dispatched; the key may be claimed again
+ */
+typedef enum
+{
+  WL_CLAIM_IN_FLIGHT = 1,
+  WL_CLAIM_DONE,
+  WL_CLAIM_UNKNOWN,
+  WL_CLAIM_NOT_RUN,
+} WlClaimStatus;
+
+/**
+ * struct WlClaimRecord - the claim of one non-idempotent request
+ * @customer: customer name
+ * @key: idempotency key
+ * @request: id of the request that holds the claim
+ * @node: entry that holds the claim
+ * @incarnation: incarnation of that entry
+ * @digest: BLAKE2b of the request
+ * @status: a WlClaimStatus
+ * @http_status: HTTP status of the stored outcome
+ * @body: stored outcome, at most WL_OUTCOME_MAX bytes
+ * @expires_us: group time after which the record is dropped
+ */
+typedef struct
+{
+  char customer[WL_LABEL_SIZE];
+  char key[WL_KEY_SIZE];
+  uint64_t request;
+  uint32_t node;
+  uint64_t incarnation;
+  uint8_t digest[WL_DIGEST_SIZE];
+  uint8_t status;
+  uint32_t http_status;
+  WlBytes body;
+  uint64_t expires_us;
+} WlClaimRecord;
+
+/**
+ * struct WlReceiptRoot - digest over all receipt chains of one entry
+ * @node: the entry
+ * @incarnation: incarnation of the entry
+ * @sequence: number of the root, from 1
+ * @receipts: receipts covered so far, over all customers
+ * @root: BLAKE2b over the leaves in order
+ */
+typedef struct
+{
+  uint32_t node;
+  uint64_t incarnation;
+  uint64_t sequence;
+  uint64_t receipts;
+  uint8_t root[WL_DIGEST_SIZE];
+} WlReceiptRoot;
+
+/**
+ * enum WlCommandKind - kind of a log entry
+ * @WL_COMMAND_NONE: no change; a new leader commits one
+ * @WL_COMMAND_GROUP: new set of voters
+ * @WL_COMMAND_CONFIG: accepted submission
+ * @WL_COMMAND_MEMBER_PUT: node joined or changed
+ * @WL_COMMAND_MEMBER_REMOVE: node left
+ * @WL_COMMAND_CELL: cell owner changed
+ * @WL_COMMAND_CLAIM: claim of a non-idempotent request
+ * @WL_COMMAND_CLAIM_END: end of a claim
+ * @WL_COMMAND_RECEIPT_ROOT: periodic root of receipt chains
+ */
+typedef enum
+{
+  WL_COMMAND_NONE,
+  WL_COMMAND_GROUP,
+  WL_COMMAND_CONFIG,
+  WL_COMMAND_MEMBER_PUT,
+  WL_COMMAND_MEMBER_REMOVE,
+  WL_COMMAND_CELL,
+  WL_COMMAND_CLAIM,
+  WL_COMMAND_CLAIM_END,
+  WL_COMMAND_RECEIPT_ROOT,
+  WL_COMMAND_KINDS,
+} WlCommandKind;
+
+/**
+ * struct WlCommand - one log entry's payload
+ * @kind: selects the member of the union
+ * @time_us: leader's wall time when the command was proposed, in microseconds
+ */
+typedef struct
+{
+  WlCommandKind kind;
+  uint64_t time_us;
+  union
+  {
+    WlGroup group;
+    WlConfigChange config;
+    WlMember member;
+    WlCellLease cell;
+    WlClaimRecord claim;
+    WlReceiptRoot root;
+  } u;
+} WlCommand;
+
+/**
+ * struct WlAccepted - number and digest of an earlier configuration
+ * @number: configuration number
+ * @digest: BLAKE2b of its text
+ */
+typedef struct
+{
+  uint64_t number;
+  uint8_t digest[WL_DIGEST_SIZE];
+} WlAccepted;
+
+/**
+ * struct WlStateImage - the whole replicated state, as stored in a snapshot
+ * @number: current configuration number
+ * @text: current services text
+ * @history: accepted configurations that are remembered
+ * @recent: the latest changes, kept to send deltas
+ * @members: nodes
+ * @cells: cell owners
+ * @claims: claims within retention
+ * @roots: the latest receipt root of each entry
+ * @voters: voters of the control group
+ * @clock_us: highest command time applied
+ * @directory: version of members and cells
+ */
+typedef struct
+{
+  uint64_t number;
+  WlBytes text;
+  WlAccepted *history;
+  uint32_t n_history;
+  WlConfigChange *recent;
+  uint32_t n_recent;
+  WlMember *members;
+  uint32_t n_members;
+  WlCellLease *cells;
+  uint32_t n_cells;
+  WlClaimRecord *claims;
+  uint32_t n_claims;
+  WlReceiptRoot *roots;
+  uint32_t n_roots;
+  WlReplica *voters;
+  uint32_t n_voters;
+  uint64_t clock_us;
+  uint64_t directory;
+} WlStateImage;
+
+extern const WlField wl_replica_fields[];
+extern const WlField wl_group_fields[];
+extern const WlField wl_config_change_fields[];
+extern const WlField wl_member_fields[];
+extern const WlField wl_cell_lease_fields[];
+extern const WlField wl_claim_record_fields[];
+extern const WlField wl_receipt_root_fields[];
+extern const WlField wl_state_image_fields[];
+
+/**
+ * wl_command_encode() - encodes a command
+ * @command: the command
+ * @pool: owner of the result
+ *
+ * Return: the encoded bytes.
+ */
+WlBytes wl_command_encode (const WlCommand *command, apr_pool_t *pool);
+
+/**
+ * wl_command_decode() - decodes a command
+ * @bytes: encoded command
+ * @out: receives the command
+ * @pool: owner of arrays and bytes
+ *
+ * Return: WL_OK or WL_ERROR_INVALID.
+ */
+WlError wl_command_decode (WlBytes bytes, WlCommand *out, apr_pool_t *pool);
+
+#endif
--- /dev/null
+++ b/wire/wl_message.h
@@ -0,0 +1,579 @@
+#ifndef WL_MESSAGE_H
+#define WL_MESSAGE_H
+
+#include "wl_command.h"
+
+/*
+ * Messages between nodes. Every message may be lost, repeated, delayed or
+ * reordered; receivers are idempotent.
+ */
+
+enum
+{
+  WL_PREFIX_MARKS = 12, /* prefix hashes sent with one placement request */
+  WL_GANG_MAX = 8,      /* endpoints that may share one prompt */
+};
+
+/** struct WlVoteRequest - asks a voter for its vote, or (pre) whether it would give it */
+typedef struct
+{
+  uint64_t term;
+  uint32_t candidate;
+  uint64_t incarnation;
+  uint64_t last_index;
+  uint64_t last_term;
+  uint8_t pre;
+} WlVoteRequest;
+
+/** struct WlVoteReply - answers a WlVoteRequest; @incarnation identifies the voter's disk */
+typedef struct
+{
+  uint64_t term;
+  uint32_t voter;
+  uint64_t incarnation;
+  uint8_t pre;
+  uint8_t granted;
+} WlVoteReply;
+
+/** struct WlLogEntry - one entry of the replicated log */
+typedef struct
+{
+  uint64_t term;
+  uint64_t index;
+  WlBytes command;
+} WlLogEntry;
+
+/** struct WlAppendRequest - replicates entries; @round numbers the leader's heartbeat rounds */
+typedef struct
+{
+  uint64_t term;
+  uint32_t leader;
+  uint64_t to_incarnation;
+  uint64_t round;
+  uint64_t prev_index;
+  uint64_t prev_term;
+  uint64_t commit;
+  WlLogEntry *entries;
+  uint32_t n_entries;
+} WlAppendRequest;
+
+/** struct WlAppendReply - acknowledges synced entries up to @match, or asks for earlier ones */
+typedef struct
+{
+  uint64_t term;
+  uint32_t follower;
+  uint64_t incarnation;
+  uint64_t round;
+  uint8_t ok;
+  uint64_t match;
+} WlAppendReply;
+
+/** struct WlSnapshotChunk - part of a snapshot for a replica that is far behind */
+typedef struct
+{
+  uint64_t term;
+  uint32_t leader;
+  uint64_t to_incarnation;
+  uint64_t round;
+  uint64_t index;
+  uint64_t index_term;
+  uint32_t offset;
+  uint32_t total;
+  WlBytes data;
+} WlSnapshotChunk;
+
+/** struct WlSnapshotReply - bytes of a snapshot received so far */
+typedef struct
+{
+  uint64_t term;
+  uint32_t follower;
+  uint64_t incarnation;
+  uint64_t round;
+  uint64_t index;
+  uint32_t offset;
+} WlSnapshotReply;
+
+/** struct WlReplicaHello - introduces a replica to its peers; @empty when it has no state */
+typedef struct
+{
+  uint32_t node;
+  uint64_t incarnation;
+  uint8_t empty;
+  uint8_t reply;
+} WlReplicaHello;
+
+/** struct WlRenew - an entry asks the control leader to renew its lease */
+typedef struct
+{
+  WlMember member;
+  uint64_t incarnation;
+  uint64_t sequence;
+  uint64_t sent_us;
+  uint64_t config_number;
+  uint64_t directory;
+  uint8_t leaving;
+} WlRenew;
+
+/** struct WlRenewReply - grants the lease and brings news; times are the entry's own */
+typedef struct
+{
+  uint64_t sequence;
+  uint64_t sent_us;
+  uint32_t leader;
+  uint64_t config_number;
+  uint8_t has_delta;
+  uint8_t has_text;
+  WlConfigChange *deltas;
+  uint32_t n_deltas;
+  WlBytes text;
+  uint64_t directory;
+  uint8_t has_directory;
+  WlMember *members;
+  uint32_t n_members;
+  WlCellLease *cells;
+  uint32_t n_cells;
+} WlRenewReply;
+
+/** struct WlConfigNotice - tells an entry at once that configuration or directory changed */
+typedef struct
+{
+  uint64_t config_number;
+  uint64_t directory;
+} WlConfigNotice;
+
+/**
+ * enum WlSubmitOutcome - answer to a submission
+ * @WL_SUBMIT_ACCEPTED: committed now, or earlier under the same number and digest
+ * @WL_SUBMIT_CONFLICT: another text holds the number
+ * @WL_SUBMIT_INVALID: the text has findings
+ * @WL_SUBMIT_UNAVAILABLE: no leader could commit it within the time limit
+ * @WL_SUBMIT_FORGOTTEN: the number is older than the remembered history
+ */
+typedef enum
+{
+  WL_SUBMIT_ACCEPTED = 1,
+  WL_SUBMIT_CONFLICT,
+  WL_SUBMIT_INVALID,
+  WL_SUBMIT_UNAVAILABLE,
+  WL_SUBMIT_FORGOTTEN,
+} WlSubmitOutcome;
+
+/** struct WlSubmit - a services text that replaces number @replaces */
+typedef struct
+{
+  uint64_t id;
+  uint32_t node;
+  uint64_t replaces;
+  WlBytes text;
+} WlSubmit;
+
+/** struct WlSubmitReply - outcome of a submission; @digest is that of the text that holds @number
+ */
+typedef struct
+{
+  uint64_t id;
+  uint8_t outcome;
+  uint64_t number;
+  uint8_t digest[WL_DIGEST_SIZE];
+  uint64_t current;
+} WlSubmitReply;
+
+/** struct WlQuery - asks the leader for its status and, if @number is not 0, for a text */
+typedef struct
+{
+  uint64_t id;
+  uint32_t node;
+  uint64_t number;
+} WlQuery;
+
+/** struct WlEntryStatus - version and lease of one entry as the leader sees it */
+typedef struct
+{
+  uint32_t node;
+  uint64_t config_number;
+  uint64_t heard_ago_us;
+  uint8_t lease_valid;
+} WlEntryStatus;
+
+/** struct WlQueryReply - the leader's view of the group and of the entries */
+typedef struct
+{
+  uint64_t id;
+  uint32_t leader;
+  uint64_t term;
+  uint64_t commit;
+  uint64_t config_number;
+  uint64_t in_force;
+  WlEntryStatus *entries;
+  uint32_t n_entries;
+  WlReplica *voters;
+  uint32_t n_voters;
+  WlReceiptRoot *roots;
+  uint32_t n_roots;
+  uint32_t n_claims;
+  uint8_t has_text;
+  WlBytes text;
+} WlQueryReply;
+
+/** struct WlClaim - asks for the right to run a non-idempotent request once */
+typedef struct
+{
+  WlClaimRecord record;
+} WlClaim;
+
+/** struct WlClaimReply - the record that now holds the key; the asker owns it if @request is its
+ * own */
+typedef struct
+{
+  uint64_t id;
+  uint8_t granted;
+  WlClaimRecord record;
+} WlClaimReply;
+
+/** struct WlClaimEnd - reports the end of a claimed request */
+typedef struct
+{
+  WlClaimRecord record;
+} WlClaimEnd;
+
+/** struct WlClaimEndReply - the end of request @id is committed */
+typedef struct
+{
+  uint64_t id;
+} WlClaimEndReply;
+
+/** struct WlRoot - an entry's receipt root to be committed */
+typedef struct
+{
+  WlReceiptRoot root;
+} WlRoot;
+
+/** struct WlNotLeader - the receiver of a control message does not lead; @leader may be 0 */
+typedef struct
+{
+  uint32_t leader;
+} WlNotLeader;
+
+/** struct WlPrefixMark - hash of the first @tokens tokens of a prompt */
+typedef struct
+{
+  uint64_t hash;
+  uint32_t tokens;
+} WlPrefixMark;
+
+/** struct WlAvoid - an endpoint that failed an earlier attempt of the request */
+typedef struct
+{
+  uint64_t endpoint;
+} WlAvoid;
+
+/** struct WlPlace - an entry asks the cell owner for endpoints; @wait_us is the time left */
+typedef struct
+{
+  uint32_t node;
+  uint64_t request;
+  uint32_t attempt;
+  char service[WL_LABEL_SIZE];
+  uint32_t shard;
+  char customer[WL_LABEL_SIZE];
+  char domain[WL_LABEL_SIZE];
+  uint64_t prompt_tokens;
+  uint64_t max_tokens;
+  uint64_t left_us;
+  uint64_t waited_us;
+  WlPrefixMark *prefix;
+  uint32_t n_prefix;
+  WlAvoid *avoid;
+  uint32_t n_avoid;
+} WlPlace;
+
+/** struct WlSeat - one endpoint of a grant */
+typedef struct
+{
+  uint64_t endpoint;
+  char address[WL_ADDRESS_SIZE];
+  uint32_t port;
+  uint64_t kv_tokens;
+} WlSeat;
+
+/** struct WlGrant - endpoints on which an attempt may run until @expires_us from receipt */
+typedef struct
+{
+  char service[WL_LABEL_SIZE];
+  uint32_t shard;
+  uint64_t fence;
+  uint64_t request;
+  uint32_t attempt;
+  uint32_t priority;
+  uint64_t cached_tokens;
+  uint64_t expires_us;
+  uint64_t queued_us;
+  WlSeat *seats;
+  uint32_t n_seats;
+} WlGrant;
+
+/**
+ * enum WlRefusalReason - why a request is refused
+ * @WL_REFUSAL_NONE: not refused
+ * @WL_REFUSAL_TOO_LARGE: the prompt exceeds the whole cell or the service's limit
+ * @WL_REFUSAL_QUEUE_FULL: the queue of the cell or customer is full
+ * @WL_REFUSAL_TIME_LIMIT: the request cannot finish within its time limit
+ * @WL_REFUSAL_NO_ENDPOINT: the cell has no endpoint
+ * @WL_REFUSAL_CUSTOMER_CAP: the customer's cap is reached
+ * @WL_REFUSAL_NO_CONFIG: the entry has no configuration in force
+ * @WL_REFUSAL_DRAINING: the entry is stopping
+ * @WL_REFUSAL_NO_OWNER: the cell has no owner at the moment
+ * @WL_REFUSAL_CLAIM_TAKEN: the idempotency key is held by another request
+ * @WL_REFUSAL_CLAIM_UNKNOWN: an earlier run under the key has an unknown outcome
+ * @WL_REFUSAL_KEY_REUSED: the idempotency key came with another request
+ * @WL_REFUSAL_OVERLOAD: the entry holds too many requests
+ */
+typedef enum
+{
+  WL_REFUSAL_NONE,
+  WL_REFUSAL_TOO_LARGE,
+  WL_REFUSAL_QUEUE_FULL,
+  WL_REFUSAL_TIME_LIMIT,
+  WL_REFUSAL_NO_ENDPOINT,
+  WL_REFUSAL_CUSTOMER_CAP,
+  WL_REFUSAL_NO_CONFIG,
+  WL_REFUSAL_DRAINING,
+  WL_REFUSAL_NO_OWNER,
+  WL_REFUSAL_CLAIM_TAKEN,
+  WL_REFUSAL_CLAIM_UNKNOWN,
+  WL_REFUSAL_KEY_REUSED,
+  WL_REFUSAL_OVERLOAD,
+  WL_REFUSALS,
+} WlRefusalReason;
+
+/** struct WlPlaceRefusal - the owner will not place the attempt */
+typedef struct
+{
+  uint64_t request;
+  uint32_t attempt;
+  uint8_t reason;
+  uint64_t retry_after_us;
+} WlPlaceRefusal;
+
+/** struct WlHeldGrant - a grant that an entry still uses */
+typedef struct
+{
+  uint64_t request;
+  uint32_t attempt;
+  char customer[WL_LABEL_SIZE];
+  uint64_t prompt_tokens;
+  uint64_t max_tokens;
+  uint8_t first_token;
+  WlSeat *seats;
+  uint32_t n_seats;
+} WlHeldGrant;
+
+/**
+ * enum WlAttemptResult - how an attempt ended, for the owner's accounts
+ * @WL_ATTEMPT_FINISHED: the engine confirmed the end
+ * @WL_ATTEMPT_CANCELLED: the entry gave up; the engine has not confirmed
+ * @WL_ATTEMPT_FAILED: the endpoint failed or went silent
+ * @WL_ATTEMPT_NOT_SENT: nothing was sent to the endpoint
+ */
+typedef enum
+{
+  WL_ATTEMPT_FINISHED = 1,
+  WL_ATTEMPT_CANCELLED,
+  WL_ATTEMPT_FAILED,
+  WL_ATTEMPT_NOT_SENT,
+} WlAttemptResult;
+
+/** struct WlNote - progress or end of one attempt */
+typedef struct
+{
+  uint64_t request;
+  uint32_t attempt;
+  uint8_t first_token;
+  uint8_t ended;
+  uint8_t result;
+  uint64_t cached_tokens;
+  uint64_t prefill_us;
+  uint64_t failed_endpoint;
+} WlNote;
+
+/** struct WlHold - renews an entry's grants in one cell; @full when @grants lists all @n_held */
+typedef struct
+{
+  uint32_t node;
+  uint64_t incarnation;
+  char service[WL_LABEL_SIZE];
+  uint32_t shard;
+  uint64_t fence;
+  uint64_t sequence;
+  uint8_t full;
+  uint32_t n_held;
+  WlHeldGrant *grants;
+  uint32_t n_grants;
+  WlNote *notes;
+  uint32_t n_notes;
+} WlHold;
+
+/** struct WlHoldReply - acknowledges a WlHold; @want_full asks for the whole list */
+typedef struct
+{
+  char service[WL_LABEL_SIZE];
+  uint32_t shard;
+  uint64_t fence;
+  uint64_t sequence;
+  uint8_t want_full;
+  uint8_t ready;
+} WlHoldReply;
+
+/** struct WlRunning - an attempt that an endpoint still holds memory for */
+typedef struct
+{
+  uint64_t request;
+  uint32_t attempt;
+} WlRunning;
+
+/** struct WlLoaded - a model that an endpoint has loaded */
+typedef struct
+{
+  char name[WL_LABEL_SIZE];
+  char version[WL_LABEL_SIZE];
+} WlLoaded;
+
+/** struct WlEndpointReport - an endpoint's announcement, forwarded to the cell owner */
+typedef struct
+{
+  uint64_t endpoint;
+  uint64_t incarnation;
+  uint64_t sequence;
+  char name[WL_LABEL_SIZE];
+  char service[WL_LABEL_SIZE];
+  char address[WL_ADDRESS_SIZE];
+  uint32_t port;
+  char domain[WL_LABEL_SIZE];
+  uint64_t kv_capacity;
+  uint64_t kv_used;
+  uint32_t slots;
+  uint8_t leaving;
+  uint64_t fence;
+  WlRunning *running;
+  uint32_t n_running;
+  WlLoaded *loaded;
+  uint32_t n_loaded;
+  WlPrefixMark *cached;
+  uint32_t n_cached;
+  WlPrefixMark *evicted;
+  uint32_t n_evicted;
+} WlEndpointReport;
+
+/**
+ * enum WlMessageKind - selects the member of the union in WlMessage
+ *
+ * The numbers are part of the protocol and are never reused.
+ */
+typedef enum
+{
+  WL_MESSAGE_VOTE_REQUEST = 1,
+  WL_MESSAGE_VOTE_REPLY = 2,
+  WL_MESSAGE_APPEND_REQUEST = 3,
+  WL_MESSAGE_APPEND_REPLY = 4,
+  WL_MESSAGE_SNAPSHOT_CHUNK = 5,
+  WL_MESSAGE_SNAPSHOT_REPLY = 6,
+  WL_MESSAGE_REPLICA_HELLO = 7,
+  WL_MESSAGE_RENEW = 8,
+  WL_MESSAGE_RENEW_REPLY = 9,
+  WL_MESSAGE_CONFIG_NOTICE = 10,
+  WL_MESSAGE_SUBMIT = 11,
+  WL_MESSAGE_SUBMIT_REPLY = 12,
+  WL_MESSAGE_QUERY = 13,
+  WL_MESSAGE_QUERY_REPLY = 14,
+  WL_MESSAGE_CLAIM = 15,
+  WL_MESSAGE_CLAIM_REPLY = 16,
+  WL_MESSAGE_CLAIM_END = 17,
+  WL_MESSAGE_CLAIM_END_REPLY = 18,
+  WL_MESSAGE_ROOT = 19,
+  WL_MESSAGE_NOT_LEADER = 20,
+  WL_MESSAGE_PLACE = 21,
+  WL_MESSAGE_GRANT = 22,
+  WL_MESSAGE_PLACE_REFUSAL = 23,
+  WL_MESSAGE_HOLD = 24,
+  WL_MESSAGE_HOLD_REPLY = 25,
+  WL_MESSAGE_ENDPOINT_REPORT = 26,
+  WL_MESSAGE_KINDS,
+} WlMessageKind;
+
+/**
+ * struct WlMessage - one message between nodes
+ * @kind: selects the member of the union
+ * @u: the content
+ */
+typedef struct
+{
+  WlMessageKind kind;
+  union
+  {
+    WlVoteRequest vote_request;
+    WlVoteReply vote_reply;
+    WlAppendRequest append;
+    WlAppendReply append_reply;
+    WlSnapshotChunk snapshot;
+    WlSnapshotReply snapshot_reply;
+    WlReplicaHello hello;
+    WlRenew renew;
+    WlRenewReply renew_reply;
+    WlConfigNotice notice;
+    WlSubmit submit;
+    WlSubmitReply submit_reply;
+    WlQuery query;
+    WlQueryReply query_reply;
+    WlClaim claim;
+    WlClaimReply claim_reply;
+    WlClaimEnd claim_end;
+    WlClaimEndReply claim_end_reply;
+    WlRoot root;
+    WlNotLeader not_leader;
+    WlPlace place;
+    WlGrant grant;
+    WlPlaceRefusal refusal;
+    WlHold hold;
+    WlHoldReply hold_reply;
+    WlEndpointReport report;
+  } u;
+} WlMessage;
+
+extern const WlField wl_log_entry_fields[];
+
+/**
+ * wl_message_encode() - encodes a message
+ * @message: the message
+ * @pool: owner of the result
+ *
+ * Return: the encoded bytes.
+ */
+WlBytes wl_message_encode (const WlMessage *message, apr_pool_t *pool);
+
+/**
+ * wl_message_decode() - decodes a message
+ * @bytes: encoded message
+ * @out: receives the message
+ * @pool: owner of arrays and bytes
+ *
+ * Return: WL_OK or WL_ERROR_INVALID.
+ */
+WlError wl_message_decode (WlBytes bytes, WlMessage *out, apr_pool_t *pool);
+
+/**
+ * wl_message_name() - names a message kind for logs and counters
+ * @kind: the kind
+ *
+ * Return: a static string.
+ */
+const char *wl_message_name (WlMessageKind kind);
+
+/**
+ * wl_refusal_name() - names a refusal reason
+ * @reason: the reason
+ *
+ * Return: a static string such as "queue_full".
+ */
+const char *wl_refusal_name (WlRefusalReason reason);
+
+#endif
