Tests of the reducer on fake network, disks and endpoints

Cause: the whole path ran, but no promise was shown under failure.

A paused process now closes its cells before it acts on the first event after its lease ran out: before, a frozen owner could have granted from one message.

--- /dev/null
+++ b/core/tests/test_cell.c
@@ -0,0 +1,264 @@
+#include <string.h>
+#include <apr_general.h>
+#include "wl_accounts.h"
+#include "wl_queue.h"
+#include "wl_sim_system.h"
+#include "wl_test.h"
+
+/* The cell owner: accounts, gangs, fairness, ejection, orders. */
+
+START_TEST (a_prompt_beyond_one_engine_gets_a_whole_gang)
+{
+  WlSim *sim = sim_system (1, 5, 5, 0);
+  const SimRequest *r = sim_request (sim, 4, "llm", 900000, 10, "");
+  sim_run (sim, 200000);
+  ck_assert_uint_eq (sim->n_runs, 3);
+  sim_run (sim, 8000000);
+  ck_assert_int_eq (r->end.outcome, WL_OUTCOME_DONE);
+  sim_run (sim, 3000000);
+  sim_assert_drained (sim);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (a_prompt_beyond_the_whole_cell_is_refused_at_once)
+{
+  WlSim *sim = sim_system (2, 5, 2, 0);
+  const SimRequest *r = sim_request (sim, 4, "llm", 900000, 10, "");
+  sim_run (sim, 100000);
+  ck_assert_int_eq (r->end.reason, WL_REFUSAL_TOO_LARGE);
+  ck_assert_int_eq (r->end.run, WL_RUN_NOT_RUN);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (two_gangs_never_each_hold_half)
+{
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    {
+      WlSim *sim = sim_system (seed, 6, 4, 0);
+      const SimRequest *a = sim_request (sim, 4, "llm", 1000000, 10, "");
+      const SimRequest *b = sim_request (sim, 5, "llm", 1000000, 10, "");
+      for (int i = 0; i < 30; i++)
+        {
+          sim_request (sim, 4 + (uint32_t)i % 3, "llm", 2000, 20, "");
+          sim_run (sim, 100000);
+          /* All or nothing: a started gang has its three endpoints. */
+          ck_assert (a->dispatches % 3 == 0);
+          ck_assert (b->dispatches % 3 == 0);
+        }
+      sim_run (sim, 30000000);
+      ck_assert_int_eq (a->end.outcome, WL_OUTCOME_DONE);
+      ck_assert_int_eq (b->end.outcome, WL_OUTCOME_DONE);
+      sim_assert_drained (sim);
+      sim_finish (sim);
+    }
+}
+END_TEST
+
+START_TEST (a_gang_is_not_starved_by_a_stream_of_short_requests)
+{
+  WlSim *sim = sim_system (3, 6, 3, 0);
+  for (int i = 0; i < 40; i++)
+    {
+      sim_request (sim, 4, "llm", 8000, 100, "");
+      sim_run (sim, 50000);
+    }
+  const SimRequest *giant = sim_request (sim, 5, "llm", 1000000, 10, "");
+  for (int i = 0; i < 300 && giant->ends == 0; i++)
+    {
+      sim_request (sim, 4, "llm", 8000, 100, "");
+      sim_run (sim, 100000);
+    }
+  ck_assert_uint_eq (giant->ends, 1);
+  ck_assert_int_eq (giant->end.outcome, WL_OUTCOME_DONE);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (memory_is_never_oversubscribed)
+{
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    {
+      WlSim *sim = sim_system (seed, 6, 3, 0);
+      for (int i = 0; i < 120; i++)
+        {
+          sim_request (sim, 4 + (uint32_t)i % 3, "llm", 1000 + sim_random (sim) % 250000, 20, "");
+          sim_run (sim, 30000);
+        }
+      for (uint32_t i = 0; i < 3; i++)
+        ck_assert_uint_le (sim->endpoints[i].kv_peak, sim->endpoints[i].kv_capacity);
+      sim_run (sim, 90000000);
+      sim_assert_drained (sim);
+      sim_finish (sim);
+    }
+}
+END_TEST
+
+static WlCell *
+bare_cell (const WlSettings *settings, const WlServices *services)
+{
+  WlCellLease lease = { .shard = 0, .owner = 1, .fence = 1 };
+  strcpy (lease.service, "llm");
+  WlCell *cell = wl_cell_create (&lease, settings, 1000000);
+  wl_cell_configure (cell, services);
+  return cell;
+}
+
+static WlServices *
+parse (const char *text)
+{
+  WlFindings findings = { 0 };
+  WlServices *services = NULL;
+  wl_services_parse (text, strlen (text), &findings, &services);
+  wl_findings_clear (&findings);
+  return services;
+}
+
+START_TEST (fair_queueing_serves_customers_by_weight)
+{
+  WlSettings settings = { .self = { .node = 1 } };
+  WlServices *services = parse (sim_text (2)); /* customer a weighs 3, customer b 1 */
+  WlCell *cell = bare_cell (&settings, services);
+  WlPlace place = { .node = 1, .prompt_tokens = 1000, .max_tokens = 100, .left_us = 60000000 };
+  for (uint64_t i = 0; i < 400; i++)
+    {
+      place.request = i + 1;
+      strcpy (place.customer, i < 200 ? "b" : "a"); /* b was there first */
+      wl_queue_add (cell, &place, 1000000);
+    }
+  uint32_t served[2] = { 0, 0 };
+  for (int i = 0; i < 120; i++)
+    {
+      served[cell->queue->place.customer[0] == 'a']++;
+      wl_queue_started (cell, cell->queue);
+      wl_queue_remove (cell, cell->queue);
+    }
+  ck_assert_uint_ge (served[1], 85);
+  ck_assert_uint_ge (served[0], 25);
+  wl_cell_destroy (cell);
+  wl_services_destroy (services);
+}
+END_TEST
+
+START_TEST (a_short_request_overtakes_the_long_queue_of_another_customer)
+{
+  WlSettings settings = { .self = { .node = 1 } };
+  WlServices *services = parse (sim_text (1));
+  WlCell *cell = bare_cell (&settings, services);
+  WlPlace place = { .node = 1, .prompt_tokens = 200000, .max_tokens = 100, .left_us = 60000000 };
+  strcpy (place.customer, "a");
+  for (place.request = 1; place.request <= 10; place.request++)
+    wl_queue_add (cell, &place, 1000000);
+  strcpy (place.customer, "b");
+  place.prompt_tokens = 1000;
+  wl_queue_add (cell, &place, 1000000);
+  /* Only the head of a's queue, which came first at the same virtual time, is before it. */
+  ck_assert_str_eq (cell->queue->next->place.customer, "b");
+  wl_cell_destroy (cell);
+  wl_services_destroy (services);
+}
+END_TEST
+
+START_TEST (a_failing_endpoint_is_ejected_but_never_more_than_a_third)
+{
+  WlSim *sim = sim_system (4, 5, 6, 0);
+  for (int i = 0; i < 4; i++)
+    sim->endpoints[i].is_silent = 1;
+  for (int i = 0; i < 300; i++)
+    {
+      sim_request (sim, 4, "llm", 100, 10, "");
+      sim_run (sim, 100000);
+      const WlCell *c = sim_cell (sim, "llm");
+      uint32_t ejected = 0;
+      for (apr_hash_index_t *k = apr_hash_first (NULL, c->endpoints); k; k = apr_hash_next (k))
+        ejected += ((const WlEndpoint *)apr_hash_this_val (k))->ejected_until_us > sim->now_us;
+      ck_assert_uint_le (ejected, 2);
+    }
+  ck_assert_uint_gt (sim_cell (sim, "llm")->counters.ejections, 0);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (a_leaving_endpoint_gets_no_new_work)
+{
+  WlSim *sim = sim_system (5, 5, 3, 0);
+  sim->endpoints[1].is_leaving = 1;
+  for (int i = 0; i < 200; i++)
+    {
+      sim_request (sim, 4, "llm", 500, 10, "");
+      sim_run (sim, 60000);
+    }
+  sim_run (sim, 5000000);
+  sim_assert_drained (sim);
+  sim_finish (sim); /* the simulation watches for dispatches after the grace time */
+}
+END_TEST
+
+START_TEST (models_are_loaded_by_order_dependencies_first)
+{
+  WlSim *sim = sim_create (6, 5, 3);
+  sim_start_all (sim);
+  sim_run (sim, 4000000);
+  for (int i = 0; i < 3; i++)
+    sim_add_endpoint (sim, "llm", 0)->is_loaded = 0;
+  sim_submit_until_answered (sim, 4, 0, sim_text (1));
+  sim_run (sim, 12000000);
+  for (int i = 0; i < 3; i++)
+    {
+      ck_assert (sim->endpoints[i].is_loaded);
+      ck_assert_uint_eq (sim->endpoints[i].orders, 1);
+    }
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (a_new_owner_takes_over_running_work)
+{
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    {
+      WlSim *sim = sim_system (seed, 6, 3, 0);
+      uint32_t old = sim_owner (sim, "llm");
+      uint32_t entry = old == 6 ? 5 : 6;
+      sim->token_us = 50000;
+      for (int i = 0; i < 12; i++)
+        sim_request (sim, entry, "llm", 2000, 200, "");
+      sim_run (sim, 1000000);
+      if (seed % 2)
+        sim_crash (sim, old);
+      else
+        sim_isolate (sim, old, 1);
+      sim_run (sim, 7000000);
+      ck_assert_uint_gt (apr_hash_count (sim_cell (sim, "llm")->grants), 0);
+      sim_isolate (sim, old, 0);
+      sim_run (sim, 25000000);
+      for (uint32_t i = 0; i < sim->n_requests; i++)
+        {
+          ck_assert_int_eq (sim->requests[i].end.outcome, WL_OUTCOME_DONE);
+          ck_assert_uint_eq (sim->requests[i].dispatches, 1); /* no stream was disturbed */
+        }
+      sim_assert_drained (sim);
+      sim_finish (sim);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  apr_initialize ();
+  const WlTest tests[] = {
+    WL_TEST (a_prompt_beyond_one_engine_gets_a_whole_gang),
+    WL_TEST (a_prompt_beyond_the_whole_cell_is_refused_at_once),
+    WL_TEST (two_gangs_never_each_hold_half),
+    WL_TEST (a_gang_is_not_starved_by_a_stream_of_short_requests),
+    WL_TEST (memory_is_never_oversubscribed),
+    WL_TEST (fair_queueing_serves_customers_by_weight),
+    WL_TEST (a_short_request_overtakes_the_long_queue_of_another_customer),
+    WL_TEST (a_failing_endpoint_is_ejected_but_never_more_than_a_third),
+    WL_TEST (a_leaving_endpoint_gets_no_new_work),
+    WL_TEST (models_are_loaded_by_order_dependencies_first),
+    WL_TEST (a_new_owner_takes_over_running_work),
+  };
+  return wl_test_run ("cell", tests, sizeof tests / sizeof tests[0]);
+}
--- /dev/null
+++ b/core/tests/test_control.c
@@ -0,0 +1,235 @@
+#include <string.h>
+#include <apr_general.h>
+#include "wl_sim.h"
+#include "wl_test.h"
+
+/* Configuration, leases and cell owners. */
+
+static WlSim *
+running_system (uint64_t seed, uint32_t nodes)
+{
+  WlSim *sim = sim_create (seed, nodes, 3);
+  sim_start_all (sim);
+  sim_run (sim, 5000000);
+  const WlSubmitReply *r = sim_submit_until_answered (sim, nodes, 0, sim_text (1));
+  ck_assert_ptr_nonnull (r);
+  ck_assert_int_eq (r->outcome, WL_SUBMIT_ACCEPTED);
+  sim_run (sim, 3000000);
+  return sim;
+}
+
+static void
+finish (WlSim *sim)
+{
+  ck_assert_msg (sim->broken == NULL, "%s", sim->broken);
+  sim_destroy (sim);
+}
+
+static uint32_t
+owner_of (const WlSim *sim, const char *service)
+{
+  for (uint32_t i = 1; i <= sim->n_nodes; i++)
+    if (sim->nodes[i].is_up && !sim->nodes[i].is_frozen
+        && wl_core_find_cell (sim->nodes[i].core, service, 0) != NULL)
+      return i;
+  return 0;
+}
+
+START_TEST (of_two_operators_under_one_number_one_wins)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      WlSim *sim = running_system (seed, 5);
+      static char other[1024];
+      strcpy (other, sim_text (3));
+      uint32_t a = sim_submit (sim, 4, 1, sim_text (2));
+      uint32_t b = sim_submit (sim, 5, 1, other);
+      sim_run (sim, 1000000);
+      const WlSubmitReply *x = &sim->submits[a].reply;
+      const WlSubmitReply *y = &sim->submits[b].reply;
+      ck_assert (sim->submits[a].is_answered && sim->submits[b].is_answered);
+      ck_assert_int_ne (x->outcome, y->outcome);
+      ck_assert (x->outcome == WL_SUBMIT_ACCEPTED || y->outcome == WL_SUBMIT_ACCEPTED);
+      /* The loser is told which text holds the number. */
+      ck_assert_mem_eq (x->digest, y->digest, WL_DIGEST_SIZE);
+      ck_assert_uint_eq (x->number, 2);
+      ck_assert_uint_eq (y->number, 2);
+      finish (sim);
+    }
+}
+END_TEST
+
+START_TEST (a_resubmission_gets_the_first_answer_after_many_changes_and_restarts)
+{
+  WlSim *sim = running_system (4, 5);
+  static char first[1024];
+  strcpy (first, sim_text (777));
+  ck_assert_int_eq (sim_submit_until_answered (sim, 4, 1, first)->outcome, WL_SUBMIT_ACCEPTED);
+  for (uint64_t n = 2; n < 602; n++)
+    {
+      sim->n_submits = 0;
+      ck_assert_int_eq (sim_submit_until_answered (sim, 4, n, sim_text ((uint32_t)n))->outcome,
+                        WL_SUBMIT_ACCEPTED);
+    }
+  for (uint32_t i = 1; i <= 5; i++)
+    sim_crash (sim, i);
+  sim_start_all (sim);
+  sim_run (sim, 5000000);
+  const WlSubmitReply *r = sim_submit_until_answered (sim, 5, 1, first);
+  ck_assert_int_eq (r->outcome, WL_SUBMIT_ACCEPTED);
+  ck_assert_uint_eq (r->number, 2);
+  ck_assert_uint_eq (r->current, 602);
+  r = sim_submit_until_answered (sim, 5, 1, sim_text (5));
+  ck_assert_int_eq (r->outcome, WL_SUBMIT_CONFLICT);
+  r = sim_submit_until_answered (sim, 5, 5000, sim_text (5));
+  ck_assert_int_eq (r->outcome, WL_SUBMIT_CONFLICT);
+  for (uint32_t i = 1; i <= 5; i++)
+    ck_assert_uint_eq (sim->nodes[i].core->session.number, 602);
+  finish (sim);
+}
+END_TEST
+
+START_TEST (a_submission_is_in_force_within_two_seconds_and_six_with_an_entry_cut_off)
+{
+  WlSim *sim = running_system (9, 6);
+  ck_assert_int_eq (sim_submit_until_answered (sim, 4, 1, sim_text (2))->outcome,
+                    WL_SUBMIT_ACCEPTED);
+  uint64_t began_us = sim->now_us;
+  do
+    sim_query (sim, 4);
+  while (sim->query.in_force < 2);
+  ck_assert_uint_lt (sim->now_us - began_us, 2000000);
+  sim_isolate (sim, 6, 1);
+  began_us = sim->now_us;
+  ck_assert_int_eq (sim_submit_until_answered (sim, 4, 2, sim_text (3))->outcome,
+                    WL_SUBMIT_ACCEPTED);
+  do
+    sim_query (sim, 4);
+  while (sim->query.in_force < 3);
+  ck_assert_uint_lt (sim->now_us - began_us, 6000000);
+  /* By then the entry that is cut off admits nothing. */
+  const SimRequest *r = sim_request (sim, 6, "llm", 100, 5, "");
+  ck_assert_uint_eq (r->ends, 1);
+  ck_assert_int_eq (r->end.reason, WL_REFUSAL_NO_CONFIG);
+  ck_assert_int_eq (r->end.run, WL_RUN_NOT_RUN);
+  finish (sim);
+}
+END_TEST
+
+START_TEST (a_restarted_entry_admits_nothing_before_it_has_the_current_configuration)
+{
+  WlSim *sim = running_system (2, 5);
+  sim_crash (sim, 5);
+  ck_assert_int_eq (sim_submit_until_answered (sim, 4, 1, sim_text (2))->outcome,
+                    WL_SUBMIT_ACCEPTED);
+  sim_start (sim, 5);
+  ck_assert_int_eq (sim_request (sim, 5, "llm", 10, 5, "")->end.reason, WL_REFUSAL_NO_CONFIG);
+  sim_run (sim, 2000000);
+  ck_assert_uint_eq (sim->nodes[5].core->session.number, 2);
+  finish (sim);
+}
+END_TEST
+
+START_TEST (the_owner_of_a_cell_changes_within_six_seconds)
+{
+  for (uint64_t seed = 1; seed <= 12; seed++)
+    {
+      WlSim *sim = running_system (seed, 6);
+      uint32_t old = owner_of (sim, "llm");
+      ck_assert_uint_ne (old, 0);
+      switch (seed % 3)
+        {
+        case 0:
+          sim_crash (sim, old);
+          break;
+        case 1:
+          sim_isolate (sim, old, 1);
+          break;
+        case 2:
+          sim->nodes[old].is_frozen = 1;
+          break;
+        }
+      sim_run (sim, 6000000);
+      uint32_t new = owner_of (sim, "llm");
+      ck_assert_uint_ne (new, 0);
+      ck_assert_uint_ne (new, old);
+      ck_assert (wl_core_find_cell (sim->nodes[new].core, "llm", 0)->ready);
+      /* The old owner continues and must not act: the invariants watch it. */
+      sim_isolate (sim, old, 0);
+      sim->nodes[old].is_frozen = 0;
+      sim_run (sim, 3000000);
+      finish (sim);
+    }
+}
+END_TEST
+
+START_TEST (one_way_cuts_never_give_two_owners)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      WlSim *sim = running_system (seed, 6);
+      uint32_t owner = owner_of (sim, "llm");
+      for (uint32_t i = 1; i <= 3; i++)
+        if (seed % 2)
+          sim->cut[owner][i] = owner != i;
+        else
+          sim->cut[i][owner] = owner != i;
+      sim_run (sim, 8000000);
+      memset (sim->cut, 0, sizeof sim->cut);
+      sim_run (sim, 4000000);
+      ck_assert_uint_ne (owner_of (sim, "llm"), 0);
+      finish (sim);
+    }
+}
+END_TEST
+
+START_TEST (a_stopping_owner_hands_over_at_once)
+{
+  WlSim *sim = running_system (3, 6);
+  uint32_t old = owner_of (sim, "llm");
+  WlEvent stop = { .kind = WL_EVENT_STOP };
+  sim_event (sim, old, &stop);
+  sim_run (sim, 2500000);
+  ck_assert_uint_ne (owner_of (sim, "llm"), 0);
+  ck_assert_uint_ne (owner_of (sim, "llm"), old);
+  sim_run (sim, 5000000);
+  ck_assert (sim->nodes[old].has_stopped);
+  finish (sim);
+}
+END_TEST
+
+START_TEST (earlier_texts_can_be_shown)
+{
+  WlSim *sim = running_system (6, 4);
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  for (uint64_t n = 1; n < 40; n++)
+    sim_submit_until_answered (sim, 4, n, sim_text ((uint32_t)n + 1));
+  const WlState *state = sim->nodes[sim_leader (sim)].core->control->state;
+  for (uint32_t n = 1; n <= 40; n++)
+    {
+      WlBytes text;
+      ck_assert (wl_state_text_at (state, n, pool, &text));
+      ck_assert_str_eq ((const char *)text.data, sim_text (n));
+    }
+  apr_pool_destroy (pool);
+  finish (sim);
+}
+END_TEST
+
+int
+main (void)
+{
+  apr_initialize ();
+  const WlTest tests[] = {
+    WL_TEST (of_two_operators_under_one_number_one_wins),
+    WL_TEST (a_resubmission_gets_the_first_answer_after_many_changes_and_restarts),
+    WL_TEST (a_submission_is_in_force_within_two_seconds_and_six_with_an_entry_cut_off),
+    WL_TEST (a_restarted_entry_admits_nothing_before_it_has_the_current_configuration),
+    WL_TEST (the_owner_of_a_cell_changes_within_six_seconds),
+    WL_TEST (one_way_cuts_never_give_two_owners),
+    WL_TEST (a_stopping_owner_hands_over_at_once),
+    WL_TEST (earlier_texts_can_be_shown),
+  };
+  return wl_test_run ("control", tests, sizeof tests / sizeof tests[0]);
+}
--- /dev/null
+++ b/core/tests/test_entry.c
@@ -0,0 +1,206 @@
+#include <string.h>
+#include <apr_general.h>
+#include "wl_sim_system.h"
+#include "wl_test.h"
+
+/* The life of a request at its entry. */
+
+START_TEST (answers_are_whole_although_messages_are_repeated_and_reordered)
+{
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    {
+      WlSim *sim = sim_system (seed, 6, 4, 0);
+      sim->repeat_ppm = 300000;
+      sim->delay_us = 80000;
+      for (int i = 0; i < 40; i++)
+        {
+          sim_request (sim, 4 + (uint32_t)i % 3, "llm", 100 + (uint64_t)i * 50, 20, "");
+          sim_run (sim, 50000);
+        }
+      sim_run (sim, 15000000);
+      for (uint32_t i = 0; i < sim->n_requests; i++)
+        ck_assert_int_eq (sim->requests[i].end.outcome, WL_OUTCOME_DONE);
+      sim_assert_drained (sim);
+      sim_finish (sim);
+    }
+}
+END_TEST
+
+START_TEST (repeated_and_late_output_is_dropped)
+{
+  WlSim *sim = sim_system (2, 4, 1, 0);
+  const SimRequest *r = sim_request (sim, 4, "llm", 100, 10, "");
+  sim_run (sim, 120000);
+  ck_assert_uint_gt (r->delivered, 2);
+  uint64_t before = r->delivered;
+  WlEvent event = { .kind = WL_EVENT_ENGINE_OUTPUT };
+  event.u.output = (WlOutputEvent){ r->id, 1, 1, 1, { (const uint8_t *)"token", 5 } };
+  sim_event (sim, 4, &event);
+  event.u.output.attempt = 7; /* an attempt that is not the current one */
+  event.u.output.offset = before;
+  sim_event (sim, 4, &event);
+  ck_assert_uint_eq (r->delivered, before);
+  sim_run (sim, 2000000);
+  ck_assert_int_eq (r->end.outcome, WL_OUTCOME_DONE);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (a_broken_stream_is_resumed_at_the_delivered_offset)
+{
+  WlSim *sim = sim_system (3, 5, 3, 0);
+  const SimRequest *r = sim_request (sim, 4, "llm", 500, 60, "");
+  sim_run (sim, 500000);
+  ck_assert_uint_gt (r->delivered, 5);
+  ck_assert_uint_lt (r->delivered, 60);
+  sim_endpoint_crash (sim, sim->runs[0].endpoint);
+  sim_run (sim, 5000000);
+  ck_assert_int_eq (r->end.outcome, WL_OUTCOME_DONE);
+  ck_assert_uint_eq (r->dispatches, 2);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (a_silent_connection_is_noticed_and_the_request_finishes_elsewhere)
+{
+  WlSim *sim = sim_system (4, 5, 3, 0);
+  const SimRequest *r = sim_request (sim, 4, "llm", 500, 100, "");
+  sim_run (sim, 500000);
+  sim->endpoints[sim->runs[0].endpoint].is_silent = 1;
+  sim_run (sim, 12000000);
+  ck_assert_int_eq (r->end.outcome, WL_OUTCOME_DONE);
+  sim_assert_drained (sim);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (without_endpoints_a_request_is_refused_as_not_run)
+{
+  WlSim *sim = sim_system (5, 4, 1, 0);
+  sim->endpoints[0].is_leaving = 1;
+  sim_run (sim, 2000000);
+  sim->endpoints[0].is_up = 0;
+  sim_run (sim, 45000000);
+  const SimRequest *r = sim_request (sim, 4, "llm", 500, 10, "");
+  sim_run (sim, 1000000);
+  ck_assert_int_eq (r->end.outcome, WL_OUTCOME_REFUSED);
+  ck_assert_int_eq (r->end.run, WL_RUN_NOT_RUN);
+  ck_assert_uint_eq (r->dispatches, 0);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (the_time_limit_holds_in_every_state)
+{
+  /* Waiting for a claim: the control group is gone. */
+  WlSim *sim = sim_system (6, 5, 1, 1);
+  for (uint32_t i = 1; i <= 3; i++)
+    sim_isolate (sim, i, 1);
+  const SimRequest *claiming = sim_request (sim, 4, "app", 1, 1, "k");
+  sim_run (sim, 9000000);
+  ck_assert_uint_eq (claiming->ends, 1);
+  ck_assert_int_eq (claiming->end.run, WL_RUN_NOT_RUN);
+  sim_finish (sim);
+
+  /* Waiting for a place: the only endpoint is busy. */
+  sim = sim_system (7, 5, 1, 1);
+  sim->endpoints[0].slots = 1;
+  sim_run (sim, 2000000);
+  sim->token_us = 1000000;
+  sim_request (sim, 4, "llm", 100, 300, "");
+  const SimRequest *waiting = sim_request (sim, 4, "llm", 100, 5, "");
+  sim_run (sim, 62000000);
+  ck_assert_uint_eq (waiting->ends, 1);
+  ck_assert_int_eq (waiting->end.run, WL_RUN_NOT_RUN);
+  /* Running: the first request is cut off at its limit and its memory is freed. */
+  ck_assert_uint_eq (sim->requests[0].ends, 1);
+  ck_assert (sim->requests[0].end.timed_out);
+  ck_assert_int_eq (sim->requests[0].end.run, WL_RUN_FAILED);
+  sim_run (sim, 6000000);
+  sim_assert_drained (sim);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (memory_is_freed_when_the_caller_goes)
+{
+  WlSim *sim = sim_system (8, 5, 2, 0);
+  SimRequest *r = sim_request (sim, 4, "llm", 1000, 2000, "");
+  sim_run (sim, 300000);
+  WlEvent event = { .kind = WL_EVENT_CALLER_GONE };
+  event.u.caller_gone = r->id;
+  r->ends = 1; /* nobody is left to be answered */
+  sim_event (sim, 4, &event);
+  sim_run (sim, 3000000);
+  sim_assert_drained (sim);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (memory_is_freed_when_the_entry_dies)
+{
+  WlSim *sim = sim_system (9, 6, 2, 0);
+  uint32_t entry = sim_owner (sim, "llm") == 6 ? 5 : 6;
+  sim_request (sim, entry, "llm", 1000, 2000, "");
+  sim_run (sim, 300000);
+  sim_crash (sim, entry);
+  sim_run (sim, 10000000);
+  sim_assert_drained (sim);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (a_stopping_entry_finishes_its_streams_and_refuses_new_work)
+{
+  WlSim *sim = sim_system (10, 6, 2, 0);
+  const SimRequest *r = sim_request (sim, 5, "llm", 1000, 400, "");
+  sim_run (sim, 500000);
+  WlEvent stop = { .kind = WL_EVENT_STOP };
+  sim_event (sim, 5, &stop);
+  const SimRequest *refused = sim_request (sim, 5, "llm", 100, 5, "");
+  ck_assert_int_eq (refused->end.reason, WL_REFUSAL_DRAINING);
+  ck_assert_int_eq (refused->end.run, WL_RUN_NOT_RUN);
+  sim_run (sim, 6000000);
+  ck_assert (!sim->nodes[5].has_stopped);
+  sim_run (sim, 7000000);
+  ck_assert_int_eq (r->end.outcome, WL_OUTCOME_DONE);
+  ck_assert (sim->nodes[5].has_stopped);
+  sim_finish (sim);
+}
+END_TEST
+
+START_TEST (an_unknown_key_is_refused)
+{
+  WlSim *sim = sim_system (11, 4, 1, 0);
+  WlEvent event = { .kind = WL_EVENT_REQUEST };
+  SimRequest *r = &sim->requests[sim->n_requests++];
+  r->id = (uint64_t)4 << 52 | sim->n_requests;
+  event.u.request.id = r->id;
+  event.u.request.api_key = "stolen";
+  event.u.request.service = "llm";
+  event.u.request.path = "";
+  event.u.request.key = "";
+  sim_event (sim, 4, &event);
+  ck_assert_int_eq (r->end.outcome, WL_OUTCOME_UNAUTHORIZED);
+  sim_finish (sim);
+}
+END_TEST
+
+int
+main (void)
+{
+  apr_initialize ();
+  const WlTest tests[] = {
+    WL_TEST (answers_are_whole_although_messages_are_repeated_and_reordered),
+    WL_TEST (repeated_and_late_output_is_dropped),
+    WL_TEST (a_broken_stream_is_resumed_at_the_delivered_offset),
+    WL_TEST (a_silent_connection_is_noticed_and_the_request_finishes_elsewhere),
+    WL_TEST (without_endpoints_a_request_is_refused_as_not_run),
+    WL_TEST (the_time_limit_holds_in_every_state),
+    WL_TEST (memory_is_freed_when_the_caller_goes),
+    WL_TEST (memory_is_freed_when_the_entry_dies),
+    WL_TEST (a_stopping_entry_finishes_its_streams_and_refuses_new_work),
+    WL_TEST (an_unknown_key_is_refused),
+  };
+  return wl_test_run ("entry", tests, sizeof tests / sizeof tests[0]);
+}
--- a/core/wl_core.c
+++ b/core/wl_core.c
@@ -122,8 +122,12 @@
 {
   int may_own = wl_core_has_lease (core, now_us) && !core->session.draining;
   if (!may_own)
-    close_cells (core, 1, fx);
-  if (core->session_change == core->session.change || !may_own)
+    {
+      close_cells (core, 1, fx);
+      core->session_change = 0; /* opened again with the next valid lease */
+      return;
+    }
+  if (core->session_change == core->session.change)
     return;
   core->session_change = core->session.change;
   close_cells (core, 0, fx);
@@ -335,6 +339,9 @@
   uint32_t first = effects->count;
   WlMoment at = { event->now_us, event->wall_us, effects };
   core->entry->counters.events++;
+  /* A process that was paused past its lease must not act on what it held. */
+  if (!wl_core_has_lease (core, event->now_us))
+    close_cells (core, 1, effects);
   switch (event->kind)
     {
     case WL_EVENT_TICK:
--- a/core/wl_prefix.c
+++ b/core/wl_prefix.c
@@ -14,7 +14,8 @@
   uint64_t hashed = 0;
   uint32_t n = 0;
   uint32_t tokens = WL_PREFIX_FIRST_TOKENS;
-  if (state == NULL) return 0;
+  if (state == NULL)
+    return 0;
   XXH64_reset (state, 0);
   while (n < WL_PREFIX_MARKS && (uint64_t)tokens * WL_BYTES_PER_TOKEN <= prompt.size)
     {
