--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 PACKAGES = $(shell grep -v '^\#' packages.txt)
-SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h')
+SOURCES = $(filter-out scripts/cppcheck-macros.h,$(shell git ls-files --cached --others --exclude-standard '*.c' '*.h'))
 
 .PHONY: all setup build asan check demo format format-check lint unit model bench clean
 
@@ -27,6 +27,7 @@
 lint: build
 	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 	  --enable=warning,portability,performance --suppress=missingIncludeSystem \
+	  --include=scripts/cppcheck-macros.h -j $(JOBS) \
 	  -I core -I wire -I services -I runtime -I daemon $(filter %.c,$(SOURCES))
 	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2>/dev/null
 
--- a/core/wl_claims.c
+++ b/core/wl_claims.c
@@ -21,15 +21,9 @@
 static void
 set_body (WlClaimNode *node, WlBytes body)
 {
-  free ((void *)(uintptr_t)node->record.body.data);
-  node->record.body = (WlBytes){ NULL, 0 };
-  if (body.size == 0 || body.size > WL_OUTCOME_MAX)
-    return;
-  uint8_t *copy = malloc (body.size);
-  if (copy == NULL)
-    abort ();
-  memcpy (copy, body.data, body.size);
-  node->record.body = (WlBytes){ copy, body.size };
+  wl_bytes_release (&node->record.body);
+  if (body.size <= WL_OUTCOME_MAX)
+    node->record.body = wl_bytes_dup (body);
 }
 
 void
--- a/core/wl_entry.c
+++ b/core/wl_entry.c
@@ -42,7 +42,7 @@
   for (apr_hash_index_t *i = apr_hash_first (NULL, entry->requests); i; i = apr_hash_next (i))
     {
       WlRequest *r = apr_hash_this_val (i);
-      free ((void *)(uintptr_t)r->outcome.data);
+      wl_bytes_release (&r->outcome);
       free (r);
     }
   wl_links_destroy (entry);
@@ -446,13 +446,7 @@
   r->delivered += o->tokens;
   entry->counters.tokens += o->tokens;
   if (!r->is_idempotent && r->outcome.data == NULL && o->data.size > 0)
-    {
-      uint8_t *copy = malloc (o->data.size);
-      if (copy == NULL)
-        abort ();
-      memcpy (copy, o->data.data, o->data.size);
-      r->outcome = (WlBytes){ copy, o->data.size };
-    }
+    r->outcome = wl_bytes_dup (o->data);
   if (r->caller_gone)
     return;
   WlEffect *e = wl_effects_add (at->fx, WL_EFFECT_REPLY_CHUNK);
--- a/core/wl_outbox.c
+++ b/core/wl_outbox.c
@@ -52,13 +52,7 @@
   WlOutboxItem *item = add_item (entry, &record);
   if (record.status == WL_CLAIM_DONE && request->outcome.size > 0
       && request->outcome.size <= WL_OUTCOME_MAX)
-    {
-      uint8_t *copy = malloc (request->outcome.size);
-      if (copy == NULL)
-        abort ();
-      memcpy (copy, request->outcome.data, request->outcome.size);
-      item->record.body = (WlBytes){ copy, request->outcome.size };
-    }
+    item->record.body = wl_bytes_dup (request->outcome);
   send_item (entry, item, at);
 }
 
@@ -73,7 +67,7 @@
 static void
 free_item (WlOutboxItem *item)
 {
-  free ((void *)(uintptr_t)item->record.body.data);
+  wl_bytes_release (&item->record.body);
   free (item);
 }
 
--- a/core/wl_raft_log.c
+++ b/core/wl_raft_log.c
@@ -68,15 +68,10 @@
       if (raft->log == NULL)
         abort ();
     }
-  uint8_t *data = malloc (command.size > 0 ? command.size : 1);
-  if (data == NULL)
-    abort ();
-  if (command.size > 0)
-    memcpy (data, command.data, command.size);
   WlLogEntry *e = &raft->log[raft->n_log++];
   e->term = term;
   e->index = wl_raft_last_index (raft);
-  e->command = (WlBytes){ data, command.size };
+  e->command = wl_bytes_dup (command);
   raft->log_bytes += command.size;
   adopt_group (raft, e);
   if (fx == NULL)
@@ -90,7 +85,7 @@
 free_entry (WlRaft *raft, WlLogEntry *e)
 {
   raft->log_bytes -= e->command.size;
-  free ((void *)(uintptr_t)e->command.data);
+  wl_bytes_release (&e->command);
 }
 
 void
--- a/core/wl_request.c
+++ b/core/wl_request.c
@@ -173,6 +173,6 @@
       e->u.end.cached_tokens = request->cached_tokens;
     }
   wl_table_put_id (entry->requests, &request->id, NULL);
-  free ((void *)(uintptr_t)request->outcome.data);
+  wl_bytes_release (&request->outcome);
   free (request);
 }
--- a/core/wl_state.c
+++ b/core/wl_state.c
@@ -30,14 +30,9 @@
 static void
 replace_bytes (WlBytes *slot, WlBytes bytes)
 {
-  uint8_t *copy = NULL;
-  if (bytes.size > 0)
-    {
-      copy = allocate (bytes.size, 1);
-      memcpy (copy, bytes.data, bytes.size);
-    }
-  free ((void *)(uintptr_t)slot->data);
-  *slot = (WlBytes){ copy, bytes.size };
+  WlBytes copy = wl_bytes_dup (bytes);
+  wl_bytes_release (slot);
+  *slot = copy;
 }
 
 void
@@ -285,12 +280,12 @@
 }
 
 WlError
-wl_state_load (WlState *state, WlBytes bytes)
+wl_state_load (WlState *state, WlBytes image_bytes)
 {
   apr_pool_t *pool;
   WlStateImage image = { 0 };
   apr_pool_create (&pool, NULL);
-  WlError error = wl_decode_bytes (bytes, wl_state_image_fields, &image, pool);
+  WlError error = wl_decode_bytes (image_bytes, wl_state_image_fields, &image, pool);
   if (error != WL_OK || image.n_members > WL_MEMBERS_MAX || image.n_cells > WL_CELLS_MAX
       || image.n_roots > WL_MEMBERS_MAX)
     error = WL_ERROR_CORRUPT;
--- a/core/wl_state.h
+++ b/core/wl_state.h
@@ -110,11 +110,11 @@
 /**
  * wl_state_load() - replaces the state by a snapshot
  * @state: the state
- * @image: an encoded WlStateImage
+ * @image_bytes: an encoded WlStateImage
  *
  * Return: WL_OK or WL_ERROR_CORRUPT.
  */
-WlError wl_state_load (WlState *state, WlBytes image);
+WlError wl_state_load (WlState *state, WlBytes image_bytes);
 
 /**
  * wl_state_find_claim() - looks up a claim
--- a/daemon/wl_views.h
+++ b/daemon/wl_views.h
@@ -16,11 +16,11 @@
 
 /**
  * wl_views_query() - the control group's view
- * @reply: the leader's answer
+ * @q: the leader's answer
  *
  * Return: a new JSON object.
  */
-json_t *wl_views_query (const WlQueryReply *reply);
+json_t *wl_views_query (const WlQueryReply *q);
 
 /**
  * wl_views_request() - decisions taken on one request
--- /dev/null
+++ b/runtime/tests/test_peers.c
@@ -0,0 +1,193 @@
+#include <string.h>
+#include <sys/socket.h>
+#include <netinet/in.h>
+#include <arpa/inet.h>
+#include <unistd.h>
+#include <apr_general.h>
+#include "wl_clock.h"
+#include "wl_peers.h"
+#include "wl_test.h"
+
+/* Connections between nodes: delivery, wrong keys, silent connections. */
+
+typedef struct
+{
+  uint32_t port;
+  uint32_t peer_port;
+  int received;
+  char text[64];
+} End;
+
+static int
+resolve (void *data, uint32_t node, const char **address, uint32_t *port)
+{
+  (void)node;
+  *address = "127.0.0.1";
+  *port = ((End *)data)->peer_port;
+  return *port != 0;
+}
+
+static void
+receive (void *data, uint32_t from, WlBytes m)
+{
+  End *e = data;
+  (void)from;
+  e->received++;
+  memcpy (e->text, m.data, m.size < sizeof e->text ? m.size : sizeof e->text - 1);
+}
+
+/* A port that nobody listens on: bound and closed again. */
+static uint32_t
+free_port (void)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t n = sizeof a;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&a, sizeof a), 0);
+  getsockname (fd, (struct sockaddr *)&a, &n);
+  close (fd);
+  return ntohs (a.sin_port);
+}
+
+static WlPeers *
+open_end (WlReactor *reactor, uint32_t node, const char *key, End *end)
+{
+  WlPeers *peers = NULL;
+  end->port = free_port ();
+  WlPeersOptions o = { .node = node,
+                       .address = "127.0.0.1",
+                       .port = end->port,
+                       .key = key,
+                       .resolve = resolve,
+                       .receive = receive,
+                       .data = end };
+  ck_assert_int_eq (wl_peers_create (reactor, &o, &peers), WL_OK);
+  return peers;
+}
+
+static void
+run (WlReactor *reactor, WlPeers *a, WlPeers *b, int rounds)
+{
+  for (int i = 0; i < rounds; i++)
+    {
+      wl_peers_flush (a);
+      if (b != NULL)
+        wl_peers_flush (b);
+      wl_reactor_poll (reactor, 1000);
+    }
+}
+
+static const WlBytes hello = { (const uint8_t *)"hello peer", 10 };
+
+START_TEST (messages_go_both_ways_on_one_connection)
+{
+  WlReactor *reactor = NULL;
+  End x = { 0 };
+  End y = { 0 };
+  wl_reactor_create (&reactor);
+  WlPeers *a = open_end (reactor, 1, "key", &x);
+  WlPeers *b = open_end (reactor, 2, "key", &y);
+  x.peer_port = y.port;
+  wl_peers_send (a, 2, hello, wl_clock_now_us ());
+  run (reactor, a, b, 50);
+  ck_assert_int_eq (y.received, 1);
+  wl_peers_send (b, 1, hello, wl_clock_now_us ());
+  run (reactor, a, b, 50);
+  ck_assert_int_eq (x.received, 1);
+  ck_assert_str_eq (x.text, "hello peer");
+  wl_peers_destroy (a);
+  wl_peers_destroy (b);
+  wl_reactor_destroy (reactor);
+}
+END_TEST
+
+START_TEST (a_wrong_key_is_rejected)
+{
+  WlReactor *reactor = NULL;
+  End x = { 0 };
+  End y = { 0 };
+  wl_reactor_create (&reactor);
+  WlPeers *a = open_end (reactor, 1, "key", &x);
+  WlPeers *b = open_end (reactor, 2, "other", &y);
+  x.peer_port = y.port;
+  wl_peers_send (a, 2, hello, wl_clock_now_us ());
+  run (reactor, a, b, 50);
+  ck_assert_int_eq (y.received, 0);
+  wl_peers_destroy (a);
+  wl_peers_destroy (b);
+  wl_reactor_destroy (reactor);
+}
+END_TEST
+
+START_TEST (a_silent_connection_is_replaced)
+{
+  WlReactor *reactor = NULL;
+  End x = { 0 };
+  End y = { 0 };
+  wl_reactor_create (&reactor);
+  uint64_t now_us = 1000000000;
+  wl_clock_set (now_us);
+  WlPeers *a = open_end (reactor, 1, "key", &x);
+  /* A listener that accepts and never answers: the other end has lost track. */
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t n = sizeof addr;
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&addr, sizeof addr), 0);
+  ck_assert_int_eq (listen (fd, 5), 0);
+  getsockname (fd, (struct sockaddr *)&addr, &n);
+  x.peer_port = ntohs (addr.sin_port);
+  wl_peers_send (a, 2, hello, now_us);
+  run (reactor, a, NULL, 20);
+  wl_clock_set (now_us += WL_PEER_SILENCE_US + 1);
+  wl_peers_tick (a, now_us);
+  WlPeers *b = open_end (reactor, 2, "key", &y);
+  x.peer_port = y.port;
+  wl_peers_send (a, 2, hello, now_us);
+  run (reactor, a, b, 50);
+  ck_assert_int_eq (y.received, 1);
+  close (fd);
+  wl_clock_set (0);
+  wl_peers_destroy (a);
+  wl_peers_destroy (b);
+  wl_reactor_destroy (reactor);
+}
+END_TEST
+
+START_TEST (random_bytes_close_the_connection_and_nothing_else)
+{
+  WlReactor *reactor = NULL;
+  End x = { 0 };
+  wl_reactor_create (&reactor);
+  WlPeers *a = open_end (reactor, 1, "key", &x);
+  for (int i = 0; i < 50; i++)
+    {
+      uint8_t bytes[256];
+      struct sockaddr_in addr = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+      addr.sin_port = htons ((uint16_t)x.port);
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      ck_assert_int_eq (connect (fd, (struct sockaddr *)&addr, sizeof addr), 0);
+      for (size_t k = 0; k < sizeof bytes; k++)
+        bytes[k] = (uint8_t)(i * 31 + (int)k * 7);
+      bytes[0] = (uint8_t)(i % 3);
+      ck_assert_int_eq (write (fd, bytes, sizeof bytes), sizeof bytes);
+      run (reactor, a, NULL, 3);
+      close (fd);
+    }
+  ck_assert_int_eq (x.received, 0);
+  wl_peers_destroy (a);
+  wl_reactor_destroy (reactor);
+}
+END_TEST
+
+int
+main (void)
+{
+  apr_initialize ();
+  const WlTest tests[] = {
+    WL_TEST (messages_go_both_ways_on_one_connection),
+    WL_TEST (a_wrong_key_is_rejected),
+    WL_TEST (a_silent_connection_is_replaced),
+    WL_TEST (random_bytes_close_the_connection_and_nothing_else),
+  };
+  return wl_test_run ("peers", tests, sizeof tests / sizeof tests[0]);
+}
--- a/runtime/wl_storage.c
+++ b/runtime/wl_storage.c
@@ -65,8 +65,7 @@
 {
   uint64_t term;
   uint64_t index;
-  uint8_t *data;
-  uint32_t size;
+  WlBytes command;
 } Kept;
 
 struct WlStorage
@@ -117,7 +116,7 @@
 drop_kept_from (WlStorage *s, uint64_t index)
 {
   while (s->n_kept > 0 && s->kept[s->n_kept - 1].index >= index)
-    free (s->kept[--s->n_kept].data);
+    wl_bytes_release (&s->kept[--s->n_kept].command);
 }
 
 static void
@@ -125,7 +124,7 @@
 {
   uint32_t n = 0;
   while (n < s->n_kept && s->kept[n].index <= index)
-    free (s->kept[n++].data);
+    wl_bytes_release (&s->kept[n++].command);
   s->n_kept -= n;
   memmove (s->kept, s->kept + n, s->n_kept * sizeof *s->kept);
 }
@@ -141,12 +140,7 @@
       if (s->kept == NULL)
         abort ();
     }
-  Kept *k = &s->kept[s->n_kept++];
-  *k = (Kept){ term, index, malloc (command.size > 0 ? command.size : 1), command.size };
-  if (k->data == NULL)
-    abort ();
-  if (command.size > 0)
-    memcpy (k->data, command.data, command.size);
+  s->kept[s->n_kept++] = (Kept){ term, index, wl_bytes_dup (command) };
 }
 
 /* ---- reading ---- */
@@ -343,7 +337,8 @@
       const Kept *k = &s->kept[i];
       s->stored.entries[i].term = k->term;
       s->stored.entries[i].index = k->index;
-      s->stored.entries[i].command = (WlBytes){ apr_pmemdup (s->pool, k->data, k->size), k->size };
+      s->stored.entries[i].command.size = k->command.size;
+      s->stored.entries[i].command.data = apr_pmemdup (s->pool, k->command.data, k->command.size);
     }
 }
 
@@ -474,7 +469,7 @@
     {
       const Kept *k = &s->kept[i];
       r = (Record){ .kind = RECORD_ENTRY, .term = k->term, .index = k->index };
-      r.command = (WlBytes){ k->data, k->size };
+      r.command = k->command;
       bytes = encode_record (s, &r, pool);
       msgpack_sbuffer_write (&buffer, (const char *)bytes.data, bytes.size);
     }
--- a/testkit/wl_sim.h
+++ b/testkit/wl_sim.h
@@ -212,7 +212,7 @@
 int sim_endpoints_effect (WlSim *sim, uint32_t node, const WlEffect *effect);
 
 /** sim_endpoints_token() - the next token or the end of a run */
-void sim_endpoints_token (WlSim *sim, uint32_t run);
+void sim_endpoints_token (WlSim *sim, uint32_t index);
 
 /** sim_kv_used() - tokens of memory that an endpoint holds */
 uint64_t sim_kv_used (const WlSim *sim, uint32_t endpoint);
--- a/wire/wl_codec.c
+++ b/wire/wl_codec.c
@@ -1,6 +1,26 @@
+#include <stdlib.h>
 #include <string.h>
 #include "wl_codec.h"
 
+WlBytes
+wl_bytes_dup (WlBytes bytes)
+{
+  if (bytes.size == 0)
+    return (WlBytes){ NULL, 0 };
+  uint8_t *data = malloc (bytes.size);
+  if (data == NULL)
+    abort ();
+  memcpy (data, bytes.data, bytes.size);
+  return (WlBytes){ data, bytes.size };
+}
+
+void
+wl_bytes_release (WlBytes *bytes)
+{
+  free ((void *)(uintptr_t)bytes->data);
+  *bytes = (WlBytes){ NULL, 0 };
+}
+
 static size_t
 count_fields (const WlField *fields)
 {
@@ -156,7 +176,7 @@
 {
   if (object->type != MSGPACK_OBJECT_ARRAY)
     return WL_ERROR_INVALID;
-  for (size_t i = 0; fields[i].type != WL_FIELD_END && i < object->via.array.size; i++)
+  for (size_t i = 0; i < object->via.array.size && fields[i].type != WL_FIELD_END; i++)
     {
       WlError e = decode_field (&object->via.array.ptr[i], &fields[i], base, pool);
       if (e != WL_OK)
--- a/wire/wl_codec.h
+++ b/wire/wl_codec.h
@@ -26,6 +26,20 @@
   uint32_t size;
 } WlBytes;
 
+/**
+ * wl_bytes_dup() - copies bytes to the heap
+ * @bytes: the bytes
+ *
+ * Return: the copy; freed by wl_bytes_release().
+ */
+WlBytes wl_bytes_dup (WlBytes bytes);
+
+/**
+ * wl_bytes_release() - frees bytes from wl_bytes_dup() and empties them
+ * @bytes: the bytes
+ */
+void wl_bytes_release (WlBytes *bytes);
+
 /**
  * enum WlFieldType - representation of one struct member
  * @WL_FIELD_END: end of the table
