--- a/core/tests/test_control.c
+++ b/core/tests/test_control.c
@@ -230,7 +230,8 @@
     {
       WlBytes text;
       ck_assert (wl_state_text_at (state, n, pool, &text));
-      ck_assert_str_eq ((const char *)text.data, sim_text (n));
+      ck_assert_uint_eq (text.size, strlen (sim_text (n)));
+      ck_assert_mem_eq (text.data, sim_text (n), text.size);
     }
   apr_pool_destroy (pool);
   finish (sim);
--- a/models/agreement.pml
+++ b/models/agreement.pml
@@ -37,6 +37,9 @@
 byte role[3];           /* 0 follower, 1 candidate, 2 leader */
 byte votes[3];          /* replicas that voted for it, as bits */
 byte acks[3];           /* replicas whose log equals the leader's, as bits */
+#if WIPES > 0
+byte group_acks[3];     /* replicas that acknowledged an entry since a disk was lost */
+#endif
 
 /* What operators were told. */
 byte committed_len;
@@ -58,6 +61,11 @@
 #else
 #define MAY_COMMIT (LAST_TERM (i) == term[i])
 #endif
+#if WIPES > 0
+#define GROUP_AGREES (((group_acks[j] | (1 << j)) & VOTERS) == VOTERS)
+#else
+#define GROUP_AGREES false
+#endif
 #define VOTERS ((is_voter[0]) + (is_voter[1] * 2) + (is_voter[2] * 4))
 
 inline become_candidate ()
@@ -125,6 +133,10 @@
     log_term0[i] = log_term0[j];
     log_term1[i] = log_term1[j];
     acks[j] = acks[j] | (1 << i)
+#if WIPES > 0
+    ;
+    group_acks[j] = group_acks[j] | (1 << i)
+#endif
 }
 
 inline advance_commit ()
@@ -159,6 +171,11 @@
 {
   wipes < WIPES && is_voter[i] ->
     wipes++;
+#if WIPES > 0
+    group_acks[0] = 0;
+    group_acks[1] = 0;
+    group_acks[2] = 0;
+#endif
     role[i] = 0;
     votes[i] = 0;
     acks[i] = 0;
@@ -176,14 +193,14 @@
 }
 
 /*
- * A caught-up learner becomes a voter. Removing the lost identity needs the
- * acknowledgement of both remaining voters, since they are the whole group
- * until the new identity is added.
+ * A caught-up learner becomes a voter. Removing the lost identity is a new
+ * log entry, and both remaining voters must acknowledge it, since they are the
+ * whole group until the new identity is added.
  */
 inline manage_group ()
 {
   i != j && role[j] == 2 && !is_voter[i] && (acks[j] & (1 << i)) && term[i] == term[j] &&
-  (acks[j] & VOTERS) == VOTERS && LAST_TERM (j) == term[j] && committed_len == log_len[j] ->
+  GROUP_AGREES && LAST_TERM (j) == term[j] && committed_len == log_len[j] ->
     is_voter[i] = 1
 }
 
