--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -15,7 +15,7 @@
 enum
 {
   ENGINES_MAX = 512,
-  TICK_US = 2000,
+  TICK_US = 500,
 };
 
 static volatile sig_atomic_t stop_requested;
@@ -73,7 +73,7 @@
   struct arg_int *kv = arg_int0 (NULL, "kv-tokens", "N", "KV memory (400000)");
   struct arg_int *slots = arg_int0 (NULL, "slots", "N", "requests at once (32)");
   struct arg_int *tps = arg_int0 (NULL, "prefill-tps", "N", "prompt tokens a second (20000)");
-  struct arg_int *decode = arg_int0 (NULL, "decode-us", "N", "iteration time (15000)");
+  struct arg_int *decode = arg_int0 (NULL, "decode-us", "N", "iteration time (12000)");
   struct arg_int *service_ms = arg_int0 (NULL, "service-ms", "N", "time of a plain call (20)");
   struct arg_int *load_ms = arg_int0 (NULL, "load-ms", "N", "time to load a model (2000)");
   struct arg_str *loaded = arg_str0 (NULL, "loaded", "MODEL:VERSION", "model loaded at start");
@@ -85,7 +85,7 @@
           slots,   tps,     decode, service_ms, load_ms, loaded, no_fence, log,   end };
   EngineOptions options = { .speed = 1,
                             .prefill_tps = 20000,
-                            .decode_us = 15000,
+                            .decode_us = 12000,
                             .kv_capacity = 400000,
                             .slots = 32,
                             .load_ms = 2000,
--- a/emulator/load_main.c
+++ b/emulator/load_main.c
@@ -392,7 +392,7 @@
   if (is_json)
     {
       json_t *out = json_pack ("{s:o,s:o,s:f,s:f}", "classes", classes, "customers", customers,
-                               "tokens_per_second", (double)tokens / seconds / load.speed,
+                               "tokens_per_second", (double)tokens / seconds,
                                "gap_p95_ms", gap_p95);
       char *text = json_dumps (out, JSON_COMPACT | JSON_REAL_PRECISION (6));
       printf ("%s\n", text);
@@ -401,7 +401,7 @@
       return;
     }
   printf ("between tokens p95 %.1f ms, %.0f tokens/s in whole answers\n", gap_p95,
-          (double)tokens / seconds / load.speed);
+          (double)tokens / seconds);
   json_decref (classes);
   json_decref (customers);
 }
--- a/emulator/wl_engine.c
+++ b/emulator/wl_engine.c
@@ -220,11 +220,20 @@
     finish_sequence (e, s);
 }
 
+static int
+is_generating (const Engine *e)
+{
+  for (const Sequence *s = e->sequences; s != NULL; s = s->next)
+    if (s->prefill_left <= 0 && s->rank == 0)
+      return 1;
+  return 0;
+}
+
 /* One iteration: prompt chunk by priority, then one token for every running request. */
 static double
 run_prefill (Engine *e, uint64_t now_us)
 {
-  double budget = ENGINE_CHUNK_TOKENS;
+  double budget = is_generating (e) ? ENGINE_CHUNK_SHARED_TOKENS : ENGINE_CHUNK_ALONE_TOKENS;
   double spent = 0;
   for (uint32_t priority = 0; priority < 4; priority++)
     for (Sequence *s = e->sequences; s != NULL && budget > 0; s = s->next)
--- a/emulator/wl_engine.h
+++ b/emulator/wl_engine.h
@@ -17,7 +17,8 @@
 
 enum
 {
-  ENGINE_CHUNK_TOKENS = 512,
+  ENGINE_CHUNK_SHARED_TOKENS = 256, /* prompt chunk while other requests generate */
+  ENGINE_CHUNK_ALONE_TOKENS = 2048, /* prompt chunk while nobody waits for tokens */
   ENGINE_ALIVE_US = 300000,
   ENGINE_CACHE_MARKS = 512,
   ENGINE_LABELS = 4,
