--- a/core/tests/test_ledger.c
+++ b/core/tests/test_ledger.c
@@ -63,7 +63,8 @@
   uint64_t total = 0;
   uint64_t good = 0;
   wl_burn_init (&burn);
-  WlBurnSample sample = { "kiosk", "llm", 100, 1000, WL_OUTCOME_DONE };
+  WlBurnSample sample = { .customer = "kiosk", .service = "llm", .prompt_tokens = 100,
+                          .first_token_us = 1000, .outcome = WL_OUTCOME_DONE };
   uint64_t now_us = 100000ULL * WL_BURN_SLOT_US;
   wl_burn_add (&burn, NULL, &sample, now_us);
   sample.first_token_us = 60000000;
@@ -76,6 +77,16 @@
   ck_assert_uint_eq (total, 0);
   wl_burn_window (s, now_us + 10ULL * WL_BURN_SLOT_US, 360, &total, &good);
   ck_assert_uint_eq (total, 2);
+  /* A refusal for the caller's own mistake uses up no budget. */
+  sample.outcome = WL_OUTCOME_REFUSED;
+  sample.reason = WL_REFUSAL_TOO_LARGE;
+  wl_burn_add (&burn, NULL, &sample, now_us + WL_BURN_SLOT_US);
+  wl_burn_window (s, now_us + WL_BURN_SLOT_US, 360, &total, &good);
+  ck_assert_uint_eq (total, 2);
+  sample.reason = WL_REFUSAL_QUEUE_FULL;
+  wl_burn_add (&burn, NULL, &sample, now_us + WL_BURN_SLOT_US);
+  wl_burn_window (s, now_us + WL_BURN_SLOT_US, 360, &total, &good);
+  ck_assert_uint_eq (total, 3);
   wl_burn_clear (&burn);
 }
 END_TEST
--- a/core/wisterialoft.h
+++ b/core/wisterialoft.h
@@ -41,7 +41,8 @@
   WL_GRANT_EXPIRY_US = 4000000,     /* a grant not renewed for this long is cancelled */
   WL_ENDPOINT_EXPIRY_US = 4000000,  /* an endpoint silent for this long gets no work */
   WL_ADDRESS_LIFETIME_US = 5000000, /* how long callers may keep the entry list */
-  WL_SHORT_PROMPT_TOKENS = 8192,    /* prompts up to this length count as short */
+  WL_SHORT_PROMPT_TOKENS = 8192,    /* prompts up to this length have the highest priority */
+  WL_LONG_PROMPT_TOKENS = 32768,    /* prompts above this length are kept to a subset */
 };
 
 /**
--- a/core/wl_burn.c
+++ b/core/wl_burn.c
@@ -105,9 +105,22 @@
     }
 }
 
+static int
+is_callers_mistake (const WlBurnSample *sample)
+{
+  if (sample->outcome == WL_OUTCOME_NO_SERVICE || sample->outcome == WL_OUTCOME_KEY_REQUIRED)
+    return 1;
+  if (sample->outcome != WL_OUTCOME_REFUSED)
+    return 0;
+  return sample->reason == WL_REFUSAL_TOO_LARGE || sample->reason == WL_REFUSAL_KEY_REUSED
+         || sample->reason == WL_REFUSAL_CLAIM_TAKEN;
+}
+
 void
 wl_burn_add (WlBurn *burn, const WlServices *services, const WlBurnSample *sample, uint64_t now_us)
 {
+  if (is_callers_mistake (sample))
+    return;
   WlBurnSeries *s = get_series (burn, services, sample);
   if (s == NULL)
     return;
--- a/core/wl_burn.h
+++ b/core/wl_burn.h
@@ -60,6 +60,7 @@
   uint64_t prompt_tokens;
   uint64_t first_token_us;
   WlOutcome outcome;
+  WlRefusalReason reason;
 } WlBurnSample;
 
 /**
@@ -80,6 +81,8 @@
  * @services: gives the objectives
  * @sample: the request
  * @now_us: monotonic time
+ *
+ * Refusals for the caller's own mistake are left out.
  */
 void wl_burn_add (WlBurn *burn, const WlServices *services, const WlBurnSample *sample,
                   uint64_t now_us);
--- a/core/wl_placement.c
+++ b/core/wl_placement.c
@@ -14,7 +14,6 @@
   PRIORITY_SHORT = 0,
   PRIORITY_MEDIUM = 1,
   PRIORITY_LONG = 2,
-  MEDIUM_PROMPT_TOKENS = 32768,
 };
 
 static uint64_t
@@ -26,7 +25,7 @@
 static int
 is_long (const WlPlace *place, uint64_t uncached)
 {
-  return place->prompt_tokens > WL_SHORT_PROMPT_TOKENS && uncached > WL_SHORT_PROMPT_TOKENS;
+  return place->prompt_tokens > WL_LONG_PROMPT_TOKENS && uncached > WL_LONG_PROMPT_TOKENS;
 }
 
 int
@@ -313,7 +312,7 @@
 {
   if (place->prompt_tokens <= WL_SHORT_PROMPT_TOKENS)
     return PRIORITY_SHORT;
-  return place->prompt_tokens <= MEDIUM_PROMPT_TOKENS ? PRIORITY_MEDIUM : PRIORITY_LONG;
+  return place->prompt_tokens <= WL_LONG_PROMPT_TOKENS ? PRIORITY_MEDIUM : PRIORITY_LONG;
 }
 
 int
--- a/core/wl_request.c
+++ b/core/wl_request.c
@@ -134,6 +134,7 @@
     .service = event->service,
     .prompt_tokens = event->prompt_tokens,
     .outcome = finish->outcome,
+    .reason = finish->reason,
   };
   wl_burn_add (&entry->burn, entry->session->services, &sample, at->now_us);
 }
@@ -148,6 +149,7 @@
     .prompt_tokens = r->prompt_tokens,
     .first_token_us = end_us - r->admitted_us,
     .outcome = f->outcome,
+    .reason = f->reason,
   };
   wl_burn_add (&entry->burn, entry->session->services, &sample, at->now_us);
 }
