--- a/core/tests/test_cell.c
+++ b/core/tests/test_cell.c
@@ -160,6 +160,22 @@
 }
 END_TEST
 
+START_TEST (waiting_long_requests_do_not_hide_short_ones)
+{
+  WlSim *sim = sim_system (9, 6, 3, 0);
+  for (int i = 0; i < 60; i++)
+    sim_request (sim, 4, "llm", 120000, 50, "");
+  sim_run (sim, 1000000);
+  const SimRequest *r = sim_request (sim, 5, "llm", 1000, 10, "");
+  sim_run (sim, 1500000);
+  /* First token within 1.5 s, the target for shorts. */
+  ck_assert_uint_gt (r->delivered, 0);
+  sim_run (sim, 90000000);
+  sim_assert_drained (sim);
+  sim_finish (sim);
+}
+END_TEST
+
 START_TEST (a_failing_endpoint_is_ejected_but_never_more_than_a_third)
 {
   WlSim *sim = sim_system (4, 5, 6, 0);
@@ -255,6 +271,7 @@
     WL_TEST (memory_is_never_oversubscribed),
     WL_TEST (fair_queueing_serves_customers_by_weight),
     WL_TEST (a_short_request_overtakes_the_long_queue_of_another_customer),
+    WL_TEST (waiting_long_requests_do_not_hide_short_ones),
     WL_TEST (a_failing_endpoint_is_ejected_but_never_more_than_a_third),
     WL_TEST (a_leaving_endpoint_gets_no_new_work),
     WL_TEST (models_are_loaded_by_order_dependencies_first),
--- a/core/wl_cell.c
+++ b/core/wl_cell.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include "wl_accounts.h"
 #include "wl_cell.h"
+#include "wl_cell_internal.h"
 #include "wl_events.h"
 #include "wl_orders.h"
 #include "wl_placement.h"
@@ -17,8 +18,6 @@
   SAMPLE_US = 100000,           /* interval at which waiting is attributed */
   RETRY_AFTER_MIN_US = 500000,
   RETRY_AFTER_MAX_US = 30000000,
-  RESERVE_PROMPT_TOKENS = 32768, /* shorter requests get no reservation */
-  HOLD_MISMATCHES = 3,
 };
 
 WlCell *
@@ -82,8 +81,8 @@
     }
 }
 
-static WlHolder *
-get_holder (WlCell *cell, uint32_t node, uint64_t now_us)
+WlHolder *
+wl_cell_get_holder (WlCell *cell, uint32_t node, uint64_t now_us)
 {
   WlHolder *h = wl_table_get_id (cell->holders, node);
   if (h != NULL)
@@ -197,27 +196,32 @@
 }
 
 /* Starts waiting requests in tag order, skipping those that cannot start yet. */
-static void
-schedule (WlCell *cell, uint64_t now_us, WlEffects *fx)
+void
+wl_cell_schedule (WlCell *cell, uint64_t now_us, WlEffects *fx)
 {
   uint32_t failed = 0;
+  uint32_t failed_long = 0;
   WlWaiting *next = NULL;
   if (!cell->ready)
     return;
   for (WlWaiting *w = cell->queue; w != NULL && failed < WL_CELL_SCAN_MAX; w = next)
     {
       WlChoice choice;
+      int is_long = w->place.prompt_tokens > WL_LONG_PROMPT_TOKENS;
       next = w->next;
-      if (is_capped (w))
+      /* Long requests that cannot start must not hide the short ones behind them. */
+      if (is_capped (w) || (is_long && failed_long >= WL_CELL_SCAN_LONG_MAX))
         continue;
       if (wl_placement_choose (cell, w, now_us, &choice))
         {
           start (cell, w, &choice, now_us, fx);
           continue;
         }
-      failed++;
-      if (cell->reservation.request == 0 && w->place.prompt_tokens > RESERVE_PROMPT_TOKENS
-          && wl_placement_reserve (cell, w, now_us))
+      if (is_long)
+        failed_long++;
+      else
+        failed++;
+      if (cell->reservation.request == 0 && is_long && wl_placement_reserve (cell, w, now_us))
         wl_effects_log (fx, WL3010_RESERVATION_MADE, "request=%lx endpoints=%u start_in_us=%lu",
                         (unsigned long)w->place.request, cell->reservation.n_endpoints,
                         (unsigned long)(cell->reservation.start_us - now_us));
@@ -250,7 +254,7 @@
 wl_cell_place (WlCell *cell, const WlPlace *place, uint64_t now_us, WlEffects *fx)
 {
   uint64_t retry_after_us = 0;
-  get_holder (cell, place->node, now_us)->heard_us = now_us;
+  wl_cell_get_holder (cell, place->node, now_us)->heard_us = now_us;
   const WlGrantRecord *g = wl_accounts_find (cell, place->request, place->attempt);
   if (g != NULL)
     {
@@ -273,14 +277,14 @@
       return;
     }
   wl_queue_add (cell, place, now_us);
-  schedule (cell, now_us, fx);
+  wl_cell_schedule (cell, now_us, fx);
 }
 
 /* ---- ends, cancels ---- */
 
-static void
-cancel_seat (const WlCell *cell, const WlSeatUse *seat, uint64_t request, uint32_t attempt,
-             WlEffects *fx)
+void
+wl_cell_cancel_seat (const WlCell *cell, const WlSeatUse *seat, uint64_t request, uint32_t attempt,
+                     WlEffects *fx)
 {
   const WlEndpoint *e = wl_accounts_endpoint (cell, seat->endpoint);
   if (e == NULL)
@@ -301,12 +305,12 @@
     if (!g->seats[i].freed)
       {
         cell->counters.cancels++;
-        cancel_seat (cell, &g->seats[i], g->request, g->attempt, fx);
+        wl_cell_cancel_seat (cell, &g->seats[i], g->request, g->attempt, fx);
       }
 }
 
-static void
-end_and_cancel (WlCell *cell, WlGrantRecord *g, uint64_t now_us, WlEffects *fx)
+void
+wl_cell_end_and_cancel (WlCell *cell, WlGrantRecord *g, uint64_t now_us, WlEffects *fx)
 {
   if (g->ended)
     return;
@@ -397,11 +401,11 @@
           break;
     }
   else
-    end_and_cancel (cell, g, now_us, fx);
+    wl_cell_end_and_cancel (cell, g, now_us, fx);
 }
 
-static void
-apply_note (WlCell *cell, const WlNote *n, uint64_t now_us, WlEffects *fx)
+void
+wl_cell_apply_note (WlCell *cell, const WlNote *n, uint64_t now_us, WlEffects *fx)
 {
   WlGrantRecord *g = wl_accounts_find (cell, n->request, n->attempt);
   WlWaiting *w = wl_queue_find (cell, n->request);
@@ -415,260 +419,6 @@
     apply_end (cell, g, n, now_us, fx);
 }
 
-/* ---- holds ---- */
-
-static void
-adopt (WlCell *cell, uint32_t node, const WlHeldGrant *h, uint64_t now_us)
-{
-  if (wl_accounts_find (cell, h->request, h->attempt) != NULL)
-    return;
-  WlGrantRecord g = {
-    .request = h->request,
-    .attempt = h->attempt,
-    .node = node,
-    .share = wl_accounts_share (cell, h->customer),
-    .prompt_tokens = h->prompt_tokens,
-    .uncached = h->prompt_tokens,
-    .cost_us = wl_queue_cost (cell, h->first_token ? 0 : h->prompt_tokens, h->max_tokens),
-    .granted_us = now_us,
-    .end_us = now_us + wl_queue_duration (cell, h->prompt_tokens, h->max_tokens, h->n_seats),
-    .first_token = h->first_token,
-    .is_long = h->prompt_tokens > WL_LONG_PROMPT_TOKENS,
-    .adopted = 1,
-  };
-  for (uint32_t i = 0; i < h->n_seats && i < WL_GANG_MAX; i++)
-    {
-      /* An endpoint that has not reported yet is accounted for by its report. */
-      if (wl_accounts_endpoint (cell, h->seats[i].endpoint) == NULL)
-        continue;
-      g.seats[g.n_seats].endpoint = h->seats[i].endpoint;
-      g.seats[g.n_seats++].kv_tokens = h->seats[i].kv_tokens;
-    }
-  if (g.n_seats > 0)
-    wl_accounts_grant (cell, &g);
-}
-
-static int
-is_listed (const WlHold *hold, const WlGrantRecord *g)
-{
-  for (uint32_t i = 0; i < hold->n_grants; i++)
-    if (hold->grants[i].request == g->request && hold->grants[i].attempt == g->attempt)
-      return 1;
-  return 0;
-}
-
-/* Ends grants of the entry for which the test holds. */
-typedef int (*GrantTest) (const WlGrantRecord *g, const void *context, uint64_t now_us);
-
-static void
-end_grants (WlCell *cell, uint32_t node, GrantTest test, const void *context, uint64_t now_us,
-            WlEffects *fx)
-{
-  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->grants); i; i = apr_hash_next (i))
-    {
-      WlGrantRecord *g = apr_hash_this_val (i);
-      if (g->node == node && !g->ended && test (g, context, now_us))
-        end_and_cancel (cell, g, now_us, fx);
-    }
-}
-
-static int
-test_any (const WlGrantRecord *g, const void *context, uint64_t now_us)
-{
-  (void)g;
-  (void)context;
-  (void)now_us;
-  return 1;
-}
-
-static int
-test_unlisted (const WlGrantRecord *g, const void *context, uint64_t now_us)
-{
-  /* A young grant may still be on its way to the entry. */
-  return now_us >= g->granted_us + WL_CELL_REPORT_LAG_US && !is_listed (context, g);
-}
-
-static void
-remove_waiting_of (WlCell *cell, uint32_t node)
-{
-  for (WlWaiting *w = cell->queue, *next; w != NULL; w = next)
-    {
-      next = w->next;
-      if (w->place.node == node)
-        wl_queue_remove (cell, w);
-    }
-}
-
-static int
-has_ready_endpoint (const WlCell *cell, uint64_t now_us)
-{
-  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->endpoints); i; i = apr_hash_next (i))
-    if (wl_placement_usable (cell, apr_hash_this_val (i), now_us))
-      return 1;
-  return 0;
-}
-
-void
-wl_cell_hold (WlCell *cell, const WlHold *hold, uint64_t now_us, WlEffects *fx)
-{
-  WlHolder *h = get_holder (cell, hold->node, now_us);
-  if (h->incarnation != 0 && h->incarnation != hold->incarnation)
-    {
-      end_grants (cell, hold->node, test_any, NULL, now_us, fx);
-      remove_waiting_of (cell, hold->node);
-    }
-  h->incarnation = hold->incarnation;
-  h->heard_us = now_us;
-  if (hold->full)
-    {
-      for (uint32_t i = 0; i < hold->n_grants; i++)
-        adopt (cell, hold->node, &hold->grants[i], now_us);
-      end_grants (cell, hold->node, test_unlisted, hold, now_us, fx);
-    }
-  for (uint32_t i = 0; i < hold->n_notes; i++)
-    apply_note (cell, &hold->notes[i], now_us, fx);
-  h->mismatches = h->n_grants == hold->n_held ? 0 : (uint8_t)(h->mismatches + 1);
-  WlMessage m = { .kind = WL_MESSAGE_HOLD_REPLY };
-  strcpy (m.u.hold_reply.service, cell->lease.service);
-  m.u.hold_reply.shard = cell->lease.shard;
-  m.u.hold_reply.fence = cell->lease.fence;
-  m.u.hold_reply.sequence = hold->sequence;
-  m.u.hold_reply.want_full = h->mismatches >= HOLD_MISMATCHES;
-  m.u.hold_reply.ready = (uint8_t)has_ready_endpoint (cell, now_us);
-  if (m.u.hold_reply.want_full)
-    h->mismatches = 0;
-  wl_effects_send (fx, hold->node, &m);
-  schedule (cell, now_us, fx);
-}
-
-/* ---- endpoint reports ---- */
-
-static WlEndpoint *
-get_endpoint (WlCell *cell, const WlEndpointReport *r, uint64_t now_us, WlEffects *fx)
-{
-  WlEndpoint *e = wl_accounts_endpoint (cell, r->endpoint);
-  if (e != NULL && e->incarnation != r->incarnation)
-    {
-      /* A restarted endpoint holds nothing of what it was granted before. */
-      wl_accounts_remove_endpoint (cell, e, now_us);
-      e = NULL;
-    }
-  if (e != NULL)
-    return e;
-  e = calloc (1, sizeof *e);
-  if (e == NULL)
-    abort ();
-  e->id = r->endpoint;
-  e->incarnation = r->incarnation;
-  wl_table_put_id (cell->endpoints, &e->id, e);
-  wl_effects_log (fx, WL3001_ENDPOINT_JOINED, "endpoint=%s service=%s address=%s:%u", r->name,
-                  r->service, r->address, r->port);
-  return e;
-}
-
-static int
-reports_attempt (const WlEndpointReport *r, uint64_t request, uint32_t attempt)
-{
-  for (uint32_t i = 0; i < r->n_running; i++)
-    if (r->running[i].request == request && r->running[i].attempt == attempt)
-      return 1;
-  return 0;
-}
-
-/* Frees seats of ended grants that the endpoint no longer reports, twice in a row. */
-static void
-free_absent_seats (WlCell *cell, const WlEndpoint *e, const WlEndpointReport *r, uint64_t now_us)
-{
-  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->grants); i; i = apr_hash_next (i))
-    {
-      WlGrantRecord *g = apr_hash_this_val (i);
-      if (!g->ended || now_us < g->ended_us + WL_CELL_REPORT_LAG_US)
-        continue;
-      for (uint32_t s = 0; s < g->n_seats; s++)
-        {
-          WlSeatUse *seat = &g->seats[s];
-          if (seat->endpoint != e->id || seat->freed)
-            continue;
-          seat->absent = reports_attempt (r, g->request, g->attempt) ? 0 : seat->absent + 1;
-          if (seat->absent >= 2 && wl_accounts_free_seat (cell, g, s))
-            break;
-        }
-    }
-}
-
-static WlStray *
-find_stray (WlEndpoint *e, uint64_t request, uint32_t attempt)
-{
-  for (uint32_t i = 0; i < e->n_strays; i++)
-    if (e->strays[i].request == request && e->strays[i].attempt == attempt)
-      return &e->strays[i];
-  return NULL;
-}
-
-static void
-watch_stray (WlCell *cell, WlEndpoint *e, const WlRunning *run, uint64_t now_us, WlEffects *fx)
-{
-  WlStray *s = find_stray (e, run->request, run->attempt);
-  if (s == NULL && e->n_strays < WL_CELL_STRAYS)
-    {
-      s = &e->strays[e->n_strays++];
-      *s = (WlStray){ .request = run->request, .attempt = run->attempt, .since_us = now_us };
-    }
-  if (s == NULL)
-    return;
-  s->seen_us = now_us;
-  if (!cell->ready || now_us < s->since_us + WL_CELL_STRAY_US)
-    return;
-  if (now_us < s->cancelled_us + WL_CELL_CANCEL_US)
-    return;
-  s->cancelled_us = now_us;
-  WlSeatUse seat = { .endpoint = e->id };
-  cell->counters.cancels++;
-  cancel_seat (cell, &seat, s->request, s->attempt, fx);
-  wl_effects_log (fx, WL3007_STRAY_CANCELLED, "endpoint=%s request=%lx attempt=%u", e->name,
-                  (unsigned long)s->request, s->attempt);
-}
-
-static void
-watch_strays (WlCell *cell, WlEndpoint *e, const WlEndpointReport *r, uint64_t now_us,
-              WlEffects *fx)
-{
-  for (uint32_t i = 0; i < r->n_running; i++)
-    if (wl_accounts_find (cell, r->running[i].request, r->running[i].attempt) == NULL)
-      watch_stray (cell, e, &r->running[i], now_us, fx);
-  uint32_t kept = 0;
-  for (uint32_t i = 0; i < e->n_strays; i++)
-    if (e->strays[i].seen_us == now_us)
-      e->strays[kept++] = e->strays[i];
-  e->n_strays = kept;
-}
-
-void
-wl_cell_report (WlCell *cell, const WlEndpointReport *report, uint64_t now_us, WlEffects *fx)
-{
-  WlEndpoint *e = get_endpoint (cell, report, now_us, fx);
-  if (report->sequence <= e->sequence && e->sequence > 0)
-    return;
-  e->sequence = report->sequence;
-  strcpy (e->name, report->name);
-  strcpy (e->address, report->address);
-  e->port = report->port;
-  strcpy (e->domain, report->domain);
-  e->kv_capacity = report->kv_capacity;
-  e->kv_reported = report->kv_used;
-  e->slots = report->slots;
-  if (report->leaving && !e->leaving)
-    wl_effects_log (fx, WL3002_ENDPOINT_LEAVING, "endpoint=%s", e->name);
-  e->leaving = report->leaving;
-  e->heard_us = now_us;
-  wl_orders_observe (cell, e, report);
-  wl_placement_remember (e, report->cached, report->n_cached);
-  wl_placement_forget (e, report->evicted, report->n_evicted);
-  free_absent_seats (cell, e, report, now_us);
-  watch_strays (cell, e, report, now_us, fx);
-  schedule (cell, now_us, fx);
-}
-
 void
 wl_cell_confirm (WlCell *cell, const WlConfirmEvent *confirm, uint64_t now_us, WlEffects *fx)
 {
@@ -681,7 +431,7 @@
         wl_accounts_free_seat (cell, g, i);
         break;
       }
-  schedule (cell, now_us, fx);
+  wl_cell_schedule (cell, now_us, fx);
 }
 
 /* ---- time ---- */
@@ -715,8 +465,8 @@
       if (h->n_grants > 0)
         wl_effects_log (fx, WL3006_GRANT_EXPIRED, "node=%lu grants=%u", (unsigned long)h->node,
                         h->n_grants);
-      end_grants (cell, (uint32_t)h->node, test_any, NULL, now_us, fx);
-      remove_waiting_of (cell, (uint32_t)h->node);
+      wl_cell_end_all_grants (cell, (uint32_t)h->node, now_us, fx);
+      wl_cell_remove_waiting_of (cell, (uint32_t)h->node);
       wl_table_put_id (cell->holders, &h->node, NULL);
       free (h);
     }
@@ -801,5 +551,5 @@
       refresh_reservation (cell, now_us);
       wl_orders_tick (cell, now_us, fx);
     }
-  schedule (cell, now_us, fx);
+  wl_cell_schedule (cell, now_us, fx);
 }
--- a/core/wl_cell.h
+++ b/core/wl_cell.h
@@ -24,6 +24,7 @@
   WL_CELL_EJECT_US = 5000000, /* first ejection; doubles up to WL_CELL_EJECT_MAX_US */
   WL_CELL_EJECT_MAX_US = 60000000,
   WL_CELL_SCAN_MAX = 32,       /* waiting requests tried in one pass without success */
+  WL_CELL_SCAN_LONG_MAX = 8,   /* long ones among them */
   WL_CELL_PREFIXES = 1024,     /* remembered prefixes of one endpoint */
   WL_CELL_STRAYS = 64,         /* strays tracked for one endpoint */
   WL_CELL_KV_PERCENT = 95,     /* share of KV memory that grants may use */
@@ -83,7 +84,7 @@
 
 /**
  * struct WlShare - one customer's use of the cell
- * @finish_tag: virtual finish time of its latest request
+ * @finish_tag: virtual finish time of its latest short and of its latest long request
  * @running_cost_us: estimated engine time of its running grants
  * @delay_us: time that its running work added to each other customer's
  *   waiting requests, indexed as the shares; only the owner's record
@@ -97,7 +98,7 @@
   uint32_t max_queued;
   uint32_t running;
   uint32_t queued;
-  uint64_t finish_tag;
+  uint64_t finish_tag[2];
   uint64_t running_cost_us;
   uint64_t waited_us;
 } WlShare;
--- /dev/null
+++ b/core/wl_cell_holds.c
@@ -0,0 +1,144 @@
+#include <stdlib.h>
+#include <string.h>
+#include "wl_accounts.h"
+#include "wl_cell_internal.h"
+#include "wl_placement.h"
+#include "wl_queue.h"
+#include "wl_table.h"
+
+/* Entries renew their grants and tell the owner what became of their attempts. */
+
+enum
+{
+  HOLD_MISMATCHES = 3, /* differing counts in a row after which the full list is asked for */
+};
+
+/* Ends grants of the entry for which the test holds. */
+typedef int (*GrantTest) (const WlGrantRecord *g, const void *context, uint64_t now_us);
+
+static void
+adopt (WlCell *cell, uint32_t node, const WlHeldGrant *h, uint64_t now_us)
+{
+  if (wl_accounts_find (cell, h->request, h->attempt) != NULL)
+    return;
+  WlGrantRecord g = {
+    .request = h->request,
+    .attempt = h->attempt,
+    .node = node,
+    .share = wl_accounts_share (cell, h->customer),
+    .prompt_tokens = h->prompt_tokens,
+    .uncached = h->prompt_tokens,
+    .cost_us = wl_queue_cost (cell, h->first_token ? 0 : h->prompt_tokens, h->max_tokens),
+    .granted_us = now_us,
+    .end_us = now_us + wl_queue_duration (cell, h->prompt_tokens, h->max_tokens, h->n_seats),
+    .first_token = h->first_token,
+    .is_long = h->prompt_tokens > WL_LONG_PROMPT_TOKENS,
+    .adopted = 1,
+  };
+  for (uint32_t i = 0; i < h->n_seats && i < WL_GANG_MAX; i++)
+    {
+      /* An endpoint that has not reported yet is accounted for by its report. */
+      if (wl_accounts_endpoint (cell, h->seats[i].endpoint) == NULL)
+        continue;
+      g.seats[g.n_seats].endpoint = h->seats[i].endpoint;
+      g.seats[g.n_seats++].kv_tokens = h->seats[i].kv_tokens;
+    }
+  if (g.n_seats > 0)
+    wl_accounts_grant (cell, &g);
+}
+
+static int
+is_listed (const WlHold *hold, const WlGrantRecord *g)
+{
+  for (uint32_t i = 0; i < hold->n_grants; i++)
+    if (hold->grants[i].request == g->request && hold->grants[i].attempt == g->attempt)
+      return 1;
+  return 0;
+}
+
+static void
+end_grants (WlCell *cell, uint32_t node, GrantTest test, const void *context, uint64_t now_us,
+            WlEffects *fx)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->grants); i; i = apr_hash_next (i))
+    {
+      WlGrantRecord *g = apr_hash_this_val (i);
+      if (g->node == node && !g->ended && test (g, context, now_us))
+        wl_cell_end_and_cancel (cell, g, now_us, fx);
+    }
+}
+
+static int
+test_any (const WlGrantRecord *g, const void *context, uint64_t now_us)
+{
+  (void)g;
+  (void)context;
+  (void)now_us;
+  return 1;
+}
+
+static int
+test_unlisted (const WlGrantRecord *g, const void *context, uint64_t now_us)
+{
+  /* A young grant may still be on its way to the entry. */
+  return now_us >= g->granted_us + WL_CELL_REPORT_LAG_US && !is_listed (context, g);
+}
+
+void
+wl_cell_remove_waiting_of (WlCell *cell, uint32_t node)
+{
+  for (WlWaiting *w = cell->queue, *next; w != NULL; w = next)
+    {
+      next = w->next;
+      if (w->place.node == node)
+        wl_queue_remove (cell, w);
+    }
+}
+
+static int
+has_ready_endpoint (const WlCell *cell, uint64_t now_us)
+{
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->endpoints); i; i = apr_hash_next (i))
+    if (wl_placement_usable (cell, apr_hash_this_val (i), now_us))
+      return 1;
+  return 0;
+}
+
+void
+wl_cell_end_all_grants (WlCell *cell, uint32_t node, uint64_t now_us, WlEffects *fx)
+{
+  end_grants (cell, node, test_any, NULL, now_us, fx);
+}
+
+void
+wl_cell_hold (WlCell *cell, const WlHold *hold, uint64_t now_us, WlEffects *fx)
+{
+  WlHolder *h = wl_cell_get_holder (cell, hold->node, now_us);
+  if (h->incarnation != 0 && h->incarnation != hold->incarnation)
+    {
+      end_grants (cell, hold->node, test_any, NULL, now_us, fx);
+      wl_cell_remove_waiting_of (cell, hold->node);
+    }
+  h->incarnation = hold->incarnation;
+  h->heard_us = now_us;
+  if (hold->full)
+    {
+      for (uint32_t i = 0; i < hold->n_grants; i++)
+        adopt (cell, hold->node, &hold->grants[i], now_us);
+      end_grants (cell, hold->node, test_unlisted, hold, now_us, fx);
+    }
+  for (uint32_t i = 0; i < hold->n_notes; i++)
+    wl_cell_apply_note (cell, &hold->notes[i], now_us, fx);
+  h->mismatches = h->n_grants == hold->n_held ? 0 : (uint8_t)(h->mismatches + 1);
+  WlMessage m = { .kind = WL_MESSAGE_HOLD_REPLY };
+  strcpy (m.u.hold_reply.service, cell->lease.service);
+  m.u.hold_reply.shard = cell->lease.shard;
+  m.u.hold_reply.fence = cell->lease.fence;
+  m.u.hold_reply.sequence = hold->sequence;
+  m.u.hold_reply.want_full = h->mismatches >= HOLD_MISMATCHES;
+  m.u.hold_reply.ready = (uint8_t)has_ready_endpoint (cell, now_us);
+  if (m.u.hold_reply.want_full)
+    h->mismatches = 0;
+  wl_effects_send (fx, hold->node, &m);
+  wl_cell_schedule (cell, now_us, fx);
+}
--- a/core/wl_control.c
+++ b/core/wl_control.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include "wl_assign.h"
 #include "wl_control.h"
+#include "wl_control_internal.h"
 #include "wl_delta.h"
 #include "wl_events.h"
 #include "wl_raft_log.h"
@@ -97,15 +98,15 @@
   return r;
 }
 
-static uint64_t
-propose (WlControl *control, WlCommand *command, const WlEvent *event, WlEffects *fx)
+uint64_t
+wl_control_propose (WlControl *control, WlCommand *command, const WlEvent *event, WlEffects *fx)
 {
   command->time_us = event->wall_us;
   return wl_raft_propose (&control->raft, wl_command_encode (command, fx->pool), fx);
 }
 
-static WlPending *
-add_pending (WlControl *control, uint64_t index, WlCommandKind kind)
+WlPending *
+wl_control_add_pending (WlControl *control, uint64_t index, WlCommandKind kind)
 {
   WlPending *p = calloc (1, sizeof *p);
   if (p == NULL)
@@ -120,93 +121,6 @@
   return p;
 }
 
-/* ---- submissions ---- */
-
-static void
-reply_submit (WlControl *control, uint32_t node, uint64_t id, WlSubmitOutcome outcome,
-              const WlAccepted *accepted, WlEffects *fx)
-{
-  WlMessage m = { .kind = WL_MESSAGE_SUBMIT_REPLY };
-  m.u.submit_reply.id = id;
-  m.u.submit_reply.outcome = (uint8_t)outcome;
-  m.u.submit_reply.current = control->state->number;
-  if (accepted != NULL)
-    {
-      m.u.submit_reply.number = accepted->number;
-      memcpy (m.u.submit_reply.digest, accepted->digest, WL_DIGEST_SIZE);
-    }
-  wl_effects_send (fx, node, &m);
-}
-
-/* Answers a submission from the history. Returns 0 when the number is not taken. */
-static int
-answer_from_history (WlControl *control, uint32_t node, uint64_t id, uint64_t replaces,
-                     const uint8_t *digest, WlEffects *fx)
-{
-  const WlAccepted *a = wl_state_find_accepted (control->state, replaces + 1);
-  if (a != NULL)
-    {
-      int same = memcmp (a->digest, digest, WL_DIGEST_SIZE) == 0;
-      if (!same)
-        wl_effects_log (fx, WL2102_CONFIG_CONFLICT, "number=%lu", (unsigned long)a->number);
-      reply_submit (control, node, id, same ? WL_SUBMIT_ACCEPTED : WL_SUBMIT_CONFLICT, a, fx);
-      return 1;
-    }
-  if (replaces < control->state->number)
-    {
-      reply_submit (control, node, id, WL_SUBMIT_FORGOTTEN, NULL, fx);
-      return 1;
-    }
-  return 0;
-}
-
-static int
-text_is_valid (WlBytes text)
-{
-  WlFindings findings = { 0 };
-  WlServices *services = NULL;
-  WlError error = wl_services_parse ((const char *)text.data, text.size, &findings, &services);
-  wl_findings_clear (&findings);
-  wl_services_destroy (services);
-  return error == WL_OK;
-}
-
-static void
-on_submit (WlControl *control, const WlSubmit *s, const WlEvent *event, WlEffects *fx)
-{
-  uint8_t digest[WL_DIGEST_SIZE];
-  wl_digest (s->text, digest);
-  if (answer_from_history (control, s->node, s->id, s->replaces, digest, fx))
-    return;
-  if (!text_is_valid (s->text))
-    {
-      reply_submit (control, s->node, s->id, WL_SUBMIT_INVALID, NULL, fx);
-      return;
-    }
-  /* A submission that names a number yet to come goes through the log too, so
-     that the conflict is answered from a state known to be current. */
-  WlCommand c = { .kind = WL_COMMAND_CONFIG };
-  wl_delta_make (control->state->text, s->text, &c.u.config);
-  c.u.config.replaces = s->replaces;
-  c.u.config.number = s->replaces + 1;
-  WlPending *p = add_pending (control, propose (control, &c, event, fx), WL_COMMAND_CONFIG);
-  p->id = s->id;
-  p->node = s->node;
-  p->replaces = s->replaces;
-  memcpy (p->digest, digest, WL_DIGEST_SIZE);
-}
-
-static void
-finish_submit (WlControl *control, const WlPending *p, WlEffects *fx)
-{
-  if (answer_from_history (control, p->node, p->id, p->replaces, p->digest, fx))
-    return;
-  const WlAccepted *a = wl_state_find_accepted (control->state, control->state->number);
-  reply_submit (control, p->node, p->id,
-                p->replaces == control->state->number ? WL_SUBMIT_UNAVAILABLE : WL_SUBMIT_CONFLICT,
-                a, fx);
-}
-
 static void
 notify_entries (WlControl *control, WlEffects *fx)
 {
@@ -217,78 +131,6 @@
     wl_effects_send (fx, control->state->members[i].node, &m);
 }
 
-/* ---- claims ---- */
-
-static int
-holder_is_gone (const WlControl *control, const WlClaimRecord *r, uint64_t now_us)
-{
-  const WlEntryRecord *entry = wl_table_get_id (control->entries, r->node);
-  if (entry != NULL && entry->heard_us > 0 && entry->incarnation != r->incarnation)
-    return 1;
-  return now_us >= wl_control_lease_bound (control, r->node);
-}
-
-static void
-reply_claim (WlControl *control, uint32_t node, uint64_t id, const WlClaimRecord *record,
-             uint64_t now_us, WlEffects *fx)
-{
-  WlMessage m = { .kind = WL_MESSAGE_CLAIM_REPLY };
-  m.u.claim_reply.id = id;
-  m.u.claim_reply.record = *record;
-  m.u.claim_reply.granted = record->request == id && record->status == WL_CLAIM_IN_FLIGHT;
-  if (record->status == WL_CLAIM_IN_FLIGHT && !m.u.claim_reply.granted
-      && holder_is_gone (control, record, now_us))
-    m.u.claim_reply.record.status = WL_CLAIM_UNKNOWN;
-  wl_effects_send (fx, node, &m);
-}
-
-static void
-on_claim (WlControl *control, uint32_t from, const WlClaimRecord *r, const WlEvent *event,
-          WlEffects *fx)
-{
-  const WlClaimRecord *held = wl_state_find_claim (control->state, r->customer, r->key);
-  if (held != NULL && held->status != WL_CLAIM_NOT_RUN)
-    {
-      reply_claim (control, from, r->request, held, event->now_us, fx);
-      return;
-    }
-  WlCommand c = { .kind = WL_COMMAND_CLAIM };
-  c.u.claim = *r;
-  c.u.claim.expires_us = event->wall_us + control->settings->claim_retention_us;
-  WlPending *p = add_pending (control, propose (control, &c, event, fx), WL_COMMAND_CLAIM);
-  p->id = r->request;
-  p->node = from;
-  strcpy (p->customer, r->customer);
-  strcpy (p->key, r->key);
-}
-
-static void
-finish_claim (WlControl *control, const WlPending *p, uint64_t now_us, WlEffects *fx)
-{
-  const WlClaimRecord *held = wl_state_find_claim (control->state, p->customer, p->key);
-  if (held != NULL)
-    reply_claim (control, p->node, p->id, held, now_us, fx);
-}
-
-static void
-on_claim_end (WlControl *control, uint32_t from, const WlClaimRecord *r, const WlEvent *event,
-              WlEffects *fx)
-{
-  WlCommand c = { .kind = WL_COMMAND_CLAIM_END };
-  c.u.claim = *r;
-  WlPending *p = add_pending (control, propose (control, &c, event, fx), WL_COMMAND_CLAIM_END);
-  p->id = r->request;
-  p->node = from;
-}
-
-static void
-finish_claim_end (const WlPending *p, WlEffects *fx)
-{
-  WlMessage m = { .kind = WL_MESSAGE_CLAIM_END_REPLY };
-  m.u.claim_end_reply.id = p->id;
-  wl_effects_send (fx, p->node, &m);
-}
-
 /* ---- receipt roots ---- */
 
 static void
@@ -303,7 +145,7 @@
         return;
     }
   c.u.root = *root;
-  propose (control, &c, event, fx);
+  wl_control_propose (control, &c, event, fx);
 }
 
 /* ---- renewals ---- */
@@ -335,7 +177,7 @@
     wl_effects_log (fx, WL2201_MEMBER_JOINED, "node=%u address=%s domain=%s", renew->member.node,
                     renew->member.address, renew->member.domain);
   c.u.member = renew->member;
-  r->put_index = propose (control, &c, event, fx);
+  r->put_index = wl_control_propose (control, &c, event, fx);
 }
 
 static void
@@ -489,13 +331,13 @@
   switch (p->kind)
     {
     case WL_COMMAND_CONFIG:
-      finish_submit (control, p, fx);
+      wl_control_finish_submit (control, p, fx);
       break;
     case WL_COMMAND_CLAIM:
-      finish_claim (control, p, now_us, fx);
+      wl_control_finish_claim (control, p, now_us, fx);
       break;
     case WL_COMMAND_CLAIM_END:
-      finish_claim_end (p, fx);
+      wl_control_finish_claim_end (p, fx);
       break;
     default:
       break;
@@ -586,16 +428,16 @@
       on_renew (control, &message->u.renew, event, fx);
       break;
     case WL_MESSAGE_SUBMIT:
-      on_submit (control, &message->u.submit, event, fx);
+      wl_control_on_submit (control, &message->u.submit, event, fx);
       break;
     case WL_MESSAGE_QUERY:
       on_query (control, from, &message->u.query, event->now_us, fx);
       break;
     case WL_MESSAGE_CLAIM:
-      on_claim (control, from, &message->u.claim.record, event, fx);
+      wl_control_on_claim (control, from, &message->u.claim.record, event, fx);
       break;
     case WL_MESSAGE_CLAIM_END:
-      on_claim_end (control, from, &message->u.claim_end.record, event, fx);
+      wl_control_on_claim_end (control, from, &message->u.claim_end.record, event, fx);
       break;
     case WL_MESSAGE_ROOT:
       on_root (control, &message->u.root.root, event, fx);
--- a/core/wl_entry.c
+++ b/core/wl_entry.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "wl_entry.h"
+#include "wl_entry_claims.h"
 #include "wl_events.h"
 #include "wl_links.h"
 #include "wl_outbox.h"
@@ -139,8 +140,8 @@
   wl_request_trace (entry, r->id, WL_TRACE_PLACE_SENT, r->attempt, (uint64_t)sent, at);
 }
 
-static void
-begin_placing (WlEntry *entry, WlRequest *r, const WlMoment *at)
+void
+wl_entry_begin_placing (WlEntry *entry, WlRequest *r, const WlMoment *at)
 {
   r->attempt = 1;
   place (entry, r, at);
@@ -216,74 +217,6 @@
   retry (entry, r, at);
 }
 
-/* ---- claims ---- */
-
-static void
-send_claim (WlEntry *entry, WlRequest *r, const WlMoment *at)
-{
-  WlMessage m = { .kind = WL_MESSAGE_CLAIM };
-  WlClaimRecord *c = &m.u.claim.record;
-  strcpy (c->customer, r->customer);
-  strcpy (c->key, r->key);
-  c->request = r->id;
-  c->node = entry->settings->self.node;
-  c->incarnation = entry->settings->incarnation;
-  memcpy (c->digest, r->digest, WL_DIGEST_SIZE);
-  r->state = WL_REQUEST_CLAIMING;
-  r->timer_us = at->now_us + WL_ENTRY_CLAIM_RETRY_US;
-  wl_effects_send (at->fx, wl_session_control (entry->session), &m);
-  wl_request_trace (entry, r->id, WL_TRACE_CLAIM_SENT, 0, 0, at);
-}
-
-static void
-answer_from_claim (WlEntry *entry, WlRequest *r, const WlClaimRecord *c, const WlMoment *at)
-{
-  WlFinish f = { .outcome = WL_OUTCOME_REFUSED, .run = WL_RUN_NOT_RUN };
-  if (memcmp (c->digest, r->digest, WL_DIGEST_SIZE) != 0)
-    f.reason = WL_REFUSAL_KEY_REUSED;
-  else if (c->status == WL_CLAIM_DONE)
-    {
-      f.outcome = WL_OUTCOME_REPLAYED;
-      f.http_status = c->http_status;
-      f.body = c->body;
-    }
-  else if (c->status == WL_CLAIM_UNKNOWN)
-    {
-      f.reason = WL_REFUSAL_CLAIM_UNKNOWN;
-      f.run = WL_RUN_UNKNOWN;
-    }
-  else
-    {
-      f.reason = WL_REFUSAL_CLAIM_TAKEN;
-      f.retry_after_us = RETRY_AFTER_US;
-    }
-  wl_request_finish (entry, r, &f, at);
-}
-
-static void
-on_claim_reply (WlEntry *entry, const WlClaimReply *reply, const WlMoment *at)
-{
-  WlRequest *r = wl_request_find (entry, reply->id);
-  if (r == NULL)
-    {
-      /* Committed after the request had ended: nothing was dispatched under it. */
-      if (reply->granted && reply->record.incarnation == entry->settings->incarnation
-          && reply->record.node == entry->settings->self.node
-          && !wl_outbox_contains (entry, reply->id))
-        wl_outbox_release (entry, &reply->record, at);
-      return;
-    }
-  if (r->state != WL_REQUEST_CLAIMING || r->attempt != 0)
-    return;
-  if (!reply->granted)
-    {
-      answer_from_claim (entry, r, &reply->record, at);
-      return;
-    }
-  wl_request_trace (entry, r->id, WL_TRACE_CLAIMED, 0, 0, at);
-  begin_placing (entry, r, at);
-}
-
 /* ---- admission ---- */
 
 static int
@@ -336,9 +269,9 @@
   WlRequest *r = wl_request_create (entry, request, customer, service, at);
   wl_request_trace (entry, r->id, WL_TRACE_ADMITTED, r->prompt_tokens, 0, at);
   if (r->is_idempotent)
-    begin_placing (entry, r, at);
+    wl_entry_begin_placing (entry, r, at);
   else
-    send_claim (entry, r, at);
+    wl_entry_send_claim (entry, r, at);
 }
 
 /* ---- running ---- */
@@ -565,7 +498,7 @@
       wl_links_acknowledge (entry, &message->u.hold_reply);
       return 1;
     case WL_MESSAGE_CLAIM_REPLY:
-      on_claim_reply (entry, &message->u.claim_reply, at);
+      wl_entry_on_claim_reply (entry, &message->u.claim_reply, at);
       return 1;
     case WL_MESSAGE_CLAIM_END_REPLY:
       wl_outbox_confirm (entry, message->u.claim_end_reply.id);
@@ -622,7 +555,7 @@
   if (r->state == WL_REQUEST_CLAIMING)
     {
       wl_effects_log (at->fx, WL4005_CLAIM_UNANSWERED, "request=%lx", (unsigned long)r->id);
-      send_claim (entry, r, at);
+      wl_entry_send_claim (entry, r, at);
     }
   else if (!r->sent && at->now_us > r->admitted_us + OWNER_WAIT_US
            && !wl_links_get (entry, r->service, r->shard)->owner)
--- a/core/wl_queue.c
+++ b/core/wl_queue.c
@@ -29,12 +29,19 @@
   return wl_queue_cost (cell, place->prompt_tokens, place->max_tokens);
 }
 
+static int
+is_long (const WlPlace *place)
+{
+  return place->prompt_tokens > WL_LONG_PROMPT_TOKENS;
+}
+
 static uint64_t
-start_tag (const WlCell *cell, const WlShare *share)
+start_tag (const WlCell *cell, const WlShare *share, const WlPlace *place)
 {
+  uint64_t finish = share->finish_tag[is_long (place)];
   if (cell->settings->policy != WL_POLICY_ADAPTIVE)
     return cell->arrivals;
-  return share->finish_tag > cell->virtual_time ? share->finish_tag : cell->virtual_time;
+  return finish > cell->virtual_time ? finish : cell->virtual_time;
 }
 
 static void
@@ -70,8 +77,8 @@
   w->deadline_us = now_us + place->left_us;
   w->cost_us = place_cost (cell, place);
   cell->arrivals++;
-  w->tag = start_tag (cell, w->share);
-  w->share->finish_tag = w->tag + w->cost_us / w->share->weight + 1;
+  w->tag = start_tag (cell, w->share, place);
+  w->share->finish_tag[is_long (place)] = w->tag + w->cost_us / w->share->weight + 1;
   w->share->queued++;
   insert (cell, w);
   return w;
@@ -108,12 +115,13 @@
 uint64_t
 wl_queue_predict_wait (WlCell *cell, const WlPlace *place)
 {
-  uint64_t tag = start_tag (cell, wl_accounts_share (cell, place->customer));
+  uint64_t tag = start_tag (cell, wl_accounts_share (cell, place->customer), place);
   uint64_t ahead_us = 0;
   uint32_t n = apr_hash_count (cell->endpoints);
   if (n == 0 || cell->queue == NULL)
     return 0;
   for (const WlWaiting *w = cell->queue; w != NULL && w->tag <= tag; w = w->next)
-    ahead_us += w->cost_us;
+    if (is_long (place) || !is_long (&w->place))
+      ahead_us += w->cost_us;
   return ahead_us / n;
 }
--- a/core/wl_queue.h
+++ b/core/wl_queue.h
@@ -9,7 +9,8 @@
  * tag is the later of the virtual time and its customer's previous finish
  * tag, and the finish tag lies cost / weight further. Cost is estimated
  * engine time, so a long prompt moves its customer back by much and a short
- * one by little.
+ * one by little. Short and long requests of a customer are separate flows: its
+ * own long prompts do not hold up its short ones.
  */
 
 /**
--- a/core/wl_raft.c
+++ b/core/wl_raft.c
@@ -2,12 +2,12 @@
 #include <string.h>
 #include "wl_events.h"
 #include "wl_raft.h"
+#include "wl_raft_internal.h"
 #include "wl_raft_log.h"
 
 enum
 {
-  FOUNDING_FRESH_US = 2000000, /* how long a report of an empty disk counts for founding */
-  RESEND_US = 300000,          /* unanswered entries and snapshot chunks are sent again */
+  RESEND_US = 300000, /* unanswered entries and snapshot chunks are sent again */
 };
 
 static uint64_t
@@ -33,14 +33,14 @@
   return wl_raft_is_voter (raft, raft->self, raft->incarnation);
 }
 
-static int
-is_empty (const WlRaft *raft)
+int
+wl_raft_is_empty (const WlRaft *raft)
 {
   return raft->term == 0 && wl_raft_last_index (raft) == 0;
 }
 
-static WlRaftPeer *
-find_peer (WlRaft *raft, uint32_t node)
+WlRaftPeer *
+wl_raft_find_peer (WlRaft *raft, uint32_t node)
 {
   for (uint32_t i = 0; i < raft->n_peers; i++)
     if (raft->peers[i].node == node)
@@ -48,8 +48,8 @@
   return NULL;
 }
 
-static WlRaftRole
-idle_role (const WlRaft *raft)
+WlRaftRole
+wl_raft_idle_role (const WlRaft *raft)
 {
   return is_self_voter (raft) ? WL_RAFT_FOLLOWER : WL_RAFT_LEARNER;
 }
@@ -76,7 +76,7 @@
       for (uint32_t i = 0; i < stored->n_entries; i++)
         wl_raft_append (raft, stored->entries[i].term, stored->entries[i].command, NULL);
     }
-  raft->role = idle_role (raft);
+  raft->role = wl_raft_idle_role (raft);
   reset_election_timer (raft, now_us);
 }
 
@@ -89,16 +89,16 @@
   free (raft->incoming);
 }
 
-static void
-store_term (WlRaft *raft, WlEffects *fx)
+void
+wl_raft_store_term (WlRaft *raft, WlEffects *fx)
 {
   WlEffect *e = wl_effects_add (fx, WL_EFFECT_STORE_TERM);
   e->u.term.term = raft->term;
   e->u.term.vote = raft->vote;
 }
 
-static void
-become_follower (WlRaft *raft, uint64_t term, uint64_t now_us, WlEffects *fx)
+void
+wl_raft_become_follower (WlRaft *raft, uint64_t term, uint64_t now_us, WlEffects *fx)
 {
   if (raft->role == WL_RAFT_LEADER)
     wl_effects_log (fx, WL2003_LEADER_STEPPED_DOWN, "term=%lu", (unsigned long)raft->term);
@@ -107,16 +107,16 @@
       raft->term = term;
       raft->vote = 0;
       raft->leader = 0;
-      store_term (raft, fx);
+      wl_raft_store_term (raft, fx);
     }
   if (raft->role == WL_RAFT_LEADER)
     raft->leader = 0;
-  raft->role = idle_role (raft);
+  raft->role = wl_raft_idle_role (raft);
   reset_election_timer (raft, now_us);
 }
 
-static uint64_t
-peer_incarnation (const WlRaft *raft, const WlRaftPeer *peer)
+uint64_t
+wl_raft_peer_incarnation (const WlRaft *raft, const WlRaftPeer *peer)
 {
   if (peer->incarnation != 0)
     return peer->incarnation;
@@ -126,36 +126,16 @@
   return 0;
 }
 
-static void
-send_snapshot_chunk (WlRaft *raft, WlRaftPeer *peer, WlEffects *fx)
-{
-  WlMessage m = { .kind = WL_MESSAGE_SNAPSHOT_CHUNK };
-  uint32_t offset = peer->snapshot_offset < raft->snapshot_size ? peer->snapshot_offset : 0;
-  uint32_t left = raft->snapshot_size - offset;
-  m.u.snapshot = (WlSnapshotChunk){
-    .term = raft->term,
-    .leader = raft->self,
-    .to_incarnation = peer_incarnation (raft, peer),
-    .round = raft->round,
-    .index = raft->snapshot_index,
-    .index_term = raft->snapshot_term,
-    .offset = offset,
-    .total = raft->snapshot_size,
-    .data = { raft->snapshot + offset, left < WL_RAFT_CHUNK_BYTES ? left : WL_RAFT_CHUNK_BYTES },
-  };
-  wl_effects_send (fx, peer->node, &m);
-}
-
-static void
-send_append (WlRaft *raft, WlRaftPeer *peer, uint64_t now_us, WlEffects *fx)
+void
+wl_raft_send_append (WlRaft *raft, WlRaftPeer *peer, uint64_t now_us, WlEffects *fx)
 {
   WlMessage m = { .kind = WL_MESSAGE_APPEND_REQUEST };
-  if (peer_incarnation (raft, peer) == 0)
+  if (wl_raft_peer_incarnation (raft, peer) == 0)
     return;
   peer->sent_us = now_us;
   if (peer->next <= raft->snapshot_index)
     {
-      send_snapshot_chunk (raft, peer, fx);
+      wl_raft_send_snapshot_chunk (raft, peer, fx);
       return;
     }
   uint64_t last = peer->next - 1;
@@ -165,7 +145,7 @@
   m.u.append = (WlAppendRequest){
     .term = raft->term,
     .leader = raft->self,
-    .to_incarnation = peer_incarnation (raft, peer),
+    .to_incarnation = wl_raft_peer_incarnation (raft, peer),
     .round = raft->round,
     .prev_index = peer->next - 1,
     .prev_term = wl_raft_term_at (raft, peer->next - 1),
@@ -190,81 +170,8 @@
       if (peer->match + 1 < peer->next && now_us > peer->sent_us + RESEND_US
           && now_us > peer->heard_us + RESEND_US)
         peer->next = peer->match + 1;
-      send_append (raft, peer, now_us, fx);
-    }
-}
-
-/* The value that a majority of the voters has reached, given the voters' values. */
-static uint64_t
-majority_value (uint64_t *values, uint32_t n)
-{
-  for (uint32_t i = 1; i < n; i++)
-    for (uint32_t j = i; j > 0 && values[j] > values[j - 1]; j--)
-      {
-        uint64_t v = values[j];
-        values[j] = values[j - 1];
-        values[j - 1] = v;
-      }
-  return n > 0 ? values[n / 2] : 0;
-}
-
-typedef enum
-{
-  VALUE_MATCH,
-  VALUE_ROUND,
-  VALUE_HEARD,
-} PeerValue;
-
-static uint64_t
-self_value (const WlRaft *raft, PeerValue which)
-{
-  switch (which)
-    {
-    case VALUE_MATCH:
-      return wl_raft_last_index (raft);
-    case VALUE_ROUND:
-      return raft->round;
-    case VALUE_HEARD:
-      return UINT64_MAX;
-    }
-  return 0;
-}
-
-static uint64_t
-peer_value (const WlRaftPeer *peer, PeerValue which)
-{
-  switch (which)
-    {
-    case VALUE_MATCH:
-      return peer->match;
-    case VALUE_ROUND:
-      return peer->round;
-    case VALUE_HEARD:
-      return peer->heard_us;
-    }
-  return 0;
-}
-
-static uint64_t
-quorum_value (const WlRaft *raft, PeerValue which)
-{
-  uint64_t values[WL_MAX_REPLICAS] = { 0 };
-  for (uint32_t i = 0; i < raft->n_voters; i++)
-    {
-      const WlReplica *v = &raft->voters[i];
-      if (v->node == raft->self && v->incarnation == raft->incarnation)
-        values[i] = self_value (raft, which);
-      for (uint32_t j = 0; j < raft->n_peers; j++)
-        if (raft->peers[j].node == v->node && raft->peers[j].incarnation == v->incarnation)
-          values[i] = peer_value (&raft->peers[j], which);
+      wl_raft_send_append (raft, peer, now_us, fx);
     }
-  return majority_value (values, raft->n_voters);
-}
-
-uint64_t
-wl_raft_confirmed_round (const WlRaft *raft)
-{
-  return raft->role == WL_RAFT_LEADER ? quorum_value (raft, VALUE_ROUND) : 0;
 }
 
 uint64_t
@@ -278,7 +185,7 @@
 static void
 advance_commit (WlRaft *raft)
 {
-  uint64_t index = quorum_value (raft, VALUE_MATCH);
+  uint64_t index = wl_raft_quorum_value (raft, WL_RAFT_MATCH);
   if (index > raft->commit && wl_raft_term_at (raft, index) == raft->term)
     {
       raft->commit = index;
@@ -295,14 +202,14 @@
   return wl_raft_last_index (raft);
 }
 
-static void
-propose_command (WlRaft *raft, const WlCommand *command, WlEffects *fx)
+void
+wl_raft_propose_command (WlRaft *raft, const WlCommand *command, WlEffects *fx)
 {
   wl_raft_propose (raft, wl_command_encode (command, fx->pool), fx);
 }
 
-static void
-become_leader (WlRaft *raft, uint64_t now_us, WlEffects *fx)
+void
+wl_raft_become_leader (WlRaft *raft, uint64_t now_us, WlEffects *fx)
 {
   raft->role = WL_RAFT_LEADER;
   raft->leader = raft->self;
@@ -318,7 +225,7 @@
     }
   raft->round = 0;
   WlCommand none = { .kind = WL_COMMAND_NONE };
-  propose_command (raft, &none, fx);
+  wl_raft_propose_command (raft, &none, fx);
   raft->term_start = wl_raft_last_index (raft);
   wl_effects_log (fx, WL2002_LEADER_ELECTED, "term=%lu index=%lu", (unsigned long)raft->term,
                   (unsigned long)raft->term_start);
@@ -354,7 +261,7 @@
   raft->term++;
   raft->vote = raft->self;
   raft->leader = 0;
-  store_term (raft, fx);
+  wl_raft_store_term (raft, fx);
   wl_effects_log (fx, WL2001_ELECTION_STARTED, "term=%lu", (unsigned long)raft->term);
   request_votes (raft, 0, fx);
   count_votes (raft, now_us, fx);
@@ -383,7 +290,7 @@
   if (raft->role == WL_RAFT_PRE_CANDIDATE)
     become_candidate (raft, now_us, fx);
   else if (raft->role == WL_RAFT_CANDIDATE)
-    become_leader (raft, now_us, fx);
+    wl_raft_become_leader (raft, now_us, fx);
 }
 
 static void
@@ -398,20 +305,20 @@
       = raft->role == WL_RAFT_LEADER
         || (raft->leader != 0 && now_us < raft->leader_heard_us + WL_RAFT_ELECTION_MIN_US);
   int granted = 0;
-  if (is_empty (raft))
+  if (wl_raft_is_empty (raft))
     return; /* a disk without state has no vote to give */
   if (v->pre)
     granted = v->term > raft->term && up_to_date && !has_leader;
   else if (!has_leader)
     {
       if (v->term > raft->term)
-        become_follower (raft, v->term, now_us, fx);
+        wl_raft_become_follower (raft, v->term, now_us, fx);
       granted
           = v->term == raft->term && up_to_date && (raft->vote == 0 || raft->vote == v->candidate);
       if (granted && raft->vote == 0)
         {
           raft->vote = v->candidate;
-          store_term (raft, fx);
+          wl_raft_store_term (raft, fx);
         }
       if (granted)
         reset_election_timer (raft, now_us);
@@ -429,13 +336,13 @@
 static void
 on_vote_reply (WlRaft *raft, const WlVoteReply *v, uint64_t now_us, WlEffects *fx)
 {
-  WlRaftPeer *peer = find_peer (raft, v->voter);
+  WlRaftPeer *peer = wl_raft_find_peer (raft, v->voter);
   if (peer == NULL)
     return;
   if (!v->granted)
     {
       if (v->term > raft->term)
-        become_follower (raft, v->term, now_us, fx);
+        wl_raft_become_follower (raft, v->term, now_us, fx);
       return;
     }
   uint64_t expected = v->pre ? raft->term + 1 : raft->term;
@@ -463,13 +370,13 @@
 }
 
 /* Accepts the sender as leader of its term. Returns 0 when the term is old. */
-static int
-accept_leader (WlRaft *raft, uint64_t term, uint32_t leader, uint64_t now_us, WlEffects *fx)
+int
+wl_raft_accept_leader (WlRaft *raft, uint64_t term, uint32_t leader, uint64_t now_us, WlEffects *fx)
 {
   if (term < raft->term)
     return 0;
   if (term > raft->term || raft->role == WL_RAFT_CANDIDATE || raft->role == WL_RAFT_PRE_CANDIDATE)
-    become_follower (raft, term, now_us, fx);
+    wl_raft_become_follower (raft, term, now_us, fx);
   raft->leader = leader;
   raft->leader_heard_us = now_us;
   reset_election_timer (raft, now_us);
@@ -498,7 +405,7 @@
 {
   if (a->to_incarnation != raft->incarnation)
     return;
-  if (!accept_leader (raft, a->term, a->leader, now_us, fx))
+  if (!wl_raft_accept_leader (raft, a->term, a->leader, now_us, fx))
     {
       reply_append (raft, a, 0, wl_raft_last_index (raft), fx);
       return;
@@ -519,16 +426,16 @@
   uint64_t commit = a->commit < match ? a->commit : match;
   if (commit > raft->commit)
     raft->commit = commit;
-  raft->role = idle_role (raft);
+  raft->role = wl_raft_idle_role (raft);
   reply_append (raft, a, 1, match, fx);
 }
 
 static void
 on_append_reply (WlRaft *raft, const WlAppendReply *r, uint64_t now_us, WlEffects *fx)
 {
-  WlRaftPeer *peer = find_peer (raft, r->follower);
+  WlRaftPeer *peer = wl_raft_find_peer (raft, r->follower);
   if (r->term > raft->term)
-    become_follower (raft, r->term, now_us, fx);
+    wl_raft_become_follower (raft, r->term, now_us, fx);
   if (raft->role != WL_RAFT_LEADER || r->term != raft->term || peer == NULL)
     return;
   if (peer->incarnation != r->incarnation)
@@ -541,7 +448,7 @@
       uint64_t next = r->match + 1;
       if (next < peer->next)
         peer->next = next > peer->match ? next : peer->match + 1;
-      send_append (raft, peer, now_us, fx);
+      wl_raft_send_append (raft, peer, now_us, fx);
       return;
     }
   if (r->match > peer->match)
@@ -550,229 +457,19 @@
     peer->next = peer->match + 1;
   advance_commit (raft);
   if (peer->next <= wl_raft_last_index (raft))
-    send_append (raft, peer, now_us, fx);
-}
-
-static void
-install_snapshot (WlRaft *raft, const WlSnapshotChunk *c, WlEffects *fx)
-{
-  WlBytes image = { raft->incoming, raft->incoming_size };
-  uint64_t old_last = wl_raft_last_index (raft);
-  int keep_tail = wl_raft_term_at (raft, c->index) == c->index_term && c->index <= old_last;
-  wl_raft_drop_prefix (raft, keep_tail ? c->index : old_last);
-  if (wl_raft_set_snapshot (raft, c->index, c->index_term, image) != WL_OK)
-    abort ();
-  raft->commit = c->index;
-  raft->applied = c->index;
-  raft->restored = 1;
-  raft->role = idle_role (raft);
-  WlEffect *e = wl_effects_add (fx, WL_EFFECT_STORE_SNAPSHOT);
-  e->u.snapshot.index = c->index;
-  e->u.snapshot.index_term = c->index_term;
-  e->u.snapshot.data = wl_bytes_copy (fx->pool, image);
-  if (!keep_tail)
-    wl_effects_add (fx, WL_EFFECT_STORE_TRUNCATE)->u.truncate_from = c->index + 1;
-  wl_effects_log (fx, WL2007_SNAPSHOT_INSTALLED, "index=%lu bytes=%u", (unsigned long)c->index,
-                  image.size);
-}
-
-static void
-receive_chunk (WlRaft *raft, const WlSnapshotChunk *c, WlEffects *fx)
-{
-  if (c->offset == 0 && (raft->incoming_index != c->index || raft->incoming == NULL))
-    {
-      free (raft->incoming);
-      raft->incoming = malloc (c->total > 0 ? c->total : 1);
-      if (raft->incoming == NULL)
-        abort ();
-      raft->incoming_size = c->total;
-      raft->incoming_offset = 0;
-      raft->incoming_index = c->index;
-    }
-  if (c->index != raft->incoming_index || c->offset != raft->incoming_offset)
-    return;
-  if (c->total != raft->incoming_size || c->data.size > c->total - c->offset)
-    return;
-  memcpy (raft->incoming + c->offset, c->data.data, c->data.size);
-  raft->incoming_offset += c->data.size;
-  if (raft->incoming_offset < raft->incoming_size)
-    return;
-  install_snapshot (raft, c, fx);
-  free (raft->incoming);
-  raft->incoming = NULL;
-}
-
-static void
-on_snapshot (WlRaft *raft, const WlSnapshotChunk *c, uint64_t now_us, WlEffects *fx)
-{
-  WlMessage m = { .kind = WL_MESSAGE_SNAPSHOT_REPLY };
-  if (c->to_incarnation != raft->incarnation)
-    return;
-  int accepted = accept_leader (raft, c->term, c->leader, now_us, fx);
-  if (accepted && c->index > raft->commit)
-    receive_chunk (raft, c, fx);
-  m.u.snapshot_reply = (WlSnapshotReply){
-    .term = raft->term,
-    .follower = raft->self,
-    .incarnation = raft->incarnation,
-    .round = c->round,
-    .index = c->index,
-    .offset = raft->commit >= c->index ? c->total : raft->incoming_offset,
-  };
-  if (raft->incoming_index != c->index && raft->commit < c->index)
-    m.u.snapshot_reply.offset = 0;
-  wl_effects_send (fx, c->leader, &m);
-}
-
-static void
-on_snapshot_reply (WlRaft *raft, const WlSnapshotReply *r, uint64_t now_us, WlEffects *fx)
-{
-  WlRaftPeer *peer = find_peer (raft, r->follower);
-  if (r->term > raft->term)
-    become_follower (raft, r->term, now_us, fx);
-  if (raft->role != WL_RAFT_LEADER || r->term != raft->term || peer == NULL)
-    return;
-  if (peer->incarnation != r->incarnation || r->index != raft->snapshot_index)
-    return;
-  peer->heard_us = now_us;
-  if (r->round > peer->round)
-    peer->round = r->round;
-  if (peer->next > raft->snapshot_index)
-    return; /* a repeated answer */
-  if (r->offset >= raft->snapshot_size)
-    {
-      if (r->index > peer->match)
-        peer->match = r->index;
-      peer->next = r->index + 1;
-      peer->snapshot_offset = 0;
-    }
-  else if (r->offset <= peer->snapshot_offset && r->offset != 0)
-    return; /* the chunk after this one is on its way */
-  else
-    peer->snapshot_offset = r->offset;
-  send_append (raft, peer, now_us, fx);
-}
-
-static void
-send_hello (WlRaft *raft, uint32_t node, uint8_t reply, WlEffects *fx)
-{
-  WlMessage m = { .kind = WL_MESSAGE_REPLICA_HELLO };
-  m.u.hello = (WlReplicaHello){
-    .node = raft->self,
-    .incarnation = raft->incarnation,
-    .empty = (uint8_t)is_empty (raft),
-    .reply = reply,
-  };
-  wl_effects_send (fx, node, &m);
-}
-
-static void
-on_hello (WlRaft *raft, uint32_t from, const WlReplicaHello *h, uint64_t now_us, WlEffects *fx)
-{
-  WlRaftPeer *peer = find_peer (raft, from);
-  if (peer == NULL || h->node != from)
-    return;
-  if (peer->incarnation != h->incarnation)
-    {
-      peer->incarnation = h->incarnation;
-      peer->match = 0;
-      peer->round = 0;
-      peer->next = wl_raft_last_index (raft) + 1;
-      peer->snapshot_offset = 0;
-      peer->granted = 0;
-    }
-  peer->empty_us = h->empty ? now_us : 0;
-  if (!h->reply)
-    send_hello (raft, from, 1, fx);
-}
-
-static int
-all_peers_are_empty (const WlRaft *raft, uint64_t now_us)
-{
-  for (uint32_t i = 0; i < raft->n_peers; i++)
-    {
-      const WlRaftPeer *p = &raft->peers[i];
-      if (p->node < raft->self)
-        return 0; /* only the lowest id founds the group */
-      if (p->empty_us == 0 || now_us > p->empty_us + FOUNDING_FRESH_US)
-        return 0;
-    }
-  return 1;
-}
-
-static void
-found_group (WlRaft *raft, uint64_t now_us, WlEffects *fx)
-{
-  WlReplica self = { raft->self, raft->incarnation };
-  WlCommand c = { .kind = WL_COMMAND_GROUP };
-  c.u.group.voters = &self;
-  c.u.group.n_voters = 1;
-  raft->term = 1;
-  raft->vote = raft->self;
-  store_term (raft, fx);
-  wl_raft_append (raft, raft->term, wl_command_encode (&c, fx->pool), fx);
-  wl_effects_log (fx, WL2004_GROUP_FOUNDED, "node=%u", raft->self);
-  become_leader (raft, now_us, fx);
-}
-
-static void
-propose_group (WlRaft *raft, uint32_t without, const WlReplica *with, WlEffects *fx)
-{
-  WlReplica voters[WL_MAX_REPLICAS + 1];
-  WlCommand c = { .kind = WL_COMMAND_GROUP };
-  uint32_t n = 0;
-  for (uint32_t i = 0; i < raft->n_voters; i++)
-    if (raft->voters[i].node != without)
-      voters[n++] = raft->voters[i];
-  if (with != NULL)
-    voters[n++] = *with;
-  c.u.group.voters = voters;
-  c.u.group.n_voters = n;
-  wl_effects_log (fx, WL2005_GROUP_CHANGED, "voters=%u %s=%u", n, with ? "added" : "removed",
-                  with ? with->node : without);
-  propose_command (raft, &c, fx);
-}
-
-/*
- * Makes caught-up learners voters, one committed change at a time. A learner
- * that replaces a voter with a lost disk is caught up first; then the lost
- * identity is removed and the new one added.
- */
-static void
-manage_group (WlRaft *raft, uint64_t now_us, WlEffects *fx)
-{
-  if (raft->group_index > raft->commit || raft->commit < raft->term_start)
-    return;
-  for (uint32_t i = 0; i < raft->n_peers; i++)
-    {
-      const WlRaftPeer *p = &raft->peers[i];
-      int is_caught_up = p->match > 0 && p->match + 64 >= raft->commit
-                         && now_us < p->heard_us + WL_RAFT_ELECTION_MIN_US;
-      if (p->incarnation == 0 || !is_caught_up)
-        continue;
-      if (wl_raft_is_voter (raft, p->node, p->incarnation))
-        continue;
-      WlReplica added = { p->node, p->incarnation };
-      for (uint32_t j = 0; j < raft->n_voters; j++)
-        if (raft->voters[j].node == p->node)
-          {
-            propose_group (raft, p->node, NULL, fx);
-            return;
-          }
-      propose_group (raft, 0, &added, fx);
-      return;
-    }
+    wl_raft_send_append (raft, peer, now_us, fx);
 }
 
 static void
 tick_leader (WlRaft *raft, uint64_t now_us, WlEffects *fx)
 {
-  if (quorum_value (raft, VALUE_HEARD) + WL_RAFT_ELECTION_MIN_US < now_us && raft->n_voters > 1)
+  if (wl_raft_quorum_value (raft, WL_RAFT_HEARD) + WL_RAFT_ELECTION_MIN_US < now_us
+      && raft->n_voters > 1)
     {
-      become_follower (raft, raft->term, now_us, fx);
+      wl_raft_become_follower (raft, raft->term, now_us, fx);
       return;
     }
-  manage_group (raft, now_us, fx);
+  wl_raft_manage_group (raft, now_us, fx);
   if (now_us >= raft->heartbeat_us)
     broadcast (raft, now_us, fx);
 }
@@ -784,12 +481,12 @@
     {
       raft->hello_us = now_us + WL_RAFT_HELLO_US;
       for (uint32_t i = 0; i < raft->n_peers; i++)
-        send_hello (raft, raft->peers[i].node, 0, fx);
+        wl_raft_send_hello (raft, raft->peers[i].node, 0, fx);
     }
-  if (is_empty (raft))
+  if (wl_raft_is_empty (raft))
     {
-      if (all_peers_are_empty (raft, now_us))
-        found_group (raft, now_us, fx);
+      if (wl_raft_all_peers_are_empty (raft, now_us))
+        wl_raft_found_group (raft, now_us, fx);
       return;
     }
   if (raft->role == WL_RAFT_LEADER)
@@ -824,13 +521,13 @@
       on_append_reply (raft, &message->u.append_reply, now_us, fx);
       return 1;
     case WL_MESSAGE_SNAPSHOT_CHUNK:
-      on_snapshot (raft, &message->u.snapshot, now_us, fx);
+      wl_raft_on_snapshot (raft, &message->u.snapshot, now_us, fx);
       return 1;
     case WL_MESSAGE_SNAPSHOT_REPLY:
-      on_snapshot_reply (raft, &message->u.snapshot_reply, now_us, fx);
+      wl_raft_on_snapshot_reply (raft, &message->u.snapshot_reply, now_us, fx);
       return 1;
     case WL_MESSAGE_REPLICA_HELLO:
-      on_hello (raft, from, &message->u.hello, now_us, fx);
+      wl_raft_on_hello (raft, from, &message->u.hello, now_us, fx);
       return 1;
     default:
       return 0;
@@ -846,32 +543,6 @@
   return wl_raft_entry (raft, raft->applied);
 }
 
-int
-wl_raft_wants_snapshot (const WlRaft *raft)
-{
-  return raft->applied > raft->snapshot_index
-         && (raft->applied - raft->snapshot_index >= WL_RAFT_COMPACT_ENTRIES
-             || raft->log_bytes >= WL_RAFT_COMPACT_BYTES);
-}
-
-void
-wl_raft_compact (WlRaft *raft, WlBytes image, WlEffects *fx)
-{
-  uint64_t index = raft->applied;
-  uint64_t term = wl_raft_term_at (raft, index);
-  wl_raft_drop_prefix (raft, index);
-  if (wl_raft_set_snapshot (raft, index, term, image) != WL_OK)
-    abort ();
-  WlEffect *e = wl_effects_add (fx, WL_EFFECT_STORE_SNAPSHOT);
-  e->u.snapshot.index = index;
-  e->u.snapshot.index_term = term;
-  e->u.snapshot.data = wl_bytes_copy (fx->pool, image);
-  for (uint32_t i = 0; i < raft->n_peers; i++)
-    raft->peers[i].snapshot_offset = 0;
-  wl_effects_log (fx, WL2006_SNAPSHOT_TAKEN, "index=%lu bytes=%u", (unsigned long)index,
-                  image.size);
-}
-
 int
 wl_raft_is_ready (const WlRaft *raft)
 {
--- /dev/null
+++ b/core/wl_raft_group.c
@@ -0,0 +1,123 @@
+#include <string.h>
+#include "wl_events.h"
+#include "wl_raft_internal.h"
+#include "wl_raft_log.h"
+
+/* Founding of the group and replacement of its voters. */
+
+enum
+{
+  FOUNDING_FRESH_US = 2000000, /* how long a report of an empty disk counts for founding */
+};
+
+void
+wl_raft_send_hello (WlRaft *raft, uint32_t node, uint8_t reply, WlEffects *fx)
+{
+  WlMessage m = { .kind = WL_MESSAGE_REPLICA_HELLO };
+  m.u.hello = (WlReplicaHello){
+    .node = raft->self,
+    .incarnation = raft->incarnation,
+    .empty = (uint8_t)wl_raft_is_empty (raft),
+    .reply = reply,
+  };
+  wl_effects_send (fx, node, &m);
+}
+
+void
+wl_raft_on_hello (WlRaft *raft, uint32_t from, const WlReplicaHello *h, uint64_t now_us,
+                  WlEffects *fx)
+{
+  WlRaftPeer *peer = wl_raft_find_peer (raft, from);
+  if (peer == NULL || h->node != from)
+    return;
+  if (peer->incarnation != h->incarnation)
+    {
+      peer->incarnation = h->incarnation;
+      peer->match = 0;
+      peer->round = 0;
+      peer->next = wl_raft_last_index (raft) + 1;
+      peer->snapshot_offset = 0;
+      peer->granted = 0;
+    }
+  peer->empty_us = h->empty ? now_us : 0;
+  if (!h->reply)
+    wl_raft_send_hello (raft, from, 1, fx);
+}
+
+int
+wl_raft_all_peers_are_empty (const WlRaft *raft, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < raft->n_peers; i++)
+    {
+      const WlRaftPeer *p = &raft->peers[i];
+      if (p->node < raft->self)
+        return 0; /* only the lowest id founds the group */
+      if (p->empty_us == 0 || now_us > p->empty_us + FOUNDING_FRESH_US)
+        return 0;
+    }
+  return 1;
+}
+
+void
+wl_raft_found_group (WlRaft *raft, uint64_t now_us, WlEffects *fx)
+{
+  WlReplica self = { raft->self, raft->incarnation };
+  WlCommand c = { .kind = WL_COMMAND_GROUP };
+  c.u.group.voters = &self;
+  c.u.group.n_voters = 1;
+  raft->term = 1;
+  raft->vote = raft->self;
+  wl_raft_store_term (raft, fx);
+  wl_raft_append (raft, raft->term, wl_command_encode (&c, fx->pool), fx);
+  wl_effects_log (fx, WL2004_GROUP_FOUNDED, "node=%u", raft->self);
+  wl_raft_become_leader (raft, now_us, fx);
+}
+
+static void
+propose_group (WlRaft *raft, uint32_t without, const WlReplica *with, WlEffects *fx)
+{
+  WlReplica voters[WL_MAX_REPLICAS + 1];
+  WlCommand c = { .kind = WL_COMMAND_GROUP };
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < raft->n_voters; i++)
+    if (raft->voters[i].node != without)
+      voters[n++] = raft->voters[i];
+  if (with != NULL)
+    voters[n++] = *with;
+  c.u.group.voters = voters;
+  c.u.group.n_voters = n;
+  wl_effects_log (fx, WL2005_GROUP_CHANGED, "voters=%u %s=%u", n, with ? "added" : "removed",
+                  with ? with->node : without);
+  wl_raft_propose_command (raft, &c, fx);
+}
+
+/*
+ * Makes caught-up learners voters, one committed change at a time. A learner
+ * that replaces a voter with a lost disk is caught up first; then the lost
+ * identity is removed and the new one added.
+ */
+void
+wl_raft_manage_group (WlRaft *raft, uint64_t now_us, WlEffects *fx)
+{
+  if (raft->group_index > raft->commit || raft->commit < raft->term_start)
+    return;
+  for (uint32_t i = 0; i < raft->n_peers; i++)
+    {
+      const WlRaftPeer *p = &raft->peers[i];
+      int is_caught_up = p->match > 0 && p->match + 64 >= raft->commit
+                         && now_us < p->heard_us + WL_RAFT_ELECTION_MIN_US;
+      if (p->incarnation == 0 || !is_caught_up)
+        continue;
+      if (wl_raft_is_voter (raft, p->node, p->incarnation))
+        continue;
+      WlReplica added = { p->node, p->incarnation };
+      for (uint32_t j = 0; j < raft->n_voters; j++)
+        if (raft->voters[j].node == p->node)
+          {
+            propose_group (raft, p->node, NULL, fx);
+            return;
+          }
+      propose_group (raft, 0, &added, fx);
+      return;
+    }
+}
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -15,7 +15,7 @@
 enum
 {
   ENGINES_MAX = 512,
-  TICK_US = 500,
+  TICK_US = 1000,
 };
 
 static volatile sig_atomic_t stop_requested;
--- a/emulator/load_main.c
+++ b/emulator/load_main.c
@@ -391,9 +391,9 @@
     }
   if (is_json)
     {
-      json_t *out = json_pack ("{s:o,s:o,s:f,s:f}", "classes", classes, "customers", customers,
-                               "tokens_per_second", (double)tokens / seconds,
-                               "gap_p95_ms", gap_p95);
+      json_t *out
+          = json_pack ("{s:o,s:o,s:f,s:f}", "classes", classes, "customers", customers,
+                       "tokens_per_second", (double)tokens / seconds, "gap_p95_ms", gap_p95);
       char *text = json_dumps (out, JSON_COMPACT | JSON_REAL_PRECISION (6));
       printf ("%s\n", text);
       free (text);
--- a/emulator/wl_engine.c
+++ b/emulator/wl_engine.c
@@ -5,94 +5,10 @@
 #include <sodium.h>
 #include <jansson.h>
 #include "wl_clock.h"
-#include "wl_engine.h"
+#include "wl_engine_internal.h"
 #include "wl_prefix.h"
 #include "wl_table.h"
 
-enum
-{
-  ENTRIES_MAX = 64,
-  SEQUENCES_MAX = 256,
-  ANNOUNCE_US = 1000000,
-  KEY_SIZE = 128,
-};
-
-typedef struct Sequence
-{
-  uint64_t request;
-  uint32_t attempt;
-  uint32_t rank;
-  uint32_t gang;
-  uint32_t priority;
-  uint64_t kv_tokens;
-  uint64_t prompt_tokens;
-  uint64_t cached_tokens;
-  double prefill_left;
-  uint64_t next_token;
-  uint64_t max_tokens;
-  uint64_t prompt_hash;
-  uint64_t started_us;
-  uint64_t prefilled_us;
-  uint64_t alive_us;
-  WlPrefixMark marks[WL_PREFIX_MARKS];
-  uint32_t n_marks;
-  WlExchange *exchange;
-  uint8_t is_silent; /* the connection takes no more bytes */
-  uint64_t cut_at;   /* break the stream at this token, 0 for never */
-  struct Sequence *next;
-} Sequence;
-
-typedef struct Call
-{
-  WlExchange *exchange;
-  uint64_t due_us;
-  char body[512];
-  struct Call *next;
-} Call;
-
-typedef struct
-{
-  char address[WL_ADDRESS_SIZE];
-  uint32_t port;
-} EntryAddress;
-
-struct Engine
-{
-  const EngineOptions *options;
-  WlReactor *reactor;
-  WlHttpClient *client;
-  WlHttpServer *server;
-  char name[WL_LABEL_SIZE];
-  char domain[WL_LABEL_SIZE];
-  char address[WL_ADDRESS_SIZE];
-  uint32_t port;
-  uint64_t incarnation;
-  uint64_t sequence;
-  EntryAddress entries[ENTRIES_MAX];
-  uint32_t n_entries;
-  uint32_t next_entry;
-  Sequence *sequences;
-  Call *calls;
-  uint64_t iteration_end_us;
-  uint64_t announce_us;
-  uint64_t fence;
-  uint64_t loading_until_us;
-  char loading_model[WL_LABEL_SIZE];
-  char loading_version[WL_LABEL_SIZE];
-  WlLoaded loaded[ENGINE_LABELS];
-  uint32_t n_loaded;
-  WlPrefixMark cache[ENGINE_CACHE_MARKS];
-  WlPrefixMark news[64];
-  uint32_t n_news;
-  json_t *lagged; /* report that is sent one interval late */
-  uint64_t call_count;
-  uint8_t is_leaving;
-  uint8_t is_hung;
-  uint8_t is_dead;
-  uint64_t cut_next;
-  uint64_t late_until_us;
-};
-
 void
 engine_token_text (uint64_t prompt_hash, uint64_t index, char *out)
 {
@@ -118,8 +34,8 @@
 
 /* ---- memory and cache ---- */
 
-static uint64_t
-kv_used (const Engine *e)
+uint64_t
+engine_kv_used (const Engine *e)
 {
   uint64_t used = 0;
   for (const Sequence *s = e->sequences; s != NULL; s = s->next)
@@ -383,7 +299,8 @@
       return;
     }
   s->kv_tokens = (s->prompt_tokens + s->max_tokens + s->gang - 1) / s->gang;
-  if (kv_used (e) + s->kv_tokens > e->options->kv_capacity || slots_used (e) >= SEQUENCES_MAX)
+  if (engine_kv_used (e) + s->kv_tokens > e->options->kv_capacity
+      || slots_used (e) >= SEQUENCES_MAX)
     {
       free (s);
       refuse (x, 503, "out of memory");
@@ -546,67 +463,6 @@
       c->exchange = NULL;
 }
 
-/* ---- announcements ---- */
-
-static json_t *
-list_marks (Engine *e)
-{
-  json_t *list = json_array ();
-  for (uint32_t i = 0; i < e->n_news; i++)
-    json_array_append_new (list, json_pack ("{s:o,s:i}", "hash",
-                                            json_sprintf ("%016lx", (unsigned long)e->news[i].hash),
-                                            "tokens", (int)e->news[i].tokens));
-  e->n_news = 0;
-  return list;
-}
-
-static json_t *
-make_report (Engine *e)
-{
-  json_t *running = json_array ();
-  json_t *loaded = json_array ();
-  for (const Sequence *s = e->sequences; s != NULL; s = s->next)
-    json_array_append_new (running, json_pack ("{s:o,s:i}", "request",
-                                               json_sprintf ("%016lx", (unsigned long)s->request),
-                                               "attempt", (int)s->attempt));
-  for (uint32_t i = 0; i < e->n_loaded; i++)
-    json_array_append_new (loaded, json_pack ("{s:s,s:s}", "name", e->loaded[i].name, "version",
-                                              e->loaded[i].version));
-  return json_pack (
-      "{s:s,s:s,s:s,s:i,s:s,s:o,s:I,s:I,s:i,s:o,s:o,s:o}", "name", e->name, "service",
-      e->options->service, "address", e->address, "port", (int)e->port, "domain", e->domain,
-      "incarnation", json_sprintf ("%016lx", (unsigned long)e->incarnation), "kv_capacity",
-      (json_int_t)e->options->kv_capacity, "kv_used", (json_int_t)kv_used (e), "slots",
-      (int)e->options->slots, "running", running, "loaded", loaded, "cached", list_marks (e));
-}
-
-static void
-send_report (Engine *e)
-{
-  char header[256];
-  json_t *now = make_report (e);
-  json_t *report = e->lagged != NULL ? e->lagged : json_incref (now);
-  e->lagged = now;
-  json_object_set_new (report, "sequence", json_integer ((json_int_t)++e->sequence));
-  json_object_set_new (report, "leaving", json_boolean (e->is_leaving));
-  char *text = json_dumps (report, JSON_COMPACT);
-  json_decref (report);
-  const EntryAddress *entry = &e->entries[e->next_entry++ % e->n_entries];
-  snprintf (header, sizeof header, "Authorization: Bearer %s", e->options->endpoint_key);
-  WlHttpParams params = {
-    .method = "POST",
-    .address = entry->address,
-    .port = entry->port,
-    .path = "/v1/endpoints",
-    .type = "application/json",
-    .body = { (const uint8_t *)text, (uint32_t)strlen (text) },
-    .header = header,
-    .timeout_ms = 1000,
-  };
-  wl_http_client_call (e->client, &params);
-  free (text);
-}
-
 /* ---- life ---- */
 
 Engine *
@@ -693,7 +549,7 @@
   if (!engine->is_dead && now_us >= engine->announce_us && engine->n_entries > 0)
     {
       engine->announce_us = now_us + ANNOUNCE_US;
-      send_report (engine);
+      engine_send_report (engine);
     }
   if (!engine->is_dead && !engine->is_hung)
     {
