Control benchmark runs to its end

Cause: a restarted daemon held the pipe of the benchmark's own loop open.

Change: daemons write nothing to standard output; the failover part can run alone.

--- a/scripts/bench-control.sh
+++ b/scripts/bench-control.sh
@@ -28,9 +28,10 @@
 for _ in $(seq 60); do put && break; sleep 0.2; done
 wait_ready
 echo "replicas: $REPLICAS, entries: $ENTRY_COUNT"
-for _ in $(seq 100); do t=$(now_ms); put; echo $(($(now_ms) - t)); done | quantiles | sed 's/^/submission, HTTP to committed: /'; echo
+for _ in $(seq "${SUBMISSIONS:-100}"); do t=$(now_ms); put; echo $(($(now_ms) - t)); done | quantiles | sed 's/^/submission, HTTP to committed: /'; echo
 number=$(field config_number)
 
+if [ -z "${FAILOVER_ONLY:-}" ]; then
 follower=$(field leader); follower=$((follower % REPLICAS + 1))
 measure_idle () { # seconds label
   local l e b1 b2 c1 c2 f1 f2 g1 g2
@@ -60,6 +61,7 @@
 t=$(now_ms); curl -s --parallel --parallel-max 64 -K "$WORK/claims.cfg" 2>/dev/null; t=$(($(now_ms) - t))
 echo "claimed calls: 1500 in $t ms, $((1500 * 1000 / t)) a second (two commits each); claims kept: $(field claims)"
 
+fi
 for _ in 1 2 3; do
   l=$(field leader); kill -KILL "${PID[$l]}"; t=$(now_ms); until put; do :; done; echo $(($(now_ms) - t)); start_entry "$l"; sleep 3
 done | quantiles | sed 's/^/leader killed to next accepted submission: /'; echo
--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -19,7 +19,7 @@
   [[ ",$CONTROL" == *",$n="* ]] && data=(--data-folder "$WORK/data-$n")
   "$BUILD/bin/wisterialoftd" --node-id "$n" --address 127.0.0.1 --http-port $((BASE + n)) \
     --peer-port $((BASE + 100 + n)) --domain "$(domain_of "$n")" --control-peers "$CONTROL" \
-    --policy "$POLICY" "${data[@]}" 2>>"$WORK/entry-$n.log" &
+    --policy "$POLICY" "${data[@]}" >/dev/null 2>>"$WORK/entry-$n.log" &
   PID[$n]=$!
 }
 
