--- a/core/tests/test_control.c
+++ b/core/tests/test_control.c
@@ -1,6 +1,6 @@
 #include <string.h>
 #include <apr_general.h>
-#include "wl_sim.h"
+#include "wl_sim_system.h"
 #include "wl_test.h"
 
 /* Configuration, leases and cell owners. */
@@ -18,23 +18,6 @@
   return sim;
 }
 
-static void
-finish (WlSim *sim)
-{
-  ck_assert_msg (sim->broken == NULL, "%s", sim->broken);
-  sim_destroy (sim);
-}
-
-static uint32_t
-owner_of (const WlSim *sim, const char *service)
-{
-  for (uint32_t i = 1; i <= sim->n_nodes; i++)
-    if (sim->nodes[i].is_up && !sim->nodes[i].is_frozen
-        && wl_core_find_cell (sim->nodes[i].core, service, 0) != NULL)
-      return i;
-  return 0;
-}
-
 START_TEST (of_two_operators_under_one_number_one_wins)
 {
   for (uint64_t seed = 1; seed <= 20; seed++)
@@ -54,7 +37,7 @@
       ck_assert_mem_eq (x->digest, y->digest, WL_DIGEST_SIZE);
       ck_assert_uint_eq (x->number, 2);
       ck_assert_uint_eq (y->number, 2);
-      finish (sim);
+      sim_finish (sim);
     }
 }
 END_TEST
@@ -85,7 +68,7 @@
   ck_assert_int_eq (r->outcome, WL_SUBMIT_CONFLICT);
   for (uint32_t i = 1; i <= 5; i++)
     ck_assert_uint_eq (sim->nodes[i].core->session.number, 602);
-  finish (sim);
+  sim_finish (sim);
 }
 END_TEST
 
@@ -112,7 +95,7 @@
   ck_assert_uint_eq (r->ends, 1);
   ck_assert_int_eq (r->end.reason, WL_REFUSAL_NO_CONFIG);
   ck_assert_int_eq (r->end.run, WL_RUN_NOT_RUN);
-  finish (sim);
+  sim_finish (sim);
 }
 END_TEST
 
@@ -126,7 +109,7 @@
   ck_assert_int_eq (sim_request (sim, 5, "llm", 10, 5, "")->end.reason, WL_REFUSAL_NO_CONFIG);
   sim_run (sim, 2000000);
   ck_assert_uint_eq (sim->nodes[5].core->session.number, 2);
-  finish (sim);
+  sim_finish (sim);
 }
 END_TEST
 
@@ -135,7 +118,7 @@
   for (uint64_t seed = 1; seed <= 12; seed++)
     {
       WlSim *sim = running_system (seed, 6);
-      uint32_t old = owner_of (sim, "llm");
+      uint32_t old = sim_owner (sim, "llm");
       ck_assert_uint_ne (old, 0);
       switch (seed % 3)
         {
@@ -150,7 +133,7 @@
           break;
         }
       sim_run (sim, 6000000);
-      uint32_t new = owner_of (sim, "llm");
+      uint32_t new = sim_owner (sim, "llm");
       ck_assert_uint_ne (new, 0);
       ck_assert_uint_ne (new, old);
       ck_assert (wl_core_find_cell (sim->nodes[new].core, "llm", 0)->ready);
@@ -158,7 +141,7 @@
       sim_isolate (sim, old, 0);
       sim->nodes[old].is_frozen = 0;
       sim_run (sim, 3000000);
-      finish (sim);
+      sim_finish (sim);
     }
 }
 END_TEST
@@ -168,7 +151,7 @@
   for (uint64_t seed = 1; seed <= 20; seed++)
     {
       WlSim *sim = running_system (seed, 6);
-      uint32_t owner = owner_of (sim, "llm");
+      uint32_t owner = sim_owner (sim, "llm");
       for (uint32_t i = 1; i <= 3; i++)
         if (seed % 2)
           sim->cut[owner][i] = owner != i;
@@ -177,8 +160,8 @@
       sim_run (sim, 8000000);
       memset (sim->cut, 0, sizeof sim->cut);
       sim_run (sim, 4000000);
-      ck_assert_uint_ne (owner_of (sim, "llm"), 0);
-      finish (sim);
+      ck_assert_uint_ne (sim_owner (sim, "llm"), 0);
+      sim_finish (sim);
     }
 }
 END_TEST
@@ -191,14 +174,14 @@
   for (uint64_t seed = 1; seed <= 240; seed++)
     {
       WlSim *sim = running_system (seed, 6);
-      uint32_t owner = owner_of (sim, "llm");
+      uint32_t owner = sim_owner (sim, "llm");
       sim->delay_us = 90000;
       sim->drop_ppm = 350000;
       sim_isolate (sim, owner, 1);
       sim_run (sim, 2800000 + seed % 60 * 10000);
       sim_isolate (sim, owner, 0);
       sim_run (sim, 3000000);
-      finish (sim);
+      sim_finish (sim);
     }
 }
 END_TEST
@@ -208,7 +191,7 @@
   for (uint64_t seed = 1; seed <= 20; seed++)
     {
       WlSim *sim = running_system (seed, 7);
-      uint32_t owner = owner_of (sim, "llm");
+      uint32_t owner = sim_owner (sim, "llm");
       uint32_t leader = sim_leader (sim);
       /* The owner's renewals do not reach the new leader for a while, but its lease is valid. */
       for (uint32_t i = 1; i <= 3; i++)
@@ -219,8 +202,8 @@
       sim_run (sim, 2500000);
       memset (sim->cut, 0, sizeof sim->cut);
       sim_run (sim, 8000000);
-      ck_assert_uint_ne (owner_of (sim, "llm"), 0);
-      finish (sim);
+      ck_assert_uint_ne (sim_owner (sim, "llm"), 0);
+      sim_finish (sim);
     }
 }
 END_TEST
@@ -241,7 +224,7 @@
       sim_run (sim, 4000000);
       for (uint32_t i = 1; i <= 6; i++)
         ck_assert_uint_eq (sim->nodes[i].core->session.number, 9);
-      finish (sim); /* the simulation watches each entry's number */
+      sim_finish (sim); /* the simulation watches each entry's number */
     }
 }
 END_TEST
@@ -249,15 +232,15 @@
 START_TEST (a_stopping_owner_hands_over_at_once)
 {
   WlSim *sim = running_system (3, 6);
-  uint32_t old = owner_of (sim, "llm");
+  uint32_t old = sim_owner (sim, "llm");
   WlEvent stop = { .kind = WL_EVENT_STOP };
   sim_event (sim, old, &stop);
   sim_run (sim, 2500000);
-  ck_assert_uint_ne (owner_of (sim, "llm"), 0);
-  ck_assert_uint_ne (owner_of (sim, "llm"), old);
+  ck_assert_uint_ne (sim_owner (sim, "llm"), 0);
+  ck_assert_uint_ne (sim_owner (sim, "llm"), old);
   sim_run (sim, 5000000);
   ck_assert (sim->nodes[old].has_stopped);
-  finish (sim);
+  sim_finish (sim);
 }
 END_TEST
 
@@ -277,7 +260,7 @@
       ck_assert_mem_eq (text.data, sim_text (n), text.size);
     }
   apr_pool_destroy (pool);
-  finish (sim);
+  sim_finish (sim);
 }
 END_TEST
 
--- a/daemon/wl_callers.c
+++ b/daemon/wl_callers.c
@@ -43,13 +43,6 @@
          | (s->incarnation & INCARNATION_MASK) << INCARNATION_SHIFT | node->next_request++;
 }
 
-static const char *
-bearer_key (const WlExchange *x)
-{
-  const char *v = wl_exchange_header (x, "Authorization");
-  return strncmp (v, "Bearer ", 7) == 0 ? v + 7 : "";
-}
-
 /* ---- requests ---- */
 
 static WlOpenRequest *
@@ -133,7 +126,7 @@
   WlRequestEvent request = { 0 };
   WlPrefixMark marks[WL_PREFIX_MARKS];
   apr_pool_t *pool;
-  char *key = strdup (bearer_key (x));
+  char *key = strdup (wl_exchange_bearer (x));
   apr_pool_create (&pool, NULL);
   WlOpenRequest *r = open_request (node, x);
   WlBytes prompt = join_messages (json_object_get (root, "messages"), pool);
@@ -178,7 +171,7 @@
       wl_json_problem (x, 400, "bad request", "the service name or path is malformed");
       return;
     }
-  char *key = strdup (bearer_key (x));
+  char *key = strdup (wl_exchange_bearer (x));
   WlOpenRequest *r = open_request (node, x);
   r->is_plain = 1;
   strcpy (r->path, path);
@@ -240,7 +233,7 @@
 static void
 handle_entries (WlNode *node, WlExchange *x)
 {
-  const char *key = bearer_key (x);
+  const char *key = wl_exchange_bearer (x);
   const char *domain = wl_exchange_query (x, "domain");
   if (wl_services_authenticate (node->core->session.services, key) == NULL
       && strcmp (key, node->options.operator_key) != 0)
@@ -417,6 +410,8 @@
                          wl_refusal_name (end->reason), "request", wl_json_hex (end->request));
   if (end->receipt > 0)
     json_object_set_new (p, "receipt", receipt_of (node, end));
+  if (end->reason == WL_REFUSAL_DRAINING)
+    json_object_set_new (p, "entries", list_entries (node, end->request, ""));
   return p;
 }
 
--- a/daemon/wl_endpoints.c
+++ b/daemon/wl_endpoints.c
@@ -1,7 +1,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <arpa/inet.h>
 #include <sodium.h>
 #include "wl_endpoints.h"
 #include "wl_json.h"
@@ -78,13 +77,6 @@
   return (uint32_t)n;
 }
 
-static int
-is_ip (const char *text)
-{
-  uint8_t bytes[16];
-  return inet_pton (AF_INET, text, bytes) == 1 || inet_pton (AF_INET6, text, bytes) == 1;
-}
-
 static int
 read_report (const json_t *root, WlEndpointReport *out, apr_pool_t *pool)
 {
@@ -98,7 +90,7 @@
   if (!copy_text (out->domain, sizeof out->domain, wl_json_text (root, "domain")))
     return 0;
   out->port = (uint32_t)wl_json_u64 (root, "port", 0);
-  if (out->port == 0 || out->port > 65535 || !is_ip (out->address))
+  if (out->port == 0 || out->port > 65535 || !wl_options_is_ip (out->address))
     return 0;
   out->endpoint = wl_hash_bytes (out->name, strlen (out->name), 0);
   out->incarnation = hex_number (root, "incarnation");
@@ -151,14 +143,13 @@
 int
 wl_endpoints_handle (WlNode *node, WlExchange *exchange)
 {
-  const char *key = wl_exchange_header (exchange, "Authorization");
+  const char *key = wl_exchange_bearer (exchange);
   const char *expected = node->options.endpoint_key;
   if (strcmp (wl_exchange_path (exchange), "/v1/endpoints") != 0)
     return 0;
   if (strcmp (wl_exchange_method (exchange), "POST") != 0)
     return 0;
-  if (strncmp (key, "Bearer ", 7) != 0 || strlen (key + 7) != strlen (expected)
-      || sodium_memcmp (key + 7, expected, strlen (expected)) != 0)
+  if (strlen (key) != strlen (expected) || sodium_memcmp (key, expected, strlen (expected)) != 0)
     wl_json_problem (exchange, 401, "unauthorized", "the endpoint key is wrong");
   else
     handle_announcement (node, exchange);
--- a/daemon/wl_operators.c
+++ b/daemon/wl_operators.c
@@ -12,17 +12,10 @@
   GIVE_UP_US = 10000000,
 };
 
-static const char *
-bearer_key (const WlExchange *x)
-{
-  const char *v = wl_exchange_header (x, "Authorization");
-  return strncmp (v, "Bearer ", 7) == 0 ? v + 7 : "";
-}
-
 static int
 is_operator (const WlNode *node, const WlExchange *x)
 {
-  const char *key = bearer_key (x);
+  const char *key = wl_exchange_bearer (x);
   const char *expected = node->options.operator_key;
   return strlen (key) == strlen (expected) && sodium_memcmp (key, expected, strlen (key)) == 0;
 }
@@ -30,7 +23,7 @@
 static const WlCustomer *
 customer_of (const WlNode *node, const WlExchange *x)
 {
-  return wl_services_authenticate (node->core->session.services, bearer_key (x));
+  return wl_services_authenticate (node->core->session.services, wl_exchange_bearer (x));
 }
 
 static WlWaitingOperator *
--- a/daemon/wl_options.c
+++ b/daemon/wl_options.c
@@ -120,8 +120,8 @@
     strcpy (out, s);
 }
 
-static int
-is_ip (const char *s)
+int
+wl_options_is_ip (const char *s)
 {
   uint8_t bytes[16];
   return inet_pton (AF_INET, s, bytes) == 1 || inet_pton (AF_INET6, s, bytes) == 1;
@@ -145,7 +145,7 @@
   if (*end != '\0' || out->node == 0 || out->node > MAX_NODE)
     return 0;
   out->port = (uint32_t)strtoul (colon + 1, &end, 10);
-  if (*end != '\0' || out->port == 0 || out->port > 65535 || !is_ip (equals + 1))
+  if (*end != '\0' || out->port == 0 || out->port > 65535 || !wl_options_is_ip (equals + 1))
     return 0;
   strcpy (out->address, equals + 1);
   return 1;
@@ -224,7 +224,7 @@
   self->http_port = (uint32_t)read_number (r, OPTION_HTTP_PORT, 1, 65535, 0);
   self->peer_port = (uint32_t)read_number (r, OPTION_PEER_PORT, 1, 65535, 0);
   read_text (r, OPTION_ADDRESS, self->address, sizeof self->address);
-  if (self->address[0] != '\0' && !is_ip (self->address))
+  if (self->address[0] != '\0' && !wl_options_is_ip (self->address))
     complain (r, "address", "expected an IP number");
   read_text (r, OPTION_DOMAIN, self->domain, sizeof self->domain);
   read_peers (r, out);
--- a/daemon/wl_options.h
+++ b/daemon/wl_options.h
@@ -66,4 +66,12 @@
  */
 WlOptionsResult wl_options_read (int argc, char **argv, WlOptions *out);
 
+/**
+ * wl_options_is_ip() - tells whether a text is an IP number
+ * @s: the text
+ *
+ * Return: 1 for IPv4 or IPv6, otherwise 0.
+ */
+int wl_options_is_ip (const char *s);
+
 #endif
--- a/runtime/wl_http_server.c
+++ b/runtime/wl_http_server.c
@@ -76,6 +76,13 @@
   return v != NULL ? v : "";
 }
 
+const char *
+wl_exchange_bearer (const WlExchange *exchange)
+{
+  const char *v = wl_exchange_header (exchange, MHD_HTTP_HEADER_AUTHORIZATION);
+  return strncmp (v, "Bearer ", 7) == 0 ? v + 7 : "";
+}
+
 const char *
 wl_exchange_query (const WlExchange *exchange, const char *name)
 {
--- a/runtime/wl_http_server.h
+++ b/runtime/wl_http_server.h
@@ -98,6 +98,14 @@
  */
 const char *wl_exchange_header (const WlExchange *exchange, const char *name);
 
+/**
+ * wl_exchange_bearer() - key of the Authorization header
+ * @exchange: the exchange
+ *
+ * Return: what follows "Bearer ", or an empty string.
+ */
+const char *wl_exchange_bearer (const WlExchange *exchange);
+
 /**
  * wl_exchange_query() - value of a query parameter
  * @exchange: the exchange
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,6 +45,8 @@
   --prompt-tokens 3000 --max-tokens 1500 --stream >"$WORK/stream" 2>"$WORK/stream.err" & stream=$!
 sleep 0.7
 kill -TERM "${PID[7]}"
+"$BUILD/bin/wisterialoft" --server 127.0.0.1:$((BASE + 7)) --key demo-kiosk-volos send --service chartis-llm --prompt x >/dev/null 2>"$WORK/refused"
+expect "a new request is refused as not run, with other addresses" grep -q '"run":"not_run".*"entries":\[{' "$WORK/refused"
 wait "$stream"; stream_status=$?
 expect "the stream was not cut off" test "$stream_status" = 0
 expect "all of its 1500 tokens arrived" test "$(tr ' ' '\n' <"$WORK/stream" | grep -c .)" = 1500
