The report counts delays at shared endpoints too

Cause: with one heavy customer among three, a small customer that never waited in the queue had no row, though its prompts shared endpoints with the heavy one's.

Change: besides waiting in the queue, a prompt being computed is delayed by the others on its endpoint in proportion to their tokens; a test with two customers on one endpoint.

Conclusion: the report names the cause also where there is no queue.

--- a/core/tests/test_cell.c
+++ b/core/tests/test_cell.c
@@ -141,6 +141,48 @@
 }
 END_TEST
 
+START_TEST (delays_are_put_down_to_the_customers_that_cause_them)
+{
+  WlSettings settings = { .self = { .node = 1 } };
+  WlServices *services = parse (sim_text (1));
+  WlCell *cell = bare_cell (&settings, services);
+  WlEffects *fx = wl_effects_create ();
+  uint64_t now_us = 3000000;
+  WlLoaded loaded = { "m", "1" };
+  WlEndpointReport r = { .endpoint = 7,
+                         .incarnation = 1,
+                         .sequence = 1,
+                         .kv_capacity = 400000,
+                         .slots = 2,
+                         .loaded = &loaded,
+                         .n_loaded = 1 };
+  wl_cell_report (cell, &r, now_us, fx);
+  wl_cell_tick (cell, now_us, fx);
+  WlPlace place = { .node = 1, .attempt = 1, .max_tokens = 10, .left_us = 60000000 };
+  strcpy (place.customer, "b");
+  place.prompt_tokens = 200000;
+  place.request = 1;
+  wl_cell_place (cell, &place, now_us, fx);
+  strcpy (place.customer, "a");
+  place.prompt_tokens = 1000;
+  for (place.request = 2; place.request <= 3; place.request++)
+    wl_cell_place (cell, &place, now_us, fx);
+  /* One of a's requests shares the endpoint with b's prompt, the other waits for a slot. */
+  ck_assert_uint_eq (cell->n_queued, 1);
+  uint32_t a = wl_accounts_share (cell, "a")->index;
+  uint32_t b = wl_accounts_share (cell, "b")->index;
+  for (int i = 0; i < 10; i++)
+    wl_cell_tick (cell, now_us += 100000, fx);
+  uint64_t by_b = cell->delays[a * cell->delays_size + b];
+  uint64_t by_a = cell->delays[b * cell->delays_size + a];
+  ck_assert_uint_gt (by_b, 1500000); /* of two seconds of waiting and sharing */
+  ck_assert_uint_lt (by_a, 100000);
+  wl_effects_destroy (fx);
+  wl_cell_destroy (cell);
+  wl_services_destroy (services);
+}
+END_TEST
+
 START_TEST (a_short_request_overtakes_the_long_queue_of_another_customer)
 {
   WlSettings settings = { .self = { .node = 1 } };
@@ -270,6 +312,7 @@
     WL_TEST (a_gang_is_not_starved_by_a_stream_of_short_requests),
     WL_TEST (memory_is_never_oversubscribed),
     WL_TEST (fair_queueing_serves_customers_by_weight),
+    WL_TEST (delays_are_put_down_to_the_customers_that_cause_them),
     WL_TEST (a_short_request_overtakes_the_long_queue_of_another_customer),
     WL_TEST (waiting_long_requests_do_not_hide_short_ones),
     WL_TEST (a_failing_endpoint_is_ejected_but_never_more_than_a_third),
--- a/core/wl_cell.c
+++ b/core/wl_cell.c
@@ -496,30 +496,68 @@
     }
 }
 
-/* Attributes the waiting of the last interval to the customers whose work was running. */
 static void
-sample_delays (WlCell *cell, uint64_t now_us)
+add_delay (WlCell *cell, const WlShare *victim, const WlShare *cause, double us)
+{
+  cell->delays[(size_t)victim->index * cell->delays_size + cause->index] += (uint64_t)us;
+}
+
+/* Waiting in the queue is due to the customers whose work was running, by cost. */
+static void
+sample_queue (WlCell *cell, uint64_t passed_us)
 {
   WlShare *list[4096];
   uint32_t n = 0;
   uint64_t total_us = 0;
-  uint64_t passed_us = now_us - cell->sample_us;
-  cell->sample_us = now_us;
   for (apr_hash_index_t *i = apr_hash_first (NULL, cell->shares); i && n < 4096;
        i = apr_hash_next (i))
     {
       list[n] = apr_hash_this_val (i);
       total_us += list[n++]->running_cost_us;
     }
-  for (uint32_t a = 0; a < n && total_us > 0; a++)
-    for (uint32_t c = 0; c < n && list[a]->queued > 0; c++)
+  for (uint32_t v = 0; v < n && total_us > 0; v++)
+    for (uint32_t c = 0; c < n && list[v]->queued > 0; c++)
       {
         double share = (double)list[c]->running_cost_us / (double)total_us;
-        uint64_t *slot = &cell->delays[(size_t)list[a]->index * cell->delays_size + list[c]->index];
-        *slot += (uint64_t)(share * (double)passed_us * list[a]->queued);
+        add_delay (cell, list[v], list[c], share * (double)passed_us * list[v]->queued);
       }
 }
 
+/* A prompt being computed is delayed by the others on its endpoint, by their tokens. */
+static void
+sample_prefill (WlCell *cell, uint64_t passed_us)
+{
+  const WlGrantRecord *list[256];
+  uint32_t n = 0;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->grants); i && n < 256;
+       i = apr_hash_next (i))
+    {
+      const WlGrantRecord *g = apr_hash_this_val (i);
+      if (!g->first_token && !g->ended)
+        list[n++] = g;
+    }
+  for (uint32_t v = 0; v < n; v++)
+    {
+      double total = 0;
+      for (uint32_t c = 0; c < n; c++)
+        if (list[c]->seats[0].endpoint == list[v]->seats[0].endpoint)
+          total += (double)list[c]->uncached;
+      for (uint32_t c = 0; c < n && total > 0; c++)
+        if (c != v && list[c]->seats[0].endpoint == list[v]->seats[0].endpoint)
+          add_delay (cell, list[v]->share, list[c]->share,
+                     (double)passed_us * (double)list[c]->uncached / total);
+    }
+}
+
+static void
+sample_delays (WlCell *cell, uint64_t now_us)
+{
+  uint64_t passed_us = now_us - cell->sample_us;
+  cell->sample_us = now_us;
+  sample_queue (cell, passed_us);
+  sample_prefill (cell, passed_us);
+}
+
 static void
 refresh_reservation (WlCell *cell, uint64_t now_us)
 {
--- a/scripts/heavy.sh
+++ b/scripts/heavy.sh
@@ -15,7 +15,7 @@
 start_system
 for _ in $(seq 50); do operator submit examples/athens.yaml --replaces 0 >/dev/null 2>&1 && break; sleep 0.2; done
 wait_ready || exit 1
-"$BUILD/bin/wl-load" --entries "$(entry_list)" --service chartis-llm --rate 6 --seconds 90 --speed 6 --heavy 10 \
+"$BUILD/bin/wl-load" --entries "$(entry_list)" --service chartis-llm --rate 7 --seconds 90 --speed 6 --heavy 10 \
   --keys demo-distributor-athina,demo-kiosk-piraeus,demo-kiosk-patra
 operator report burn
 operator --format json report burn >"$WORK/burn.json"
