Demo shows a request's decisions and the report's page; log growth

Cause: two documented commands were run nowhere; growth per thousand changes and claims was not measured.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -28,6 +28,8 @@
 expect "the status names the leader" operator status
 expect "the accepted text can be shown" operator show --number 1
 expect "a short prompt is answered" kiosk send --service chartis-llm --prompt "summarise today's slips"
+id=$(kiosk --format json send --service chartis-llm --prompt "today" | grep -o '"id":"[0-9a-f]*"' | cut -d'"' -f4)
+expect "the decisions on a request are shown" operator status --request "$id"
 expect "a short prompt is streamed" kiosk send --service chartis-llm --prompt-tokens 2000 --stream
 expect "a long prompt is answered" kiosk send --service chartis-llm --prompt-tokens 120000 --max-tokens 32
 expect "a prompt beyond one engine is answered" kiosk send --service chartis-llm --prompt-tokens 900000 --max-tokens 16
@@ -67,6 +69,7 @@
 expect "the customer's receipts verify" cli verify --receipts "$WORK/receipts.json"
 sed 's/"tokens": 64/"tokens": 65/' "$WORK/receipts.json" >"$WORK/tampered.json"
 expect "tampered receipts do not" bash -c "! $BUILD/bin/wisterialoft verify --receipts $WORK/tampered.json"
+expect "the report is a page too" operator --format html report burn
 echo
 operator report burn
 [ "$failed" = 0 ] && echo "every expectation held" || echo "expectations failed"
--- a/testkit/bench_main.c
+++ b/testkit/bench_main.c
@@ -6,6 +6,7 @@
 #include <malloc.h>
 #include "wl_accounts.h"
 #include "wl_core.h"
+#include "wl_delta.h"
 #include "wl_events.h"
 #include "wl_prefix.h"
 #include "wl_queue.h"
@@ -222,6 +223,50 @@
   wl_state_destroy (state);
 }
 
+/* Growth of the log: bytes of the records' commands; a snapshot drops what it covers. */
+static void
+bench_log (void)
+{
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  char old_text[1024];
+  uint64_t changes = 0;
+  uint64_t claims = 0;
+  uint64_t before = heap_bytes ();
+  WlState *state = wl_state_create ();
+  uint64_t empty = heap_bytes () - before;
+  strcpy (old_text, "");
+  for (uint32_t i = 0; i < 1000; i++)
+    {
+      const char *text = sim_text (i + 1);
+      WlCommand c = { .kind = WL_COMMAND_CONFIG, .time_us = i };
+      wl_delta_make ((WlBytes){ (const uint8_t *)old_text, (uint32_t)strlen (old_text) },
+                     (WlBytes){ (const uint8_t *)text, (uint32_t)strlen (text) }, &c.u.config);
+      c.u.config.replaces = i;
+      c.u.config.number = i + 1;
+      changes += wl_command_encode (&c, pool).size;
+      wl_state_apply (state, &c);
+      strcpy (old_text, text);
+      WlCommand claim = { .kind = WL_COMMAND_CLAIM, .time_us = i };
+      strcpy (claim.u.claim.customer, "kiosk-piraeus");
+      snprintf (claim.u.claim.key, WL_KEY_SIZE, "credit-%u", i);
+      claim.u.claim.request = i + 1;
+      claims += wl_command_encode (&claim, pool).size;
+      claim.kind = WL_COMMAND_CLAIM_END;
+      claim.u.claim.status = WL_CLAIM_DONE;
+      claim.u.claim.body = (WlBytes){ (const uint8_t *)"{\"confirmed\":true}", 18 };
+      claims += wl_command_encode (&claim, pool).size;
+    }
+  printf (
+      "log growth: %lu KB per thousand one-line changes, %lu KB per thousand claims with ends\n",
+      (unsigned long)(changes / 1024), (unsigned long)(claims / 1024));
+  printf ("memory growth: %lu KB per thousand changes, up to 128 deltas; the empty state takes %lu "
+          "KB\n",
+          (unsigned long)((heap_bytes () - before - empty) / 1024), (unsigned long)(empty / 1024));
+  wl_state_destroy (state);
+  apr_pool_destroy (pool);
+}
+
 /* ---- entry ---- */
 
 static void
@@ -253,6 +298,7 @@
   for (int i = 0; i < 3; i++)
     bench_renewals (entries[i]);
   bench_state ();
+  bench_log ();
   bench_prompts ();
   return 0;
 }
