A gang starts although memory never becomes free by itself

Cause: the mutant without reservations was missed: the starvation test's requests were so small that a giant found room anyway.

Change: a test with a steady stream of 30,000-token requests that never leave three endpoints free at once.

Conclusion: reservations are what lets giants start under load.

--- a/core/tests/test_cell.c
+++ b/core/tests/test_cell.c
@@ -76,6 +76,27 @@
 }
 END_TEST
 
+START_TEST (a_gang_starts_although_memory_never_becomes_free_by_itself)
+{
+  WlSim *sim = sim_system (13, 6, 3, 0);
+  for (int i = 0; i < 100; i++)
+    {
+      sim_request (sim, 4, "llm", 30000, 300, "");
+      sim_run (sim, 100000);
+    }
+  const SimRequest *giant = sim_request (sim, 5, "llm", 1000000, 10, "");
+  for (int i = 0; i < 300 && giant->ends == 0; i++)
+    {
+      sim_request (sim, 4, "llm", 30000, 300, "");
+      sim_run (sim, 100000);
+    }
+  /* The stream of other requests has not stopped. */
+  ck_assert_uint_eq (giant->ends, 1);
+  ck_assert_int_eq (giant->end.outcome, WL_OUTCOME_DONE);
+  sim_finish (sim);
+}
+END_TEST
+
 START_TEST (memory_is_never_oversubscribed)
 {
   for (uint64_t seed = 1; seed <= 10; seed++)
@@ -310,6 +331,7 @@
     WL_TEST (a_prompt_beyond_the_whole_cell_is_refused_at_once),
     WL_TEST (two_gangs_never_each_hold_half),
     WL_TEST (a_gang_is_not_starved_by_a_stream_of_short_requests),
+    WL_TEST (a_gang_starts_although_memory_never_becomes_free_by_itself),
     WL_TEST (memory_is_never_oversubscribed),
     WL_TEST (fair_queueing_serves_customers_by_weight),
     WL_TEST (delays_are_put_down_to_the_customers_that_cause_them),
