--- a/scripts/bench-control.sh
+++ b/scripts/bench-control.sh
@@ -28,7 +28,7 @@
 for _ in $(seq 60); do put && break; sleep 0.2; done
 wait_ready
 echo "replicas: $REPLICAS, entries: $ENTRY_COUNT"
-for _ in $(seq "${SUBMISSIONS:-100}"); do t=$(now_ms); put; echo $(($(now_ms) - t)); done | quantiles | sed 's/^/submission, HTTP to committed: /'; echo
+for _ in $(seq "${SUBMISSIONS:-100}"); do t=$(now_ms); put; echo $(($(now_ms) - t)); done >"$WORK/times"; quantiles <"$WORK/times" | sed 's/^/submission, HTTP to committed: /'; echo
 number=$(field config_number)
 
 if [ -z "${FAILOVER_ONLY:-}" ]; then
@@ -46,7 +46,7 @@
 measure_idle 12 "760,000 changes a day" 'end=$(($(now_ms) + 12000)); while [ $(now_ms) -lt $end ]; do put; sleep 0.1; done'
 echo "memory: leader $(rss_of "$(field leader)") KB, follower $(rss_of $follower) KB, entry $(rss_of 12) KB"
 
-for _ in 1 2 3; do t=$(now_ms); put; want=$number; while [ "$(field in_force)" -lt "$want" ]; do :; done; echo $(($(now_ms) - t)); done | quantiles | sed 's/^/submission to in force: /'; echo
+for _ in 1 2 3; do t=$(now_ms); put; want=$number; while [ "$(field in_force)" -lt "$want" ]; do :; done; echo $(($(now_ms) - t)); done >"$WORK/times"; quantiles <"$WORK/times" | sed 's/^/submission to in force: /'; echo
 number=$(field config_number)
 kill -STOP "${PID[11]}"
 t=$(now_ms); put; while [ "$(field in_force)" -lt "$number" ]; do sleep 0.02; done
@@ -64,7 +64,7 @@
 fi
 for _ in 1 2 3; do
   l=$(field leader); kill -KILL "${PID[$l]}"; t=$(now_ms); until put; do :; done; echo $(($(now_ms) - t)); start_entry "$l"; sleep 3
-done | quantiles | sed 's/^/leader killed to next accepted submission: /'; echo
+done >"$WORK/times"; quantiles <"$WORK/times" | sed 's/^/leader killed to next accepted submission: /'; echo
 number=$(field config_number)
 
 victim=$(status | grep -o '"owner":[0-9]*' | head -1 | cut -d: -f2)
