One rule for long prompts; members that nothing reads are gone

Change: wl_queue_is_long () serves queue, scheduling and placement; WL_ENTRY_RETRY_AFTER_US stands in wl_entry.h; the members are removed.

Sanitizers, models and mutants were not run again.

--- a/core/wl_cell.c
+++ b/core/wl_cell.c
@@ -207,7 +207,7 @@
   for (WlWaiting *w = cell->queue; w != NULL && failed < WL_CELL_SCAN_MAX; w = next)
     {
       WlChoice choice;
-      int is_long = w->place.prompt_tokens > WL_LONG_PROMPT_TOKENS;
+      int is_long = wl_queue_is_long (&w->place);
       next = w->next;
       /* Long requests that cannot start must not hide the short ones behind them. */
       if (is_capped (w) || (is_long && failed_long >= WL_CELL_SCAN_LONG_MAX))
--- a/core/wl_cell.h
+++ b/core/wl_cell.h
@@ -137,7 +137,6 @@
   uint8_t ended;
   uint8_t first_token;
   uint8_t is_long;
-  uint8_t adopted;
   WlSeatUse seats[WL_GANG_MAX];
   uint32_t n_seats;
 } WlGrantRecord;
--- a/core/wl_cell_holds.c
+++ b/core/wl_cell_holds.c
@@ -33,7 +33,6 @@
     .end_us = now_us + wl_queue_duration (cell, h->prompt_tokens, h->max_tokens, h->n_seats),
     .first_token = h->first_token,
     .is_long = h->prompt_tokens > WL_LONG_PROMPT_TOKENS,
-    .adopted = 1,
   };
   for (uint32_t i = 0; i < h->n_seats && i < WL_GANG_MAX; i++)
     {
--- a/core/wl_entry.c
+++ b/core/wl_entry.c
@@ -14,7 +14,6 @@
   BUDGET_START = 20 * BUDGET_UNIT,
   OWNER_WAIT_US = 10000000, /* how long a request waits for a cell without an owner */
   BACKOFF_DOUBLINGS = 6,
-  RETRY_AFTER_US = 1000000,
   PLAIN_STALL_MIN_US = 2000000,
 };
 
@@ -226,7 +225,7 @@
   const WlSession *s = entry->session;
   f->outcome = WL_OUTCOME_REFUSED;
   f->run = WL_RUN_NOT_RUN;
-  f->retry_after_us = RETRY_AFTER_US;
+  f->retry_after_us = WL_ENTRY_RETRY_AFTER_US;
   if (s->draining)
     f->reason = WL_REFUSAL_DRAINING;
   else if (!wl_session_is_valid (s, now_us))
@@ -559,7 +558,7 @@
     }
   else if (!r->sent && at->now_us > r->admitted_us + OWNER_WAIT_US
            && !wl_links_get (entry, r->service, r->shard)->owner)
-    refuse (entry, r, WL_REFUSAL_NO_OWNER, RETRY_AFTER_US, at);
+    refuse (entry, r, WL_REFUSAL_NO_OWNER, WL_ENTRY_RETRY_AFTER_US, at);
   else
     place (entry, r, at);
 }
--- a/core/wl_entry.h
+++ b/core/wl_entry.h
@@ -22,12 +22,13 @@
   WL_ENTRY_REQUESTS_MAX = 20000,
   WL_ENTRY_PLACE_RETRY_US = 500000,
   WL_ENTRY_CLAIM_RETRY_US = 500000,
-  WL_ENTRY_STALL_US = 3000000,     /* a stream without a sign of life is broken */
-  WL_ENTRY_BACKOFF_US = 20000,     /* base of the jittered exponential backoff */
-  WL_ENTRY_FULL_HOLD_US = 2000000, /* interval of full lists of held grants */
-  WL_ENTRY_IDLE_HOLD_US = 5000000, /* interval of holds to a cell without grants */
-  WL_ENTRY_BUDGET_PERCENT = 20,    /* retries allowed per fresh request */
-  WL_ENTRY_BUDGET_MAX = 200,       /* retries that can be saved up */
+  WL_ENTRY_STALL_US = 3000000,       /* a stream without a sign of life is broken */
+  WL_ENTRY_BACKOFF_US = 20000,       /* base of the jittered exponential backoff */
+  WL_ENTRY_FULL_HOLD_US = 2000000,   /* interval of full lists of held grants */
+  WL_ENTRY_IDLE_HOLD_US = 5000000,   /* interval of holds to a cell without grants */
+  WL_ENTRY_RETRY_AFTER_US = 1000000, /* Retry-After of refusals by the entry itself */
+  WL_ENTRY_BUDGET_PERCENT = 20,      /* retries allowed per fresh request */
+  WL_ENTRY_BUDGET_MAX = 200,         /* retries that can be saved up */
 };
 
 typedef enum
@@ -127,10 +128,8 @@
   apr_hash_t *requests;
   WlLink *links;
   WlOutboxItem *outbox;
-  uint64_t session_change;
   uint64_t retry_budget; /* in hundredths of a retry */
   uint64_t random;
-  uint64_t sweep_us;
   WlLedger ledger;
   WlBurn burn;
   WlTrace trace;
--- a/core/wl_entry_claims.c
+++ b/core/wl_entry_claims.c
@@ -3,11 +3,6 @@
 #include "wl_outbox.h"
 #include "wl_request.h"
 
-enum
-{
-  RETRY_AFTER_US = 1000000,
-};
-
 void
 wl_entry_send_claim (WlEntry *entry, WlRequest *r, const WlMoment *at)
 {
@@ -45,7 +40,7 @@
   else
     {
       f.reason = WL_REFUSAL_CLAIM_TAKEN;
-      f.retry_after_us = RETRY_AFTER_US;
+      f.retry_after_us = WL_ENTRY_RETRY_AFTER_US;
     }
   wl_request_finish (entry, r, &f, at);
 }
--- a/core/wl_placement.c
+++ b/core/wl_placement.c
@@ -25,7 +25,7 @@
 static int
 is_long (const WlPlace *place, uint64_t uncached)
 {
-  return place->prompt_tokens > WL_LONG_PROMPT_TOKENS && uncached > WL_LONG_PROMPT_TOKENS;
+  return wl_queue_is_long (place) && uncached > WL_LONG_PROMPT_TOKENS;
 }
 
 int
--- a/core/wl_queue.c
+++ b/core/wl_queue.c
@@ -29,8 +29,8 @@
   return wl_queue_cost (cell, place->prompt_tokens, place->max_tokens);
 }
 
-static int
-is_long (const WlPlace *place)
+int
+wl_queue_is_long (const WlPlace *place)
 {
   return place->prompt_tokens > WL_LONG_PROMPT_TOKENS;
 }
@@ -38,7 +38,7 @@
 static uint64_t
 start_tag (const WlCell *cell, const WlShare *share, const WlPlace *place)
 {
-  uint64_t finish = share->finish_tag[is_long (place)];
+  uint64_t finish = share->finish_tag[wl_queue_is_long (place)];
   if (cell->settings->policy != WL_POLICY_ADAPTIVE)
     return cell->arrivals;
   return finish > cell->virtual_time ? finish : cell->virtual_time;
@@ -78,7 +78,7 @@
   w->cost_us = place_cost (cell, place);
   cell->arrivals++;
   w->tag = start_tag (cell, w->share, place);
-  w->share->finish_tag[is_long (place)] = w->tag + w->cost_us / w->share->weight + 1;
+  w->share->finish_tag[wl_queue_is_long (place)] = w->tag + w->cost_us / w->share->weight + 1;
   w->share->queued++;
   insert (cell, w);
   return w;
@@ -121,7 +121,7 @@
   if (n == 0 || cell->queue == NULL)
     return 0;
   for (const WlWaiting *w = cell->queue; w != NULL && w->tag <= tag; w = w->next)
-    if (is_long (place) || !is_long (&w->place))
+    if (wl_queue_is_long (place) || !wl_queue_is_long (&w->place))
       ahead_us += w->cost_us;
   return ahead_us / n;
 }
--- a/core/wl_queue.h
+++ b/core/wl_queue.h
@@ -13,6 +13,14 @@
  * own long prompts do not hold up its short ones.
  */
 
+/**
+ * wl_queue_is_long() - tells whether a request belongs to the flow of long prompts
+ * @place: the request
+ *
+ * Return: 1 or 0.
+ */
+int wl_queue_is_long (const WlPlace *place);
+
 /**
  * wl_queue_add() - appends a request to its customer's flow
  * @cell: the cell
--- a/core/wl_raft.h
+++ b/core/wl_raft.h
@@ -108,7 +108,6 @@
   uint64_t leader_heard_us;
   uint64_t elected_us;
   uint8_t dirty;
-  uint8_t was_empty;
   uint64_t random;
 
   uint8_t *incoming;
