Log lines are written whole, without waiting, and bounded by kind of event

Cause: stdio cut lines at 4096 bytes, a killed process lost what it had buffered, and nothing bounded a flood. Lines now go through runtime/wl_log_sink: a token bucket for each event, blocks of whole lines that a pipe takes at once, 20 ms at most of waiting, counts of what was left out (WL1009).

--- a/runtime/wl_log.c
+++ b/runtime/wl_log.c
@@ -1,12 +1,24 @@
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <apr_time.h>
 #include <log4c.h>
+#include <unistd.h>
 #include "wl_clock.h"
+#include "wl_events.h"
 #include "wl_log.h"
+#include "wl_log_sink.h"
+
+enum
+{
+  REPORT_US = 1000000, /* between two reports of lines that were left out */
+};
 
 static log4c_category_t *category;
+static WlLogSink *sink;
 static uint32_t node_id;
+static uint32_t current_event; /* of the line that log4c is formatting */
+static uint64_t report_us;
 
 static const char *
 format_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
@@ -24,15 +36,29 @@
 
 static const log4c_layout_type_t layout_type = { "wisterialoft", format_line };
 
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void)appender;
+  wl_log_sink_add (sink, current_event, event->evt_rendered_msg, wl_clock_now_us ());
+  return 0;
+}
+
+static const log4c_appender_type_t appender_type
+    = { .name = "wisterialoft", .append = append_line };
+
 void
 wl_log_open (uint32_t node)
 {
   node_id = node;
+  sink = wl_log_sink_create (STDOUT_FILENO);
   log4c_init ();
   log4c_layout_type_set (&layout_type);
+  log4c_appender_type_set (&appender_type);
   log4c_layout_t *layout = log4c_layout_get ("wisterialoft");
   log4c_layout_set_type (layout, &layout_type);
-  log4c_appender_t *appender = log4c_appender_get ("stdout");
+  log4c_appender_t *appender = log4c_appender_get ("wisterialoft");
+  log4c_appender_set_type (appender, &appender_type);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get ("wisterialoft");
   log4c_category_set_appender (category, appender);
@@ -48,11 +74,34 @@
 void
 wl_log_event (uint32_t number, const char *fields)
 {
-  if (category == NULL)
+  if (category == NULL || !wl_log_sink_admit (sink, number, wl_clock_now_us ()))
     return;
+  current_event = number;
   log4c_category_log (category, LOG4C_PRIORITY_INFO, "WL%u %s", number, fields);
 }
 
+static void
+report_left_out (void *data, uint32_t event, uint64_t count)
+{
+  (void)data;
+  wl_log_eventf (WL1009_LOG_LINES_LEFT_OUT, "event=%u count=%" PRIu64, event, count);
+}
+
+void
+wl_log_flush (void)
+{
+  if (category == NULL)
+    return;
+  uint64_t now_us = wl_clock_now_us ();
+  if (now_us >= report_us)
+    {
+      report_us = now_us + REPORT_US;
+      wl_log_sink_left_out (sink, report_left_out, NULL);
+    }
+  /* A failed write leaves nowhere to report it but the counts of the next report. */
+  (void)wl_log_sink_flush (sink, now_us);
+}
+
 void
 wl_log_eventf (uint32_t number, const char *format, ...)
 {
@@ -67,7 +116,11 @@
 void
 wl_log_close (void)
 {
-  if (category != NULL)
-    log4c_fini ();
+  if (category == NULL)
+    return;
+  wl_log_sink_flush (sink, UINT64_MAX);
+  log4c_fini ();
+  wl_log_sink_destroy (sink);
+  sink = NULL;
   category = NULL;
 }
--- a/runtime/wl_log.h
+++ b/runtime/wl_log.h
@@ -4,7 +4,7 @@
 #include <stdint.h>
 
 /**
- * wl_log_open() - prepares logging to standard error through log4c
+ * wl_log_open() - prepares logging to standard output through log4c
  * @node: node id that every line carries
  */
 void wl_log_open (uint32_t node);
@@ -31,7 +31,14 @@
     __attribute__ ((format (printf, 2, 3)));
 
 /**
- * wl_log_close() - closes the log
+ * wl_log_flush() - writes the lines that have waited long enough, without blocking
+ *
+ * The reactor calls it before it waits.
+ */
+void wl_log_flush (void);
+
+/**
+ * wl_log_close() - writes what is left and closes the log
  */
 void wl_log_close (void);
 
--- a/runtime/wl_reactor.c
+++ b/runtime/wl_reactor.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 #include <apr_portable.h>
+#include "wl_log.h"
 #include "wl_reactor.h"
 
 enum
@@ -135,6 +136,7 @@
 {
   apr_int32_t n = 0;
   const apr_pollfd_t *results = NULL;
+  wl_log_flush ();
   /* The poll set counts milliseconds: rounding down would spin before each deadline. */
   uint64_t rounded_us = (timeout_us + 999) / 1000 * 1000;
   apr_status_t status
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -72,6 +72,8 @@
 start no-release-after-silence test_reservation relay/wl_reservation.c 's/if \(r->unanswered_us != 0\)\n    return now_us > r->unanswered_us \+ WL_RESERVATION_LATE_US;//'
 start deadline-not-judged test_choice relay/wl_choice.c 's/out->predicted_us >= q->deadline_us\s*\|\|/0 ||/'
 start no-waiting-for-slots test_choice relay/wl_choice.c 's/\n\s*&& worth_of_waiting \(q, all, n_all\)[^;]*?\)\)\n/ && 0)\n/'
+start torn-log-lines test_log_sink runtime/wl_log_sink.c 's/return end != NULL \? .*?;\n/return n;\n/'
+start unbounded-log test_log_sink runtime/wl_log_sink.c 's/b->tokens_us -= SECOND_US;//'
 start released-before-sync test_journal runtime/wl_journal.c 's/return keep_trying \(journal, NULL\);/return 1;/; s/if \(!b->stores\)/if (1)/'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
