--- a/relay/wl_choice.c
+++ b/relay/wl_choice.c
@@ -10,6 +10,7 @@
   ROOM_WAIT_FACTOR = 2,       /* of the time until a slot is free: others wait for it too */
   LEAVE_GAPS = 6,             /* tolerated pauses, with a margin, after which callers leave */
   PAUSE_PERCENT = 75,         /* of a tolerated pause: other nodes' work is known a little late */
+  PATIENCE_SLACK_US = 150000, /* a refusal shall reach the caller before it leaves */
   RETRY_US = 20000,           /* next try of a request that found every endpoint full */
   HELP_FROM_READ_US = 60000,  /* shorter prompts are not divided */
   ENGINE_RESERVE_PERCENT = 3, /* memory left free for outputs longer than expected */
@@ -434,6 +435,29 @@
   return out;
 }
 
+static uint64_t
+left_until (uint64_t then_us, uint64_t now_us)
+{
+  return then_us > now_us ? then_us - now_us : 0;
+}
+
+void
+wl_choice_set_times (WlChoiceRequest *request, const WlRoute *route, const WlChoiceTimes *times,
+                     uint64_t now_us)
+{
+  uint64_t left_us = left_until (times->limit_us, now_us);
+  request->objective_us = left_until (times->arrived_us + route->objective_us, now_us);
+  request->deadline_us = left_us;
+  if (route->kind != WL_ROUTE_STREAM || !request->service->has_engine)
+    return;
+  uint64_t write_us
+      = wl_forecast_write_us (&request->service->engine, 1, request->prompt, request->output);
+  uint64_t patience_us
+      = left_until (times->silent_since_us + route->patience_us - PATIENCE_SLACK_US, now_us);
+  left_us = left_us > write_us ? left_us - write_us : 0;
+  request->deadline_us = left_us < patience_us ? left_us : patience_us;
+}
+
 WlChoice
 wl_choice_make (WlFleet *fleet, const WlLoad *load, const WlChoiceRequest *request, uint64_t now_us,
                 uint64_t random)
--- a/relay/wl_choice.h
+++ b/relay/wl_choice.h
@@ -89,6 +89,32 @@
   uint64_t wait_us;
 } WlChoice;
 
+/**
+ * struct WlChoiceTimes - what bounds a request in time, monotonic
+ * @arrived_us: when it arrived
+ * @limit_us: when it must have ended
+ * @silent_since_us: when its caller last got something, or @arrived_us
+ */
+typedef struct
+{
+  uint64_t arrived_us;
+  uint64_t limit_us;
+  uint64_t silent_since_us;
+} WlChoiceTimes;
+
+/**
+ * wl_choice_set_times() - sets the objective and the deadline as they are now
+ * @request: the request; its prompt, output and service are set
+ * @route: its route
+ * @times: its bounds
+ * @now_us: monotonic time
+ *
+ * The first output must leave time to write the answer, and must come before
+ * the caller loses patience.
+ */
+void wl_choice_set_times (WlChoiceRequest *request, const WlRoute *route,
+                          const WlChoiceTimes *times, uint64_t now_us);
+
 /**
  * wl_choice_make() - chooses endpoints for a request
  * @fleet: the endpoints
--- a/relay/wl_relay.c
+++ b/relay/wl_relay.c
@@ -17,7 +17,6 @@
   JITTER_US = 200000,           /* spreads the returns of refused callers */
   FIRST_SLACK_US = 1000000,     /* lateness of a first event that counts as silence */
   GAP_MIN_US = 900000,          /* shortest pause of a stream that counts as silence */
-  PATIENCE_SLACK_US = 150000,   /* a refusal shall reach the caller before it leaves */
   GAP_FACTOR = 3,               /* tolerated pauses that count as silence */
   PLAIN_HINT_US = 100000,       /* return time of plain requests that found every endpoint full */
 };
@@ -251,27 +250,16 @@
   return then_us > now_us ? then_us - now_us : 0;
 }
 
-/* Time left in which the next output must come, or the caller leaves or runs out of time. */
-static uint64_t
-first_output_in_us (const WlRelayRequest *r, uint64_t now_us)
-{
-  uint64_t left_us = left_until (r->limit_us, now_us);
-  if (r->route->kind != WL_ROUTE_STREAM || !r->service->has_engine)
-    return left_us;
-  uint64_t write_us
-      = wl_forecast_write_us (&r->service->engine, 1, r->wanted.prompt, r->wanted.output);
-  uint64_t since_us = r->first_us > 0 ? r->progress_us : r->arrived_us;
-  uint64_t patience_us = left_until (since_us + r->route->patience_us - PATIENCE_SLACK_US, now_us);
-  left_us = left_us > write_us ? left_us - write_us : 0;
-  return left_us < patience_us ? left_us : patience_us;
-}
-
 WlChoice
 wl_relay_choose (WlRelayRequest *r, uint64_t now_us)
 {
   WlRelay *relay = r->relay;
-  r->wanted.objective_us = left_until (r->arrived_us + r->route->objective_us, now_us);
-  r->wanted.deadline_us = first_output_in_us (r, now_us);
+  WlChoiceTimes times = {
+    .arrived_us = r->arrived_us,
+    .limit_us = r->limit_us,
+    .silent_since_us = r->first_us > 0 ? r->progress_us : r->arrived_us,
+  };
+  wl_choice_set_times (&r->wanted, r->route, &times, now_us);
   return wl_choice_make (relay->options.fleet, relay->options.load, &r->wanted, now_us,
                          wl_relay_random (relay));
 }
