After a loss of power of all nodes endpoints and neighbours are known at once

Ruled out: election and configuration (200 ms). Nodes with a disk save the endpoints when they change and take them again at a start, as heard a while ago; a connection between nodes that is not open after 300 ms is dialled anew.

--- /dev/null
+++ b/relay/tests/test_host.c
@@ -0,0 +1,171 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <sys/stat.h>
+#include <arpa/inet.h>
+#include <apr_general.h>
+#include <sodium.h>
+#include "wl_clock.h"
+#include "wl_host.h"
+#include "wl_test.h"
+
+/* A node across restarts: what it knows again without anybody telling it. */
+
+typedef struct
+{
+  char folder[64];
+  WlHostOptions options;
+  WlHost *host;
+} Fixture;
+
+static uint16_t
+free_port (void)
+{
+  WlReactor *reactor = NULL;
+  ck_assert_int_eq (wl_reactor_create (&reactor), WL_OK);
+  WlTcpLoop *loop = wl_tcp_loop_create (reactor);
+  uint16_t port = wl_tcp_listen (loop, htonl (INADDR_LOOPBACK), 0, NULL, NULL);
+  wl_tcp_loop_destroy (loop);
+  wl_reactor_destroy (reactor);
+  return port;
+}
+
+static void
+create (Fixture *f)
+{
+  memset (f, 0, sizeof *f);
+  strcpy (f->folder, "/tmp/wl-host-XXXXXX");
+  ck_assert_ptr_nonnull (mkdtemp (f->folder));
+  f->options = (WlHostOptions){
+    .node = INADDR_LOOPBACK,
+    .zone = "z",
+    .key = "key",
+    .is_first_start = 1,
+    .grace_us = 1000000,
+  };
+  snprintf (f->options.data_folder, sizeof f->options.data_folder, "%s/data", f->folder);
+}
+
+static void
+start (Fixture *f)
+{
+  f->options.peer_port = free_port ();
+  f->options.front_port = free_port ();
+  ck_assert_int_eq (wl_host_create (&f->options, &f->host), WL_OK);
+}
+
+static void
+run (Fixture *f, uint64_t duration_us)
+{
+  for (uint64_t end_us = wl_clock_now_us () + duration_us; wl_clock_now_us () < end_us;)
+    wl_host_run_once (f->host);
+}
+
+/* Runs until a file exists; the bound only ends a test that has failed. */
+static int
+run_until_file (Fixture *f, const char *name)
+{
+  char path[384];
+  struct stat s;
+  snprintf (path, sizeof path, "%s/%s", f->options.data_folder, name);
+  for (int i = 0; i < 200; i++)
+    {
+      run (f, 50000);
+      if (stat (path, &s) == 0)
+        return 1;
+    }
+  return 0;
+}
+
+static uint64_t
+gauge (Fixture *f, const char *name)
+{
+  WlBuffer text = { 0 };
+  char pattern[80];
+  static const uint8_t zero = 0;
+  wl_host_write_metrics (f->host, &text);
+  wl_buffer_append (&text, (WlBytes){ &zero, 1 });
+  snprintf (pattern, sizeof pattern, "%s ", name);
+  const char *line = strstr ((const char *)wl_buffer_bytes (&text).data, pattern);
+  ck_assert_ptr_nonnull (line);
+  uint64_t value = strtoull (line + strlen (pattern), NULL, 10);
+  wl_buffer_clear (&text);
+  return value;
+}
+
+static void
+destroy (Fixture *f)
+{
+  char command[96];
+  wl_host_destroy (f->host);
+  snprintf (command, sizeof command, "rm -rf %s", f->folder);
+  ck_assert_int_eq (system (command), 0);
+}
+
+static WlEndpointRecord
+make_record (const char *id, uint32_t port)
+{
+  WlEndpointRecord r
+      = { .address = 1, .port = port, .slots = 4, .born_ms = 1000 + port, .sequence = 3 };
+  snprintf (r.id, sizeof r.id, "%s", id);
+  snprintf (r.service, sizeof r.service, "llm");
+  snprintf (r.zone, sizeof r.zone, "z");
+  return r;
+}
+
+/*
+ * All nodes lose power at once: nobody is left to tell which endpoints there
+ * are, and these register again only after a second or more.
+ */
+START_TEST (endpoints_are_known_again_after_a_restart)
+{
+  static Fixture f;
+  WlEndpointRecord here = make_record ("e-1", 8081);
+  WlEndpointRecord leaving = make_record ("e-2", 8082);
+  create (&f);
+  start (&f);
+  leaving.is_draining = 1;
+  wl_host_register (f.host, &here);
+  wl_host_register (f.host, &leaving);
+  ck_assert_int_eq (run_until_file (&f, "endpoints"), 1);
+  wl_host_destroy (f.host);
+  f.options.is_first_start = 0;
+  start (&f);
+  ck_assert_uint_eq (gauge (&f, "endpoints_known"), 2);
+  ck_assert_uint_eq (gauge (&f, "endpoints_usable"), 1);
+  destroy (&f);
+}
+END_TEST
+
+START_TEST (a_damaged_file_of_endpoints_costs_nothing_else)
+{
+  static Fixture f;
+  char path[384];
+  WlEndpointRecord here = make_record ("e-1", 8081);
+  create (&f);
+  start (&f);
+  wl_host_register (f.host, &here);
+  ck_assert_int_eq (run_until_file (&f, "endpoints"), 1);
+  wl_host_destroy (f.host);
+  snprintf (path, sizeof path, "%s/endpoints", f.options.data_folder);
+  ck_assert_int_eq (truncate (path, 20), 0);
+  f.options.is_first_start = 0;
+  start (&f);
+  ck_assert_uint_eq (gauge (&f, "endpoints_known"), 0);
+  destroy (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  const WlTest tests[] = {
+    WL_TEST (endpoints_are_known_again_after_a_restart),
+    WL_TEST (a_damaged_file_of_endpoints_costs_nothing_else),
+  };
+  if (sodium_init () < 0)
+    return 1;
+  apr_initialize ();
+  return wl_test_run ("host", tests, sizeof tests / sizeof tests[0]);
+}
--- a/relay/wl_choice.c
+++ b/relay/wl_choice.c
@@ -206,14 +206,16 @@
   return x < y ? -1 : x > y ? 1 : 0;
 }
 
-/* A helper reads its part before other prompts, in its next pass. */
+/* A helper reads its part before whole prompts, after the parts that it has already. */
 static uint64_t
 help_time_us (const WlEngineModel *m, const Candidate *c, uint64_t reads, uint64_t part_us)
 {
   const WlLoadSum *s = &c->sum;
   uint64_t pass_us = wl_forecast_pass_us (m, s->writers, s->context, s->backlog, s->backlog_us);
   uint64_t under_way_us = s->readers > 0 ? pass_us / 2 : 0;
-  return under_way_us + wl_forecast_first_us (m, s->writers, s->context, reads, part_us);
+  return under_way_us
+         + wl_forecast_first_us (m, s->writers, s->context, s->parts + reads,
+                                 s->parts_us + part_us);
 }
 
 /*
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -10,6 +10,7 @@
   WL_HOST_NOTES_MAX = 64,      /* notes on work sent together */
   WL_HOST_WORK_US = 2500000,   /* interval of lists of all work */
   WL_HOST_REPEAT_US = 2500000, /* a leaving endpoint is told again for this long */
+  WL_HOST_SAVE_US = 1000000,   /* shortest time between two files of endpoints */
   WL_HOST_APPLY_US = 150000,   /* shortest time between two configurations put in force */
 };
 
@@ -34,6 +35,9 @@
   struct WlHostLocal *next;
 } WlHostLocal;
 
+/** WL_HOST_ENDPOINTS_FILE - file of the endpoints in the data folder */
+#define WL_HOST_ENDPOINTS_FILE "endpoints"
+
 struct WlHost
 {
   WlHostOptions options;
@@ -67,6 +71,8 @@
   uint64_t status_us;
   uint64_t status_sequence;
   uint64_t work_us;
+  uint64_t saved_us;         /* when the endpoints were last saved */
+  uint8_t has_new_endpoints; /* since then */
   uint64_t tick_us;
   uint64_t slow_tick_us;
   uint64_t stopping_us; /* 0 while running */
@@ -92,6 +98,18 @@
 /** wl_host_gossip_receive() - processes a message on nodes, endpoints or work; 0 for others */
 int wl_host_gossip_receive (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
 
+/**
+ * wl_host_restore_endpoints() - takes the endpoints that were saved before a restart
+ * @host: the host
+ * @file: what wl_host_gossip_tick() has saved
+ *
+ * They count as heard a while ago: one that does not register again soon gets
+ * no more work. What other nodes know is newer and replaces it.
+ *
+ * Return: WL_OK, or WL_ERROR_CORRUPT, when nothing was taken.
+ */
+WlError wl_host_restore_endpoints (WlHost *host, WlBytes file);
+
 /** wl_host_flush_notes() - sends the notes on work of this turn */
 void wl_host_flush_notes (WlHost *host);
 
--- a/relay/wl_load.c
+++ b/relay/wl_load.c
@@ -161,6 +161,11 @@
       sum.backlog_us += n->read_us;
       sum.reading_us += n->read_us;
       sum.backlog += n->reads;
+      if (n->is_part)
+        {
+          sum.parts_us += n->read_us;
+          sum.parts += n->reads;
+        }
     }
   /* What the head has been read for so far is done. */
   uint64_t done_us = now_us - p->reading_since_us;
--- a/relay/wl_load.h
+++ b/relay/wl_load.h
@@ -54,6 +54,8 @@
  * @memory: tokens of memory of all
  * @backlog_us: reading time that is left
  * @backlog: tokens that are left to be read
+ * @parts_us: time to read the parts among them, which go first
+ * @parts: their tokens
  * @reading_us: time of all reading in progress, what is done of it included
  * @shortest_gap_us: shortest tolerated pause of all, 0 for none
  */
@@ -66,6 +68,8 @@
   uint64_t memory;
   uint64_t backlog_us;
   uint64_t backlog;
+  uint64_t parts_us;
+  uint64_t parts;
   uint64_t reading_us;
   uint64_t shortest_gap_us;
 } WlLoadSum;
--- a/relay/wl_relay_answer.c
+++ b/relay/wl_relay_answer.c
@@ -58,6 +58,7 @@
   tell (r, (WlWorkNote){
                .endpoint = t->key,
                .phase = (uint8_t)phase,
+               .is_part = t != &r->target,
                .memory = (uint32_t)memory,
                .reads = (uint32_t)r->choice.reads,
                .read_us = (uint32_t)r->choice.read_us,
--- a/runtime/tests/test_journal.c
+++ b/runtime/tests/test_journal.c
@@ -117,12 +117,49 @@
 }
 END_TEST
 
+/* A file beside the storage is written when nothing else waits, and never in its way. */
+START_TEST (a_saved_file_lasts_and_the_latest_counts)
+{
+  static Fixture f;
+  apr_pool_t *pool;
+  WlBytes read = { NULL, 0 };
+  create (&f);
+  f.folder.fail_with = WL_ERROR_NO_SPACE;
+  f.folder.fail_at = f.folder.operations + 1;
+  wl_journal_save (f.journal, "hints", (WlBytes){ (const uint8_t *)"old", 3 });
+  submit (&f, 1, 1);
+  run (&f, 1, 250000);
+  f.folder.fail_at = 0;
+  wl_journal_save (f.journal, "hints", (WlBytes){ (const uint8_t *)"new one", 7 });
+  submit (&f, 2, 1);
+  run (&f, 2, 5000000);
+  ck_assert_uint_eq (f.n_released, 2);
+  wl_journal_save (f.journal, "hints", (WlBytes){ (const uint8_t *)"newest", 6 });
+  submit (&f, 3, 1);
+  run (&f, 3, 5000000);
+  submit (&f, 4, 1); /* begins after the save that was asked for before it */
+  run (&f, 4, 5000000);
+  wl_journal_destroy (f.journal);
+  wl_reactor_destroy (f.reactor);
+  memory_folder_crash (&f.folder);
+  apr_pool_create (&pool, NULL);
+  WlDisk *disk = memory_disk_open (&f.folder);
+  ck_assert_int_eq (wl_disk_load (disk, "hints", pool, &read), WL_OK);
+  ck_assert_uint_eq (read.size, 6);
+  ck_assert_mem_eq (read.data, "newest", 6);
+  disk->destroy (disk);
+  apr_pool_destroy (pool);
+  memory_folder_clear (&f.folder);
+}
+END_TEST
+
 int
 main (void)
 {
   const WlTest tests[] = {
     WL_TEST (batches_are_released_in_order),
     WL_TEST (nothing_is_released_while_the_disk_is_full),
+    WL_TEST (a_saved_file_lasts_and_the_latest_counts),
     WL_TEST (without_a_disk_batches_pass_at_once),
   };
   apr_initialize ();
--- a/runtime/tests/test_peers.c
+++ b/runtime/tests/test_peers.c
@@ -153,6 +153,55 @@
 }
 END_TEST
 
+/*
+ * The opening packet to a VM without power is lost; the kernel sends it again
+ * after a second. A listener whose queue is full drops it as well.
+ */
+START_TEST (a_lost_opening_packet_is_not_waited_for)
+{
+  enum
+  {
+    FILLERS = 8,
+  };
+  WlReactor *reactor = NULL;
+  End x = { 0 };
+  End y = { 0 };
+  int fillers[FILLERS];
+  uint64_t now_us = 1000000000;
+  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t n = sizeof addr;
+  wl_reactor_create (&reactor);
+  wl_clock_set (now_us);
+  WlPeers *a = open_end (reactor, 1, "key", &x);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&addr, sizeof addr), 0);
+  ck_assert_int_eq (listen (fd, 0), 0);
+  getsockname (fd, (struct sockaddr *)&addr, &n);
+  for (int i = 0; i < FILLERS; i++)
+    {
+      fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect (fillers[i], (struct sockaddr *)&addr, sizeof addr);
+    }
+  x.peer_port = ntohs (addr.sin_port);
+  wl_peers_send (a, 2, hello, now_us);
+  run (reactor, a, NULL, 5);
+  wl_clock_set (now_us += WL_PEER_CONNECT_US + 1);
+  wl_peers_tick (a, now_us);
+  WlPeers *b = open_end (reactor, 2, "key", &y);
+  x.peer_port = y.port;
+  wl_peers_send (a, 2, hello, now_us);
+  run (reactor, a, b, 50);
+  ck_assert_int_eq (y.received, 1);
+  for (int i = 0; i < FILLERS; i++)
+    close (fillers[i]);
+  close (fd);
+  wl_clock_set (0);
+  wl_peers_destroy (a);
+  wl_peers_destroy (b);
+  wl_reactor_destroy (reactor);
+}
+END_TEST
+
 START_TEST (random_bytes_close_the_connection_and_nothing_else)
 {
   WlReactor *reactor = NULL;
@@ -187,6 +236,7 @@
     WL_TEST (messages_go_both_ways_on_one_connection),
     WL_TEST (a_wrong_key_is_rejected),
     WL_TEST (a_silent_connection_is_replaced),
+    WL_TEST (a_lost_opening_packet_is_not_waited_for),
     WL_TEST (random_bytes_close_the_connection_and_nothing_else),
   };
   return wl_test_run ("peers", tests, sizeof tests / sizeof tests[0]);
--- a/runtime/wl_disk.h
+++ b/runtime/wl_disk.h
@@ -46,4 +46,35 @@
  */
 WlError wl_disk_files_open (const char *path, WlDisk **out);
 
+/**
+ * wl_disk_replace() - replaces a file as a whole
+ * @disk: the folder
+ * @name: name, of at most 50 characters
+ * @bytes: new content
+ *
+ * After a crash the file holds the old or the new content; once this returns
+ * WL_OK the new one lasts.
+ *
+ * Return: WL_OK or the error of the first operation that failed.
+ */
+WlError wl_disk_replace (WlDisk *disk, const char *name, WlBytes bytes);
+
+/**
+ * wl_disk_save() - replaces a file and protects it by a checksum
+ *
+ * Parameters and result are those of wl_disk_replace().
+ */
+WlError wl_disk_save (WlDisk *disk, const char *name, WlBytes bytes);
+
+/**
+ * wl_disk_load() - reads a file written by wl_disk_save()
+ * @disk: the folder
+ * @name: name
+ * @pool: owner of the content
+ * @out: receives the content
+ *
+ * Return: WL_OK, WL_ERROR_NOT_FOUND, WL_ERROR_CORRUPT or WL_ERROR_SYSTEM.
+ */
+WlError wl_disk_load (WlDisk *disk, const char *name, apr_pool_t *pool, WlBytes *out);
+
 #endif
--- a/runtime/wl_journal.c
+++ b/runtime/wl_journal.c
@@ -32,7 +32,9 @@
   pthread_cond_t wake;
   int pipe[2];
   WlWatch *watch;
-  uint32_t n_retries; /* failed writes, under the mutex */
+  const char *saved_name; /* file to be replaced, under the mutex */
+  WlBytes saved;          /* its content, on the heap; NULL for none */
+  uint32_t n_retries;     /* failed writes, under the mutex */
   uint32_t n_logged;
   uint8_t is_written; /* the thread is done with writing */
   uint8_t has_failed; /* the latest write cannot be completed */
@@ -126,6 +128,35 @@
   return keep_trying (journal, NULL);
 }
 
+/* Under the mutex, which is released while the disk works. */
+static void
+write_next_batch (WlJournal *journal)
+{
+  Batch *b = journal->writing;
+  pthread_mutex_unlock (&journal->mutex);
+  int done = write_batch (journal, b->effects);
+  pthread_mutex_lock (&journal->mutex);
+  journal->is_written = 1;
+  journal->has_failed = (uint8_t)!done;
+  if (write (journal->pipe[1], "", 1) < 0)
+    journal->n_retries++; /* a full pipe wakes the event loop as well */
+}
+
+/* Likewise. */
+static void
+write_saved (WlJournal *journal)
+{
+  WlBytes bytes = journal->saved;
+  const char *name = journal->saved_name;
+  journal->saved = (WlBytes){ NULL, 0 };
+  pthread_mutex_unlock (&journal->mutex);
+  WlError error = wl_disk_save (wl_storage_disk (journal->storage), name, bytes);
+  wl_bytes_release (&bytes);
+  pthread_mutex_lock (&journal->mutex);
+  if (error != WL_OK)
+    journal->n_retries++;
+}
+
 static void *
 run_thread (void *data)
 {
@@ -133,19 +164,12 @@
   pthread_mutex_lock (&journal->mutex);
   while (!journal->is_stopping)
     {
-      if (journal->writing == NULL || journal->is_written)
-        {
-          pthread_cond_wait (&journal->wake, &journal->mutex);
-          continue;
-        }
-      Batch *b = journal->writing;
-      pthread_mutex_unlock (&journal->mutex);
-      int done = write_batch (journal, b->effects);
-      pthread_mutex_lock (&journal->mutex);
-      journal->is_written = 1;
-      journal->has_failed = (uint8_t)!done;
-      if (write (journal->pipe[1], "", 1) < 0)
-        journal->n_retries++; /* a full pipe wakes the event loop as well */
+      if (journal->writing != NULL && !journal->is_written)
+        write_next_batch (journal);
+      else if (journal->saved.data != NULL)
+        write_saved (journal);
+      else
+        pthread_cond_wait (&journal->wake, &journal->mutex);
     }
   pthread_mutex_unlock (&journal->mutex);
   return NULL;
@@ -267,6 +291,7 @@
   free_batch (journal->writing);
   while (journal->waiting.first != NULL)
     free_batch (pop (&journal->waiting));
+  wl_bytes_release (&journal->saved);
   wl_reactor_remove (journal->watch);
   for (int i = 0; i < 2; i++)
     if (journal->pipe[i] >= 0)
@@ -288,3 +313,16 @@
   push (&journal->waiting, b);
   advance (journal);
 }
+
+void
+wl_journal_save (WlJournal *journal, const char *name, WlBytes bytes)
+{
+  if (journal == NULL || !journal->has_thread)
+    return;
+  pthread_mutex_lock (&journal->mutex);
+  wl_bytes_release (&journal->saved);
+  journal->saved = wl_bytes_dup (bytes);
+  journal->saved_name = name;
+  pthread_cond_signal (&journal->wake);
+  pthread_mutex_unlock (&journal->mutex);
+}
--- a/runtime/wl_journal.h
+++ b/runtime/wl_journal.h
@@ -44,4 +44,16 @@
  */
 void wl_journal_submit (WlJournal *journal, WlEffects *effects);
 
+/**
+ * wl_journal_save() - replaces a file beside the storage
+ * @journal: the journal; without a disk nothing happens
+ * @name: name of the file, with static lifetime
+ * @bytes: content, copied
+ *
+ * Written with wl_disk_save() when no batch waits. Nothing waits for it: a
+ * later save replaces one that was not begun, and one that fails is counted
+ * with the repeated writes and left to the next.
+ */
+void wl_journal_save (WlJournal *journal, const char *name, WlBytes bytes);
+
 #endif
--- a/runtime/wl_peers.c
+++ b/runtime/wl_peers.c
@@ -451,7 +451,8 @@
     {
       if (c->is_dead)
         continue;
-      if (now_us > c->heard_us + WL_PEER_SILENCE_US)
+      uint64_t silence_us = c->is_connecting ? WL_PEER_CONNECT_US : WL_PEER_SILENCE_US;
+      if (now_us > c->heard_us + silence_us)
         lose_connection (c, WL1102_PEER_SILENT);
       else if (now_us > c->used_us + WL_PEER_IDLE_US)
         close_connection (c);
--- a/runtime/wl_storage.c
+++ b/runtime/wl_storage.c
@@ -286,24 +286,6 @@
     insert_sorted (s->snapshots, &s->n_snapshots, number);
 }
 
-static WlError
-write_new_file (WlStorage *s, const char *name, WlBytes bytes)
-{
-  char temporary[NAME_SIZE];
-  snprintf (temporary, sizeof temporary, "%.50s.tmp", name);
-  WlError error = s->disk->remove (s->disk, temporary);
-  if (error != WL_OK && error != WL_ERROR_NOT_FOUND)
-    return error;
-  error = s->disk->append (s->disk, temporary, bytes);
-  if (error == WL_OK)
-    error = s->disk->sync (s->disk, temporary);
-  if (error == WL_OK)
-    error = s->disk->rename (s->disk, temporary, name);
-  if (error == WL_OK)
-    error = s->disk->sync_folder (s->disk);
-  return error;
-}
-
 static WlError
 read_identity (WlStorage *s, uint64_t incarnation)
 {
@@ -326,7 +308,7 @@
     return WL_ERROR_CORRUPT;
   s->incarnation = incarnation;
   snprintf (text, sizeof text, "%016" PRIx64 "\n", incarnation);
-  return write_new_file (s, "identity", (WlBytes){ (const uint8_t *)text, 17 });
+  return wl_disk_replace (s->disk, "identity", (WlBytes){ (const uint8_t *)text, 17 });
 }
 
 static void
@@ -429,6 +411,12 @@
   storage->pool = NULL;
 }
 
+WlDisk *
+wl_storage_disk (WlStorage *storage)
+{
+  return storage->disk;
+}
+
 uint64_t
 wl_storage_incarnation (const WlStorage *storage)
 {
@@ -492,8 +480,8 @@
       msgpack_sbuffer_write (&buffer, (const char *)bytes.data, bytes.size);
     }
   segment_name (name, s->segment + 1);
-  WlError error
-      = write_new_file (s, name, (WlBytes){ (const uint8_t *)buffer.data, (uint32_t)buffer.size });
+  WlError error = wl_disk_replace (
+      s->disk, name, (WlBytes){ (const uint8_t *)buffer.data, (uint32_t)buffer.size });
   if (error == WL_OK)
     s->segment_size = buffer.size;
   msgpack_sbuffer_destroy (&buffer);
@@ -527,7 +515,7 @@
   SnapshotFile f = { index, index_term, XXH64 (data.data, data.size, index), data };
   uint64_t old_snapshot = s->snapshot != index ? s->snapshot : 0;
   snapshot_name (name, index);
-  WlError error = write_new_file (s, name, wl_encode_bytes (snapshot_fields, &f, pool));
+  WlError error = wl_disk_replace (s->disk, name, wl_encode_bytes (snapshot_fields, &f, pool));
   if (error != WL_OK)
     return error;
   s->snapshot = index;
--- a/runtime/wl_storage.h
+++ b/runtime/wl_storage.h
@@ -48,6 +48,15 @@
  */
 void wl_storage_forget (WlStorage *storage);
 
+/**
+ * wl_storage_disk() - the data folder, for files of others
+ * @storage: the storage
+ *
+ * Return: the disk, which the storage closes. Names that begin with log-,
+ * snapshot- and identity belong to the storage.
+ */
+WlDisk *wl_storage_disk (WlStorage *storage);
+
 /**
  * wl_storage_incarnation() - identity of the data folder
  * @storage: the storage
--- a/testkit/bench_relay_main.c
+++ b/testkit/bench_relay_main.c
@@ -109,7 +109,7 @@
   for (uint32_t i = 0; i < n_nodes; i++)
     known[i].node = 0x0a010000 + i;
   for (uint32_t i = 0; i < 8; i++)
-    notes[i] = (WlWorkNote){ 1000 + i, UINT64_MAX - i, 1, 6000, 5000, 26000, 1300, 250, 120 };
+    notes[i] = (WlWorkNote){ 1000 + i, UINT64_MAX - i, 1, 0, 6000, 5000, 26000, 1300, 250, 120 };
   status.u.node_status = (WlNodeStatus){ .node = 0x0a010001, .boot = UINT64_MAX, .sequence = 9999 };
   strcpy (status.u.node_status.zone, "attiki-a");
   status.u.node_status.known = known;
--- a/testkit/wl_replay.c
+++ b/testkit/wl_replay.c
@@ -281,6 +281,7 @@
     .work = (uint64_t)(c - r->callers) * 16 + c->epoch % 16,
     .endpoint = r->keys[c->targets[target]],
     .phase = (uint8_t)phase,
+    .is_part = target > 0,
     .memory = (uint32_t)c->memory[target],
     .reads = (uint32_t)c->reads,
     .read_us = (uint32_t)c->read_us,
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -74,6 +74,8 @@
 start no-waiting-for-slots test_choice relay/wl_choice.c 's/\n\s*&& worth_of_waiting \(q, all, n_all\)[^;]*?\)\)\n/ && 0)\n/'
 start torn-log-lines test_log_sink runtime/wl_log_sink.c 's/return end != NULL \? .*?;\n/return n;\n/'
 start unbounded-log test_log_sink runtime/wl_log_sink.c 's/b->tokens_us -= SECOND_US;//'
+start opening-packet-waited-for test_peers runtime/wl_peers.c 's/c->is_connecting \? WL_PEER_CONNECT_US : //'
+start endpoints-not-restored test_host relay/wl_host.c 's/      load_endpoints \(host, disk\);//'
 start released-before-sync test_journal runtime/wl_journal.c 's/return keep_trying \(journal, NULL\);/return 1;/; s/if \(!b->stores\)/if (1)/'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -35,11 +35,17 @@
 };
 
 static const WlField work_note_fields[] = {
-  WL_U64 (WlWorkNote, work),         WL_U64 (WlWorkNote, endpoint),
-  WL_U8 (WlWorkNote, phase),         WL_U32 (WlWorkNote, memory),
-  WL_U32 (WlWorkNote, reads),        WL_U32 (WlWorkNote, read_us),
-  WL_U32 (WlWorkNote, output),       WL_U32 (WlWorkNote, gap_ms),
-  WL_U32 (WlWorkNote, predicted_ms), WL_END,
+  WL_U64 (WlWorkNote, work),
+  WL_U64 (WlWorkNote, endpoint),
+  WL_U8 (WlWorkNote, phase),
+  WL_U8 (WlWorkNote, is_part),
+  WL_U32 (WlWorkNote, memory),
+  WL_U32 (WlWorkNote, reads),
+  WL_U32 (WlWorkNote, read_us),
+  WL_U32 (WlWorkNote, output),
+  WL_U32 (WlWorkNote, gap_ms),
+  WL_U32 (WlWorkNote, predicted_ms),
+  WL_END,
 };
 
 const WlField wl_work_fields[] = {
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -98,6 +98,7 @@
  * @work: number of the work, unique within the node's boot
  * @endpoint: key of the endpoint, see wl_fleet_key()
  * @phase: a WlWorkPhase
+ * @is_part: a part of a prompt that another endpoint answers; read before whole prompts
  * @memory: tokens of memory that it needs there
  * @reads: prompt tokens read there
  * @read_us: time that this takes
@@ -110,6 +111,7 @@
   uint64_t work;
   uint64_t endpoint;
   uint8_t phase;
+  uint8_t is_part;
   uint32_t memory;
   uint32_t reads;
   uint32_t read_us;
