--- a/core/tests/test_document.c
+++ b/core/tests/test_document.c
@@ -4,6 +4,7 @@
 #include "wl_document.h"
 #include "wl_memory_disk.h"
 #include "wl_storage.h"
+#include "wl_random.h"
 #include "wl_test.h"
 
 /*
@@ -61,22 +62,13 @@
 
 static Sim sim;
 
-static uint64_t
-next_random (void)
-{
-  uint64_t z = (sim.random += 0x9e3779b97f4a7c15ULL);
-  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-  return z ^ (z >> 31);
-}
-
 static void
 post (uint32_t from, uint32_t to, WlBytes bytes)
 {
-  if (sim.n_queue == QUEUE_MAX || next_random () % 100 < sim.loss_percent)
+  if (sim.n_queue == QUEUE_MAX || wl_random_next (&sim.random) % 100 < sim.loss_percent)
     return;
-  sim.queue[sim.n_queue++]
-      = (Packet){ sim.now_us + 500 + next_random () % 5000, from, to, wl_bytes_dup (bytes) };
+  sim.queue[sim.n_queue++] = (Packet){ sim.now_us + 500 + wl_random_next (&sim.random) % 5000, from,
+                                       to, wl_bytes_dup (bytes) };
 }
 
 static void
@@ -95,9 +87,9 @@
 start (uint32_t node, const uint32_t *founders, uint32_t n_founders)
 {
   Node *n = &sim.nodes[node];
-  WlSettings settings = { .self.node = node, .seed = next_random () };
+  WlSettings settings = { .self.node = node, .seed = wl_random_next (&sim.random) };
   WlDisk *disk = memory_disk_open (&n->folder);
-  ck_assert_int_eq (wl_storage_open (disk, next_random () | 1, &n->storage), WL_OK);
+  ck_assert_int_eq (wl_storage_open (disk, wl_random_next (&sim.random) | 1, &n->storage), WL_OK);
   settings.replica_incarnation = wl_storage_incarnation (n->storage);
   ck_assert_int_eq (
       wl_document_create (&settings, wl_storage_state (n->storage), sim.now_us, &n->document),
@@ -314,12 +306,12 @@
       for (uint32_t i = 0; i < 3; i++)
         {
           start ((uint32_t)((seed + i) % 3) + 1, founders, 3);
-          run (next_random () % 300000);
+          run (wl_random_next (&sim.random) % 300000);
         }
-      uint32_t victim = (uint32_t)(next_random () % 3) + 1;
-      run (next_random () % 400000);
+      uint32_t victim = (uint32_t)(wl_random_next (&sim.random) % 3) + 1;
+      run (wl_random_next (&sim.random) % 400000);
       crash (victim);
-      run (next_random () % 300000);
+      run (wl_random_next (&sim.random) % 300000);
       start (victim, founders, 3);
       submit (1, "first");
       assert_text (1, "first");
@@ -353,7 +345,7 @@
       uint32_t to = leader ();
       ask (to, WL_MESSAGE_SUBMIT, 4, "left");
       ask (to, WL_MESSAGE_SUBMIT, 4, "right");
-      run (next_random () % 40000);
+      run (wl_random_next (&sim.random) % 40000);
       crash (to);
       run (1500000);
       start (to, founders, 3);
--- a/core/wl_raft.c
+++ b/core/wl_raft.c
@@ -4,29 +4,20 @@
 #include "wl_raft.h"
 #include "wl_raft_internal.h"
 #include "wl_raft_log.h"
+#include "wl_random.h"
 
 enum
 {
   RESEND_US = 300000, /* unanswered entries and snapshot chunks are sent again */
 };
 
-static uint64_t
-next_random (WlRaft *raft)
-{
-  /* splitmix64, S. Vigna */
-  uint64_t z = (raft->random += 0x9e3779b97f4a7c15ULL);
-  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-  return z ^ (z >> 31);
-}
-
 static void
 reset_election_timer (WlRaft *raft, uint64_t now_us)
 {
   /* Without a known leader there is none to disturb: a pre-vote costs nobody anything. */
   uint64_t min_us = raft->leader != 0 ? WL_RAFT_ELECTION_MIN_US : WL_RAFT_SEEK_MIN_US;
   uint64_t max_us = raft->leader != 0 ? WL_RAFT_ELECTION_MAX_US : WL_RAFT_SEEK_MAX_US;
-  raft->election_us = now_us + min_us + next_random (raft) % (max_us - min_us);
+  raft->election_us = now_us + min_us + wl_random_next (&raft->random) % (max_us - min_us);
 }
 
 static int
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -70,7 +70,10 @@
   install_signals ();
   if (wl_platform_settings_path () != NULL)
     {
-      status = wl_platform_run (wl_platform_settings_path (), &stop_requested, &reload_requested);
+      const char *path = wl_platform_settings_path ();
+      status = wl_options_is_check (argc, argv)
+                   ? wl_platform_check (path)
+                   : wl_platform_run (path, &stop_requested, &reload_requested);
       goto out;
     }
   switch (wl_options_read (argc, argv, &options))
--- a/daemon/tests/test_options.c
+++ b/daemon/tests/test_options.c
@@ -58,6 +58,18 @@
 }
 END_TEST
 
+START_TEST (a_check_ends_without_running)
+{
+  char *check[] = { "wisterialoftd", "--check-settings", NULL };
+  ck_assert_int_eq (
+      READ (BASE, "--peer-port", "1", "--control-peers", "1=127.0.0.1:1", "--check-settings"),
+      WL_OPTIONS_EXIT);
+  ck_assert_int_eq (READ (BASE, "--check-settings"), WL_OPTIONS_INVALID);
+  ck_assert_int_eq (wl_options_is_check (2, check), 1);
+  ck_assert_int_eq (wl_options_is_check (1, check), 0);
+}
+END_TEST
+
 START_TEST (a_data_folder_belongs_to_control_replicas_only)
 {
   ck_assert_int_eq (READ (BASE, "--peer-port", "1", "--control-peers", "2=127.0.0.1:1"),
@@ -77,6 +89,7 @@
   const WlTest tests[] = {
     WL_TEST (flags_win_over_the_environment),
     WL_TEST (all_findings_are_reported_at_once),
+    WL_TEST (a_check_ends_without_running),
     WL_TEST (a_data_folder_belongs_to_control_replicas_only),
   };
   return wl_test_run ("options", tests, sizeof tests / sizeof tests[0]);
--- a/daemon/wl_options.c
+++ b/daemon/wl_options.c
@@ -30,8 +30,11 @@
   OPTION_TLS_CERTIFICATE,
   OPTION_TLS_KEY,
   OPTIONS,
+  TABLE_SIZE = OPTIONS + 4, /* with help, version, check and the end */
 } OptionId;
 
+#define CHECK_FLAG "check-settings"
+
 typedef struct
 {
   const char *flag;
@@ -65,8 +68,9 @@
   struct arg_str *strings[OPTIONS];
   struct arg_lit *help;
   struct arg_lit *version;
+  struct arg_lit *check;
   struct arg_end *end;
-  void *table[OPTIONS + 3];
+  void *table[TABLE_SIZE];
   uint32_t errors;
 } Reader;
 
@@ -251,10 +255,21 @@
     }
   r->help = arg_lit0 (NULL, "help", "print this text");
   r->version = arg_lit0 (NULL, "version", "print the version");
+  r->check = arg_lit0 (NULL, CHECK_FLAG, "check the settings and exit");
   r->end = arg_end (MAX_ERRORS);
   r->table[OPTIONS] = r->help;
   r->table[OPTIONS + 1] = r->version;
-  r->table[OPTIONS + 2] = r->end;
+  r->table[OPTIONS + 2] = r->check;
+  r->table[OPTIONS + 3] = r->end;
+}
+
+int
+wl_options_is_check (int argc, char **argv)
+{
+  for (int i = 1; i < argc; i++)
+    if (strcmp (argv[i], "--" CHECK_FLAG) == 0)
+      return 1;
+  return 0;
 }
 
 WlOptionsResult
@@ -284,7 +299,12 @@
       read_all (&r, out);
       if (errors > 0 || r.errors > 0)
         result = WL_OPTIONS_INVALID;
+      else if (r.check->count > 0)
+        {
+          printf ("the settings are valid\n");
+          result = WL_OPTIONS_EXIT;
+        }
     }
-  arg_freetable (r.table, OPTIONS + 3);
+  arg_freetable (r.table, TABLE_SIZE);
   return result;
 }
--- a/daemon/wl_options.h
+++ b/daemon/wl_options.h
@@ -43,7 +43,7 @@
 /**
  * enum WlOptionsResult - what to do after reading the settings
  * @WL_OPTIONS_RUN: run with them
- * @WL_OPTIONS_EXIT: help or version was printed
+ * @WL_OPTIONS_EXIT: help, version or the result of a check was printed
  * @WL_OPTIONS_INVALID: all findings were printed to standard error
  */
 typedef enum
@@ -53,6 +53,9 @@
   WL_OPTIONS_INVALID,
 } WlOptionsResult;
 
+/** wl_options_is_check() - whether the settings are only to be checked */
+int wl_options_is_check (int argc, char **argv);
+
 /**
  * wl_options_read() - reads flags and environment variables
  * @argc: number of arguments
--- a/relay/tests/test_choice.c
+++ b/relay/tests/test_choice.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <apr_general.h>
 #include "wl_choice.h"
+#include "wl_sample_engine.h"
 #include "wl_test.h"
 
 /* Placement, by load pattern. Each test builds the load that it names. */
@@ -18,23 +19,6 @@
 
 static const uint64_t now_us = 50000000;
 
-static const WlRouteService engines = {
-  .name = "llm",
-  .has_engine = 1,
-  .engine = { .step_us = 1020,
-              .per_sequence_us = 2.26,
-              .context_us_per_k = 4.31,
-              .read_us_per_k = 1e6 / 206.0,
-              .pairs_us_per_m = 138,
-              .chunk = 2048,
-              .stride = 43,
-              .slots = 16,
-              .memory = 232000,
-              .usual_output = 1303 },
-};
-
-static const WlRouteService plain = { .name = "app" };
-
 typedef struct
 {
   WlFleet *fleet;
@@ -91,7 +75,7 @@
 static WlChoiceRequest
 short_request (void)
 {
-  return (WlChoiceRequest){ .service = &engines,
+  return (WlChoiceRequest){ .service = &wl_sample_engines,
                             .zone = "z0",
                             .prompt = SHORT_PROMPT,
                             .output = SHORT_OUTPUT,
@@ -103,7 +87,7 @@
 static WlChoiceRequest
 long_request (uint32_t prompt)
 {
-  return (WlChoiceRequest){ .service = &engines,
+  return (WlChoiceRequest){ .service = &wl_sample_engines,
                             .zone = "z0",
                             .prompt = prompt,
                             .output = LONG_OUTPUT,
@@ -218,11 +202,11 @@
   ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
   for (uint32_t i = 0; i < c.n_helpers; i++)
     {
-      ck_assert_uint_le (c.tickets[i], engines.engine.memory);
+      ck_assert_uint_le (c.tickets[i], wl_sample_engines.engine.memory);
       memory += c.tickets[i];
     }
   ck_assert_uint_ge (memory, OVERSIZED_PROMPT + LONG_OUTPUT);
-  ck_assert_uint_lt (c.memory, engines.engine.memory);
+  ck_assert_uint_lt (c.memory, wl_sample_engines.engine.memory);
   destroy (&f);
 }
 END_TEST
@@ -270,8 +254,9 @@
 START_TEST (plain_requests_spread_over_slots_and_stay_near)
 {
   Fixture f = create ();
-  WlChoiceRequest q
-      = { .service = &plain, .zone = "z1", .objective_us = 300000, .deadline_us = 2000000 };
+  WlChoiceRequest q = {
+    .service = &wl_sample_plain, .zone = "z1", .objective_us = 300000, .deadline_us = 2000000
+  };
   WlChoice c = place (&f, &q);
   ck_assert_str_eq (c.endpoint->record.zone, "z1");
   uint32_t n[3] = { 1, 0, 0 };
@@ -294,8 +279,9 @@
 START_TEST (a_failing_endpoint_gets_less_work)
 {
   Fixture f = create ();
-  WlChoiceRequest q
-      = { .service = &plain, .zone = "z0", .objective_us = 300000, .deadline_us = 2000000 };
+  WlChoiceRequest q = {
+    .service = &wl_sample_plain, .zone = "z0", .objective_us = 300000, .deadline_us = 2000000
+  };
   WlEndpoint *near = &f.fleet->endpoints[ENGINES];
   wl_fleet_note_failure (near, WL_FAILURE_LOST, now_us - 5000000);
   wl_fleet_note_failure (near, WL_FAILURE_LOST, now_us - 4000000);
--- a/relay/tests/test_forecast.c
+++ b/relay/tests/test_forecast.c
@@ -1,26 +1,13 @@
-#include "wl_forecast.h"
+#include "wl_sample_engine.h"
 #include "wl_test.h"
 
 /* The engines' formula: 206,000 tokens a second, 0.138 ms for a million pairs. */
 
-static const WlEngineModel model = {
-  .step_us = 1020,
-  .per_sequence_us = 2.26,
-  .context_us_per_k = 4.31,
-  .read_us_per_k = 1e6 / 206.0,
-  .pairs_us_per_m = 138,
-  .chunk = 2048,
-  .stride = 43,
-  .slots = 16,
-  .memory = 232000,
-  .usual_output = 1303,
-};
-
 START_TEST (reading_takes_its_tokens_and_their_pairs)
 {
-  ck_assert_uint_eq (wl_forecast_read_us (&model, 0), 0);
+  ck_assert_uint_eq (wl_forecast_read_us (&wl_sample_engines.engine, 0), 0);
   /* 133,000 tokens: 645.6 ms and 8,844.5 million pairs at 0.138 ms. */
-  uint64_t us = wl_forecast_read_us (&model, 133000);
+  uint64_t us = wl_forecast_read_us (&wl_sample_engines.engine, 133000);
   ck_assert_uint_ge (us, 1860000);
   ck_assert_uint_le (us, 1872000);
 }
@@ -28,21 +15,23 @@
 
 START_TEST (a_pass_reads_no_more_tokens_than_its_steps_allow)
 {
-  uint64_t steps_us = wl_forecast_pass_us (&model, 4, 20000, 0, 0);
-  ck_assert_uint_eq (steps_us, wl_forecast_step_us (&model, 4, 20000) * 43);
+  uint64_t steps_us = wl_forecast_pass_us (&wl_sample_engines.engine, 4, 20000, 0, 0);
+  ck_assert_uint_eq (steps_us, wl_forecast_step_us (&wl_sample_engines.engine, 4, 20000) * 43);
   uint64_t capacity = 2048 * 43;
-  ck_assert_uint_eq (wl_forecast_pass_us (&model, 4, 20000, capacity, 500000), steps_us + 500000);
-  ck_assert_uint_eq (wl_forecast_pass_us (&model, 4, 20000, 2 * capacity, 1000000),
+  ck_assert_uint_eq (wl_forecast_pass_us (&wl_sample_engines.engine, 4, 20000, capacity, 500000),
                      steps_us + 500000);
+  ck_assert_uint_eq (
+      wl_forecast_pass_us (&wl_sample_engines.engine, 4, 20000, 2 * capacity, 1000000),
+      steps_us + 500000);
 }
 END_TEST
 
 START_TEST (beside_writers_the_first_token_waits_for_passes)
 {
-  uint64_t alone_us = wl_forecast_first_us (&model, 0, 0, 5000, 26000);
-  uint64_t beside_us = wl_forecast_first_us (&model, 8, 50000, 5000, 26000);
-  uint64_t pass_us = wl_forecast_step_us (&model, 9, 50000) * 43;
-  ck_assert_uint_eq (alone_us, 26000 + wl_forecast_step_us (&model, 1, 0));
+  uint64_t alone_us = wl_forecast_first_us (&wl_sample_engines.engine, 0, 0, 5000, 26000);
+  uint64_t beside_us = wl_forecast_first_us (&wl_sample_engines.engine, 8, 50000, 5000, 26000);
+  uint64_t pass_us = wl_forecast_step_us (&wl_sample_engines.engine, 9, 50000) * 43;
+  ck_assert_uint_eq (alone_us, 26000 + wl_forecast_step_us (&wl_sample_engines.engine, 1, 0));
   ck_assert_uint_eq (beside_us, 26000 + pass_us + pass_us / 2);
 }
 END_TEST
--- a/relay/wl_relay.c
+++ b/relay/wl_relay.c
@@ -5,6 +5,7 @@
 #include "wl_clock.h"
 #include "wl_events.h"
 #include "wl_log.h"
+#include "wl_random.h"
 #include "wl_relay_internal.h"
 
 enum
@@ -21,16 +22,6 @@
   PLAIN_HINT_US = 100000,       /* return time of plain requests that found every endpoint full */
 };
 
-uint64_t
-wl_relay_random (WlRelay *relay)
-{
-  /* splitmix64, S. Vigna */
-  uint64_t z = (relay->random += 0x9e3779b97f4a7c15ULL);
-  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-  return z ^ (z >> 31);
-}
-
 WlRelay *
 wl_relay_create (const WlRelayOptions *options)
 {
@@ -157,14 +148,14 @@
       wl_relay_fail (r, 502, reason);
       return;
     }
-  wait_us += wl_relay_random (relay) % JITTER_US;
+  wait_us += wl_random_next (&relay->random) % JITTER_US;
   relay->metrics.refused[reason]++;
   wl_log_eventf (WL4008_REQUEST_REFUSED,
                  "request=%s route=%s reason=%s held_ms=%" PRIu64 " retry_after_ms=%" PRIu64
-                 " attempts=%u config=%" PRIu64,
+                 " attempts=%u prompt=%u deadline_ms=%" PRIu64 " config=%" PRIu64,
                  r->info.id != NULL ? r->info.id : "-", r->route->name, wl_reason_name (reason),
                  (wl_clock_now_us () - r->arrived_us) / 1000, wait_us / 1000, r->attempts,
-                 r->routes->number);
+                 r->wanted.prompt, r->wanted.deadline_us / 1000, r->routes->number);
   WlWebRequest *web = r->web;
   free_request (r);
   reply_with_wait (web, wait_us);
@@ -261,7 +252,7 @@
   };
   wl_choice_set_times (&r->wanted, r->route, &times, now_us);
   return wl_choice_make (relay->options.fleet, relay->options.load, &r->wanted, now_us,
-                         wl_relay_random (relay));
+                         wl_random_next (&relay->random));
 }
 
 void
@@ -350,7 +341,7 @@
     left_us = r->info.left_us;
   r->arrived_us = now_us;
   r->limit_us = now_us + left_us;
-  r->service = &r->routes->services[wl_routes_pick (r->route, wl_relay_random (relay))];
+  r->service = &r->routes->services[wl_routes_pick (r->route, wl_random_next (&relay->random))];
   r->wanted = (WlChoiceRequest){
     .service = r->service,
     .zone = relay->options.zone,
--- a/relay/wl_relay_internal.h
+++ b/relay/wl_relay_internal.h
@@ -127,9 +127,6 @@
   WlReservations *reservations;
 };
 
-/** wl_relay_random() - next random number of a relay */
-uint64_t wl_relay_random (WlRelay *relay);
-
 /** wl_relay_choose() - chooses endpoints as things stand now */
 WlChoice wl_relay_choose (WlRelayRequest *r, uint64_t now_us);
 
--- a/runtime/tests/test_peers.c
+++ b/runtime/tests/test_peers.c
@@ -180,7 +180,7 @@
   for (int i = 0; i < FILLERS; i++)
     {
       fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect (fillers[i], (struct sockaddr *)&addr, sizeof addr);
+      (void)connect (fillers[i], (struct sockaddr *)&addr, sizeof addr); /* some stay pending */
     }
   x.peer_port = ntohs (addr.sin_port);
   wl_peers_send (a, 2, hello, now_us);
--- a/services/tests/test_services.c
+++ b/services/tests/test_services.c
@@ -69,6 +69,26 @@
 }
 END_TEST
 
+/* The work stops at the first level too many: a text of any depth costs the same. */
+START_TEST (deep_nesting_is_refused_at_its_place)
+{
+  enum
+  {
+    LEVELS = 100000,
+  };
+  static char text[LEVELS * 2 + 32];
+  uint32_t line = 0;
+  char *p = stpcpy (text, "services:\n  ");
+  memset (p, '[', LEVELS);
+  ck_assert_uint_eq (codes (text, "WL-DEPTH", &line), 1);
+  ck_assert_uint_eq (line, 2);
+  for (int i = 0; i < LEVELS; i++)
+    memcpy (p + 2 * (size_t)i, "- ", 2);
+  ck_assert_uint_eq (codes (text, "WL-DEPTH", &line), 1);
+  ck_assert_uint_eq (codes ("services: [[[[1]]]]", "WL-DEPTH", NULL), 0);
+}
+END_TEST
+
 START_TEST (survives_every_truncation_and_byte_change)
 {
   const char *text = "services:\n  - name: llm\n    " MODEL CUSTOMER;
@@ -93,6 +113,7 @@
   tcase_add_test (t, accepts_a_minimal_text);
   tcase_add_test (t, reports_all_findings_with_places);
   tcase_add_test (t, reports_syntax_cycles_and_ranges);
+  tcase_add_test (t, deep_nesting_is_refused_at_its_place);
   tcase_add_test (t, survives_every_truncation_and_byte_change);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
--- a/services/wl_services.c
+++ b/services/wl_services.c
@@ -6,6 +6,7 @@
 #include <yaml.h>
 #include "wl_services.h"
 #include "wl_services_check.h"
+#include "wl_yaml_depth.h"
 
 enum
 {
@@ -428,7 +429,9 @@
       return WL_ERROR_INVALID;
     }
   yaml_parser_set_input_string (&yaml, (const unsigned char *)text, size);
-  if (yaml_parser_load (&yaml, &document))
+  if (!wl_yaml_is_flat (text, size, "WL-DEPTH", findings))
+    ; /* reported */
+  else if (yaml_parser_load (&yaml, &document))
     {
       Parser p = { &document, findings };
       read_document (&p, s);
--- a/testkit/bench_relay_main.c
+++ b/testkit/bench_relay_main.c
@@ -4,6 +4,7 @@
 #include <apr_general.h>
 #include "wl_choice.h"
 #include "wl_roster.h"
+#include "wl_sample_engine.h"
 
 /*
  * Benchmarks of the forwarding nodes' decisions: time of a choice by number of
@@ -27,21 +28,6 @@
   return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
 }
 
-static const WlRouteService engines = {
-  .name = "llm",
-  .has_engine = 1,
-  .engine = { .step_us = 1020,
-              .per_sequence_us = 2.26,
-              .context_us_per_k = 4.31,
-              .read_us_per_k = 1e6 / 206.0,
-              .pairs_us_per_m = 138,
-              .chunk = 2048,
-              .stride = 43,
-              .slots = 16,
-              .memory = 232000,
-              .usual_output = 1303 },
-};
-
 static WlEndpointRecord
 make_record (uint32_t i)
 {
@@ -71,7 +57,7 @@
           wl_load_note (load, 1, 1, &note, now_us);
         }
     }
-  WlChoiceRequest q = { .service = &engines,
+  WlChoiceRequest q = { .service = &wl_sample_engines,
                         .zone = "attiki-a",
                         .prompt = prompt,
                         .output = 700,
--- a/testkit/wl_replay.c
+++ b/testkit/wl_replay.c
@@ -740,11 +740,18 @@
     }
 }
 
+/* A long request, for sorting by size. */
+typedef struct
+{
+  uint32_t prompt;
+  uint32_t index;
+} Sized;
+
 static int
 by_prompt (const void *a, const void *b)
 {
-  uint32_t x = (*(const Caller *const *)a)->prompt;
-  uint32_t y = (*(const Caller *const *)b)->prompt;
+  uint32_t x = ((const Sized *)a)->prompt;
+  uint32_t y = ((const Sized *)b)->prompt;
   return x < y ? -1 : x > y ? 1 : 0;
 }
 
@@ -787,7 +794,7 @@
 sum_up (Replay *r)
 {
   WlReplayResult *out = &r->result;
-  const Caller **longs = calloc (r->n_callers + 1, sizeof *longs);
+  Sized *longs = calloc (r->n_callers + 1, sizeof *longs);
   uint32_t n_longs = 0;
   if (longs == NULL)
     abort ();
@@ -795,11 +802,11 @@
     {
       count (&out->kinds[r->callers[i].kind], &r->callers[i]);
       if (r->callers[i].kind == WL_REPLAY_KINDS - 1)
-        longs[n_longs++] = &r->callers[i];
+        longs[n_longs++] = (Sized){ r->callers[i].prompt, i };
     }
   qsort (longs, n_longs, sizeof *longs, by_prompt);
   for (uint32_t i = 0; i < n_longs; i++)
-    count (&out->tenths[i * WL_REPLAY_TENTHS / n_longs], longs[i]);
+    count (&out->tenths[i * WL_REPLAY_TENTHS / n_longs], &r->callers[longs[i].index]);
   if (r->n_ratios > 0)
     {
       qsort (r->ratios, r->n_ratios, sizeof *r->ratios, by_value);
