--- a/services/tests/test_services.c
+++ b/services/tests/test_services.c
@@ -83,7 +83,10 @@
   ck_assert_uint_eq (codes (text, "WL-DEPTH", &line), 1);
   ck_assert_uint_eq (line, 2);
   for (int i = 0; i < LEVELS; i++)
-    memcpy (p + 2 * (size_t)i, "- ", 2);
+    {
+      p[2 * i] = '-';
+      p[2 * i + 1] = ' ';
+    }
   ck_assert_uint_eq (codes (text, "WL-DEPTH", &line), 1);
   ck_assert_uint_eq (codes ("services: [[[[1]]]]", "WL-DEPTH", NULL), 0);
 }
