--- a/relay/tests/test_relay.c
+++ b/relay/tests/test_relay.c
@@ -83,6 +83,12 @@
   out->id = wl_http_head_field (head, "X-Id");
   out->is_not_run = wl_http_head_field (head, "X-Not-Run") != NULL;
   out->is_sealed = wl_http_head_field (head, "X-Seal") != NULL;
+  const char *port = wl_http_head_field (head, "X-Fault");
+  if (port != NULL)
+    {
+      out->fault_address = htonl (INADDR_LOOPBACK);
+      out->fault_port = (uint16_t)strtoul (port, NULL, 10);
+    }
 }
 
 static void
@@ -338,6 +344,70 @@
 }
 END_TEST
 
+/* Puts work on an endpoint, so that another one is chosen. */
+static void
+occupy (Fixture *f, const char *id)
+{
+  WlWorkNote note = { .work = 1, .endpoint = wl_fleet_key (id), .phase = WL_WORK_SENT };
+  wl_load_note (f->load, 2, 1, &note, wl_clock_now_us ());
+}
+
+/*
+ * An engine rejects a request because another one that was to help it does
+ * not answer: the other one is left out of the next attempt, and gets no work
+ * for a while when it had time enough to answer.
+ */
+static void
+reject_for_another (Fixture *f, uint64_t held_us)
+{
+  char answer[160];
+  snprintf (answer, sizeof answer,
+            "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Not-Run: 1\r\nX-Fault: %u\r\n"
+            "Content-Length: 0\r\n\r\n",
+            f->endpoints[1].port);
+  script_server_add (&f->endpoints[0], answer, SCRIPT_KEEP);
+  script_server_add (&f->endpoints[1], whole, SCRIPT_KEEP);
+  register_endpoint (f, 0, f->endpoints[0].port);
+  register_endpoint (f, 1, f->endpoints[1].port);
+  occupy (f, "e1");
+  uint64_t now_us = wl_clock_now_us ();
+  wl_clock_set (now_us);
+  raw_client_send (&f->caller, safe_request);
+  for (int i = 0; i < 50 && f->endpoints[0].n_requests == 0; i++)
+    wl_reactor_poll (f->reactor, 1000);
+  wl_clock_set (now_us + held_us);
+  for (int i = 0; i < 20; i++)
+    {
+      raw_client_receive (&f->caller);
+      wl_reactor_poll (f->reactor, 1000);
+      wl_tcp_flush (f->loop);
+    }
+  ck_assert_uint_eq (f->endpoints[0].n_requests, 1);
+  ck_assert_uint_eq (f->endpoints[1].n_requests, 0);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+}
+
+START_TEST (an_endpoint_named_in_a_rejection_is_left_out_of_the_next_attempt)
+{
+  Fixture *f = create ();
+  reject_for_another (f, 0);
+  ck_assert_int_eq (wl_fleet_is_usable (wl_fleet_find (f->fleet, "e1"), wl_clock_now_us ()), 1);
+  wl_clock_set (0);
+  destroy (f);
+}
+END_TEST
+
+START_TEST (an_endpoint_that_stalled_others_gets_no_work_for_a_while)
+{
+  Fixture *f = create ();
+  reject_for_another (f, 1500000);
+  ck_assert_int_eq (wl_fleet_is_usable (wl_fleet_find (f->fleet, "e1"), wl_clock_now_us ()), 0);
+  ck_assert_int_eq (wl_fleet_is_usable (wl_fleet_find (f->fleet, "e0"), wl_clock_now_us ()), 1);
+  wl_clock_set (0);
+  destroy (f);
+}
+END_TEST
+
 START_TEST (an_endpoint_that_refuses_connections_costs_no_attempt)
 {
   Fixture *f = create ();
@@ -501,6 +571,8 @@
     WL_TEST (what_may_run_again_is_sent_once_more),
     WL_TEST (an_error_is_passed_on_when_no_other_endpoint_is_left),
     WL_TEST (a_rejection_is_told_with_a_time_to_return),
+    WL_TEST (an_endpoint_named_in_a_rejection_is_left_out_of_the_next_attempt),
+    WL_TEST (an_endpoint_that_stalled_others_gets_no_work_for_a_while),
     WL_TEST (an_endpoint_that_refuses_connections_costs_no_attempt),
     WL_TEST (a_broken_stream_goes_on_after_its_last_whole_event),
     WL_TEST (a_silent_endpoint_is_left_only_for_another_one),
--- a/relay/wl_fleet.c
+++ b/relay/wl_fleet.c
@@ -50,6 +50,18 @@
   return e != NULL && strcmp (e->record.id, id) == 0 ? e : NULL;
 }
 
+WlEndpoint *
+wl_fleet_find_address (WlFleet *fleet, uint32_t address, uint32_t port)
+{
+  for (uint32_t i = 0; i < fleet->n_endpoints; i++)
+    {
+      const WlEndpointRecord *r = &fleet->endpoints[i].record;
+      if (r->address == address && r->port == port && !r->is_gone)
+        return &fleet->endpoints[i];
+    }
+  return NULL;
+}
+
 /* Of several endpoints at one address only the one that started last is there. */
 static void
 settle_address (WlFleet *fleet, WlEndpointRecord *record)
--- a/relay/wl_fleet.h
+++ b/relay/wl_fleet.h
@@ -90,6 +90,9 @@
 /** wl_fleet_find_key() - endpoint by key, NULL when unknown */
 WlEndpoint *wl_fleet_find_key (WlFleet *fleet, uint64_t key);
 
+/** wl_fleet_find_address() - endpoint at an address that was not replaced, NULL when unknown */
+WlEndpoint *wl_fleet_find_address (WlFleet *fleet, uint32_t address, uint32_t port);
+
 /** wl_fleet_is_usable() - whether an endpoint may get work now */
 int wl_fleet_is_usable (const WlEndpoint *endpoint, uint64_t now_us);
 
--- a/relay/wl_relay.h
+++ b/relay/wl_relay.h
@@ -43,12 +43,17 @@
  * @id: id of the attempt that it answers, NULL when missing
  * @is_not_run: the endpoint states that it did not run the request
  * @is_sealed: the answer carries the endpoint's seal
+ * @fault_address: IPv4 number, network byte order, of the endpoint that is the
+ *   cause of a rejection, which may be one that was to help; 0 when not named
+ * @fault_port: its port
  */
 typedef struct
 {
   const char *id;
   uint8_t is_not_run;
   uint8_t is_sealed;
+  uint32_t fault_address;
+  uint16_t fault_port;
 } WlRelayAnswerInfo;
 
 /** struct WlRelayHelper - an engine that reads a part of a prompt */
--- a/relay/wl_relay_answer.c
+++ b/relay/wl_relay_answer.c
@@ -14,6 +14,7 @@
   REJECTED_WAIT_US = 100000,    /* return time after endpoints were full: about one slot's turn */
   UNREACHABLE_WAIT_US = 200000, /* return time after endpoints could not be connected to */
   SILENCE_RETRY_US = 100000,    /* next look for an endpoint in place of a silent one */
+  STALL_US = 1000000,           /* a helper named after so long did not answer the first engine */
   MEMORY_RETRY_US = 100000,     /* next try after an engine had less free memory than thought */
 };
 
@@ -185,10 +186,10 @@
 }
 
 static void
-exclude_target (WlRelayRequest *r)
+exclude (WlRelayRequest *r, uint64_t key)
 {
   if (r->wanted.n_excluded < sizeof r->wanted.excluded / sizeof *r->wanted.excluded)
-    r->wanted.excluded[r->wanted.n_excluded++] = r->target.key;
+    r->wanted.excluded[r->wanted.n_excluded++] = key;
 }
 
 static void
@@ -197,7 +198,7 @@
   WlRelay *relay = r->relay;
   WlRelayForward forward;
   WlBuffer head = { 0 };
-  exclude_target (r);
+  exclude (r, r->target.key);
   fill_forward (r, now_us, &forward);
   write_request_head (r, &forward, &head);
   WlFetchRequest request = {
@@ -280,13 +281,12 @@
 }
 
 static void
-blame_endpoint (WlRelayRequest *r, WlFailure failure, WlReason reason, uint64_t now_us)
+blame (WlRelayRequest *r, WlEndpoint *e, WlFailure failure, WlReason reason, uint64_t now_us)
 {
-  WlEndpoint *e = current_endpoint (r);
   if (e == NULL || !wl_fleet_note_failure (e, failure, now_us))
     return;
   wl_log_eventf (WL3004_ENDPOINT_EJECTED, "endpoint=%s reason=%s failures=%u until_ms=%" PRIu64,
-                 r->target.id, wl_reason_name (reason), e->failures,
+                 e->record.id, wl_reason_name (reason), e->failures,
                  (e->ejected_until_us - now_us) / 1000);
   if (r->relay->options.suspect != NULL)
     r->relay->options.suspect (r->relay->options.data, e);
@@ -369,20 +369,42 @@
 {
   r->retry_us = now_us + SILENCE_RETRY_US;
   if (!r->is_blamed)
-    blame_endpoint (r, WL_FAILURE_LOST, WL_REASON_SILENT, now_us);
+    blame (r, current_endpoint (r), WL_FAILURE_LOST, WL_REASON_SILENT, now_us);
   r->is_blamed = 1;
   replace_attempt (r, WL_REASON_SILENT, now_us);
 }
 
+/* The endpoint that a rejection is due to, NULL when it is not clear which. */
+static WlEndpoint *
+culprit_of (const WlRelayRequest *r)
+{
+  if (r->answer.fault_port != 0)
+    return wl_fleet_find_address (r->relay->options.fleet, r->answer.fault_address,
+                                  r->answer.fault_port);
+  return r->choice.n_helpers == 0 ? current_endpoint (r) : NULL;
+}
+
 static void
-after_rejection (WlRelayRequest *r, uint64_t now_us)
+note_culprit (WlRelayRequest *r, uint64_t now_us)
 {
-  WlEndpoint *e = current_endpoint (r);
-  if (r->status == 421 && e != NULL && r->choice.n_helpers == 0)
+  WlEndpoint *e = culprit_of (r);
+  if (e == NULL)
+    return;
+  if (e->key != r->target.key)
+    exclude (r, e->key);
+  if (r->status == 421)
     {
       wl_fleet_note_replaced (e);
-      wl_log_eventf (WL3003_ENDPOINT_EXPIRED, "endpoint=%s reason=replaced", r->target.id);
+      wl_log_eventf (WL3003_ENDPOINT_EXPIRED, "endpoint=%s reason=replaced", e->record.id);
     }
+  else if (e->key != r->target.key && now_us > r->sent_us + STALL_US)
+    blame (r, e, WL_FAILURE_REFUSED, WL_REASON_SILENT, now_us);
+}
+
+static void
+after_rejection (WlRelayRequest *r, uint64_t now_us)
+{
+  note_culprit (r, now_us);
   wl_relay_leave_endpoint (r);
   if (wl_relay_may_repeat (r, now_us))
     go_on_elsewhere (r, WL_REASON_REJECTED, now_us);
@@ -397,8 +419,8 @@
 {
   /* A refusal comes at once; a lost packet alone is no evidence of a dead endpoint. */
   int is_refused = now_us < r->sent_us + WL_FETCH_CONNECT_US / 2;
-  blame_endpoint (r, is_refused ? WL_FAILURE_REFUSED : WL_FAILURE_LOST, WL_REASON_UNREACHABLE,
-                  now_us);
+  blame (r, current_endpoint (r), is_refused ? WL_FAILURE_REFUSED : WL_FAILURE_LOST,
+         WL_REASON_UNREACHABLE, now_us);
   wl_relay_leave_endpoint (r);
   r->connects++;
   r->attempts--;
@@ -533,13 +555,13 @@
   r->may_have_run = 1;
   if (!r->answer.is_sealed)
     {
-      blame_endpoint (r, WL_FAILURE_LOST, WL_REASON_NO_SEAL, now_us);
+      blame (r, current_endpoint (r), WL_FAILURE_LOST, WL_REASON_NO_SEAL, now_us);
       after_failure (r, WL_REASON_NO_SEAL, now_us);
       return;
     }
   if (r->status >= 500)
     {
-      blame_endpoint (r, WL_FAILURE_ERROR, WL_REASON_ERROR, now_us);
+      blame (r, current_endpoint (r), WL_FAILURE_ERROR, WL_REASON_ERROR, now_us);
       if (replace_attempt (r, WL_REASON_ERROR, now_us))
         return;
       if (r->phase == WL_RELAY_ANSWERING)
@@ -568,7 +590,7 @@
       after_not_sent (r, now_us);
       break;
     case WL_FETCH_BROKEN:
-      blame_endpoint (r, WL_FAILURE_LOST, WL_REASON_BROKEN, now_us);
+      blame (r, current_endpoint (r), WL_FAILURE_LOST, WL_REASON_BROKEN, now_us);
       after_failure (r, WL_REASON_BROKEN, now_us);
       break;
     }
