--- a/models/agreement.pml
+++ b/models/agreement.pml
@@ -21,6 +21,9 @@
 #ifndef WIPES
 #define WIPES 0
 #endif
+#ifndef READS
+#define READS 0
+#endif
 #define NONE 3
 
 #define IS_MAJORITY(set) ((set) == 3 || (set) >= 5)
@@ -46,6 +49,15 @@
 byte committed_term0;
 byte committed_term1;
 
+#if READS
+/* One read at a time, of the text that was committed when it came. */
+byte read_by;           /* leader that was asked, plus 1 */
+byte read_term;         /* its term then */
+byte read_len;          /* entries that operators had been told of */
+byte read_acks;         /* replicas that confirmed the leader since, as bits */
+byte known_len[3];      /* entries that a leader knows to be committed in its term */
+#endif
+
 byte elected[5];        /* leader of each term, plus 1 */
 byte crashes;
 byte wipes;
@@ -111,6 +123,9 @@
     assert (elected[term[i]] == 0 || elected[term[i]] == i + 1);
     elected[term[i]] = i + 1;
     role[i] = 2;
+#if READS
+    known_len[i] = 0;
+#endif
     acks[i] = 1 << i
 }
 
@@ -139,6 +154,14 @@
     log_term0[i] = log_term0[j];
     log_term1[i] = log_term1[j];
     acks[j] = acks[j] | (1 << i)
+#if READS
+    ;
+    known_len[i] = 0;
+    if
+    :: read_by == j + 1 && read_term == term[j] -> read_acks = read_acks | (1 << i)
+    :: else
+    fi
+#endif
 #if WIPES > 0
     ;
     group_acks[j] = group_acks[j] | (1 << i)
@@ -158,8 +181,43 @@
          committed_term1 = log_term1[i]
     :: else
     fi
+#if READS
+    ;
+    known_len[i] = log_len[i]
+#endif
 }
 
+#if READS
+inline ask_read ()
+{
+  role[i] == 2 && read_by == 0 ->
+    read_by = i + 1;
+    read_term = term[i];
+    read_len = committed_len;
+#ifdef MUTANT_READ_UNCONFIRMED
+    read_acks = 7
+#else
+    read_acks = 1 << i
+#endif
+}
+
+/* Only a leader that has committed an entry of its own term knows what is committed. */
+inline answer_read ()
+{
+  role[i] == 2 && read_by == i + 1 && read_term == term[i] && IS_MAJORITY (read_acks) &&
+#ifdef MUTANT_READ_BEFORE_OWN_ENTRY
+  true ->
+#else
+  known_len[i] > 0 ->
+#endif
+    assert (known_len[i] >= read_len);
+    read_by = 0;
+    read_term = 0;
+    read_len = 0;
+    read_acks = 0
+}
+#endif
+
 inline restart ()
 {
   crashes < CRASHES ->
@@ -228,6 +286,10 @@
             :: become_leader ()
             :: propose ()
             :: advance_commit ()
+#if READS
+            :: ask_read ()
+            :: answer_read ()
+#endif
             :: restart ()
             :: lose_disk ()
             :: skip
--- a/models/check.sh
+++ b/models/check.sh
@@ -45,6 +45,13 @@
 start fail mutant-vote-without-sync agreement "$safety" -E -DCRASHES=1 -DMAX_TERM=2 -DMUTANT_VOTE_UNSYNCED
 start fail mutant-vote-with-empty-disk agreement "$safety" -E -DCRASHES=0 -DWIPES=1 -DMAX_TERM=3 -DMUTANT_VOTE_EMPTY
 start fail mutant-commit-of-older-term agreement "$safety" -E -DCRASHES=0 -DMAX_TERM=4 -DMUTANT_COMMIT_OLD_TERM
+start hold agreement-reads agreement "$safety" -E -DCRASHES=0 -DWIPES=0 -DMAX_TERM=3 -DREADS=1
+start fail mutant-read-unconfirmed agreement "$safety" -E -DCRASHES=0 -DMAX_TERM=3 -DREADS=1 -DMUTANT_READ_UNCONFIRMED
+start fail mutant-read-before-own-entry agreement "$safety" -E -DCRASHES=0 -DMAX_TERM=3 -DREADS=1 -DMUTANT_READ_BEFORE_OWN_ENTRY
+start hold founding founding "$safety" -E
+start fail mutant-any-disk-founds founding "$safety" -E -DMUTANT_ANY_DISK_FOUNDS
+start fail mutant-lowest-heard-founds founding "$safety" -E -DMUTANT_LOWEST_HEARD
+start fail mutant-one-voter-acknowledges founding "$safety" -E -DMUTANT_ONE_VOTER_ACKNOWLEDGES
 start hold leases leases "$safety" -E
 start hold leases-late-answer leases "$safety" -E -DLATE
 start hold fencing leases "$safety" -E -DORDERS
