Memory reserved for a dead engine is given back within 4 s

Cause: the engine that answers an oversized prompt went dark; its connection stays open, the relay waited for another engine that takes the request without reservations, and went on renewing those it held, 6 s in all. Ruled out: late orders (none was unanswered), lost releases. A request that holds memory leaves an engine after 1.5 s of silence and two missed registrations. What follows failed attempts has a file of its own, wl_relay_retry.c.

--- a/relay/tests/test_relay.c
+++ b/relay/tests/test_relay.c
@@ -7,6 +7,7 @@
 #include "wl_clock.h"
 #include "wl_raw_client.h"
 #include "wl_relay.h"
+#include "wl_sample_engine.h"
 #include "wl_script_server.h"
 #include "wl_test.h"
 
@@ -15,6 +16,7 @@
 enum
 {
   ENDPOINTS = 3,
+  ENGINE_MEMORY = 40000, /* tokens, of each endpoint on the route of large prompts */
 };
 
 typedef struct
@@ -42,6 +44,8 @@
   out->id = wl_http_head_field (head, "X-Id");
   out->key = wl_http_head_field (head, "X-Key");
   out->left_us = left_ms != NULL ? strtoull (left_ms, NULL, 10) * 1000 : 0;
+  const char *prompt = wl_http_head_field (head, "X-Prompt");
+  out->prompt = prompt != NULL ? (uint32_t)strtoul (prompt, NULL, 10) : 0;
 }
 
 static int
@@ -94,9 +98,9 @@
 static void
 write_order (const WlReservationOrder *order, WlBuffer *head, WlBuffer *body)
 {
-  (void)order;
-  (void)head;
   (void)body;
+  append (head, order->kind == WL_ORDER_RESERVE ? "POST /reserve" : "POST /release");
+  append (head, " HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
 }
 
 static void
@@ -114,16 +118,18 @@
 {
   WlRoutes *r = wl_routes_create ();
   const WlRoute *duplicate;
-  r->services = apr_pcalloc (r->pool, sizeof *r->services);
+  r->services = apr_pcalloc (r->pool, 2 * sizeof *r->services);
   r->services[0].name = "s";
-  r->n_services = 1;
-  r->routes = apr_pcalloc (r->pool, 3 * sizeof *r->routes);
-  r->n_routes = 3;
-  for (uint32_t i = 0; i < 3; i++)
+  r->services[1] = wl_sample_engines;
+  r->services[1].engine.memory = ENGINE_MEMORY;
+  r->n_services = 2;
+  r->routes = apr_pcalloc (r->pool, 4 * sizeof *r->routes);
+  r->n_routes = 4;
+  for (uint32_t i = 0; i < 4; i++)
     {
-      static const char *const prefixes[] = { "/safe/", "/once/", "/stream/" };
+      static const char *const prefixes[] = { "/safe/", "/once/", "/stream/", "/large/" };
       static const WlRouteKind kinds[]
-          = { WL_ROUTE_IDEMPOTENT, WL_ROUTE_NON_IDEMPOTENT, WL_ROUTE_STREAM };
+          = { WL_ROUTE_IDEMPOTENT, WL_ROUTE_NON_IDEMPOTENT, WL_ROUTE_STREAM, WL_ROUTE_STREAM };
       WlRoute *route = &r->routes[i];
       route->name = prefixes[i];
       route->host = "h";
@@ -139,6 +145,12 @@
       route->n_targets = 1;
       route->weight_total = 1;
     }
+  WlRoute *large = &r->routes[3];
+  large->timeout_us = 15000000;
+  large->objective_us = 2500000;
+  large->patience_us = 10000000;
+  large->gap_us = 1000000;
+  large->targets[0].service = 1;
   r->customers = apr_pcalloc (r->pool, sizeof *r->customers);
   r->customers[0].name = "acme";
   r->n_customers = 1;
@@ -476,6 +488,76 @@
 }
 END_TEST
 
+static void
+register_engine (Fixture *f, uint32_t i)
+{
+  WlEndpointRecord e = { .address = htonl (INADDR_LOOPBACK), .slots = 16, .born_ms = 1 };
+  e.port = f->endpoints[i].port;
+  snprintf (e.id, sizeof e.id, "engine-%u", i);
+  strcpy (e.service, wl_sample_engines.name);
+  strcpy (e.zone, "z");
+  wl_fleet_take (f->fleet, &e, wl_clock_now_us ());
+}
+
+/* Lets everything that waits on the sockets happen while the clock stands still. */
+static void
+settle (Fixture *f)
+{
+  for (int i = 0; i < 40; i++)
+    {
+      wl_tcp_flush (f->loop);
+      wl_reactor_poll (f->reactor, 1000);
+      raw_client_receive (&f->caller);
+    }
+  wl_relay_tick (f->relay, wl_clock_now_us ());
+  wl_tcp_flush (f->loop);
+}
+
+static uint32_t
+n_seen (const Fixture *f, const char *text)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < ENDPOINTS; i++)
+    for (const char *p = f->endpoints[i].seen; (p = strstr (p, text)) != NULL; p++)
+      n++;
+  return n;
+}
+
+/*
+ * The engine that answers a prompt larger than its memory goes dark. What is
+ * reserved for it at the other engine must be given back in a few seconds,
+ * although its connection is never closed.
+ */
+START_TEST (memory_reserved_for_a_dead_engine_is_given_back)
+{
+  static const char held[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  Fixture *f = create ();
+  uint64_t now_us = wl_clock_now_us ();
+  wl_clock_set (now_us);
+  register_engine (f, 0);
+  register_engine (f, 1);
+  occupy (f, "engine-1");
+  for (int i = 0; i < 8; i++)
+    script_server_add (&f->endpoints[1], held, SCRIPT_KEEP);
+  raw_client_send (&f->caller, "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\n"
+                               "X-Prompt: 60000\r\nContent-Length: 0\r\n\r\n");
+  settle (f);
+  ck_assert_uint_eq (n_seen (f, "POST /reserve"), 1);
+  ck_assert_uint_eq (f->endpoints[0].n_requests, 1); /* it answers nothing */
+  ck_assert_uint_eq (n_seen (f, "POST /large/"), 1);
+  ck_assert_uint_eq (n_seen (f, "POST /release"), 0);
+  for (int i = 0; i < 3; i++)
+    {
+      wl_clock_set (now_us += 1200000);
+      settle (f);
+    }
+  settle (f); /* the order is on its way */
+  ck_assert_uint_eq (n_seen (f, "POST /release"), 1);
+  wl_clock_set (0);
+  destroy (f);
+}
+END_TEST
+
 START_TEST (a_success_without_a_seal_is_not_passed_on)
 {
   Fixture *f = create ();
@@ -576,6 +658,7 @@
     WL_TEST (an_endpoint_that_refuses_connections_costs_no_attempt),
     WL_TEST (a_broken_stream_goes_on_after_its_last_whole_event),
     WL_TEST (a_silent_endpoint_is_left_only_for_another_one),
+    WL_TEST (memory_reserved_for_a_dead_engine_is_given_back),
     WL_TEST (a_success_without_a_seal_is_not_passed_on),
     WL_TEST (a_caller_that_leaves_has_its_endpoint_connection_closed),
     WL_TEST (a_request_ends_at_its_time_limit),
--- a/relay/wl_fleet.c
+++ b/relay/wl_fleet.c
@@ -139,6 +139,12 @@
          && now_us < endpoint->heard_us + WL_FLEET_SILENCE_US;
 }
 
+int
+wl_fleet_is_doubtful (const WlEndpoint *endpoint, uint64_t now_us)
+{
+  return now_us > endpoint->heard_us + WL_FLEET_DOUBT_US;
+}
+
 int
 wl_fleet_note_suspicion (WlEndpoint *endpoint, uint64_t eject_us, uint64_t now_us)
 {
--- a/relay/wl_fleet.h
+++ b/relay/wl_fleet.h
@@ -16,6 +16,7 @@
 {
   WL_FLEET_MAX = 4096,             /* endpoints */
   WL_FLEET_SILENCE_US = 6000000,   /* an endpoint silent for this long gets no work */
+  WL_FLEET_DOUBT_US = 2600000,     /* two registrations missed: a silent endpoint may be dead */
   WL_FLEET_FORGET_US = 60000000,   /* a silent or gone endpoint is forgotten */
   WL_FLEET_EJECT_US = 400000,      /* first ejection after failures */
   WL_FLEET_EJECT_MAX_US = 4000000, /* longest ejection */
@@ -99,6 +100,9 @@
 /** wl_fleet_note_success() - an endpoint answered a request */
 void wl_fleet_note_success (WlEndpoint *endpoint, uint64_t now_us);
 
+/** wl_fleet_is_doubtful() - whether an endpoint has missed registrations */
+int wl_fleet_is_doubtful (const WlEndpoint *endpoint, uint64_t now_us);
+
 /**
  * wl_fleet_note_suspicion() - another node has ejected an endpoint
  * @endpoint: the endpoint
--- a/relay/wl_relay.c
+++ b/relay/wl_relay.c
@@ -18,6 +18,7 @@
   JITTER_US = 200000,           /* spreads the returns of refused callers */
   FIRST_SLACK_US = 1000000,     /* lateness of a first event that counts as silence */
   GAP_MIN_US = 900000,          /* shortest pause of a stream that counts as silence */
+  HOLDING_SILENCE_US = 1500000, /* silence in which a dead engine's work is cut off, too */
   GAP_FACTOR = 3,               /* tolerated pauses that count as silence */
   PLAIN_HINT_US = 100000,       /* return time of plain requests that found every endpoint full */
 };
@@ -467,6 +468,18 @@
   return s.reading_us + wl_forecast_pass_us (m, s.writers, s.context, 0, 0);
 }
 
+/*
+ * Whether an endpoint that neither answers nor registers keeps memory at
+ * others reserved. That memory must be free soon after the endpoint has died.
+ */
+static int
+holds_memory_in_vain (const WlRelayRequest *r, uint64_t now_us)
+{
+  const WlEndpoint *e = wl_fleet_find_key (r->relay->options.fleet, r->target.key);
+  return wl_relay_holds_memory (r) && now_us > r->progress_us + HOLDING_SILENCE_US
+         && (e == NULL || wl_fleet_is_doubtful (e, now_us));
+}
+
 /* Whether an endpoint has been silent for longer than its load explains. */
 static int
 is_silent (const WlRelayRequest *r, uint64_t now_us)
@@ -505,6 +518,8 @@
     }
   if (r->call == NULL && r->n_unanswered == 0 && now_us >= r->retry_us)
     wl_relay_try (r, now_us);
+  else if (r->call != NULL && holds_memory_in_vain (r, now_us))
+    wl_relay_abandon_attempt (r, now_us);
   else if (r->call != NULL && now_us >= r->retry_us && is_silent (r, now_us))
     wl_relay_give_up_attempt (r, now_us);
 }
--- a/relay/wl_relay_answer.c
+++ b/relay/wl_relay_answer.c
@@ -11,11 +11,7 @@
 
 enum
 {
-  REJECTED_WAIT_US = 100000,    /* return time after endpoints were full: about one slot's turn */
-  UNREACHABLE_WAIT_US = 200000, /* return time after endpoints could not be connected to */
-  SILENCE_RETRY_US = 100000,    /* next look for an endpoint in place of a silent one */
-  STALL_US = 1000000,           /* a helper named after so long did not answer the first engine */
-  MEMORY_RETRY_US = 100000,     /* next try after an engine had less free memory than thought */
+  MEMORY_RETRY_US = 100000, /* next try after an engine had less free memory than thought */
 };
 
 static const WlFetchHandlers call_handlers;
@@ -185,8 +181,8 @@
     r->helpers[i] = make_target (r->choice.helpers[i], r->choice.tickets[i]);
 }
 
-static void
-exclude (WlRelayRequest *r, uint64_t key)
+void
+wl_relay_exclude (WlRelayRequest *r, uint64_t key)
 {
   if (r->wanted.n_excluded < sizeof r->wanted.excluded / sizeof *r->wanted.excluded)
     r->wanted.excluded[r->wanted.n_excluded++] = key;
@@ -198,7 +194,7 @@
   WlRelay *relay = r->relay;
   WlRelayForward forward;
   WlBuffer head = { 0 };
-  exclude (r, r->target.key);
+  wl_relay_exclude (r, r->target.key);
   fill_forward (r, now_us, &forward);
   write_request_head (r, &forward, &head);
   WlFetchRequest request = {
@@ -272,164 +268,6 @@
     send_attempt (r, now_us);
 }
 
-/* ---- going on elsewhere ---- */
-
-static WlEndpoint *
-current_endpoint (const WlRelayRequest *r)
-{
-  return wl_fleet_find_key (r->relay->options.fleet, r->target.key);
-}
-
-static void
-blame (WlRelayRequest *r, WlEndpoint *e, WlFailure failure, WlReason reason, uint64_t now_us)
-{
-  if (e == NULL || !wl_fleet_note_failure (e, failure, now_us))
-    return;
-  wl_log_eventf (WL3004_ENDPOINT_EJECTED, "endpoint=%s reason=%s failures=%u until_ms=%" PRIu64,
-                 e->record.id, wl_reason_name (reason), e->failures,
-                 (e->ejected_until_us - now_us) / 1000);
-  if (r->relay->options.suspect != NULL)
-    r->relay->options.suspect (r->relay->options.data, e);
-}
-
-/* Forgets what an ended attempt has left behind. */
-static void
-end_attempt (WlRelayRequest *r, WlReason reason)
-{
-  r->relay->metrics.repeated[reason]++;
-  wl_log_eventf (r->phase == WL_RELAY_ANSWERING ? WL4009_STREAM_RESUMED : WL4001_ATTEMPT_RETRIED,
-                 "request=%s reason=%s endpoint=%s attempts=%u last_event=%s",
-                 r->info.id != NULL ? r->info.id : "-", wl_reason_name (reason), r->target.id,
-                 r->attempts, r->events.last_id);
-  if (r->phase == WL_RELAY_ANSWERING)
-    r->relay->metrics.resumed++;
-  else
-    {
-      r->phase = WL_RELAY_WAITING;
-      wl_buffer_clear (&r->fields);
-    }
-  wl_event_stream_drop (&r->events);
-  wl_buffer_clear (&r->body);
-}
-
-static void
-go_on_elsewhere (WlRelayRequest *r, WlReason reason, uint64_t now_us)
-{
-  end_attempt (r, reason);
-  wl_relay_try (r, now_us);
-}
-
-/* The attempt broke, or its endpoint failed: the request may have run there. */
-static void
-after_failure (WlRelayRequest *r, WlReason reason, uint64_t now_us)
-{
-  r->may_have_run = 1;
-  wl_relay_leave_endpoint (r);
-  if (wl_relay_may_repeat (r, now_us))
-    go_on_elsewhere (r, reason, now_us);
-  else
-    wl_relay_fail (r, 502, reason);
-}
-
-static int
-needs_reservations (const WlChoice *choice)
-{
-  for (uint32_t i = 0; i < choice->n_helpers; i++)
-    if (choice->tickets[i] > 0)
-      return 1;
-  return 0;
-}
-
-/*
- * Leaves an endpoint whose answer may still be of use for another one that
- * takes the request now. Returns 0, and changes nothing, when there is none.
- */
-static int
-replace_attempt (WlRelayRequest *r, WlReason reason, uint64_t now_us)
-{
-  if (r->attempts >= r->route->attempts)
-    return 0;
-  WlChoice other = wl_relay_choose (r, now_us);
-  if (other.result != WL_CHOICE_PLACED || needs_reservations (&other))
-    return 0;
-  r->may_have_run = 1;
-  if (!wl_relay_may_repeat (r, now_us))
-    return 0;
-  wl_fetch_cancel (r->call);
-  r->call = NULL;
-  wl_relay_leave_endpoint (r);
-  end_attempt (r, reason);
-  r->choice = other;
-  wl_relay_start_attempt (r, now_us);
-  return 1;
-}
-
-void
-wl_relay_give_up_attempt (WlRelayRequest *r, uint64_t now_us)
-{
-  r->retry_us = now_us + SILENCE_RETRY_US;
-  if (!r->is_blamed)
-    blame (r, current_endpoint (r), WL_FAILURE_LOST, WL_REASON_SILENT, now_us);
-  r->is_blamed = 1;
-  replace_attempt (r, WL_REASON_SILENT, now_us);
-}
-
-/* The endpoint that a rejection is due to, NULL when it is not clear which. */
-static WlEndpoint *
-culprit_of (const WlRelayRequest *r)
-{
-  if (r->answer.fault_port != 0)
-    return wl_fleet_find_address (r->relay->options.fleet, r->answer.fault_address,
-                                  r->answer.fault_port);
-  return r->choice.n_helpers == 0 ? current_endpoint (r) : NULL;
-}
-
-static void
-note_culprit (WlRelayRequest *r, uint64_t now_us)
-{
-  WlEndpoint *e = culprit_of (r);
-  if (e == NULL)
-    return;
-  if (e->key != r->target.key)
-    exclude (r, e->key);
-  if (r->status == 421)
-    {
-      wl_fleet_note_replaced (e);
-      wl_log_eventf (WL3003_ENDPOINT_EXPIRED, "endpoint=%s reason=replaced", e->record.id);
-    }
-  else if (e->key != r->target.key && now_us > r->sent_us + STALL_US)
-    blame (r, e, WL_FAILURE_REFUSED, WL_REASON_SILENT, now_us);
-}
-
-static void
-after_rejection (WlRelayRequest *r, uint64_t now_us)
-{
-  note_culprit (r, now_us);
-  wl_relay_leave_endpoint (r);
-  if (wl_relay_may_repeat (r, now_us))
-    go_on_elsewhere (r, WL_REASON_REJECTED, now_us);
-  else if (r->phase == WL_RELAY_ANSWERING)
-    wl_relay_fail (r, 502, WL_REASON_REJECTED);
-  else
-    wl_relay_refuse (r, REJECTED_WAIT_US, WL_REASON_REJECTED);
-}
-
-static void
-after_not_sent (WlRelayRequest *r, uint64_t now_us)
-{
-  /* A refusal comes at once; a lost packet alone is no evidence of a dead endpoint. */
-  int is_refused = now_us < r->sent_us + WL_FETCH_CONNECT_US / 2;
-  blame (r, current_endpoint (r), is_refused ? WL_FAILURE_REFUSED : WL_FAILURE_LOST,
-         WL_REASON_UNREACHABLE, now_us);
-  wl_relay_leave_endpoint (r);
-  r->connects++;
-  r->attempts--;
-  if (r->connects < WL_RELAY_CONNECTS_MAX && now_us < r->limit_us)
-    go_on_elsewhere (r, WL_REASON_UNREACHABLE, now_us);
-  else
-    wl_relay_refuse (r, UNREACHABLE_WAIT_US, WL_REASON_UNREACHABLE);
-}
-
 /* ---- answers ---- */
 
 static void
@@ -546,23 +384,23 @@
 static void
 after_whole (WlRelayRequest *r, uint64_t now_us)
 {
-  WlEndpoint *e = current_endpoint (r);
+  WlEndpoint *e = wl_relay_current_endpoint (r);
   if (r->answer.is_not_run || r->status == 421)
     {
-      after_rejection (r, now_us);
+      wl_relay_after_rejection (r, now_us);
       return;
     }
   r->may_have_run = 1;
   if (!r->answer.is_sealed)
     {
-      blame (r, current_endpoint (r), WL_FAILURE_LOST, WL_REASON_NO_SEAL, now_us);
-      after_failure (r, WL_REASON_NO_SEAL, now_us);
+      wl_relay_blame (r, wl_relay_current_endpoint (r), WL_FAILURE_LOST, WL_REASON_NO_SEAL, now_us);
+      wl_relay_after_failure (r, WL_REASON_NO_SEAL, now_us);
       return;
     }
   if (r->status >= 500)
     {
-      blame (r, current_endpoint (r), WL_FAILURE_ERROR, WL_REASON_ERROR, now_us);
-      if (replace_attempt (r, WL_REASON_ERROR, now_us))
+      wl_relay_blame (r, wl_relay_current_endpoint (r), WL_FAILURE_ERROR, WL_REASON_ERROR, now_us);
+      if (wl_relay_replace_attempt (r, WL_REASON_ERROR, now_us))
         return;
       if (r->phase == WL_RELAY_ANSWERING)
         wl_relay_fail (r, 502, WL_REASON_ERROR);
@@ -587,11 +425,11 @@
       after_whole (r, now_us);
       break;
     case WL_FETCH_NOT_SENT:
-      after_not_sent (r, now_us);
+      wl_relay_after_not_sent (r, now_us);
       break;
     case WL_FETCH_BROKEN:
-      blame (r, current_endpoint (r), WL_FAILURE_LOST, WL_REASON_BROKEN, now_us);
-      after_failure (r, WL_REASON_BROKEN, now_us);
+      wl_relay_blame (r, wl_relay_current_endpoint (r), WL_FAILURE_LOST, WL_REASON_BROKEN, now_us);
+      wl_relay_after_failure (r, WL_REASON_BROKEN, now_us);
       break;
     }
 }
--- a/relay/wl_relay_internal.h
+++ b/relay/wl_relay_internal.h
@@ -5,7 +5,10 @@
 #include "wl_event_stream.h"
 #include "wl_relay.h"
 
-/* What the files of the relay share: wl_relay.c (requests) and wl_relay_answer.c (attempts). */
+/*
+ * What the files of the relay share: wl_relay.c (requests), wl_relay_answer.c
+ * (attempts) and wl_relay_retry.c (what follows attempts that failed).
+ */
 
 enum
 {
@@ -151,6 +154,41 @@
 /** wl_relay_finish() - logs the end of a request whose answer was given, and frees it */
 void wl_relay_finish (WlRelayRequest *r, const char *outcome);
 
+/** wl_relay_exclude() - leaves an endpoint out of later attempts */
+void wl_relay_exclude (WlRelayRequest *r, uint64_t key);
+
+/** wl_relay_current_endpoint() - endpoint of the current attempt, NULL when it is forgotten */
+WlEndpoint *wl_relay_current_endpoint (const WlRelayRequest *r);
+
+/** wl_relay_blame() - counts evidence against an endpoint, which may be NULL */
+void wl_relay_blame (WlRelayRequest *r, WlEndpoint *e, WlFailure failure, WlReason reason,
+                     uint64_t now_us);
+
+/** wl_relay_after_failure() - goes on after an attempt that may have run */
+void wl_relay_after_failure (WlRelayRequest *r, WlReason reason, uint64_t now_us);
+
+/** wl_relay_after_rejection() - goes on after an attempt that an endpoint states it has not run */
+void wl_relay_after_rejection (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_after_not_sent() - goes on after an endpoint that could not be connected to */
+void wl_relay_after_not_sent (WlRelayRequest *r, uint64_t now_us);
+
+/**
+ * wl_relay_replace_attempt() - leaves an endpoint whose answer may still be of use
+ * @r: the request
+ * @reason: why
+ * @now_us: monotonic time
+ *
+ * Return: 0, with nothing changed, when no other endpoint takes it now.
+ */
+int wl_relay_replace_attempt (WlRelayRequest *r, WlReason reason, uint64_t now_us);
+
+/** wl_relay_holds_memory() - whether memory is reserved for a request */
+int wl_relay_holds_memory (const WlRelayRequest *r);
+
+/** wl_relay_abandon_attempt() - leaves an endpoint that is probably dead, whatever comes next */
+void wl_relay_abandon_attempt (WlRelayRequest *r, uint64_t now_us);
+
 /** wl_relay_give_up_attempt() - leaves a silent endpoint for another one, if there is one */
 void wl_relay_give_up_attempt (WlRelayRequest *r, uint64_t now_us);
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -76,7 +76,8 @@
 start unbounded-log test_log_sink runtime/wl_log_sink.c 's/b->tokens_us -= SECOND_US;//'
 start opening-packet-waited-for test_peers runtime/wl_peers.c 's/c->is_connecting \? WL_PEER_CONNECT_US : //'
 start endpoints-not-restored test_host relay/wl_host.c 's/      load_endpoints \(host, disk\);//'
-start culprit-ignored test_relay relay/wl_relay_answer.c 's/if \(r->answer.fault_port != 0\)/if (0)/'
+start culprit-ignored test_relay relay/wl_relay_retry.c 's/if \(r->answer.fault_port != 0\)/if (0)/'
+start memory-held-for-the-dead test_relay relay/wl_relay.c 's/wl_relay_abandon_attempt \(r, now_us\);/;/'
 start released-before-sync test_journal runtime/wl_journal.c 's/return keep_trying \(journal, NULL\);/return 1;/; s/if \(!b->stores\)/if (1)/'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
