--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,7 @@
 bench: build
 	@$(BUILD)/bin/wl-bench
 	@$(BUILD)/bin/wl-bench-relay
+	@$(BUILD)/bin/wl-bench-replay
 	@scripts/bench-control.sh 3
 
 clean:
