--- a/relay/tests/test_load.c
+++ b/relay/tests/test_load.c
@@ -57,6 +57,22 @@
 }
 END_TEST
 
+/* A burst of divided prompts: a helper reads the parts it has before whole prompts. */
+START_TEST (parts_of_divided_prompts_are_counted_apart)
+{
+  WlLoad *l = wl_load_create ();
+  WlWorkNote part = note (2, WL_WORK_SENT);
+  part.is_part = 1;
+  tell (l, 1, 1, 1, WL_WORK_SENT, 1000);
+  wl_load_note (l, 2, 1, &part, 1000);
+  WlLoadSum s = wl_load_sum (l, 7, 1000);
+  ck_assert_uint_eq (s.backlog_us, 80000);
+  ck_assert_uint_eq (s.parts_us, 40000);
+  ck_assert_uint_eq (s.parts, 800);
+  wl_load_destroy (l);
+}
+END_TEST
+
 START_TEST (a_lost_or_restarted_node_leaves_no_work)
 {
   WlLoad *l = wl_load_create ();
@@ -101,6 +117,7 @@
     WL_TEST (work_of_all_nodes_adds_up_and_ends),
     WL_TEST (what_has_been_read_so_far_is_taken_off),
     WL_TEST (a_whole_list_ends_what_is_not_in_it),
+    WL_TEST (parts_of_divided_prompts_are_counted_apart),
     WL_TEST (a_lost_or_restarted_node_leaves_no_work),
   };
   apr_initialize ();
