--- a/testkit/wl_replay.c
+++ b/testkit/wl_replay.c
@@ -19,6 +19,7 @@
   REJECTED_US = 100000,  /* return time of the baselines' refusals */
   REGISTER_US = 1000000, /* between registrations */
   DRAIN_US = 20000000,   /* after the last arrival */
+  EPOCHS_TOLD = 16,      /* attempts of one caller that notes tell apart */
   TOKENS_PER_EVENT = 43,
   TOKEN_WORTH_OUT = 10, /* a written token counts as much as this many read ones */
 };
@@ -278,7 +279,7 @@
 tell (Replay *r, const Caller *c, uint32_t target, WlWorkPhase phase)
 {
   WlWorkNote note = {
-    .work = (uint64_t)(c - r->callers) * 16 + c->epoch % 16,
+    .work = (uint64_t)(c - r->callers) * EPOCHS_TOLD + c->epoch % EPOCHS_TOLD,
     .endpoint = r->keys[c->targets[target]],
     .phase = (uint8_t)phase,
     .is_part = target > 0,
