--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -57,7 +57,7 @@
 start no-reservation test_cell core/wl_placement.c 's/if \(r->request == 0 \|\| !is_reserved \(r, e\)\)\n    return 1;/return 1;/'
 start weights-ignored test_cell core/wl_queue.c 's/w->cost_us \/ w->share->weight/w->cost_us/'
 start unsynced-log test_storage runtime/wl_storage.c 's/WlError error = storage->disk->sync \(storage->disk, name\);/WlError error = WL_OK;/'
-start unsynced-rename test_storage runtime/wl_storage.c 's/if \(error == WL_OK\)\n    error = s->disk->sync \(s->disk, temporary\);//'
+start unsynced-rename test_storage runtime/wl_disk.c 's/if \(error == WL_OK\)\n    error = disk->sync \(disk, temporary\);//'
 start acknowledged-before-commit test_document core/wl_document.c 's/w->version <= version\)/w->version <= version || d->proposed != 0)/'
 start read-without-quorum test_document core/wl_document.c 's/w->round <= confirmed/w->round >= 0/'
 start lower-version-proposed test_document core/wl_document.c 's/w->kind == WAITING_SUBMIT && w->version <= version\)/w->kind == WAITING_SUBMIT \&\& w->version == version)/'
