--- a/relay/tests/test_http_reader.c
+++ b/relay/tests/test_http_reader.c
@@ -28,12 +28,6 @@
   f->body_size += bytes.size;
 }
 
-static void
-on_complete (void *data)
-{
-  ((Fixture *)data)->completes++;
-}
-
 static Fixture *
 create (int is_response)
 {
@@ -44,24 +38,46 @@
   f.reader.body_limit = 2048;
   f.reader.on_head = on_head;
   f.reader.on_body = on_body;
-  f.reader.on_complete = on_complete;
   f.reader.data = &f;
   wl_http_reader_init (&f.reader, is_response);
   return &f;
 }
 
+/* Counts the messages that are complete, as users of a reader see them. */
+static void
+count_complete (Fixture *f)
+{
+  f->completes += f->reader.complete;
+  f->reader.complete = 0;
+}
+
+static uint32_t
+feed_bytes (Fixture *f, const char *text, uint32_t size)
+{
+  uint32_t n = wl_http_reader_feed (&f->reader, (WlBytes){ (const uint8_t *)text, size });
+  count_complete (f);
+  return n;
+}
+
 static uint32_t
 feed (Fixture *f, const char *text)
 {
-  return wl_http_reader_feed (&f->reader,
-                              (WlBytes){ (const uint8_t *)text, (uint32_t)strlen (text) });
+  return feed_bytes (f, text, (uint32_t)strlen (text));
 }
 
 static void
 feed_bytewise (Fixture *f, const char *text)
 {
   for (; *text != '\0'; text++)
-    wl_http_reader_feed (&f->reader, (WlBytes){ (const uint8_t *)text, 1 });
+    feed_bytes (f, text, 1);
+}
+
+static int
+finish (Fixture *f)
+{
+  int is_finished = wl_http_reader_finish (&f->reader);
+  count_complete (f);
+  return is_finished;
 }
 
 START_TEST (target_and_fields_arrive_byte_for_byte_at_any_boundary)
@@ -136,7 +152,6 @@
   uint32_t n = feed (f, both);
   ck_assert_uint_eq (n, strlen (first));
   ck_assert_str_eq (wl_http_head_text (&f->reader.head, f->reader.head.target), "/1");
-  f->reader.complete = 0;
   feed (f, both + n);
   ck_assert_int_eq (f->completes, 2);
   ck_assert_str_eq (wl_http_head_text (&f->reader.head, f->reader.head.target), "/2");
@@ -158,11 +173,11 @@
   Fixture *f = create (1);
   feed (f, "HTTP/1.1 200 OK\r\n\r\npart");
   ck_assert_int_eq (f->completes, 0);
-  ck_assert (wl_http_reader_finish (&f->reader));
+  ck_assert (finish (f));
   ck_assert_int_eq (f->completes, 1);
   f = create (1);
   feed (f, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
-  ck_assert (!wl_http_reader_finish (&f->reader));
+  ck_assert (!finish (f));
   ck_assert_int_eq (f->completes, 0);
 }
 END_TEST
--- a/relay/wl_choice.c
+++ b/relay/wl_choice.c
@@ -260,6 +260,8 @@
   for (uint32_t i = 0; i < n_all; i++)
     {
       judge (load, q, &all[i], reads, part_us);
+      if (n_helpers == 0)
+        continue;
       all[i].help_cost = help_cost (load, q, &all[i], reads, part_us);
       if (is_oversized (q))
         all[i].help_cost -= SPREAD_MEMORY_BONUS * (double)free_memory (m, &all[i].sum) / m->memory;
--- a/relay/wl_event_stream.c
+++ b/relay/wl_event_stream.c
@@ -20,14 +20,29 @@
   stream->last_id[size] = '\0';
 }
 
+/* Notes the fields of a whole event, without its blank line. */
+static void
+note_event (WlEventStream *stream, const char *text, uint32_t size)
+{
+  for (uint32_t from = 0; from < size;)
+    {
+      const char *newline = memchr (text + from, '\n', size - from);
+      uint32_t to = (uint32_t)(newline - text);
+      uint32_t end = to > from && text[to - 1] == '\r' ? to - 1 : to;
+      note_line (stream, text + from, end - from);
+      from = to + 1;
+    }
+  if (size > 0)
+    stream->n_events++;
+}
+
 WlBytes
 wl_event_stream_feed (WlEventStream *stream, WlBytes bytes)
 {
   wl_buffer_append (&stream->pending, bytes);
   WlBytes all = wl_buffer_bytes (&stream->pending);
   const char *text = (const char *)all.data;
-  uint32_t line = 0;
-  uint32_t event = 0; /* start of the event being scanned */
+  uint32_t line = 0;  /* start of the line being scanned */
   uint32_t whole = 0; /* end of the last complete event */
   for (uint32_t i = 0; i < all.size; i++)
     {
@@ -37,19 +52,7 @@
       if (end == line)
         {
           /* A blank line ends the event: only now do its fields count. */
-          for (uint32_t from = event; from < i;)
-            {
-              const char *newline = memchr (text + from, '\n', i - from + 1);
-              uint32_t to = (uint32_t)(newline - text);
-              uint32_t size = to - from;
-              if (size > 0 && text[to - 1] == '\r')
-                size--;
-              note_line (stream, text + from, size);
-              from = to + 1;
-            }
-          if (i > event + 1)
-            stream->n_events++;
-          event = i + 1;
+          note_event (stream, text + whole, line - whole);
           whole = i + 1;
         }
       line = i + 1;
--- a/relay/wl_fetch.c
+++ b/relay/wl_fetch.c
@@ -123,12 +123,6 @@
     c->handlers.body (c->data, bytes);
 }
 
-static void
-on_complete (void *data)
-{
-  (void)data; /* on_received() looks at reader.complete */
-}
-
 /* Puts the connection of a complete answer aside for the next call. */
 static void
 keep_idle (WlFetch *c)
@@ -250,7 +244,6 @@
     }
   c->reader.on_head = on_head;
   c->reader.on_body = on_body;
-  c->reader.on_complete = on_complete;
   c->reader.data = c;
   c->reader.head_limit = UINT32_MAX;
   c->reader.body_limit = UINT64_MAX;
@@ -323,9 +316,7 @@
       if (c->is_idle && now_us >= c->idle_until_us)
         close_call (c);
       else if (!c->is_idle && !c->is_connected && now_us > c->started_us + WL_FETCH_CONNECT_US)
-        {
-          end_call (c, WL_FETCH_NOT_SENT);
-        }
+        end_call (c, WL_FETCH_NOT_SENT);
       c = next;
     }
   free_dead (calls);
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -258,15 +258,6 @@
   wl_host_pull_from (host, s->node, s->config_number, now_us);
 }
 
-static void
-take_note (WlHost *host, uint32_t from, uint64_t boot, const WlWorkNote *note, uint64_t now_us)
-{
-  double ratio = wl_load_note (host->load, from, boot, note, now_us);
-  WlEndpoint *e = ratio > 0.0 ? wl_fleet_find_key (host->fleet, note->endpoint) : NULL;
-  if (e != NULL)
-    wl_fleet_note_pace (e, ratio, now_us);
-}
-
 int
 wl_host_gossip_receive (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us)
 {
@@ -289,7 +280,8 @@
           return 1;
         }
       for (uint32_t i = 0; i < message->u.work.n_notes; i++)
-        take_note (host, from, message->u.work.boot, &message->u.work.notes[i], now_us);
+        wl_load_learn (host->load, host->fleet, from, message->u.work.boot,
+                       &message->u.work.notes[i], now_us);
       return 1;
     default:
       return 0;
--- a/relay/wl_http_reader.c
+++ b/relay/wl_http_reader.c
@@ -207,7 +207,6 @@
   if (error == HPE_PAUSED)
     {
       http_parser_pause (&reader->parser, 0);
-      reader->on_complete (reader->data);
       return (uint32_t)n;
     }
   if (error == HPE_HEADER_OVERFLOW)
@@ -230,7 +229,6 @@
   if (HTTP_PARSER_ERRNO (&reader->parser) != HPE_PAUSED)
     return 0;
   http_parser_pause (&reader->parser, 0);
-  reader->on_complete (reader->data);
   return 1;
 }
 
--- a/relay/wl_http_reader.h
+++ b/relay/wl_http_reader.h
@@ -72,7 +72,6 @@
  * @body_limit: largest body in bytes
  * @on_head: called when the head is complete
  * @on_body: called with each part of the body
- * @on_complete: called at the end of the message
  * @data: passed to the functions
  * @skip_body: the response has no body whatever its head says
  */
@@ -86,13 +85,12 @@
   uint64_t body_bytes;
   void (*on_head) (void *data);
   void (*on_body) (void *data, WlBytes bytes);
-  void (*on_complete) (void *data);
   void *data;
   uint8_t skip_body;
   uint8_t in_value;
   uint8_t head_done;
   uint8_t begun;
-  uint8_t complete;
+  uint8_t complete; /* a whole message was read; users set it back */
 } WlHttpReader;
 
 /**
--- a/relay/wl_load.c
+++ b/relay/wl_load.c
@@ -112,6 +112,16 @@
   return ratio;
 }
 
+void
+wl_load_learn (WlLoad *load, WlFleet *fleet, uint32_t node, uint64_t boot, const WlWorkNote *note,
+               uint64_t now_us)
+{
+  double ratio = wl_load_note (load, node, boot, note, now_us);
+  WlEndpoint *e = ratio > 0.0 ? wl_fleet_find_key (fleet, note->endpoint) : NULL;
+  if (e != NULL)
+    wl_fleet_note_pace (e, ratio, now_us);
+}
+
 void
 wl_load_drop_node (WlLoad *load, uint32_t node, uint64_t keep, uint64_t now_us)
 {
--- a/relay/wl_load.h
+++ b/relay/wl_load.h
@@ -2,7 +2,7 @@
 #define WL_LOAD_H
 
 #include <apr_hash.h>
-#include "wl_message.h"
+#include "wl_fleet.h"
 
 /*
  * Work in progress at each endpoint: that of this node, exact, and that of the
@@ -96,6 +96,18 @@
 double wl_load_note (WlLoad *load, uint32_t node, uint64_t boot, const WlWorkNote *note,
                      uint64_t now_us);
 
+/**
+ * wl_load_learn() - takes a note, and from it the pace of the endpoint
+ * @load: the account
+ * @fleet: the endpoints
+ * @node: node that sent it
+ * @boot: boot of that node
+ * @note: the note
+ * @now_us: monotonic time
+ */
+void wl_load_learn (WlLoad *load, WlFleet *fleet, uint32_t node, uint64_t boot,
+                    const WlWorkNote *note, uint64_t now_us);
+
 /**
  * wl_load_take_whole() - takes the list of all work of a node
  * @load: the account
--- a/relay/wl_relay.c
+++ b/relay/wl_relay.c
@@ -236,12 +236,6 @@
 
 /* ---- placing ---- */
 
-static uint64_t
-left_until (uint64_t then_us, uint64_t now_us)
-{
-  return then_us > now_us ? then_us - now_us : 0;
-}
-
 WlChoice
 wl_relay_choose (WlRelayRequest *r, uint64_t now_us)
 {
@@ -288,7 +282,7 @@
       wl_relay_refuse (r, NO_ENDPOINT_WAIT_US, WL_REASON_NO_ENDPOINT);
       return;
     case WL_CHOICE_TOO_LARGE:
-      wl_relay_refuse (r, left_until (r->limit_us, now_us), WL_REASON_TOO_LARGE);
+      wl_relay_refuse (r, r->limit_us > now_us ? r->limit_us - now_us : 0, WL_REASON_TOO_LARGE);
       return;
     }
 }
@@ -475,9 +469,10 @@
 static int
 holds_memory_in_vain (const WlRelayRequest *r, uint64_t now_us)
 {
-  const WlEndpoint *e = wl_fleet_find_key (r->relay->options.fleet, r->target.key);
-  return wl_relay_holds_memory (r) && now_us > r->progress_us + HOLDING_SILENCE_US
-         && (e == NULL || wl_fleet_is_doubtful (e, now_us));
+  if (now_us <= r->progress_us + HOLDING_SILENCE_US || !wl_relay_holds_memory (r))
+    return 0;
+  const WlEndpoint *e = wl_relay_current_endpoint (r);
+  return e == NULL || wl_fleet_is_doubtful (e, now_us);
 }
 
 /* Whether an endpoint has been silent for longer than its load explains. */
--- a/relay/wl_relay_answer.c
+++ b/relay/wl_relay_answer.c
@@ -40,12 +40,8 @@
   note.work = r->number;
   note.output = r->wanted.output;
   note.gap_ms = (uint32_t)(r->wanted.gap_us / 1000);
-  uint64_t now_us = wl_clock_now_us ();
-  double ratio
-      = wl_load_note (relay->options.load, relay->options.node, relay->options.boot, &note, now_us);
-  WlEndpoint *e = ratio > 0.0 ? wl_fleet_find_key (relay->options.fleet, note.endpoint) : NULL;
-  if (e != NULL)
-    wl_fleet_note_pace (e, ratio, now_us);
+  wl_load_learn (relay->options.load, relay->options.fleet, relay->options.node,
+                 relay->options.boot, &note, wl_clock_now_us ());
   relay->options.tell (relay->options.data, &note);
 }
 
@@ -364,21 +360,10 @@
       wl_web_end (web, 1);
       return;
     }
-  WlBuffer fields = r->fields;
-  WlBuffer body = r->body;
-  const char *text;
-  static const uint8_t zero = 0;
-  uint32_t status = r->status;
-  memset (&r->fields, 0, sizeof r->fields);
-  memset (&r->body, 0, sizeof r->body);
-  wl_buffer_append (&fields, (WlBytes){ &zero, 1 });
-  text = (const char *)wl_buffer_bytes (&fields).data;
-  if (wl_buffer_left (&body) == 0 && wl_buffer_left (&r->events.pending) > 0)
-    wl_buffer_append (&body, wl_buffer_bytes (&r->events.pending));
+  WlBytes body = wl_buffer_bytes (wl_buffer_left (&r->body) > 0 ? &r->body : &r->events.pending);
+  wl_relay_leave_endpoint (r);
+  wl_web_reply (web, r->status, fields_text (r), body);
   wl_relay_finish (r, outcome);
-  wl_web_reply (web, status, text, wl_buffer_bytes (&body));
-  wl_buffer_clear (&fields);
-  wl_buffer_clear (&body);
 }
 
 static void
--- a/relay/wl_roster.c
+++ b/relay/wl_roster.c
@@ -50,7 +50,6 @@
     return 0;
   for (uint32_t i = 0; i < status->n_known; i++)
     wl_roster_meet (roster, status->known[i].node, now_us);
-  n = wl_roster_find (roster, status->node);
   if (n->status.boot == status->boot && n->status.sequence >= status->sequence)
     return 0;
   n->status = *status;
--- a/relay/wl_web.c
+++ b/relay/wl_web.c
@@ -15,7 +15,6 @@
   void *data;
   uint64_t since_us; /* start of the current state */
   uint8_t is_busy;   /* a request is being answered */
-  uint8_t is_begun;  /* the head of a streamed answer was sent */
   uint8_t has_bytes; /* part of a request was read */
   uint8_t is_closing;
   WlWebRequest *next;
@@ -197,12 +196,6 @@
   wl_buffer_append (&c->body, bytes);
 }
 
-static void
-on_complete (void *data)
-{
-  (void)data; /* read_ahead() looks at reader.complete */
-}
-
 static void
 apply_limits (WlWebRequest *c)
 {
@@ -222,7 +215,6 @@
   c->since_us = wl_clock_now_us ();
   c->reader.on_head = on_head;
   c->reader.on_body = on_body;
-  c->reader.on_complete = on_complete;
   c->reader.data = c;
   apply_limits (c);
   wl_http_reader_init (&c->reader, 0);
@@ -340,7 +332,6 @@
       return;
     }
   c->is_busy = 0;
-  c->is_begun = 0;
   c->data = NULL;
   c->web->n_active--;
   c->since_us = wl_clock_now_us ();
@@ -362,7 +353,6 @@
 void
 wl_web_begin (WlWebRequest *request, uint32_t status, const char *fields)
 {
-  request->is_begun = 1;
   write_head (request, status, fields, "Transfer-Encoding: chunked\r\n");
 }
 
--- a/testkit/wl_replay.c
+++ b/testkit/wl_replay.c
@@ -290,10 +290,7 @@
     .gap_ms = (uint32_t)(c->wanted.gap_us / 1000),
     .predicted_ms = target == 0 ? (uint32_t)(c->formula_us / 1000) : 0,
   };
-  double ratio = wl_load_note (r->loads[c->node], c->node, 1, &note, r->now_us);
-  WlEndpoint *e = wl_fleet_find_key (r->fleets[c->node], note.endpoint);
-  if (ratio > 0.0 && e != NULL)
-    wl_fleet_note_pace (e, ratio, r->now_us);
+  wl_load_learn (r->loads[c->node], r->fleets[c->node], c->node, 1, &note, r->now_us);
   push (r,
         (Event){ .at_us = r->now_us + HOP_US, .kind = EVENT_NOTE, .node = c->node, .note = note });
 }
@@ -312,14 +309,8 @@
 take_note (Replay *r, const Event *e)
 {
   for (uint32_t node = 0; node < r->plan->n_nodes; node++)
-    {
-      if (node == e->node)
-        continue;
-      double ratio = wl_load_note (r->loads[node], e->node, 1, &e->note, r->now_us);
-      WlEndpoint *p = ratio > 0.0 ? wl_fleet_find_key (r->fleets[node], e->note.endpoint) : NULL;
-      if (p != NULL)
-        wl_fleet_note_pace (p, ratio, r->now_us);
-    }
+    if (node != e->node)
+      wl_load_learn (r->loads[node], r->fleets[node], e->node, 1, &e->note, r->now_us);
 }
 
 /* ---- endings ---- */
