--- a/core/wl_effects.c
+++ b/core/wl_effects.c
@@ -31,6 +31,21 @@
   free (effects);
 }
 
+int
+wl_effect_is_store (const WlEffect *effect)
+{
+  switch (effect->kind)
+    {
+    case WL_EFFECT_STORE_TERM:
+    case WL_EFFECT_STORE_ENTRY:
+    case WL_EFFECT_STORE_TRUNCATE:
+    case WL_EFFECT_STORE_SNAPSHOT:
+      return 1;
+    default:
+      return 0;
+    }
+}
+
 WlEffect *
 wl_effects_add (WlEffects *fx, WlEffectKind kind)
 {
--- a/core/wl_effects.h
+++ b/core/wl_effects.h
@@ -14,6 +14,14 @@
  */
 WlEffect *wl_effects_add (WlEffects *fx, WlEffectKind kind);
 
+/**
+ * wl_effect_is_store() - tells whether an effect writes to the data folder
+ * @effect: the effect
+ *
+ * Return: 1 or 0.
+ */
+int wl_effect_is_store (const WlEffect *effect);
+
 /**
  * wl_effects_send() - appends a message to another node
  * @fx: the list
--- a/daemon/wl_node.c
+++ b/daemon/wl_node.c
@@ -6,6 +6,7 @@
 #include <sodium.h>
 #include "wl_callers.h"
 #include "wl_clock.h"
+#include "wl_effects.h"
 #include "wl_endpoints.h"
 #include "wl_engines.h"
 #include "wl_events.h"
@@ -263,21 +264,6 @@
   wl_core_step (node->core, event, node->effects);
 }
 
-static int
-is_store (const WlEffect *e)
-{
-  switch (e->kind)
-    {
-    case WL_EFFECT_STORE_TERM:
-    case WL_EFFECT_STORE_ENTRY:
-    case WL_EFFECT_STORE_TRUNCATE:
-    case WL_EFFECT_STORE_SNAPSHOT:
-      return 1;
-    default:
-      return 0;
-    }
-}
-
 /* Writes and syncs before anything else of the batch leaves the node. */
 static WlError
 store (WlNode *node, const WlEffects *fx)
@@ -285,7 +271,7 @@
   WlError error = WL_OK;
   int any = 0;
   for (uint32_t i = 0; i < fx->count && error == WL_OK; i++)
-    if (is_store (&fx->items[i]))
+    if (wl_effect_is_store (&fx->items[i]))
       {
         any = 1;
         error = wl_storage_write (node->storage, &fx->items[i]);
--- a/runtime/wl_journal.c
+++ b/runtime/wl_journal.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <unistd.h>
 #include <fcntl.h>
+#include "wl_effects.h"
 #include "wl_events.h"
 #include "wl_journal.h"
 #include "wl_log.h"
@@ -63,26 +64,11 @@
   return b;
 }
 
-static int
-is_store (WlEffectKind kind)
-{
-  switch (kind)
-    {
-    case WL_EFFECT_STORE_TERM:
-    case WL_EFFECT_STORE_ENTRY:
-    case WL_EFFECT_STORE_TRUNCATE:
-    case WL_EFFECT_STORE_SNAPSHOT:
-      return 1;
-    default:
-      return 0;
-    }
-}
-
 static int
 has_stores (const WlEffects *effects)
 {
   for (uint32_t i = 0; i < effects->count; i++)
-    if (is_store (effects->items[i].kind))
+    if (wl_effect_is_store (&effects->items[i]))
       return 1;
   return 0;
 }
@@ -123,7 +109,7 @@
 write_batch (WlJournal *journal, const WlEffects *effects)
 {
   for (uint32_t i = 0; i < effects->count; i++)
-    if (is_store (effects->items[i].kind) && !keep_trying (journal, &effects->items[i]))
+    if (wl_effect_is_store (&effects->items[i]) && !keep_trying (journal, &effects->items[i]))
       return 0;
   return keep_trying (journal, NULL);
 }
