--- /dev/null
+++ b/testkit/wl_replay_internal.h
@@ -0,0 +1,131 @@
+#ifndef WL_REPLAY_INTERNAL_H
+#define WL_REPLAY_INTERNAL_H
+
+#include <gsl/gsl_rng.h>
+#include "wl_choice.h"
+#include "wl_replay.h"
+#include "wl_replay_engine.h"
+#include "wl_time_queue.h"
+
+/* What the files of the replay share: wl_replay.c (the run) and wl_replay_traffic.c (who asks). */
+
+enum
+{
+  WL_REPLAY_TARGETS_MAX = WL_CHOICE_HELPERS_MAX + 1,
+};
+
+/* One kind of request, after the users' sheet. */
+typedef struct
+{
+  double per_s;
+  double prompt;
+  double prompt_spread;
+  double prompt_max;
+  double events;
+  double events_spread;
+  double worth;
+  double late_worth;
+  uint64_t deadline_us;
+  uint8_t urgency;
+  WlRoute route;
+} WlReplayKind;
+
+typedef enum
+{
+  WL_REPLAY_CALLER_WAITS, /* at its node, at no engine */
+  WL_REPLAY_CALLER_SENT,
+  WL_REPLAY_CALLER_AWAY, /* was refused and comes back */
+  WL_REPLAY_CALLER_DONE,
+} WlReplayCallerState;
+
+typedef enum
+{
+  WL_REPLAY_ENDED_LEFT, /* the caller left, or the replay ended */
+  WL_REPLAY_ENDED_REFUSED,
+  WL_REPLAY_ENDED_LATE,
+  WL_REPLAY_ENDED_IN_TIME,
+} WlReplayEnding;
+
+typedef struct
+{
+  uint32_t kind;
+  uint32_t prompt;
+  uint32_t output;
+  uint32_t hint;
+  double worth;
+  WlReplayCallerState state;
+  WlReplayEnding outcome;
+  uint8_t is_held; /* refused when most of its time was gone */
+  uint32_t node;
+  uint64_t asked_us; /* first try */
+  uint64_t limit_us;
+  uint64_t arrived_us; /* current try */
+  uint64_t progress_us;
+  uint64_t first_us;
+  uint64_t longest_pause_us;
+  uint64_t sent_us;
+  uint64_t predicted_us;
+  uint32_t tries;
+  uint32_t attempts;
+  uint64_t epoch; /* events for an earlier attempt are void */
+  WlChoiceRequest wanted;
+  uint32_t targets[WL_REPLAY_TARGETS_MAX];
+  uint64_t memory[WL_REPLAY_TARGETS_MAX];
+  uint32_t n_targets;
+  uint64_t reads;
+  uint64_t read_us;
+  uint64_t formula_us;
+} WlReplayCaller;
+
+typedef enum
+{
+  WL_REPLAY_AT_ASK,
+  WL_REPLAY_AT_TRY,
+  WL_REPLAY_AT_REACH,
+  WL_REPLAY_AT_PASS,
+  WL_REPLAY_AT_NOTE,
+  WL_REPLAY_AT_PATIENCE,
+  WL_REPLAY_AT_FAULT,
+  WL_REPLAY_AT_REGISTER,
+} WlReplayEventKind;
+
+typedef struct
+{
+  uint64_t at_us;
+  WlReplayEventKind kind;
+  uint32_t index;
+  uint64_t epoch;
+  uint32_t node;
+  WlWorkNote note;
+} WlReplayEvent;
+
+typedef struct
+{
+  const WlReplayPlan *plan;
+  gsl_rng *rng;
+  uint64_t now_us;
+  WlTimeQueue *events; /* of WlReplayEvent */
+  WlReplayCaller *callers;
+  uint32_t n_callers;
+  uint32_t room_callers;
+  WlFleet *fleets[WL_REPLAY_NODES_MAX];
+  WlLoad *loads[WL_REPLAY_NODES_MAX];
+  uint32_t turn[WL_REPLAY_NODES_MAX];
+  WlReplayEngine *engines;
+  uint64_t keys[WL_REPLAY_ENGINES_MAX];
+  uint64_t passes[WL_REPLAY_ENGINES_MAX]; /* begun; ends of passes before a crash are void */
+  double *ratios;
+  size_t n_ratios;
+  WlReplayResult result;
+} WlReplay;
+
+/** wl_replay_kinds - the kinds of request of the users' sheets: short, middle, long */
+extern const WlReplayKind wl_replay_kinds[WL_REPLAY_KINDS];
+
+/** wl_replay_make_callers() - makes all callers of a plan, in r->callers */
+void wl_replay_make_callers (WlReplay *r);
+
+/** wl_replay_sum_up() - counts what became of the callers, in r->result */
+void wl_replay_sum_up (WlReplay *r);
+
+#endif
--- a/testkit/wl_sim.c
+++ b/testkit/wl_sim.c
@@ -40,53 +40,11 @@
 
 /* ---- queue of things to come ---- */
 
-static int
-comes_before (const SimItem *a, const SimItem *b)
-{
-  return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
-}
-
 void
 sim_schedule (WlSim *sim, const SimItem *item)
 {
-  if (sim->n_heap == sim->heap_capacity)
-    {
-      sim->heap_capacity = sim->heap_capacity > 0 ? 2 * sim->heap_capacity : 1024;
-      sim->heap = realloc (sim->heap, sim->heap_capacity * sizeof *sim->heap);
-      if (sim->heap == NULL)
-        abort ();
-    }
-  uint32_t i = sim->n_heap++;
-  sim->heap[i] = *item;
-  sim->heap[i].order = ++sim->order;
-  for (; i > 0 && comes_before (&sim->heap[i], &sim->heap[(i - 1) / 2]); i = (i - 1) / 2)
-    {
-      SimItem t = sim->heap[i];
-      sim->heap[i] = sim->heap[(i - 1) / 2];
-      sim->heap[(i - 1) / 2] = t;
-    }
-}
-
-static SimItem
-take_first (WlSim *sim)
-{
-  SimItem first = sim->heap[0];
-  sim->heap[0] = sim->heap[--sim->n_heap];
-  for (uint32_t i = 0;;)
-    {
-      uint32_t child = 2 * i + 1;
-      if (child >= sim->n_heap)
-        break;
-      if (child + 1 < sim->n_heap && comes_before (&sim->heap[child + 1], &sim->heap[child]))
-        child++;
-      if (!comes_before (&sim->heap[child], &sim->heap[i]))
-        break;
-      SimItem t = sim->heap[i];
-      sim->heap[i] = sim->heap[child];
-      sim->heap[child] = t;
-      i = child;
-    }
-  return first;
+  sim->order++; /* random numbers depend on it */
+  wl_time_queue_add (sim->queue, item->at_us, item);
 }
 
 /* ---- nodes ---- */
@@ -97,6 +55,7 @@
   WlSim *sim = calloc (1, sizeof *sim);
   if (sim == NULL)
     abort ();
+  sim->queue = wl_time_queue_create (sizeof (SimItem));
   sim->now_us = START_US;
   sim->random = seed;
   sim->n_nodes = nodes;
@@ -182,9 +141,9 @@
 {
   for (uint32_t i = 1; i <= sim->n_nodes; i++)
     sim_wipe (sim, i);
-  for (uint32_t i = 0; i < sim->n_heap; i++)
-    free (sim->heap[i].bytes);
-  free (sim->heap);
+  for (SimItem item; wl_time_queue_take (sim->queue, UINT64_MAX, &item);)
+    free (item.bytes);
+  wl_time_queue_destroy (sim->queue);
   free (sim);
 }
 
@@ -436,9 +395,8 @@
   while (sim->now_us < end_us)
     {
       uint64_t tick_us = sim->now_us + WL_TICK_US;
-      while (sim->n_heap > 0 && sim->heap[0].at_us <= tick_us)
+      for (SimItem item; wl_time_queue_take (sim->queue, tick_us, &item);)
         {
-          SimItem item = take_first (sim);
           if (item.at_us > sim->now_us)
             sim->now_us = item.at_us;
           deliver (sim, &item);
--- a/testkit/wl_sim.h
+++ b/testkit/wl_sim.h
@@ -4,6 +4,7 @@
 #include "wl_core.h"
 #include "wl_memory_disk.h"
 #include "wl_storage.h"
+#include "wl_time_queue.h"
 
 /*
  * A few reducers joined by a fake network, fake disks and fake endpoints, in
@@ -34,7 +35,6 @@
 typedef struct
 {
   uint64_t at_us;
-  uint64_t order;
   SimItemKind kind;
   uint32_t from;
   uint32_t to;
@@ -130,9 +130,7 @@
   uint32_t drop_ppm;
   uint32_t repeat_ppm;
   uint64_t delay_us;
-  SimItem *heap;
-  uint32_t n_heap;
-  uint32_t heap_capacity;
+  WlTimeQueue *queue; /* of SimItem */
   SimEndpoint endpoints[SIM_ENDPOINTS];
   uint32_t n_endpoints;
   SimRun runs[SIM_RUNS];
