--- a/relay/tests/test_host.c
+++ b/relay/tests/test_host.c
@@ -9,6 +9,7 @@
 #include "wl_clock.h"
 #include "wl_host.h"
 #include "wl_test.h"
+#include "wl_test_loopback.h"
 
 /* A node across restarts: what it knows again without anybody telling it. */
 
@@ -25,7 +26,7 @@
   WlReactor *reactor = NULL;
   ck_assert_int_eq (wl_reactor_create (&reactor), WL_OK);
   WlTcpLoop *loop = wl_tcp_loop_create (reactor);
-  uint16_t port = wl_tcp_listen (loop, htonl (INADDR_LOOPBACK), 0, NULL, NULL);
+  uint16_t port = wl_tcp_listen (loop, htonl (wl_test_loopback (1)), 0, NULL, NULL);
   wl_tcp_loop_destroy (loop);
   wl_reactor_destroy (reactor);
   return port;
@@ -38,7 +39,7 @@
   strcpy (f->folder, "/tmp/wl-host-XXXXXX");
   ck_assert_ptr_nonnull (mkdtemp (f->folder));
   f->options = (WlHostOptions){
-    .node = INADDR_LOOPBACK,
+    .node = wl_test_loopback (1),
     .zone = "z",
     .key = "key",
     .is_first_start = 1,
--- a/runtime/tests/test_peers.c
+++ b/runtime/tests/test_peers.c
@@ -7,6 +7,7 @@
 #include "wl_clock.h"
 #include "wl_peers.h"
 #include "wl_test.h"
+#include "wl_test_loopback.h"
 
 /* Connections between nodes: delivery, wrong keys, silent connections. */
 
@@ -21,8 +22,10 @@
 static int
 resolve (void *data, uint32_t node, const char **address, uint32_t *port)
 {
+  static char own[WL_TEST_IP_SIZE];
   (void)node;
-  *address = "127.0.0.1";
+  wl_test_loopback_text (1, own);
+  *address = own;
   *port = ((End *)data)->peer_port;
   return *port != 0;
 }
@@ -40,7 +43,7 @@
 static int
 listen_only (int backlog, uint32_t *port)
 {
-  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr = { htonl (wl_test_loopback (1)) } };
   socklen_t n = sizeof a;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   ck_assert_int_eq (bind (fd, (struct sockaddr *)&a, sizeof a), 0);
@@ -54,7 +57,7 @@
 static uint32_t
 free_port (void)
 {
-  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr = { htonl (wl_test_loopback (1)) } };
   socklen_t n = sizeof a;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   ck_assert_int_eq (bind (fd, (struct sockaddr *)&a, sizeof a), 0);
@@ -67,9 +70,11 @@
 open_end (WlReactor *reactor, uint32_t node, const char *key, End *end)
 {
   WlPeers *peers = NULL;
+  char own[WL_TEST_IP_SIZE];
+  wl_test_loopback_text (1, own);
   end->port = free_port ();
   WlPeersOptions o = { .node = node,
-                       .address = "127.0.0.1",
+                       .address = own,
                        .port = end->port,
                        .key = key,
                        .resolve = resolve,
@@ -176,7 +181,7 @@
   End y = { 0 };
   int fillers[FILLERS];
   uint64_t now_us = 1000000000;
-  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  struct sockaddr_in addr = { .sin_family = AF_INET, .sin_addr = { htonl (wl_test_loopback (1)) } };
   wl_reactor_create (&reactor);
   wl_clock_set (now_us);
   WlPeers *a = open_end (reactor, 1, "key", &x);
@@ -215,7 +220,8 @@
   for (int i = 0; i < 50; i++)
     {
       uint8_t bytes[256];
-      struct sockaddr_in addr = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+      struct sockaddr_in addr
+          = { .sin_family = AF_INET, .sin_addr = { htonl (wl_test_loopback (1)) } };
       addr.sin_port = htons ((uint16_t)x.port);
       int fd = socket (AF_INET, SOCK_STREAM, 0);
       ck_assert_int_eq (connect (fd, (struct sockaddr *)&addr, sizeof addr), 0);
--- /dev/null
+++ b/tests/wl_test_loopback.h
@@ -0,0 +1,35 @@
+#ifndef WL_TEST_LOOPBACK_H
+#define WL_TEST_LOOPBACK_H
+
+#include <stdint.h>
+#include <stdio.h>
+#include <unistd.h>
+
+/*
+ * Loopback addresses of this process alone, 127.x.y.1 and up with x and y from
+ * the process id: a port that was found free there stays free until it is
+ * listened on, whatever other tests run.
+ */
+
+enum
+{
+  WL_TEST_IP_SIZE = 16,
+};
+
+/** wl_test_loopback() - address @number (from 1) of this process, host byte order */
+static inline uint32_t
+wl_test_loopback (uint32_t number)
+{
+  uint32_t pid = (uint32_t)getpid ();
+  return 127u << 24 | (1 + (pid >> 8) % 254) << 16 | (pid & 255) << 8 | number;
+}
+
+/** wl_test_loopback_text() - the same as text */
+static inline void
+wl_test_loopback_text (uint32_t number, char out[WL_TEST_IP_SIZE])
+{
+  uint32_t a = wl_test_loopback (number);
+  snprintf (out, WL_TEST_IP_SIZE, "%u.%u.%u.%u", a >> 24, a >> 16 & 255, a >> 8 & 255, a & 255);
+}
+
+#endif
