Nodes that start together meet at once and tell each other the work they have placed

Cause: after all nodes were killed or lost power, 100 of 200 shorts of the next two seconds missed their objective. Ruled out: work left from before (the same with kill_all, where engines drop it), the time to the first configuration. Change: a status that names unknown nodes makes this one send its status to them in the same turn, and a node heard for the first time gets status, registrations and the list of all work in place of waiting for the next tick. Test on a clock that stands still; it fails before.

--- /dev/null
+++ b/relay/tests/test_host_gossip.c
@@ -0,0 +1,140 @@
+#include <string.h>
+#include <arpa/inet.h>
+#include <apr_general.h>
+#include <sodium.h>
+#include "wl_clock.h"
+#include "wl_host_internal.h"
+#include "wl_test.h"
+#include "wl_test_loopback.h"
+
+/*
+ * Nodes that start at the same moment, as after a loss of power, on a clock
+ * that stands still: what they learn of each other must not wait for a tick.
+ */
+
+enum
+{
+  NODES = 4,
+  TURNS = 60, /* of every node's loop; the bound only ends a test that has failed */
+  NOW_US = 50000000,
+};
+
+typedef struct
+{
+  uint16_t peer_port;
+  uint16_t front_port;
+  WlHost *nodes[NODES];
+} Fixture;
+
+static uint16_t
+free_port (void)
+{
+  WlReactor *reactor = NULL;
+  ck_assert_int_eq (wl_reactor_create (&reactor), WL_OK);
+  WlTcpLoop *loop = wl_tcp_loop_create (reactor);
+  uint16_t port = wl_tcp_listen (loop, htonl (wl_test_loopback (1)), 0, NULL, NULL);
+  wl_tcp_loop_destroy (loop);
+  wl_reactor_destroy (reactor);
+  return port;
+}
+
+static void
+setup (Fixture *f)
+{
+  memset (f, 0, sizeof *f);
+  wl_clock_set (NOW_US);
+  f->peer_port = free_port ();
+  f->front_port = free_port ();
+}
+
+/* Starts a node without a disk whose only seed is node 0. */
+static void
+start (Fixture *f, uint32_t i)
+{
+  WlHostOptions options = {
+    .node = wl_test_loopback (i + 1),
+    .zone = "z",
+    .key = "key",
+    .peer_port = f->peer_port,
+    .front_port = f->front_port,
+    .seeds = { wl_test_loopback (1) },
+    .n_seeds = 1,
+  };
+  ck_assert_int_eq (wl_host_create (&options, &f->nodes[i]), WL_OK);
+}
+
+static void
+teardown (Fixture *f)
+{
+  for (int i = 0; i < NODES; i++)
+    wl_host_destroy (f->nodes[i]);
+  wl_clock_set (0);
+}
+
+static void
+run_turn (Fixture *f)
+{
+  for (int i = 0; i < NODES; i++)
+    if (f->nodes[i] != NULL)
+      wl_host_run_once (f->nodes[i]);
+}
+
+static uint32_t
+count_heard (const WlHost *host)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < host->roster->n_nodes; i++)
+    n += host->roster->nodes[i].heard_us != 0;
+  return n;
+}
+
+static int
+have_all_met (const Fixture *f)
+{
+  for (int i = 0; i < NODES; i++)
+    if (count_heard (f->nodes[i]) != NODES - 1)
+      return 0;
+  return 1;
+}
+
+START_TEST (nodes_that_know_one_seed_meet_before_the_next_tick)
+{
+  Fixture f;
+  setup (&f);
+  for (uint32_t i = 0; i < NODES; i++)
+    start (&f, i);
+  for (int i = 0; i < TURNS && !have_all_met (&f); i++)
+    run_turn (&f);
+  ck_assert_int_eq (have_all_met (&f), 1);
+  teardown (&f);
+}
+END_TEST
+
+START_TEST (work_placed_before_nodes_met_is_told_when_they_meet)
+{
+  Fixture f;
+  WlWorkNote note = { .endpoint = 7, .work = 1, .phase = WL_WORK_WRITING, .memory = 100 };
+  setup (&f);
+  start (&f, 0);
+  wl_load_note (f.nodes[0]->load, f.nodes[0]->options.node, f.nodes[0]->boot, &note, NOW_US);
+  run_turn (&f);
+  start (&f, 1);
+  for (int i = 0; i < TURNS && wl_load_sum (f.nodes[1]->load, 7, NOW_US).n_items == 0; i++)
+    run_turn (&f);
+  ck_assert_uint_eq (wl_load_sum (f.nodes[1]->load, 7, NOW_US).n_items, 1);
+  teardown (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  const WlTest tests[] = {
+    WL_TEST (nodes_that_know_one_seed_meet_before_the_next_tick),
+    WL_TEST (work_placed_before_nodes_met_is_told_when_they_meet),
+  };
+  if (sodium_init () < 0)
+    return 1;
+  apr_initialize ();
+  return wl_test_run ("host_gossip", tests, sizeof tests / sizeof tests[0]);
+}
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -15,15 +15,13 @@
   WORK_MAX = 1024, /* work of one node in a whole list */
 };
 
-void
-wl_host_send_status (WlHost *host, uint64_t now_us)
+/* @known has room for WL_ROSTER_MAX nodes and must last as long as @s. */
+static void
+describe_self (const WlHost *host, WlNodeStatus *s, WlNodeId *known, uint64_t now_us)
 {
-  WlMessage m = { .kind = WL_MESSAGE_NODE_STATUS };
-  WlNodeStatus *s = &m.u.node_status;
-  WlNodeId known[WL_ROSTER_MAX];
   s->node = host->options.node;
   s->boot = host->boot;
-  s->sequence = ++host->status_sequence;
+  s->sequence = host->status_sequence;
   memcpy (s->zone, host->options.zone, sizeof s->zone);
   s->front_port = host->options.front_port;
   s->has_disk = host->document != NULL;
@@ -35,12 +33,28 @@
   for (uint32_t i = 0; i < host->roster->n_nodes; i++)
     if (wl_roster_is_alive (&host->roster->nodes[i], now_us))
       known[s->n_known++].node = host->roster->nodes[i].status.node;
-  host->status_us = now_us;
-  host->was_ready = s->is_ready;
-  for (uint32_t i = 0; i < host->roster->n_nodes; i++)
+}
+
+/* Sends the status to the nodes of the roster from position @first to before @end. */
+static void
+send_status_to (WlHost *host, uint32_t first, uint32_t end, uint64_t now_us)
+{
+  WlMessage m = { .kind = WL_MESSAGE_NODE_STATUS };
+  WlNodeId known[WL_ROSTER_MAX];
+  host->status_sequence++;
+  describe_self (host, &m.u.node_status, known, now_us);
+  for (uint32_t i = first; i < end; i++)
     wl_host_send (host, host->roster->nodes[i].status.node, &m);
 }
 
+void
+wl_host_send_status (WlHost *host, uint64_t now_us)
+{
+  host->status_us = now_us;
+  host->was_ready = (uint8_t)wl_host_is_ready (host);
+  send_status_to (host, 0, host->roster->n_nodes, now_us);
+}
+
 /* ---- endpoints ---- */
 
 static void
@@ -203,24 +217,35 @@
   wl_host_broadcast (host_data, &m);
 }
 
-/* Mends what lost notes have left behind at other nodes. */
+/* Lists all work of this node for one node, 0 for all. */
 static void
-send_whole_work (WlHost *host, uint64_t now_us)
+send_whole_work (WlHost *host, uint32_t node)
 {
   WlMessage m = { .kind = WL_MESSAGE_WORK };
   WlWorkNote notes[WORK_MAX];
-  if (now_us < host->work_us + WL_HOST_WORK_US)
-    return;
-  host->work_us = now_us;
   wl_host_flush_notes (host);
   m.u.work.boot = host->boot;
   m.u.work.is_whole = 1;
   m.u.work.notes = notes;
   m.u.work.n_notes = wl_load_list (host->load, host->options.node, notes, WORK_MAX);
-  if (m.u.work.n_notes < WORK_MAX)
+  if (m.u.work.n_notes == WORK_MAX)
+    return;
+  if (node != 0)
+    wl_host_send (host, node, &m);
+  else
     wl_host_broadcast (host, &m);
 }
 
+/* Mends what lost notes have left behind at other nodes. */
+static void
+repeat_whole_work (WlHost *host, uint64_t now_us)
+{
+  if (now_us < host->work_us + WL_HOST_WORK_US)
+    return;
+  host->work_us = now_us;
+  send_whole_work (host, 0);
+}
+
 /* ---- receiving ---- */
 
 static void
@@ -239,17 +264,23 @@
   WlRosterNode *known = wl_roster_find (host->roster, s->node);
   int is_new = known == NULL || known->heard_us == 0 || known->status.boot != s->boot;
   int was_draining = known != NULL && known->status.is_draining;
+  uint32_t n_met = host->roster->n_nodes;
   if (!wl_roster_hear (host->roster, s, now_us))
     return;
+  /* Those that it names are met at once, not with the next status. */
+  if (host->roster->n_nodes > n_met)
+    send_status_to (host, n_met, host->roster->n_nodes, now_us);
   known = wl_roster_find (host->roster, s->node);
   if (is_new || known->is_lost)
     {
       wl_log_eventf (WL2203_NODE_HEARD, "node=%u boot=%" PRIx64 " zone=%s disk=%u config=%" PRIu64,
                      s->node, s->boot, s->zone, s->has_disk, s->config_number);
       wl_load_drop_node (host->load, s->node, s->boot, now_us);
+      uint32_t i = (uint32_t)(known - host->roster->nodes);
+      send_status_to (host, i, i + 1, now_us);
       send_all_records (host, s->node, now_us);
+      send_whole_work (host, s->node);
       known->is_lost = 0;
-      host->status_us = 0; /* answer at once */
     }
   if (s->is_draining && !was_draining)
     wl_log_eventf (WL2205_NODE_DRAINING, "node=%u", s->node);
@@ -350,7 +381,7 @@
     wl_roster_meet (host->roster, host->options.seeds[i], now_us);
   note_lost_nodes (host, now_us);
   settle_founders (host);
-  send_whole_work (host, now_us);
+  repeat_whole_work (host, now_us);
   save_endpoints (host, now_us);
   if (now_us < host->status_us + WL_ROSTER_STATUS_US && host->was_ready == wl_host_is_ready (host))
     return;
