core/ in four libraries: base, agreement, placement, requests; calls go one way

Files are moved, not changed; the only call across was from the configuration session to wl_delta, which describes changes of the services text and is base now. Each part sees base alone, by include paths and libraries: a wrong include fails the build. Runtime and relay link agreement in place of all of core; the tool links requests, the emulator placement. Left: the circle of five in daemon/.

--- a/daemon/tests/test_events.c
+++ b/daemon/tests/test_events.c
@@ -24,7 +24,7 @@
 {
   static unsigned char code[10000];
   static unsigned char docs[10000];
-  collect (WL_SOURCE_DIR "/core/wl_events.h", "  WL", code);
+  collect (WL_SOURCE_DIR "/core/base/wl_events.h", "  WL", code);
   collect (WL_SOURCE_DIR "/docs/events.md", "| WL", docs);
   for (int i = 1; i < 10000; i++)
     ck_assert_msg (code[i] == docs[i] && code[i] <= 1, "event %d: code %d, docs %d", i, code[i],
