--- a/relay/tests/test_choice.c
+++ b/relay/tests/test_choice.c
@@ -153,6 +153,7 @@
     }
   WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
   ck_assert_int_eq (c.result, WL_CHOICE_WAIT);
+  ck_assert_int_eq (c.hold, WL_CHOICE_HELD_FOR_ROOM);
   ck_assert_uint_le (c.wait_us, 50000);
   destroy (&f);
 }
@@ -223,6 +224,28 @@
 }
 END_TEST
 
+START_TEST (why_a_long_prompt_waits_is_told)
+{
+  Fixture f = create ();
+  WlChoiceRequest q = long_request (LONG_PROMPT);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    put (&f, f.fleet->endpoints[i].key,
+         (WlWorkNote){ .phase = WL_WORK_SENT, .reads = 60000, .read_us = 800000 });
+  WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_WAIT);
+  ck_assert_int_eq (c.hold, WL_CHOICE_HELD_COSTLY);
+  ck_assert_uint_ge (c.reading_us, 800000 - ENGINES);
+  ck_assert_uint_le (c.reading_us, 800000);
+  for (uint32_t i = 0; i < ENGINES; i++)
+    put (&f, f.fleet->endpoints[i].key,
+         (WlWorkNote){ .phase = WL_WORK_WRITING, .memory = 200000, .gap_ms = 1000 });
+  c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_WAIT);
+  ck_assert_int_eq (c.hold, WL_CHOICE_HELD_FULL);
+  destroy (&f);
+}
+END_TEST
+
 START_TEST (what_cannot_be_answered_in_time_is_refused_at_once)
 {
   Fixture f = create ();
@@ -302,6 +325,7 @@
     WL_TEST (a_long_prompt_is_read_in_parts_beside_no_short),
     WL_TEST (an_oversized_prompt_is_spread_over_free_memory),
     WL_TEST (an_oversized_prompt_waits_while_slots_are_scarce),
+    WL_TEST (why_a_long_prompt_waits_is_told),
     WL_TEST (what_cannot_be_answered_in_time_is_refused_at_once),
     WL_TEST (a_short_avoids_an_engine_that_has_become_slow),
     WL_TEST (plain_requests_spread_over_slots_and_stay_near),
--- a/relay/wl_choice.c
+++ b/relay/wl_choice.c
@@ -357,7 +357,7 @@
 choose_parts (const WlLoad *load, const WlChoiceRequest *q, Candidate *all, uint32_t n_all)
 {
   static const uint32_t counts[] = { 0, 1, 2, 3, 4, 5, 7, 9, 11, 13, 15, 16 };
-  WlChoice best = { .result = WL_CHOICE_WAIT };
+  WlChoice best = { .result = WL_CHOICE_WAIT, .hold = WL_CHOICE_HELD_FULL };
   WlChoice try = { 0 };
   double best_score = -1e9;
   uint64_t read_us = wl_forecast_read_us (&q->service->engine, q->prompt);
@@ -369,6 +369,8 @@
       if (counts[i] >= n_all || (counts[i] > 0 && read_us < HELP_FROM_READ_US))
         break;
       double score = judge_parts (load, q, all, n_all, counts[i], &try) - price;
+      if (try.endpoint != NULL && best.hold == WL_CHOICE_HELD_FULL)
+        best.hold = WL_CHOICE_HELD_COSTLY;
       if (try.endpoint == NULL || score <= best_score || score < 0.0)
         continue;
       best = try;
@@ -378,7 +380,10 @@
   if (is_short (q) && best.result == WL_CHOICE_PLACED
       && worth_of_waiting (q, all, n_all)
              > worth_of (q->prompt) * timeliness (q, best.predicted_us))
-    best.result = WL_CHOICE_WAIT;
+    {
+      best.result = WL_CHOICE_WAIT;
+      best.hold = WL_CHOICE_HELD_FOR_ROOM;
+    }
   return best;
 }
 
@@ -386,7 +391,7 @@
 choose_one (const WlLoad *load, const WlChoiceRequest *q, Candidate *all, uint32_t n_all,
             uint64_t random)
 {
-  WlChoice best = { .result = WL_CHOICE_WAIT };
+  WlChoice best = { .result = WL_CHOICE_WAIT, .hold = WL_CHOICE_HELD_FULL };
   double best_score = 0.0;
   for (uint32_t i = 0; i < n_all; i++)
     {
@@ -396,6 +401,7 @@
         continue;
       best_score = c->score;
       best.result = WL_CHOICE_PLACED;
+      best.hold = WL_CHOICE_NOT_HELD;
       best.endpoint = c->endpoint;
     }
   return best;
@@ -419,9 +425,9 @@
 }
 
 static WlChoice
-wait_or_refuse (const WlChoiceRequest *q, const Candidate *all, uint32_t n_all)
+wait_or_refuse (const WlChoiceRequest *q, const Candidate *all, uint32_t n_all, WlChoiceHold hold)
 {
-  WlChoice out = { .result = WL_CHOICE_WAIT, .wait_us = RETRY_US };
+  WlChoice out = { .result = WL_CHOICE_WAIT, .hold = hold, .wait_us = RETRY_US };
   uint64_t soonest_us = UINT64_MAX;
   if (!q->service->has_engine)
     return out;
@@ -430,6 +436,7 @@
       uint64_t t = room_in_us (&q->service->engine, &all[i].sum);
       if (t < soonest_us)
         soonest_us = t;
+      out.reading_us += all[i].sum.backlog_us / n_all;
     }
   if (soonest_us + shortest_time_us (q, n_all) > q->deadline_us)
     {
@@ -439,6 +446,23 @@
   return out;
 }
 
+const char *
+wl_choice_hold_name (WlChoiceHold hold)
+{
+  switch (hold)
+    {
+    case WL_CHOICE_NOT_HELD:
+      return "none";
+    case WL_CHOICE_HELD_FULL:
+      return "full";
+    case WL_CHOICE_HELD_COSTLY:
+      return "costly";
+    case WL_CHOICE_HELD_FOR_ROOM:
+      return "for_room";
+    }
+  return "none";
+}
+
 static uint64_t
 left_until (uint64_t then_us, uint64_t now_us)
 {
@@ -481,7 +505,7 @@
       else
         out = choose_one (load, request, all, n, random);
       if (out.result != WL_CHOICE_PLACED)
-        out = wait_or_refuse (request, all, n);
+        out = wait_or_refuse (request, all, n, out.hold);
     }
   free (all);
   return out;
--- a/relay/wl_choice.h
+++ b/relay/wl_choice.h
@@ -61,9 +61,26 @@
   WL_CHOICE_TOO_LARGE,
 } WlChoiceResult;
 
+/**
+ * enum WlChoiceHold - why a request is not placed now
+ * @WL_CHOICE_NOT_HELD: it is placed, or there is no endpoint
+ * @WL_CHOICE_HELD_FULL: no endpoint has a slot and the memory that it needs
+ * @WL_CHOICE_HELD_COSTLY: it would cost the requests beside it more than it earns
+ * @WL_CHOICE_HELD_FOR_ROOM: an engine that is full now will answer sooner than the others
+ */
+typedef enum
+{
+  WL_CHOICE_NOT_HELD,
+  WL_CHOICE_HELD_FULL,
+  WL_CHOICE_HELD_COSTLY,
+  WL_CHOICE_HELD_FOR_ROOM,
+} WlChoiceHold;
+
 /**
  * struct WlChoice - a decision
  * @result: outcome
+ * @hold: why it is not placed now
+ * @reading_us: reading left at the endpoints, on average, when it is not placed
  * @endpoint: endpoint that answers
  * @helpers: endpoints that read parts of the prompt, @n_helpers of them
  * @tickets: tokens of memory to be reserved at each helper, 0 for none
@@ -77,6 +94,8 @@
 typedef struct
 {
   WlChoiceResult result;
+  WlChoiceHold hold;
+  uint64_t reading_us;
   WlEndpoint *endpoint;
   WlEndpoint *helpers[WL_CHOICE_HELPERS_MAX];
   uint64_t tickets[WL_CHOICE_HELPERS_MAX];
@@ -102,6 +121,9 @@
   uint64_t silent_since_us;
 } WlChoiceTimes;
 
+/** wl_choice_hold_name() - name of a reason to wait, for logs */
+const char *wl_choice_hold_name (WlChoiceHold hold);
+
 /**
  * wl_choice_set_times() - sets the objective and the deadline as they are now
  * @request: the request; its prompt, output and service are set
--- a/relay/wl_relay.c
+++ b/relay/wl_relay.c
@@ -153,10 +153,13 @@
   relay->metrics.refused[reason]++;
   wl_log_eventf (WL4008_REQUEST_REFUSED,
                  "request=%s route=%s reason=%s held_ms=%" PRIu64 " retry_after_ms=%" PRIu64
-                 " attempts=%u prompt=%u deadline_ms=%" PRIu64 " config=%" PRIu64,
+                 " attempts=%u prompt=%u deadline_ms=%" PRIu64 " hold=%s reading_ms=%" PRIu64
+                 " config=%" PRIu64,
                  r->info.id != NULL ? r->info.id : "-", r->route->name, wl_reason_name (reason),
                  (wl_clock_now_us () - r->arrived_us) / 1000, wait_us / 1000, r->attempts,
-                 r->wanted.prompt, r->wanted.deadline_us / 1000, r->routes->number);
+                 r->wanted.prompt, r->wanted.deadline_us / 1000,
+                 wl_choice_hold_name (r->choice.hold), r->choice.reading_us / 1000,
+                 r->routes->number);
   WlWebRequest *web = r->web;
   free_request (r);
   reply_with_wait (web, wait_us);
@@ -250,6 +253,22 @@
                          wl_random_next (&relay->random));
 }
 
+/* Told once a request: why it was not placed when it arrived, or after a failed attempt. */
+static void
+log_wait (WlRelayRequest *r)
+{
+  if (r->is_wait_logged)
+    return;
+  r->is_wait_logged = 1;
+  wl_log_eventf (WL4011_REQUEST_WAITS,
+                 "request=%s route=%s hold=%s prompt=%u reading_ms=%" PRIu64
+                 " objective_ms=%" PRIu64 " deadline_ms=%" PRIu64 " config=%" PRIu64,
+                 r->info.id != NULL ? r->info.id : "-", r->route->name,
+                 wl_choice_hold_name (r->choice.hold), r->wanted.prompt,
+                 r->choice.reading_us / 1000, r->wanted.objective_us / 1000,
+                 r->wanted.deadline_us / 1000, r->routes->number);
+}
+
 void
 wl_relay_try (WlRelayRequest *r, uint64_t now_us)
 {
@@ -266,6 +285,7 @@
       wl_relay_start_attempt (r, now_us);
       return;
     case WL_CHOICE_WAIT:
+      log_wait (r);
       r->retry_us = now_us + r->choice.wait_us;
       return;
     case WL_CHOICE_LATE:
--- a/relay/wl_relay_internal.h
+++ b/relay/wl_relay_internal.h
@@ -82,6 +82,7 @@
   uint64_t limit_us;
   uint64_t retry_us;
   WlRelayPhase phase;
+  uint8_t is_wait_logged;
   uint8_t is_parked; /* waits for the first configuration; nothing else is set */
 
   WlFetch *call;
