Model of the replacement of a voter, with three mutants

Four replicas, logs of four entries, three terms; elections and transfers of a log are one step, acknowledgements come late. Found out: a change while another is not committed, a change before the leader's own entry is committed, two changes in one entry. With two terms the last is missed, so the model needs three.

--- a/models/check.sh
+++ b/models/check.sh
@@ -52,6 +52,11 @@
 start fail mutant-any-disk-founds founding "$safety" -E -DMUTANT_ANY_DISK_FOUNDS
 start fail mutant-lowest-heard-founds founding "$safety" -E -DMUTANT_LOWEST_HEARD
 start fail mutant-one-voter-acknowledges founding "$safety" -E -DMUTANT_ONE_VOTER_ACKNOWLEDGES
+start hold replacement replacement "$safety" -E -DLOSSES=0
+start hold replacement-lost-disk replacement "$safety" -E -DLOSSES=1
+start fail mutant-change-while-one-is-uncommitted replacement "$safety" -E -DLOSSES=0 -DMUTANT_CHANGE_UNCOMMITTED
+start fail mutant-change-before-own-entry replacement "$safety" -E -DLOSSES=0 -DMUTANT_CHANGE_BEFORE_OWN_ENTRY
+start fail mutant-swap-in-one-entry replacement "$safety" -E -DLOSSES=0 -DMUTANT_SWAP
 start hold leases leases "$safety" -E
 start hold leases-late-answer leases "$safety" -E -DLATE
 start hold fencing leases "$safety" -E -DORDERS
