After a restart of all nodes the configuration comes from disk, and late seeds are met at the next tick

It came from the control leader only, so from an election; and a node whose first status met a seed that was not up yet sent the next one 400 ms later, over a connection that was dialled anew after 200 ms at the soonest. Change: nodes with a disk keep the text beside the log and put it in force 40 ms after the start when nobody told a newer one; the first configuration of a node is told at once; nodes that were named and not heard are tried at each tick of 100 ms for three seconds, dialled after 80 ms.

--- a/relay/tests/test_host.c
+++ b/relay/tests/test_host.c
@@ -7,7 +7,7 @@
 #include <apr_general.h>
 #include <sodium.h>
 #include "wl_clock.h"
-#include "wl_host.h"
+#include "wl_host_internal.h"
 #include "wl_test.h"
 #include "wl_test_loopback.h"
 
@@ -63,6 +63,13 @@
     wl_host_run_once (f->host);
 }
 
+static void
+run_turns (Fixture *f)
+{
+  for (int i = 0; i < 5; i++)
+    wl_host_run_once (f->host);
+}
+
 /* Runs until a file exists; the bound only ends a test that has failed. */
 static int
 run_until_file (Fixture *f, const char *name)
@@ -139,6 +146,55 @@
 }
 END_TEST
 
+static WlRoutes *
+parse_any (WlBytes text, WlFindings *findings)
+{
+  (void)text;
+  (void)findings;
+  return wl_routes_create ();
+}
+
+static void
+on_submitted (void *data, WlHostOutcome outcome, WlBytes text)
+{
+  (void)text;
+  *(int *)data = outcome == WL_HOST_DONE;
+}
+
+/*
+ * All nodes lose power and no leader is elected yet: the text that was
+ * committed before is in force, once a neighbour would have told a newer one.
+ */
+START_TEST (the_committed_text_is_in_force_again_without_a_quorum)
+{
+  static Fixture f;
+  int is_done = 0;
+  create (&f);
+  f.options.parse = parse_any;
+  f.options.seeds[0] = f.options.node;
+  f.options.n_seeds = 1;
+  start (&f);
+  for (int i = 0; i < 100 && wl_host_leader (f.host, wl_clock_now_us ()) == 0; i++)
+    run (&f, 50000);
+  wl_host_submit (f.host, 7, (WlBytes){ (const uint8_t *)"text", 4 }, on_submitted, &is_done);
+  ck_assert_int_eq (run_until_file (&f, "text"), 1);
+  ck_assert_int_eq (is_done, 1);
+  wl_host_destroy (f.host);
+  uint64_t now_us = wl_clock_now_us ();
+  f.options.is_first_start = 0;
+  wl_clock_set (now_us);
+  start (&f);
+  run_turns (&f);
+  ck_assert_uint_eq (gauge (&f, "config_number"), 0);
+  wl_clock_set (now_us + 50000); /* before any replica may stand for election */
+  run_turns (&f);
+  ck_assert_uint_eq (gauge (&f, "config_number"), 1);
+  ck_assert_uint_eq (gauge (&f, "control_leader"), 0);
+  wl_clock_set (0);
+  destroy (&f);
+}
+END_TEST
+
 START_TEST (a_damaged_file_of_endpoints_costs_nothing_else)
 {
   static Fixture f;
@@ -163,6 +219,7 @@
 {
   const WlTest tests[] = {
     WL_TEST (endpoints_are_known_again_after_a_restart),
+    WL_TEST (the_committed_text_is_in_force_again_without_a_quorum),
     WL_TEST (a_damaged_file_of_endpoints_costs_nothing_else),
   };
   if (sodium_init () < 0)
--- a/relay/tests/test_host_gossip.c
+++ b/relay/tests/test_host_gossip.c
@@ -17,6 +17,7 @@
   NODES = 4,
   TURNS = 60, /* of every node's loop; the bound only ends a test that has failed */
   NOW_US = 50000000,
+  TICK_US = 100000, /* of gossip */
 };
 
 typedef struct
@@ -110,6 +111,23 @@
 }
 END_TEST
 
+/* The seed starts a moment after the node: nobody else knows the node then. */
+START_TEST (a_seed_that_starts_later_is_met_at_the_next_tick)
+{
+  Fixture f;
+  setup (&f);
+  start (&f, 1);
+  for (int i = 0; i < 5; i++)
+    run_turn (&f);
+  start (&f, 0);
+  wl_clock_set (NOW_US + TICK_US);
+  for (int i = 0; i < TURNS && count_heard (f.nodes[0]) == 0; i++)
+    run_turn (&f);
+  ck_assert_uint_eq (count_heard (f.nodes[0]), 1);
+  teardown (&f);
+}
+END_TEST
+
 START_TEST (work_placed_before_nodes_met_is_told_when_they_meet)
 {
   Fixture f;
@@ -131,6 +149,7 @@
 {
   const WlTest tests[] = {
     WL_TEST (nodes_that_know_one_seed_meet_before_the_next_tick),
+    WL_TEST (a_seed_that_starts_later_is_met_at_the_next_tick),
     WL_TEST (work_placed_before_nodes_met_is_told_when_they_meet),
   };
   if (sodium_init () < 0)
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -165,22 +165,6 @@
     }
 }
 
-/* Endpoints are registered again in a moment: what is lost here is time only. */
-static void
-load_endpoints (WlHost *host, WlDisk *disk)
-{
-  WlBytes file;
-  apr_pool_t *pool;
-  apr_pool_create (&pool, NULL);
-  WlError error = wl_disk_load (disk, WL_HOST_ENDPOINTS_FILE, pool, &file);
-  if (error == WL_OK)
-    error = wl_host_restore_endpoints (host, file);
-  if (error != WL_OK && error != WL_ERROR_NOT_FOUND)
-    wl_log_eventf (WL1010_SAVED_FILE_UNUSABLE, "file=%s error=\"%s\"", WL_HOST_ENDPOINTS_FILE,
-                   wl_strerror (error));
-  apr_pool_destroy (pool);
-}
-
 static WlError
 open_document (WlHost *host)
 {
@@ -212,7 +196,7 @@
     {
       wl_document_set_voters (host->document, host->options.faults);
       meet_voters (host);
-      load_endpoints (host, disk);
+      wl_host_load_files (host, disk);
       wl_storage_forget (storage);
       error = wl_journal_create (host->reactor, storage, release_effects, host, &host->journal);
     }
@@ -338,6 +322,7 @@
       free (local);
     }
   wl_bytes_release (&host->text);
+  wl_bytes_release (&host->saved_text);
   wl_tcp_loop_destroy (host->loop);
   wl_reactor_destroy (host->reactor);
   free (host);
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -9,10 +9,9 @@
 
 enum
 {
-  RECORDS_MAX = 128, /* registrations in one message */
-  /* Restored endpoints register again within two of their intervals, or get no more work. */
-  RESTORED_AGE_US = WL_FLEET_SILENCE_US - 2500000,
-  WORK_MAX = 1024, /* work of one node in a whole list */
+  RECORDS_MAX = 128,  /* registrations in one message */
+  WORK_MAX = 1024,    /* work of one node in a whole list */
+  GREET_US = 3000000, /* nodes that lose power together start within two seconds or so */
 };
 
 /* @known has room for WL_ROSTER_MAX nodes and must last as long as @s. */
@@ -90,8 +89,8 @@
     send_records (host, node, records, n);
 }
 
-static void
-take_record (WlHost *host, const WlEndpointRecord *record, uint64_t now_us)
+void
+wl_host_take_record (WlHost *host, const WlEndpointRecord *record, uint64_t now_us)
 {
   int result = wl_fleet_take (host->fleet, record, now_us);
   if (result <= 0)
@@ -106,45 +105,6 @@
     wl_fetch_client_drop_idle (host->client, record->address, (uint16_t)record->port);
 }
 
-/* Keeps the endpoints on disk: after a loss of power of all nodes nobody else knows them. */
-static void
-save_endpoints (WlHost *host, uint64_t now_us)
-{
-  WlMessage m = { .kind = WL_MESSAGE_ENDPOINTS };
-  apr_pool_t *pool;
-  uint32_t n = host->fleet->n_endpoints;
-  if (!host->has_new_endpoints || now_us < host->saved_us + WL_HOST_SAVE_US)
-    return;
-  host->has_new_endpoints = 0;
-  host->saved_us = now_us;
-  apr_pool_create (&pool, NULL);
-  m.u.endpoints.records = apr_palloc (pool, (n + 1) * sizeof *m.u.endpoints.records);
-  m.u.endpoints.n_records = n;
-  for (uint32_t i = 0; i < n; i++)
-    m.u.endpoints.records[i] = host->fleet->endpoints[i].record;
-  wl_journal_save (host->journal, WL_HOST_ENDPOINTS_FILE, wl_message_encode (&m, pool));
-  apr_pool_destroy (pool);
-}
-
-WlError
-wl_host_restore_endpoints (WlHost *host, WlBytes file)
-{
-  WlMessage m;
-  apr_pool_t *pool;
-  uint64_t now_us = wl_clock_now_us ();
-  apr_pool_create (&pool, NULL);
-  WlError error = wl_message_decode (file, &m, pool);
-  if (error == WL_OK && m.kind != WL_MESSAGE_ENDPOINTS)
-    error = WL_ERROR_CORRUPT;
-  for (uint32_t i = 0; error == WL_OK && i < m.u.endpoints.n_records; i++)
-    {
-      m.u.endpoints.records[i].age_us = RESTORED_AGE_US;
-      take_record (host, &m.u.endpoints.records[i], now_us);
-    }
-  apr_pool_destroy (pool);
-  return error;
-}
-
 /* A node that missed that an endpoint leaves must not send to it for longer than allowed. */
 static void
 repeat_leaving (WlHost *host, uint64_t now_us)
@@ -168,7 +128,7 @@
 wl_host_register (WlHost *host, const WlEndpointRecord *record)
 {
   WlEndpointRecord copy = *record;
-  take_record (host, record, wl_clock_now_us ());
+  wl_host_take_record (host, record, wl_clock_now_us ());
   send_records (host, 0, &copy, 1);
 }
 
@@ -299,7 +259,7 @@
       return 1;
     case WL_MESSAGE_ENDPOINTS:
       for (uint32_t i = 0; i < message->u.endpoints.n_records; i++)
-        take_record (host, &message->u.endpoints.records[i], now_us);
+        wl_host_take_record (host, &message->u.endpoints.records[i], now_us);
       return 1;
     case WL_MESSAGE_SUSPICION:
       on_suspicion (host, from, &message->u.suspicion, now_us);
@@ -374,6 +334,19 @@
     wl_document_set_founders (host->document, founders, n);
 }
 
+/* A node that was named and does not answer may be about to start: tried at each tick for a while.
+ */
+static void
+greet_unheard (WlHost *host, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < host->roster->n_nodes; i++)
+    {
+      const WlRosterNode *n = &host->roster->nodes[i];
+      if (n->heard_us == 0 && now_us < n->met_us + GREET_US)
+        send_status_to (host, i, i + 1, now_us);
+    }
+}
+
 void
 wl_host_gossip_tick (WlHost *host, uint64_t now_us)
 {
@@ -382,9 +355,12 @@
   note_lost_nodes (host, now_us);
   settle_founders (host);
   repeat_whole_work (host, now_us);
-  save_endpoints (host, now_us);
+  wl_host_save_files (host, now_us);
   if (now_us < host->status_us + WL_ROSTER_STATUS_US && host->was_ready == wl_host_is_ready (host))
-    return;
+    {
+      greet_unheard (host, now_us);
+      return;
+    }
   wl_host_send_status (host, now_us);
   repeat_leaving (host, now_us);
 }
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -3,14 +3,14 @@
 
 #include "wl_host.h"
 
-/* What the files of the host share: wl_host.c, wl_host_gossip.c and wl_host_text.c. */
+/* What the files of the host share: wl_host.c and wl_host_files.c, _gossip.c and _text.c. */
 
 enum
 {
   WL_HOST_NOTES_MAX = 64,      /* notes on work sent together */
   WL_HOST_WORK_US = 2500000,   /* interval of lists of all work */
   WL_HOST_REPEAT_US = 2500000, /* a leaving endpoint is told again for this long */
-  WL_HOST_SAVE_US = 1000000,   /* shortest time between two files of endpoints */
+  WL_HOST_SAVE_US = 1000000,   /* shortest time between two files of a kind */
   WL_HOST_APPLY_US = 150000,   /* shortest time between two configurations put in force */
 };
 
@@ -35,9 +35,6 @@
   struct WlHostLocal *next;
 } WlHostLocal;
 
-/** WL_HOST_ENDPOINTS_FILE - file of the endpoints in the data folder */
-#define WL_HOST_ENDPOINTS_FILE "endpoints"
-
 struct WlHost
 {
   WlHostOptions options;
@@ -60,8 +57,11 @@
   uint64_t number; /* of the text in force, 0 for none */
   WlBytes text;    /* packed, on the heap */
   uint64_t pulled_us;
-  uint64_t applied_us; /* when a configuration was last put in force */
-  uint8_t is_text_new; /* the text is not in force yet */
+  uint64_t applied_us;   /* when a configuration was last put in force */
+  uint8_t is_text_new;   /* the text is not in force yet */
+  uint64_t saved_number; /* of the text on disk, 0 for none */
+  WlBytes saved_text;    /* read at the start, on the heap; empty once a text is known */
+  uint64_t text_saved_us;
 
   WlHostQuestion *questions;
   uint64_t next_question;
@@ -98,17 +98,22 @@
 /** wl_host_gossip_receive() - processes a message on nodes, endpoints or work; 0 for others */
 int wl_host_gossip_receive (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
 
+/** wl_host_take_record() - takes a registration, from an endpoint, a node or the disk */
+void wl_host_take_record (WlHost *host, const WlEndpointRecord *record, uint64_t now_us);
+
 /**
- * wl_host_restore_endpoints() - takes the endpoints that were saved before a restart
+ * wl_host_load_files() - reads what was known before a restart
  * @host: the host
- * @file: what wl_host_gossip_tick() has saved
+ * @disk: its disk
  *
- * They count as heard a while ago: one that does not register again soon gets
- * no more work. What other nodes know is newer and replaces it.
- *
- * Return: WL_OK, or WL_ERROR_CORRUPT, when nothing was taken.
+ * Endpoints count as heard a while ago: one that does not register again soon
+ * gets no more work. What other nodes know is newer and replaces it. The text
+ * is put in force by wl_host_text_tick() when nobody has told a newer one.
  */
-WlError wl_host_restore_endpoints (WlHost *host, WlBytes file);
+void wl_host_load_files (WlHost *host, WlDisk *disk);
+
+/** wl_host_save_files() - keeps what has changed on disk, at most every WL_HOST_SAVE_US */
+void wl_host_save_files (WlHost *host, uint64_t now_us);
 
 /** wl_host_flush_notes() - sends the notes on work of this turn */
 void wl_host_flush_notes (WlHost *host);
--- a/relay/wl_host_text.c
+++ b/relay/wl_host_text.c
@@ -12,6 +12,8 @@
 enum
 {
   PULL_US = 150000, /* shortest time between two requests for a newer text */
+  /* From the start: a neighbour that runs tells a newer text in less. */
+  SAVED_TEXT_US = 40000,
 };
 
 uint32_t
@@ -66,6 +68,7 @@
 static void
 adopt (WlHost *host, uint64_t number, WlBytes packed)
 {
+  int is_first = host->number == 0;
   if (number <= host->number)
     return;
   WlBytes copy = wl_bytes_dup (packed);
@@ -74,6 +77,21 @@
   host->number = number;
   host->is_text_new = 1;
   apply_when_due (host, wl_clock_now_us ());
+  if (is_first)
+    wl_host_send_status (host, wl_clock_now_us ()); /* others may wait for theirs */
+}
+
+/*
+ * Just after a start the text that was committed before it is better than none:
+ * with a quorum lost, or not yet elected, callers are served all the same.
+ */
+static void
+adopt_saved (WlHost *host, uint64_t now_us)
+{
+  if (host->saved_text.size == 0 || now_us < host->started_us + SAVED_TEXT_US)
+    return;
+  adopt (host, host->saved_number, host->saved_text);
+  wl_bytes_release (&host->saved_text);
 }
 
 static void
@@ -292,6 +310,7 @@
 void
 wl_host_text_tick (WlHost *host, uint64_t now_us)
 {
+  adopt_saved (host, now_us);
   apply_when_due (host, now_us);
   for (WlHostQuestion *q = host->questions; q != NULL;)
     {
--- a/runtime/tests/test_journal.c
+++ b/runtime/tests/test_journal.c
@@ -153,6 +153,37 @@
 }
 END_TEST
 
+/* Two kinds of files asked for while a batch is written: none takes the other's place. */
+START_TEST (files_of_two_names_are_both_saved)
+{
+  static Fixture f;
+  apr_pool_t *pool;
+  WlBytes read = { NULL, 0 };
+  create (&f);
+  submit (&f, 1, 1);
+  wl_journal_save (f.journal, "hints", (WlBytes){ (const uint8_t *)"one", 3 });
+  wl_journal_save (f.journal, "other", (WlBytes){ (const uint8_t *)"three", 5 });
+  wl_journal_save (f.journal, "hints", (WlBytes){ (const uint8_t *)"two", 3 });
+  for (uint32_t i = 2; i <= 4; i++) /* a batch begins after the file that is being saved */
+    {
+      run (&f, i - 1, 5000000);
+      submit (&f, i, 1);
+    }
+  run (&f, 4, 5000000);
+  wl_journal_destroy (f.journal);
+  wl_reactor_destroy (f.reactor);
+  apr_pool_create (&pool, NULL);
+  WlDisk *disk = memory_disk_open (&f.folder);
+  ck_assert_int_eq (wl_disk_load (disk, "hints", pool, &read), WL_OK);
+  ck_assert_mem_eq (read.data, "two", 3);
+  ck_assert_int_eq (wl_disk_load (disk, "other", pool, &read), WL_OK);
+  ck_assert_mem_eq (read.data, "three", 5);
+  disk->destroy (disk);
+  apr_pool_destroy (pool);
+  memory_folder_clear (&f.folder);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -160,6 +191,7 @@
     WL_TEST (batches_are_released_in_order),
     WL_TEST (nothing_is_released_while_the_disk_is_full),
     WL_TEST (a_saved_file_lasts_and_the_latest_counts),
+    WL_TEST (files_of_two_names_are_both_saved),
     WL_TEST (without_a_disk_batches_pass_at_once),
   };
   apr_initialize ();
--- a/runtime/wl_journal.c
+++ b/runtime/wl_journal.c
@@ -1,5 +1,6 @@
 #include <pthread.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 #include <fcntl.h>
 #include "wl_effects.h"
@@ -20,6 +21,13 @@
   Batch *last;
 } Queue;
 
+/* A file to be replaced; without bytes, one that was. */
+typedef struct
+{
+  const char *name;
+  WlBytes bytes; /* on the heap */
+} SavedFile;
+
 struct WlJournal
 {
   WlReactor *reactor;
@@ -33,9 +41,8 @@
   pthread_cond_t wake;
   int pipe[2];
   WlWatch *watch;
-  const char *saved_name; /* file to be replaced, under the mutex */
-  WlBytes saved;          /* its content, on the heap; NULL for none */
-  uint32_t n_retries;     /* failed writes, under the mutex */
+  SavedFile saved[WL_JOURNAL_FILES_MAX]; /* under the mutex */
+  uint32_t n_retries;                    /* failed writes, under the mutex */
   uint32_t n_logged;
   uint8_t is_written; /* the thread is done with writing */
   uint8_t has_failed; /* the latest write cannot be completed */
@@ -128,15 +135,23 @@
     journal->n_retries++; /* a full pipe wakes the event loop as well */
 }
 
+static SavedFile *
+next_to_save (WlJournal *journal)
+{
+  for (uint32_t i = 0; i < WL_JOURNAL_FILES_MAX; i++)
+    if (journal->saved[i].bytes.data != NULL)
+      return &journal->saved[i];
+  return NULL;
+}
+
 /* Likewise. */
 static void
-write_saved (WlJournal *journal)
+write_saved (WlJournal *journal, SavedFile *file)
 {
-  WlBytes bytes = journal->saved;
-  const char *name = journal->saved_name;
-  journal->saved = (WlBytes){ NULL, 0 };
+  WlBytes bytes = file->bytes;
+  file->bytes = (WlBytes){ NULL, 0 };
   pthread_mutex_unlock (&journal->mutex);
-  WlError error = wl_disk_save (wl_storage_disk (journal->storage), name, bytes);
+  WlError error = wl_disk_save (wl_storage_disk (journal->storage), file->name, bytes);
   wl_bytes_release (&bytes);
   pthread_mutex_lock (&journal->mutex);
   if (error != WL_OK)
@@ -152,8 +167,8 @@
     {
       if (journal->writing != NULL && !journal->is_written)
         write_next_batch (journal);
-      else if (journal->saved.data != NULL)
-        write_saved (journal);
+      else if (next_to_save (journal) != NULL)
+        write_saved (journal, next_to_save (journal));
       else
         pthread_cond_wait (&journal->wake, &journal->mutex);
     }
@@ -277,7 +292,8 @@
   free_batch (journal->writing);
   while (journal->waiting.first != NULL)
     free_batch (pop (&journal->waiting));
-  wl_bytes_release (&journal->saved);
+  for (uint32_t i = 0; i < WL_JOURNAL_FILES_MAX; i++)
+    wl_bytes_release (&journal->saved[i].bytes);
   wl_reactor_remove (journal->watch);
   for (int i = 0; i < 2; i++)
     if (journal->pipe[i] >= 0)
@@ -300,15 +316,30 @@
   advance (journal);
 }
 
+/* The place of a file; a name keeps its place. */
+static SavedFile *
+find_saved (WlJournal *journal, const char *name)
+{
+  for (uint32_t i = 0; i < WL_JOURNAL_FILES_MAX; i++)
+    {
+      SavedFile *f = &journal->saved[i];
+      if (f->name == NULL)
+        f->name = name;
+      if (strcmp (f->name, name) == 0)
+        return f;
+    }
+  abort (); /* names are literals: more of them than places is a fault of the program */
+}
+
 void
 wl_journal_save (WlJournal *journal, const char *name, WlBytes bytes)
 {
   if (journal == NULL || !journal->has_thread)
     return;
   pthread_mutex_lock (&journal->mutex);
-  wl_bytes_release (&journal->saved);
-  journal->saved = wl_bytes_dup (bytes);
-  journal->saved_name = name;
+  SavedFile *f = find_saved (journal, name);
+  wl_bytes_release (&f->bytes);
+  f->bytes = wl_bytes_dup (bytes);
   pthread_cond_signal (&journal->wake);
   pthread_mutex_unlock (&journal->mutex);
 }
--- a/runtime/wl_journal.h
+++ b/runtime/wl_journal.h
@@ -19,6 +19,11 @@
 
 typedef struct WlJournal WlJournal;
 
+enum
+{
+  WL_JOURNAL_FILES_MAX = 4, /* files beside the storage */
+};
+
 /**
  * wl_journal_create() - starts the thread
  * @reactor: event loop on which batches are released
@@ -51,8 +56,9 @@
  * @bytes: content, copied
  *
  * Written with wl_disk_save() when no batch waits. Nothing waits for it: a
- * later save replaces one that was not begun, and one that fails is counted
- * with the repeated writes and left to the next.
+ * later save of the same name replaces one that was not begun, and one that
+ * fails is counted with the repeated writes and left to the next. There are at
+ * most WL_JOURNAL_FILES_MAX names.
  */
 void wl_journal_save (WlJournal *journal, const char *name, WlBytes bytes);
 
--- a/runtime/wl_peers.h
+++ b/runtime/wl_peers.h
@@ -19,7 +19,7 @@
   WL_PEER_SILENCE_US = 2000000, /* quiet time after which a connection is closed */
   WL_PEER_IDLE_US = 30000000,   /* a connection without messages is closed */
   WL_PEER_CONNECT_US = 300000,  /* a lost opening packet is sent again after a second only */
-  WL_PEER_REDIAL_US = 200000,   /* shortest time between two dials of one node */
+  WL_PEER_REDIAL_US = 80000,    /* shortest time between two dials: below the nodes' tick */
   WL_PEER_FRAME_MAX = 4 << 20,  /* bytes of one frame */
   WL_PEER_QUEUE_MAX = 16 << 20, /* bytes queued on one connection */
 };
