--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -28,10 +28,10 @@
   WlMessage m = { .kind = WL_MESSAGE_ENDPOINTS };
   apr_pool_t *pool;
   uint32_t n = host->fleet->n_endpoints;
-  if (!host->has_new_endpoints || now_us < host->saved_us + WL_HOST_SAVE_US)
+  if (!host->has_new_endpoints || now_us < host->endpoints_saved_us + WL_HOST_SAVE_US)
     return;
   host->has_new_endpoints = 0;
-  host->saved_us = now_us;
+  host->endpoints_saved_us = now_us;
   apr_pool_create (&pool, NULL);
   m.u.endpoints.records = apr_palloc (pool, (n + 1) * sizeof *m.u.endpoints.records);
   m.u.endpoints.n_records = n;
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -71,8 +71,8 @@
   uint64_t status_us;
   uint64_t status_sequence;
   uint64_t work_us;
-  uint64_t saved_us;         /* when the endpoints were last saved */
-  uint8_t has_new_endpoints; /* since then */
+  uint64_t endpoints_saved_us; /* when the endpoints were last saved */
+  uint8_t has_new_endpoints;   /* since then */
   uint64_t tick_us;
   uint64_t slow_tick_us;
   uint64_t stopping_us; /* 0 while running */
