--- a/relay/tests/test_host.c
+++ b/relay/tests/test_host.c
@@ -3,7 +3,6 @@
 #include <string.h>
 #include <unistd.h>
 #include <sys/stat.h>
-#include <arpa/inet.h>
 #include <apr_general.h>
 #include <sodium.h>
 #include "wl_clock.h"
@@ -20,18 +19,6 @@
   WlHost *host;
 } Fixture;
 
-static uint16_t
-free_port (void)
-{
-  WlReactor *reactor = NULL;
-  ck_assert_int_eq (wl_reactor_create (&reactor), WL_OK);
-  WlTcpLoop *loop = wl_tcp_loop_create (reactor);
-  uint16_t port = wl_tcp_listen (loop, htonl (wl_test_loopback (1)), 0, NULL, NULL);
-  wl_tcp_loop_destroy (loop);
-  wl_reactor_destroy (reactor);
-  return port;
-}
-
 static void
 create (Fixture *f)
 {
@@ -51,8 +38,10 @@
 static void
 start (Fixture *f)
 {
-  f->options.peer_port = free_port ();
-  f->options.front_port = free_port ();
+  uint16_t ports[2];
+  wl_test_free_ports (ports, 2);
+  f->options.peer_port = ports[0];
+  f->options.front_port = ports[1];
   ck_assert_int_eq (wl_host_create (&f->options, &f->host), WL_OK);
 }
 
--- a/relay/tests/test_host_gossip.c
+++ b/relay/tests/test_host_gossip.c
@@ -1,5 +1,4 @@
 #include <string.h>
-#include <arpa/inet.h>
 #include <apr_general.h>
 #include <sodium.h>
 #include "wl_clock.h"
@@ -22,30 +21,16 @@
 
 typedef struct
 {
-  uint16_t peer_port;
-  uint16_t front_port;
+  uint16_t ports[2]; /* for other nodes, for callers */
   WlHost *nodes[NODES];
 } Fixture;
 
-static uint16_t
-free_port (void)
-{
-  WlReactor *reactor = NULL;
-  ck_assert_int_eq (wl_reactor_create (&reactor), WL_OK);
-  WlTcpLoop *loop = wl_tcp_loop_create (reactor);
-  uint16_t port = wl_tcp_listen (loop, htonl (wl_test_loopback (1)), 0, NULL, NULL);
-  wl_tcp_loop_destroy (loop);
-  wl_reactor_destroy (reactor);
-  return port;
-}
-
 static void
 setup (Fixture *f)
 {
   memset (f, 0, sizeof *f);
   wl_clock_set (NOW_US);
-  f->peer_port = free_port ();
-  f->front_port = free_port ();
+  wl_test_free_ports (f->ports, 2);
 }
 
 /* Starts a node without a disk whose only seed is node 0. */
@@ -56,8 +41,8 @@
     .node = wl_test_loopback (i + 1),
     .zone = "z",
     .key = "key",
-    .peer_port = f->peer_port,
-    .front_port = f->front_port,
+    .peer_port = f->ports[0],
+    .front_port = f->ports[1],
     .seeds = { wl_test_loopback (1) },
     .n_seeds = 1,
   };
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -334,8 +334,7 @@
     wl_document_set_founders (host->document, founders, n);
 }
 
-/* A node that was named and does not answer may be about to start: tried at each tick for a while.
- */
+/* A node that was named and does not answer may be about to start: it is tried at each tick. */
 static void
 greet_unheard (WlHost *host, uint64_t now_us)
 {
--- a/runtime/tests/test_peers.c
+++ b/runtime/tests/test_peers.c
@@ -53,26 +53,15 @@
   return fd;
 }
 
-/* A port that nobody listens on: bound and closed again. */
-static uint32_t
-free_port (void)
-{
-  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr = { htonl (wl_test_loopback (1)) } };
-  socklen_t n = sizeof a;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  ck_assert_int_eq (bind (fd, (struct sockaddr *)&a, sizeof a), 0);
-  getsockname (fd, (struct sockaddr *)&a, &n);
-  close (fd);
-  return ntohs (a.sin_port);
-}
-
 static WlPeers *
 open_end (WlReactor *reactor, uint32_t node, const char *key, End *end)
 {
   WlPeers *peers = NULL;
   char own[WL_TEST_IP_SIZE];
   wl_test_loopback_text (1, own);
-  end->port = free_port ();
+  uint16_t port;
+  wl_test_free_ports (&port, 1);
+  end->port = port;
   WlPeersOptions o = { .node = node,
                        .address = own,
                        .port = end->port,
--- a/tests/wl_test_loopback.h
+++ b/tests/wl_test_loopback.h
@@ -3,7 +3,10 @@
 
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <unistd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 /*
  * Loopback addresses of this process alone, 127.x.y.1 and up with x and y from
@@ -14,6 +17,7 @@
 enum
 {
   WL_TEST_IP_SIZE = 16,
+  WL_TEST_PORTS_MAX = 8,
 };
 
 /** wl_test_loopback() - address @number (from 1) of this process, host byte order */
@@ -32,4 +36,24 @@
   snprintf (out, WL_TEST_IP_SIZE, "%u.%u.%u.%u", a >> 24, a >> 16 & 255, a >> 8 & 255, a & 255);
 }
 
+/** wl_test_free_ports() - finds @n different ports, all free at address 1 of this process */
+static inline void
+wl_test_free_ports (uint16_t *ports, int n)
+{
+  int fds[WL_TEST_PORTS_MAX];
+  for (int i = 0; i < n; i++)
+    {
+      struct sockaddr_in a
+          = { .sin_family = AF_INET, .sin_addr = { htonl (wl_test_loopback (1)) } };
+      socklen_t size = sizeof a;
+      fds[i] = socket (AF_INET, SOCK_STREAM, 0);
+      if (fds[i] < 0 || bind (fds[i], (struct sockaddr *)&a, sizeof a) != 0
+          || getsockname (fds[i], (struct sockaddr *)&a, &size) != 0)
+        abort ();
+      ports[i] = ntohs (a.sin_port);
+    }
+  for (int i = 0; i < n; i++)
+    close (fds[i]);
+}
+
 #endif
