--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -79,7 +79,7 @@
 start torn-log-lines test_log_sink runtime/wl_log_sink.c 's/return end != NULL \? .*?;\n/return n;\n/'
 start unbounded-log test_log_sink runtime/wl_log_sink.c 's/b->tokens_us -= SECOND_US;//'
 start opening-packet-waited-for test_peers runtime/wl_peers.c 's/c->is_connecting \? WL_PEER_CONNECT_US : //'
-start endpoints-not-restored test_host relay/wl_host.c 's/      load_endpoints \(host, disk\);//'
+start endpoints-not-restored test_host relay/wl_host_files.c 's/  load_file \(host, disk, endpoints_file, restore_endpoints\);//'
 start culprit-ignored test_relay_retry relay/wl_relay_retry.c 's/if \(r->answer.fault_port != 0\)/if (0)/'
 start memory-held-for-the-dead test_relay_retry relay/wl_relay.c 's/wl_relay_abandon_attempt \(r, now_us\);/;/'
 start released-before-sync test_journal runtime/wl_journal.c 's/return keep_trying \(journal, NULL\);/return 1;/; s/if \(!b->stores\)/if (1)/'
