--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 	  --enable=warning,portability,performance --suppress=missingIncludeSystem \
 	  --include=scripts/cppcheck-macros.h -j $(JOBS) \
-	  -I core -I core/base -I core/agreement -I core/placement -I core/requests -I wire -I services -I runtime -I relay -I platform -I daemon $(filter %.c,$(SOURCES))
+	  -I core -I core/base -I core/agreement -I core/placement -I core/requests -I wire -I services -I runtime -I relay -I relay/transport -I relay/membership -I relay/placement -I relay/forwarding -I platform -I daemon $(filter %.c,$(SOURCES))
 	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD) 2>/dev/null
 
 unit: build
