Large fleets: statuses go to relays of the failure domain, reports of changes go back

Cause: every node told every other node everything.

Change: above 16 nodes a node sends its status to the three relays that its failure domain's rank gives and gets reports of changes with digests (relay/membership/wl_view.h). Notes on work and suspicions stay within the failure domain; work at engines of another one is told there as well. Placement tries the own failure domain first, then the emptiest other one by the sums that reports carry. Texts travel along the reports. A loop that has nothing to place wakes every 100 ms, not 10. Up to 16 nodes nothing changes.

--- a/relay/membership/wl_fleet.h
+++ b/relay/membership/wl_fleet.h
@@ -2,7 +2,7 @@
 #define WL_FLEET_H
 
 #include <apr_hash.h>
-#include "wl_message.h"
+#include "wl_roster.h"
 
 /*
  * The endpoints that have registered at any node, and what this node has
@@ -39,6 +39,10 @@
  * @eject_us: length of the latest ejection
  * @pace: actual over predicted time to the first output, moving average
  * @pace_us: when it was last learnt
+ * @direct_us: when a registration last arrived here or at a node that reports here
+ * @vouchers: relays that have told of it, a bit a source of the view
+ * @sure: of them, those to which it registers in time
+ * @told: what reports say of it, by scope
  */
 typedef struct
 {
@@ -53,6 +57,10 @@
   uint64_t eject_us;
   double pace;
   uint64_t pace_us;
+  uint64_t direct_us;
+  uint64_t vouchers;
+  uint64_t sure;
+  WlTold told[WL_REPORT_INTRODUCTION];
 } WlEndpoint;
 
 /**
--- a/relay/membership/wl_roster.c
+++ b/relay/membership/wl_roster.c
@@ -56,6 +56,10 @@
   n->status.known = NULL;
   n->status.n_known = 0;
   n->heard_us = now_us;
+  n->direct_us = now_us;
+  n->evidence_us = now_us;
+  if (status->subscription != WL_SUBSCRIBE_NONE)
+    n->subscribed_us = now_us;
   return 1;
 }
 
@@ -85,20 +89,27 @@
     }
 }
 
+/* What a node says of itself counts most, then what replicas say. */
+static uint32_t
+trust_in_leader (const WlNodeStatus *s)
+{
+  return (s->leader == s->node ? 2u : 0u) + (s->has_disk ? 1u : 0u);
+}
+
 uint32_t
-wl_roster_leader (const WlRoster *roster, uint64_t now_us)
+wl_roster_leader (const WlRoster *roster, int from_replicas, uint64_t now_us)
 {
   const WlRosterNode *best = NULL;
   for (uint32_t i = 0; i < roster->n_nodes; i++)
     {
       const WlRosterNode *n = &roster->nodes[i];
-      if (!n->status.has_disk || n->status.leader == 0 || !wl_roster_is_alive (n, now_us))
+      if (n->status.leader == 0 || !wl_roster_is_alive (n, now_us)
+          || (from_replicas && !n->status.has_disk))
         continue;
-      /* What a node says of itself counts most, then what was heard last. */
-      int says_itself = n->status.leader == n->status.node;
-      int best_says_itself = best != NULL && best->status.leader == best->status.node;
-      if (best == NULL || says_itself > best_says_itself
-          || (says_itself == best_says_itself && n->heard_us > best->heard_us))
+      uint32_t trust = trust_in_leader (&n->status);
+      uint32_t best_trust = best != NULL ? trust_in_leader (&best->status) : 0;
+      if (best == NULL || trust > best_trust
+          || (trust == best_trust && n->direct_us > best->direct_us))
         best = n;
     }
   return best != NULL ? best->status.leader : 0;
--- a/relay/membership/wl_roster.h
+++ b/relay/membership/wl_roster.h
@@ -4,9 +4,8 @@
 #include "wl_message.h"
 
 /*
- * The nodes of the system as this node hears them. Every node sends its
- * status to every node that it knows, and to the seeds until it has heard
- * them; statuses name further nodes. A node that was not heard for
+ * The nodes of the system as this node hears them, directly or through the
+ * relays of its failure domain (see wl_view.h). A node that was not heard for
  * WL_ROSTER_SILENCE_US is left out of what callers are told.
  */
 
@@ -18,11 +17,30 @@
   WL_ROSTER_MAX = 512,            /* nodes */
 };
 
+/**
+ * struct WlTold - what the reports of this node say of a record
+ * @hash: hash of its content, 0 while it is not in scope
+ * @changed_scan: number of the scan that found @hash changed
+ */
+typedef struct
+{
+  uint64_t hash;
+  uint64_t changed_scan;
+} WlTold;
+
 /**
  * struct WlRosterNode - one other node
  * @status: its latest status; @status.known is not kept
- * @heard_us: when it arrived, 0 for never
+ * @heard_us: when it was last known to be there, 0 for never
  * @met_us: when the node was first named
+ * @direct_us: when a status of its own last arrived here, 0 for never
+ * @evidence_us: when @status arrived at the node that got it from there
+ * @subscribed_us: when it last asked for reports
+ * @sent_us: when this node last sent it its status
+ * @whole_us: when this node last sent it everything
+ * @seen_boot: boot that this node has taken note of, 0 after a loss
+ * @vouchers: relays that vouch for it, a bit a source of the view
+ * @told: what reports say of it, by scope
  * @is_lost: it is considered silent
  */
 typedef struct
@@ -30,6 +48,14 @@
   WlNodeStatus status;
   uint64_t heard_us;
   uint64_t met_us;
+  uint64_t direct_us;
+  uint64_t evidence_us;
+  uint64_t subscribed_us;
+  uint64_t sent_us;
+  uint64_t whole_us;
+  uint64_t seen_boot;
+  uint64_t vouchers;
+  WlTold told[WL_REPORT_INTRODUCTION];
   uint8_t is_lost;
 } WlRosterNode;
 
@@ -80,7 +106,14 @@
  */
 void wl_roster_expire (WlRoster *roster, uint64_t now_us);
 
-/** wl_roster_leader() - control leader named by the nodes heard recently, 0 for none */
-uint32_t wl_roster_leader (const WlRoster *roster, uint64_t now_us);
+/**
+ * wl_roster_leader() - control leader named by the nodes heard recently
+ * @roster: the roster
+ * @from_replicas: only what nodes with a disk say; what others say is hearsay and not passed on
+ * @now_us: monotonic time
+ *
+ * Return: the leader, 0 for none.
+ */
+uint32_t wl_roster_leader (const WlRoster *roster, int from_replicas, uint64_t now_us);
 
 #endif
--- a/relay/tests/test_roster.c
+++ b/relay/tests/test_roster.c
@@ -64,8 +64,8 @@
   leader.leader = 3;
   wl_roster_hear (r, &leader, 1000);
   wl_roster_hear (r, &follower, 2000);
-  ck_assert_uint_eq (wl_roster_leader (r, 2000), 3);
-  ck_assert_uint_eq (wl_roster_leader (r, 1000 + WL_ROSTER_SILENCE_US), 4);
+  ck_assert_uint_eq (wl_roster_leader (r, 0, 2000), 3);
+  ck_assert_uint_eq (wl_roster_leader (r, 0, 1000 + WL_ROSTER_SILENCE_US), 4);
   wl_roster_destroy (r);
 }
 END_TEST
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -8,6 +8,7 @@
 #include "wl_events.h"
 #include "wl_host_internal.h"
 #include "wl_log.h"
+#include "wl_random.h"
 
 enum
 {
@@ -44,8 +45,8 @@
   return 1;
 }
 
-static void
-send_bytes (WlHost *host, uint32_t node, WlBytes bytes)
+void
+wl_host_send_bytes (WlHost *host, uint32_t node, WlBytes bytes)
 {
   if (node != host->options.node)
     {
@@ -68,7 +69,7 @@
 {
   apr_pool_t *pool;
   apr_pool_create (&pool, NULL);
-  send_bytes (host, node, wl_message_encode (message, pool));
+  wl_host_send_bytes (host, node, wl_message_encode (message, pool));
   apr_pool_destroy (pool);
 }
 
@@ -77,11 +78,15 @@
 {
   apr_pool_t *pool;
   uint64_t now_us = wl_clock_now_us ();
+  int is_mesh = wl_view_is_mesh (host->view);
   apr_pool_create (&pool, NULL);
   WlBytes bytes = wl_message_encode (message, pool);
   for (uint32_t i = 0; i < host->roster->n_nodes; i++)
-    if (wl_roster_is_alive (&host->roster->nodes[i], now_us))
-      send_bytes (host, host->roster->nodes[i].status.node, bytes);
+    {
+      const WlRosterNode *n = &host->roster->nodes[i];
+      if (wl_roster_is_alive (n, now_us) && (is_mesh || wl_view_is_near (host->view, n)))
+        wl_host_send_bytes (host, n->status.node, bytes);
+    }
   apr_pool_destroy (pool);
 }
 
@@ -100,7 +105,7 @@
     {
       const WlEffect *e = &effects->items[i];
       if (e->kind == WL_EFFECT_SEND)
-        send_bytes (host, e->u.send.node, e->u.send.bytes);
+        wl_host_send_bytes (host, e->u.send.node, e->u.send.bytes);
       else if (e->kind == WL_EFFECT_LOG)
         wl_log_event (e->u.log.number, e->u.log.text);
     }
@@ -275,6 +280,10 @@
   host->client = wl_fetch_client_create (host->loop);
   host->roster = wl_roster_create (options->node);
   host->fleet = wl_fleet_create ();
+  host->view = wl_view_create (host->roster, host->fleet, host->boot);
+  host->view->self.node = options->node;
+  host->view->self.boot = host->boot;
+  memcpy (host->view->self.zone, options->zone, sizeof host->view->self.zone);
   host->load = wl_load_create ();
   create_relay (host);
   if (options->data_folder[0] != '\0')
@@ -312,6 +321,7 @@
   wl_journal_destroy (host->journal);
   wl_document_destroy (host->document);
   wl_load_destroy (host->load);
+  wl_view_destroy (host->view);
   wl_fleet_destroy (host->fleet);
   wl_roster_destroy (host->roster);
   while (host->first_local != NULL)
@@ -352,6 +362,14 @@
   wl_host_gossip_tick (host, now_us);
 }
 
+/* Whether something waits that may be due at any tick. */
+static int
+is_busy (const WlHost *host)
+{
+  return host->document != NULL || host->questions != NULL || host->is_text_new
+         || host->saved_text.size > 0 || wl_relay_active (host->relay) > 0;
+}
+
 static void
 tick (WlHost *host, uint64_t now_us)
 {
@@ -359,7 +377,7 @@
     return;
   if (host->tick_us > 0)
     wl_histogram_add (&wl_relay_metrics (host->relay)->loop_lag, now_us - host->tick_us);
-  host->tick_us = now_us + WL_HOST_TICK_US;
+  host->tick_us = now_us + (is_busy (host) ? WL_HOST_TICK_US : SLOW_TICK_US);
   wl_relay_tick (host->relay, now_us);
   wl_host_text_tick (host, now_us);
   slow_tick (host, now_us);
@@ -387,8 +405,11 @@
   now_us = wl_clock_now_us ();
   tick (host, now_us);
   receive_local (host);
+  if (is_busy (host) && host->tick_us > now_us + WL_HOST_TICK_US)
+    host->tick_us = now_us + WL_HOST_TICK_US;
   run_document (host, now_us);
   receive_local (host);
+  wl_host_report (host, now_us);
   wl_host_flush_notes (host);
   wl_peers_flush (host->peers);
   wl_tcp_flush (host->loop);
@@ -445,28 +466,38 @@
 wl_host_addresses (WlHost *host, const char *zone, WlHostAddress *out)
 {
   uint64_t now_us = wl_clock_now_us ();
-  uint32_t n = 0;
+  uint32_t n_nodes = host->roster->n_nodes;
   uint32_t n_near = 0;
-  WlHostAddress near[WL_HOST_ADDRESSES_MAX];
+  uint32_t n_far = 0;
+  WlHostAddress far[WL_HOST_ADDRESSES_MAX];
   if (wl_host_is_ready (host))
     {
-      out[n++] = (WlHostAddress){ host->options.node, host->options.front_port };
+      WlHostAddress self = { host->options.node, host->options.front_port };
       if (strcmp (host->options.zone, zone) == 0)
-        near[n_near++] = out[0];
+        out[n_near++] = self;
+      else
+        far[n_far++] = self;
     }
-  for (uint32_t i = 0; i < host->roster->n_nodes && n < WL_HOST_ADDRESSES_MAX; i++)
+  /* Each answer begins elsewhere, so that no node is left out of all of them. */
+  uint64_t first = wl_random_next (&host->view->random);
+  for (uint32_t i = 0; i < n_nodes; i++)
     {
-      const WlRosterNode *node = &host->roster->nodes[i];
+      const WlRosterNode *node = &host->roster->nodes[(first + i) % n_nodes];
       if (!wl_roster_takes_requests (node, now_us))
         continue;
-      out[n] = (WlHostAddress){ node->status.node, (uint16_t)node->status.front_port };
-      if (strcmp (node->status.zone, zone) == 0)
-        near[n_near++] = out[n];
-      n++;
+      WlHostAddress address = { node->status.node, (uint16_t)node->status.front_port };
+      if (strcmp (node->status.zone, zone) != 0)
+        {
+          if (n_far < WL_HOST_ADDRESSES_MAX)
+            far[n_far++] = address;
+        }
+      else if (n_near < WL_HOST_ADDRESSES_MAX)
+        out[n_near++] = address;
     }
-  if (n_near < 2)
-    return n;
-  memcpy (out, near, n_near * sizeof *near);
+  if (n_near >= 2)
+    return n_near;
+  for (uint32_t i = 0; i < n_far && n_near < WL_HOST_ADDRESSES_MAX; i++)
+    out[n_near++] = far[i];
   return n_near;
 }
 
--- a/relay/wl_host.h
+++ b/relay/wl_host.h
@@ -7,6 +7,7 @@
 #include "wl_relay.h"
 #include "wl_roster.h"
 #include "wl_services.h"
+#include "wl_view.h"
 
 /*
  * One node of a system in which every node forwards requests, takes
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -12,6 +12,8 @@
   WL_HOST_REPEAT_US = 2500000, /* a leaving endpoint is told again for this long */
   WL_HOST_SAVE_US = 1000000,   /* shortest time between two files of a kind */
   WL_HOST_APPLY_US = 150000,   /* shortest time between two configurations put in force */
+  WL_HOST_REPORT_US
+  = 40000, /* shortest time between two reports, so that changes travel together */
 };
 
 /** struct WlHostQuestion - a question to the control leader that is not yet answered */
@@ -46,6 +48,7 @@
   WlPeers *peers;
   WlRoster *roster;
   WlFleet *fleet;
+  WlView *view;
   WlLoad *load;
   WlRelay *relay;
   WlWeb *front;
@@ -70,6 +73,11 @@
   uint32_t n_notes;
   uint64_t status_us;
   uint64_t status_sequence;
+  uint64_t reported_us;
+  uint64_t reported_scan;              /* that the latest report followed */
+  uint8_t has_news;                    /* a report may be due before its interval is over */
+  uint8_t wants_whole;                 /* a subscriber has asked for everything */
+  WlPoolLoad pools[WL_LOAD_POOLS_MAX]; /* of the report being written */
   uint64_t work_us;
   uint64_t endpoints_saved_us; /* when the endpoints were last saved */
   uint8_t has_new_endpoints;   /* since then */
@@ -86,17 +94,28 @@
 /** wl_host_send() - sends a message to a node, this one included */
 void wl_host_send (WlHost *host, uint32_t node, const WlMessage *message);
 
-/** wl_host_broadcast() - sends a message to every node heard recently */
+/** wl_host_send_bytes() - sends an encoded message to a node */
+void wl_host_send_bytes (WlHost *host, uint32_t node, WlBytes bytes);
+
+/** wl_host_report() - sends the reports that are due to their subscribers */
+void wl_host_report (WlHost *host, uint64_t now_us);
+
+/**
+ * wl_host_broadcast() - sends a message to the nodes that share accounts of endpoints
+ *
+ * Every node heard recently in a small fleet, those of the own failure domain
+ * in a large one.
+ */
 void wl_host_broadcast (WlHost *host, const WlMessage *message);
 
-/** wl_host_send_status() - tells all known nodes about this one */
+/** wl_host_send_status() - tells all nodes, or the contacts in a large fleet, about this one */
 void wl_host_send_status (WlHost *host, uint64_t now_us);
 
 /** wl_host_gossip_tick() - statuses, lost nodes, expiry */
 void wl_host_gossip_tick (WlHost *host, uint64_t now_us);
 
 /** wl_host_gossip_receive() - processes a message on nodes, endpoints or work; 0 for others */
-int wl_host_gossip_receive (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
+int wl_host_gossip_receive (WlHost *host, uint32_t from, WlMessage *message, uint64_t now_us);
 
 /** wl_host_take_record() - takes a registration, from an endpoint, a node or the disk */
 void wl_host_take_record (WlHost *host, const WlEndpointRecord *record, uint64_t now_us);
--- a/relay/wl_host_text.c
+++ b/relay/wl_host_text.c
@@ -20,7 +20,7 @@
 wl_host_leader (const WlHost *host, uint64_t now_us)
 {
   uint32_t leader = host->document != NULL ? wl_document_leader (host->document) : 0;
-  return leader != 0 ? leader : wl_roster_leader (host->roster, now_us);
+  return leader != 0 ? leader : wl_roster_leader (host->roster, 0, now_us);
 }
 
 /* ---- in force ---- */
@@ -94,6 +94,38 @@
   wl_bytes_release (&host->saved_text);
 }
 
+/*
+ * Passes a text on: to all nodes of a small fleet. In a large one to those
+ * that take their reports here, and the leader to relays of other failure
+ * domains as well.
+ */
+static void
+pass_push (WlHost *host, const WlMessage *push)
+{
+  uint32_t contacts[WL_VIEW_CONTACTS_MAX];
+  uint64_t now_us = wl_clock_now_us ();
+  uint32_t n_contacts = 0;
+  if (wl_view_is_mesh (host->view))
+    {
+      wl_host_broadcast (host, push);
+      return;
+    }
+  for (uint32_t i = 0; i < host->roster->n_nodes; i++)
+    {
+      const WlRosterNode *n = &host->roster->nodes[i];
+      if (wl_view_is_subscriber (n, now_us) && n->status.config_number < push->u.text_push.number)
+        wl_host_send (host, n->status.node, push);
+    }
+  if (host->document != NULL && wl_document_leader (host->document) == host->options.node)
+    n_contacts = wl_view_contacts (host->view, now_us, contacts);
+  for (uint32_t i = 0; i < n_contacts; i++)
+    {
+      const WlRosterNode *n = wl_roster_find (host->roster, contacts[i]);
+      if (n != NULL && !wl_view_is_subscriber (n, now_us))
+        wl_host_send (host, contacts[i], push);
+    }
+}
+
 static void
 push_text (WlHost *host, uint32_t node, uint64_t has_number)
 {
@@ -116,7 +148,7 @@
   if (node != 0)
     wl_host_send (host, node, &m);
   else
-    wl_host_broadcast (host, &m);
+    pass_push (host, &m);
 }
 
 void
@@ -130,7 +162,7 @@
   if (number <= before)
     return;
   adopt (host, number, packed);
-  if (wl_document_leader (host->document) == host->options.node)
+  if (wl_document_leader (host->document) == host->options.node || !wl_view_is_mesh (host->view))
     push_text (host, 0, before);
 }
 
@@ -161,7 +193,12 @@
   apr_pool_create (&pool, NULL);
   WlBytes old_text = c->replaces != 0 ? host->text : (WlBytes){ NULL, 0 };
   if (wl_delta_apply (old_text, c, pool, &packed) == WL_OK)
-    adopt (host, push->number, packed);
+    {
+      WlMessage m = { .kind = WL_MESSAGE_TEXT_PUSH, .u.text_push = *push };
+      adopt (host, push->number, packed);
+      if (!wl_view_is_mesh (host->view))
+        pass_push (host, &m);
+    }
   else
     wl_log_eventf (WL2106_CONFIG_UNREADABLE, "number=%" PRIu64 " peer=%u reason=digest",
                    push->number, from);
--- a/wire/wl_message.c
+++ b/wire/wl_message.c
@@ -351,6 +351,7 @@
   [WL_MESSAGE_TEXT_PULL] = { "text_pull", wl_text_pull_fields },
   [WL_MESSAGE_TEXT_PUSH] = { "text_push", wl_text_push_fields },
   [WL_MESSAGE_SUSPICION] = { "suspicion", wl_suspicion_fields },
+  [WL_MESSAGE_NODE_REPORT] = { "node_report", wl_report_fields },
 };
 
 typedef struct
--- a/wire/wl_message.h
+++ b/wire/wl_message.h
@@ -504,6 +504,7 @@
   WL_MESSAGE_TEXT_PULL = 30,
   WL_MESSAGE_TEXT_PUSH = 31,
   WL_MESSAGE_SUSPICION = 32,
+  WL_MESSAGE_NODE_REPORT = 33,
   WL_MESSAGE_KINDS,
 } WlMessageKind;
 
@@ -549,6 +550,7 @@
     WlTextPull text_pull;
     WlTextPush text_push;
     WlSuspicion suspicion;
+    WlReport node_report;
   } u;
 } WlMessage;
 
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -17,6 +17,8 @@
   WL_U64 (WlNodeStatus, config_number),
   WL_U32 (WlNodeStatus, leader),
   WL_ARRAY (WlNodeStatus, known, n_known, node_id_fields),
+  WL_U8 (WlNodeStatus, subscription),
+  WL_U64 (WlNodeStatus, age_us),
   WL_END,
 };
 
@@ -52,6 +54,7 @@
   WL_U64 (WlWork, boot),
   WL_U8 (WlWork, is_whole),
   WL_ARRAY (WlWork, notes, n_notes, work_note_fields),
+  WL_U32 (WlWork, node),
   WL_END,
 };
 
@@ -61,6 +64,33 @@
   WL_END,
 };
 
+static const WlField endpoint_key_fields[] = {
+  WL_U64 (WlEndpointKey, key),
+  WL_END,
+};
+
+static const WlField pool_load_fields[] = {
+  WL_TEXT (WlPoolLoad, service),   WL_TEXT (WlPoolLoad, zone),
+  WL_U32 (WlPoolLoad, n_engines),  WL_U32 (WlPoolLoad, n_items),
+  WL_U32 (WlPoolLoad, writers),    WL_U64 (WlPoolLoad, context),
+  WL_U64 (WlPoolLoad, memory),     WL_U64 (WlPoolLoad, backlog),
+  WL_U64 (WlPoolLoad, backlog_us), WL_END,
+};
+
+const WlField wl_report_fields[] = {
+  WL_STRUCT (WlReport, sender, wl_node_status_fields),
+  WL_U8 (WlReport, scope),
+  WL_U8 (WlReport, is_whole),
+  WL_U64 (WlReport, node_digest),
+  WL_U64 (WlReport, endpoint_digest),
+  WL_ARRAY (WlReport, nodes, n_nodes, wl_node_status_fields),
+  WL_ARRAY (WlReport, lost_nodes, n_lost_nodes, node_id_fields),
+  WL_ARRAY (WlReport, endpoints, n_endpoints, endpoint_record_fields),
+  WL_ARRAY (WlReport, lost_endpoints, n_lost_endpoints, endpoint_key_fields),
+  WL_ARRAY (WlReport, loads, n_loads, pool_load_fields),
+  WL_END,
+};
+
 const WlField wl_text_pull_fields[] = {
   WL_U64 (WlTextPull, number),
   WL_END,
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -15,7 +15,20 @@
 } WlNodeId;
 
 /**
- * struct WlNodeStatus - what a node tells every other node about itself
+ * enum WlSubscription - what the sender of a status asks of its receiver
+ * @WL_SUBSCRIBE_NONE: nothing
+ * @WL_SUBSCRIBE_REPORTS: the changes of each report, for a while
+ * @WL_SUBSCRIBE_ALL: likewise, and once all that the receiver knows
+ */
+typedef enum
+{
+  WL_SUBSCRIBE_NONE,
+  WL_SUBSCRIBE_REPORTS,
+  WL_SUBSCRIBE_ALL,
+} WlSubscription;
+
+/**
+ * struct WlNodeStatus - what a node tells others about itself
  * @node: node id: the IPv4 number
  * @boot: random number drawn at process start
  * @sequence: increases with each status of one boot
@@ -26,7 +39,9 @@
  * @is_draining: the node is stopping
  * @config_number: number of the services text in force there
  * @leader: control leader that it knows, 0 for none
- * @known: ids of the nodes that it has heard recently, @n_known of them
+ * @known: ids of the nodes that it has heard recently, @n_known of them; empty in a large fleet
+ * @subscription: a WlSubscription
+ * @age_us: in reports: time since the reporting relay got the status
  */
 typedef struct
 {
@@ -42,6 +57,8 @@
   uint32_t leader;
   WlNodeId *known;
   uint32_t n_known;
+  uint8_t subscription;
+  uint64_t age_us;
 } WlNodeStatus;
 
 /**
@@ -125,6 +142,7 @@
  * @boot: boot of the node
  * @is_whole: the notes are all work of the node; what is not among them has ended
  * @notes: the notes, @n_notes of them
+ * @node: node whose work it is, 0 for the sender
  */
 typedef struct
 {
@@ -132,6 +150,7 @@
   uint8_t is_whole;
   WlWorkNote *notes;
   uint32_t n_notes;
+  uint32_t node;
 } WlWork;
 
 /**
@@ -145,6 +164,83 @@
   uint64_t eject_us;
 } WlSuspicion;
 
+/** struct WlEndpointKey - key of an endpoint, as an element of arrays */
+typedef struct
+{
+  uint64_t key;
+} WlEndpointKey;
+
+/**
+ * enum WlReportScope - what a report covers
+ * @WL_REPORT_ALL: all that the relay knows, for the nodes of its failure domain
+ * @WL_REPORT_DOMAIN: what the relay heard itself, for relays of other failure domains
+ * @WL_REPORT_INTRODUCTION: some nodes to begin with, for a stranger; vouches for nothing
+ */
+typedef enum
+{
+  WL_REPORT_ALL,
+  WL_REPORT_DOMAIN,
+  WL_REPORT_INTRODUCTION,
+  WL_REPORT_SCOPES,
+} WlReportScope;
+
+/**
+ * struct WlPoolLoad - work at the engines of one service in one failure domain
+ * @service: the service
+ * @zone: the failure domain
+ * @n_engines: usable engines
+ * @n_items: pieces of work at all of them; the members below are sums likewise
+ * @writers: of them, those that write
+ * @context: tokens of the writers
+ * @memory: tokens of memory
+ * @backlog: tokens left to be read
+ * @backlog_us: time to read them
+ */
+typedef struct
+{
+  char service[WL_LABEL_SIZE];
+  char zone[WL_LABEL_SIZE];
+  uint32_t n_engines;
+  uint32_t n_items;
+  uint32_t writers;
+  uint64_t context;
+  uint64_t memory;
+  uint64_t backlog;
+  uint64_t backlog_us;
+} WlPoolLoad;
+
+/**
+ * struct WlReport - what a relay tells about nodes and endpoints
+ * @sender: status of the relay
+ * @scope: a WlReportScope
+ * @is_whole: lists everything in scope; otherwise the latest changes
+ * @node_digest: digest over all nodes in scope, see wl_view.h
+ * @endpoint_digest: digest over all endpoints in scope
+ * @nodes: changed nodes, @n_nodes of them
+ * @lost_nodes: nodes no longer in scope, @n_lost_nodes of them
+ * @endpoints: changed endpoints, @n_endpoints of them
+ * @lost_endpoints: endpoints no longer in scope, @n_lost_endpoints of them
+ * @loads: work by service and failure domain, @n_loads of them
+ */
+typedef struct
+{
+  WlNodeStatus sender;
+  uint8_t scope;
+  uint8_t is_whole;
+  uint64_t node_digest;
+  uint64_t endpoint_digest;
+  WlNodeStatus *nodes;
+  uint32_t n_nodes;
+  WlNodeId *lost_nodes;
+  uint32_t n_lost_nodes;
+  WlEndpointRecord *endpoints;
+  uint32_t n_endpoints;
+  WlEndpointKey *lost_endpoints;
+  uint32_t n_lost_endpoints;
+  WlPoolLoad *loads;
+  uint32_t n_loads;
+} WlReport;
+
 /** struct WlTextPull - asks a node for the services text newer than @number */
 typedef struct
 {
@@ -166,6 +262,7 @@
 extern const WlField wl_endpoints_fields[];
 extern const WlField wl_work_fields[];
 extern const WlField wl_suspicion_fields[];
+extern const WlField wl_report_fields[];
 extern const WlField wl_text_pull_fields[];
 extern const WlField wl_text_push_fields[];
 
