--- /dev/null
+++ b/relay/membership/wl_membership.c
@@ -0,0 +1,478 @@
+#include <stdlib.h>
+#include <string.h>
+#include "wl_membership.h"
+
+enum
+{
+  RECORDS_MAX = 128, /* registrations in one message */
+};
+
+WlMembership *
+wl_membership_create (const WlMembershipOptions *options)
+{
+  WlMembership *membership = calloc (1, sizeof *membership);
+  if (membership == NULL)
+    abort ();
+  membership->options = *options;
+  membership->n_alive = 1;
+  membership->roster = wl_roster_create (options->node);
+  membership->fleet = wl_fleet_create ();
+  membership->view = wl_view_create (membership->roster, membership->fleet, options->boot);
+  WlNodeStatus *self = &membership->view->self;
+  self->node = options->node;
+  self->boot = options->boot;
+  memcpy (self->zone, options->zone, sizeof self->zone);
+  self->front_port = options->front_port;
+  self->has_disk = options->has_disk;
+  return membership;
+}
+
+void
+wl_membership_destroy (WlMembership *membership)
+{
+  if (membership == NULL)
+    return;
+  wl_view_destroy (membership->view);
+  wl_fleet_destroy (membership->fleet);
+  wl_roster_destroy (membership->roster);
+  free (membership);
+}
+
+int
+wl_membership_shares_accounts (const WlMembership *membership, const WlRosterNode *node)
+{
+  return wl_view_is_mesh (membership->view) || wl_view_is_near (membership->view, node);
+}
+
+/* Brings this node's status up to date, with the next sequence. */
+static WlNodeStatus *
+describe_self (WlMembership *membership)
+{
+  WlNodeStatus *self = &membership->view->self;
+  self->sequence = ++membership->sequence;
+  membership->options.describe (membership->options.data, self);
+  return self;
+}
+
+/* ---- statuses ---- */
+
+/* Sends the status to one node; @known is listed in it. */
+static void
+send_status (WlMembership *membership, WlRosterNode *to, uint8_t subscription, WlNodeId *known,
+             uint32_t n_known, uint64_t now_us)
+{
+  WlMessage m = { .kind = WL_MESSAGE_NODE_STATUS };
+  m.u.node_status = *describe_self (membership);
+  m.u.node_status.subscription = subscription;
+  m.u.node_status.known = known;
+  m.u.node_status.n_known = n_known;
+  to->sent_us = now_us;
+  membership->options.send (membership->options.data, &to->status.node, 1, &m);
+}
+
+/* Sends the status to the nodes of the roster from position @first to before @end. */
+static void
+send_status_to (WlMembership *membership, uint32_t first, uint32_t end, uint64_t now_us)
+{
+  WlNodeId known[WL_VIEW_MESH_MAX];
+  uint32_t n_known = 0;
+  for (uint32_t i = 0; wl_view_is_mesh (membership->view) && i < membership->roster->n_nodes; i++)
+    if (wl_roster_is_alive (&membership->roster->nodes[i], now_us))
+      known[n_known++].node = membership->roster->nodes[i].status.node;
+  for (uint32_t i = first; i < end; i++)
+    send_status (membership, &membership->roster->nodes[i], WL_SUBSCRIBE_NONE, known, n_known,
+                 now_us);
+}
+
+/* Sends the status to the contacts that have not had it for an interval, or to all of them. */
+static void
+send_to_contacts (WlMembership *membership, int is_all, uint64_t now_us)
+{
+  uint32_t contacts[WL_VIEW_CONTACTS_MAX];
+  uint32_t n = wl_view_contacts (membership->view, now_us, contacts);
+  for (uint32_t i = 0; i < n; i++)
+    {
+      WlRosterNode *r = wl_roster_find (membership->roster, contacts[i]);
+      uint8_t subscription = wl_view_subscription (membership->view, contacts[i], now_us);
+      if (r != NULL && (is_all || now_us >= r->sent_us + WL_ROSTER_STATUS_US))
+        send_status (membership, r, subscription, NULL, 0, now_us);
+    }
+}
+
+void
+wl_membership_announce (WlMembership *membership, uint64_t now_us)
+{
+  membership->status_us = now_us;
+  describe_self (membership);
+  membership->was_ready = membership->view->self.is_ready;
+  if (wl_view_is_mesh (membership->view))
+    send_status_to (membership, 0, membership->roster->n_nodes, now_us);
+  else
+    send_to_contacts (membership, 1, now_us);
+}
+
+/* ---- reports ---- */
+
+/* Whether a subscriber has asked for everything and not just been sent it. */
+static int
+is_owed_all (const WlRosterNode *r, uint64_t now_us)
+{
+  return r->status.subscription == WL_SUBSCRIBE_ALL
+         && (r->whole_us == 0 || now_us > r->whole_us + WL_VIEW_WHOLE_US);
+}
+
+/*
+ * Sends one report to all subscribers of a scope: the changes after scan
+ * @since, or everything to those that have asked for it if that is 0.
+ */
+static void
+send_report (WlMembership *membership, WlReportScope scope, uint64_t since, uint64_t now_us)
+{
+  uint32_t nodes[WL_ROSTER_MAX];
+  uint32_t n = 0;
+  WlMessage m = { .kind = WL_MESSAGE_NODE_REPORT };
+  WlReport *report = &m.u.node_report;
+  const WlPoolLoad *loads = NULL;
+  apr_pool_t *pool;
+  for (uint32_t i = 0; i < membership->roster->n_nodes; i++)
+    {
+      WlRosterNode *r = &membership->roster->nodes[i];
+      if (!wl_view_is_subscriber (r, now_us) || wl_view_scope (membership->view, r) != scope
+          || (since == 0 && !is_owed_all (r, now_us)))
+        continue;
+      if (since == 0)
+        {
+          r->status.subscription = WL_SUBSCRIBE_REPORTS;
+          r->whole_us = now_us;
+        }
+      nodes[n++] = r->status.node;
+    }
+  if (n == 0)
+    return;
+  apr_pool_create (&pool, NULL);
+  wl_view_report (membership->view, scope, since, now_us, pool, report);
+  report->sender.sequence = ++membership->sequence;
+  report->n_loads = membership->options.loads (membership->options.data, scope, now_us, &loads);
+  report->loads = (WlPoolLoad *)loads;
+  membership->options.send (membership->options.data, nodes, n, &m);
+  apr_pool_destroy (pool);
+}
+
+static int
+has_subscribers (const WlMembership *membership, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < membership->roster->n_nodes; i++)
+    if (wl_view_is_subscriber (&membership->roster->nodes[i], now_us))
+      return 1;
+  return 0;
+}
+
+void
+wl_membership_flush (WlMembership *membership, uint64_t now_us)
+{
+  int is_periodic = now_us >= membership->reported_us + WL_ROSTER_STATUS_US;
+  int is_due
+      = is_periodic
+        || (membership->has_news && now_us >= membership->reported_us + WL_MEMBERSHIP_REPORT_US);
+  if ((!is_due && !membership->wants_whole) || !has_subscribers (membership, now_us))
+    return;
+  describe_self (membership);
+  uint64_t scan = wl_view_scan (membership->view, now_us);
+  if (membership->wants_whole)
+    {
+      send_report (membership, WL_REPORT_ALL, 0, now_us);
+      send_report (membership, WL_REPORT_DOMAIN, 0, now_us);
+      membership->wants_whole = 0;
+    }
+  if (!is_due)
+    return;
+  membership->has_news = 0;
+  if (!is_periodic && membership->view->changed_scan <= membership->reported_scan)
+    return;
+  uint64_t since = membership->reported_scan > 0 ? membership->reported_scan : 1;
+  membership->reported_us = now_us;
+  membership->reported_scan = scan;
+  send_report (membership, WL_REPORT_ALL, since, now_us);
+  send_report (membership, WL_REPORT_DOMAIN, since, now_us);
+}
+
+static void
+introduce (WlMembership *membership, uint32_t node, uint64_t now_us)
+{
+  WlMessage m = { .kind = WL_MESSAGE_NODE_REPORT };
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  describe_self (membership);
+  wl_view_introduce (membership->view, now_us, pool, &m.u.node_report);
+  membership->options.send (membership->options.data, &node, 1, &m);
+  apr_pool_destroy (pool);
+}
+
+/* ---- endpoints ---- */
+
+/* To one node; to all nodes of a small fleet or to the relays of the failure domain if that is 0.
+ */
+static void
+send_records (WlMembership *membership, uint32_t node, WlEndpointRecord *records,
+              uint32_t n_records, uint64_t now_us)
+{
+  WlMessage m = { .kind = WL_MESSAGE_ENDPOINTS };
+  uint32_t nodes[WL_VIEW_MESH_MAX];
+  uint32_t n = 0;
+  m.u.endpoints.records = records;
+  m.u.endpoints.n_records = n_records;
+  if (node != 0)
+    nodes[n++] = node;
+  else if (wl_view_is_mesh (membership->view))
+    {
+      for (uint32_t i = 0; i < membership->roster->n_nodes; i++)
+        if (wl_roster_is_alive (&membership->roster->nodes[i], now_us))
+          nodes[n++] = membership->roster->nodes[i].status.node;
+    }
+  else
+    {
+      uint32_t relays[WL_VIEW_RELAYS];
+      uint32_t n_relays = wl_view_relays (membership->view, membership->options.zone, now_us,
+                                          relays, WL_VIEW_RELAYS);
+      for (uint32_t i = 0; i < n_relays; i++)
+        if (relays[i] != membership->options.node)
+          nodes[n++] = relays[i];
+    }
+  if (n > 0)
+    membership->options.send (membership->options.data, nodes, n, &m);
+}
+
+/* A node that has just started learns all endpoints at once. */
+static void
+send_all_records (WlMembership *membership, uint32_t node, uint64_t now_us)
+{
+  WlEndpointRecord records[RECORDS_MAX];
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < membership->fleet->n_endpoints; i++)
+    {
+      const WlEndpoint *e = &membership->fleet->endpoints[i];
+      records[n] = e->record;
+      records[n].age_us = now_us - e->heard_us;
+      if (++n == RECORDS_MAX)
+        {
+          send_records (membership, node, records, n, now_us);
+          n = 0;
+        }
+    }
+  if (n > 0)
+    send_records (membership, node, records, n, now_us);
+}
+
+/* A node that missed that an endpoint leaves must not send to it for longer than allowed. */
+static void
+repeat_leaving (WlMembership *membership, uint64_t now_us)
+{
+  WlEndpointRecord records[RECORDS_MAX];
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < membership->fleet->n_endpoints && n < RECORDS_MAX; i++)
+    {
+      const WlEndpoint *e = &membership->fleet->endpoints[i];
+      if ((!e->record.is_draining && !e->record.is_gone)
+          || now_us > e->changed_us + WL_MEMBERSHIP_REPEAT_US
+          || (e->direct_us == 0 && !wl_view_is_mesh (membership->view)))
+        continue;
+      records[n] = e->record;
+      records[n++].age_us = now_us - e->heard_us;
+    }
+  if (n > 0)
+    send_records (membership, 0, records, n, now_us);
+}
+
+void
+wl_membership_take_record (WlMembership *membership, const WlEndpointRecord *record,
+                           uint64_t now_us)
+{
+  if (wl_fleet_take (membership->fleet, record, now_us) <= 0)
+    return;
+  membership->has_news = 1;
+  membership->options.endpoint (membership->options.data, record);
+}
+
+void
+wl_membership_register (WlMembership *membership, const WlEndpointRecord *record, uint64_t now_us)
+{
+  WlEndpointRecord copy = *record;
+  wl_membership_take_record (membership, record, now_us);
+  wl_view_note_registration (membership->view, record, now_us);
+  send_records (membership, 0, &copy, 1, now_us);
+}
+
+/* ---- receiving ---- */
+
+/* A node was heard for the first time, after its restart or after silence. */
+static void
+greet_heard (WlMembership *membership, WlRosterNode *known, uint64_t now_us)
+{
+  uint32_t i = (uint32_t)(known - membership->roster->nodes);
+  known->seen_boot = known->status.boot;
+  known->is_lost = 0;
+  if (wl_view_is_mesh (membership->view))
+    {
+      send_status_to (membership, i, i + 1, now_us);
+      send_all_records (membership, known->status.node, now_us);
+    }
+  membership->options.heard (membership->options.data, known, now_us);
+}
+
+/* Takes the status of a node from itself; returns 0 when it is old. */
+static int
+hear (WlMembership *membership, const WlNodeStatus *s, uint64_t now_us)
+{
+  WlRosterNode *known = wl_roster_find (membership->roster, s->node);
+  int was_draining = known != NULL && known->status.is_draining;
+  uint32_t n_met = membership->roster->n_nodes;
+  if (!wl_roster_hear (membership->roster, s, now_us))
+    return 0;
+  membership->has_news = 1;
+  /* Those that it names are met at once, not with the next status. */
+  if (membership->roster->n_nodes > n_met && wl_view_is_mesh (membership->view))
+    send_status_to (membership, n_met, membership->roster->n_nodes, now_us);
+  known = wl_roster_find (membership->roster, s->node);
+  if (known->seen_boot != s->boot || known->is_lost)
+    greet_heard (membership, known, now_us);
+  membership->options.told (membership->options.data, s, was_draining, now_us);
+  return 1;
+}
+
+static void
+on_status (WlMembership *membership, const WlNodeStatus *s, uint64_t now_us)
+{
+  if (!hear (membership, s, now_us))
+    return;
+  if (s->subscription == WL_SUBSCRIBE_ALL)
+    membership->wants_whole = 1;
+  else if (s->subscription == WL_SUBSCRIBE_NONE && !wl_view_is_mesh (membership->view))
+    introduce (membership, s->node, now_us);
+}
+
+static void
+on_report (WlMembership *membership, const WlReport *report, uint64_t now_us)
+{
+  uint32_t n_met = membership->roster->n_nodes;
+  if (report->sender.node == membership->options.node || report->scope >= WL_REPORT_SCOPES)
+    return;
+  hear (membership, &report->sender, now_us);
+  for (uint32_t i = 0; i < report->n_endpoints; i++)
+    wl_membership_take_record (membership, &report->endpoints[i], now_us);
+  wl_view_take (membership->view, report, now_us);
+  if (membership->roster->n_nodes > n_met && !wl_view_is_mesh (membership->view))
+    send_to_contacts (membership, 0, now_us);
+}
+
+/* Registrations from a node that reports here count as heard here. */
+static void
+on_records (WlMembership *membership, uint32_t from, const WlEndpoints *endpoints, uint64_t now_us)
+{
+  const WlRosterNode *sender = wl_roster_find (membership->roster, from);
+  for (uint32_t i = 0; i < endpoints->n_records; i++)
+    {
+      wl_membership_take_record (membership, &endpoints->records[i], now_us);
+      if (wl_view_is_mesh (membership->view)
+          || (sender != NULL && wl_view_is_near (membership->view, sender)))
+        wl_view_note_registration (membership->view, &endpoints->records[i], now_us);
+    }
+}
+
+int
+wl_membership_receive (WlMembership *membership, uint32_t from, const WlMessage *message,
+                       uint64_t now_us)
+{
+  switch (message->kind)
+    {
+    case WL_MESSAGE_NODE_STATUS:
+      on_status (membership, &message->u.node_status, now_us);
+      return 1;
+    case WL_MESSAGE_NODE_REPORT:
+      on_report (membership, &message->u.node_report, now_us);
+      return 1;
+    case WL_MESSAGE_ENDPOINTS:
+      on_records (membership, from, &message->u.endpoints, now_us);
+      return 1;
+    default:
+      return 0;
+    }
+}
+
+/* ---- time ---- */
+
+static void
+note_lost_nodes (WlMembership *membership, uint64_t now_us)
+{
+  membership->n_alive = 1;
+  for (uint32_t i = 0; i < membership->roster->n_nodes; i++)
+    {
+      WlRosterNode *n = &membership->roster->nodes[i];
+      if (wl_roster_is_alive (n, now_us))
+        {
+          membership->n_alive++;
+          /* Known from a report only: it has not sent a status here. */
+          if (n->seen_boot != n->status.boot || n->is_lost)
+            greet_heard (membership, n, now_us);
+          continue;
+        }
+      if (n->heard_us == 0 || n->is_lost)
+        continue;
+      n->is_lost = 1;
+      membership->options.lost (membership->options.data, n, now_us);
+    }
+  if (membership->n_alive == 1)
+    wl_fleet_keep (membership->fleet, now_us);
+}
+
+/* A node that was named and does not answer may be about to start: it is tried at each tick. */
+static void
+greet_unheard (WlMembership *membership, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < membership->roster->n_nodes; i++)
+    {
+      const WlRosterNode *n = &membership->roster->nodes[i];
+      if (n->heard_us == 0 && now_us < n->met_us + WL_MEMBERSHIP_GREET_US)
+        send_status_to (membership, i, i + 1, now_us);
+    }
+}
+
+static void
+tick_large (WlMembership *membership, const uint32_t *seeds, uint32_t n_seeds, uint64_t now_us)
+{
+  uint32_t probed = wl_view_probe (membership->view, seeds, n_seeds, now_us);
+  WlRosterNode *r = probed != 0 ? wl_roster_find (membership->roster, probed) : NULL;
+  membership->has_news = 1; /* silence is news too, and only time tells it */
+  greet_unheard (membership, now_us);
+  if (r != NULL)
+    send_status (membership, r, WL_SUBSCRIBE_NONE, NULL, 0, now_us);
+  send_to_contacts (membership, 0, now_us);
+  if (now_us < membership->status_us + WL_ROSTER_STATUS_US)
+    return;
+  membership->status_us = now_us;
+  repeat_leaving (membership, now_us);
+}
+
+void
+wl_membership_tick (WlMembership *membership, const uint32_t *seeds, uint32_t n_seeds,
+                    uint64_t now_us)
+{
+  for (uint32_t i = 0; i < n_seeds; i++)
+    wl_roster_meet (membership->roster, seeds[i], now_us);
+  note_lost_nodes (membership, now_us);
+  wl_view_expire (membership->view, now_us);
+  describe_self (membership);
+  if (membership->was_ready != membership->view->self.is_ready)
+    {
+      wl_membership_announce (membership, now_us);
+      return;
+    }
+  if (!wl_view_is_mesh (membership->view))
+    tick_large (membership, seeds, n_seeds, now_us);
+  else if (now_us < membership->status_us + WL_ROSTER_STATUS_US)
+    greet_unheard (membership, now_us);
+  else
+    {
+      wl_membership_announce (membership, now_us);
+      repeat_leaving (membership, now_us);
+    }
+}
--- a/relay/membership/wl_view.c
+++ b/relay/membership/wl_view.c
@@ -8,6 +8,7 @@
 {
   RELAYS_MAX = 8,         /* relays asked for at once */
   PULL_DOUBLINGS_MAX = 5, /* of the time between two requests for everything */
+  PROBES_PER_SEED = 32,   /* one probe in so many goes to a seed: contacts usually know more */
   MISMATCHES_MAX = 2,     /* reports in a row: one may cross a change */
 };
 
@@ -34,7 +35,7 @@
 int
 wl_view_is_mesh (const WlView *view)
 {
-  return view->roster->n_nodes + 1 <= WL_VIEW_MESH_MAX;
+  return !view->is_large && view->roster->n_nodes + 1 <= WL_VIEW_MESH_MAX;
 }
 
 int
@@ -98,17 +99,6 @@
   return rank (view, zone, 0, now_us, out, max);
 }
 
-int
-wl_view_is_relay (const WlView *view, uint64_t now_us)
-{
-  uint32_t relays[WL_VIEW_RELAYS];
-  uint32_t n = rank (view, view->self.zone, 0, now_us, relays, WL_VIEW_RELAYS);
-  for (uint32_t i = 0; i < n; i++)
-    if (relays[i] == view->self.node)
-      return 1;
-  return 0;
-}
-
 /* The failure domains other than the own; returns their number. */
 static uint32_t
 list_far_zones (const WlView *view, const char **out, uint32_t max)
@@ -143,6 +133,24 @@
   return n;
 }
 
+/* Position of this node among the relays of its failure domain; RELAYS_MAX when it is none. */
+static uint32_t
+own_rank (const WlView *view, uint64_t now_us)
+{
+  uint32_t relays[WL_VIEW_RELAYS];
+  uint32_t n = rank (view, view->self.zone, 0, now_us, relays, WL_VIEW_RELAYS);
+  for (uint32_t i = 0; i < n; i++)
+    if (relays[i] == view->self.node)
+      return i;
+  return RELAYS_MAX;
+}
+
+int
+wl_view_is_relay (const WlView *view, uint64_t now_us)
+{
+  return own_rank (view, now_us) < RELAYS_MAX;
+}
+
 uint32_t
 wl_view_contacts (const WlView *view, uint64_t now_us, uint32_t *out)
 {
@@ -152,16 +160,15 @@
   uint32_t n_out = add_contacts (view, relays, n, out, 0);
   n = rank (view, view->self.zone, 1, now_us, relays, WL_VIEW_RELAYS);
   n_out = add_contacts (view, relays, n, out, n_out);
-  if (!wl_view_is_relay (view, now_us))
-    return n_out;
-  uint32_t n_zones = list_far_zones (view, zones, WL_VIEW_CONTACTS_MAX);
+  uint32_t own = own_rank (view, now_us);
+  uint32_t n_zones = own < RELAYS_MAX ? list_far_zones (view, zones, WL_VIEW_CONTACTS_MAX) : 0;
   for (uint32_t i = 0; i < n_zones; i++)
-    {
-      n = rank (view, zones[i], 0, now_us, relays, WL_VIEW_FAR_RELAYS);
-      n_out = add_contacts (view, relays, n, out, n_out);
-      n = rank (view, zones[i], 1, now_us, relays, WL_VIEW_FAR_RELAYS);
-      n_out = add_contacts (view, relays, n, out, n_out);
-    }
+    for (int is_nominal = 0; is_nominal < 2; is_nominal++)
+      {
+        n = rank (view, zones[i], is_nominal, now_us, relays, WL_VIEW_RELAYS);
+        if (n > 0)
+          n_out = add_contacts (view, &relays[own < n ? own : n - 1], 1, out, n_out);
+      }
   return n_out;
 }
 
@@ -230,6 +237,8 @@
 void
 wl_view_expire (WlView *view, uint64_t now_us)
 {
+  if (now_us > view->large_us + WL_VIEW_SOURCE_US)
+    view->is_large = 0;
   for (uint32_t i = 0; i < WL_VIEW_SOURCES_MAX; i++)
     if (view->sources[i].node != 0 && now_us > view->sources[i].heard_us + WL_VIEW_SOURCE_US)
       {
@@ -241,18 +250,18 @@
 uint32_t
 wl_view_probe (WlView *view, const uint32_t *seeds, uint32_t n_seeds, uint64_t now_us)
 {
-  uint32_t n = n_seeds + view->roster->n_nodes;
   int has_relay = (fresh_sources (view, 0, now_us) & ~fresh_sources (view, 1, now_us)) != 0;
-  if (n == 0 || now_us < view->probed_us + WL_VIEW_PROBE_US)
+  if (now_us < view->probed_us + WL_VIEW_PROBE_US)
     return 0;
   if (has_relay && !wl_view_is_relay (view, now_us))
     return 0;
   view->probed_us = now_us;
   uint64_t r = wl_random_next (&view->random);
-  /* Half of the probes go to the seeds: a node may know nobody else. */
-  if (n_seeds > 0 && ((r & 1) == 0 || view->roster->n_nodes == 0))
-    return seeds[(r >> 1) % n_seeds];
-  return view->roster->nodes[(r >> 1) % view->roster->n_nodes].status.node;
+  uint32_t contacts[WL_VIEW_CONTACTS_MAX];
+  uint32_t n_contacts = wl_view_contacts (view, now_us, contacts);
+  if (n_seeds > 0 && (!has_relay || n_contacts == 0 || r % PROBES_PER_SEED == 0))
+    return seeds[(r >> 8) % n_seeds];
+  return n_contacts > 0 ? contacts[(r >> 8) % n_contacts] : 0;
 }
 
 uint8_t
@@ -335,8 +344,8 @@
 {
   int has_own = is_registered (e, now_us);
   int has_far = scope == WL_REPORT_ALL && (e->vouchers & far) != 0;
-  int is_sure
-      = (has_own && now_us < e->direct_us + WL_FLEET_DOUBT_US) || (has_far && (e->sure & far) != 0);
+  int is_sure = (has_own && now_us < e->direct_us + WL_FLEET_DOUBT_US)
+                || (has_far && (e->vouchers & e->sure & far) != 0);
   return has_own || has_far ? endpoint_hash (e, is_sure) : 0;
 }
 
@@ -443,6 +452,15 @@
     }
 }
 
+static uint32_t
+count_alive (const WlView *view, uint64_t now_us)
+{
+  uint32_t n = 1;
+  for (uint32_t i = 0; i < view->roster->n_nodes; i++)
+    n += (uint32_t)wl_roster_is_alive (&view->roster->nodes[i], now_us);
+  return n;
+}
+
 void
 wl_view_report (const WlView *view, WlReportScope scope, uint64_t since, uint64_t now_us,
                 apr_pool_t *pool, WlReport *out)
@@ -453,6 +471,7 @@
   out->sender.n_known = 0;
   out->scope = (uint8_t)scope;
   out->is_whole = since == 0;
+  out->n_alive = count_alive (view, now_us);
   report_nodes (view, scope, since, now_us, pool, out);
   report_endpoints (view, scope, since, now_us, pool, out);
 }
@@ -481,6 +500,7 @@
   out->sender.known = NULL;
   out->sender.n_known = 0;
   out->scope = WL_REPORT_INTRODUCTION;
+  out->n_alive = count_alive (view, now_us);
   out->nodes = apr_palloc (pool, (n_zones + 1) * WL_VIEW_RELAYS * sizeof *out->nodes);
   introduce_zone (view, view->self.zone, now_us, out);
   for (uint32_t i = 0; i < n_zones; i++)
@@ -522,26 +542,35 @@
   return r;
 }
 
+/* A source no longer vouches for a node: what the others say decides when it was last there. */
 static void
-lose_node (WlView *view, WlRosterNode *r, uint64_t bit, uint64_t now_us)
+lose_node (WlView *view, WlRosterNode *r, uint64_t bit)
 {
+  uint64_t heard_us = r->direct_us;
   if ((r->vouchers & bit) == 0)
     return;
   r->vouchers &= ~bit;
-  if ((r->vouchers & fresh_sources (view, 0, now_us)) != 0 || is_direct (r, now_us))
-    return;
-  if (r->heard_us + WL_ROSTER_SILENCE_US > now_us)
-    r->heard_us = now_us - WL_ROSTER_SILENCE_US;
+  for (uint32_t i = 0; i < WL_VIEW_SOURCES_MAX; i++)
+    if ((r->vouchers & (uint64_t)1 << i) != 0 && view->sources[i].heard_us > heard_us)
+      heard_us = view->sources[i].heard_us;
+  r->heard_us = heard_us > 0 ? heard_us : 1;
 }
 
+/*
+ * An endpoint has not registered in time with a source. What nobody vouches
+ * for is not lost at once: its registrations may go elsewhere now.
+ */
 static void
-lose_endpoint (WlView *view, WlEndpoint *e, uint64_t bit, uint64_t now_us)
+doubt_endpoint (WlView *view, WlEndpoint *e, uint64_t bit, uint64_t age_us, uint64_t now_us)
 {
-  e->vouchers &= ~bit;
+  uint64_t heard_us = now_us > age_us ? now_us - age_us : 1;
   e->sure &= ~bit;
-  if ((e->vouchers & fresh_sources (view, 0, now_us)) == 0 && !is_registered (e, now_us)
-      && e->heard_us + WL_FLEET_SILENCE_US > now_us)
-    e->heard_us = now_us - WL_FLEET_SILENCE_US;
+  if ((e->sure & fresh_sources (view, 0, now_us)) != 0)
+    return;
+  if (e->direct_us > heard_us)
+    heard_us = e->direct_us;
+  if (heard_us < e->heard_us)
+    e->heard_us = heard_us;
 }
 
 static int
@@ -567,12 +596,12 @@
 {
   for (uint32_t i = 0; report->is_whole && i < view->roster->n_nodes; i++)
     if (!lists_node (report, view->roster->nodes[i].status.node))
-      lose_node (view, &view->roster->nodes[i], bit, now_us);
+      lose_node (view, &view->roster->nodes[i], bit);
   for (uint32_t i = 0; i < report->n_lost_nodes; i++)
     {
       WlRosterNode *r = wl_roster_find (view->roster, report->lost_nodes[i].node);
       if (r != NULL)
-        lose_node (view, r, bit, now_us);
+        lose_node (view, r, bit);
       else if (report->lost_nodes[i].node == view->self.node)
         view->self_vouchers &= ~bit;
     }
@@ -594,13 +623,13 @@
     {
       WlEndpoint *e = &view->fleet->endpoints[i];
       if ((e->vouchers & bit) != 0 && !lists_endpoint (report, e->record.id))
-        lose_endpoint (view, e, bit, now_us);
+        e->vouchers &= ~bit;
     }
   for (uint32_t i = 0; i < report->n_lost_endpoints; i++)
     {
       WlEndpoint *e = wl_fleet_find_key (view->fleet, report->lost_endpoints[i].key);
-      if (e != NULL && (e->vouchers & bit) != 0)
-        lose_endpoint (view, e, bit, now_us);
+      if (e != NULL)
+        e->vouchers &= ~bit;
     }
   for (uint32_t i = 0; i < report->n_endpoints; i++)
     {
@@ -612,7 +641,7 @@
       if (record->age_us < WL_FLEET_DOUBT_US)
         e->sure |= bit;
       else
-        e->sure &= ~bit;
+        doubt_endpoint (view, e, bit, record->age_us, now_us);
     }
 }
 
@@ -624,7 +653,7 @@
     if ((view->roster->nodes[i].vouchers & bit) != 0)
       view->roster->nodes[i].heard_us = now_us;
   for (uint32_t i = 0; i < view->fleet->n_endpoints; i++)
-    if ((view->fleet->endpoints[i].sure & bit) != 0)
+    if ((view->fleet->endpoints[i].vouchers & view->fleet->endpoints[i].sure & bit) != 0)
       view->fleet->endpoints[i].heard_us = now_us;
 }
 
@@ -669,15 +698,17 @@
   s->wants_all = 1;
 }
 
+/* Nodes not heard of before, or after a restart, are tried; a lost one is not there by hearsay. */
 static void
 take_introduction (WlView *view, const WlReport *report, uint64_t now_us)
 {
   for (uint32_t i = 0; i < report->n_nodes; i++)
     {
-      const WlRosterNode *known = wl_roster_find (view->roster, report->nodes[i].node);
-      if (known != NULL && wl_roster_is_alive (known, now_us))
+      const WlNodeStatus *s = &report->nodes[i];
+      const WlRosterNode *known = wl_roster_find (view->roster, s->node);
+      if (known != NULL && known->heard_us != 0 && known->status.boot == s->boot)
         continue;
-      WlRosterNode *r = take_node (view, &report->nodes[i], now_us);
+      WlRosterNode *r = take_node (view, s, now_us);
       if (r != NULL)
         r->heard_us = now_us;
     }
@@ -686,6 +717,11 @@
 void
 wl_view_take (WlView *view, const WlReport *report, uint64_t now_us)
 {
+  if (report->n_alive > WL_VIEW_MESH_MAX)
+    {
+      view->is_large = 1;
+      view->large_us = now_us;
+    }
   if (report->scope == WL_REPORT_INTRODUCTION)
     {
       take_introduction (view, report, now_us);
@@ -695,6 +731,12 @@
   if (s == NULL || report->sender.sequence <= s->sequence)
     return;
   uint64_t bit = (uint64_t)1 << (s - view->sources);
+  if (!is_fresh (s, now_us) && !report->is_whole)
+    {
+      /* Changes have been missed: what it vouched for before says nothing now. */
+      forget_vouchers (view, bit);
+      s->wants_all = 1;
+    }
   s->sequence = report->sender.sequence;
   s->heard_us = now_us;
   take_nodes (view, report, bit, now_us);
--- a/relay/membership/wl_view.h
+++ b/relay/membership/wl_view.h
@@ -31,14 +31,13 @@
 {
   WL_VIEW_MESH_MAX = 16,       /* nodes, this one included, up to which all tell all */
   WL_VIEW_RELAYS = 3,          /* relays of a failure domain: two may be lost at once */
-  WL_VIEW_FAR_RELAYS = 2,      /* relays of another failure domain that a relay reports to */
   WL_VIEW_SOURCES_MAX = 64,    /* relays that report here */
   WL_VIEW_CONTACTS_MAX = 128,  /* nodes that get the status of this one */
   WL_VIEW_DIRECT_US = 1000000, /* two statuses missed and some delay: no longer vouched for */
   WL_VIEW_PULL_US = 300000,    /* shortest time between two requests for everything */
   WL_VIEW_WHOLE_US = 900000,   /* a subscriber is sent everything at most so often */
   WL_VIEW_SOURCE_US = 5000000, /* a silent relay is forgotten */
-  WL_VIEW_PROBE_US = 1000000,  /* interval of statuses to a node outside the contacts */
+  WL_VIEW_PROBE_US = 1000000,  /* interval of requests for introductions */
 };
 
 /**
@@ -72,7 +71,9 @@
  * @self_told: what reports say of this node, by scope
  * @n_scans: scans so far
  * @changed_scan: the latest that found a change
- * @probed_us: when a node outside the contacts was last sent the status
+ * @large_us: when a relay last told that the fleet is large
+ * @is_large: it did not long ago, however few nodes are known here
+ * @probed_us: when a node was last asked for an introduction
  * @random: state of random numbers
  */
 typedef struct
@@ -85,6 +86,8 @@
   WlTold self_told[WL_REPORT_INTRODUCTION];
   uint64_t n_scans;
   uint64_t changed_scan;
+  uint64_t large_us;
+  uint8_t is_large;
   uint64_t probed_us;
   uint64_t random;
 } WlView;
@@ -95,7 +98,11 @@
 /** wl_view_destroy() - frees a view; accepts NULL */
 void wl_view_destroy (WlView *view);
 
-/** wl_view_is_mesh() - whether every node tells every other */
+/**
+ * wl_view_is_mesh() - whether every node tells every other
+ *
+ * As few nodes are known here, and no relay tells of more.
+ */
 int wl_view_is_mesh (const WlView *view);
 
 /** wl_view_is_near() - whether a node is in this node's failure domain */
@@ -123,15 +130,16 @@
  * @now_us: monotonic time
  * @out: receives the nodes
  *
- * The relays of the own failure domain, also those thought lost, since a
- * partition may have ended; for a relay those of the others too.
+ * The relays of the own failure domain; for a relay also the one of its own
+ * rank in each other, so that a change has as many ways as there are ranks.
+ * Those thought lost as well, since a partition may have ended.
  *
  * Return: the number of nodes, up to WL_VIEW_CONTACTS_MAX.
  */
 uint32_t wl_view_contacts (const WlView *view, uint64_t now_us, uint32_t *out);
 
 /**
- * wl_view_probe() - a node outside the contacts that shall get the status now
+ * wl_view_probe() - a node that shall be asked for an introduction now
  * @view: the view
  * @seeds: nodes named by the settings
  * @n_seeds: their number
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -78,13 +78,14 @@
 {
   apr_pool_t *pool;
   uint64_t now_us = wl_clock_now_us ();
-  int is_mesh = wl_view_is_mesh (host->view);
+  int is_mesh = wl_view_is_mesh (host->membership->view);
   apr_pool_create (&pool, NULL);
   WlBytes bytes = wl_message_encode (message, pool);
   for (uint32_t i = 0; i < host->roster->n_nodes; i++)
     {
       const WlRosterNode *n = &host->roster->nodes[i];
-      if (wl_roster_is_alive (n, now_us) && (is_mesh || wl_view_is_near (host->view, n)))
+      if (wl_roster_is_alive (n, now_us)
+          && (is_mesh || wl_view_is_near (host->membership->view, n)))
         wl_host_send_bytes (host, n->status.node, bytes);
     }
   apr_pool_destroy (pool);
@@ -278,12 +279,7 @@
     goto fail;
   host->loop = wl_tcp_loop_create (host->reactor);
   host->client = wl_fetch_client_create (host->loop);
-  host->roster = wl_roster_create (options->node);
-  host->fleet = wl_fleet_create ();
-  host->view = wl_view_create (host->roster, host->fleet, host->boot);
-  host->view->self.node = options->node;
-  host->view->self.boot = host->boot;
-  memcpy (host->view->self.zone, options->zone, sizeof host->view->self.zone);
+  wl_host_join (host);
   host->load = wl_load_create ();
   create_relay (host);
   if (options->data_folder[0] != '\0')
@@ -321,9 +317,7 @@
   wl_journal_destroy (host->journal);
   wl_document_destroy (host->document);
   wl_load_destroy (host->load);
-  wl_view_destroy (host->view);
-  wl_fleet_destroy (host->fleet);
-  wl_roster_destroy (host->roster);
+  wl_membership_destroy (host->membership);
   while (host->first_local != NULL)
     {
       WlHostLocal *local = host->first_local;
@@ -409,7 +403,7 @@
     host->tick_us = now_us + WL_HOST_TICK_US;
   run_document (host, now_us);
   receive_local (host);
-  wl_host_report (host, now_us);
+  wl_membership_flush (host->membership, now_us);
   wl_host_flush_notes (host);
   wl_peers_flush (host->peers);
   wl_tcp_flush (host->loop);
@@ -439,7 +433,7 @@
   host->stopping_us = wl_clock_now_us ();
   wl_web_drain (host->front);
   wl_log_eventf (WL1002_NODE_STOPPING, "active=%u", wl_relay_active (host->relay));
-  wl_host_send_status (host, host->stopping_us);
+  wl_membership_announce (host->membership, host->stopping_us);
 }
 
 int
@@ -479,7 +473,7 @@
         far[n_far++] = self;
     }
   /* Each answer begins elsewhere, so that no node is left out of all of them. */
-  uint64_t first = wl_random_next (&host->view->random);
+  uint64_t first = wl_random_next (&host->membership->view->random);
   for (uint32_t i = 0; i < n_nodes; i++)
     {
       const WlRosterNode *node = &host->roster->nodes[(first + i) % n_nodes];
--- a/relay/wl_host.h
+++ b/relay/wl_host.h
@@ -3,11 +3,10 @@
 
 #include "wl_document.h"
 #include "wl_journal.h"
+#include "wl_membership.h"
 #include "wl_peers.h"
 #include "wl_relay.h"
-#include "wl_roster.h"
 #include "wl_services.h"
-#include "wl_view.h"
 
 /*
  * One node of a system in which every node forwards requests, takes
--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -50,7 +50,7 @@
   for (uint32_t i = 0; i < m->u.endpoints.n_records; i++)
     {
       m->u.endpoints.records[i].age_us = RESTORED_AGE_US;
-      wl_host_take_record (host, &m->u.endpoints.records[i], now_us);
+      wl_membership_take_record (host->membership, &m->u.endpoints.records[i], now_us);
     }
   return WL_OK;
 }
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -7,11 +7,10 @@
 
 enum
 {
-  WL_HOST_NOTES_MAX = 64,      /* notes on work sent together */
-  WL_HOST_WORK_US = 2500000,   /* interval of lists of all work */
-  WL_HOST_REPEAT_US = 2500000, /* a leaving endpoint is told again for this long */
-  WL_HOST_SAVE_US = 1000000,   /* shortest time between two files of a kind */
-  WL_HOST_APPLY_US = 150000,   /* shortest time between two configurations put in force */
+  WL_HOST_NOTES_MAX = 64,    /* notes on work sent together */
+  WL_HOST_WORK_US = 2500000, /* interval of lists of all work */
+  WL_HOST_SAVE_US = 1000000, /* shortest time between two files of a kind */
+  WL_HOST_APPLY_US = 150000, /* shortest time between two configurations put in force */
   WL_HOST_REPORT_US
   = 40000, /* shortest time between two reports, so that changes travel together */
 };
@@ -46,9 +45,9 @@
   WlTcpLoop *loop;
   WlFetchClient *client;
   WlPeers *peers;
-  WlRoster *roster;
-  WlFleet *fleet;
-  WlView *view;
+  WlMembership *membership;
+  WlRoster *roster; /* the member's */
+  WlFleet *fleet;   /* the member's */
   WlLoad *load;
   WlRelay *relay;
   WlWeb *front;
@@ -71,12 +70,6 @@
 
   WlWorkNote notes[WL_HOST_NOTES_MAX];
   uint32_t n_notes;
-  uint64_t status_us;
-  uint64_t status_sequence;
-  uint64_t reported_us;
-  uint64_t reported_scan;              /* that the latest report followed */
-  uint8_t has_news;                    /* a report may be due before its interval is over */
-  uint8_t wants_whole;                 /* a subscriber has asked for everything */
   WlPoolLoad pools[WL_LOAD_POOLS_MAX]; /* of the report being written */
   uint64_t work_us;
   uint64_t endpoints_saved_us; /* when the endpoints were last saved */
@@ -84,7 +77,6 @@
   uint64_t tick_us;
   uint64_t slow_tick_us;
   uint64_t stopping_us; /* 0 while running */
-  uint8_t was_ready;
   uint8_t has_founders;
   uint8_t may_found;
   uint8_t has_failed;
@@ -97,9 +89,6 @@
 /** wl_host_send_bytes() - sends an encoded message to a node */
 void wl_host_send_bytes (WlHost *host, uint32_t node, WlBytes bytes);
 
-/** wl_host_report() - sends the reports that are due to their subscribers */
-void wl_host_report (WlHost *host, uint64_t now_us);
-
 /**
  * wl_host_broadcast() - sends a message to the nodes that share accounts of endpoints
  *
@@ -108,8 +97,8 @@
  */
 void wl_host_broadcast (WlHost *host, const WlMessage *message);
 
-/** wl_host_send_status() - tells all nodes, or the contacts in a large fleet, about this one */
-void wl_host_send_status (WlHost *host, uint64_t now_us);
+/** wl_host_join() - creates the host's part in the membership */
+void wl_host_join (WlHost *host);
 
 /** wl_host_gossip_tick() - statuses, lost nodes, expiry */
 void wl_host_gossip_tick (WlHost *host, uint64_t now_us);
@@ -117,9 +106,6 @@
 /** wl_host_gossip_receive() - processes a message on nodes, endpoints or work; 0 for others */
 int wl_host_gossip_receive (WlHost *host, uint32_t from, WlMessage *message, uint64_t now_us);
 
-/** wl_host_take_record() - takes a registration, from an endpoint, a node or the disk */
-void wl_host_take_record (WlHost *host, const WlEndpointRecord *record, uint64_t now_us);
-
 /**
  * wl_host_load_files() - reads what was known before a restart
  * @host: the host
--- a/relay/wl_host_text.c
+++ b/relay/wl_host_text.c
@@ -78,7 +78,7 @@
   host->is_text_new = 1;
   apply_when_due (host, wl_clock_now_us ());
   if (is_first)
-    wl_host_send_status (host, wl_clock_now_us ()); /* others may wait for theirs */
+    wl_membership_announce (host->membership, wl_clock_now_us ()); /* others may wait for theirs */
 }
 
 /*
@@ -105,7 +105,7 @@
   uint32_t contacts[WL_VIEW_CONTACTS_MAX];
   uint64_t now_us = wl_clock_now_us ();
   uint32_t n_contacts = 0;
-  if (wl_view_is_mesh (host->view))
+  if (wl_view_is_mesh (host->membership->view))
     {
       wl_host_broadcast (host, push);
       return;
@@ -117,7 +117,7 @@
         wl_host_send (host, n->status.node, push);
     }
   if (host->document != NULL && wl_document_leader (host->document) == host->options.node)
-    n_contacts = wl_view_contacts (host->view, now_us, contacts);
+    n_contacts = wl_view_contacts (host->membership->view, now_us, contacts);
   for (uint32_t i = 0; i < n_contacts; i++)
     {
       const WlRosterNode *n = wl_roster_find (host->roster, contacts[i]);
@@ -162,7 +162,8 @@
   if (number <= before)
     return;
   adopt (host, number, packed);
-  if (wl_document_leader (host->document) == host->options.node || !wl_view_is_mesh (host->view))
+  if (wl_document_leader (host->document) == host->options.node
+      || !wl_view_is_mesh (host->membership->view))
     push_text (host, 0, before);
 }
 
@@ -196,7 +197,7 @@
     {
       WlMessage m = { .kind = WL_MESSAGE_TEXT_PUSH, .u.text_push = *push };
       adopt (host, push->number, packed);
-      if (!wl_view_is_mesh (host->view))
+      if (!wl_view_is_mesh (host->membership->view))
         pass_push (host, &m);
     }
   else
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -88,6 +88,7 @@
   WL_ARRAY (WlReport, endpoints, n_endpoints, endpoint_record_fields),
   WL_ARRAY (WlReport, lost_endpoints, n_lost_endpoints, endpoint_key_fields),
   WL_ARRAY (WlReport, loads, n_loads, pool_load_fields),
+  WL_U32 (WlReport, n_alive),
   WL_END,
 };
 
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -221,6 +221,7 @@
  * @endpoints: changed endpoints, @n_endpoints of them
  * @lost_endpoints: endpoints no longer in scope, @n_lost_endpoints of them
  * @loads: work by service and failure domain, @n_loads of them
+ * @n_alive: nodes that the relay believes alive, itself included
  */
 typedef struct
 {
@@ -239,6 +240,7 @@
   uint32_t n_lost_endpoints;
   WlPoolLoad *loads;
   uint32_t n_loads;
+  uint32_t n_alive;
 } WlReport;
 
 /** struct WlTextPull - asks a node for the services text newer than @number */
