Notes on work reach every failure domain through its first relay, in batches

Cause: accounts that end at the failure domain make shorts late.

Change: the first relay of each domain collects the notes of its domain for 15 ms, sends them to the first relays of the others, and passes theirs on to its nodes every 25 ms. Placement judges all engines again; prompts that may be divided are tried on the own domain's engines and the least loaded others, 64 at most. Sums by domain are gone.

--- a/relay/membership/wl_membership.c
+++ b/relay/membership/wl_membership.c
@@ -132,7 +132,6 @@
   uint32_t n = 0;
   WlMessage m = { .kind = WL_MESSAGE_NODE_REPORT };
   WlReport *report = &m.u.node_report;
-  const WlPoolLoad *loads = NULL;
   apr_pool_t *pool;
   for (uint32_t i = 0; i < membership->roster->n_nodes; i++)
     {
@@ -152,8 +151,6 @@
   apr_pool_create (&pool, NULL);
   wl_view_report (membership->view, scope, since, now_us, pool, report);
   report->sender.sequence = ++membership->sequence;
-  report->n_loads = membership->options.loads (membership->options.data, scope, now_us, &loads);
-  report->loads = (WlPoolLoad *)loads;
   membership->options.send (membership->options.data, nodes, n, &m);
   apr_pool_destroy (pool);
 }
--- a/relay/membership/wl_membership.h
+++ b/relay/membership/wl_membership.h
@@ -31,7 +31,6 @@
  * @told: a node itself, or a relay, has sent its status
  * @lost: a node is silent
  * @endpoint: a registration changed what is known
- * @loads: lists work by service and failure domain for a report; returns the number of items
  * @data: passed to the functions
  */
 typedef struct
@@ -47,7 +46,6 @@
   void (*told) (void *data, const WlNodeStatus *status, int was_draining, uint64_t now_us);
   void (*lost) (void *data, const WlRosterNode *node, uint64_t now_us);
   void (*endpoint) (void *data, const WlEndpointRecord *record);
-  uint32_t (*loads) (void *data, WlReportScope scope, uint64_t now_us, const WlPoolLoad **out);
   void *data;
 } WlMembershipOptions;
 
--- a/relay/membership/wl_view.c
+++ b/relay/membership/wl_view.c
@@ -118,6 +118,17 @@
   return n;
 }
 
+uint32_t
+wl_view_carriers (const WlView *view, uint64_t now_us, uint32_t *out, uint32_t max)
+{
+  const char *zones[WL_VIEW_CONTACTS_MAX];
+  uint32_t n = 0;
+  uint32_t n_zones = list_far_zones (view, zones, WL_VIEW_CONTACTS_MAX);
+  for (uint32_t i = 0; i < n_zones && n < max; i++)
+    n += rank (view, zones[i], 0, now_us, &out[n], 1);
+  return n;
+}
+
 static uint32_t
 add_contacts (const WlView *view, const uint32_t *nodes, uint32_t n_nodes, uint32_t *out,
               uint32_t n)
--- a/relay/membership/wl_view.h
+++ b/relay/membership/wl_view.h
@@ -121,6 +121,17 @@
 uint32_t wl_view_relays (const WlView *view, const char *zone, uint64_t now_us, uint32_t *out,
                          uint32_t max);
 
+/**
+ * wl_view_carriers() - the first relay of each other failure domain
+ * @view: the view
+ * @now_us: monotonic time
+ * @out: receives up to @max node ids
+ * @max: room in @out
+ *
+ * Return: the number of nodes.
+ */
+uint32_t wl_view_carriers (const WlView *view, uint64_t now_us, uint32_t *out, uint32_t max);
+
 /** wl_view_is_relay() - whether this node is a relay of its failure domain by rank */
 int wl_view_is_relay (const WlView *view, uint64_t now_us);
 
--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -16,6 +16,7 @@
   ENGINE_RESERVE_PERCENT = 3, /* memory left free for outputs longer than expected */
   OVERSIZE_PERCENT = 95,      /* of one engine's memory: larger prompts are spread over several */
   SPREAD_MIN_TOKENS = 20000,  /* smaller shares of memory are not worth a reservation */
+  CANDIDATES_MAX = 64,        /* engines among which a division of a prompt is sought */
   SPREAD_FIRST_PERCENT = 90,  /* of the first engine's free memory: nothing is reserved there */
 };
 
@@ -407,43 +408,53 @@
   return best;
 }
 
-/* Adds an even share of the work told of a failure domain to what this node knows itself. */
-static void
-add_share (WlLoadSum *sum, const WlPoolLoad *pool)
+static int
+by_load (const void *a, const void *b)
 {
-  uint32_t n = pool->n_engines;
-  if (n == 0)
-    return;
-  sum->n_items += pool->n_items / n;
-  sum->writers += pool->writers / n;
-  sum->readers += (pool->n_items - pool->writers) / n;
-  sum->context += pool->context / n;
-  sum->memory += pool->memory / n;
-  sum->backlog += pool->backlog / n;
-  sum->backlog_us += pool->backlog_us / n;
-  sum->reading_us += pool->backlog_us / n;
-}
-
-/* Usable endpoints of a failure domain, NULL for all; @pool is what is told of it, NULL for
- * nothing. */
+  const WlLoadSum *x = &((const Candidate *)a)->sum;
+  const WlLoadSum *y = &((const Candidate *)b)->sum;
+  if (x->backlog_us != y->backlog_us)
+    return x->backlog_us < y->backlog_us ? -1 : 1;
+  return x->n_items < y->n_items ? -1 : x->n_items > y->n_items ? 1 : 0;
+}
+
+/*
+ * Of many engines a prompt that may be divided is tried on those of the own
+ * failure domain and the least loaded others: the time to judge a division
+ * grows with the engines. Returns how many remain.
+ */
+static uint32_t
+limit_far (const WlChoiceRequest *q, Candidate *all, uint32_t n)
+{
+  uint32_t n_near = 0;
+  if (n <= CANDIDATES_MAX || !q->service->has_engine || is_short (q))
+    return n;
+  for (uint32_t i = 0; i < n; i++)
+    if (strcmp (all[i].endpoint->record.zone, q->zone) == 0)
+      {
+        Candidate c = all[n_near];
+        all[n_near++] = all[i];
+        all[i] = c;
+      }
+  qsort (&all[n_near], n - n_near, sizeof *all, by_load);
+  return n_near < CANDIDATES_MAX ? CANDIDATES_MAX : n_near;
+}
+
 static uint32_t
-collect (WlFleet *fleet, const WlLoad *load, const WlChoiceRequest *q, const char *zone,
-         const WlPoolLoad *pool, uint64_t now_us, Candidate *out)
+collect (WlFleet *fleet, const WlLoad *load, const WlChoiceRequest *q, uint64_t now_us,
+         Candidate *out)
 {
   uint32_t n = 0;
   for (uint32_t i = 0; i < fleet->n_endpoints; i++)
     {
       WlEndpoint *e = &fleet->endpoints[i];
       if (strcmp (e->record.service, q->service->name) != 0 || !wl_fleet_is_usable (e, now_us)
-          || is_excluded (q, e->key) || (zone != NULL && strcmp (e->record.zone, zone) != 0))
+          || is_excluded (q, e->key))
         continue;
       out[n] = (Candidate){ .endpoint = e, .pace = wl_fleet_pace (e, now_us) };
-      out[n].sum = wl_load_sum (load, e->key, now_us);
-      if (pool != NULL)
-        add_share (&out[n].sum, pool);
-      n++;
+      out[n++].sum = wl_load_sum (load, e->key, now_us);
     }
-  return n;
+  return limit_far (q, out, n);
 }
 
 static WlChoice
@@ -508,95 +519,27 @@
   request->deadline_us = left_us < patience_us ? left_us : patience_us;
 }
 
-/* Chooses among the collected endpoints; @n of them. */
-static WlChoice
-choose_among (const WlLoad *load, const WlChoiceRequest *request, Candidate *all, uint32_t n,
-              uint64_t random)
-{
-  const WlRouteService *s = request->service;
-  WlChoice out = { .result = WL_CHOICE_NO_ENDPOINT, .wait_us = RETRY_US };
-  if (n == 0)
-    return out;
-  if (s->has_engine && needed_memory (request) > (uint64_t)n * s->engine.memory)
-    {
-      out.result = WL_CHOICE_TOO_LARGE;
-      return out;
-    }
-  out = s->has_engine ? choose_parts (load, request, all, n)
-                      : choose_one (load, request, all, n, random);
-  if (out.result != WL_CHOICE_PLACED)
-    out = wait_or_refuse (request, all, n, out.hold);
-  return out;
-}
-
-/* Whether a placement in the own failure domain leaves nothing to be had elsewhere. */
-static int
-is_satisfied (const WlLoad *load, const WlChoiceRequest *q, const WlChoice *near, uint64_t now_us)
-{
-  if (near->result != WL_CHOICE_PLACED)
-    return 0;
-  if (q->service->has_engine)
-    return near->predicted_us <= q->objective_us;
-  return wl_load_sum (load, near->endpoint->key, now_us).n_items < near->endpoint->record.slots;
-}
-
-/* The failure domain with the fewest requests at each engine, NULL when none is told. */
-static const WlPoolLoad *
-emptiest_pool (const WlLoad *load, const WlChoiceRequest *q)
-{
-  uint32_t n;
-  const WlPoolLoad *best = NULL;
-  const WlPoolLoad *pools = wl_load_far_pools (load, &n);
-  for (uint32_t i = 0; i < n; i++)
-    {
-      const WlPoolLoad *p = &pools[i];
-      if (p->n_engines == 0 || strcmp (p->service, q->service->name) != 0
-          || strcmp (p->zone, q->zone) == 0)
-        continue;
-      if (best == NULL
-          || (uint64_t)p->n_items * best->n_engines < (uint64_t)best->n_items * p->n_engines)
-        best = p;
-    }
-  return best;
-}
-
-/*
- * In a large fleet the own failure domain goes first, whose work is known
- * request by request. What it can't answer in time goes to the emptiest other
- * one, by the work told of it.
- */
-static WlChoice
-choose_by_domain (WlFleet *fleet, const WlLoad *load, const WlChoiceRequest *q, uint64_t now_us,
-                  uint64_t random, Candidate *all)
-{
-  uint32_t n = collect (fleet, load, q, q->zone, NULL, now_us, all);
-  WlChoice near = choose_among (load, q, all, n, random);
-  if (is_satisfied (load, q, &near, now_us))
-    return near;
-  const WlPoolLoad *pool = q->service->has_engine ? emptiest_pool (load, q) : NULL;
-  n = collect (fleet, load, q, pool != NULL ? pool->zone : NULL, pool, now_us, all);
-  WlChoice far = choose_among (load, q, all, n, random);
-  if (far.result != WL_CHOICE_PLACED)
-    return near.result == WL_CHOICE_NO_ENDPOINT ? far : near;
-  if (near.result == WL_CHOICE_PLACED && q->service->has_engine
-      && far.predicted_us > q->objective_us)
-    return near;
-  return far;
-}
-
 WlChoice
 wl_choice_make (WlFleet *fleet, const WlLoad *load, const WlChoiceRequest *request, uint64_t now_us,
                 uint64_t random)
 {
-  WlChoice out;
+  WlChoice out = { .result = WL_CHOICE_NO_ENDPOINT, .wait_us = RETRY_US };
+  const WlRouteService *s = request->service;
   Candidate *all = calloc (fleet->n_endpoints + 1, sizeof *all);
   if (all == NULL)
     abort ();
-  if (wl_load_domain (load)[0] != '\0')
-    out = choose_by_domain (fleet, load, request, now_us, random, all);
-  else
-    out = choose_among (load, request, all, collect (fleet, load, request, NULL, NULL, now_us, all),
-                        random);
+  uint32_t n = collect (fleet, load, request, now_us, all);
+  if (n > 0 && s->has_engine && needed_memory (request) > (uint64_t)n * s->engine.memory)
+    out.result = WL_CHOICE_TOO_LARGE;
+  else if (n > 0)
+    {
+      if (s->has_engine)
+        out = choose_parts (load, request, all, n);
+      else
+        out = choose_one (load, request, all, n, random);
+      if (out.result != WL_CHOICE_PLACED)
+        out = wait_or_refuse (request, all, n, out.hold);
+    }
   free (all);
   return out;
 }
--- a/relay/placement/wl_load.c
+++ b/relay/placement/wl_load.c
@@ -6,9 +6,6 @@
 {
   apr_pool_t *pool;
   apr_hash_t *places; /* WlLoadPlace by endpoint key */
-  char domain[WL_LABEL_SIZE];
-  WlPoolLoad pools[WL_LOAD_POOLS_MAX];
-  uint32_t n_pools;
 };
 
 WlLoad *
@@ -228,73 +225,6 @@
   return n;
 }
 
-uint32_t
-wl_load_pools (const WlLoad *load, const WlFleet *fleet, const char *zone, uint64_t now_us,
-               WlPoolLoad *out, uint32_t max)
-{
-  uint32_t n = 0;
-  for (uint32_t i = 0; i < fleet->n_endpoints; i++)
-    {
-      const WlEndpoint *e = &fleet->endpoints[i];
-      uint32_t k = 0;
-      if (strcmp (e->record.zone, zone) != 0 || !wl_fleet_is_usable (e, now_us))
-        continue;
-      while (k < n && strcmp (out[k].service, e->record.service) != 0)
-        k++;
-      if (k == max)
-        continue;
-      if (k == n)
-        {
-          memset (&out[n], 0, sizeof *out);
-          memcpy (out[n].service, e->record.service, sizeof out[n].service);
-          memcpy (out[n++].zone, e->record.zone, sizeof out[n].zone);
-        }
-      WlLoadSum sum = wl_load_sum (load, e->key, now_us);
-      out[k].n_engines++;
-      out[k].n_items += sum.n_items;
-      out[k].writers += sum.writers;
-      out[k].context += sum.context;
-      out[k].memory += sum.memory;
-      out[k].backlog += sum.backlog;
-      out[k].backlog_us += sum.backlog_us;
-    }
-  return n;
-}
-
-void
-wl_load_set_domain (WlLoad *load, const char *zone)
-{
-  apr_cpystrn (load->domain, zone, sizeof load->domain);
-}
-
-const char *
-wl_load_domain (const WlLoad *load)
-{
-  return load->domain;
-}
-
-void
-wl_load_take_pool (WlLoad *load, const WlPoolLoad *pool)
-{
-  uint32_t k = 0;
-  while (k < load->n_pools
-         && (strcmp (load->pools[k].zone, pool->zone) != 0
-             || strcmp (load->pools[k].service, pool->service) != 0))
-    k++;
-  if (k == WL_LOAD_POOLS_MAX)
-    return;
-  if (k == load->n_pools)
-    load->n_pools++;
-  load->pools[k] = *pool;
-}
-
-const WlPoolLoad *
-wl_load_far_pools (const WlLoad *load, uint32_t *n)
-{
-  *n = load->n_pools;
-  return load->pools;
-}
-
 void
 wl_load_expire (WlLoad *load, uint64_t now_us)
 {
--- a/relay/placement/wl_load.h
+++ b/relay/placement/wl_load.h
@@ -8,16 +8,12 @@
  * Work in progress at each endpoint: that of this node, exact, and that of the
  * other nodes as their notes tell it. Work of a node that is lost or was
  * restarted is dropped, and all work expires.
- *
- * In a large fleet notes go round within a failure domain only; of the others
- * sums by service are known.
  */
 
 enum
 {
   WL_LOAD_ITEMS_MAX = 128,      /* work remembered at one endpoint */
   WL_LOAD_EXPIRY_US = 20000000, /* work without an end note is dropped */
-  WL_LOAD_POOLS_MAX = 64,       /* services times failure domains whose sums are known */
 };
 
 /**
@@ -141,32 +137,6 @@
 /** wl_load_sum() - totals at an endpoint */
 WlLoadSum wl_load_sum (const WlLoad *load, uint64_t endpoint, uint64_t now_us);
 
-/**
- * wl_load_pools() - sums of the work at the usable engines of a failure domain, by service
- * @load: the account
- * @fleet: the endpoints
- * @zone: the failure domain
- * @now_us: monotonic time
- * @out: receives up to @max sums
- * @max: room in @out
- *
- * Return: the number of sums.
- */
-uint32_t wl_load_pools (const WlLoad *load, const WlFleet *fleet, const char *zone, uint64_t now_us,
-                        WlPoolLoad *out, uint32_t max);
-
-/** wl_load_set_domain() - the notes known are those on endpoints of a failure domain, "" for all */
-void wl_load_set_domain (WlLoad *load, const char *zone);
-
-/** wl_load_domain() - see wl_load_set_domain() */
-const char *wl_load_domain (const WlLoad *load);
-
-/** wl_load_take_pool() - takes the sum told of a service in another failure domain */
-void wl_load_take_pool (WlLoad *load, const WlPoolLoad *pool);
-
-/** wl_load_far_pools() - the sums told of other failure domains, @n of them */
-const WlPoolLoad *wl_load_far_pools (const WlLoad *load, uint32_t *n);
-
 /** wl_load_expire() - drops work without an end note */
 void wl_load_expire (WlLoad *load, uint64_t now_us);
 
--- a/relay/tests/test_membership.c
+++ b/relay/tests/test_membership.c
@@ -149,16 +149,6 @@
   (void)record;
 }
 
-static uint32_t
-list_loads (void *data, WlReportScope scope, uint64_t now_us, const WlPoolLoad **out)
-{
-  (void)data;
-  (void)scope;
-  (void)now_us;
-  *out = NULL;
-  return 0;
-}
-
 static void
 start (uint32_t i)
 {
@@ -179,7 +169,6 @@
     .told = on_told,
     .lost = on_lost,
     .endpoint = on_endpoint,
-    .loads = list_loads,
     .data = n,
   };
   snprintf (options.zone, sizeof options.zone, "domain-%u", domain_of (i));
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -318,6 +318,8 @@
   wl_document_destroy (host->document);
   wl_load_destroy (host->load);
   wl_membership_destroy (host->membership);
+  wl_work_batch_clear (&host->work_out);
+  wl_work_batch_clear (&host->work_in);
   while (host->first_local != NULL)
     {
       WlHostLocal *local = host->first_local;
@@ -360,8 +362,9 @@
 static int
 is_busy (const WlHost *host)
 {
-  return host->document != NULL || host->questions != NULL || host->is_text_new
-         || host->saved_text.size > 0 || wl_relay_active (host->relay) > 0;
+  return host->document != NULL || host->work_out.n_works > 0 || host->work_in.n_works > 0
+         || host->questions != NULL || host->is_text_new || host->saved_text.size > 0
+         || wl_relay_active (host->relay) > 0;
 }
 
 static void
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -12,6 +12,19 @@
   WORK_MAX = 1024, /* work of one node in a whole list */
 };
 
+/* Sends one message to several nodes. */
+static void
+carry (void *data, const uint32_t *nodes, uint32_t n_nodes, const WlMessage *message)
+{
+  WlHost *host = data;
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  WlBytes bytes = wl_message_encode (message, pool);
+  for (uint32_t i = 0; i < n_nodes; i++)
+    wl_host_send_bytes (host, nodes[i], bytes);
+  apr_pool_destroy (pool);
+}
+
 /* ---- work ---- */
 
 void
@@ -23,52 +36,71 @@
   host->notes[host->n_notes++] = *note;
 }
 
-/*
- * Tells a relay of another failure domain of the work at its engines, whose
- * accounts the nodes there keep.
- */
+/* Whether this node passes notes on work between failure domains: the first relay by rank does. */
+static int
+is_carrier (const WlHost *host, uint64_t now_us)
+{
+  uint32_t first;
+  const WlView *view = host->membership->view;
+  return !wl_view_is_mesh (view)
+         && wl_view_relays (view, host->options.zone, now_us, &first, 1) == 1
+         && first == host->options.node;
+}
+
+/* Tells the nodes of this failure domain, and for a carrier later those of the others. */
 static void
-tell_far_notes (WlHost *host)
+tell_work (WlHost *host, const WlWork *work, uint64_t now_us)
 {
-  WlMessage m = { .kind = WL_MESSAGE_WORK };
-  WlWorkNote notes[WL_HOST_NOTES_MAX];
-  uint8_t is_told[WL_HOST_NOTES_MAX] = { 0 };
-  m.u.work.boot = host->boot;
-  m.u.work.notes = notes;
-  for (uint32_t i = 0; i < host->n_notes; i++)
+  WlMessage m = { .kind = WL_MESSAGE_WORK, .u.work = *work };
+  wl_host_broadcast (host, &m);
+  if (is_carrier (host, now_us))
+    wl_work_batch_add (&host->work_out, host->options.node, work, now_us);
+}
+
+static void
+send_batch (WlHost *host, WlWorkBatch *batch, const uint32_t *nodes, uint32_t n_nodes)
+{
+  WlMessage m = { .kind = WL_MESSAGE_WORKS };
+  m.u.works.works = batch->works;
+  m.u.works.n_works = batch->n_works;
+  carry (host, nodes, n_nodes, &m);
+  wl_work_batch_clear (batch);
+}
+
+/* Passes on what has waited long enough for company. */
+static void
+pass_work_on (WlHost *host, uint64_t now_us)
+{
+  uint32_t nodes[WL_ROSTER_MAX];
+  uint32_t n = 0;
+  if (wl_work_batch_is_due (&host->work_out, WL_HOST_WORK_OUT_US, now_us))
     {
-      const WlEndpoint *first = wl_fleet_find_key (host->fleet, host->notes[i].endpoint);
-      uint32_t relay;
-      if (is_told[i] || first == NULL || strcmp (first->record.zone, host->options.zone) == 0)
-        continue;
-      m.u.work.n_notes = 0;
-      for (uint32_t k = i; k < host->n_notes; k++)
-        {
-          const WlEndpoint *e = wl_fleet_find_key (host->fleet, host->notes[k].endpoint);
-          if (e == NULL || strcmp (e->record.zone, first->record.zone) != 0)
-            continue;
-          is_told[k] = 1;
-          notes[m.u.work.n_notes++] = host->notes[k];
-        }
-      if (wl_view_relays (host->membership->view, first->record.zone, wl_clock_now_us (), &relay, 1)
-          == 1)
-        wl_host_send (host, relay, &m);
+      n = wl_view_carriers (host->membership->view, now_us, nodes, WL_ROSTER_MAX);
+      send_batch (host, &host->work_out, nodes, n);
     }
+  if (!wl_work_batch_is_due (&host->work_in, WL_HOST_WORK_IN_US, now_us))
+    return;
+  n = 0;
+  for (uint32_t i = 0; i < host->roster->n_nodes; i++)
+    {
+      const WlRosterNode *r = &host->roster->nodes[i];
+      if (wl_roster_is_alive (r, now_us) && wl_view_is_near (host->membership->view, r))
+        nodes[n++] = r->status.node;
+    }
+  send_batch (host, &host->work_in, nodes, n);
 }
 
 void
 wl_host_flush_notes (WlHost *host)
 {
-  WlMessage m = { .kind = WL_MESSAGE_WORK };
-  if (host->n_notes == 0)
-    return;
-  m.u.work.boot = host->boot;
-  m.u.work.notes = host->notes;
-  m.u.work.n_notes = host->n_notes;
-  wl_host_broadcast (host, &m);
-  if (!wl_view_is_mesh (host->membership->view))
-    tell_far_notes (host);
-  host->n_notes = 0;
+  uint64_t now_us = wl_clock_now_us ();
+  if (host->n_notes > 0)
+    {
+      WlWork work = { .boot = host->boot, .notes = host->notes, .n_notes = host->n_notes };
+      host->n_notes = 0;
+      tell_work (host, &work, now_us);
+    }
+  pass_work_on (host, now_us);
 }
 
 void
@@ -96,7 +128,7 @@
   if (node != 0)
     wl_host_send (host, node, &m);
   else
-    wl_host_broadcast (host, &m);
+    tell_work (host, &m.u.work, wl_clock_now_us ());
 }
 
 /* Mends what lost notes have left behind at other nodes. */
@@ -111,18 +143,6 @@
 
 /* ---- membership ---- */
 
-static void
-carry (void *data, const uint32_t *nodes, uint32_t n_nodes, const WlMessage *message)
-{
-  WlHost *host = data;
-  apr_pool_t *pool;
-  apr_pool_create (&pool, NULL);
-  WlBytes bytes = wl_message_encode (message, pool);
-  for (uint32_t i = 0; i < n_nodes; i++)
-    wl_host_send_bytes (host, nodes[i], bytes);
-  apr_pool_destroy (pool);
-}
-
 static void
 describe (void *data, WlNodeStatus *s)
 {
@@ -189,20 +209,6 @@
     wl_fetch_client_drop_idle (host->client, record->address, (uint16_t)record->port);
 }
 
-static uint32_t
-list_loads (void *data, WlReportScope scope, uint64_t now_us, const WlPoolLoad **out)
-{
-  WlHost *host = data;
-  uint32_t n_far;
-  const WlPoolLoad *far = wl_load_far_pools (host->load, &n_far);
-  uint32_t n = wl_load_pools (host->load, host->fleet, host->options.zone, now_us, host->pools,
-                              WL_LOAD_POOLS_MAX);
-  for (uint32_t i = 0; scope == WL_REPORT_ALL && i < n_far && n < WL_LOAD_POOLS_MAX; i++)
-    host->pools[n++] = far[i];
-  *out = host->pools;
-  return n;
-}
-
 void
 wl_host_join (WlHost *host)
 {
@@ -217,7 +223,6 @@
     .told = on_told,
     .lost = on_lost,
     .endpoint = on_endpoint,
-    .loads = list_loads,
     .data = host,
   };
   memcpy (options.zone, host->options.zone, sizeof options.zone);
@@ -257,39 +262,43 @@
 }
 
 static void
-on_work (WlHost *host, uint32_t from, WlWork *work, uint64_t now_us)
+learn_work (WlHost *host, uint32_t node, const WlWork *work, uint64_t now_us)
 {
-  uint32_t node = work->node != 0 ? work->node : from;
-  const WlRosterNode *sender = wl_roster_find (host->roster, from);
   if (work->is_whole)
-    {
-      wl_load_take_whole (host->load, from, work, now_us);
-      return;
-    }
-  for (uint32_t i = 0; i < work->n_notes; i++)
-    wl_load_learn (host->load, host->fleet, node, work->boot, &work->notes[i], now_us);
-  if (work->node != 0 || wl_view_is_mesh (host->membership->view) || sender == NULL
-      || wl_view_is_near (host->membership->view, sender))
-    return;
-  /* From another failure domain: the nodes of this one share the account. */
-  WlMessage m = { .kind = WL_MESSAGE_WORK, .u.work = *work };
-  m.u.work.node = from;
-  wl_host_broadcast (host, &m);
+    wl_load_take_whole (host->load, node, work, now_us);
+  else
+    for (uint32_t i = 0; i < work->n_notes; i++)
+      wl_load_learn (host->load, host->fleet, node, work->boot, &work->notes[i], now_us);
 }
 
 static void
-take_loads (WlHost *host, const WlReport *report)
+on_work (WlHost *host, uint32_t from, const WlWork *work, uint64_t now_us)
 {
-  for (uint32_t i = 0; i < report->n_loads; i++)
-    if (strcmp (report->loads[i].zone, host->options.zone) != 0)
-      wl_load_take_pool (host->load, &report->loads[i]);
+  learn_work (host, from, work, now_us);
+  if (is_carrier (host, now_us))
+    wl_work_batch_add (&host->work_out, from, work, now_us);
+}
+
+/* From the carrier of another failure domain they go on to the nodes of this one. */
+static void
+on_works (WlHost *host, uint32_t from, const WlWorks *works, uint64_t now_us)
+{
+  const WlRosterNode *sender = wl_roster_find (host->roster, from);
+  int is_far = sender != NULL && !wl_view_is_near (host->membership->view, sender);
+  for (uint32_t i = 0; i < works->n_works; i++)
+    {
+      const WlWork *w = &works->works[i];
+      if (w->node == host->options.node)
+        continue;
+      learn_work (host, w->node, w, now_us);
+      if (is_far)
+        wl_work_batch_add (&host->work_in, w->node, w, now_us);
+    }
 }
 
 int
-wl_host_gossip_receive (WlHost *host, uint32_t from, WlMessage *message, uint64_t now_us)
+wl_host_gossip_receive (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us)
 {
-  if (message->kind == WL_MESSAGE_NODE_REPORT)
-    take_loads (host, &message->u.node_report);
   if (wl_membership_receive (host->membership, from, message, now_us))
     return 1;
   switch (message->kind)
@@ -300,6 +309,9 @@
     case WL_MESSAGE_WORK:
       on_work (host, from, &message->u.work, now_us);
       return 1;
+    case WL_MESSAGE_WORKS:
+      on_works (host, from, &message->u.works, now_us);
+      return 1;
     default:
       return 0;
     }
@@ -341,8 +353,6 @@
 {
   wl_membership_tick (host->membership, host->options.seeds, host->options.n_seeds, now_us);
   wl_relay_set_nodes (host->relay, host->membership->n_alive);
-  wl_load_set_domain (host->load,
-                      wl_view_is_mesh (host->membership->view) ? "" : host->options.zone);
   settle_founders (host);
   repeat_whole_work (host, now_us);
   wl_host_save_files (host, now_us);
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -2,15 +2,18 @@
 #define WL_HOST_INTERNAL_H
 
 #include "wl_host.h"
+#include "wl_work_batch.h"
 
 /* What the files of the host share: wl_host.c and wl_host_files.c, _gossip.c and _text.c. */
 
 enum
 {
-  WL_HOST_NOTES_MAX = 64,    /* notes on work sent together */
-  WL_HOST_WORK_US = 2500000, /* interval of lists of all work */
-  WL_HOST_SAVE_US = 1000000, /* shortest time between two files of a kind */
-  WL_HOST_APPLY_US = 150000, /* shortest time between two configurations put in force */
+  WL_HOST_NOTES_MAX = 64,      /* notes on work sent together */
+  WL_HOST_WORK_OUT_US = 15000, /* notes wait so long for others before they leave the domain */
+  WL_HOST_WORK_IN_US = 25000,  /* likewise before they go to all nodes of the domain */
+  WL_HOST_WORK_US = 2500000,   /* interval of lists of all work */
+  WL_HOST_SAVE_US = 1000000,   /* shortest time between two files of a kind */
+  WL_HOST_APPLY_US = 150000,   /* shortest time between two configurations put in force */
   WL_HOST_REPORT_US
   = 40000, /* shortest time between two reports, so that changes travel together */
 };
@@ -70,7 +73,8 @@
 
   WlWorkNote notes[WL_HOST_NOTES_MAX];
   uint32_t n_notes;
-  WlPoolLoad pools[WL_LOAD_POOLS_MAX]; /* of the report being written */
+  WlWorkBatch work_out; /* of this failure domain, to be passed on to the others */
+  WlWorkBatch work_in;  /* of the others, to be passed on in this one */
   uint64_t work_us;
   uint64_t endpoints_saved_us; /* when the endpoints were last saved */
   uint8_t has_new_endpoints;   /* since then */
@@ -104,7 +108,7 @@
 void wl_host_gossip_tick (WlHost *host, uint64_t now_us);
 
 /** wl_host_gossip_receive() - processes a message on nodes, endpoints or work; 0 for others */
-int wl_host_gossip_receive (WlHost *host, uint32_t from, WlMessage *message, uint64_t now_us);
+int wl_host_gossip_receive (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
 
 /**
  * wl_host_load_files() - reads what was known before a restart
@@ -120,7 +124,7 @@
 /** wl_host_save_files() - keeps what has changed on disk, at most every WL_HOST_SAVE_US */
 void wl_host_save_files (WlHost *host, uint64_t now_us);
 
-/** wl_host_flush_notes() - sends the notes on work of this turn */
+/** wl_host_flush_notes() - sends the notes on work of this turn, and passes on those of others */
 void wl_host_flush_notes (WlHost *host);
 
 /** wl_host_tell() - for WlRelayOptions.tell */
--- a/wire/wl_message.c
+++ b/wire/wl_message.c
@@ -352,6 +352,7 @@
   [WL_MESSAGE_TEXT_PUSH] = { "text_push", wl_text_push_fields },
   [WL_MESSAGE_SUSPICION] = { "suspicion", wl_suspicion_fields },
   [WL_MESSAGE_NODE_REPORT] = { "node_report", wl_report_fields },
+  [WL_MESSAGE_WORKS] = { "works", wl_works_fields },
 };
 
 typedef struct
--- a/wire/wl_message.h
+++ b/wire/wl_message.h
@@ -505,6 +505,7 @@
   WL_MESSAGE_TEXT_PUSH = 31,
   WL_MESSAGE_SUSPICION = 32,
   WL_MESSAGE_NODE_REPORT = 33,
+  WL_MESSAGE_WORKS = 34,
   WL_MESSAGE_KINDS,
 } WlMessageKind;
 
@@ -551,6 +552,7 @@
     WlTextPush text_push;
     WlSuspicion suspicion;
     WlReport node_report;
+    WlWorks works;
   } u;
 } WlMessage;
 
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -58,6 +58,11 @@
   WL_END,
 };
 
+const WlField wl_works_fields[] = {
+  WL_ARRAY (WlWorks, works, n_works, wl_work_fields),
+  WL_END,
+};
+
 const WlField wl_suspicion_fields[] = {
   WL_U64 (WlSuspicion, endpoint),
   WL_U64 (WlSuspicion, eject_us),
@@ -69,14 +74,6 @@
   WL_END,
 };
 
-static const WlField pool_load_fields[] = {
-  WL_TEXT (WlPoolLoad, service),   WL_TEXT (WlPoolLoad, zone),
-  WL_U32 (WlPoolLoad, n_engines),  WL_U32 (WlPoolLoad, n_items),
-  WL_U32 (WlPoolLoad, writers),    WL_U64 (WlPoolLoad, context),
-  WL_U64 (WlPoolLoad, memory),     WL_U64 (WlPoolLoad, backlog),
-  WL_U64 (WlPoolLoad, backlog_us), WL_END,
-};
-
 const WlField wl_report_fields[] = {
   WL_STRUCT (WlReport, sender, wl_node_status_fields),
   WL_U8 (WlReport, scope),
@@ -87,7 +84,6 @@
   WL_ARRAY (WlReport, lost_nodes, n_lost_nodes, node_id_fields),
   WL_ARRAY (WlReport, endpoints, n_endpoints, endpoint_record_fields),
   WL_ARRAY (WlReport, lost_endpoints, n_lost_endpoints, endpoint_key_fields),
-  WL_ARRAY (WlReport, loads, n_loads, pool_load_fields),
   WL_U32 (WlReport, n_alive),
   WL_END,
 };
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -142,7 +142,7 @@
  * @boot: boot of the node
  * @is_whole: the notes are all work of the node; what is not among them has ended
  * @notes: the notes, @n_notes of them
- * @node: node whose work it is, 0 for the sender
+ * @node: node whose work it is; 0 for the sender of the message
  */
 typedef struct
 {
@@ -153,6 +153,13 @@
   uint32_t node;
 } WlWork;
 
+/** struct WlWorks - notes of several nodes, passed on together */
+typedef struct
+{
+  WlWork *works;
+  uint32_t n_works;
+} WlWorks;
+
 /**
  * struct WlSuspicion - an endpoint failed the sending node
  * @endpoint: key of the endpoint
@@ -184,31 +191,6 @@
   WL_REPORT_SCOPES,
 } WlReportScope;
 
-/**
- * struct WlPoolLoad - work at the engines of one service in one failure domain
- * @service: the service
- * @zone: the failure domain
- * @n_engines: usable engines
- * @n_items: pieces of work at all of them; the members below are sums likewise
- * @writers: of them, those that write
- * @context: tokens of the writers
- * @memory: tokens of memory
- * @backlog: tokens left to be read
- * @backlog_us: time to read them
- */
-typedef struct
-{
-  char service[WL_LABEL_SIZE];
-  char zone[WL_LABEL_SIZE];
-  uint32_t n_engines;
-  uint32_t n_items;
-  uint32_t writers;
-  uint64_t context;
-  uint64_t memory;
-  uint64_t backlog;
-  uint64_t backlog_us;
-} WlPoolLoad;
-
 /**
  * struct WlReport - what a relay tells about nodes and endpoints
  * @sender: status of the relay
@@ -220,7 +202,6 @@
  * @lost_nodes: nodes no longer in scope, @n_lost_nodes of them
  * @endpoints: changed endpoints, @n_endpoints of them
  * @lost_endpoints: endpoints no longer in scope, @n_lost_endpoints of them
- * @loads: work by service and failure domain, @n_loads of them
  * @n_alive: nodes that the relay believes alive, itself included
  */
 typedef struct
@@ -238,8 +219,6 @@
   uint32_t n_endpoints;
   WlEndpointKey *lost_endpoints;
   uint32_t n_lost_endpoints;
-  WlPoolLoad *loads;
-  uint32_t n_loads;
   uint32_t n_alive;
 } WlReport;
 
@@ -263,6 +242,7 @@
 extern const WlField wl_node_status_fields[];
 extern const WlField wl_endpoints_fields[];
 extern const WlField wl_work_fields[];
+extern const WlField wl_works_fields[];
 extern const WlField wl_suspicion_fields[];
 extern const WlField wl_report_fields[];
 extern const WlField wl_text_pull_fields[];
