Long prompts prefer engines of their own failure domain in a large fleet

Change: a prompt that may be divided is judged on the own domain's engines first and leaves them only for a gain of a tenth of its worth. Shorts still see all engines.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -7,6 +7,7 @@
 #include "wl_log.h"
 #include "wl_random.h"
 #include "wl_relay_internal.h"
+#include "wl_view.h"
 
 enum
 {
@@ -249,6 +250,7 @@
     .silent_since_us = r->first_us > 0 ? r->progress_us : r->arrived_us,
   };
   wl_choice_set_times (&r->wanted, r->route, &times, now_us);
+  r->wanted.prefers_near = relay->n_nodes > WL_VIEW_MESH_MAX;
   return wl_choice_make (relay->options.fleet, relay->options.load, &r->wanted, now_us,
                          wl_random_next (&relay->random));
 }
--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -28,6 +28,7 @@
 static const double OPEN_SHARE = 0.15;      /* of the worth, for a short on an engine without any */
 static const double FILL_SHARE = 0.05;      /* of the worth, from an empty to a full engine */
 static const double FAR_SHARE = 0.01;       /* of the worth, for leaving the failure domain */
+static const double NEAR_SHARE = 0.1;       /* of the worth, by which a far engine must be better */
 static const double SLOTS_CALM = 0.35;      /* of all slots: below, reading delays nobody */
 static const double SLOTS_TIGHT = 0.75;     /* of all slots: above, reading delays everybody */
 static const double READING_PRICE_MAX = 10.0; /* worth of a second, near that of a usual prompt */
@@ -376,6 +377,7 @@
         continue;
       best = try;
       best.result = WL_CHOICE_PLACED;
+      best.score = score;
       best_score = score;
     }
   if (is_short (q) && best.result == WL_CHOICE_PLACED
@@ -519,6 +521,36 @@
   request->deadline_us = left_us < patience_us ? left_us : patience_us;
 }
 
+/*
+ * A prompt that may be divided goes to engines of the own failure domain
+ * unless others are better by a margin: two nodes that take the same engine
+ * for long reads cost each other much, and see it sooner within a domain.
+ */
+static WlChoice
+choose_engines (const WlLoad *load, const WlChoiceRequest *q, Candidate *all, uint32_t n)
+{
+  WlChoice near = { .result = WL_CHOICE_WAIT };
+  Candidate *some;
+  uint32_t n_near = 0;
+  if (!q->prefers_near || is_short (q))
+    return choose_parts (load, q, all, n);
+  some = calloc (n, sizeof *some);
+  if (some == NULL)
+    abort ();
+  for (uint32_t i = 0; i < n; i++)
+    if (strcmp (all[i].endpoint->record.zone, q->zone) == 0)
+      some[n_near++] = all[i];
+  if (n_near > 0)
+    near = choose_parts (load, q, some, n_near);
+  free (some);
+  WlChoice any = choose_parts (load, q, all, n);
+  if (near.result == WL_CHOICE_PLACED
+      && (any.result != WL_CHOICE_PLACED
+          || any.score < near.score + NEAR_SHARE * worth_of (q->prompt)))
+    return near;
+  return any;
+}
+
 WlChoice
 wl_choice_make (WlFleet *fleet, const WlLoad *load, const WlChoiceRequest *request, uint64_t now_us,
                 uint64_t random)
@@ -534,7 +566,7 @@
   else if (n > 0)
     {
       if (s->has_engine)
-        out = choose_parts (load, request, all, n);
+        out = choose_engines (load, request, all, n);
       else
         out = choose_one (load, request, all, n, random);
       if (out.result != WL_CHOICE_PLACED)
--- a/relay/placement/wl_choice.h
+++ b/relay/placement/wl_choice.h
@@ -29,6 +29,7 @@
  * @objective_us: time left until the objective, 0 when it has passed
  * @gap_us: longest tolerated pause between events
  * @deadline_us: time left in which the first output must come
+ * @prefers_near: work in other failure domains is known later than in the own
  * @excluded: keys of endpoints that were tried, @n_excluded of them
  */
 typedef struct
@@ -40,6 +41,7 @@
   uint64_t objective_us;
   uint64_t gap_us;
   uint64_t deadline_us;
+  uint8_t prefers_near;
   uint64_t excluded[8];
   uint32_t n_excluded;
 } WlChoiceRequest;
@@ -89,6 +91,7 @@
  * @read_us: reading time of each part
  * @predicted_us: predicted time to the first output
  * @formula_us: the same without what was learnt of the endpoint's pace, 0 with helpers
+ * @score: worth that the decision is expected to earn, less what it costs others
  * @wait_us: when to try again, for WL_CHOICE_WAIT and the refusals
  */
 typedef struct
@@ -105,6 +108,7 @@
   uint64_t read_us;
   uint64_t predicted_us;
   uint64_t formula_us;
+  double score;
   uint64_t wait_us;
 } WlChoice;
 
--- a/relay/tests/test_choice.c
+++ b/relay/tests/test_choice.c
@@ -314,6 +314,68 @@
 }
 END_TEST
 
+/* ---- large fleets: work in other failure domains is known later ---- */
+
+static uint32_t
+count_outside (const WlChoice *c, const char *zone)
+{
+  uint32_t n = strcmp (c->endpoint->record.zone, zone) != 0;
+  for (uint32_t i = 0; i < c->n_helpers; i++)
+    n += strcmp (c->helpers[i]->record.zone, zone) != 0;
+  return n;
+}
+
+START_TEST (a_long_prompt_stays_in_its_domain_while_that_is_as_calm_as_the_others)
+{
+  Fixture f = create ();
+  WlChoiceRequest q = long_request (LONG_PROMPT);
+  q.prefers_near = 1;
+  WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+  ck_assert_uint_eq (count_outside (&c, "z0"), 0);
+  destroy (&f);
+}
+END_TEST
+
+START_TEST (a_burst_in_one_domain_sends_its_long_prompts_to_the_others)
+{
+  Fixture f = create ();
+  WlChoiceRequest q = long_request (LONG_PROMPT);
+  q.prefers_near = 1;
+  for (uint32_t i = 0; i < f.fleet->n_endpoints; i++)
+    for (int k = 0; k < 12 && strcmp (f.fleet->endpoints[i].record.zone, "z0") == 0; k++)
+      put (&f, f.fleet->endpoints[i].key, short_writer ());
+  WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+  ck_assert_uint_eq (count_outside (&c, "z0"), c.n_helpers + 1);
+  destroy (&f);
+}
+END_TEST
+
+/* Engines of many domains: a division is sought among the own and the emptiest others. */
+START_TEST (of_many_engines_an_empty_one_far_away_is_still_found)
+{
+  Fixture f = create ();
+  WlChoiceRequest q = long_request (LONG_PROMPT);
+  uint64_t empty = 0;
+  for (uint32_t i = ENGINES; i < 150; i++)
+    add_endpoint (&f, "llm", i, 16);
+  for (uint32_t i = 0; i < f.fleet->n_endpoints; i++)
+    {
+      const WlEndpoint *e = &f.fleet->endpoints[i];
+      if (strcmp (e->record.id, "llm-149") == 0)
+        empty = e->key;
+      else
+        for (int k = 0; k < 8; k++)
+          put (&f, e->key, short_writer ());
+    }
+  WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+  ck_assert_uint_eq (c.endpoint->key, empty);
+  destroy (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -330,6 +392,9 @@
     WL_TEST (a_short_avoids_an_engine_that_has_become_slow),
     WL_TEST (plain_requests_spread_over_slots_and_stay_near),
     WL_TEST (a_failing_endpoint_gets_less_work),
+    WL_TEST (a_long_prompt_stays_in_its_domain_while_that_is_as_calm_as_the_others),
+    WL_TEST (a_burst_in_one_domain_sends_its_long_prompts_to_the_others),
+    WL_TEST (of_many_engines_an_empty_one_far_away_is_still_found),
   };
   apr_initialize ();
   return wl_test_run ("choice", tests, sizeof tests / sizeof tests[0]);
