--- a/models/check.sh
+++ b/models/check.sh
@@ -57,6 +57,10 @@
 start fail mutant-change-while-one-is-uncommitted replacement "$safety" -E -DLOSSES=0 -DMUTANT_CHANGE_UNCOMMITTED
 start fail mutant-change-before-own-entry replacement "$safety" -E -DLOSSES=0 -DMUTANT_CHANGE_BEFORE_OWN_ENTRY
 start fail mutant-swap-in-one-entry replacement "$safety" -E -DLOSSES=0 -DMUTANT_SWAP
+start hold removal removal "$safety" -E
+start fail mutant-one-witness-removes removal "$safety" -E -DMUTANT_ONE_WITNESS
+start fail mutant-stale-relay-vouches removal "$safety" -E -DMUTANT_STALE_SOURCE
+start fail mutant-older-start-wins removal "$safety" -E -DMUTANT_OLD_START_WINS
 start hold leases leases "$safety" -E
 start hold leases-late-answer leases "$safety" -E -DLATE
 start hold fencing leases "$safety" -E -DORDERS
--- a/relay/membership/wl_membership.c
+++ b/relay/membership/wl_membership.c
@@ -339,11 +339,10 @@
 static void
 on_status (WlMembership *membership, const WlNodeStatus *s, uint64_t now_us)
 {
-  if (!hear (membership, s, now_us))
-    return;
+  int is_new = hear (membership, s, now_us);
   if (s->subscription == WL_SUBSCRIBE_ALL)
     membership->wants_whole = 1;
-  else if (s->subscription == WL_SUBSCRIBE_NONE && !wl_view_is_mesh (membership->view))
+  else if (is_new && s->subscription == WL_SUBSCRIBE_NONE && !wl_view_is_mesh (membership->view))
     introduce (membership, s->node, now_us);
 }
 
--- a/relay/membership/wl_roster.c
+++ b/relay/membership/wl_roster.c
@@ -50,16 +50,33 @@
     return 0;
   for (uint32_t i = 0; i < status->n_known; i++)
     wl_roster_meet (roster, status->known[i].node, now_us);
-  if (n->status.boot == status->boot && n->status.sequence >= status->sequence)
+  int is_same = n->status.boot == status->boot;
+  uint8_t subscription = is_same ? n->status.subscription : WL_SUBSCRIBE_NONE;
+  /* A report of the same node may have overtaken the status that subscribes. */
+  if (status->subscription != WL_SUBSCRIBE_NONE
+      && (!is_same || status->sequence > n->subscribed_sequence))
+    {
+      n->subscribed_us = now_us;
+      n->subscribed_sequence = status->sequence;
+      subscription = status->subscription;
+    }
+  if (is_same)
+    n->status.subscription = subscription;
+  if (is_same && n->direct_sequence >= status->sequence)
     return 0;
-  n->status = *status;
-  n->status.known = NULL;
-  n->status.n_known = 0;
+  n->direct_sequence = status->sequence;
+  /* A relay may have told of a later status already; this one still shows that the node is there.
+   */
+  if (!is_same || n->status.sequence < status->sequence)
+    {
+      n->status = *status;
+      n->status.known = NULL;
+      n->status.n_known = 0;
+    }
+  n->status.subscription = subscription;
   n->heard_us = now_us;
   n->direct_us = now_us;
   n->evidence_us = now_us;
-  if (status->subscription != WL_SUBSCRIBE_NONE)
-    n->subscribed_us = now_us;
   return 1;
 }
 
--- a/relay/membership/wl_roster.h
+++ b/relay/membership/wl_roster.h
@@ -34,8 +34,10 @@
  * @heard_us: when it was last known to be there, 0 for never
  * @met_us: when the node was first named
  * @direct_us: when a status of its own last arrived here, 0 for never
+ * @direct_sequence: sequence of that status
  * @evidence_us: when @status arrived at the node that got it from there
  * @subscribed_us: when it last asked for reports
+ * @subscribed_sequence: sequence of the status that did
  * @sent_us: when this node last sent it its status
  * @whole_us: when this node last sent it everything
  * @seen_boot: boot that this node has taken note of, 0 after a loss
@@ -49,8 +51,10 @@
   uint64_t heard_us;
   uint64_t met_us;
   uint64_t direct_us;
+  uint64_t direct_sequence;
   uint64_t evidence_us;
   uint64_t subscribed_us;
+  uint64_t subscribed_sequence;
   uint64_t sent_us;
   uint64_t whole_us;
   uint64_t seen_boot;
--- a/relay/membership/wl_view.c
+++ b/relay/membership/wl_view.c
@@ -536,17 +536,21 @@
       /* The number and the leader come from the node itself only. */
       uint64_t config_number = is_same ? r->status.config_number : 0;
       uint32_t leader = is_same ? r->status.leader : 0;
+      uint8_t subscription = is_same ? r->status.subscription : WL_SUBSCRIBE_NONE;
       r->status = *s;
       r->status.known = NULL;
       r->status.n_known = 0;
       r->status.config_number = config_number;
       r->status.leader = leader;
+      r->status.subscription = subscription;
     }
   if (!is_same)
     {
       r->vouchers = 0;
       r->direct_us = 0;
+      r->direct_sequence = 0;
       r->subscribed_us = 0;
+      r->subscribed_sequence = 0;
     }
   if (evidence_us > r->evidence_us)
     r->evidence_us = evidence_us;
--- /dev/null
+++ b/relay/tests/test_view.c
@@ -0,0 +1,153 @@
+#include <string.h>
+#include "wl_test.h"
+#include "wl_view.h"
+
+/* Reports that are late, partial or out of order, one by one. */
+
+static const uint64_t start_us = 100000000;
+
+typedef struct
+{
+  WlRoster *roster;
+  WlFleet *fleet;
+  WlView *view;
+} Fixture;
+
+static WlNodeStatus
+status (uint32_t node, const char *zone, uint64_t sequence)
+{
+  WlNodeStatus s = { .node = node, .boot = 40 + node, .sequence = sequence, .is_ready = 1 };
+  memcpy (s.zone, zone, strlen (zone));
+  return s;
+}
+
+static Fixture
+create (void)
+{
+  Fixture f = { wl_roster_create (1), wl_fleet_create (), NULL };
+  f.view = wl_view_create (f.roster, f.fleet, 1);
+  f.view->self = status (1, "a", 1);
+  return f;
+}
+
+static void
+destroy (Fixture *f)
+{
+  wl_view_destroy (f->view);
+  wl_fleet_destroy (f->fleet);
+  wl_roster_destroy (f->roster);
+}
+
+/* Node 2, a relay of the same failure domain, reports. */
+static void
+report (Fixture *f, uint64_t sequence, int is_whole, WlNodeStatus *nodes, uint32_t n_nodes,
+        uint64_t now_us)
+{
+  WlReport r = { .sender = status (2, "a", sequence), .node_digest = 1 };
+  r.is_whole = (uint8_t)is_whole;
+  r.nodes = nodes;
+  r.n_nodes = n_nodes;
+  wl_roster_hear (f->roster, &r.sender, now_us);
+  wl_view_take (f->view, &r, now_us);
+}
+
+static int
+is_alive (Fixture *f, uint32_t node, uint64_t now_us)
+{
+  const WlRosterNode *r = wl_roster_find (f->roster, node);
+  return r != NULL && wl_roster_is_alive (r, now_us);
+}
+
+START_TEST (a_node_lives_as_long_as_a_relay_vouches_for_it)
+{
+  Fixture f = create ();
+  WlNodeStatus there = status (3, "b", 1);
+  uint64_t now_us = start_us;
+  report (&f, 1, 1, &there, 1, now_us);
+  for (uint64_t s = 2; s < 12; s++)
+    {
+      now_us += WL_ROSTER_STATUS_US;
+      report (&f, s, 0, NULL, 0, now_us);
+      ck_assert (is_alive (&f, 3, now_us));
+    }
+  ck_assert (!is_alive (&f, 3, now_us + WL_ROSTER_SILENCE_US));
+  destroy (&f);
+}
+END_TEST
+
+START_TEST (a_relay_that_was_silent_says_nothing_of_what_it_knew_before)
+{
+  Fixture f = create ();
+  WlNodeStatus there = status (3, "b", 1);
+  report (&f, 1, 1, &there, 1, start_us);
+  uint64_t later_us = start_us + 3000000;
+  report (&f, 2, 0, NULL, 0, later_us);
+  ck_assert (!is_alive (&f, 3, later_us));
+  ck_assert_uint_eq (wl_view_subscription (f.view, 2, later_us), WL_SUBSCRIBE_ALL);
+  destroy (&f);
+}
+END_TEST
+
+START_TEST (an_introduction_does_not_bring_back_a_node_that_is_lost)
+{
+  Fixture f = create ();
+  WlNodeStatus there = status (3, "b", 1);
+  WlReport introduction = { .sender = status (9, "b", 1), .scope = WL_REPORT_INTRODUCTION };
+  introduction.nodes = &there;
+  introduction.n_nodes = 1;
+  wl_view_take (f.view, &introduction, start_us);
+  ck_assert (is_alive (&f, 3, start_us));
+  uint64_t later_us = start_us + 3000000;
+  wl_view_take (f.view, &introduction, later_us);
+  ck_assert (!is_alive (&f, 3, later_us));
+  destroy (&f);
+}
+END_TEST
+
+START_TEST (a_status_that_subscribes_counts_though_a_report_overtook_it)
+{
+  Fixture f = create ();
+  WlNodeStatus subscribes = status (2, "a", 5);
+  subscribes.subscription = WL_SUBSCRIBE_ALL;
+  report (&f, 6, 0, NULL, 0, start_us);
+  wl_roster_hear (f.roster, &subscribes, start_us);
+  report (&f, 7, 0, NULL, 0, start_us);
+  const WlRosterNode *r = wl_roster_find (f.roster, 2);
+  ck_assert (wl_view_is_subscriber (r, start_us));
+  ck_assert_uint_eq (r->status.subscription, WL_SUBSCRIBE_ALL);
+  destroy (&f);
+}
+END_TEST
+
+START_TEST (relays_are_machines_with_disks_first_and_never_those_that_stop)
+{
+  Fixture f = create ();
+  uint32_t relays[WL_VIEW_RELAYS];
+  WlNodeStatus stops = status (4, "a", 1);
+  WlNodeStatus has_disk = status (8, "a", 1);
+  WlNodeStatus other = status (7, "a", 1);
+  stops.is_draining = 1;
+  has_disk.has_disk = 1;
+  wl_roster_hear (f.roster, &stops, start_us);
+  wl_roster_hear (f.roster, &has_disk, start_us);
+  wl_roster_hear (f.roster, &other, start_us);
+  ck_assert_uint_eq (wl_view_relays (f.view, "a", start_us, relays, WL_VIEW_RELAYS), 3);
+  ck_assert_uint_eq (relays[0], 8);
+  ck_assert_uint_eq (relays[1], 1);
+  ck_assert_uint_eq (relays[2], 7);
+  destroy (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  const WlTest tests[] = {
+    WL_TEST (a_node_lives_as_long_as_a_relay_vouches_for_it),
+    WL_TEST (a_relay_that_was_silent_says_nothing_of_what_it_knew_before),
+    WL_TEST (an_introduction_does_not_bring_back_a_node_that_is_lost),
+    WL_TEST (a_status_that_subscribes_counts_though_a_report_overtook_it),
+    WL_TEST (relays_are_machines_with_disks_first_and_never_those_that_stop),
+  };
+  return wl_test_run ("view", tests, sizeof tests / sizeof tests[0]);
+}
