An endpoint's answer without end is broken off at a bound

Cause: the body of an answer that cannot be passed on (an error, or no seal) and an event without end were kept whole until the time limit; at a VM's memory limit that ends the process. Shown by three tests on a clock that stands still, which failed; the head was bounded by the parser and is now by us.

Change: the owner of a call may refuse more of a body; the relay does beyond 1 MiB and treats the attempt as broken. A head may have 64 KiB.

--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -326,26 +326,29 @@
     }
 }
 
-static void
+/* An answer that grows beyond what is kept and cannot be passed on is refused. */
+static int
 on_body (void *data, WlBytes bytes)
 {
   WlRelayRequest *r = data;
   if (!is_success (r) || r->route->kind != WL_ROUTE_STREAM || !r->answer.is_sealed)
     {
       wl_buffer_append (&r->body, bytes);
-      if (wl_buffer_left (&r->body) > WL_RELAY_BODY_MAX && is_success (r) && r->answer.is_sealed)
-        {
-          pass_on (r, wl_buffer_bytes (&r->body));
-          wl_buffer_clear (&r->body);
-        }
-      return;
+      if (wl_buffer_left (&r->body) <= WL_RELAY_BODY_MAX)
+        return 1;
+      if (!is_success (r) || !r->answer.is_sealed)
+        return 0;
+      pass_on (r, wl_buffer_bytes (&r->body));
+      wl_buffer_clear (&r->body);
+      return 1;
     }
   WlBytes events = wl_event_stream_feed (&r->events, bytes);
   if (events.size == 0)
-    return;
+    return wl_buffer_left (&r->events.pending) <= WL_RELAY_BODY_MAX;
   note_writing (r, wl_clock_now_us ());
   pass_on (r, events);
   wl_event_stream_take (&r->events, events);
+  return 1;
 }
 
 static void
--- a/relay/forwarding/wl_reservation.c
+++ b/relay/forwarding/wl_reservation.c
@@ -109,11 +109,12 @@
   return 1;
 }
 
-static void
+static int
 on_body (void *data, WlBytes bytes)
 {
   (void)data;
   (void)bytes;
+  return 1;
 }
 
 static void
--- a/relay/membership/wl_view.c
+++ b/relay/membership/wl_view.c
@@ -57,14 +57,11 @@
 static uint32_t
 insert_ranked (const WlNodeStatus **list, uint32_t n, uint32_t max, const WlNodeStatus *s)
 {
-  uint32_t i = n;
-  while (i > 0 && ranks_before (s, list[i - 1]))
-    i--;
-  if (i >= max)
+  if (n == max && (n == 0 || !ranks_before (s, list[n - 1])))
     return n;
-  if (n < max)
-    n++;
-  memmove (&list[i + 1], &list[i], (n - i - 1) * sizeof (*list));
+  uint32_t i = n < max ? n++ : n - 1;
+  for (; i > 0 && ranks_before (s, list[i - 1]); i--)
+    list[i] = list[i - 1];
   list[i] = s;
   return n;
 }
--- a/relay/tests/test_fetch.c
+++ b/relay/tests/test_fetch.c
@@ -33,12 +33,13 @@
   return 1;
 }
 
-static void
+static int
 on_body (void *data, WlBytes bytes)
 {
   Fixture *f = data;
   memcpy (f->body + f->body_size, bytes.data, bytes.size);
   f->body_size += bytes.size;
+  return 1;
 }
 
 static void
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -218,6 +218,77 @@
 }
 END_TEST
 
+/* ---- answers without end ---- */
+
+enum
+{
+  ENDLESS_BYTES = 3 << 19, /* more than is kept of an answer that cannot be passed on yet */
+  TURNS_MAX = 200,         /* of the loop; the bound only ends a test that has failed */
+};
+
+/*
+ * An answer that begins with @head and never ends, on a clock that stands
+ * still: no time limit ends it. Returns the relay's answer.
+ */
+static const char *
+answer_without_end (RelayFixture *f, const char *head, const char *request)
+{
+  static char bytes[ENDLESS_BYTES];
+  memset (bytes, 'a', sizeof bytes - 1);
+  for (size_t i = 0; head[i] != '\0'; i++)
+    bytes[i] = head[i];
+  script_server_add (&f->endpoints[0], bytes, SCRIPT_KEEP);
+  relay_fixture_register (f, 0, f->endpoints[0].port);
+  wl_clock_set (wl_clock_now_us ());
+  raw_client_send (&f->caller, request);
+  for (int i = 0; i < TURNS_MAX && f->endpoints[0].n_closed == 0; i++)
+    relay_fixture_settle (f);
+  ck_assert_uint_eq (f->endpoints[0].n_closed, 1);
+  relay_fixture_settle (f);
+  wl_clock_set (0);
+  return f->caller.answer;
+}
+
+START_TEST (an_error_whose_body_does_not_end_is_given_up)
+{
+  RelayFixture *f = relay_fixture_create ();
+  const char *answer = answer_without_end (f, "HTTP/1.1 500 No\r\nX-Id: 1\r\nX-Seal: s\r\n\r\n",
+                                           RELAY_ONCE_REQUEST);
+  ck_assert_ptr_nonnull (strstr (answer, " 502 "));
+  relay_fixture_destroy (f);
+}
+END_TEST
+
+START_TEST (an_answer_without_seal_whose_body_does_not_end_is_given_up)
+{
+  RelayFixture *f = relay_fixture_create ();
+  const char *answer
+      = answer_without_end (f, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", RELAY_ONCE_REQUEST);
+  ck_assert_ptr_nonnull (strstr (answer, " 502 "));
+  relay_fixture_destroy (f);
+}
+END_TEST
+
+START_TEST (an_event_that_does_not_end_is_given_up)
+{
+  RelayFixture *f = relay_fixture_create ();
+  const char *answer = answer_without_end (
+      f, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n\r\nid: 1\ndata: ", RELAY_STREAM_REQUEST);
+  ck_assert_ptr_null (strstr (answer, " 200 "));
+  relay_fixture_destroy (f);
+}
+END_TEST
+
+START_TEST (a_head_that_does_not_end_is_given_up)
+{
+  RelayFixture *f = relay_fixture_create ();
+  const char *answer
+      = answer_without_end (f, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: ", RELAY_ONCE_REQUEST);
+  ck_assert_ptr_nonnull (strstr (answer, " 502 "));
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -232,6 +303,10 @@
     WL_TEST (a_broken_stream_goes_on_after_its_last_whole_event),
     WL_TEST (a_silent_endpoint_is_left_only_for_another_one),
     WL_TEST (memory_reserved_for_a_dead_engine_is_given_back),
+    WL_TEST (an_error_whose_body_does_not_end_is_given_up),
+    WL_TEST (an_answer_without_seal_whose_body_does_not_end_is_given_up),
+    WL_TEST (an_event_that_does_not_end_is_given_up),
+    WL_TEST (a_head_that_does_not_end_is_given_up),
   };
   apr_initialize ();
   return wl_test_run ("relay_retry", tests, sizeof tests / sizeof tests[0]);
--- a/relay/transport/wl_fetch.c
+++ b/relay/transport/wl_fetch.c
@@ -21,6 +21,7 @@
   uint8_t is_idle;
   uint8_t is_reused;
   uint8_t is_skipping; /* the answer being read belongs to an earlier request */
+  uint8_t is_refused;  /* the owner takes no more of the body */
   uint8_t is_over;
   WlFetch *next;
   WlFetch *previous;
@@ -119,8 +120,8 @@
 on_body (void *data, WlBytes bytes)
 {
   WlFetch *c = data;
-  if (!c->is_skipping && !c->is_over)
-    c->handlers.body (c->data, bytes);
+  if (!c->is_skipping && !c->is_over && !c->is_refused)
+    c->is_refused = !c->handlers.body (c->data, bytes);
 }
 
 /* Puts the connection of a complete answer aside for the next call. */
@@ -156,7 +157,7 @@
       bytes.size -= n;
       if (c->is_over)
         return;
-      if (c->reader.fault != WL_HTTP_FAULT_NONE)
+      if (c->reader.fault != WL_HTTP_FAULT_NONE || c->is_refused)
         {
           end_call (c, WL_FETCH_BROKEN);
           return;
@@ -245,7 +246,7 @@
   c->reader.on_head = on_head;
   c->reader.on_body = on_body;
   c->reader.data = c;
-  c->reader.head_limit = UINT32_MAX;
+  c->reader.head_limit = WL_FETCH_HEAD_MAX;
   c->reader.body_limit = UINT64_MAX;
   c->next = calls->all;
   if (c->next != NULL)
--- a/relay/transport/wl_fetch.h
+++ b/relay/transport/wl_fetch.h
@@ -15,7 +15,8 @@
   WL_FETCH_IDLE_US = 4000000, /* longest use of an idle connection without an announced limit */
   WL_FETCH_IDLE_SLACK_US = 1000000, /* taken off an announced idle time */
   WL_FETCH_CONNECT_US = 350000,     /* longest wait for a new connection */
-  WL_FETCH_IDLE_MAX = 32,           /* idle connections kept by destination */
+  WL_FETCH_HEAD_MAX = 65536, /* bytes of an answer's head; usual servers send a few hundred */
+  WL_FETCH_IDLE_MAX = 32,    /* idle connections kept by destination */
 };
 
 typedef struct WlFetchClient WlFetchClient;
@@ -38,13 +39,13 @@
  * struct WlFetchHandlers - functions called for one call
  * @head: the head of the answer arrived; returns 0 to skip an answer that
  *   belongs to another request
- * @body: part of the body arrived
+ * @body: part of the body arrived; returns 0 to break off an answer that grows too large
  * @ended: the call ended; it must not be used afterwards
  */
 typedef struct
 {
   int (*head) (void *data, const WlHttpHead *head);
-  void (*body) (void *data, WlBytes bytes);
+  int (*body) (void *data, WlBytes bytes);
   void (*ended) (void *data, WlFetchEnd end);
 } WlFetchHandlers;
 
