Above 128 nodes work is told to its own failure domain only

Change: in the largest fleets notes stay in the failure domain, and work at an endpoint of another one is told there. A request goes to its own domain's endpoints; what these cannot answer in time may go elsewhere, where endpoints count as loaded as the own ones on average. Tests of three load patterns. Up to 128 nodes nothing changes.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -251,6 +251,7 @@
   };
   wl_choice_set_times (&r->wanted, r->route, &times, now_us);
   r->wanted.prefers_near = relay->n_nodes > WL_VIEW_MESH_MAX;
+  r->wanted.knows_near = relay->n_nodes > WL_VIEW_SHARED_MAX;
   return wl_choice_make (relay->options.fleet, relay->options.load, &r->wanted, now_us,
                          wl_random_next (&relay->random));
 }
--- a/relay/membership/wl_view.h
+++ b/relay/membership/wl_view.h
@@ -30,6 +30,7 @@
 enum
 {
   WL_VIEW_MESH_MAX = 16,       /* nodes, this one included, up to which all tell all */
+  WL_VIEW_SHARED_MAX = 128,    /* nodes up to which work is told to all failure domains */
   WL_VIEW_RELAYS = 3,          /* relays of a failure domain: two may be lost at once */
   WL_VIEW_SOURCES_MAX = 64,    /* relays that report here */
   WL_VIEW_CONTACTS_MAX = 128,  /* nodes that get the status of this one */
--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -420,17 +420,11 @@
   return x->n_items < y->n_items ? -1 : x->n_items > y->n_items ? 1 : 0;
 }
 
-/*
- * Of many engines a prompt that may be divided is tried on those of the own
- * failure domain and the least loaded others: the time to judge a division
- * grows with the engines. Returns how many remain.
- */
+/* Moves the candidates of the own failure domain to the front; returns how many they are. */
 static uint32_t
-limit_far (const WlChoiceRequest *q, Candidate *all, uint32_t n)
+near_first (const WlChoiceRequest *q, Candidate *all, uint32_t n)
 {
   uint32_t n_near = 0;
-  if (n <= CANDIDATES_MAX || !q->service->has_engine || is_short (q))
-    return n;
   for (uint32_t i = 0; i < n; i++)
     if (strcmp (all[i].endpoint->record.zone, q->zone) == 0)
       {
@@ -438,6 +432,20 @@
         all[n_near++] = all[i];
         all[i] = c;
       }
+  return n_near;
+}
+
+/*
+ * Of many engines a prompt that may be divided is tried on those of the own
+ * failure domain and the least loaded others: the time to judge a division
+ * grows with the engines. Returns how many remain.
+ */
+static uint32_t
+limit_far (const WlChoiceRequest *q, Candidate *all, uint32_t n)
+{
+  if (n <= CANDIDATES_MAX || !q->service->has_engine || is_short (q))
+    return n;
+  uint32_t n_near = near_first (q, all, n);
   qsort (&all[n_near], n - n_near, sizeof *all, by_load);
   return n_near < CANDIDATES_MAX ? CANDIDATES_MAX : n_near;
 }
@@ -551,27 +559,99 @@
   return any;
 }
 
+/* Chooses among candidates, @n of them. */
+static WlChoice
+choose_among (const WlLoad *load, const WlChoiceRequest *q, Candidate *all, uint32_t n,
+              uint64_t random)
+{
+  const WlRouteService *s = q->service;
+  WlChoice out = { .result = WL_CHOICE_NO_ENDPOINT, .wait_us = RETRY_US };
+  if (n == 0)
+    return out;
+  if (s->has_engine && needed_memory (q) > (uint64_t)n * s->engine.memory)
+    {
+      out.result = WL_CHOICE_TOO_LARGE;
+      return out;
+    }
+  out = s->has_engine ? choose_engines (load, q, all, n) : choose_one (load, q, all, n, random);
+  if (out.result != WL_CHOICE_PLACED)
+    out = wait_or_refuse (q, all, n, out.hold);
+  return out;
+}
+
+/* Whether a choice in the own failure domain leaves nothing to be had elsewhere. */
+static int
+is_satisfied (const WlLoad *load, const WlChoiceRequest *q, const WlChoice *near, uint64_t now_us)
+{
+  if (near->result != WL_CHOICE_PLACED)
+    return 0;
+  if (q->service->has_engine)
+    return near->predicted_us <= q->objective_us;
+  return wl_load_sum (load, near->endpoint->key, now_us).n_items < near->endpoint->record.slots;
+}
+
+/* Endpoints of which little is known are taken to be as busy as those of the own domain. */
+static void
+assume_average (Candidate *all, uint32_t n_near, uint32_t n)
+{
+  WlLoadSum sum = { 0 };
+  for (uint32_t i = 0; i < n_near; i++)
+    {
+      sum.n_items += all[i].sum.n_items;
+      sum.readers += all[i].sum.readers;
+      sum.writers += all[i].sum.writers;
+      sum.context += all[i].sum.context;
+      sum.memory += all[i].sum.memory;
+      sum.backlog += all[i].sum.backlog;
+      sum.backlog_us += all[i].sum.backlog_us;
+      sum.reading_us += all[i].sum.reading_us;
+    }
+  for (uint32_t i = n_near; n_near > 0 && i < n; i++)
+    {
+      all[i].sum.n_items += sum.n_items / n_near;
+      all[i].sum.readers += sum.readers / n_near;
+      all[i].sum.writers += sum.writers / n_near;
+      all[i].sum.context += sum.context / n_near;
+      all[i].sum.memory += sum.memory / n_near;
+      all[i].sum.backlog += sum.backlog / n_near;
+      all[i].sum.backlog_us += sum.backlog_us / n_near;
+      all[i].sum.reading_us += sum.reading_us / n_near;
+    }
+}
+
+/* The own failure domain goes first; what it can't answer in time may go elsewhere. */
+static WlChoice
+choose_by_domain (const WlLoad *load, const WlChoiceRequest *q, Candidate *all, uint32_t n,
+                  uint64_t now_us, uint64_t random)
+{
+  uint32_t n_near = near_first (q, all, n);
+  WlChoice near = choose_among (load, q, all, n_near, random);
+  if (is_satisfied (load, q, &near, now_us) || n_near == n)
+    return near;
+  n_near = near_first (q, all, n); /* judging has sorted them */
+  assume_average (all, n_near, n);
+  WlChoice far = choose_among (load, q, &all[n_near], n - n_near, random);
+  if (far.result != WL_CHOICE_PLACED)
+    return near.result == WL_CHOICE_NO_ENDPOINT ? far : near;
+  if (near.result == WL_CHOICE_PLACED && q->service->has_engine
+      && far.predicted_us > q->objective_us)
+    return near;
+  return far;
+}
+
 WlChoice
 wl_choice_make (WlFleet *fleet, const WlLoad *load, const WlChoiceRequest *request, uint64_t now_us,
                 uint64_t random)
 {
-  WlChoice out = { .result = WL_CHOICE_NO_ENDPOINT, .wait_us = RETRY_US };
-  const WlRouteService *s = request->service;
+  WlChoice out;
   Candidate *all = calloc (fleet->n_endpoints + 1, sizeof *all);
   if (all == NULL)
     abort ();
   uint32_t n = collect (fleet, load, request, now_us, all);
-  if (n > 0 && s->has_engine && needed_memory (request) > (uint64_t)n * s->engine.memory)
-    out.result = WL_CHOICE_TOO_LARGE;
-  else if (n > 0)
-    {
-      if (s->has_engine)
-        out = choose_engines (load, request, all, n);
-      else
-        out = choose_one (load, request, all, n, random);
-      if (out.result != WL_CHOICE_PLACED)
-        out = wait_or_refuse (request, all, n, out.hold);
-    }
+  if (request->knows_near)
+    out = choose_by_domain (load, request, all, n, now_us, random);
+  else
+    out = choose_among (load, request, all, n, random);
   free (all);
   return out;
 }
--- a/relay/placement/wl_choice.h
+++ b/relay/placement/wl_choice.h
@@ -30,6 +30,7 @@
  * @gap_us: longest tolerated pause between events
  * @deadline_us: time left in which the first output must come
  * @prefers_near: work in other failure domains is known later than in the own
+ * @knows_near: it is not known, apart from what the own domain sends there
  * @excluded: keys of endpoints that were tried, @n_excluded of them
  */
 typedef struct
@@ -42,6 +43,7 @@
   uint64_t gap_us;
   uint64_t deadline_us;
   uint8_t prefers_near;
+  uint8_t knows_near;
   uint64_t excluded[8];
   uint32_t n_excluded;
 } WlChoiceRequest;
--- a/relay/tests/test_choice.c
+++ b/relay/tests/test_choice.c
@@ -376,6 +376,57 @@
 }
 END_TEST
 
+/* ---- the largest fleets: work in other failure domains is not known ---- */
+
+START_TEST (a_request_stays_in_its_domain_while_that_answers_in_time)
+{
+  Fixture f = create ();
+  WlChoiceRequest shorter = short_request ();
+  WlChoiceRequest longer = long_request (LONG_PROMPT);
+  shorter.knows_near = longer.knows_near = longer.prefers_near = 1;
+  for (int i = 0; i < 20; i++)
+    {
+      WlChoice c = place (&f, &shorter);
+      ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+      ck_assert_uint_eq (count_outside (&c, "z0"), 0);
+    }
+  WlChoice c = wl_choice_make (f.fleet, f.load, &longer, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+  ck_assert_uint_eq (count_outside (&c, "z0"), 0);
+  destroy (&f);
+}
+END_TEST
+
+START_TEST (a_domain_without_usable_engines_uses_the_others)
+{
+  Fixture f = create ();
+  WlChoiceRequest q = short_request ();
+  q.knows_near = 1;
+  for (uint32_t i = 0; i < f.fleet->n_endpoints; i++)
+    if (strcmp (f.fleet->endpoints[i].record.zone, "z0") == 0)
+      f.fleet->endpoints[i].record.is_draining = 1;
+  WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+  ck_assert_uint_eq (count_outside (&c, "z0"), 1);
+  destroy (&f);
+}
+END_TEST
+
+START_TEST (a_full_domain_sends_plain_requests_to_the_others)
+{
+  Fixture f = create ();
+  WlRouteService plain = { .name = "app" };
+  WlChoiceRequest q = { .service = &plain, .zone = "z0", .deadline_us = 1000000, .knows_near = 1 };
+  WlWorkNote work = { .phase = WL_WORK_SENT };
+  for (int i = 0; i < 6; i++)
+    put (&f, wl_fleet_key ("app-00"), work);
+  WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+  ck_assert_uint_eq (count_outside (&c, "z0"), 1);
+  destroy (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -395,6 +446,9 @@
     WL_TEST (a_long_prompt_stays_in_its_domain_while_that_is_as_calm_as_the_others),
     WL_TEST (a_burst_in_one_domain_sends_its_long_prompts_to_the_others),
     WL_TEST (of_many_engines_an_empty_one_far_away_is_still_found),
+    WL_TEST (a_request_stays_in_its_domain_while_that_answers_in_time),
+    WL_TEST (a_domain_without_usable_engines_uses_the_others),
+    WL_TEST (a_full_domain_sends_plain_requests_to_the_others),
   };
   apr_initialize ();
   return wl_test_run ("choice", tests, sizeof tests / sizeof tests[0]);
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -36,17 +36,58 @@
   host->notes[host->n_notes++] = *note;
 }
 
-/* Whether this node passes notes on work between failure domains: the first relay by rank does. */
+/*
+ * Whether this node passes notes on work between failure domains: the first
+ * relay by rank does. In the largest fleets that would take more than a node's
+ * share of processor and link.
+ */
 static int
 is_carrier (const WlHost *host, uint64_t now_us)
 {
   uint32_t first;
   const WlView *view = host->membership->view;
-  return !wl_view_is_mesh (view)
+  return !wl_view_is_mesh (view) && host->membership->n_alive <= WL_VIEW_SHARED_MAX
          && wl_view_relays (view, host->options.zone, now_us, &first, 1) == 1
          && first == host->options.node;
 }
 
+/* Keeps the notes of @work on endpoints of a failure domain in @out; returns their number. */
+static uint32_t
+notes_in_domain (const WlHost *host, const WlWork *work, const char *zone, WlWorkNote *out)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < work->n_notes && n < WL_HOST_NOTES_MAX; i++)
+    {
+      const WlEndpoint *e = wl_fleet_find_key (host->fleet, work->notes[i].endpoint);
+      if (e != NULL && strcmp (e->record.zone, zone) == 0)
+        out[n++] = work->notes[i];
+    }
+  return n;
+}
+
+/*
+ * Where work is not told to all: tells the first relay of each other failure
+ * domain of the work at endpoints there.
+ */
+static void
+tell_owners (WlHost *host, const WlWork *work, uint64_t now_us)
+{
+  uint32_t carriers[WL_VIEW_CONTACTS_MAX];
+  WlWorkNote notes[WL_HOST_NOTES_MAX];
+  WlMessage m = { .kind = WL_MESSAGE_WORKS };
+  WlWork part = { .boot = work->boot, .notes = notes, .node = host->options.node };
+  uint32_t n = wl_view_carriers (host->membership->view, now_us, carriers, WL_VIEW_CONTACTS_MAX);
+  m.u.works.works = &part;
+  m.u.works.n_works = 1;
+  for (uint32_t i = 0; i < n; i++)
+    {
+      const WlRosterNode *r = wl_roster_find (host->roster, carriers[i]);
+      part.n_notes = r != NULL ? notes_in_domain (host, work, r->status.zone, notes) : 0;
+      if (part.n_notes > 0)
+        wl_host_send (host, carriers[i], &m);
+    }
+}
+
 /* Tells the nodes of this failure domain, and for a carrier later those of the others. */
 static void
 tell_work (WlHost *host, const WlWork *work, uint64_t now_us)
@@ -55,6 +96,8 @@
   wl_host_broadcast (host, &m);
   if (is_carrier (host, now_us))
     wl_work_batch_add (&host->work_out, host->options.node, work, now_us);
+  else if (host->membership->n_alive > WL_VIEW_SHARED_MAX && !work->is_whole)
+    tell_owners (host, work, now_us);
 }
 
 static void
