Reports tell the age of an endpoint without what neighbours say of it

Relays of one domain took each other's record as a registration and reported the endpoint as just heard; it became doubtful only when all had dropped it.

Change: the age in a report comes from registrations here or from other domains' relays only. A test of two relays failed before.

--- a/relay/membership/wl_view.c
+++ b/relay/membership/wl_view.c
@@ -347,14 +347,31 @@
   return e->direct_us != 0 && now_us < e->direct_us + WL_FLEET_SILENCE_US;
 }
 
+/* Whether an endpoint registers in time: here, or with a relay of another failure domain. */
+static int
+is_sure (const WlEndpoint *e, WlReportScope scope, uint64_t far, uint64_t now_us)
+{
+  int has_own = e->direct_us != 0 && now_us < e->direct_us + WL_FLEET_DOUBT_US;
+  return has_own || (scope == WL_REPORT_ALL && (e->vouchers & e->sure & far) != 0);
+}
+
 static uint64_t
 scoped_endpoint_hash (const WlEndpoint *e, WlReportScope scope, uint64_t far, uint64_t now_us)
 {
-  int has_own = is_registered (e, now_us);
   int has_far = scope == WL_REPORT_ALL && (e->vouchers & far) != 0;
-  int is_sure = (has_own && now_us < e->direct_us + WL_FLEET_DOUBT_US)
-                || (has_far && (e->vouchers & e->sure & far) != 0);
-  return has_own || has_far ? endpoint_hash (e, is_sure) : 0;
+  if (!is_registered (e, now_us) && !has_far)
+    return 0;
+  return endpoint_hash (e, is_sure (e, scope, far, now_us));
+}
+
+/* Age of the latest registration, without what relays of this failure domain say of it. */
+static uint64_t
+reported_age (const WlEndpoint *e, WlReportScope scope, uint64_t far, uint64_t now_us)
+{
+  uint64_t age_us = e->direct_us != 0 ? now_us - e->direct_us : UINT64_MAX;
+  if (is_sure (e, scope, far, now_us))
+    return age_us < WL_FLEET_DOUBT_US ? age_us : 0;
+  return is_registered (e, now_us) ? age_us : WL_FLEET_DOUBT_US;
 }
 
 static void
@@ -439,6 +456,7 @@
                   apr_pool_t *pool, WlReport *out)
 {
   uint32_t max = view->fleet->n_endpoints + 1;
+  uint64_t far = fresh_sources (view, 1, now_us);
   out->endpoints = apr_palloc (pool, max * sizeof *out->endpoints);
   out->lost_endpoints = apr_palloc (pool, max * sizeof *out->lost_endpoints);
   for (uint32_t i = 0; i < view->fleet->n_endpoints; i++)
@@ -456,7 +474,7 @@
         }
       WlEndpointRecord *record = &out->endpoints[out->n_endpoints++];
       *record = e->record;
-      record->age_us = now_us - (scope == WL_REPORT_ALL ? e->heard_us : e->direct_us);
+      record->age_us = reported_age (e, scope, far, now_us);
     }
 }
 
--- a/relay/tests/test_view.c
+++ b/relay/tests/test_view.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <apr_general.h>
 #include "wl_test.h"
 #include "wl_view.h"
 
@@ -139,6 +140,37 @@
 }
 END_TEST
 
+/*
+ * Two relays tell each other of an endpoint that has died: what the other says
+ * must not hide here that it has missed its registrations.
+ */
+START_TEST (an_endpoint_that_missed_registrations_is_reported_with_its_true_age)
+{
+  Fixture f = create ();
+  apr_pool_t *pool;
+  WlReport out;
+  WlEndpointRecord e = { .address = 1, .port = 2, .slots = 4, .born_ms = 1, .sequence = 1 };
+  strcpy (e.id, "e-1");
+  strcpy (e.service, "llm");
+  strcpy (e.zone, "a");
+  wl_fleet_take (f.fleet, &e, start_us);
+  wl_view_note_registration (f.view, &e, start_us);
+  uint64_t now_us = start_us + WL_FLEET_DOUBT_US + 1;
+  WlReport other = { .sender = status (2, "a", 1), .is_whole = 1, .node_digest = 1 };
+  other.endpoints = &e;
+  other.n_endpoints = 1;
+  wl_roster_hear (f.roster, &other.sender, now_us);
+  wl_view_take (f.view, &other, now_us);
+  apr_pool_create (&pool, NULL);
+  wl_view_scan (f.view, now_us);
+  wl_view_report (f.view, WL_REPORT_ALL, 0, now_us, pool, &out);
+  ck_assert_uint_eq (out.n_endpoints, 1);
+  ck_assert_uint_ge (out.endpoints[0].age_us, WL_FLEET_DOUBT_US);
+  apr_pool_destroy (pool);
+  destroy (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -148,6 +180,8 @@
     WL_TEST (an_introduction_does_not_bring_back_a_node_that_is_lost),
     WL_TEST (a_status_that_subscribes_counts_though_a_report_overtook_it),
     WL_TEST (relays_are_machines_with_disks_first_and_never_those_that_stop),
+    WL_TEST (an_endpoint_that_missed_registrations_is_reported_with_its_true_age),
   };
+  apr_initialize ();
   return wl_test_run ("view", tests, sizeof tests / sizeof tests[0]);
 }
