One list of the nodes that share accounts, one way to send to several nodes

The loop over nodes heard recently stood in wl_host_broadcast, in the batches of notes and in the registrations of small fleets; it is wl_membership_sharers. Encoding for several receivers stood beside it twice; it is wl_host_send_to. The count of live nodes stood three times; it is wl_roster_count_alive. A report and an introduction begin in one function. Notes on work at endpoints of the own domain only, the usual case, no longer rank the relays of all other domains.

--- a/relay/membership/wl_membership.c
+++ b/relay/membership/wl_membership.c
@@ -44,6 +44,19 @@
   return wl_view_is_mesh (membership->view) || wl_view_is_near (membership->view, node);
 }
 
+uint32_t
+wl_membership_sharers (const WlMembership *membership, uint64_t now_us, uint32_t *out)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < membership->roster->n_nodes; i++)
+    {
+      const WlRosterNode *r = &membership->roster->nodes[i];
+      if (wl_roster_is_alive (r, now_us) && wl_membership_shares_accounts (membership, r))
+        out[n++] = r->status.node;
+    }
+  return n;
+}
+
 /* Brings this node's status up to date, with the next sequence. */
 static WlNodeStatus *
 describe_self (WlMembership *membership)
@@ -214,18 +227,14 @@
               uint32_t n_records, uint64_t now_us)
 {
   WlMessage m = { .kind = WL_MESSAGE_ENDPOINTS };
-  uint32_t nodes[WL_VIEW_MESH_MAX];
+  uint32_t nodes[WL_ROSTER_MAX];
   uint32_t n = 0;
   m.u.endpoints.records = records;
   m.u.endpoints.n_records = n_records;
   if (node != 0)
     nodes[n++] = node;
   else if (wl_view_is_mesh (membership->view))
-    {
-      for (uint32_t i = 0; i < membership->roster->n_nodes; i++)
-        if (wl_roster_is_alive (&membership->roster->nodes[i], now_us))
-          nodes[n++] = membership->roster->nodes[i].status.node;
-    }
+    n = wl_membership_sharers (membership, now_us, nodes);
   else
     {
       uint32_t relays[WL_VIEW_RELAYS];
@@ -365,11 +374,12 @@
 on_records (WlMembership *membership, uint32_t from, const WlEndpoints *endpoints, uint64_t now_us)
 {
   const WlRosterNode *sender = wl_roster_find (membership->roster, from);
+  int reports_here = wl_view_is_mesh (membership->view)
+                     || (sender != NULL && wl_view_is_near (membership->view, sender));
   for (uint32_t i = 0; i < endpoints->n_records; i++)
     {
       wl_membership_take_record (membership, &endpoints->records[i], now_us);
-      if (wl_view_is_mesh (membership->view)
-          || (sender != NULL && wl_view_is_near (membership->view, sender)))
+      if (reports_here)
         wl_view_note_registration (membership->view, &endpoints->records[i], now_us);
     }
 }
--- a/relay/membership/wl_membership.h
+++ b/relay/membership/wl_membership.h
@@ -115,6 +115,16 @@
 void wl_membership_take_record (WlMembership *membership, const WlEndpointRecord *record,
                                 uint64_t now_us);
 
+/**
+ * wl_membership_sharers() - nodes heard recently that keep accounts of the same endpoints
+ * @membership: the membership
+ * @now_us: monotonic time
+ * @out: has room for WL_ROSTER_MAX nodes
+ *
+ * Return: the number of nodes.
+ */
+uint32_t wl_membership_sharers (const WlMembership *membership, uint64_t now_us, uint32_t *out);
+
 /** wl_membership_shares_accounts() - whether a node keeps accounts of the same endpoints as this
  * one */
 int wl_membership_shares_accounts (const WlMembership *membership, const WlRosterNode *node);
--- a/relay/membership/wl_roster.c
+++ b/relay/membership/wl_roster.c
@@ -86,6 +86,15 @@
   return node->heard_us != 0 && now_us < node->heard_us + WL_ROSTER_SILENCE_US;
 }
 
+uint32_t
+wl_roster_count_alive (const WlRoster *roster, uint64_t now_us)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < roster->n_nodes; i++)
+    n += (uint32_t)wl_roster_is_alive (&roster->nodes[i], now_us);
+  return n;
+}
+
 int
 wl_roster_takes_requests (const WlRosterNode *node, uint64_t now_us)
 {
--- a/relay/membership/wl_roster.h
+++ b/relay/membership/wl_roster.h
@@ -100,6 +100,9 @@
 /** wl_roster_is_alive() - whether a node was heard recently */
 int wl_roster_is_alive (const WlRosterNode *node, uint64_t now_us);
 
+/** wl_roster_count_alive() - number of nodes heard recently */
+uint32_t wl_roster_count_alive (const WlRoster *roster, uint64_t now_us);
+
 /** wl_roster_takes_requests() - whether callers may be sent to a node */
 int wl_roster_takes_requests (const WlRosterNode *node, uint64_t now_us);
 
--- a/relay/membership/wl_view.c
+++ b/relay/membership/wl_view.c
@@ -418,8 +418,6 @@
 reported_status (const WlNodeStatus *s, uint64_t age_us)
 {
   WlNodeStatus out = *s;
-  out.known = NULL;
-  out.n_known = 0;
   out.config_number = 0;
   out.leader = 0;
   out.subscription = WL_SUBSCRIBE_NONE;
@@ -478,26 +476,21 @@
     }
 }
 
-static uint32_t
-count_alive (const WlView *view, uint64_t now_us)
+static void
+begin_report (const WlView *view, WlReportScope scope, uint64_t now_us, WlReport *out)
 {
-  uint32_t n = 1;
-  for (uint32_t i = 0; i < view->roster->n_nodes; i++)
-    n += (uint32_t)wl_roster_is_alive (&view->roster->nodes[i], now_us);
-  return n;
+  memset (out, 0, sizeof *out);
+  out->sender = view->self;
+  out->scope = (uint8_t)scope;
+  out->n_alive = 1 + wl_roster_count_alive (view->roster, now_us);
 }
 
 void
 wl_view_report (const WlView *view, WlReportScope scope, uint64_t since, uint64_t now_us,
                 apr_pool_t *pool, WlReport *out)
 {
-  memset (out, 0, sizeof *out);
-  out->sender = view->self;
-  out->sender.known = NULL;
-  out->sender.n_known = 0;
-  out->scope = (uint8_t)scope;
+  begin_report (view, scope, now_us, out);
   out->is_whole = since == 0;
-  out->n_alive = count_alive (view, now_us);
   report_nodes (view, scope, since, now_us, pool, out);
   report_endpoints (view, scope, since, now_us, pool, out);
 }
@@ -521,12 +514,7 @@
 {
   const char *zones[WL_VIEW_CONTACTS_MAX];
   uint32_t n_zones = list_far_zones (view, zones, WL_VIEW_CONTACTS_MAX);
-  memset (out, 0, sizeof *out);
-  out->sender = view->self;
-  out->sender.known = NULL;
-  out->sender.n_known = 0;
-  out->scope = WL_REPORT_INTRODUCTION;
-  out->n_alive = count_alive (view, now_us);
+  begin_report (view, WL_REPORT_INTRODUCTION, now_us, out);
   out->nodes = apr_palloc (pool, (n_zones + 1) * WL_VIEW_RELAYS * sizeof *out->nodes);
   introduce_zone (view, view->self.zone, now_us, out);
   for (uint32_t i = 0; i < n_zones; i++)
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -45,8 +45,8 @@
   return 1;
 }
 
-void
-wl_host_send_bytes (WlHost *host, uint32_t node, WlBytes bytes)
+static void
+send_bytes (WlHost *host, uint32_t node, WlBytes bytes)
 {
   if (node != host->options.node)
     {
@@ -65,30 +65,28 @@
 }
 
 void
-wl_host_send (WlHost *host, uint32_t node, const WlMessage *message)
+wl_host_send_to (WlHost *host, const uint32_t *nodes, uint32_t n_nodes, const WlMessage *message)
 {
   apr_pool_t *pool;
   apr_pool_create (&pool, NULL);
-  wl_host_send_bytes (host, node, wl_message_encode (message, pool));
+  WlBytes bytes = wl_message_encode (message, pool);
+  for (uint32_t i = 0; i < n_nodes; i++)
+    send_bytes (host, nodes[i], bytes);
   apr_pool_destroy (pool);
 }
 
+void
+wl_host_send (WlHost *host, uint32_t node, const WlMessage *message)
+{
+  wl_host_send_to (host, &node, 1, message);
+}
+
 void
 wl_host_broadcast (WlHost *host, const WlMessage *message)
 {
-  apr_pool_t *pool;
-  uint64_t now_us = wl_clock_now_us ();
-  int is_mesh = wl_view_is_mesh (host->membership->view);
-  apr_pool_create (&pool, NULL);
-  WlBytes bytes = wl_message_encode (message, pool);
-  for (uint32_t i = 0; i < host->roster->n_nodes; i++)
-    {
-      const WlRosterNode *n = &host->roster->nodes[i];
-      if (wl_roster_is_alive (n, now_us)
-          && (is_mesh || wl_view_is_near (host->membership->view, n)))
-        wl_host_send_bytes (host, n->status.node, bytes);
-    }
-  apr_pool_destroy (pool);
+  uint32_t nodes[WL_ROSTER_MAX];
+  uint32_t n = wl_membership_sharers (host->membership, wl_clock_now_us (), nodes);
+  wl_host_send_to (host, nodes, n, message);
 }
 
 /* Carries out the effects of the replica whose stores are durable. */
@@ -106,7 +104,7 @@
     {
       const WlEffect *e = &effects->items[i];
       if (e->kind == WL_EFFECT_SEND)
-        wl_host_send_bytes (host, e->u.send.node, e->u.send.bytes);
+        send_bytes (host, e->u.send.node, e->u.send.bytes);
       else if (e->kind == WL_EFFECT_LOG)
         wl_log_event (e->u.log.number, e->u.log.text);
     }
@@ -502,15 +500,12 @@
 wl_host_write_metrics (WlHost *host, WlBuffer *out)
 {
   uint64_t now_us = wl_clock_now_us ();
-  uint64_t n_alive = 0;
   uint64_t n_usable = 0;
-  for (uint32_t i = 0; i < host->roster->n_nodes; i++)
-    n_alive += (uint64_t)wl_roster_is_alive (&host->roster->nodes[i], now_us);
   for (uint32_t i = 0; i < host->fleet->n_endpoints; i++)
     n_usable += (uint64_t)wl_fleet_is_usable (&host->fleet->endpoints[i], now_us);
   wl_metrics_write (wl_relay_metrics (host->relay), out);
   wl_metrics_gauge (out, "requests_active", wl_relay_active (host->relay));
-  wl_metrics_gauge (out, "nodes_alive", n_alive);
+  wl_metrics_gauge (out, "nodes_alive", wl_roster_count_alive (host->roster, now_us));
   wl_metrics_gauge (out, "endpoints_known", host->fleet->n_endpoints);
   wl_metrics_gauge (out, "endpoints_usable", n_usable);
   wl_metrics_gauge (out, "config_number", host->number);
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -12,19 +12,6 @@
   WORK_MAX = 1024, /* work of one node in a whole list */
 };
 
-/* Sends one message to several nodes. */
-static void
-carry (void *data, const uint32_t *nodes, uint32_t n_nodes, const WlMessage *message)
-{
-  WlHost *host = data;
-  apr_pool_t *pool;
-  apr_pool_create (&pool, NULL);
-  WlBytes bytes = wl_message_encode (message, pool);
-  for (uint32_t i = 0; i < n_nodes; i++)
-    wl_host_send_bytes (host, nodes[i], bytes);
-  apr_pool_destroy (pool);
-}
-
 /* ---- work ---- */
 
 void
@@ -76,6 +63,8 @@
   WlWorkNote notes[WL_HOST_NOTES_MAX];
   WlMessage m = { .kind = WL_MESSAGE_WORKS };
   WlWork part = { .boot = work->boot, .notes = notes, .node = host->options.node };
+  if (notes_in_domain (host, work, host->options.zone, notes) == work->n_notes)
+    return; /* the usual case */
   uint32_t n = wl_view_carriers (host->membership->view, now_us, carriers, WL_VIEW_CONTACTS_MAX);
   m.u.works.works = &part;
   m.u.works.n_works = 1;
@@ -106,7 +95,7 @@
   WlMessage m = { .kind = WL_MESSAGE_WORKS };
   m.u.works.works = batch->works;
   m.u.works.n_works = batch->n_works;
-  carry (host, nodes, n_nodes, &m);
+  wl_host_send_to (host, nodes, n_nodes, &m);
   wl_work_batch_clear (batch);
 }
 
@@ -123,13 +112,7 @@
     }
   if (!wl_work_batch_is_due (&host->work_in, WL_HOST_WORK_IN_US, now_us))
     return;
-  n = 0;
-  for (uint32_t i = 0; i < host->roster->n_nodes; i++)
-    {
-      const WlRosterNode *r = &host->roster->nodes[i];
-      if (wl_roster_is_alive (r, now_us) && wl_view_is_near (host->membership->view, r))
-        nodes[n++] = r->status.node;
-    }
+  n = wl_membership_sharers (host->membership, now_us, nodes);
   send_batch (host, &host->work_in, nodes, n);
 }
 
@@ -186,6 +169,12 @@
 
 /* ---- membership ---- */
 
+static void
+carry (void *data, const uint32_t *nodes, uint32_t n_nodes, const WlMessage *message)
+{
+  wl_host_send_to (data, nodes, n_nodes, message);
+}
+
 static void
 describe (void *data, WlNodeStatus *s)
 {
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -90,8 +90,9 @@
 /** wl_host_send() - sends a message to a node, this one included */
 void wl_host_send (WlHost *host, uint32_t node, const WlMessage *message);
 
-/** wl_host_send_bytes() - sends an encoded message to a node */
-void wl_host_send_bytes (WlHost *host, uint32_t node, WlBytes bytes);
+/** wl_host_send_to() - sends one message to several nodes */
+void wl_host_send_to (WlHost *host, const uint32_t *nodes, uint32_t n_nodes,
+                      const WlMessage *message);
 
 /**
  * wl_host_broadcast() - sends a message to the nodes that share accounts of endpoints
