What a node knows of others' work is one value, and engines are judged once

The flags prefers_near and knows_near had three meaningful combinations; they are one enum. In the largest fleets the engines of the own domain were judged twice for each long prompt, as both flags were set; near_first replaces a copy of the candidates and a second ordering that changed nothing. Tests set the enum instead of the flags; their assertions are the same.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -240,6 +240,15 @@
 
 /* ---- placing ---- */
 
+/* Who is told of work depends on the size of the fleet. */
+static WlChoiceKnowledge
+knowledge (const WlRelay *relay)
+{
+  if (relay->n_nodes <= WL_VIEW_MESH_MAX)
+    return WL_CHOICE_KNOWS_ALL;
+  return relay->n_nodes <= WL_VIEW_SHARED_MAX ? WL_CHOICE_KNOWS_FAR_LATE : WL_CHOICE_KNOWS_NEAR;
+}
+
 WlChoice
 wl_relay_choose (WlRelayRequest *r, uint64_t now_us)
 {
@@ -250,8 +259,7 @@
     .silent_since_us = r->first_us > 0 ? r->progress_us : r->arrived_us,
   };
   wl_choice_set_times (&r->wanted, r->route, &times, now_us);
-  r->wanted.prefers_near = relay->n_nodes > WL_VIEW_MESH_MAX;
-  r->wanted.knows_near = relay->n_nodes > WL_VIEW_SHARED_MAX;
+  r->wanted.knowledge = knowledge (relay);
   return wl_choice_make (relay->options.fleet, relay->options.load, &r->wanted, now_us,
                          wl_random_next (&relay->random));
 }
--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -538,19 +538,11 @@
 choose_engines (const WlLoad *load, const WlChoiceRequest *q, Candidate *all, uint32_t n)
 {
   WlChoice near = { .result = WL_CHOICE_WAIT };
-  Candidate *some;
-  uint32_t n_near = 0;
-  if (!q->prefers_near || is_short (q))
+  if (q->knowledge != WL_CHOICE_KNOWS_FAR_LATE || is_short (q))
     return choose_parts (load, q, all, n);
-  some = calloc (n, sizeof *some);
-  if (some == NULL)
-    abort ();
-  for (uint32_t i = 0; i < n; i++)
-    if (strcmp (all[i].endpoint->record.zone, q->zone) == 0)
-      some[n_near++] = all[i];
+  uint32_t n_near = near_first (q, all, n);
   if (n_near > 0)
-    near = choose_parts (load, q, some, n_near);
-  free (some);
+    near = choose_parts (load, q, all, n_near);
   WlChoice any = choose_parts (load, q, all, n);
   if (near.result == WL_CHOICE_PLACED
       && (any.result != WL_CHOICE_PLACED
@@ -628,7 +620,6 @@
   WlChoice near = choose_among (load, q, all, n_near, random);
   if (is_satisfied (load, q, &near, now_us) || n_near == n)
     return near;
-  n_near = near_first (q, all, n); /* judging has sorted them */
   assume_average (all, n_near, n);
   WlChoice far = choose_among (load, q, &all[n_near], n - n_near, random);
   if (far.result != WL_CHOICE_PLACED)
@@ -648,7 +639,7 @@
   if (all == NULL)
     abort ();
   uint32_t n = collect (fleet, load, request, now_us, all);
-  if (request->knows_near)
+  if (request->knowledge == WL_CHOICE_KNOWS_NEAR)
     out = choose_by_domain (load, request, all, n, now_us, random);
   else
     out = choose_among (load, request, all, n, random);
--- a/relay/placement/wl_choice.h
+++ b/relay/placement/wl_choice.h
@@ -20,6 +20,19 @@
   WL_CHOICE_HELPERS_MAX = 16, /* engines that read parts of one prompt beside the first */
 };
 
+/**
+ * enum WlChoiceKnowledge - what a node knows of the work of others
+ * @WL_CHOICE_KNOWS_ALL: all of it, at once
+ * @WL_CHOICE_KNOWS_FAR_LATE: that in other failure domains later than in the own
+ * @WL_CHOICE_KNOWS_NEAR: that in the own failure domain, and what it sends to others
+ */
+typedef enum
+{
+  WL_CHOICE_KNOWS_ALL,
+  WL_CHOICE_KNOWS_FAR_LATE,
+  WL_CHOICE_KNOWS_NEAR,
+} WlChoiceKnowledge;
+
 /**
  * struct WlChoiceRequest - the request to be placed
  * @service: the service
@@ -29,8 +42,7 @@
  * @objective_us: time left until the objective, 0 when it has passed
  * @gap_us: longest tolerated pause between events
  * @deadline_us: time left in which the first output must come
- * @prefers_near: work in other failure domains is known later than in the own
- * @knows_near: it is not known, apart from what the own domain sends there
+ * @knowledge: what is known of the work at endpoints
  * @excluded: keys of endpoints that were tried, @n_excluded of them
  */
 typedef struct
@@ -42,8 +54,7 @@
   uint64_t objective_us;
   uint64_t gap_us;
   uint64_t deadline_us;
-  uint8_t prefers_near;
-  uint8_t knows_near;
+  WlChoiceKnowledge knowledge;
   uint64_t excluded[8];
   uint32_t n_excluded;
 } WlChoiceRequest;
--- a/relay/tests/test_choice.c
+++ b/relay/tests/test_choice.c
@@ -329,7 +329,7 @@
 {
   Fixture f = create ();
   WlChoiceRequest q = long_request (LONG_PROMPT);
-  q.prefers_near = 1;
+  q.knowledge = WL_CHOICE_KNOWS_FAR_LATE;
   WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
   ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
   ck_assert_uint_eq (count_outside (&c, "z0"), 0);
@@ -341,7 +341,7 @@
 {
   Fixture f = create ();
   WlChoiceRequest q = long_request (LONG_PROMPT);
-  q.prefers_near = 1;
+  q.knowledge = WL_CHOICE_KNOWS_FAR_LATE;
   for (uint32_t i = 0; i < f.fleet->n_endpoints; i++)
     for (int k = 0; k < 12 && strcmp (f.fleet->endpoints[i].record.zone, "z0") == 0; k++)
       put (&f, f.fleet->endpoints[i].key, short_writer ());
@@ -383,7 +383,7 @@
   Fixture f = create ();
   WlChoiceRequest shorter = short_request ();
   WlChoiceRequest longer = long_request (LONG_PROMPT);
-  shorter.knows_near = longer.knows_near = longer.prefers_near = 1;
+  shorter.knowledge = longer.knowledge = WL_CHOICE_KNOWS_NEAR;
   for (int i = 0; i < 20; i++)
     {
       WlChoice c = place (&f, &shorter);
@@ -401,7 +401,7 @@
 {
   Fixture f = create ();
   WlChoiceRequest q = short_request ();
-  q.knows_near = 1;
+  q.knowledge = WL_CHOICE_KNOWS_NEAR;
   for (uint32_t i = 0; i < f.fleet->n_endpoints; i++)
     if (strcmp (f.fleet->endpoints[i].record.zone, "z0") == 0)
       f.fleet->endpoints[i].record.is_draining = 1;
@@ -416,7 +416,9 @@
 {
   Fixture f = create ();
   WlRouteService plain = { .name = "app" };
-  WlChoiceRequest q = { .service = &plain, .zone = "z0", .deadline_us = 1000000, .knows_near = 1 };
+  WlChoiceRequest q = {
+    .service = &plain, .zone = "z0", .deadline_us = 1000000, .knowledge = WL_CHOICE_KNOWS_NEAR
+  };
   WlWorkNote work = { .phase = WL_WORK_SENT };
   for (int i = 0; i < 6; i++)
     put (&f, wl_fleet_key ("app-00"), work);
