--- /dev/null
+++ b/relay/membership/wl_view_report.c
@@ -0,0 +1,227 @@
+#include <string.h>
+#include <xxhash.h>
+#include "wl_view_internal.h"
+
+/* What a relay tells: scans for changes, reports, introductions. */
+
+uint64_t
+wl_view_node_hash (const WlNodeStatus *s)
+{
+  uint64_t content[] = {
+    s->node,
+    s->boot,
+    s->front_port,
+    (uint64_t)(s->has_disk != 0) | (uint64_t)(s->is_ready != 0) << 1
+        | (uint64_t)(s->is_draining != 0) << 2,
+  };
+  uint64_t h = XXH64 (content, sizeof content, 1);
+  return h != 0 ? h : 1;
+}
+
+uint64_t
+wl_view_endpoint_hash (const WlEndpoint *e, int is_sure)
+{
+  uint64_t content[] = {
+    e->key,
+    e->record.born_ms,
+    (uint64_t)(e->record.is_draining != 0) | (uint64_t)(e->record.is_gone != 0) << 1
+        | (uint64_t)(is_sure != 0) << 2,
+  };
+  uint64_t h = XXH64 (content, sizeof content, 2);
+  return h != 0 ? h : 1;
+}
+
+static int
+is_direct (const WlRosterNode *r, uint64_t now_us)
+{
+  return r->direct_us != 0 && now_us < r->direct_us + WL_VIEW_DIRECT_US;
+}
+
+static int
+node_in_scope (const WlView *view, const WlRosterNode *r, WlReportScope scope, uint64_t far,
+               uint64_t now_us)
+{
+  if (wl_view_is_near (view, r))
+    return is_direct (r, now_us);
+  return scope == WL_REPORT_ALL && (is_direct (r, now_us) || (r->vouchers & far) != 0);
+}
+
+static int
+is_registered (const WlEndpoint *e, uint64_t now_us)
+{
+  return e->direct_us != 0 && now_us < e->direct_us + WL_FLEET_SILENCE_US;
+}
+
+/* Whether an endpoint registers in time: here, or with a relay of another failure domain. */
+static int
+is_sure (const WlEndpoint *e, WlReportScope scope, uint64_t far, uint64_t now_us)
+{
+  int has_own = e->direct_us != 0 && now_us < e->direct_us + WL_FLEET_DOUBT_US;
+  return has_own || (scope == WL_REPORT_ALL && (e->vouchers & e->sure & far) != 0);
+}
+
+static uint64_t
+scoped_endpoint_hash (const WlEndpoint *e, WlReportScope scope, uint64_t far, uint64_t now_us)
+{
+  int has_far = scope == WL_REPORT_ALL && (e->vouchers & far) != 0;
+  if (!is_registered (e, now_us) && !has_far)
+    return 0;
+  return wl_view_endpoint_hash (e, is_sure (e, scope, far, now_us));
+}
+
+/* Age of the latest registration, without what relays of this failure domain say of it. */
+static uint64_t
+reported_age (const WlEndpoint *e, WlReportScope scope, uint64_t far, uint64_t now_us)
+{
+  uint64_t age_us = e->direct_us != 0 ? now_us - e->direct_us : UINT64_MAX;
+  if (is_sure (e, scope, far, now_us))
+    return age_us < WL_FLEET_DOUBT_US ? age_us : 0;
+  return is_registered (e, now_us) ? age_us : WL_FLEET_DOUBT_US;
+}
+
+static void
+tell (WlView *view, WlTold *told, uint64_t hash)
+{
+  if (told->hash == hash)
+    return;
+  *told = (WlTold){ hash, view->n_scans };
+  view->changed_scan = view->n_scans;
+}
+
+uint64_t
+wl_view_scan (WlView *view, uint64_t now_us)
+{
+  uint64_t far = wl_view_fresh_sources (view, 1, now_us);
+  view->n_scans++;
+  for (int s = 0; s < WL_REPORT_INTRODUCTION; s++)
+    {
+      WlReportScope scope = (WlReportScope)s;
+      tell (view, &view->self_told[s], wl_view_node_hash (&view->self));
+      for (uint32_t i = 0; i < view->roster->n_nodes; i++)
+        {
+          WlRosterNode *r = &view->roster->nodes[i];
+          int is_in = r->heard_us != 0 && node_in_scope (view, r, scope, far, now_us);
+          tell (view, &r->told[s], is_in ? wl_view_node_hash (&r->status) : 0);
+        }
+      for (uint32_t i = 0; i < view->fleet->n_endpoints; i++)
+        {
+          WlEndpoint *e = &view->fleet->endpoints[i];
+          tell (view, &e->told[s], scoped_endpoint_hash (e, scope, far, now_us));
+        }
+    }
+  return view->n_scans;
+}
+
+static int
+is_due (const WlTold *told, const WlReport *out, uint64_t since)
+{
+  return out->is_whole || told->changed_scan > since;
+}
+
+/* A status as reports carry it: what changes all the time is left out. */
+static WlNodeStatus
+reported_status (const WlNodeStatus *s, uint64_t age_us)
+{
+  WlNodeStatus out = *s;
+  out.config_number = 0;
+  out.leader = 0;
+  out.subscription = WL_SUBSCRIBE_NONE;
+  out.age_us = age_us;
+  return out;
+}
+
+static void
+report_nodes (const WlView *view, WlReportScope scope, uint64_t since, uint64_t now_us,
+              apr_pool_t *pool, WlReport *out)
+{
+  uint32_t max = view->roster->n_nodes + 1;
+  out->nodes = apr_palloc (pool, max * sizeof *out->nodes);
+  out->lost_nodes = apr_palloc (pool, max * sizeof *out->lost_nodes);
+  out->node_digest = view->self_told[scope].hash;
+  if (is_due (&view->self_told[scope], out, since))
+    out->nodes[out->n_nodes++] = reported_status (&view->self, 0);
+  for (uint32_t i = 0; i < view->roster->n_nodes; i++)
+    {
+      const WlRosterNode *r = &view->roster->nodes[i];
+      const WlTold *told = &r->told[scope];
+      out->node_digest ^= told->hash;
+      if (!is_due (told, out, since))
+        continue;
+      if (told->hash != 0)
+        out->nodes[out->n_nodes++] = reported_status (&r->status, now_us - r->evidence_us);
+      else if (!out->is_whole)
+        out->lost_nodes[out->n_lost_nodes++].node = r->status.node;
+    }
+}
+
+static void
+report_endpoints (const WlView *view, WlReportScope scope, uint64_t since, uint64_t now_us,
+                  apr_pool_t *pool, WlReport *out)
+{
+  uint32_t max = view->fleet->n_endpoints + 1;
+  uint64_t far = wl_view_fresh_sources (view, 1, now_us);
+  out->endpoints = apr_palloc (pool, max * sizeof *out->endpoints);
+  out->lost_endpoints = apr_palloc (pool, max * sizeof *out->lost_endpoints);
+  for (uint32_t i = 0; i < view->fleet->n_endpoints; i++)
+    {
+      const WlEndpoint *e = &view->fleet->endpoints[i];
+      const WlTold *told = &e->told[scope];
+      out->endpoint_digest ^= told->hash;
+      if (!is_due (told, out, since))
+        continue;
+      if (told->hash == 0)
+        {
+          if (!out->is_whole)
+            out->lost_endpoints[out->n_lost_endpoints++].key = e->key;
+          continue;
+        }
+      WlEndpointRecord *record = &out->endpoints[out->n_endpoints++];
+      *record = e->record;
+      record->age_us = reported_age (e, scope, far, now_us);
+    }
+}
+
+static void
+begin_report (const WlView *view, WlReportScope scope, uint64_t now_us, WlReport *out)
+{
+  memset (out, 0, sizeof *out);
+  out->sender = view->self;
+  out->scope = (uint8_t)scope;
+  out->n_alive = 1 + wl_roster_count_alive (view->roster, now_us);
+}
+
+void
+wl_view_report (const WlView *view, WlReportScope scope, uint64_t since, uint64_t now_us,
+                apr_pool_t *pool, WlReport *out)
+{
+  begin_report (view, scope, now_us, out);
+  out->is_whole = since == 0;
+  report_nodes (view, scope, since, now_us, pool, out);
+  report_endpoints (view, scope, since, now_us, pool, out);
+}
+
+/* Adds the first relays of a failure domain to an introduction. */
+static void
+introduce_zone (const WlView *view, const char *zone, uint64_t now_us, WlReport *out)
+{
+  uint32_t relays[WL_VIEW_RELAYS];
+  uint32_t n = wl_view_rank (view, zone, 0, now_us, relays, WL_VIEW_RELAYS);
+  for (uint32_t i = 0; i < n; i++)
+    {
+      const WlRosterNode *r = wl_roster_find (view->roster, relays[i]);
+      if (r != NULL)
+        out->nodes[out->n_nodes++] = reported_status (&r->status, now_us - r->evidence_us);
+    }
+}
+
+void
+wl_view_introduce (const WlView *view, uint64_t now_us, apr_pool_t *pool, WlReport *out)
+{
+  const char *zones[WL_VIEW_CONTACTS_MAX];
+  uint32_t n_zones = wl_view_far_zones (view, zones, WL_VIEW_CONTACTS_MAX);
+  begin_report (view, WL_REPORT_INTRODUCTION, now_us, out);
+  out->nodes = apr_palloc (pool, (n_zones + 1) * WL_VIEW_RELAYS * sizeof *out->nodes);
+  introduce_zone (view, view->self.zone, now_us, out);
+  for (uint32_t i = 0; i < n_zones; i++)
+    introduce_zone (view, zones[i], now_us, out);
+}
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -84,9 +84,9 @@
 start memory-held-for-the-dead test_relay_retry relay/forwarding/wl_relay.c 's/wl_relay_abandon_attempt \(r, now_us\);/;/'
 start released-before-sync test_journal runtime/wl_journal.c 's/return keep_trying \(journal, NULL\);/return 1;/; s/if \(!b->stores\)/if (1)/'
 start small-fleet-for-ever test_membership relay/membership/wl_view.c 's/return !view->is_large && /return /'
-start silent-relay-vouches-on test_view relay/membership/wl_view.c 's/if \(!is_fresh \(s, now_us\) && !report->is_whole\)/if (0)/'
-start one-relay-evicts test_membership relay/membership/wl_view.c 's/if \(\(r->vouchers & \(uint64_t\)1 << i\) != 0 && /if (0 \&\& /'
-start older-start-wins test_membership relay/membership/wl_view.c 's/ && evidence_us <= r->evidence_us\)/ \&\& 0)/'
+start silent-relay-vouches-on test_view relay/membership/wl_view_take.c 's/if \(!wl_view_is_fresh \(s, now_us\) && !report->is_whole\)/if (0)/'
+start one-relay-evicts test_membership relay/membership/wl_view_take.c 's/if \(\(r->vouchers & \(uint64_t\)1 << i\) != 0 && /if (0 \&\& /'
+start older-start-wins test_membership relay/membership/wl_view_take.c 's/ && evidence_us <= r->evidence_us\)/ \&\& 0)/'
 start notes-out-of-order test_work_batch relay/placement/wl_work_batch.c 's/last->node == node && last->boot == work->boot && //'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
