--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -74,7 +74,7 @@
 start leaving-comes-back test_fleet relay/membership/wl_fleet.c 's/e->record.is_draining \|= was_draining;//'
 start lost-node-keeps-work test_load relay/placement/wl_load.c 's/p->items\[i\].node == node && p->items\[i\].boot != keep/0/'
 start no-release-after-silence test_reservation relay/forwarding/wl_reservation.c 's/if \(r->unanswered_us != 0\)\n    return now_us > r->unanswered_us \+ WL_RESERVATION_LATE_US;//'
-start deadline-not-judged test_choice relay/placement/wl_choice.c 's/out->predicted_us >= q->deadline_us\s*\|\|/0 ||/'
+start deadline-not-judged test_choice relay/placement/wl_choice_judge.c 's/out->predicted_us >= q->deadline_us\s*\|\|/0 ||/'
 start no-waiting-for-slots test_choice relay/placement/wl_choice.c 's/\n\s*&& worth_of_waiting \(q, all, n_all\)[^;]*?\)\)\n/ && 0)\n/'
 start torn-log-lines test_log_sink runtime/wl_log_sink.c 's/return end != NULL \? .*?;\n/return n;\n/'
 start unbounded-log test_log_sink runtime/wl_log_sink.c 's/b->tokens_us -= SECOND_US;//'
