A relay that has lost an endpoint no longer vouches for its registrations

Found while reading the change: the bit for "registers in time" outlived the one for "knows it" and was masked in two places; in a third it was not, and an endpoint that one relay had lost and the other doubted stayed trusted. The two bits now go together, the masks are gone; a test failed before. The subscription looks its source up as the rest does.

--- a/relay/membership/wl_view.c
+++ b/relay/membership/wl_view.c
@@ -252,17 +252,11 @@
 }
 
 uint8_t
-wl_view_subscription (const WlView *view, uint32_t node, uint64_t now_us)
+wl_view_subscription (WlView *view, uint32_t node, uint64_t now_us)
 {
-  for (uint32_t i = 0; i < WL_VIEW_SOURCES_MAX; i++)
-    {
-      const WlViewSource *s = &view->sources[i];
-      if (s->node != node)
-        continue;
-      return wl_view_is_fresh (s, now_us) && !s->wants_all ? WL_SUBSCRIBE_REPORTS
-                                                           : WL_SUBSCRIBE_ALL;
-    }
-  return WL_SUBSCRIBE_ALL;
+  const WlViewSource *s = wl_view_find_source (view, node);
+  int has_all = s != NULL && wl_view_is_fresh (s, now_us) && !s->wants_all;
+  return has_all ? WL_SUBSCRIBE_REPORTS : WL_SUBSCRIBE_ALL;
 }
 
 int
--- a/relay/membership/wl_view.h
+++ b/relay/membership/wl_view.h
@@ -164,7 +164,7 @@
 uint32_t wl_view_probe (WlView *view, const uint32_t *seeds, uint32_t n_seeds, uint64_t now_us);
 
 /** wl_view_subscription() - what to ask of a contact, a WlSubscription */
-uint8_t wl_view_subscription (const WlView *view, uint32_t node, uint64_t now_us);
+uint8_t wl_view_subscription (WlView *view, uint32_t node, uint64_t now_us);
 
 /** wl_view_is_subscriber() - whether a node is sent reports */
 int wl_view_is_subscriber (const WlRosterNode *node, uint64_t now_us);
--- a/relay/membership/wl_view_report.c
+++ b/relay/membership/wl_view_report.c
@@ -57,7 +57,7 @@
 is_sure (const WlEndpoint *e, WlReportScope scope, uint64_t far, uint64_t now_us)
 {
   int has_own = e->direct_us != 0 && now_us < e->direct_us + WL_FLEET_DOUBT_US;
-  return has_own || (scope == WL_REPORT_ALL && (e->vouchers & e->sure & far) != 0);
+  return has_own || (scope == WL_REPORT_ALL && (e->sure & far) != 0);
 }
 
 static uint64_t
--- a/relay/membership/wl_view_take.c
+++ b/relay/membership/wl_view_take.c
@@ -93,6 +93,14 @@
     e->heard_us = heard_us;
 }
 
+/* A source knows an endpoint no longer; its registrations may go elsewhere now. */
+static void
+lose_endpoint (WlEndpoint *e, uint64_t bit)
+{
+  e->vouchers &= ~bit;
+  e->sure &= ~bit;
+}
+
 static int
 lists_node (const WlReport *report, uint32_t node)
 {
@@ -143,13 +151,13 @@
     {
       WlEndpoint *e = &view->fleet->endpoints[i];
       if ((e->vouchers & bit) != 0 && !lists_endpoint (report, e->record.id))
-        e->vouchers &= ~bit;
+        lose_endpoint (e, bit);
     }
   for (uint32_t i = 0; i < report->n_lost_endpoints; i++)
     {
       WlEndpoint *e = wl_fleet_find_key (view->fleet, report->lost_endpoints[i].key);
       if (e != NULL)
-        e->vouchers &= ~bit;
+        lose_endpoint (e, bit);
     }
   for (uint32_t i = 0; i < report->n_endpoints; i++)
     {
@@ -173,7 +181,7 @@
     if ((view->roster->nodes[i].vouchers & bit) != 0)
       view->roster->nodes[i].heard_us = now_us;
   for (uint32_t i = 0; i < view->fleet->n_endpoints; i++)
-    if ((view->fleet->endpoints[i].vouchers & view->fleet->endpoints[i].sure & bit) != 0)
+    if ((view->fleet->endpoints[i].sure & bit) != 0)
       view->fleet->endpoints[i].heard_us = now_us;
 }
 
--- a/relay/tests/test_view.c
+++ b/relay/tests/test_view.c
@@ -171,6 +171,41 @@
 }
 END_TEST
 
+static void
+report_endpoint (Fixture *f, uint32_t relay, uint64_t sequence, WlEndpointRecord *record,
+                 WlEndpointKey *lost, uint64_t now_us)
+{
+  WlReport r = { .sender = status (relay, "a", sequence), .node_digest = 1 };
+  r.is_whole = sequence == 1;
+  r.endpoints = record;
+  r.n_endpoints = record != NULL;
+  r.lost_endpoints = lost;
+  r.n_lost_endpoints = lost != NULL;
+  if (record != NULL)
+    wl_fleet_take (f->fleet, record, now_us);
+  wl_roster_hear (f->roster, &r.sender, now_us);
+  wl_view_take (f->view, &r, now_us);
+}
+
+/* A relay that has dropped an endpoint is no longer a reason to trust it. */
+START_TEST (an_endpoint_that_one_relay_lost_and_the_other_doubts_is_doubtful)
+{
+  Fixture f = create ();
+  WlEndpointRecord e = { .address = 1, .port = 2, .slots = 4, .born_ms = 1, .sequence = 1 };
+  WlEndpointKey key = { wl_fleet_key ("e-1") };
+  strcpy (e.id, "e-1");
+  strcpy (e.service, "llm");
+  strcpy (e.zone, "a");
+  report_endpoint (&f, 2, 1, &e, NULL, start_us);
+  report_endpoint (&f, 4, 1, &e, NULL, start_us);
+  report_endpoint (&f, 2, 2, NULL, &key, start_us + 1);
+  e.age_us = WL_FLEET_DOUBT_US + 1;
+  report_endpoint (&f, 4, 2, &e, NULL, start_us + 2);
+  ck_assert (wl_fleet_is_doubtful (wl_fleet_find (f.fleet, "e-1"), start_us + 2));
+  destroy (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -181,6 +216,7 @@
     WL_TEST (a_status_that_subscribes_counts_though_a_report_overtook_it),
     WL_TEST (relays_are_machines_with_disks_first_and_never_those_that_stop),
     WL_TEST (an_endpoint_that_missed_registrations_is_reported_with_its_true_age),
+    WL_TEST (an_endpoint_that_one_relay_lost_and_the_other_doubts_is_doubtful),
   };
   apr_initialize ();
   return wl_test_run ("view", tests, sizeof tests / sizeof tests[0]);
