Metrics and events of the way of a configuration change

The incident's hypotheses differ in the bytes of a change in the log and on the wire, and in the bytes that a replica holds by kind; neither was visible. WL2101 tells the size of the text and of the log entry, WL2110 a node's receipt of a change with its sender and size, WL1106 a message given up because its connection's queue is full (it was dropped in silence).

--- a/core/agreement/wl_document.c
+++ b/core/agreement/wl_document.c
@@ -158,6 +158,21 @@
   return number > 0 && c->number == number ? c : NULL;
 }
 
+void
+wl_document_memory (const WlDocument *document, WlDocumentMemory *out)
+{
+  const WlDocument *d = document;
+  *out = (WlDocumentMemory){
+    .text = d->state->text.size,
+    .log = d->raft.log_bytes,
+    .snapshot = d->raft.snapshot_size,
+  };
+  for (uint32_t i = 0; i < WL_RECENT_MAX; i++)
+    out->changes += d->state->recent[i].middle.size + d->state->recent[i].removed.size;
+  for (uint32_t i = 0; i < d->n_waiting; i++)
+    out->waiting += d->waiting[i].text.size;
+}
+
 /* ---- the leader's queue ---- */
 
 static void
@@ -301,9 +316,10 @@
     wl_state_apply (d->state, &command);
   apr_pool_destroy (pool);
   if (d->state->number != before)
-    wl_effects_log (fx, WL2101_CONFIG_COMMITTED, "number=%lu version=%lu index=%lu",
+    wl_effects_log (fx, WL2101_CONFIG_COMMITTED,
+                    "number=%lu version=%lu index=%lu text_bytes=%u entry_bytes=%u",
                     (unsigned long)d->state->number, (unsigned long)current_version (d),
-                    (unsigned long)entry->index);
+                    (unsigned long)entry->index, d->state->text.size, entry->command.size);
   if (d->proposed != 0 && entry->index >= d->proposed)
     d->proposed = 0;
 }
--- a/core/agreement/wl_document.h
+++ b/core/agreement/wl_document.h
@@ -109,6 +109,26 @@
  */
 const WlConfigChange *wl_document_change_to (const WlDocument *document, uint64_t number);
 
+/**
+ * struct WlDocumentMemory - bytes that a replica holds, by kind
+ * @text: the committed text
+ * @changes: the latest changes, kept for nodes that are behind
+ * @log: entries that no snapshot covers
+ * @snapshot: the latest snapshot
+ * @waiting: submissions that wait for their commit
+ */
+typedef struct
+{
+  uint64_t text;
+  uint64_t changes;
+  uint64_t log;
+  uint64_t snapshot;
+  uint64_t waiting;
+} WlDocumentMemory;
+
+/** wl_document_memory() - what a replica holds */
+void wl_document_memory (const WlDocument *document, WlDocumentMemory *out);
+
 /** wl_document_pack() - puts a version in front of a text */
 WlBytes wl_document_pack (uint64_t version, WlBytes text, apr_pool_t *pool);
 
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -508,7 +508,11 @@
   wl_metrics_gauge (out, "nodes_alive", wl_roster_count_alive (host->roster, now_us));
   wl_metrics_gauge (out, "endpoints_known", host->fleet->n_endpoints);
   wl_metrics_gauge (out, "endpoints_usable", n_usable);
-  wl_metrics_gauge (out, "config_number", host->number);
+  WlPeersTraffic traffic = wl_peers_traffic (host->peers);
+  wl_metrics_gauge (out, "peer_queued_bytes", traffic.queued_bytes);
+  wl_metrics_gauge (out, "peer_sent_bytes", traffic.sent_bytes);
+  wl_metrics_gauge (out, "peer_dropped_frames", traffic.dropped_frames);
+  wl_host_text_metrics (host, out);
   wl_metrics_gauge (out, "control_leader", wl_host_leader (host, now_us));
   wl_metrics_gauge (out, "ready", (uint64_t)wl_host_is_ready (host));
 }
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -143,6 +143,9 @@
 /** wl_host_adopt_committed() - puts what the local replica has committed in force */
 void wl_host_adopt_committed (WlHost *host);
 
+/** wl_host_text_metrics() - appends what the way of the services text holds here */
+void wl_host_text_metrics (const WlHost *host, WlBuffer *out);
+
 /** wl_host_pull_from() - asks a node that reports a newer text for it */
 void wl_host_pull_from (WlHost *host, uint32_t node, uint64_t number, uint64_t now_us);
 
--- a/relay/wl_host_text.c
+++ b/relay/wl_host_text.c
@@ -196,6 +196,9 @@
   if (wl_delta_apply (old_text, c, pool, &packed) == WL_OK)
     {
       WlMessage m = { .kind = WL_MESSAGE_TEXT_PUSH, .u.text_push = *push };
+      wl_log_eventf (WL2110_CONFIG_RECEIVED,
+                     "number=%" PRIu64 " replaces=%" PRIu64 " peer=%u change_bytes=%u",
+                     push->number, c->replaces, from, c->middle.size);
       adopt (host, push->number, packed);
       if (!wl_view_is_mesh (host->membership->view))
         pass_push (host, &m);
@@ -367,6 +370,26 @@
     }
 }
 
+void
+wl_host_text_metrics (const WlHost *host, WlBuffer *out)
+{
+  uint64_t question_bytes = 0;
+  WlDocumentMemory memory;
+  for (const WlHostQuestion *q = host->questions; q != NULL; q = q->next)
+    question_bytes += q->text.size;
+  wl_metrics_gauge (out, "config_number", host->number);
+  wl_metrics_gauge (out, "config_text_bytes", host->text.size);
+  wl_metrics_gauge (out, "config_submitted_bytes", question_bytes);
+  if (host->document == NULL)
+    return;
+  wl_document_memory (host->document, &memory);
+  wl_metrics_gauge (out, "control_changes_bytes", memory.changes);
+  wl_metrics_gauge (out, "control_log_bytes", memory.log);
+  wl_metrics_gauge (out, "control_snapshot_bytes", memory.snapshot);
+  wl_metrics_gauge (out, "control_waiting_bytes", memory.waiting);
+  wl_metrics_gauge (out, "journal_queued_bytes", wl_journal_queued_bytes (host->journal));
+}
+
 void
 wl_host_clear_questions (WlHost *host)
 {
--- a/runtime/wl_journal.c
+++ b/runtime/wl_journal.c
@@ -316,6 +316,32 @@
   advance (journal);
 }
 
+static uint64_t
+effects_bytes (const WlEffects *effects)
+{
+  uint64_t bytes = 0;
+  for (uint32_t i = 0; i < effects->count; i++)
+    {
+      const WlEffect *e = &effects->items[i];
+      if (e->kind == WL_EFFECT_SEND)
+        bytes += e->u.send.bytes.size;
+      else if (e->kind == WL_EFFECT_STORE_ENTRY)
+        bytes += e->u.entry.command.size;
+      else if (e->kind == WL_EFFECT_STORE_SNAPSHOT)
+        bytes += e->u.snapshot.data.size;
+    }
+  return bytes;
+}
+
+uint64_t
+wl_journal_queued_bytes (const WlJournal *journal)
+{
+  uint64_t bytes = journal->writing != NULL ? effects_bytes (journal->writing->effects) : 0;
+  for (const Batch *b = journal->waiting.first; b != NULL; b = b->next)
+    bytes += effects_bytes (b->effects);
+  return bytes;
+}
+
 /* The place of a file; a name keeps its place. */
 static SavedFile *
 find_saved (WlJournal *journal, const char *name)
--- a/runtime/wl_journal.h
+++ b/runtime/wl_journal.h
@@ -49,6 +49,9 @@
  */
 void wl_journal_submit (WlJournal *journal, WlEffects *effects);
 
+/** wl_journal_queued_bytes() - bytes of effects that wait for the disk, or for those before them */
+uint64_t wl_journal_queued_bytes (const WlJournal *journal);
+
 /**
  * wl_journal_save() - replaces a file beside the storage
  * @journal: the journal; without a disk nothing happens
--- a/runtime/wl_peers.c
+++ b/runtime/wl_peers.c
@@ -53,6 +53,8 @@
   Dial *dials;
   uint32_t n_dials;
   uint8_t key[crypto_generichash_KEYBYTES];
+  uint64_t sent_bytes;
+  uint64_t dropped_frames;
 };
 
 /* ---- frames ---- */
@@ -68,7 +70,13 @@
 {
   uint8_t header[HEADER_SIZE];
   if (wl_buffer_left (&c->out) + payload.size > WL_PEER_QUEUE_MAX)
-    return;
+    {
+      c->peers->dropped_frames++;
+      wl_log_eventf (WL1106_PEER_QUEUE_FULL, "peer=%u queued_bytes=%zu bytes=%u", c->node,
+                     wl_buffer_left (&c->out), payload.size);
+      return;
+    }
+  c->peers->sent_bytes += HEADER_SIZE + payload.size;
   header[0] = (uint8_t)(payload.size >> 24);
   header[1] = (uint8_t)(payload.size >> 16);
   header[2] = (uint8_t)(payload.size >> 8);
@@ -435,6 +443,15 @@
   queue_frame (c, message);
 }
 
+WlPeersTraffic
+wl_peers_traffic (const WlPeers *peers)
+{
+  WlPeersTraffic t = { .sent_bytes = peers->sent_bytes, .dropped_frames = peers->dropped_frames };
+  for (const Connection *c = peers->connections; c != NULL; c = c->next)
+    t.queued_bytes += wl_buffer_left (&c->out);
+  return t;
+}
+
 void
 wl_peers_flush (WlPeers *peers)
 {
--- a/runtime/wl_peers.h
+++ b/runtime/wl_peers.h
@@ -72,6 +72,22 @@
  */
 void wl_peers_send (WlPeers *peers, uint32_t node, WlBytes message, uint64_t now_us);
 
+/**
+ * struct WlPeersTraffic - what the connections carry
+ * @queued_bytes: bytes not yet written, over all connections
+ * @sent_bytes: bytes queued since the start
+ * @dropped_frames: messages given up since the start because a queue was full
+ */
+typedef struct
+{
+  uint64_t queued_bytes;
+  uint64_t sent_bytes;
+  uint64_t dropped_frames;
+} WlPeersTraffic;
+
+/** wl_peers_traffic() - what the connections carry */
+WlPeersTraffic wl_peers_traffic (const WlPeers *peers);
+
 /**
  * wl_peers_flush() - writes what is queued
  * @peers: the connections
