--- a/core/tests/test_document.c
+++ b/core/tests/test_document.c
@@ -58,6 +58,7 @@
   uint64_t random;
   uint64_t next_id;
   uint32_t loss_percent;
+  uint64_t sent_bytes; /* between nodes */
 } Sim;
 
 static Sim sim;
@@ -65,6 +66,7 @@
 static void
 post (uint32_t from, uint32_t to, WlBytes bytes)
 {
+  sim.sent_bytes += from != to ? bytes.size : 0;
   if (sim.n_queue == QUEUE_MAX || wl_random_next (&sim.random) % 100 < sim.loss_percent)
     return;
   sim.queue[sim.n_queue++] = (Packet){ sim.now_us + 500 + wl_random_next (&sim.random) % 5000, from,
@@ -468,6 +470,96 @@
 }
 END_TEST
 
+/* ---- large texts ---- */
+
+enum
+{
+  ROUTES = 1500,
+  ROUTE_SIZE = 200,
+  LARGE_SIZE = 64 + (ROUTES + 1) * ROUTE_SIZE,
+  STORM = 60,            /* changes */
+  STORM_GAP_US = 100000, /* ten a second */
+  IN_FORCE_US = 1000000, /* from a submission to its acknowledgement */
+  CHANGE_BYTES = 4096,   /* on the wire, of one change of a few hundred bytes */
+  /* The smallest VM has 160 MB: the replica may use a twentieth beside requests and connections. */
+  REPLICA_BYTES = 8 << 20,
+};
+
+/* A text whose version stands in front, with a route changed in its middle and one at its end. */
+static const char *
+large_text (uint64_t version)
+{
+  static char text[LARGE_SIZE];
+  size_t n = (size_t)snprintf (text, sizeof text, "{\"version\":%lu,", (unsigned long)version);
+  for (uint64_t i = 0; i <= ROUTES; i++)
+    {
+      uint64_t seed = i * 7919;
+      uint64_t changed = i == version * 37 % ROUTES || i == ROUTES ? version : 0;
+      n += (size_t)snprintf (
+          text + n, sizeof text - n,
+          "{\"name\":\"r-%08lx\",\"host\":\"h%016lx.example\",\"prefix\":\"/%016lx/"
+          "\",\"kind\":\"streaming\",\"timeout_ms\":%lu,\"service\":\"s-%08lx\"},",
+          (unsigned long)(i + changed), (unsigned long)wl_random_next (&seed),
+          (unsigned long)wl_random_next (&seed), (unsigned long)(10000 + changed),
+          (unsigned long)(wl_random_next (&seed) % 5));
+    }
+  return text;
+}
+
+/*
+ * Guards against a change that travels as the whole text: the version in front and a route at the
+ * end differ, so that the bytes between the first and the last difference are nearly all of it.
+ */
+START_TEST (a_small_change_to_a_large_text_costs_its_own_size)
+{
+  begin (17);
+  start_three ();
+  submit (1, large_text (1));
+  run (1000000);
+  for (uint64_t v = 2; v < 6; v++)
+    {
+      uint64_t heartbeats = sim.sent_bytes;
+      run (500000);
+      heartbeats = sim.sent_bytes - heartbeats;
+      uint64_t before = sim.sent_bytes;
+      submit (v, large_text (v));
+      run (500000);
+      ck_assert_uint_le (sim.sent_bytes - before, 2 * heartbeats + 2 * CHANGE_BYTES);
+    }
+  end ();
+}
+END_TEST
+
+static uint64_t
+held_bytes (uint32_t node)
+{
+  WlDocumentMemory m;
+  wl_document_memory (sim.nodes[node].document, &m);
+  return m.text + m.changes + m.log + m.snapshot + m.waiting;
+}
+
+/* Guards against a replica whose memory grows with every change to a large text. */
+START_TEST (a_storm_of_changes_to_a_large_text_does_not_outgrow_a_replica)
+{
+  begin (19);
+  start_three ();
+  submit (1, large_text (1));
+  for (uint64_t v = 2; v <= STORM; v++)
+    {
+      ask (leader (), WL_MESSAGE_SUBMIT, v, large_text (v));
+      run (STORM_GAP_US);
+      for (uint32_t i = 1; i <= 3; i++)
+        ck_assert_uint_le (held_bytes (i), REPLICA_BYTES);
+    }
+  run (IN_FORCE_US);
+  const Answer *last = find_answer (sim.next_id);
+  ck_assert_ptr_nonnull (last);
+  wipe (leader ());
+  ck_assert_ptr_nonnull (ask_until_answered (WL_MESSAGE_QUERY, 0, NULL, 10000000));
+  end ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -480,6 +572,8 @@
     WL_TEST (an_empty_replica_at_a_new_address_takes_the_place_of_one_that_is_gone),
     WL_TEST (a_leader_that_is_cut_off_confirms_nothing),
     WL_TEST (hundreds_of_changes_are_compacted_and_survive_a_wipe),
+    WL_TEST (a_small_change_to_a_large_text_costs_its_own_size),
+    WL_TEST (a_storm_of_changes_to_a_large_text_does_not_outgrow_a_replica),
   };
   apr_initialize ();
   return wl_test_run ("document", tests, sizeof tests / sizeof tests[0]);
