The changes that a replica remembers are bounded in bytes

Callers lost requests when control replicas were ended over their memory limit, one after the other, and routes that had been acknowledged were not served. Cause: the control state keeps the latest 128 changes, each with the bytes it put in and the bytes it took out, bounded in number only.

Now the changes kept are bounded by the size of the largest text: past that a whole text is the cheaper answer to a node that is behind. Applies to the control state of both modes, and to the answer to a renewal, which took for granted that every change was still there.

--- a/core/agreement/wl_control.c
+++ b/core/agreement/wl_control.c
@@ -202,12 +202,13 @@
 {
   const WlState *state = control->state;
   uint64_t behind = state->number > r->config_number ? state->number - r->config_number : 0;
-  if (r->config_number > 0 && behind <= WL_DELTAS_MAX && behind > 0)
+  if (r->config_number > 0 && behind <= WL_DELTAS_MAX
+      && wl_recent_covers (&state->recent, r->config_number, state->number))
     {
       reply->has_delta = 1;
       reply->deltas = apr_pcalloc (fx->pool, behind * sizeof *reply->deltas);
       for (uint64_t n = r->config_number + 1; n <= state->number; n++)
-        reply->deltas[reply->n_deltas++] = state->recent[n % WL_RECENT_MAX];
+        reply->deltas[reply->n_deltas++] = *wl_recent_find (&state->recent, n);
     }
   else if (behind > 0)
     {
--- a/core/agreement/wl_document.c
+++ b/core/agreement/wl_document.c
@@ -154,8 +154,7 @@
 const WlConfigChange *
 wl_document_change_to (const WlDocument *document, uint64_t number)
 {
-  const WlConfigChange *c = &document->state->recent[number % WL_RECENT_MAX];
-  return number > 0 && c->number == number ? c : NULL;
+  return wl_recent_find (&document->state->recent, number);
 }
 
 void
@@ -164,11 +163,10 @@
   const WlDocument *d = document;
   *out = (WlDocumentMemory){
     .text = d->state->text.size,
+    .changes = d->state->recent.bytes,
     .log = d->raft.log_bytes,
     .snapshot = d->raft.snapshot_size,
   };
-  for (uint32_t i = 0; i < WL_RECENT_MAX; i++)
-    out->changes += d->state->recent[i].middle.size + d->state->recent[i].removed.size;
   for (uint32_t i = 0; i < d->n_waiting; i++)
     out->waiting += d->waiting[i].text.size;
 }
--- a/core/agreement/wl_state.c
+++ b/core/agreement/wl_state.c
@@ -41,11 +41,7 @@
   if (state == NULL)
     return;
   wl_claims_clear (state);
-  for (uint32_t i = 0; i < WL_RECENT_MAX; i++)
-    {
-      replace_bytes (&state->recent[i].middle, (WlBytes){ NULL, 0 });
-      replace_bytes (&state->recent[i].removed, (WlBytes){ NULL, 0 });
-    }
+  wl_recent_clear (&state->recent);
   replace_bytes (&state->text, (WlBytes){ NULL, 0 });
   free (state->history);
   free (state->members);
@@ -61,14 +57,7 @@
   WlAccepted *a = &state->history[change->number % WL_HISTORY_MAX];
   a->number = change->number;
   memcpy (a->digest, change->digest, WL_DIGEST_SIZE);
-  WlConfigChange *slot = &state->recent[change->number % WL_RECENT_MAX];
-  WlBytes middle = slot->middle;
-  WlBytes removed = slot->removed;
-  replace_bytes (&middle, change->middle);
-  replace_bytes (&removed, change->removed);
-  *slot = *change;
-  slot->middle = middle;
-  slot->removed = removed;
+  wl_recent_add (&state->recent, change);
 }
 
 static WlApplied
@@ -209,8 +198,8 @@
   *out = state->text;
   for (uint64_t n = state->number; n > number; n--)
     {
-      const WlConfigChange *change = &state->recent[n % WL_RECENT_MAX];
-      if (change->number != n)
+      const WlConfigChange *change = wl_recent_find (&state->recent, n);
+      if (change == NULL)
         return 0;
       *out = wl_delta_revert (*out, change, pool);
     }
@@ -247,9 +236,8 @@
   for (uint32_t i = 0; i < WL_HISTORY_MAX; i++)
     if (state->history[i].number > 0)
       image.history[image.n_history++] = state->history[i];
-  for (uint32_t i = 0; i < WL_RECENT_MAX; i++)
-    if (state->recent[i].number > 0)
-      image.recent[image.n_recent++] = state->recent[i];
+  for (uint64_t n = state->recent.first; n != 0 && n <= state->recent.last; n++)
+    image.recent[image.n_recent++] = *wl_recent_find (&state->recent, n);
   for (const WlClaimNode *c = state->oldest_claim; c != NULL; c = c->next)
     image.claims[image.n_claims++] = c->record;
   return wl_encode_bytes (wl_state_image_fields, &image, pool);
@@ -264,6 +252,7 @@
   memset (state->history, 0, WL_HISTORY_MAX * sizeof *state->history);
   for (uint32_t i = 0; i < image->n_history; i++)
     state->history[image->history[i].number % WL_HISTORY_MAX] = image->history[i];
+  wl_recent_clear (&state->recent);
   for (uint32_t i = 0; i < image->n_recent; i++)
     remember_change (state, &image->recent[i]);
   state->n_members = image->n_members;
--- a/core/agreement/wl_state.h
+++ b/core/agreement/wl_state.h
@@ -3,6 +3,7 @@
 
 #include <apr_hash.h>
 #include "wl_effects.h"
+#include "wl_recent.h"
 
 /*
  * The state that the replicated log builds. Applying the same commands in the
@@ -12,7 +13,6 @@
 enum
 {
   WL_HISTORY_MAX = 16384, /* remembered submissions */
-  WL_RECENT_MAX = 128,    /* changes kept for deltas */
   WL_CLAIMS_MAX = 500000, /* claims within retention */
   WL_MEMBERS_MAX = 1024,  /* nodes */
   WL_CELLS_MAX = 2048,    /* cells */
@@ -31,7 +31,7 @@
  * @text: current services text
  * @digest: its digest
  * @history: ring of accepted submissions; number n is at n % WL_HISTORY_MAX
- * @recent: ring of the latest changes; number n is at n % WL_RECENT_MAX
+ * @recent: the latest changes
  * @members: nodes in order of joining
  * @cells: cell owners
  * @claims: claims by customer and key
@@ -46,7 +46,7 @@
   WlBytes text;
   uint8_t digest[WL_DIGEST_SIZE];
   WlAccepted *history;
-  WlConfigChange recent[WL_RECENT_MAX];
+  WlRecent recent;
   WlMember *members;
   uint32_t n_members;
   WlCellLease *cells;
@@ -143,7 +143,7 @@
  * @pool: owner of the result
  * @out: receives the text
  *
- * Return: 1, or 0 when it is further back than WL_RECENT_MAX changes.
+ * Return: 1, or 0 when it is further back than the changes kept.
  */
 int wl_state_text_at (const WlState *state, uint64_t number, apr_pool_t *pool, WlBytes *out);
 
