A change costs the bytes of its edits: deltas are compressed against the replaced text

A change was acknowledged after seconds and put in force seconds later, since it travelled as nearly the whole text: deltas kept what is equal at both ends, and a change of the configuration has its version in front and a route near the end.

What lies between the ends is now compressed with zstd against the replaced text, and what a change removes against the new one, where it can be reverted at all: the replicated document never is, and keeps no removed bytes. Old records are read as before.

--- a/core/agreement/wl_control.c
+++ b/core/agreement/wl_control.c
@@ -44,6 +44,7 @@
   apr_pool_create (&control->pool, NULL);
   control->entries = wl_table_create (control->pool);
   control->state = wl_state_create ();
+  control->state->is_revertible = 1;
   wl_raft_init (&control->raft, settings, stored, now_us);
   *out = control;
   return control->raft.restored ? load_snapshot (control) : WL_OK;
--- a/core/agreement/wl_control_requests.c
+++ b/core/agreement/wl_control_requests.c
@@ -70,7 +70,7 @@
   /* A submission that names a number yet to come goes through the log too, so
      that the conflict is answered from a state known to be current. */
   WlCommand c = { .kind = WL_COMMAND_CONFIG };
-  wl_delta_make (control->state->text, s->text, &c.u.config);
+  wl_delta_make (control->state->text, s->text, fx->pool, &c.u.config);
   c.u.config.replaces = s->replaces;
   c.u.config.number = s->replaces + 1;
   WlPending *p = wl_control_add_pending (control, wl_control_propose (control, &c, event, fx),
--- a/core/agreement/wl_document.c
+++ b/core/agreement/wl_document.c
@@ -212,7 +212,7 @@
 {
   WlCommand c = { .kind = WL_COMMAND_CONFIG };
   WlBytes packed = wl_document_pack (w->version, w->text, fx->pool);
-  wl_delta_make (d->state->text, packed, &c.u.config);
+  wl_delta_make (d->state->text, packed, fx->pool, &c.u.config);
   c.u.config.replaces = d->state->number;
   c.u.config.number = d->state->number + 1;
   d->proposed = wl_raft_propose (&d->raft, wl_command_encode (&c, fx->pool), fx);
--- a/core/agreement/wl_state.c
+++ b/core/agreement/wl_state.c
@@ -72,8 +72,8 @@
   if (error == WL_OK)
     {
       WlConfigChange applied = *change;
-      uint32_t kept = change->prefix + change->suffix;
-      applied.removed = (WlBytes){ state->text.data + change->prefix, state->text.size - kept };
+      if (state->is_revertible)
+        wl_delta_keep_removed (state->text, text, pool, &applied);
       remember_change (state, &applied);
       replace_bytes (&state->text, text);
       memcpy (state->digest, change->digest, WL_DIGEST_SIZE);
@@ -193,16 +193,16 @@
 int
 wl_state_text_at (const WlState *state, uint64_t number, apr_pool_t *pool, WlBytes *out)
 {
+  WlBytes text = state->text;
   if (number == 0 || number > state->number)
     return 0;
-  *out = state->text;
   for (uint64_t n = state->number; n > number; n--)
     {
       const WlConfigChange *change = wl_recent_find (&state->recent, n);
-      if (change == NULL)
+      if (change == NULL || wl_delta_revert (text, change, pool, &text) != WL_OK)
         return 0;
-      *out = wl_delta_revert (*out, change, pool);
     }
+  *out = text;
   return 1;
 }
 
--- a/core/agreement/wl_state.h
+++ b/core/agreement/wl_state.h
@@ -32,6 +32,7 @@
  * @digest: its digest
  * @history: ring of accepted submissions; number n is at n % WL_HISTORY_MAX
  * @recent: the latest changes
+ * @is_revertible: changes are kept with what they removed, for wl_state_text_at()
  * @members: nodes in order of joining
  * @cells: cell owners
  * @claims: claims by customer and key
@@ -47,6 +48,7 @@
   uint8_t digest[WL_DIGEST_SIZE];
   WlAccepted *history;
   WlRecent recent;
+  uint8_t is_revertible;
   WlMember *members;
   uint32_t n_members;
   WlCellLease *cells;
--- a/core/base/wl_delta.c
+++ b/core/base/wl_delta.c
@@ -1,7 +1,92 @@
+#include <stdlib.h>
 #include <string.h>
 #include <sodium.h>
+#include <zstd.h>
 #include "wl_delta.h"
 
+enum
+{
+  LEVEL = 3,           /* zstd's default: 300 KB take a few milliseconds */
+  WINDOW_LOG_MIN = 10, /* the smallest that zstd takes */
+  WINDOW_LOG_MAX = 22, /* above the largest text and its reference together */
+};
+
+/* The smallest window in which every byte of the reference can be reached. */
+static int
+window_log (uint64_t bytes)
+{
+  int log = WINDOW_LOG_MIN;
+  while (log < WINDOW_LOG_MAX && (uint64_t)1 << log < bytes)
+    log++;
+  return log;
+}
+
+/* Compresses bytes against a reference. Returns no bytes when memory is short. */
+static WlBytes
+compress (WlBytes bytes, WlBytes reference, apr_pool_t *pool)
+{
+  size_t capacity = ZSTD_compressBound (bytes.size);
+  size_t size = 0;
+  uint8_t *out = apr_palloc (pool, capacity);
+  ZSTD_CCtx *context = ZSTD_createCCtx ();
+  if (context == NULL)
+    abort ();
+  ZSTD_CCtx_setParameter (context, ZSTD_c_compressionLevel, LEVEL);
+  ZSTD_CCtx_setParameter (context, ZSTD_c_windowLog,
+                          window_log ((uint64_t)bytes.size + reference.size));
+  ZSTD_CCtx_refPrefix (context, reference.data, reference.size);
+  size = ZSTD_compress2 (context, out, capacity, bytes.data, bytes.size);
+  ZSTD_freeCCtx (context);
+  if (ZSTD_isError (size))
+    abort (); /* the bound holds for any bytes: only memory can be short */
+  return (WlBytes){ out, (uint32_t)size };
+}
+
+static WlError
+decompress (WlBytes packed, WlBytes reference, apr_pool_t *pool, WlBytes *out)
+{
+  unsigned long long size = ZSTD_getFrameContentSize (packed.data, packed.size);
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN
+      || size > WL_DELTA_TEXT_MAX)
+    return WL_ERROR_INVALID;
+  uint8_t *bytes = apr_palloc (pool, (apr_size_t)size + 1);
+  ZSTD_DCtx *context = ZSTD_createDCtx ();
+  if (context == NULL)
+    abort ();
+  ZSTD_DCtx_refPrefix (context, reference.data, reference.size);
+  size_t n = ZSTD_decompressDCtx (context, bytes, (size_t)size, packed.data, packed.size);
+  ZSTD_freeDCtx (context);
+  if (ZSTD_isError (n) || n != size)
+    return WL_ERROR_INVALID;
+  *out = (WlBytes){ bytes, (uint32_t)n };
+  return WL_OK;
+}
+
+/* Compresses bytes in place of themselves where that makes them smaller. Returns whether it did. */
+static uint8_t
+pack_if_smaller (WlBytes *bytes, WlBytes reference, apr_pool_t *pool)
+{
+  if (bytes->size <= WL_DELTA_PLAIN_MAX)
+    return 0;
+  WlBytes packed = compress (*bytes, reference, pool);
+  if (packed.size >= bytes->size)
+    return 0;
+  *bytes = packed;
+  return 1;
+}
+
+WlBytes
+wl_text_pack (WlBytes text, apr_pool_t *pool)
+{
+  return compress (text, (WlBytes){ NULL, 0 }, pool);
+}
+
+WlError
+wl_text_unpack (WlBytes packed, apr_pool_t *pool, WlBytes *out)
+{
+  return decompress (packed, (WlBytes){ NULL, 0 }, pool, out);
+}
+
 void
 wl_digest (WlBytes bytes, uint8_t *out)
 {
@@ -9,7 +94,7 @@
 }
 
 void
-wl_delta_make (WlBytes old_text, WlBytes new_text, WlConfigChange *out)
+wl_delta_make (WlBytes old_text, WlBytes new_text, apr_pool_t *pool, WlConfigChange *out)
 {
   uint32_t shorter = old_text.size < new_text.size ? old_text.size : new_text.size;
   uint32_t prefix = 0;
@@ -22,9 +107,18 @@
   out->prefix = prefix;
   out->suffix = suffix;
   out->middle = (WlBytes){ new_text.data + prefix, new_text.size - prefix - suffix };
+  out->is_packed = pack_if_smaller (&out->middle, old_text, pool);
   wl_digest (new_text, out->digest);
 }
 
+void
+wl_delta_keep_removed (WlBytes old_text, WlBytes new_text, apr_pool_t *pool, WlConfigChange *change)
+{
+  uint32_t kept = change->prefix + change->suffix;
+  change->removed = (WlBytes){ old_text.data + change->prefix, old_text.size - kept };
+  change->is_removed_packed = pack_if_smaller (&change->removed, new_text, pool);
+}
+
 /* Joins the ends of a text with other bytes between them. */
 static WlBytes
 splice (WlBytes text, uint32_t prefix, uint32_t suffix, WlBytes middle, apr_pool_t *pool)
@@ -46,15 +140,22 @@
 {
   uint8_t digest[WL_DIGEST_SIZE];
   uint64_t kept = (uint64_t)change->prefix + change->suffix;
-  if (kept > old_text.size || kept + change->middle.size > WL_SERVICES_TEXT_MAX)
+  WlBytes middle = change->middle;
+  if (change->is_packed && decompress (change->middle, old_text, pool, &middle) != WL_OK)
     return WL_ERROR_INVALID;
-  *out = splice (old_text, change->prefix, change->suffix, change->middle, pool);
+  if (kept > old_text.size || kept + middle.size > WL_DELTA_TEXT_MAX)
+    return WL_ERROR_INVALID;
+  *out = splice (old_text, change->prefix, change->suffix, middle, pool);
   wl_digest (*out, digest);
   return memcmp (digest, change->digest, sizeof digest) == 0 ? WL_OK : WL_ERROR_INVALID;
 }
 
-WlBytes
-wl_delta_revert (WlBytes new_text, const WlConfigChange *change, apr_pool_t *pool)
+WlError
+wl_delta_revert (WlBytes new_text, const WlConfigChange *change, apr_pool_t *pool, WlBytes *out)
 {
-  return splice (new_text, change->prefix, change->suffix, change->removed, pool);
+  WlBytes removed = change->removed;
+  if (change->is_removed_packed && decompress (change->removed, new_text, pool, &removed) != WL_OK)
+    return WL_ERROR_INVALID;
+  *out = splice (new_text, change->prefix, change->suffix, removed, pool);
+  return WL_OK;
 }
--- a/relay/tests/test_host_text.c
+++ b/relay/tests/test_host_text.c
@@ -97,7 +97,7 @@
   WlTextPush *push = &m.u.text_push;
   WlBytes old_text = number > 1 ? make_text (f, number - 1) : (WlBytes){ NULL, 0 };
   push->number = number;
-  wl_delta_make (old_text, make_text (f, number), &push->change);
+  wl_delta_make (old_text, make_text (f, number), f->pool, &push->change);
   push->change.number = number;
   push->change.replaces = number - 1;
   ck_assert_int_eq (
--- a/testkit/bench_main.c
+++ b/testkit/bench_main.c
@@ -241,7 +241,8 @@
       const char *text = sim_text (i + 1);
       WlCommand c = { .kind = WL_COMMAND_CONFIG, .time_us = i };
       wl_delta_make ((WlBytes){ (const uint8_t *)old_text, (uint32_t)strlen (old_text) },
-                     (WlBytes){ (const uint8_t *)text, (uint32_t)strlen (text) }, &c.u.config);
+                     (WlBytes){ (const uint8_t *)text, (uint32_t)strlen (text) }, pool,
+                     &c.u.config);
       c.u.config.replaces = i;
       c.u.config.number = i + 1;
       changes += wl_command_encode (&c, pool).size;
--- a/wire/wl_command.c
+++ b/wire/wl_command.c
@@ -13,10 +13,11 @@
 };
 
 const WlField wl_config_change_fields[] = {
-  WL_U64 (WlConfigChange, replaces), WL_U64 (WlConfigChange, number),
-  WL_U32 (WlConfigChange, prefix),   WL_U32 (WlConfigChange, suffix),
-  WL_BYTES (WlConfigChange, middle), WL_BYTES (WlConfigChange, removed),
-  WL_BLOB (WlConfigChange, digest),  WL_END,
+  WL_U64 (WlConfigChange, replaces),         WL_U64 (WlConfigChange, number),
+  WL_U32 (WlConfigChange, prefix),           WL_U32 (WlConfigChange, suffix),
+  WL_BYTES (WlConfigChange, middle),         WL_BYTES (WlConfigChange, removed),
+  WL_BLOB (WlConfigChange, digest),          WL_U8 (WlConfigChange, is_packed),
+  WL_U8 (WlConfigChange, is_removed_packed), WL_END,
 };
 
 const WlField wl_member_fields[] = {
--- a/wire/wl_command.h
+++ b/wire/wl_command.h
@@ -48,6 +48,8 @@
  * @middle: bytes between the two
  * @removed: bytes that @middle replaced; filled in when the change is applied
  * @digest: BLAKE2b of the whole new text
+ * @is_packed: @middle is compressed against the replaced text, see wl_delta.h
+ * @is_removed_packed: @removed is compressed against the new text
  */
 typedef struct
 {
@@ -58,6 +60,8 @@
   WlBytes middle;
   WlBytes removed;
   uint8_t digest[WL_DIGEST_SIZE];
+  uint8_t is_packed;
+  uint8_t is_removed_packed;
 } WlConfigChange;
 
 /**
