A node that missed changes is told these, and passes a change on before it uses it

Cause: only a change to the very next number travelled as a change, and only from a replica; a node that had missed one asked for the text and got all 284 KB of it, and missed the next one meanwhile. Relays without a disk had nothing but whole texts to pass on, over 20 Mbit/s, and put a text in force before they passed it on.

Every node now keeps the latest changes and answers with those that are missing; a whole text travels compressed, and is compressed once.

--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -325,6 +325,8 @@
       wl_bytes_release (&local->bytes);
       free (local);
     }
+  wl_recent_clear (&host->recent);
+  wl_bytes_release (&host->whole);
   wl_bytes_release (&host->text);
   wl_bytes_release (&host->saved_text);
   wl_tcp_loop_destroy (host->loop);
--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -68,9 +68,7 @@
   host->saved_number = host->number;
   host->text_saved_us = now_us;
   m.u.text_push.number = host->number;
-  m.u.text_push.change.number = host->number;
-  m.u.text_push.change.middle = host->text;
-  wl_digest (host->text, m.u.text_push.change.digest);
+  wl_host_whole_text (host, &m.u.text_push.change);
   apr_pool_create (&pool, NULL);
   wl_journal_save (host->journal, text_file, wl_message_encode (&m, pool));
   apr_pool_destroy (pool);
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -2,6 +2,7 @@
 #define WL_HOST_INTERNAL_H
 
 #include "wl_host.h"
+#include "wl_recent.h"
 #include "wl_work_batch.h"
 
 /* What the files of the host share: wl_host.c and wl_host_files.c, _gossip.c and _text.c. */
@@ -60,7 +61,9 @@
   WlHostLocal *last_local;
 
   uint64_t number; /* of the text in force, 0 for none */
-  WlBytes text;    /* packed, on the heap */
+  WlBytes text;    /* with its version in front, on the heap */
+  WlRecent recent; /* the changes that led to it, as far as known here */
+  WlBytes whole;   /* the text as a compressed message body, on the heap; empty until asked for */
   uint64_t pulled_us;
   uint64_t applied_us;   /* when a configuration was last put in force */
   uint8_t is_text_new;   /* the text is not in force yet */
@@ -143,6 +146,13 @@
 /** wl_host_adopt_committed() - puts what the local replica has committed in force */
 void wl_host_adopt_committed (WlHost *host);
 
+/**
+ * wl_host_whole_text() - the change that carries the whole text in force
+ * @host: the host
+ * @out: receives the change; its bytes stay the host's, until the next text
+ */
+void wl_host_whole_text (WlHost *host, WlConfigChange *out);
+
 /** wl_host_text_metrics() - appends what the way of the services text holds here */
 void wl_host_text_metrics (const WlHost *host, WlBuffer *out);
 
--- a/relay/wl_host_text.c
+++ b/relay/wl_host_text.c
@@ -63,7 +63,7 @@
 
 /*
  * Takes a committed text; numbers never go back within a boot. Of texts in
- * quick succession only the latest is put in force.
+ * quick succession only the latest is put in force, by apply_when_due ().
  */
 static void
 adopt (WlHost *host, uint64_t number, WlBytes packed)
@@ -73,10 +73,10 @@
     return;
   WlBytes copy = wl_bytes_dup (packed);
   wl_bytes_release (&host->text);
+  wl_bytes_release (&host->whole);
   host->text = copy;
   host->number = number;
   host->is_text_new = 1;
-  apply_when_due (host, wl_clock_now_us ());
   if (is_first)
     wl_membership_announce (host->membership, wl_clock_now_us ()); /* others may wait for theirs */
 }
@@ -94,61 +94,106 @@
   wl_bytes_release (&host->saved_text);
 }
 
+void
+wl_host_whole_text (WlHost *host, WlConfigChange *out)
+{
+  apr_pool_t *pool;
+  memset (out, 0, sizeof *out);
+  out->number = host->number;
+  wl_digest (host->text, out->digest);
+  if (host->whole.size == 0)
+    {
+      apr_pool_create (&pool, NULL);
+      host->whole = wl_bytes_dup (wl_text_pack (host->text, pool));
+      apr_pool_destroy (pool);
+    }
+  out->middle = host->whole;
+  out->is_packed = 1;
+}
+
+/* ---- telling others ---- */
+
+static void
+send_change (WlHost *host, uint32_t node, const WlConfigChange *change)
+{
+  WlMessage m = { .kind = WL_MESSAGE_TEXT_PUSH };
+  m.u.text_push.number = change->number;
+  m.u.text_push.change = *change;
+  m.u.text_push.change.removed = (WlBytes){ NULL, 0 };
+  if (node != 0)
+    wl_host_send (host, node, &m);
+  else
+    wl_host_broadcast (host, &m);
+}
+
+/* Tells a node what it lacks: the changes that it missed, or the whole text. */
+static void
+tell_text (WlHost *host, uint32_t node, uint64_t has_number)
+{
+  WlConfigChange whole;
+  if (has_number > 0 && wl_recent_covers (&host->recent, has_number, host->number))
+    {
+      for (uint64_t n = has_number + 1; n <= host->number; n++)
+        send_change (host, node, wl_recent_find (&host->recent, n));
+      return;
+    }
+  wl_host_whole_text (host, &whole);
+  send_change (host, node, &whole);
+}
+
+/* Whether a node can use a change: others ask for what they lack. */
+static int
+can_use (const WlRosterNode *node, const WlConfigChange *change)
+{
+  uint64_t has_number = node->status.config_number;
+  return has_number < change->number && (change->replaces != 0 || has_number == 0);
+}
+
 /*
- * Passes a text on: to all nodes of a small fleet. In a large one to those
+ * Passes a change on: to all nodes of a small fleet. In a large one to those
  * that take their reports here, and the leader to relays of other failure
  * domains as well.
  */
 static void
-pass_push (WlHost *host, const WlMessage *push)
+pass_change (WlHost *host, const WlConfigChange *change)
 {
   uint32_t contacts[WL_VIEW_CONTACTS_MAX];
   uint64_t now_us = wl_clock_now_us ();
   uint32_t n_contacts = 0;
   if (wl_view_is_mesh (host->membership->view))
     {
-      wl_host_broadcast (host, push);
+      send_change (host, 0, change);
       return;
     }
   for (uint32_t i = 0; i < host->roster->n_nodes; i++)
     {
       const WlRosterNode *n = &host->roster->nodes[i];
-      if (wl_view_is_subscriber (n, now_us) && n->status.config_number < push->u.text_push.number)
-        wl_host_send (host, n->status.node, push);
+      if (wl_view_is_subscriber (n, now_us) && can_use (n, change))
+        send_change (host, n->status.node, change);
     }
   if (host->document != NULL && wl_document_leader (host->document) == host->options.node)
     n_contacts = wl_view_contacts (host->membership->view, now_us, contacts);
   for (uint32_t i = 0; i < n_contacts; i++)
     {
       const WlRosterNode *n = wl_roster_find (host->roster, contacts[i]);
-      if (n != NULL && !wl_view_is_subscriber (n, now_us))
-        wl_host_send (host, contacts[i], push);
+      if (n != NULL && !wl_view_is_subscriber (n, now_us) && can_use (n, change))
+        send_change (host, contacts[i], change);
     }
 }
 
-static void
-push_text (WlHost *host, uint32_t node, uint64_t has_number)
+/* Remembers what the replica committed since a number. Returns whether no change is missing. */
+static int
+remember_committed (WlHost *host, uint64_t before, uint64_t number)
 {
-  WlMessage m = { .kind = WL_MESSAGE_TEXT_PUSH };
-  const WlConfigChange *change = NULL;
-  m.u.text_push.number = host->number;
-  if (host->document != NULL && has_number + 1 == host->number)
-    change = wl_document_change_to (host->document, host->number);
-  if (change != NULL)
-    {
-      m.u.text_push.change = *change;
-      m.u.text_push.change.removed = (WlBytes){ NULL, 0 };
-    }
-  else
+  for (uint64_t n = before + 1; n <= number; n++)
     {
-      m.u.text_push.change.number = host->number;
-      m.u.text_push.change.middle = host->text;
-      wl_digest (host->text, m.u.text_push.change.digest);
+      const WlConfigChange *change = wl_document_change_to (host->document, n);
+      if (change != NULL)
+        wl_recent_add (&host->recent, change);
+      else
+        wl_recent_clear (&host->recent);
     }
-  if (node != 0)
-    wl_host_send (host, node, &m);
-  else
-    pass_push (host, &m);
+  return wl_recent_covers (&host->recent, before, number);
 }
 
 void
@@ -156,15 +201,26 @@
 {
   uint64_t number;
   uint64_t before = host->number;
+  WlConfigChange whole;
   if (host->document == NULL)
     return;
   WlBytes packed = wl_document_text (host->document, &number);
   if (number <= before)
     return;
+  int has_changes = remember_committed (host, before, number);
   adopt (host, number, packed);
   if (wl_document_leader (host->document) == host->options.node
       || !wl_view_is_mesh (host->membership->view))
-    push_text (host, 0, before);
+    {
+      for (uint64_t n = before + 1; has_changes && n <= number; n++)
+        pass_change (host, wl_recent_find (&host->recent, n));
+      if (!has_changes)
+        {
+          wl_host_whole_text (host, &whole);
+          pass_change (host, &whole);
+        }
+    }
+  apply_when_due (host, wl_clock_now_us ());
 }
 
 void
@@ -195,13 +251,18 @@
   WlBytes old_text = c->replaces != 0 ? host->text : (WlBytes){ NULL, 0 };
   if (wl_delta_apply (old_text, c, pool, &packed) == WL_OK)
     {
-      WlMessage m = { .kind = WL_MESSAGE_TEXT_PUSH, .u.text_push = *push };
       wl_log_eventf (WL2110_CONFIG_RECEIVED,
                      "number=%" PRIu64 " replaces=%" PRIu64 " peer=%u change_bytes=%u",
                      push->number, c->replaces, from, c->middle.size);
+      if (c->replaces != 0)
+        wl_recent_add (&host->recent, c);
+      else
+        wl_recent_clear (&host->recent);
       adopt (host, push->number, packed);
+      /* Others wait for it: putting it in force takes longer than passing it on. */
       if (!wl_view_is_mesh (host->membership->view))
-        pass_push (host, &m);
+        pass_change (host, c);
+      apply_when_due (host, now_us);
     }
   else
     wl_log_eventf (WL2106_CONFIG_UNREADABLE, "number=%" PRIu64 " peer=%u reason=digest",
@@ -329,7 +390,7 @@
     {
     case WL_MESSAGE_TEXT_PULL:
       if (host->number > message->u.text_pull.number)
-        push_text (host, from, message->u.text_pull.number);
+        tell_text (host, from, message->u.text_pull.number);
       return 1;
     case WL_MESSAGE_TEXT_PUSH:
       on_push (host, from, &message->u.text_push, now_us);
