Submissions travel compressed, the highest version first, and are refused beyond a bound

Ten changes a second were sent, one in 0.85 s was committed: each submission of 284 KB crossed a link of 20 Mbit/s once more on its way to the leader, was sent again every 0.3 s, and the leader proposed what waited in order of arrival, though a higher version answers the lower ones. It kept 64 of them whatever their size (18 MB of a text of 284 KB), a node any number.

Tests: the two new ones of test_document.

--- a/core/agreement/wl_document.c
+++ b/core/agreement/wl_document.c
@@ -18,9 +18,10 @@
   uint64_t id;
   uint64_t since_us;
   uint64_t version; /* of a submission */
-  WlBytes text;     /* of a submission; on the heap */
-  uint64_t number;  /* that the reader has already */
-  uint64_t round;   /* that must be confirmed for a read */
+  WlBytes text;     /* of a submission, as it arrived; on the heap */
+  uint8_t is_packed;
+  uint64_t number; /* that the reader has already */
+  uint64_t round;  /* that must be confirmed for a read */
 } Waiting;
 
 struct WlDocument
@@ -157,6 +158,15 @@
   return wl_recent_find (&document->state->recent, number);
 }
 
+static uint64_t
+waiting_bytes (const WlDocument *d)
+{
+  uint64_t bytes = 0;
+  for (uint32_t i = 0; i < d->n_waiting; i++)
+    bytes += d->waiting[i].text.size;
+  return bytes;
+}
+
 void
 wl_document_memory (const WlDocument *document, WlDocumentMemory *out)
 {
@@ -166,9 +176,8 @@
     .changes = d->state->recent.bytes,
     .log = d->raft.log_bytes,
     .snapshot = d->raft.snapshot_size,
+    .waiting = waiting_bytes (d),
   };
-  for (uint32_t i = 0; i < d->n_waiting; i++)
-    out->waiting += d->waiting[i].text.size;
 }
 
 /* ---- the leader's queue ---- */
@@ -194,8 +203,9 @@
   m.u.query_reply.commit = d->raft.commit;
   m.u.query_reply.config_number = d->state->number;
   m.u.query_reply.has_text = d->state->number != w->number;
+  m.u.query_reply.is_packed = m.u.query_reply.has_text;
   if (m.u.query_reply.has_text)
-    m.u.query_reply.text = d->state->text;
+    m.u.query_reply.text = wl_text_pack (d->state->text, fx->pool);
   wl_effects_send (fx, w->node, &m);
 }
 
@@ -207,15 +217,36 @@
   return version;
 }
 
-static void
+/* Proposes a submission. Returns 0 when its text is damaged. */
+static int
 propose (WlDocument *d, const Waiting *w, WlEffects *fx)
 {
   WlCommand c = { .kind = WL_COMMAND_CONFIG };
-  WlBytes packed = wl_document_pack (w->version, w->text, fx->pool);
+  WlBytes text = w->text;
+  if (w->is_packed && wl_text_unpack (w->text, fx->pool, &text) != WL_OK)
+    {
+      wl_effects_log (fx, WL2106_CONFIG_UNREADABLE, "version=%lu peer=%u reason=compression",
+                      (unsigned long)w->version, w->node);
+      return 0;
+    }
+  WlBytes packed = wl_document_pack (w->version, text, fx->pool);
   wl_delta_make (d->state->text, packed, fx->pool, &c.u.config);
   c.u.config.replaces = d->state->number;
   c.u.config.number = d->state->number + 1;
   d->proposed = wl_raft_propose (&d->raft, wl_command_encode (&c, fx->pool), fx);
+  return 1;
+}
+
+/* The highest version that waits: once committed it answers the lower ones too. */
+static uint32_t
+highest_waiting (const WlDocument *d)
+{
+  uint32_t best = d->n_waiting;
+  for (uint32_t i = 0; i < d->n_waiting; i++)
+    if (d->waiting[i].kind == WAITING_SUBMIT
+        && (best == d->n_waiting || d->waiting[i].version > d->waiting[best].version))
+      best = i;
+  return best;
 }
 
 /* Answers what the committed state answers, and proposes the next change. */
@@ -224,7 +255,6 @@
 {
   uint64_t confirmed = wl_raft_confirmed_round (&d->raft);
   uint64_t version = current_version (d);
-  const Waiting *next = NULL;
   for (uint32_t i = 0; i < d->n_waiting;)
     {
       const Waiting *w = &d->waiting[i];
@@ -246,11 +276,12 @@
       else
         i++;
     }
-  for (uint32_t i = 0; i < d->n_waiting && next == NULL; i++)
-    if (d->waiting[i].kind == WAITING_SUBMIT)
-      next = &d->waiting[i];
-  if (d->proposed == 0 && next != NULL)
-    propose (d, next, fx);
+  while (d->proposed == 0 && highest_waiting (d) < d->n_waiting)
+    {
+      uint32_t next = highest_waiting (d);
+      if (!propose (d, &d->waiting[next], fx))
+        remove_waiting (d, next);
+    }
 }
 
 static Waiting *
@@ -271,13 +302,24 @@
 }
 
 static void
-on_submit (WlDocument *d, const WlSubmit *s, uint64_t now_us)
+on_submit (WlDocument *d, const WlSubmit *s, uint64_t now_us, WlEffects *fx)
 {
+  uint64_t bytes = waiting_bytes (d);
+  if (bytes + s->text.size > WL_DOCUMENT_WAITING_BYTES)
+    {
+      Waiting refused = { .node = s->node, .id = s->id };
+      wl_effects_log (fx, WL2111_SUBMISSION_REFUSED,
+                      "version=%lu peer=%u bytes=%u waiting_bytes=%lu", (unsigned long)s->replaces,
+                      s->node, s->text.size, (unsigned long)bytes);
+      reply_submit (d, &refused, WL_SUBMIT_UNAVAILABLE, fx);
+      return;
+    }
   Waiting *w = add_waiting (d, WAITING_SUBMIT, s->node, s->id, now_us);
   if (w == NULL)
     return;
   w->version = s->replaces;
   w->text = wl_bytes_dup (s->text);
+  w->is_packed = s->is_packed;
 }
 
 static void
@@ -363,7 +405,7 @@
       return 1;
     }
   if (message->kind == WL_MESSAGE_SUBMIT)
-    on_submit (d, &message->u.submit, now_us);
+    on_submit (d, &message->u.submit, now_us, fx);
   else
     on_query (d, &message->u.query, now_us);
   settle (d, now_us, fx);
--- a/core/agreement/wl_document.h
+++ b/core/agreement/wl_document.h
@@ -12,15 +12,17 @@
  * every node, the version is the operators' own.
  *
  * The leader proposes one change at a time, so that each is a delta from a
- * committed text. A read is answered once a quorum has confirmed a heartbeat
+ * committed text, and the highest version that waits first: it answers the
+ * lower ones as well. A read is answered once a quorum has confirmed a heartbeat
  * round that began after the read arrived.
  */
 
 enum
 {
-  WL_DOCUMENT_WAITING_MAX = 64,  /* submissions and reads kept at the leader */
-  WL_DOCUMENT_WAIT_US = 3000000, /* longest time that the leader keeps one */
-  WL_DOCUMENT_VERSION_SIZE = 8,  /* bytes of the version in front of the text */
+  WL_DOCUMENT_WAITING_MAX = 64, /* submissions and reads kept at the leader */
+  WL_DOCUMENT_WAITING_BYTES = 4 * WL_SERVICES_TEXT_MAX, /* of submissions; more are refused */
+  WL_DOCUMENT_WAIT_US = 3000000,                        /* longest time that the leader keeps one */
+  WL_DOCUMENT_VERSION_SIZE = 8, /* bytes of the version in front of the text */
 };
 
 typedef struct WlDocument WlDocument;
--- a/core/tests/test_document.c
+++ b/core/tests/test_document.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <apr_general.h>
+#include "wl_delta.h"
 #include "wl_document.h"
 #include "wl_memory_disk.h"
 #include "wl_storage.h"
@@ -44,6 +45,7 @@
   WlMessageKind kind;
   uint64_t number;
   uint64_t version;
+  uint8_t outcome; /* of a submission */
   char text[64];
 } Answer;
 
@@ -140,12 +142,18 @@
     {
       a->id = m->u.submit_reply.id;
       a->number = m->u.submit_reply.number;
+      a->outcome = m->u.submit_reply.outcome;
       return;
     }
   a->id = m->u.query_reply.id;
   a->number = m->u.query_reply.config_number;
-  WlBytes text = wl_document_unpack (m->u.query_reply.text, &a->version);
+  apr_pool_t *pool;
+  WlBytes text;
+  apr_pool_create (&pool, NULL);
+  ck_assert_int_eq (wl_text_unpack (m->u.query_reply.text, pool, &text), WL_OK);
+  text = wl_document_unpack (text, &a->version);
   memcpy (a->text, text.data, text.size < sizeof a->text ? text.size : sizeof a->text - 1);
+  apr_pool_destroy (pool);
 }
 
 static void
@@ -560,6 +568,58 @@
 }
 END_TEST
 
+/* Guards against submissions that queue behind one commit each while higher versions wait. */
+START_TEST (of_submissions_that_wait_the_highest_version_is_committed_first)
+{
+  char text[32];
+  begin (23);
+  start_three ();
+  submit (1, "one");
+  uint64_t first = sim.next_id + 1;
+  for (uint64_t v = 2; v <= 40; v++)
+    {
+      snprintf (text, sizeof text, "text %lu", (unsigned long)v);
+      ask (leader (), WL_MESSAGE_SUBMIT, v, text);
+    }
+  run (200000);
+  for (uint64_t id = first; id <= sim.next_id; id++)
+    {
+      ck_assert_ptr_nonnull (find_answer (id));
+      ck_assert_uint_eq (find_answer (id)->outcome, WL_SUBMIT_ACCEPTED);
+    }
+  assert_text (40, "text 40");
+  end ();
+}
+END_TEST
+
+/* Guards against a leader that keeps every large text it is sent while it cannot commit. */
+START_TEST (submissions_beyond_the_bound_are_refused_at_once)
+{
+  uint32_t n_refused = 0;
+  begin (29);
+  start_three ();
+  submit (1, large_text (1));
+  uint32_t node = leader ();
+  sim.nodes[node].is_cut = 1;
+  uint64_t first = sim.next_id + 1;
+  for (uint64_t v = 2; v <= 40; v++)
+    {
+      ask (node, WL_MESSAGE_SUBMIT, v, large_text (v));
+      run (STEP_US);
+      ck_assert_uint_le (held_bytes (node), REPLICA_BYTES);
+    }
+  run (2 * STEP_US);
+  for (uint64_t id = first; id <= sim.next_id; id++)
+    if (find_answer (id) != NULL)
+      {
+        ck_assert_uint_eq (find_answer (id)->outcome, WL_SUBMIT_UNAVAILABLE);
+        n_refused++;
+      }
+  ck_assert_uint_gt (n_refused, 20);
+  end ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -574,6 +634,8 @@
     WL_TEST (hundreds_of_changes_are_compacted_and_survive_a_wipe),
     WL_TEST (a_small_change_to_a_large_text_costs_its_own_size),
     WL_TEST (a_storm_of_changes_to_a_large_text_does_not_outgrow_a_replica),
+    WL_TEST (of_submissions_that_wait_the_highest_version_is_committed_first),
+    WL_TEST (submissions_beyond_the_bound_are_refused_at_once),
   };
   apr_initialize ();
   return wl_test_run ("document", tests, sizeof tests / sizeof tests[0]);
--- a/relay/wl_host.h
+++ b/relay/wl_host.h
@@ -21,11 +21,13 @@
 enum
 {
   WL_HOST_SEEDS_MAX = 8,
-  WL_HOST_TICK_US = 10000,     /* resolution of waiting and time limits */
-  WL_HOST_ASK_US = 300000,     /* a question to the leader is repeated */
-  WL_HOST_ANSWER_US = 2500000, /* a question to the leader is given up */
-  WL_HOST_ADDRESSES_MAX = 64,  /* addresses in one answer to callers */
-  WL_HOST_READY_US = 2500000,  /* a node without registrations reports ready after this */
+  WL_HOST_TICK_US = 10000,                        /* resolution of waiting and time limits */
+  WL_HOST_ASK_US = 300000,                        /* a question to the leader is repeated */
+  WL_HOST_ANSWER_US = 2500000,                    /* a question to the leader is given up */
+  WL_HOST_QUESTIONS_MAX = 64,                     /* questions to the leader at once */
+  WL_HOST_SUBMITTED_BYTES = WL_SERVICES_TEXT_MAX, /* of submissions that wait, compressed */
+  WL_HOST_ADDRESSES_MAX = 64,                     /* addresses in one answer to callers */
+  WL_HOST_READY_US = 2500000, /* a node without registrations reports ready after this */
 };
 
 /**
@@ -74,11 +76,13 @@
  * enum WlHostOutcome - answer to a question that only the control leader can answer
  * @WL_HOST_DONE: committed, or confirmed to be the newest
  * @WL_HOST_UNKNOWN: no answer in time; it may or may not have happened
+ * @WL_HOST_REFUSED: too many submissions wait; to be sent again later
  */
 typedef enum
 {
   WL_HOST_DONE,
   WL_HOST_UNKNOWN,
+  WL_HOST_REFUSED,
 } WlHostOutcome;
 
 /** WlHostAnswer - receives the outcome; @text is the newest text after a read */
@@ -135,7 +139,8 @@
  * @answer: called once
  * @data: passed to @answer
  *
- * Return: number of the question, for wl_host_forget().
+ * Return: number of the question, for wl_host_forget(). 0 when too many wait:
+ * the text was not taken, and @answer is not called.
  */
 uint64_t wl_host_submit (WlHost *host, uint64_t version, WlBytes text, WlHostAnswer answer,
                          void *data);
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -25,7 +25,7 @@
   uint64_t id;
   WlMessageKind kind; /* WL_MESSAGE_SUBMIT or WL_MESSAGE_QUERY */
   uint64_t version;
-  WlBytes text; /* on the heap */
+  WlBytes text; /* compressed, on the heap */
   WlHostAnswer answer;
   void *data;
   uint64_t asked_us;
--- a/relay/wl_host_text.c
+++ b/relay/wl_host_text.c
@@ -286,6 +286,7 @@
       m.u.submit.node = host->options.node;
       m.u.submit.replaces = q->version;
       m.u.submit.text = q->text;
+      m.u.submit.is_packed = 1;
     }
   else
     {
@@ -312,19 +313,48 @@
   return q;
 }
 
+/* What the questions of this node hold. Returns the number of questions. */
+static uint32_t
+count_questions (const WlHost *host, uint64_t *bytes)
+{
+  uint32_t n = 0;
+  *bytes = 0;
+  for (const WlHostQuestion *q = host->questions; q != NULL; q = q->next, n++)
+    *bytes += q->text.size;
+  return n;
+}
+
 uint64_t
 wl_host_submit (WlHost *host, uint64_t version, WlBytes text, WlHostAnswer answer, void *data)
 {
-  WlHostQuestion *q = add_question (host, WL_MESSAGE_SUBMIT, answer, data);
-  q->version = version;
-  q->text = wl_bytes_dup (text);
-  ask (host, q, q->since_us);
-  return q->id;
+  apr_pool_t *pool;
+  uint64_t bytes;
+  uint64_t id = 0;
+  uint32_t n = count_questions (host, &bytes);
+  apr_pool_create (&pool, NULL);
+  WlBytes packed = wl_text_pack (text, pool);
+  if (n >= WL_HOST_QUESTIONS_MAX || bytes + packed.size > WL_HOST_SUBMITTED_BYTES)
+    wl_log_eventf (WL2111_SUBMISSION_REFUSED,
+                   "version=%" PRIu64 " bytes=%u waiting=%u waiting_bytes=%" PRIu64, version,
+                   packed.size, n, bytes);
+  else
+    {
+      WlHostQuestion *q = add_question (host, WL_MESSAGE_SUBMIT, answer, data);
+      q->version = version;
+      q->text = wl_bytes_dup (packed);
+      id = q->id;
+      ask (host, q, q->since_us);
+    }
+  apr_pool_destroy (pool);
+  return id;
 }
 
 uint64_t
 wl_host_read (WlHost *host, WlHostAnswer answer, void *data)
 {
+  uint64_t bytes;
+  if (count_questions (host, &bytes) >= WL_HOST_QUESTIONS_MAX)
+    return 0;
   WlHostQuestion *q = add_question (host, WL_MESSAGE_QUERY, answer, data);
   ask (host, q, q->since_us);
   return q->id;
@@ -373,10 +403,20 @@
 on_query_reply (WlHost *host, const WlQueryReply *r)
 {
   uint64_t version;
+  apr_pool_t *pool;
+  WlBytes text = r->text;
   if (r->has_text)
     {
-      adopt (host, r->config_number, r->text);
-      answer_question (host, r->id, WL_HOST_DONE, wl_document_unpack (r->text, &version));
+      apr_pool_create (&pool, NULL);
+      if (r->is_packed && wl_text_unpack (r->text, pool, &text) != WL_OK)
+        wl_log_eventf (WL2106_CONFIG_UNREADABLE, "number=%" PRIu64 " peer=%u reason=compression",
+                       r->config_number, r->leader);
+      else
+        {
+          adopt (host, r->config_number, text);
+          answer_question (host, r->id, WL_HOST_DONE, wl_document_unpack (text, &version));
+        }
+      apr_pool_destroy (pool);
     }
   else if (r->config_number == host->number)
     answer_question (host, r->id, WL_HOST_DONE, wl_document_unpack (host->text, &version));
@@ -398,6 +438,8 @@
     case WL_MESSAGE_SUBMIT_REPLY:
       if (message->u.submit_reply.outcome == WL_SUBMIT_ACCEPTED)
         answer_question (host, message->u.submit_reply.id, WL_HOST_DONE, (WlBytes){ NULL, 0 });
+      else if (message->u.submit_reply.outcome == WL_SUBMIT_UNAVAILABLE)
+        answer_question (host, message->u.submit_reply.id, WL_HOST_REFUSED, (WlBytes){ NULL, 0 });
       return 1;
     case WL_MESSAGE_QUERY_REPLY:
       on_query_reply (host, &message->u.query_reply);
@@ -434,10 +476,9 @@
 void
 wl_host_text_metrics (const WlHost *host, WlBuffer *out)
 {
-  uint64_t question_bytes = 0;
+  uint64_t question_bytes;
   WlDocumentMemory memory;
-  for (const WlHostQuestion *q = host->questions; q != NULL; q = q->next)
-    question_bytes += q->text.size;
+  count_questions (host, &question_bytes);
   wl_metrics_gauge (out, "config_number", host->number);
   wl_metrics_gauge (out, "config_text_bytes", host->text.size);
   wl_metrics_gauge (out, "config_submitted_bytes", question_bytes);
--- a/wire/wl_message.c
+++ b/wire/wl_message.c
@@ -105,11 +105,8 @@
 };
 
 static const WlField submit_fields[] = {
-  WL_U64 (WlSubmit, id),
-  WL_U32 (WlSubmit, node),
-  WL_U64 (WlSubmit, replaces),
-  WL_BYTES (WlSubmit, text),
-  WL_END,
+  WL_U64 (WlSubmit, id),     WL_U32 (WlSubmit, node),     WL_U64 (WlSubmit, replaces),
+  WL_BYTES (WlSubmit, text), WL_U8 (WlSubmit, is_packed), WL_END,
 };
 
 static const WlField submit_reply_fields[] = {
@@ -145,6 +142,7 @@
   WL_U32 (WlQueryReply, n_claims),
   WL_U8 (WlQueryReply, has_text),
   WL_BYTES (WlQueryReply, text),
+  WL_U8 (WlQueryReply, is_packed),
   WL_END,
 };
 
--- a/wire/wl_message.h
+++ b/wire/wl_message.h
@@ -147,7 +147,8 @@
  * @WL_SUBMIT_ACCEPTED: committed now, or earlier under the same number and digest
  * @WL_SUBMIT_CONFLICT: another text holds the number
  * @WL_SUBMIT_INVALID: the text has findings
- * @WL_SUBMIT_UNAVAILABLE: no leader could commit it within the time limit
+ * @WL_SUBMIT_UNAVAILABLE: no leader could commit it within the time limit, or
+ *   took it into its queue
  * @WL_SUBMIT_FORGOTTEN: the number is older than the remembered history
  */
 typedef enum
@@ -159,13 +160,15 @@
   WL_SUBMIT_FORGOTTEN,
 } WlSubmitOutcome;
 
-/** struct WlSubmit - a services text that replaces number @replaces */
+/** struct WlSubmit - a services text that replaces number @replaces; @is_packed: compressed, see
+ * wl_text_pack() */
 typedef struct
 {
   uint64_t id;
   uint32_t node;
   uint64_t replaces;
   WlBytes text;
+  uint8_t is_packed;
 } WlSubmit;
 
 /** struct WlSubmitReply - outcome of a submission; @digest is that of the text that holds @number
@@ -196,7 +199,8 @@
   uint8_t lease_valid;
 } WlEntryStatus;
 
-/** struct WlQueryReply - the leader's view of the group and of the entries */
+/** struct WlQueryReply - the leader's view of the group and of the entries; @is_packed: @text is
+ * compressed */
 typedef struct
 {
   uint64_t id;
@@ -214,6 +218,7 @@
   uint32_t n_claims;
   uint8_t has_text;
   WlBytes text;
+  uint8_t is_packed;
 } WlQueryReply;
 
 /** struct WlClaim - asks for the right to run a non-idempotent request once */
