Queues to other nodes and bodies of requests are bounded together

Each connection to another node could queue 16 MB, each request hold the largest body, and nothing bounded their sum: a replica of 160 MB has dozens of either.

--- a/core/tests/test_document.c
+++ b/core/tests/test_document.c
@@ -571,15 +571,23 @@
 /* Guards against submissions that queue behind one commit each while higher versions wait. */
 START_TEST (of_submissions_that_wait_the_highest_version_is_committed_first)
 {
+  enum
+  {
+    SUBMISSIONS = 40,
+  };
   char text[32];
+  uint64_t number;
   begin (23);
   start_three ();
   submit (1, "one");
   uint64_t first = sim.next_id + 1;
-  for (uint64_t v = 2; v <= 40; v++)
+  for (uint64_t v = 2; v <= SUBMISSIONS; v++)
     {
       snprintf (text, sizeof text, "text %lu", (unsigned long)v);
       ask (leader (), WL_MESSAGE_SUBMIT, v, text);
+      Packet p = sim.queue[--sim.n_queue]; /* the leader's own operator: in order, at once */
+      deliver (&p);
+      wl_bytes_release (&p.bytes);
     }
   run (200000);
   for (uint64_t id = first; id <= sim.next_id; id++)
@@ -587,7 +595,9 @@
       ck_assert_ptr_nonnull (find_answer (id));
       ck_assert_uint_eq (find_answer (id)->outcome, WL_SUBMIT_ACCEPTED);
     }
-  assert_text (40, "text 40");
+  wl_document_text (sim.nodes[leader ()].document, &number);
+  ck_assert_uint_lt (number, SUBMISSIONS / 4); /* the versions between were never proposed */
+  assert_text (SUBMISSIONS, "text 40");
   end ();
 }
 END_TEST
--- a/relay/tests/test_host_text.c
+++ b/relay/tests/test_host_text.c
@@ -142,11 +142,40 @@
 }
 END_TEST
 
+static void
+on_answer (void *data, WlHostOutcome outcome, WlBytes text)
+{
+  (void)data;
+  (void)outcome;
+  (void)text;
+}
+
+/* Guards against a node that keeps every text it is sent while no leader answers. */
+START_TEST (a_node_takes_no_more_submissions_than_it_has_room_for)
+{
+  Fixture f;
+  static uint8_t text[LARGE_SIZE];
+  uint32_t n_taken = 0;
+  setup (&f);
+  start (&f, 0);
+  randombytes_buf (text, sizeof text);
+  for (uint64_t version = 1; version <= 2 * WL_HOST_QUESTIONS_MAX; version++)
+    n_taken += wl_host_submit (f.nodes[0], version, (WlBytes){ text, sizeof text }, on_answer, NULL)
+               != 0;
+  ck_assert_uint_eq (n_taken, WL_HOST_SUBMITTED_BYTES / LARGE_SIZE);
+  for (uint64_t version = 1; version <= 2 * WL_HOST_QUESTIONS_MAX; version++)
+    n_taken += wl_host_read (f.nodes[0], on_answer, NULL) != 0;
+  ck_assert_uint_eq (n_taken, WL_HOST_QUESTIONS_MAX);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
   const WlTest tests[] = {
     WL_TEST (a_node_that_missed_changes_is_told_these_and_not_the_whole_text),
+    WL_TEST (a_node_takes_no_more_submissions_than_it_has_room_for),
   };
   if (sodium_init () < 0)
     return 1;
--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -10,6 +10,11 @@
 
 /* The HTTP server, driven by a raw socket. */
 
+enum
+{
+  BODIES_MAX = 4096 + 64, /* room for the largest body, and little beside it */
+};
+
 typedef struct
 {
   WlReactor *reactor;
@@ -59,6 +64,7 @@
   WlWebOptions options = {
     .address = htonl (INADDR_LOOPBACK),
     .limits = { 1024, 4096, 1000000, 2000000 },
+    .bodies_max = BODIES_MAX,
     .handle = handle,
     .gone = gone,
     .data = &f,
@@ -93,6 +99,41 @@
   raw_client_send (&f->client, text);
 }
 
+/* Guards against bodies that are bounded each by itself while many connections hold one. */
+START_TEST (a_body_that_does_not_fit_beside_others_is_refused_as_not_run)
+{
+  Fixture *f = create ();
+  RawClient second;
+  char body[128];
+  memset (body, 'x', sizeof body - 1);
+  body[sizeof body - 1] = '\0';
+  say (f, "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 4064\r\n\r\n");
+  for (int i = 0; i < 32; i++)
+    say (f, body);
+  run (f, 40);
+  ck_assert_int_eq (f->n_handled, 1);
+  raw_client_connect (&second, wl_web_port (f->web));
+  raw_client_send (&second, "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 127\r\n\r\n");
+  raw_client_send (&second, body);
+  run (f, 40);
+  raw_client_receive (&second);
+  ck_assert_ptr_nonnull (strstr (second.answer, "HTTP/1.1 503"));
+  ck_assert_ptr_nonnull (strstr (second.answer, "Retry-After: 1"));
+  ck_assert_int_eq (f->n_handled, 1);
+  raw_client_close (&second);
+  /* An answered request gives its share back. */
+  wl_web_reply (f->waiting, 200, "", (WlBytes){ NULL, 0 });
+  raw_client_connect (&second, wl_web_port (f->web));
+  raw_client_send (&second, "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 127\r\n\r\n");
+  raw_client_send (&second, body);
+  run (f, 40);
+  raw_client_receive (&second);
+  ck_assert_ptr_nonnull (strstr (second.answer, "HTTP/1.1 200"));
+  raw_client_close (&second);
+  destroy (f);
+}
+END_TEST
+
 START_TEST (chunked_bodies_and_pipelined_requests_are_answered_in_order)
 {
   Fixture *f = create ();
@@ -205,6 +246,7 @@
 main (void)
 {
   const WlTest tests[] = {
+    WL_TEST (a_body_that_does_not_fit_beside_others_is_refused_as_not_run),
     WL_TEST (chunked_bodies_and_pipelined_requests_are_answered_in_order),
     WL_TEST (a_body_is_asked_for_with_100_continue),
     WL_TEST (oversized_and_malformed_requests_are_refused_and_closed),
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -17,6 +17,7 @@
   uint8_t is_busy;   /* a request is being answered */
   uint8_t has_bytes; /* part of a request was read */
   uint8_t is_closing;
+  uint8_t is_over; /* its body does not fit beside those of others */
   WlWebRequest *next;
   WlWebRequest *previous;
 };
@@ -28,9 +29,17 @@
   WlWebRequest *connections;
   uint16_t port;
   uint32_t n_active;
+  uint64_t body_bytes; /* held by all connections */
   uint8_t is_draining;
 };
 
+static void
+clear_body (WlWebRequest *c)
+{
+  c->web->body_bytes -= c->body.size;
+  wl_buffer_clear (&c->body);
+}
+
 static void
 free_connection (WlWebRequest *c)
 {
@@ -43,7 +52,7 @@
   if (c->is_busy)
     c->web->n_active--;
   wl_http_reader_clear (&c->reader);
-  wl_buffer_clear (&c->body);
+  clear_body (c);
   wl_buffer_clear (&c->ahead);
   free (c);
 }
@@ -87,10 +96,10 @@
 }
 
 static void
-refuse (WlWebRequest *c, uint32_t status)
+refuse (WlWebRequest *c, uint32_t status, const char *fields)
 {
   c->is_closing = 1;
-  write_head (c, status, "", "Content-Length: 0\r\n");
+  write_head (c, status, fields, "Content-Length: 0\r\n");
   finish_connection (c);
 }
 
@@ -100,14 +109,14 @@
   switch (c->reader.fault)
     {
     case WL_HTTP_FAULT_HEAD_SIZE:
-      refuse (c, 431);
+      refuse (c, 431, "");
       break;
     case WL_HTTP_FAULT_BODY_SIZE:
-      refuse (c, 413);
+      refuse (c, 413, "");
       break;
     case WL_HTTP_FAULT_MALFORMED:
     case WL_HTTP_FAULT_NONE:
-      refuse (c, 400);
+      refuse (c, 400, "");
       break;
     }
 }
@@ -128,6 +137,11 @@
           refuse_fault (c);
           return;
         }
+      if (c->is_over)
+        {
+          refuse (c, 503, "Retry-After: 1\r\n");
+          return;
+        }
       if (c->reader.complete)
         {
           c->reader.complete = 0;
@@ -183,8 +197,7 @@
 on_head (void *data)
 {
   WlWebRequest *c = data;
-  c->body.size = 0;
-  c->body.start = 0;
+  clear_body (c);
   if (c->reader.head.expects_continue)
     write_text (c, "HTTP/1.1 100 Continue\r\n\r\n");
 }
@@ -193,6 +206,13 @@
 on_body (void *data, WlBytes bytes)
 {
   WlWebRequest *c = data;
+  WlWeb *web = c->web;
+  if (web->options.bodies_max > 0 && web->body_bytes + bytes.size > web->options.bodies_max)
+    {
+      c->is_over = 1;
+      return;
+    }
+  web->body_bytes += bytes.size;
   wl_buffer_append (&c->body, bytes);
 }
 
@@ -291,7 +311,7 @@
     {
       WlWebRequest *next = c->next;
       if (!c->is_busy && c->has_bytes && now_us > c->since_us + web->options.limits.head_us)
-        refuse (c, 408);
+        refuse (c, 408, "");
       else if (!c->is_busy && !c->has_bytes && now_us > c->since_us + web->options.limits.idle_us)
         finish_connection (c);
       c = next;
@@ -335,7 +355,7 @@
   c->data = NULL;
   c->web->n_active--;
   c->since_us = wl_clock_now_us ();
-  wl_buffer_clear (&c->body);
+  clear_body (c);
   read_ahead (c);
 }
 
--- a/relay/transport/wl_web.h
+++ b/relay/transport/wl_web.h
@@ -39,6 +39,8 @@
  * @address: IPv4 number, network byte order
  * @port: TCP port, 0 for any free one
  * @limits: limits of connections
+ * @bodies_max: bytes of all bodies held at once, 0 for no limit; what does not
+ *   fit is refused with 503
  * @handle: called with each complete request
  * @gone: the client closed the connection before the answer ended; the
  *   request is freed afterwards
@@ -50,6 +52,7 @@
   uint32_t address;
   uint16_t port;
   WlWebLimits limits;
+  uint64_t bodies_max;
   void (*handle) (void *data, WlWebRequest *request);
   void (*gone) (void *data, WlWebRequest *request);
   void (*drained) (void *data, WlWebRequest *request);
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -13,6 +13,7 @@
 enum
 {
   SLOW_TICK_US = 100000,  /* idle connections, lingering, expiry */
+  BODIES_MAX = 32 << 20,  /* of callers: a fifth of the smallest VM's 160 MB */
   FIRST_START_BIT = 1,    /* of the replica incarnation: the disk was set up at the first start */
   STOP_SLACK_US = 600000, /* a stop ends this long before it would be forced */
 };
@@ -225,6 +226,7 @@
     .address = htonl (host->options.node),
     .port = host->options.front_port,
     .limits = default_limits,
+    .bodies_max = BODIES_MAX,
     .handle = wl_relay_handle,
     .gone = wl_relay_gone,
     .drained = wl_relay_drained,
--- a/runtime/tests/test_peers.c
+++ b/runtime/tests/test_peers.c
@@ -227,6 +227,38 @@
 }
 END_TEST
 
+/* Guards against queues bounded each by itself: those of many slow peers together are the memory.
+ */
+START_TEST (queues_to_all_peers_together_are_bounded)
+{
+  enum
+  {
+    PEERS = 40,
+    FRAME = 1 << 20,
+  };
+  static uint8_t bytes[FRAME];
+  WlReactor *reactor = NULL;
+  End x = { 0 };
+  uint64_t now_us = 1000000000;
+  wl_reactor_create (&reactor);
+  wl_clock_set (now_us);
+  WlPeers *a = open_end (reactor, 1, "key", &x);
+  int fd = listen_only (PEERS, &x.peer_port);
+  for (uint32_t i = 0; i < PEERS; i++)
+    wl_peers_send (a, i + 2, (WlBytes){ bytes, FRAME }, now_us);
+  ck_assert_uint_le (wl_peers_traffic (a).queued_bytes, WL_PEERS_QUEUE_MAX);
+  ck_assert_uint_gt (wl_peers_traffic (a).dropped_frames, 0);
+  /* Closed connections give their share back. */
+  wl_clock_set (now_us += WL_PEER_SILENCE_US + 1);
+  wl_peers_tick (a, now_us);
+  ck_assert_uint_eq (wl_peers_traffic (a).queued_bytes, 0);
+  close (fd);
+  wl_clock_set (0);
+  wl_peers_destroy (a);
+  wl_reactor_destroy (reactor);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -236,6 +268,7 @@
     WL_TEST (a_wrong_key_is_rejected),
     WL_TEST (a_silent_connection_is_replaced),
     WL_TEST (a_lost_opening_packet_is_not_waited_for),
+    WL_TEST (queues_to_all_peers_together_are_bounded),
     WL_TEST (random_bytes_close_the_connection_and_nothing_else),
   };
   return wl_test_run ("peers", tests, sizeof tests / sizeof tests[0]);
--- a/runtime/wl_peers.c
+++ b/runtime/wl_peers.c
@@ -53,6 +53,7 @@
   Dial *dials;
   uint32_t n_dials;
   uint8_t key[crypto_generichash_KEYBYTES];
+  uint64_t queued_bytes;
   uint64_t sent_bytes;
   uint64_t dropped_frames;
 };
@@ -69,14 +70,17 @@
 queue_frame (Connection *c, WlBytes payload)
 {
   uint8_t header[HEADER_SIZE];
-  if (wl_buffer_left (&c->out) + payload.size > WL_PEER_QUEUE_MAX)
+  if (wl_buffer_left (&c->out) + payload.size > WL_PEER_QUEUE_MAX
+      || c->peers->queued_bytes + payload.size > WL_PEERS_QUEUE_MAX)
     {
       c->peers->dropped_frames++;
-      wl_log_eventf (WL1106_PEER_QUEUE_FULL, "peer=%u queued_bytes=%zu bytes=%u", c->node,
-                     wl_buffer_left (&c->out), payload.size);
+      wl_log_eventf (WL1106_PEER_QUEUE_FULL, "peer=%u queued_bytes=%zu all_bytes=%lu bytes=%u",
+                     c->node, wl_buffer_left (&c->out), (unsigned long)c->peers->queued_bytes,
+                     payload.size);
       return;
     }
   c->peers->sent_bytes += HEADER_SIZE + payload.size;
+  c->peers->queued_bytes += HEADER_SIZE + payload.size;
   header[0] = (uint8_t)(payload.size >> 24);
   header[1] = (uint8_t)(payload.size >> 16);
   header[2] = (uint8_t)(payload.size >> 8);
@@ -112,6 +116,7 @@
 free_connection (Connection *c)
 {
   close_connection (c);
+  c->peers->queued_bytes -= wl_buffer_left (&c->out);
   wl_buffer_clear (&c->in);
   wl_buffer_clear (&c->out);
   apr_pool_destroy (c->pool);
@@ -164,6 +169,7 @@
       apr_status_t status
           = apr_socket_send (c->socket, (const char *)wl_buffer_bytes (&c->out).data, &n);
       wl_buffer_take (&c->out, n);
+      c->peers->queued_bytes -= n;
       if (status != APR_SUCCESS && !APR_STATUS_IS_EAGAIN (status))
         lose_connection (c, WL1103_PEER_LOST);
       if (status != APR_SUCCESS || n == 0)
@@ -446,10 +452,11 @@
 WlPeersTraffic
 wl_peers_traffic (const WlPeers *peers)
 {
-  WlPeersTraffic t = { .sent_bytes = peers->sent_bytes, .dropped_frames = peers->dropped_frames };
-  for (const Connection *c = peers->connections; c != NULL; c = c->next)
-    t.queued_bytes += wl_buffer_left (&c->out);
-  return t;
+  return (WlPeersTraffic){
+    .queued_bytes = peers->queued_bytes,
+    .sent_bytes = peers->sent_bytes,
+    .dropped_frames = peers->dropped_frames,
+  };
 }
 
 void
--- a/runtime/wl_peers.h
+++ b/runtime/wl_peers.h
@@ -15,13 +15,14 @@
 
 enum
 {
-  WL_PEER_PROBE_US = 700000,    /* quiet time after which a probe is sent */
-  WL_PEER_SILENCE_US = 2000000, /* quiet time after which a connection is closed */
-  WL_PEER_IDLE_US = 30000000,   /* a connection without messages is closed */
-  WL_PEER_CONNECT_US = 300000,  /* a lost opening packet is sent again after a second only */
-  WL_PEER_REDIAL_US = 80000,    /* shortest time between two dials: below the nodes' tick */
-  WL_PEER_FRAME_MAX = 4 << 20,  /* bytes of one frame */
-  WL_PEER_QUEUE_MAX = 16 << 20, /* bytes queued on one connection */
+  WL_PEER_PROBE_US = 700000,     /* quiet time after which a probe is sent */
+  WL_PEER_SILENCE_US = 2000000,  /* quiet time after which a connection is closed */
+  WL_PEER_IDLE_US = 30000000,    /* a connection without messages is closed */
+  WL_PEER_CONNECT_US = 300000,   /* a lost opening packet is sent again after a second only */
+  WL_PEER_REDIAL_US = 80000,     /* shortest time between two dials: below the nodes' tick */
+  WL_PEER_FRAME_MAX = 4 << 20,   /* bytes of one frame */
+  WL_PEER_QUEUE_MAX = 8 << 20,   /* bytes queued on one connection: two of the largest frames */
+  WL_PEERS_QUEUE_MAX = 24 << 20, /* on all of them: a seventh of the smallest VM's 160 MB */
 };
 
 typedef struct WlPeers WlPeers;
