--- a/relay/tests/test_host.c
+++ b/relay/tests/test_host.c
@@ -8,7 +8,7 @@
 #include "wl_clock.h"
 #include "wl_host_internal.h"
 #include "wl_test.h"
-#include "wl_test_loopback.h"
+#include "wl_test_host.h"
 
 /* A node across restarts: what it knows again without anybody telling it. */
 
@@ -135,14 +135,6 @@
 }
 END_TEST
 
-static WlRoutes *
-parse_any (WlBytes text, WlFindings *findings)
-{
-  (void)text;
-  (void)findings;
-  return wl_routes_create ();
-}
-
 static void
 on_submitted (void *data, WlHostOutcome outcome, WlBytes text)
 {
@@ -159,7 +151,7 @@
   static Fixture f;
   int is_done = 0;
   create (&f);
-  f.options.parse = parse_any;
+  f.options.parse = wl_test_parse_any;
   f.options.seeds[0] = f.options.node;
   f.options.n_seeds = 1;
   start (&f);
--- a/relay/tests/test_host_gossip.c
+++ b/relay/tests/test_host_gossip.c
@@ -4,7 +4,7 @@
 #include "wl_clock.h"
 #include "wl_host_internal.h"
 #include "wl_test.h"
-#include "wl_test_loopback.h"
+#include "wl_test_host.h"
 
 /*
  * Nodes that start at the same moment, as after a loss of power, on a clock
@@ -33,20 +33,10 @@
   wl_test_free_ports (f->ports, 2);
 }
 
-/* Starts a node without a disk whose only seed is node 0. */
 static void
 start (Fixture *f, uint32_t i)
 {
-  WlHostOptions options = {
-    .node = wl_test_loopback (i + 1),
-    .zone = "z",
-    .key = "key",
-    .peer_port = f->ports[0],
-    .front_port = f->ports[1],
-    .seeds = { wl_test_loopback (1) },
-    .n_seeds = 1,
-  };
-  ck_assert_int_eq (wl_host_create (&options, &f->nodes[i]), WL_OK);
+  f->nodes[i] = wl_test_start_node (i, f->ports);
 }
 
 static void
--- a/relay/tests/test_host_text.c
+++ b/relay/tests/test_host_text.c
@@ -7,7 +7,7 @@
 #include "wl_host_internal.h"
 #include "wl_random.h"
 #include "wl_test.h"
-#include "wl_test_loopback.h"
+#include "wl_test_host.h"
 
 /* How a services text travels between nodes, on a clock that stands still but where a test moves
  * it. */
@@ -30,14 +30,6 @@
   apr_pool_t *pool;
 } Fixture;
 
-static WlRoutes *
-parse_any (WlBytes text, WlFindings *findings)
-{
-  (void)text;
-  (void)findings;
-  return wl_routes_create ();
-}
-
 static void
 setup (Fixture *f)
 {
@@ -47,21 +39,10 @@
   apr_pool_create (&f->pool, NULL);
 }
 
-/* Starts a node without a disk whose only seed is node 0. */
 static void
 start (Fixture *f, uint32_t i)
 {
-  WlHostOptions options = {
-    .node = wl_test_loopback (i + 1),
-    .zone = "z",
-    .key = "key",
-    .peer_port = f->ports[0],
-    .front_port = f->ports[1],
-    .seeds = { wl_test_loopback (1) },
-    .n_seeds = 1,
-    .parse = parse_any,
-  };
-  ck_assert_int_eq (wl_host_create (&options, &f->nodes[i]), WL_OK);
+  f->nodes[i] = wl_test_start_node (i, f->ports);
 }
 
 static void
--- /dev/null
+++ b/tests/wl_test_host.h
@@ -0,0 +1,39 @@
+#ifndef WL_TEST_HOST_H
+#define WL_TEST_HOST_H
+
+#include <check.h>
+#include "wl_host.h"
+#include "wl_test_loopback.h"
+
+/* What the tests of the host share: nodes on loopback addresses that take any text. */
+
+/* Reads every text as a configuration without routes. */
+static inline WlRoutes *
+wl_test_parse_any (WlBytes text, WlFindings *findings)
+{
+  (void)text;
+  (void)findings;
+  return wl_routes_create ();
+}
+
+/* Starts node @i without a disk, whose only seed is node 0. @ports: for other nodes, for callers.
+ */
+static inline WlHost *
+wl_test_start_node (uint32_t i, const uint16_t *ports)
+{
+  WlHost *host = NULL;
+  WlHostOptions options = {
+    .node = wl_test_loopback (i + 1),
+    .zone = "z",
+    .key = "key",
+    .peer_port = ports[0],
+    .front_port = ports[1],
+    .seeds = { wl_test_loopback (1) },
+    .n_seeds = 1,
+    .parse = wl_test_parse_any,
+  };
+  ck_assert_int_eq (wl_host_create (&options, &host), WL_OK);
+  return host;
+}
+
+#endif
