Test: ten changes a second reach every node of a fleet with relays

24 nodes in three failure domains on a clock that the test moves, a text of 300 KB, twenty changes ten a second: the last is in force everywhere a second later, and a node sends at most 4 KB a change on average. A mutant that leaves deltas uncompressed is found out by test_host_text.

--- a/relay/tests/test_host_gossip.c
+++ b/relay/tests/test_host_gossip.c
@@ -36,7 +36,7 @@
 static void
 start (Fixture *f, uint32_t i)
 {
-  f->nodes[i] = wl_test_start_node (i, f->ports);
+  f->nodes[i] = wl_test_start_node (i, f->ports, "z");
 }
 
 static void
--- a/relay/tests/test_host_text.c
+++ b/relay/tests/test_host_text.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <apr_general.h>
@@ -14,8 +15,15 @@
 
 enum
 {
-  NODES = 2,
-  TURNS = 200, /* of every node's loop; the bound only ends a test that has failed */
+  NODES_MAX = 24, /* above what a mesh takes: relays pass changes on */
+  DOMAINS = 3,
+  TURNS = 200,           /* of every node's loop; the bound only ends a test that has failed */
+  TURN_US = 100000,      /* every tick is due at every turn, so that no loop waits */
+  MEETING_US = 3000000,  /* for all nodes to know each other */
+  IN_FORCE_US = 1000000, /* from a commit to the last node */
+  CHANGES = 20,
+  CHANGE_GAP_US = 100000, /* ten changes a second */
+  CHANGE_BYTES = 4096,    /* that a node sends on average for one change */
   NOW_US = 50000000,
   TICK_US = 100000,
   PART_SIZE = 40,
@@ -26,7 +34,7 @@
 typedef struct
 {
   uint16_t ports[2]; /* for other nodes, for callers */
-  WlHost *nodes[NODES];
+  WlHost *nodes[NODES_MAX];
   apr_pool_t *pool;
 } Fixture;
 
@@ -39,16 +47,18 @@
   apr_pool_create (&f->pool, NULL);
 }
 
+static const char *const domains[DOMAINS] = { "x", "y", "z" };
+
 static void
 start (Fixture *f, uint32_t i)
 {
-  f->nodes[i] = wl_test_start_node (i, f->ports);
+  f->nodes[i] = wl_test_start_node (i, f->ports, domains[i % DOMAINS]);
 }
 
 static void
 teardown (Fixture *f)
 {
-  for (int i = 0; i < NODES; i++)
+  for (int i = 0; i < NODES_MAX; i++)
     wl_host_destroy (f->nodes[i]);
   apr_pool_destroy (f->pool);
   wl_clock_set (0);
@@ -91,7 +101,7 @@
 {
   for (int turn = 0; turn < TURNS && f->nodes[i]->number < number; turn++)
     {
-      for (int k = 0; k < NODES; k++)
+      for (int k = 0; k < NODES_MAX; k++)
         if (f->nodes[k] != NULL)
           wl_host_run_once (f->nodes[k]);
       if (turn % 20 == 19)
@@ -123,6 +133,59 @@
 }
 END_TEST
 
+static void
+run_all (Fixture *f, uint64_t duration_us)
+{
+  for (uint64_t end_us = wl_clock_now_us () + duration_us; wl_clock_now_us () < end_us;)
+    {
+      for (int i = 0; i < NODES_MAX; i++)
+        wl_host_run_once (f->nodes[i]);
+      wl_clock_set (wl_clock_now_us () + TURN_US);
+    }
+}
+
+static uint64_t
+bytes_sent (const Fixture *f)
+{
+  uint64_t bytes = 0;
+  for (int i = 0; i < NODES_MAX; i++)
+    bytes += wl_peers_traffic (f->nodes[i]->peers).sent_bytes;
+  return bytes;
+}
+
+/*
+ * Guards against relays that pass whole texts on, which takes longer than the
+ * next change is away: ten changes a second to a text of 300 KB.
+ */
+START_TEST (ten_changes_a_second_reach_every_node_of_a_fleet_with_relays)
+{
+  Fixture f;
+  setup (&f);
+  for (uint32_t i = 0; i < NODES_MAX; i++)
+    start (&f, i);
+  run_all (&f, MEETING_US);
+  receive_change (&f, 0, 1);
+  run_all (&f, MEETING_US);
+  uint64_t calm = bytes_sent (&f);
+  run_all (&f, CHANGES * CHANGE_GAP_US + IN_FORCE_US);
+  uint64_t before = bytes_sent (&f);
+  calm = before - calm;
+  for (uint64_t number = 2; number < 2 + CHANGES; number++)
+    {
+      receive_change (&f, 0, number);
+      run_all (&f, CHANGE_GAP_US);
+    }
+  run_all (&f, IN_FORCE_US);
+  for (int i = 0; i < NODES_MAX; i++)
+    {
+      ck_assert_uint_eq (f.nodes[i]->number, 1 + CHANGES);
+      ck_assert_int_eq (f.nodes[i]->is_text_new, 0);
+    }
+  ck_assert_uint_le (bytes_sent (&f) - before, calm + CHANGES * NODES_MAX * CHANGE_BYTES);
+  teardown (&f);
+}
+END_TEST
+
 static void
 on_answer (void *data, WlHostOutcome outcome, WlBytes text)
 {
@@ -156,10 +219,12 @@
 {
   const WlTest tests[] = {
     WL_TEST (a_node_that_missed_changes_is_told_these_and_not_the_whole_text),
+    WL_TEST (ten_changes_a_second_reach_every_node_of_a_fleet_with_relays),
     WL_TEST (a_node_takes_no_more_submissions_than_it_has_room_for),
   };
   if (sodium_init () < 0)
     return 1;
+  signal (SIGPIPE, SIG_IGN); /* as the daemon does: a peer may close first */
   apr_initialize ();
   return wl_test_run ("host_text", tests, sizeof tests / sizeof tests[0]);
 }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -62,6 +62,7 @@
 start lowest-version-first test_document core/agreement/wl_document.c 's/d->waiting\[i\]\.version > d->waiting\[best\]\.version/d->waiting[i].version < d->waiting[best].version/'
 start submissions-without-bound test_document core/agreement/wl_document.c 's/if \(bytes \+ s->text\.size > WL_DOCUMENT_WAITING_BYTES\)/if (0)/'
 start changes-without-bound test_recent core/base/wl_recent.c 's/while \(recent->bytes > WL_RECENT_BYTES\)/while (0)/'
+start deltas-not-compressed test_host_text core/base/wl_delta.c 's/if \(bytes->size <= WL_DELTA_PLAIN_MAX\)/if (1)/'
 start whole-text-for-missed-changes test_host_text relay/wl_host_text.c 's/has_number > 0 && wl_recent_covers \(&host->recent, has_number, host->number\)/0/'
 start bodies-without-bound test_web relay/transport/wl_web.c 's/web->body_bytes \+ bytes\.size > web->options\.bodies_max/0/'
 start read-without-quorum test_document core/agreement/wl_document.c 's/w->round <= confirmed/w->round >= 0/'
--- a/tests/wl_test_host.h
+++ b/tests/wl_test_host.h
@@ -1,6 +1,7 @@
 #ifndef WL_TEST_HOST_H
 #define WL_TEST_HOST_H
 
+#include <stdio.h>
 #include <check.h>
 #include "wl_host.h"
 #include "wl_test_loopback.h"
@@ -16,15 +17,16 @@
   return wl_routes_create ();
 }
 
-/* Starts node @i without a disk, whose only seed is node 0. @ports: for other nodes, for callers.
+/*
+ * Starts node @i of a failure domain without a disk, whose only seed is node 0.
+ * @ports: for other nodes, for callers.
  */
 static inline WlHost *
-wl_test_start_node (uint32_t i, const uint16_t *ports)
+wl_test_start_node (uint32_t i, const uint16_t *ports, const char *zone)
 {
   WlHost *host = NULL;
   WlHostOptions options = {
     .node = wl_test_loopback (i + 1),
-    .zone = "z",
     .key = "key",
     .peer_port = ports[0],
     .front_port = ports[1],
@@ -32,6 +34,7 @@
     .n_seeds = 1,
     .parse = wl_test_parse_any,
   };
+  snprintf (options.zone, sizeof options.zone, "%s", zone);
   ck_assert_int_eq (wl_host_create (&options, &host), WL_OK);
   return host;
 }
