A submission that waits is not refused when its node repeats it

With the queue of the leader full, a submission that was in it and was asked again got the answer that it had not been taken, and was committed later: an operator would have been told a falsehood. The leader looks for a repeat before it looks for room; a node whose question went out more than once keeps asking until its time limit, since an earlier leader may have taken it. The test of the leader failed before (an answer for the waiting one). Two comments said what the code does not do.

--- a/core/agreement/wl_document.c
+++ b/core/agreement/wl_document.c
@@ -284,12 +284,19 @@
     }
 }
 
-static Waiting *
-add_waiting (WlDocument *d, WaitingKind kind, uint32_t node, uint64_t id, uint64_t now_us)
+/* Whether a submission or read waits already: its sender repeats it. */
+static int
+is_waiting (const WlDocument *d, uint32_t node, uint64_t id)
 {
   for (uint32_t i = 0; i < d->n_waiting; i++)
     if (d->waiting[i].node == node && d->waiting[i].id == id)
-      return NULL; /* repeated by its sender */
+      return 1;
+  return 0;
+}
+
+static Waiting *
+add_waiting (WlDocument *d, WaitingKind kind, uint32_t node, uint64_t id, uint64_t now_us)
+{
   if (d->n_waiting == WL_DOCUMENT_WAITING_MAX)
     return NULL; /* the sender asks again */
   Waiting *w = &d->waiting[d->n_waiting++];
@@ -305,6 +312,8 @@
 on_submit (WlDocument *d, const WlSubmit *s, uint64_t now_us, WlEffects *fx)
 {
   uint64_t bytes = waiting_bytes (d);
+  if (is_waiting (d, s->node, s->id))
+    return;
   if (bytes + s->text.size > WL_DOCUMENT_WAITING_BYTES)
     {
       Waiting refused = { .node = s->node, .id = s->id };
@@ -325,6 +334,8 @@
 static void
 on_query (WlDocument *d, const WlQuery *q, uint64_t now_us)
 {
+  if (is_waiting (d, q->node, q->id))
+    return;
   Waiting *w = add_waiting (d, WAITING_READ, q->node, q->id, now_us);
   if (w == NULL)
     return;
--- a/core/base/wl_delta.c
+++ b/core/base/wl_delta.c
@@ -21,7 +21,7 @@
   return log;
 }
 
-/* Compresses bytes against a reference. Returns no bytes when memory is short. */
+/* Compresses bytes against a reference. */
 static WlBytes
 compress (WlBytes bytes, WlBytes reference, apr_pool_t *pool)
 {
--- a/core/tests/test_document.c
+++ b/core/tests/test_document.c
@@ -630,6 +630,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a refusal of what was taken: its sender asks again while the
+ * queue is full, and is told that it has not been taken, and then it is committed.
+ */
+START_TEST (a_submission_that_waits_is_not_refused_when_it_is_repeated)
+{
+  begin (31);
+  start_three ();
+  submit (1, large_text (1));
+  uint32_t node = leader ();
+  sim.nodes[node].is_cut = 1;
+  uint64_t first = ask (node, WL_MESSAGE_SUBMIT, 2, large_text (2));
+  run (3 * STEP_US);
+  for (uint64_t v = 3; v <= 40; v++)
+    {
+      ask (node, WL_MESSAGE_SUBMIT, v, large_text (v));
+      run (STEP_US);
+    }
+  uint64_t latest = sim.next_id;
+  sim.next_id = first - 1;
+  ck_assert_uint_eq (ask (node, WL_MESSAGE_SUBMIT, 2, large_text (2)), first);
+  sim.next_id = latest;
+  run (3 * STEP_US);
+  ck_assert_ptr_null (find_answer (first));
+  end ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -646,6 +674,7 @@
     WL_TEST (a_storm_of_changes_to_a_large_text_does_not_outgrow_a_replica),
     WL_TEST (of_submissions_that_wait_the_highest_version_is_committed_first),
     WL_TEST (submissions_beyond_the_bound_are_refused_at_once),
+    WL_TEST (a_submission_that_waits_is_not_refused_when_it_is_repeated),
   };
   apr_initialize ();
   return wl_test_run ("document", tests, sizeof tests / sizeof tests[0]);
--- a/relay/tests/test_host_text.c
+++ b/relay/tests/test_host_text.c
@@ -189,11 +189,31 @@
 static void
 on_answer (void *data, WlHostOutcome outcome, WlBytes text)
 {
-  (void)data;
-  (void)outcome;
   (void)text;
+  if (data != NULL)
+    *(WlHostOutcome *)data = outcome;
 }
 
+/* Guards against "not taken" for a submission that an earlier leader may have taken. */
+START_TEST (a_submission_that_was_repeated_is_not_reported_as_refused)
+{
+  Fixture f;
+  WlHostOutcome outcome = WL_HOST_DONE;
+  WlMessage m = { .kind = WL_MESSAGE_SUBMIT_REPLY };
+  setup (&f);
+  start (&f, 0);
+  m.u.submit_reply.id = wl_host_submit (f.nodes[0], 2, make_text (&f, 2), on_answer, &outcome);
+  m.u.submit_reply.outcome = WL_SUBMIT_UNAVAILABLE;
+  f.nodes[0]->questions->n_asked = 2;
+  wl_host_text_receive (f.nodes[0], wl_test_loopback (9), &m, NOW_US);
+  ck_assert_int_eq (outcome, WL_HOST_DONE); /* not called */
+  f.nodes[0]->questions->n_asked = 1;
+  wl_host_text_receive (f.nodes[0], wl_test_loopback (9), &m, NOW_US);
+  ck_assert_int_eq (outcome, WL_HOST_REFUSED);
+  teardown (&f);
+}
+END_TEST
+
 /* Guards against a node that keeps every text it is sent while no leader answers. */
 START_TEST (a_node_takes_no_more_submissions_than_it_has_room_for)
 {
@@ -220,6 +240,7 @@
   const WlTest tests[] = {
     WL_TEST (a_node_that_missed_changes_is_told_these_and_not_the_whole_text),
     WL_TEST (ten_changes_a_second_reach_every_node_of_a_fleet_with_relays),
+    WL_TEST (a_submission_that_was_repeated_is_not_reported_as_refused),
     WL_TEST (a_node_takes_no_more_submissions_than_it_has_room_for),
   };
   if (sodium_init () < 0)
--- a/relay/wl_host.h
+++ b/relay/wl_host.h
@@ -76,7 +76,7 @@
  * enum WlHostOutcome - answer to a question that only the control leader can answer
  * @WL_HOST_DONE: committed, or confirmed to be the newest
  * @WL_HOST_UNKNOWN: no answer in time; it may or may not have happened
- * @WL_HOST_REFUSED: too many submissions wait; to be sent again later
+ * @WL_HOST_REFUSED: too many submissions wait, and this one was not taken
  */
 typedef enum
 {
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -29,6 +29,7 @@
   WlHostAnswer answer;
   void *data;
   uint64_t asked_us;
+  uint32_t n_asked;
   uint64_t since_us;
   struct WlHostQuestion *next;
 } WlHostQuestion;
--- a/relay/wl_host_text.c
+++ b/relay/wl_host_text.c
@@ -280,6 +280,7 @@
   q->asked_us = now_us;
   if (leader == 0)
     return;
+  q->n_asked++;
   if (q->kind == WL_MESSAGE_SUBMIT)
     {
       m.u.submit.id = q->id;
@@ -399,6 +400,21 @@
   free_question (q);
 }
 
+/*
+ * The leader has no room. A submission that was asked before may have reached
+ * an earlier leader, so it goes on until an answer or the time limit.
+ */
+static void
+on_submit_refused (WlHost *host, uint64_t id)
+{
+  for (const WlHostQuestion *q = host->questions; q != NULL; q = q->next)
+    if (q->id == id && q->n_asked == 1)
+      {
+        answer_question (host, id, WL_HOST_REFUSED, (WlBytes){ NULL, 0 });
+        return;
+      }
+}
+
 static void
 on_query_reply (WlHost *host, const WlQueryReply *r)
 {
@@ -439,7 +455,7 @@
       if (message->u.submit_reply.outcome == WL_SUBMIT_ACCEPTED)
         answer_question (host, message->u.submit_reply.id, WL_HOST_DONE, (WlBytes){ NULL, 0 });
       else if (message->u.submit_reply.outcome == WL_SUBMIT_UNAVAILABLE)
-        answer_question (host, message->u.submit_reply.id, WL_HOST_REFUSED, (WlBytes){ NULL, 0 });
+        on_submit_refused (host, message->u.submit_reply.id);
       return 1;
     case WL_MESSAGE_QUERY_REPLY:
       on_query_reply (host, &message->u.query_reply);
