Log what a stop cuts: requests (WL4012) and unsent bytes of responses (WL1107)

The exit of a stopping node dropped requests with the line that their caller had left (WL4010), and connections with queued bytes without any line. The hypotheses of the incident differ in exactly these: which requests are cut in which phase, and how many bytes of finished responses were still queued here or in the kernel, with or without unread input. No behaviour changes.

--- a/relay/forwarding/wl_metrics.c
+++ b/relay/forwarding/wl_metrics.c
@@ -93,6 +93,7 @@
   wl_metrics_write_gauge (out, "answered_total", metrics->answered);
   wl_metrics_write_gauge (out, "streams_resumed_total", metrics->resumed);
   wl_metrics_write_gauge (out, "callers_gone_total", metrics->callers_disconnected);
+  wl_metrics_write_gauge (out, "cut_total", metrics->cut);
   write_reasons (out, "refused", metrics->refused);
   write_reasons (out, "failed", metrics->failed);
   write_reasons (out, "repeated", metrics->repeated);
--- a/relay/forwarding/wl_metrics.h
+++ b/relay/forwarding/wl_metrics.h
@@ -69,6 +69,7 @@
  * @failed: requests that may have run and failed, by reason
  * @repeated: retried attempts, by the reason why the previous one failed
  * @resumed: streams continued at another endpoint
+ * @cut: requests that were dropped without a whole answer when the node exited
  * @callers_disconnected: callers that disconnected before their response ended
  * @first_output: time to first output, by prompt size
  * @waiting: time from arrival to the first attempt
@@ -83,6 +84,7 @@
   uint64_t failed[WL_REASONS];
   uint64_t repeated[WL_REASONS];
   uint64_t resumed;
+  uint64_t cut;
   uint64_t callers_disconnected;
   WlHistogram first_output[WL_PROMPT_CLASSES];
   WlHistogram waiting;
--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -186,6 +186,27 @@
     wl_web_reply (web, status, "", (WlBytes){ NULL, 0 });
 }
 
+void
+wl_relay_cut (WlRelay *relay, uint64_t stopped_us)
+{
+  uint64_t now_us = wl_clock_now_us ();
+  while (relay->requests != NULL)
+    {
+      WlRelayRequest *r = relay->requests;
+      relay->metrics.cut++;
+      wl_log_eventf (WL4012_REQUEST_CUT,
+                     "request=%s route=%s phase=%d held_ms=%" PRIu64 " after_stop_ms=%" PRId64
+                     " hold=%s attempts=%u endpoint=%s prompt=%u queued_bytes=%zu",
+                     r->info.id != NULL ? r->info.id : "-", r->route != NULL ? r->route->name : "-",
+                     (int)r->phase, (now_us - r->arrived_us) / 1000,
+                     ((int64_t)r->arrived_us - (int64_t)stopped_us) / 1000,
+                     wl_choice_hold_name (r->choice.hold), r->attempts, r->target.id,
+                     r->choice_request.prompt, wl_web_queued (r->web));
+      wl_web_set_data (r->web, NULL);
+      free_request (r);
+    }
+}
+
 /* ---- retry budgets ---- */
 
 static WlBudget *
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -181,6 +181,15 @@
 /** wl_relay_drained() - resumes a paused response; callback of the web server */
 void wl_relay_drained (void *relay, WlWebRequest *web);
 
+/**
+ * wl_relay_cut() - drops all requests at the exit, and logs each
+ * @relay: the relay
+ * @stopped_us: when the node began to stop
+ *
+ * Their connections are left to the owner of the web server.
+ */
+void wl_relay_cut (WlRelay *relay, uint64_t stopped_us);
+
 /** wl_relay_tick() - places waiting requests and applies time limits */
 void wl_relay_tick (WlRelay *relay, uint64_t now_us);
 
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -4,7 +4,9 @@
 #include <string.h>
 #include <unistd.h>
 #include <netinet/in.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include "wl_clock.h"
 #include "wl_events.h"
@@ -38,6 +40,7 @@
   void *data;
   WlBuffer out;
   uint64_t linger_until_us; /* set by wl_tcp_finish(), else 0 */
+  uint8_t is_accepted;
   uint8_t is_connecting;
   uint8_t has_sent;
   uint8_t is_paused;
@@ -81,13 +84,38 @@
     }
 }
 
+/* Bytes in one of the kernel's queues of a connection; 0 when the kernel does not say. */
+static size_t
+kernel_queue_bytes (const WlTcp *tcp, unsigned long request)
+{
+  int n = 0;
+  return ioctl (tcp->fd, request, &n) == 0 && n > 0 ? (size_t)n : 0;
+}
+
+/* Logs what is lost with a caller's connection that is about to be closed, if anything is. */
+static void
+log_cut (const WlTcp *tcp, const char *reason)
+{
+  if (!tcp->is_accepted)
+    return;
+  size_t unsent = wl_buffer_left (&tcp->out);
+  size_t unread = kernel_queue_bytes (tcp, FIONREAD);
+  size_t unacknowledged = kernel_queue_bytes (tcp, SIOCOUTQ);
+  if (unsent > 0 || (unread > 0 && unacknowledged > 0))
+    wl_log_eventf (WL1107_RESPONSE_CUT, "reason=%s unsent=%zu unacknowledged=%zu unread=%zu",
+                   reason, unsent, unacknowledged, unread);
+}
+
 void
 wl_tcp_loop_destroy (WlTcpLoop *loop)
 {
   if (loop == NULL)
     return;
   while (loop->open != NULL)
-    wl_tcp_close (loop->open);
+    {
+      log_cut (loop->open, "exit");
+      wl_tcp_close (loop->open);
+    }
   free_closed (loop);
   while (loop->listeners != NULL)
     {
@@ -137,10 +165,13 @@
 static void
 end_connection (WlTcp *tcp, WlTcpEnd end)
 {
-  if (tcp->linger_until_us != 0 || tcp->handlers.ended == NULL)
-    wl_tcp_close (tcp);
-  else
-    tcp->handlers.ended (tcp->data, end);
+  if (tcp->linger_until_us == 0 && tcp->handlers.ended != NULL)
+    {
+      tcp->handlers.ended (tcp->data, end);
+      return;
+    }
+  log_cut (tcp, end == WL_TCP_END_CLOSED ? "closed" : "failed");
+  wl_tcp_close (tcp);
 }
 
 static void
@@ -267,8 +298,10 @@
         return;
       set_socket_options (fd);
       WlTcp *tcp = add_connection (l->loop, fd, 0);
-      if (tcp != NULL)
-        l->accepted (l->data, tcp);
+      if (tcp == NULL)
+        continue;
+      tcp->is_accepted = 1;
+      l->accepted (l->data, tcp);
     }
 }
 
@@ -421,7 +454,10 @@
     {
       WlTcp *next = tcp->next;
       if (tcp->linger_until_us != 0 && now_us > tcp->linger_until_us)
-        wl_tcp_close (tcp);
+        {
+          log_cut (tcp, "linger");
+          wl_tcp_close (tcp);
+        }
       tcp = next;
     }
 }
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -310,6 +310,8 @@
   if (host == NULL)
     return;
   wl_host_drop_leader_requests (host);
+  if (host->relay != NULL)
+    wl_relay_cut (host->relay, host->stopping_us);
   wl_web_destroy (host->client_server);
   wl_relay_destroy (host->relay);
   wl_fetch_client_destroy (host->client);
