Servers can close in order: stop listening, close idle connections, refuse partial requests

For the stop of a node, which until now left all of this to the end of the process: connections that wait to be accepted are reset, idle ones are closed while a request is on its way, requests read in part get no response. wl_web_close_idle() reads each idle connection once more before it closes it, wl_web_close() also rejects partial requests, wl_tcp_finishing() counts the connections whose last bytes are on their way.

--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -25,6 +25,7 @@
 {
   WlTcpLoop *loop;
   int fd;
+  uint16_t port;
   WlWatch *watch;
   void (*accepted) (void *data, WlTcp *tcp);
   void *data;
@@ -230,6 +231,13 @@
     tcp->handlers.received (tcp->data, (WlBytes){ chunk, (uint32_t)n });
 }
 
+void
+wl_tcp_read_now (WlTcp *tcp)
+{
+  if (!tcp->is_closed && !tcp->is_connecting && !tcp->is_paused)
+    read_socket (tcp);
+}
+
 static void
 finish_connect (WlTcp *tcp)
 {
@@ -328,12 +336,36 @@
     abort ();
   l->loop = loop;
   l->fd = fd;
+  l->port = ntohs (sa.sin_port);
   l->accepted = accepted;
   l->data = data;
   l->watch = wl_reactor_add (loop->reactor, fd, WL_READABLE, on_accept, l);
   l->next = loop->listeners;
   loop->listeners = l;
-  return ntohs (sa.sin_port);
+  return l->port;
+}
+
+static void
+close_listener (Listener *l)
+{
+  wl_reactor_remove (l->watch);
+  close (l->fd);
+  free (l);
+}
+
+void
+wl_tcp_unlisten (WlTcpLoop *loop, uint16_t port)
+{
+  for (Listener **slot = &loop->listeners; *slot != NULL; slot = &(*slot)->next)
+    {
+      Listener *l = *slot;
+      if (l->port != port)
+        continue;
+      on_accept (l, WL_READABLE);
+      *slot = l->next;
+      close_listener (l);
+      return;
+    }
 }
 
 WlTcp *
@@ -433,6 +465,15 @@
   mark_dirty (tcp);
 }
 
+uint32_t
+wl_tcp_finishing (const WlTcpLoop *loop)
+{
+  uint32_t n = 0;
+  for (const WlTcp *tcp = loop->open; tcp != NULL; tcp = tcp->next)
+    n += tcp->linger_until_us != 0;
+  return n;
+}
+
 void
 wl_tcp_flush (WlTcpLoop *loop)
 {
--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -67,6 +67,9 @@
 uint16_t wl_tcp_listen (WlTcpLoop *loop, uint32_t address, uint16_t port,
                         void (*accepted) (void *data, WlTcp *tcp), void *data);
 
+/** wl_tcp_unlisten() - accepts the connections that wait on a port, then closes the port */
+void wl_tcp_unlisten (WlTcpLoop *loop, uint16_t port);
+
 /**
  * wl_tcp_connect() - starts to connect
  * @loop: the loop
@@ -93,6 +96,9 @@
 /** wl_tcp_has_sent() - whether any byte was ever passed to the kernel */
 int wl_tcp_has_sent (const WlTcp *tcp);
 
+/** wl_tcp_read_now() - passes on what has arrived, without waiting for the event loop */
+void wl_tcp_read_now (WlTcp *tcp);
+
 /** wl_tcp_pause() - pauses (1) or resumes (0) reading */
 void wl_tcp_pause (WlTcp *tcp, int is_paused);
 
@@ -112,6 +118,9 @@
  */
 void wl_tcp_finish (WlTcp *tcp);
 
+/** wl_tcp_finishing() - number of connections after wl_tcp_finish() that are still open */
+uint32_t wl_tcp_finishing (const WlTcpLoop *loop);
+
 /** wl_tcp_flush() - writes the bytes queued in this iteration, frees closed connections */
 void wl_tcp_flush (WlTcpLoop *loop);
 
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -17,6 +17,7 @@
   uint8_t is_answering;    /* a request is with its handler */
   uint8_t is_reading;      /* part of a request has arrived */
   uint8_t is_closing;
+  uint32_t close_round;   /* of the server when the connection was last read for a close */
   uint8_t is_over_budget; /* the body exceeds what bodies_max leaves */
   WlWebRequest *next;
   WlWebRequest *previous;
@@ -31,6 +32,7 @@
   uint32_t n_active;
   uint64_t body_bytes; /* bytes of the bodies of all connections */
   uint8_t is_draining;
+  uint32_t close_round; /* number of calls that closed unused connections */
 };
 
 static void
@@ -298,6 +300,68 @@
   web->is_draining = 1;
 }
 
+static int
+is_idle (const WlWebRequest *c)
+{
+  return !c->is_answering && !c->is_reading;
+}
+
+/* The next connection to be read before the close, NULL for none; the list may change meanwhile. */
+static WlWebRequest *
+find_unchecked (const WlWeb *web, uint32_t round)
+{
+  for (WlWebRequest *c = web->connections; c != NULL; c = c->next)
+    if (c->close_round != round && !c->is_answering)
+      return c;
+  return NULL;
+}
+
+static void
+close_unused (WlWeb *web, int with_partial)
+{
+  WlWebRequest *c;
+  if (web->port != 0)
+    wl_tcp_unlisten (web->loop, web->port);
+  web->port = 0;
+  web->is_draining = 1;
+  web->close_round++;
+  while ((c = find_unchecked (web, web->close_round)) != NULL)
+    {
+      c->close_round = web->close_round;
+      wl_tcp_read_now (c->tcp); /* may free the connection */
+    }
+  for (c = web->connections; c != NULL;)
+    {
+      WlWebRequest *next = c->next;
+      if (is_idle (c))
+        finish_connection (c);
+      else if (with_partial && !c->is_answering)
+        reject (c, 503, "Retry-After: 0\r\n");
+      c = next;
+    }
+}
+
+void
+wl_web_close_idle (WlWeb *web)
+{
+  close_unused (web, 0);
+}
+
+void
+wl_web_close (WlWeb *web)
+{
+  close_unused (web, 1);
+}
+
+uint32_t
+wl_web_connections (const WlWeb *web)
+{
+  uint32_t n = 0;
+  for (const WlWebRequest *c = web->connections; c != NULL; c = c->next)
+    n++;
+  return n;
+}
+
 uint32_t
 wl_web_active (const WlWeb *web)
 {
--- a/relay/transport/wl_web.h
+++ b/relay/transport/wl_web.h
@@ -83,6 +83,26 @@
 /** wl_web_drain() - closes each connection after its next response */
 void wl_web_drain (WlWeb *web);
 
+/**
+ * wl_web_close_idle() - closes each connection as soon as it has no request
+ * @web: the server
+ *
+ * Stops listening at the first call. An idle connection is read once more before
+ * it is closed, so that a request that has arrived is still handled. Repeated
+ * calls close the connections that have become idle meanwhile.
+ */
+void wl_web_close_idle (WlWeb *web);
+
+/**
+ * wl_web_close() - as wl_web_close_idle(), and rejects requests that have arrived in part
+ *
+ * They get 503, since they have not run. Requests with the handler are not touched.
+ */
+void wl_web_close (WlWeb *web);
+
+/** wl_web_connections() - number of open connections, without those that are being closed */
+uint32_t wl_web_connections (const WlWeb *web);
+
 /** wl_web_active() - number of requests passed to the handler and not yet answered */
 uint32_t wl_web_active (const WlWeb *web);
 
