Soak of real processes: stops lose requests (fails)

Evidence on those cut short: kinds read and order, answers of 1.6 to 3.0 MB, status 200 and 1.05 to 1.1 MB received, nothing more for up to 9.8 s although the endpoint had sent all and the caller read on; WL4012 says phase=2 queued_bytes=0, there is no WL1107. An answer above WL_RELAY_BODY_MAX_BYTES is queued in one piece, which pauses reading from the endpoint; when the kernel takes all of it at once, write_queued () sees no blocked write, drained () is never called and reading never goes on. This happens without SIGTERM as well; a stop turns it into a status and a close.

--- /dev/null
+++ b/soak/wl_soak_caller.c
@@ -0,0 +1,455 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <arpa/inet.h>
+#include <http_parser.h>
+#include <jansson.h>
+#include <sys/socket.h>
+#include "wl_clock.h"
+#include "wl_soak_call.h"
+#include "wl_soak_caller.h"
+#include "wl_soak_conn.h"
+#include "wl_soak_request.h"
+
+enum
+{
+  READ_BYTES = 65536,
+  SLOW_READ_BYTES = 4096,
+  SLOW_READ_INTERVAL_US = 60000,
+  SLOW_RECEIVE_BYTES = 8192,
+  SLOW_ANSWER_MAX_BYTES = 200000,
+  RESOLVE_TIMEOUT_US = 1000000,
+  CONNECT_TIMEOUT_US = 1000000,
+  RETRY_PAUSE_US = 50000,
+  GRACE_PAST_DEADLINE_US
+  = 500000, /* a node answers by the deadline; a caller waits a little longer */
+  ADDRESSES_MAX = 64,
+  BIG_BODY_MAX_BYTES = 1000000,
+  NAME_SIZE = 64,
+};
+
+struct WlSoakCaller
+{
+  WlSoakCallerOptions options;
+  uint32_t traits;
+  uint64_t random;
+  WlSoakConn conn;
+  http_parser parser;
+  uint64_t connected_us;
+  uint64_t connect_us; /* earliest time to connect */
+  uint32_t node;
+
+  uint32_t addresses[ADDRESSES_MAX]; /* node indexes */
+  uint32_t n_addresses;
+  uint64_t addresses_end_us;
+  uint8_t is_resolving;
+  uint8_t has_answer; /* the connection has carried an answer */
+
+  WlSoakRequest *current; /* whose answer is due */
+  WlSoakRequest *next;    /* pipelined behind it */
+  WlSoakRequest *sending; /* one of them, until all is sent */
+  uint64_t next_us;       /* earliest time of the next request */
+  uint64_t leave_us;
+  uint64_t read_us;
+
+  WlBuffer text; /* left to send of a request */
+  uint64_t piece_us;
+  char name[NAME_SIZE];
+  char value[NAME_SIZE];
+  uint8_t was_value;
+  uint8_t closes;
+};
+
+/* ---- the end of a request ---- */
+
+static void
+end_request (WlSoakCaller *c, WlSoakRequest *r, WlSoakEnd end, uint64_t now_us)
+{
+  r->end = (uint8_t)end;
+  r->ended_us = now_us;
+  if (c->sending == r)
+    c->sending = NULL;
+}
+
+static void
+close_connection (WlSoakCaller *c, WlSoakEnd end)
+{
+  uint64_t now_us = wl_clock_now_us ();
+  if (c->current != NULL)
+    end_request (c, c->current, end, now_us);
+  if (c->next != NULL)
+    end_request (c, c->next, end, now_us);
+  if (c->next != NULL && c->closes)
+    c->next->is_behind_close = 1;
+  c->current = c->next = c->sending = NULL;
+  wl_buffer_clear (&c->text);
+  wl_soak_conn_close (&c->conn, 0);
+  c->connect_us = now_us + (c->traits & WL_SOAK_PRESSES ? 0 : RETRY_PAUSE_US);
+}
+
+/* ---- reading ---- */
+
+static int
+on_begin (http_parser *parser)
+{
+  WlSoakCaller *c = parser->data;
+  c->closes = 0;
+  c->was_value = 0;
+  c->name[0] = c->value[0] = '\0';
+  return c->current == NULL;
+}
+
+static void
+end_field (WlSoakCaller *c)
+{
+  WlSoakRequest *r = c->current;
+  if (strcasecmp (c->name, "X-Server-Seal") == 0)
+    r->has_seal = 1;
+  if (strcasecmp (c->name, "X-Attempt-Id") == 0 && strcmp (c->value, r->id) != 0)
+    r->has_wrong_id = 1;
+  c->name[0] = c->value[0] = '\0';
+}
+
+static void
+append (char *out, const char *data, size_t size)
+{
+  size_t used = strlen (out);
+  if (used + size < NAME_SIZE)
+    snprintf (out + used, NAME_SIZE - used, "%.*s", (int)size, data);
+}
+
+static int
+on_name (http_parser *parser, const char *data, size_t size)
+{
+  WlSoakCaller *c = parser->data;
+  if (c->was_value)
+    end_field (c);
+  c->was_value = 0;
+  append (c->name, data, size);
+  return 0;
+}
+
+static int
+on_value (http_parser *parser, const char *data, size_t size)
+{
+  WlSoakCaller *c = parser->data;
+  c->was_value = 1;
+  append (c->value, data, size);
+  return 0;
+}
+
+static int
+on_head (http_parser *parser)
+{
+  WlSoakCaller *c = parser->data;
+  end_field (c);
+  c->current->status = (uint16_t)parser->status_code;
+  c->current->answered_us = wl_clock_now_us ();
+  c->closes = !http_should_keep_alive (parser);
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *data, size_t size)
+{
+  WlSoakCaller *c = parser->data;
+  WlSoakRequest *r = c->current;
+  char expected[READ_BYTES];
+  if (r->status == 200 && r->body_bytes + size <= wl_soak_request_body_bytes (r))
+    {
+      wl_soak_request_body (r, r->body_bytes, expected, size);
+      r->has_other_bytes |= memcmp (expected, data, size) != 0;
+    }
+  r->body_bytes += size;
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  WlSoakCaller *c = parser->data;
+  uint64_t now_us = wl_clock_now_us ();
+  int is_pressing = c->traits & WL_SOAK_PRESSES;
+  c->closes |= !http_should_keep_alive (parser);
+  end_request (c, c->current, WL_SOAK_ANSWERED, now_us);
+  c->current = c->next;
+  c->next = NULL;
+  c->has_answer = 1;
+  c->next_us = now_us + (is_pressing ? 0 : wl_soak_between (&c->random, 0, 500) * 1000u);
+  if (c->closes || c->traits & (WL_SOAK_ANEW | WL_SOAK_HALF))
+    {
+      if (c->current != NULL)
+        c->current->is_behind_close = 1;
+      close_connection (c, WL_SOAK_CLOSED);
+      return 1;
+    }
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_message_begin = on_begin,
+  .on_header_field = on_name,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+static void
+on_readable (void *data, WlSoakConn *conn)
+{
+  WlSoakCaller *c = data;
+  char bytes[READ_BYTES];
+  int is_slow = c->traits & WL_SOAK_SLOW;
+  int n = wl_soak_conn_read (conn, bytes, is_slow ? SLOW_READ_BYTES : sizeof bytes);
+  if (n == WL_SOAK_AGAIN)
+    return;
+  if (n >= 0)
+    http_parser_execute (&c->parser, &callbacks, bytes, (size_t)n);
+  if (conn->fd < 0)
+    return;
+  if (n <= 0 || c->parser.http_errno != HPE_OK)
+    {
+      if (n > 0 && c->current == NULL)
+        printf ("broken: caller %u got bytes without a request from node %u\n", c->options.number,
+                c->node);
+      close_connection (c, n == 0 ? WL_SOAK_CLOSED : WL_SOAK_BROKEN);
+      return;
+    }
+  if (c->current != NULL && n < SLOW_READ_BYTES)
+    c->current->stalled_us = wl_clock_now_us ();
+  if (is_slow)
+    {
+      c->read_us = wl_clock_now_us () + SLOW_READ_INTERVAL_US;
+      wl_soak_conn_pause (conn, 1);
+    }
+}
+
+/* ---- addresses ---- */
+
+static void
+on_resolved (void *data, int status, const char *body)
+{
+  WlSoakCaller *c = data;
+  json_t *o = status == 200 ? json_loads (body, 0, NULL) : NULL;
+  const json_t *list = json_object_get (o, "addresses");
+  double ttl_s = json_number_value (json_object_get (o, "ttl_s"));
+  size_t i;
+  const json_t *item;
+  c->is_resolving = 0;
+  if (json_array_size (list) == 0)
+    c->connect_us = wl_clock_now_us () + RETRY_PAUSE_US;
+  else
+    c->n_addresses = 0;
+  json_array_foreach (list, i, item)
+  {
+    unsigned last = 0;
+    if (c->n_addresses < ADDRESSES_MAX
+        && sscanf (json_string_value (item), "%*u.%*u.%*u.%u", &last) == 1 && last > 0)
+      c->addresses[c->n_addresses++] = last - 1;
+  }
+  if (c->traits & WL_SOAK_STALE)
+    ttl_s *= 3;
+  if (json_array_size (list) > 0)
+    c->addresses_end_us = wl_clock_now_us () + (uint64_t)(ttl_s * 1e6);
+  json_decref (o);
+}
+
+static void
+resolve (WlSoakCaller *c)
+{
+  uint32_t node = wl_soak_between (&c->random, 0, c->options.n_nodes - 1);
+  c->is_resolving = 1;
+  wl_soak_call (c->options.node_net + node + 1, c->options.directory_port,
+                "GET /api/resolve?name=soak.example&region=region&zone=zone-a", NULL,
+                RESOLVE_TIMEOUT_US, on_resolved, c);
+}
+
+static void
+connect_to_node (WlSoakCaller *c, uint64_t now_us)
+{
+  if (now_us >= c->addresses_end_us)
+    {
+      if (!c->is_resolving)
+        resolve (c);
+      return;
+    }
+  c->node = c->addresses[wl_soak_between (&c->random, 0, c->n_addresses - 1)];
+  c->connected_us = now_us;
+  c->has_answer = 0;
+  http_parser_init (&c->parser, HTTP_RESPONSE);
+  c->parser.data = c;
+  wl_soak_conn_connect (&c->conn, c->options.node_net + c->node + 1, c->options.front_port,
+                        c->traits & WL_SOAK_SLOW ? SLOW_RECEIVE_BYTES : 0);
+}
+
+/* ---- sending ---- */
+
+static WlSoakKind
+choose_kind (uint64_t *random)
+{
+  static const uint8_t shares[WL_SOAK_KINDS] = { 30, 35, 10, 15, 10 }; /* per cent */
+  uint32_t at = wl_soak_between (random, 0, 99);
+  uint32_t kind = 0;
+  while (at >= shares[kind])
+    at -= shares[kind++];
+  return (WlSoakKind)kind;
+}
+
+static void
+add_text (WlSoakCaller *c, const char *text)
+{
+  wl_buffer_append (&c->text, (WlBytes){ (const uint8_t *)text, (uint32_t)strlen (text) });
+}
+
+static void
+write_request (WlSoakCaller *c, const WlSoakRequest *r)
+{
+  char line[512];
+  const WlSoakKindInfo *kind = &wl_soak_kinds[r->kind];
+  uint32_t size = c->traits & WL_SOAK_BIG ? wl_soak_between (&c->random, 0, BIG_BODY_MAX_BYTES)
+                                          : wl_soak_between (&c->random, 0, 2000);
+  char *body = malloc (size + 1);
+  if (body == NULL)
+    abort ();
+  memset (body, 'q', size);
+  body[size] = '\0';
+  snprintf (line, sizeof line,
+            "POST /%s/item HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: %s\r\n"
+            "X-Deadline-Ms: %u\r\nX-Api-Key: key-%u\r\n",
+            kind->name, r->id, kind->timeout_ms, c->options.number % 2);
+  add_text (c, line);
+  if (kind->service == 0)
+    {
+      snprintf (line, sizeof line,
+                "X-Model: m\r\nX-Token-Count: %u,%u\r\nX-Prompt-Prefix: %s:%u\r\n",
+                r->prompt_tokens, r->n_events, r->id, r->prompt_tokens);
+      add_text (c, line);
+    }
+  if (r->has_chunked_body && size > 1)
+    {
+      snprintf (line, sizeof line, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%.*s\r\n%x\r\n",
+                size / 2 > 100 ? 100 : size / 2, size / 2 > 100 ? 100 : (int)size / 2, body,
+                size - (size / 2 > 100 ? 100 : size / 2));
+      add_text (c, line);
+      add_text (c, body + (size / 2 > 100 ? 100 : size / 2));
+      add_text (c, "\r\n0\r\n\r\n");
+    }
+  else
+    {
+      snprintf (line, sizeof line, "Content-Length: %u\r\n\r\n", size);
+      add_text (c, line);
+      add_text (c, body);
+    }
+  free (body);
+}
+
+static void
+begin_request (WlSoakCaller *c, uint64_t now_us)
+{
+  WlSoakRequest *r = wl_soak_request_add (choose_kind (&c->random), c->options.number, &c->random);
+  if (c->options.is_sound)
+    r->fault = WL_SOAK_SOUND;
+  r->is_slow_reader = (c->traits & WL_SOAK_SLOW) != 0;
+  if (r->is_slow_reader && wl_soak_request_body_bytes (r) > SLOW_ANSWER_MAX_BYTES)
+    r->event_bytes = SLOW_ANSWER_MAX_BYTES / r->n_events;
+  r->is_pipelined = c->current != NULL;
+  r->node = c->node;
+  r->connected_us = c->connected_us;
+  r->started_us = now_us;
+  r->traits = c->traits;
+  if (c->current == NULL)
+    c->current = r;
+  else
+    c->next = r;
+  c->sending = r;
+  c->piece_us = 0;
+  c->leave_us = UINT64_MAX;
+  if (c->traits & WL_SOAK_LEAVES && wl_soak_between (&c->random, 0, 3) == 0)
+    c->leave_us = now_us + wl_soak_between (&c->random, 0, 4000) * 1000u;
+  write_request (c, r);
+}
+
+static void
+send_more (WlSoakCaller *c, uint64_t now_us)
+{
+  WlBytes left = wl_buffer_bytes (&c->text);
+  uint32_t size = left.size;
+  if (now_us >= c->piece_us && size > 0)
+    {
+      if (c->traits & WL_SOAK_PIECES)
+        size = wl_soak_between (&c->random, 1, size);
+      if (size < left.size)
+        c->piece_us = now_us + wl_soak_between (&c->random, 1, 300) * 1000u;
+      wl_soak_conn_send (&c->conn, left.data, size);
+      wl_buffer_take (&c->text, size);
+    }
+  if (wl_buffer_left (&c->text) > 0 || wl_buffer_left (&c->conn.out) > 0 || c->conn.is_connecting)
+    return;
+  c->sending->sent_us = wl_clock_now_us ();
+  c->sending = NULL;
+  if (c->traits & WL_SOAK_HALF)
+    shutdown (c->conn.fd, SHUT_WR);
+}
+
+WlSoakCaller *
+wl_soak_caller_create (const WlSoakCallerOptions *options)
+{
+  WlSoakCaller *c = calloc (1, sizeof *c);
+  if (c == NULL)
+    abort ();
+  c->options = *options;
+  c->random = options->seed;
+  c->conn = (WlSoakConn){ .fd = -1, .readable = on_readable, .data = c };
+  for (uint32_t bit = 1; bit <= WL_SOAK_BIG; bit *= 2)
+    if (options->traits & bit
+        && wl_soak_between (&c->random, 0, bit <= WL_SOAK_PIECES ? 2 : 5) == 0)
+      c->traits |= bit;
+  if (c->traits & (WL_SOAK_ANEW | WL_SOAK_HALF))
+    c->traits &= ~(uint32_t)WL_SOAK_PIPELINES;
+  return c;
+}
+
+static int
+may_begin (const WlSoakCaller *c, uint64_t now_us)
+{
+  if (c->sending != NULL || c->conn.is_connecting)
+    return 0;
+  if (c->current == NULL)
+    return now_us >= c->next_us;
+  return c->traits & WL_SOAK_PIPELINES && c->next == NULL && c->has_answer;
+}
+
+int
+wl_soak_caller_tick (WlSoakCaller *c, uint64_t now_us, int is_ending)
+{
+  if (c->conn.fd < 0 && !is_ending && now_us >= c->connect_us)
+    connect_to_node (c, now_us);
+  if (c->conn.fd < 0)
+    return !is_ending;
+  if (c->conn.is_connecting && now_us > c->connected_us + CONNECT_TIMEOUT_US)
+    close_connection (c, WL_SOAK_LEFT);
+  else if (!is_ending && may_begin (c, now_us))
+    begin_request (c, now_us);
+  if (c->conn.fd >= 0 && c->sending != NULL)
+    send_more (c, now_us);
+  if (c->conn.is_paused && now_us >= c->read_us)
+    wl_soak_conn_pause (&c->conn, 0);
+  if (c->current == NULL)
+    return !is_ending;
+  uint64_t limit_us = (uint64_t)wl_soak_kinds[c->current->kind].timeout_ms * 1000;
+  if (now_us > c->leave_us || now_us > c->current->started_us + limit_us + GRACE_PAST_DEADLINE_US)
+    close_connection (c, WL_SOAK_LEFT);
+  return 1;
+}
+
+void
+wl_soak_caller_destroy (WlSoakCaller *c)
+{
+  if (c == NULL)
+    return;
+  wl_soak_conn_close (&c->conn, 0);
+  wl_buffer_clear (&c->text);
+  free (c);
+}
