A stopping node refuses what it cannot answer in time, and ends the rest with a response

What callers saw: requests read around SIGTERM got no response at all; the connection was closed as the process exited, 7.4 s after SIGTERM.

Cause: the stop changed nothing for requests. Queued ones waited for a place as before, new ones were queued behind them, and the end of the process ended them all: by time 0.6 s before the grace time, or as soon as no request was with its handler, whatever had arrived on other connections.

The relay knows when the node exits. A request that is not at an endpoint is refused ("not run", with the time until callers use other nodes) as soon as twice its forecast duration does not fit before the exit; others are served. In the last twelfth of the grace time, which lies within the last sixth, requests that have not run are refused, those at endpoints fail with 504, responses that have begun are broken off after what was received; each is logged (WL4012). Connections are closed in order: idle ones once cached addresses have expired, partial requests with 503. The process exits when the last bytes are delivered, and a sixtieth of the grace time before it would be killed at the latest.

--- a/relay/forwarding/wl_metrics.h
+++ b/relay/forwarding/wl_metrics.h
@@ -29,6 +29,7 @@
   WL_REASON_SILENT,      /* the endpoint sent nothing for longer than its load explains */
   WL_REASON_NO_SEAL,     /* a response without the endpoint's seal, see WlRelayResponseInfo */
   WL_REASON_ERROR,       /* the endpoint responded with status 5xx */
+  WL_REASON_STOPPING,    /* the response cannot be complete before this node exits */
   WL_REASONS,
 } WlReason;
 
--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -39,8 +39,8 @@
   return relay;
 }
 
-static void
-free_request (WlRelayRequest *r)
+void
+wl_relay_free_request (WlRelayRequest *r)
 {
   WlRelay *relay = r->relay;
   wl_fetch_cancel (r->fetch);
@@ -65,7 +65,7 @@
   if (relay == NULL)
     return;
   while (relay->requests != NULL)
-    free_request (relay->requests);
+    wl_relay_free_request (relay->requests);
   wl_reservations_destroy (relay->reservations);
   wl_routes_release (relay->routes);
   free (relay);
@@ -129,7 +129,7 @@
       r->target.id, (now_us - r->arrived_us) / 1000,
       r->first_us > 0 ? (r->first_us - r->arrived_us) / 1000 : 0, r->choice.predicted_us / 1000,
       r->longest_pause_us / 1000);
-  free_request (r);
+  wl_relay_free_request (r);
 }
 
 static void
@@ -162,7 +162,7 @@
                  wl_choice_hold_name (r->choice.hold), r->choice.mean_backlog_us / 1000,
                  r->routes->number);
   WlWebRequest *web = r->web;
-  free_request (r);
+  wl_relay_free_request (r);
   reply_unavailable (web, retry_after_us);
 }
 
@@ -179,34 +179,13 @@
                  r->info.id != NULL ? r->info.id : "-", r->route->name, wl_reason_name (reason),
                  status, (wl_clock_now_us () - r->arrived_us) / 1000, r->attempts, r->target.id,
                  has_begun);
-  free_request (r);
+  wl_relay_free_request (r);
   if (has_begun)
     wl_web_end (web, 0);
   else
     wl_web_reply (web, status, "", (WlBytes){ NULL, 0 });
 }
 
-void
-wl_relay_cut (WlRelay *relay, uint64_t stopped_us)
-{
-  uint64_t now_us = wl_clock_now_us ();
-  while (relay->requests != NULL)
-    {
-      WlRelayRequest *r = relay->requests;
-      relay->metrics.cut++;
-      wl_log_eventf (WL4012_REQUEST_CUT,
-                     "request=%s route=%s phase=%d held_ms=%" PRIu64 " after_stop_ms=%" PRId64
-                     " hold=%s attempts=%u endpoint=%s prompt=%u queued_bytes=%zu",
-                     r->info.id != NULL ? r->info.id : "-", r->route != NULL ? r->route->name : "-",
-                     (int)r->phase, (now_us - r->arrived_us) / 1000,
-                     ((int64_t)r->arrived_us - (int64_t)stopped_us) / 1000,
-                     wl_choice_hold_name (r->choice.hold), r->attempts, r->target.id,
-                     r->choice_request.prompt, wl_web_queued (r->web));
-      wl_web_set_data (r->web, NULL);
-      free_request (r);
-    }
-}
-
 /* ---- retry budgets ---- */
 
 static WlBudget *
@@ -312,6 +291,12 @@
       r->retry_us = now_us + RESUME_RETRY_US;
       return;
     }
+  if ((r->choice.result == WL_CHOICE_PLACED || r->choice.result == WL_CHOICE_WAIT)
+      && wl_relay_exits_before_response (r, now_us))
+    {
+      wl_relay_refuse (r, wl_relay_move_delay_us (r->relay, now_us), WL_REASON_STOPPING);
+      return;
+    }
   switch (r->choice.result)
     {
     case WL_CHOICE_PLACED:
@@ -403,14 +388,15 @@
   wl_relay_place (r, now_us);
 }
 
+/* Refuses a request whose route was not looked up. */
 static void
-refuse_without_config (WlRelay *relay, WlWebRequest *web)
+refuse_unrouted (WlRelay *relay, WlWebRequest *web, uint64_t retry_after_us, WlReason reason)
 {
   const WlHttpHead *head = wl_web_head (web);
-  relay->metrics.refused[WL_REASON_NO_CONFIG]++;
+  relay->metrics.refused[reason]++;
   wl_log_eventf (WL4008_REQUEST_REFUSED, "target=%.80s reason=%s",
-                 wl_http_head_text (head, head->target), wl_reason_name (WL_REASON_NO_CONFIG));
-  reply_unavailable (web, NO_CONFIG_RETRY_AFTER_US);
+                 wl_http_head_text (head, head->target), wl_reason_name (reason));
+  reply_unavailable (web, retry_after_us);
 }
 
 /* A node that has just started has no configuration yet, but is about to receive one. */
@@ -418,7 +404,7 @@
 park_or_refuse (WlRelay *relay, WlWebRequest *web)
 {
   if (wl_clock_now_us () > relay->started_us + PARK_LIMIT_US)
-    refuse_without_config (relay, web);
+    refuse_unrouted (relay, web, NO_CONFIG_RETRY_AFTER_US, WL_REASON_NO_CONFIG);
   else
     add_request (relay, web, NULL)->is_parked = 1;
 }
@@ -431,12 +417,12 @@
   int has_config = relay->routes != NULL;
   if (!has_config && now_us <= relay->started_us + PARK_LIMIT_US)
     return;
-  free_request (r);
+  wl_relay_free_request (r);
   wl_web_set_data (web, NULL);
   if (has_config)
     wl_relay_handle (relay, web);
   else
-    refuse_without_config (relay, web);
+    refuse_unrouted (relay, web, NO_CONFIG_RETRY_AFTER_US, WL_REASON_NO_CONFIG);
 }
 
 void
@@ -448,6 +434,11 @@
   const char *target = wl_http_head_text (head, head->target);
   WlRelayRequestInfo info = { 0 };
   const WlRouteCustomer *customer = NULL;
+  if (relay->is_closed)
+    {
+      refuse_unrouted (relay, web, 0, WL_REASON_STOPPING);
+      return;
+    }
   if (relay->routes == NULL)
     {
       park_or_refuse (relay, web);
@@ -483,13 +474,13 @@
   relay->metrics.callers_disconnected++;
   if (r->is_parked)
     {
-      free_request (r);
+      wl_relay_free_request (r);
       return;
     }
   wl_log_eventf (WL4010_CALLER_GONE, "request=%s route=%s held_ms=%" PRIu64 " endpoint=%s phase=%d",
                  r->info.id != NULL ? r->info.id : "-", r->route->name,
                  (wl_clock_now_us () - r->arrived_us) / 1000, r->target.id, (int)r->phase);
-  free_request (r);
+  wl_relay_free_request (r);
 }
 
 void
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -182,13 +182,36 @@
 void wl_relay_drained (void *relay, WlWebRequest *web);
 
 /**
- * wl_relay_cut() - drops all requests at the exit, and logs each
+ * struct WlRelayStop - times of a node's stop, in monotonic time
+ * @began_us: when the node began to stop
+ * @moved_us: when callers use other nodes: by then, their cached addresses have expired
+ * @close_us: when wl_relay_close() will be called at the latest
+ */
+typedef struct
+{
+  uint64_t began_us;
+  uint64_t moved_us;
+  uint64_t close_us;
+} WlRelayStop;
+
+/**
+ * wl_relay_stop() - prepares for the exit of the node
  * @relay: the relay
- * @stopped_us: when the node began to stop
+ * @stop: when the node will exit
+ *
+ * A request that is not at an endpoint is refused as soon as its response cannot
+ * be expected to be complete before @stop->close_us.
+ */
+void wl_relay_stop (WlRelay *relay, const WlRelayStop *stop);
+
+/**
+ * wl_relay_close() - ends all requests, because the node exits
  *
- * Their connections are left to the owner of the web server.
+ * A request that has not run is refused, one without a response so far fails
+ * with 504, and a response that has begun is broken off. Each of the last two is
+ * logged. Requests that are read later are refused.
  */
-void wl_relay_cut (WlRelay *relay, uint64_t stopped_us);
+void wl_relay_close (WlRelay *relay);
 
 /** wl_relay_tick() - places waiting requests and applies time limits */
 void wl_relay_tick (WlRelay *relay, uint64_t now_us);
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -7,7 +7,8 @@
 
 /*
  * Shared by the files of the relay: wl_relay.c (requests), wl_relay_answer.c
- * (attempts and their responses) and wl_relay_retry.c (failed attempts).
+ * (attempts and their responses), wl_relay_retry.c (failed attempts) and
+ * wl_relay_stop.c (the exit of the node).
  */
 
 enum
@@ -140,6 +141,8 @@
   uint32_t n_budgets;
   WlMetrics metrics;
   WlReservations *reservations;
+  WlRelayStop stop;  /* @close_us is 0 until the node begins to stop */
+  uint8_t is_closed; /* wl_relay_close() was called */
 };
 
 /** wl_relay_choose() - chooses endpoints for a request now, without starting an attempt */
@@ -163,6 +166,9 @@
 /** wl_relay_fail() - responds with @status, or breaks off a response that has begun */
 void wl_relay_fail (WlRelayRequest *r, uint32_t status, WlReason reason);
 
+/** wl_relay_free_request() - cancels what is in progress for a request, and frees it */
+void wl_relay_free_request (WlRelayRequest *r);
+
 /** wl_relay_finish() - logs the end of a request that was answered, and frees it */
 void wl_relay_finish (WlRelayRequest *r, const char *outcome);
 
@@ -204,4 +210,16 @@
 /** wl_relay_replace_unresponsive() - moves a request from an unresponsive endpoint, if possible */
 void wl_relay_replace_unresponsive (WlRelayRequest *r, uint64_t now_us);
 
+/**
+ * wl_relay_exits_before_response() - whether the node may exit before a response is complete
+ * @r: a request whose endpoint was just chosen, or that has to wait
+ * @now_us: monotonic time
+ *
+ * Return: 0 also for a response that has begun, which goes on as long as possible.
+ */
+int wl_relay_exits_before_response (const WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_move_delay_us() - time until refused callers find another node; 0 while not stopping */
+uint64_t wl_relay_move_delay_us (const WlRelay *relay, uint64_t now_us);
+
 #endif
--- /dev/null
+++ b/relay/tests/test_relay_stop.c
@@ -0,0 +1,224 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <apr_general.h>
+#include "wl_clock.h"
+#include "wl_relay_fixture.h"
+#include "wl_test.h"
+
+/* Requests at a relay whose node stops. The clock is paused, and advanced by the tests. */
+
+enum
+{
+  LARGE_PROMPT = 20000,
+  GRACE_US = 7000000, /* from the beginning of the stop to wl_relay_close() */
+  MOVE_US = 1000000,  /* until callers use other nodes */
+};
+
+#define EVENT_STREAM                                                                               \
+  "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n"                 \
+  "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: 1\n\n\r\n"
+
+static RelayFixture *
+create (void)
+{
+  wl_clock_set (wl_clock_now_us ());
+  return relay_fixture_create ();
+}
+
+static void
+destroy (RelayFixture *f)
+{
+  wl_clock_set (0);
+  relay_fixture_destroy (f);
+}
+
+static void
+advance (RelayFixture *f, uint64_t us)
+{
+  wl_clock_set (wl_clock_now_us () + us);
+  relay_fixture_settle (f); /* ends with a tick; what it sends arrives in the next one */
+  relay_fixture_settle (f);
+}
+
+static void
+stop (RelayFixture *f, uint64_t close_delay_us)
+{
+  uint64_t now_us = wl_clock_now_us ();
+  const WlRelayStop times = { now_us, now_us + MOVE_US, now_us + close_delay_us };
+  wl_web_drain (f->web);
+  wl_relay_stop (f->relay, &times);
+  relay_fixture_settle (f);
+}
+
+static void
+send_large (RelayFixture *f)
+{
+  char text[256];
+  snprintf (text, sizeof text,
+            "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: 15000\r\n"
+            "X-Prompt: %d\r\nContent-Length: 0\r\n\r\n",
+            LARGE_PROMPT);
+  raw_client_send (&f->caller, text);
+  relay_fixture_settle (f);
+}
+
+/* Occupies the only engine, so that a large prompt has to wait for its memory. */
+static void
+send_large_that_waits (RelayFixture *f)
+{
+  WlWorkItem item = { .id = 1,
+                      .endpoint = wl_fleet_key ("engine-0"),
+                      .phase = WL_WORK_DECODING,
+                      .kv_tokens = RELAY_FIXTURE_MEMORY };
+  relay_fixture_register_engine (f, 0);
+  wl_load_apply (f->load, 2, 1, &item, wl_clock_now_us ());
+  send_large (f);
+  ck_assert_uint_eq (wl_relay_active (f->relay), 1);
+  ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
+}
+
+/* Guards against requests that wait until the exit and are dropped without a response. */
+START_TEST (a_request_that_waits_is_refused_when_it_can_no_longer_be_answered_before_the_exit)
+{
+  RelayFixture *f = create ();
+  send_large_that_waits (f);
+  stop (f, GRACE_US);
+  ck_assert_uint_eq (f->caller.size, 0);
+  advance (f, GRACE_US / 4);
+  ck_assert_uint_eq (f->caller.size, 0);
+  advance (f, GRACE_US / 2);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: 0."));
+  ck_assert_uint_eq (wl_relay_active (f->relay), 0);
+  ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against requests that are sent to an endpoint and cut by the exit. */
+START_TEST (a_request_that_would_outlast_the_node_is_refused_on_arrival)
+{
+  RelayFixture *f = create ();
+  relay_fixture_register_engine (f, 0);
+  stop (f, 500000);
+  send_large (f);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: 1."));
+  ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
+  destroy (f);
+}
+END_TEST
+
+START_TEST (a_stopping_node_serves_what_it_can_answer_before_its_exit)
+{
+  RelayFixture *f = create ();
+  relay_fixture_all_answer (f, RELAY_WHOLE, SCRIPT_KEEP);
+  stop (f, GRACE_US);
+  raw_client_send (&f->caller, RELAY_ONCE_REQUEST);
+  advance (f, 0);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "200 OK"));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "Connection: close\r\n"));
+  destroy (f);
+}
+END_TEST
+
+/* Guards against callers that learn nothing when the node exits before the endpoint responds. */
+START_TEST (a_request_at_an_endpoint_fails_with_504_at_the_exit)
+{
+  RelayFixture *f = create ();
+  relay_fixture_all_answer (f, NULL, SCRIPT_KEEP);
+  raw_client_send (&f->caller, RELAY_ONCE_REQUEST);
+  relay_fixture_settle (f);
+  ck_assert_uint_eq (relay_fixture_n_runs (f), 1);
+  stop (f, GRACE_US);
+  ck_assert_uint_eq (f->caller.size, 0);
+  wl_relay_close (f->relay);
+  relay_fixture_settle (f);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 504 "));
+  ck_assert_uint_eq (wl_relay_active (f->relay), 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a refusal ("not run") at the exit of a request that an endpoint has. */
+START_TEST (a_request_that_waits_is_refused_at_the_exit_and_one_that_was_sent_is_not)
+{
+  RelayFixture *f = create ();
+  send_large_that_waits (f);
+  stop (f, GRACE_US);
+  wl_relay_close (f->relay);
+  relay_fixture_settle (f);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a stream that the exit cuts and that looks complete, or loses queued events. */
+START_TEST (a_stream_in_progress_is_broken_off_after_its_events_at_the_exit)
+{
+  RelayFixture *f = create ();
+  relay_fixture_all_answer (f, EVENT_STREAM, SCRIPT_KEEP);
+  raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
+  relay_fixture_settle (f);
+  stop (f, GRACE_US);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "200 OK"));
+  wl_relay_close (f->relay);
+  relay_fixture_settle (f);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "id: 1\ndata: 1\n\n\r\n"));
+  ck_assert_ptr_null (strstr (f->caller.answer, "\r\n0\r\n\r\n"));
+  ck_assert_int_eq (f->caller.is_closed, 1);
+  ck_assert_uint_eq (wl_relay_metrics (f->relay)->cut, 1);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against requests read in the last moments that end without a response. */
+START_TEST (a_request_that_is_read_after_the_others_have_ended_is_refused)
+{
+  RelayFixture *f = create ();
+  relay_fixture_all_answer (f, RELAY_WHOLE, SCRIPT_KEEP);
+  stop (f, GRACE_US);
+  wl_relay_close (f->relay);
+  raw_client_send (&f->caller, RELAY_ONCE_REQUEST);
+  relay_fixture_settle (f);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a request that waits for the first configuration and is dropped at the exit. */
+START_TEST (a_request_that_waits_for_a_configuration_is_refused_at_the_exit)
+{
+  RelayFixture *f = create ();
+  wl_relay_set_routes (f->relay, NULL);
+  raw_client_send (&f->caller, RELAY_SAFE_REQUEST);
+  relay_fixture_settle (f);
+  ck_assert_uint_eq (wl_relay_active (f->relay), 1);
+  stop (f, GRACE_US);
+  wl_relay_close (f->relay);
+  relay_fixture_settle (f);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_uint_eq (wl_relay_active (f->relay), 0);
+  destroy (f);
+}
+END_TEST
+
+int
+main (void)
+{
+  const WlTest tests[] = {
+    WL_TEST (a_request_that_waits_is_refused_when_it_can_no_longer_be_answered_before_the_exit),
+    WL_TEST (a_request_that_would_outlast_the_node_is_refused_on_arrival),
+    WL_TEST (a_stopping_node_serves_what_it_can_answer_before_its_exit),
+    WL_TEST (a_request_at_an_endpoint_fails_with_504_at_the_exit),
+    WL_TEST (a_request_that_waits_is_refused_at_the_exit_and_one_that_was_sent_is_not),
+    WL_TEST (a_stream_in_progress_is_broken_off_after_its_events_at_the_exit),
+    WL_TEST (a_request_that_is_read_after_the_others_have_ended_is_refused),
+    WL_TEST (a_request_that_waits_for_a_configuration_is_refused_at_the_exit),
+  };
+  apr_initialize ();
+  return wl_test_run ("relay_stop", tests, sizeof tests / sizeof tests[0]);
+}
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -15,7 +15,8 @@
   SLOW_TICK_US = 100000,       /* interval of timeouts, expiry and gossip */
   BODIES_MAX_BYTES = 32 << 20, /* of callers' requests: a fifth of the smallest VM's 160 MB */
   FIRST_START_BIT = 1,         /* of replica incarnations: the disk was set up at the first start */
-  STOP_SLACK_US = 600000,      /* the process exits this long before it would be killed */
+  CLOSE_SHARE = 12,            /* the last part of the time to the exit: remaining requests end */
+  EXIT_SHARE = 60,             /* the process exits this part of the time before it is killed */
 };
 
 /* Limits until a configuration is applied. */
@@ -310,8 +311,6 @@
   if (host == NULL)
     return;
   wl_host_drop_leader_requests (host);
-  if (host->relay != NULL)
-    wl_relay_cut (host->relay, host->stopping_us);
   wl_web_destroy (host->client_server);
   wl_relay_destroy (host->relay);
   wl_fetch_client_destroy (host->client);
@@ -362,6 +361,43 @@
   wl_host_gossip_tick (host, now_us);
 }
 
+/* Time from the beginning of the stop at which the requests that remain are ended. */
+static uint64_t
+close_delay_us (const WlHost *host)
+{
+  return host->options.grace_us - host->options.grace_us / CLOSE_SHARE;
+}
+
+static int
+has_callers (const WlHost *host)
+{
+  return wl_web_connections (host->client_server) > 0;
+}
+
+/*
+ * A stopping node serves callers until their cached addresses have expired, then
+ * closes connections as they become idle, and at last ends what remains.
+ */
+static void
+stop_tick (WlHost *host, uint64_t now_us)
+{
+  if (host->stopping_us == 0)
+    return;
+  uint64_t elapsed_us = now_us - host->stopping_us;
+  int is_last_part = elapsed_us >= close_delay_us (host);
+  if (is_last_part && !host->is_closing)
+    wl_relay_close (host->relay);
+  if (is_last_part)
+    wl_web_close (host->client_server);
+  else if (elapsed_us > host->options.linger_us)
+    wl_web_close_idle (host->client_server);
+  else
+    return;
+  if (host->is_closing || (!is_last_part && has_callers (host)))
+    return;
+  host->is_closing = 1;
+}
+
 /* Whether anything may be due at the next tick; otherwise slow ticks are enough. */
 static int
 is_busy (const WlHost *host)
@@ -369,7 +405,7 @@
   return host->config_store != NULL || host->outbound_reports.n_reports > 0
          || host->inbound_reports.n_reports > 0 || host->leader_requests != NULL
          || host->is_config_pending || host->saved_config.size > 0
-         || wl_relay_active (host->relay) > 0;
+         || wl_relay_active (host->relay) > 0 || host->stopping_us != 0;
 }
 
 static void
@@ -381,6 +417,7 @@
     wl_histogram_add (&wl_relay_metrics (host->relay)->loop_lag, now_us - host->next_tick_us);
   host->next_tick_us = now_us + (is_busy (host) ? WL_HOST_TICK_US : SLOW_TICK_US);
   wl_relay_tick (host->relay, now_us);
+  stop_tick (host, now_us);
   wl_host_config_tick (host, now_us);
   slow_tick (host, now_us);
 }
@@ -441,10 +478,21 @@
     return;
   host->stopping_us = wl_clock_now_us ();
   wl_web_drain (host->client_server);
-  wl_log_eventf (WL1002_NODE_STOPPING, "active=%u", wl_relay_active (host->relay));
+  const WlRelayStop stop = {
+    .began_us = host->stopping_us,
+    .moved_us = host->stopping_us + host->options.address_lifetime_us,
+    .close_us = host->stopping_us + close_delay_us (host),
+  };
+  wl_relay_stop (host->relay, &stop);
   wl_membership_announce (host->membership, host->stopping_us);
 }
 
+int
+wl_host_is_closing (const WlHost *host)
+{
+  return host->is_closing;
+}
+
 int
 wl_host_may_exit (const WlHost *host)
 {
@@ -453,9 +501,9 @@
   if (host->stopping_us == 0)
     return 0;
   uint64_t elapsed_us = wl_clock_now_us () - host->stopping_us;
-  if (elapsed_us + STOP_SLACK_US > host->options.grace_us)
+  if (elapsed_us >= host->options.grace_us - host->options.grace_us / EXIT_SHARE)
     return 1;
-  return elapsed_us > host->options.linger_us && wl_web_active (host->client_server) == 0;
+  return host->is_closing && !has_callers (host) && wl_tcp_finishing (host->loop) == 0;
 }
 
 void
--- a/relay/wl_host.h
+++ b/relay/wl_host.h
@@ -45,6 +45,7 @@
  * @grace_us: longest time from wl_host_stop() to the exit
  * @linger_us: shortest time from wl_host_stop() to the exit, in which callers may still
  *   use the node
+ * @address_lifetime_us: how long callers usually cache the addresses of nodes
  * @retry_ratio: see WlRelayOptions
  * @retry_slack: see WlRelayOptions
  * @retry_window_us: see WlRelayOptions
@@ -65,6 +66,7 @@
   uint32_t tolerated_faults;
   uint64_t grace_us;
   uint64_t linger_us;
+  uint64_t address_lifetime_us;
   double retry_ratio;
   double retry_slack;
   uint64_t retry_window_us;
@@ -114,6 +116,9 @@
 /** wl_host_run_once() - waits for events, at most until the next tick, and processes them */
 void wl_host_run_once (WlHost *host);
 
+/** wl_host_is_closing() - whether the servers of the user should take no more requests */
+int wl_host_is_closing (const WlHost *host);
+
 /** wl_host_may_exit() - whether the process may exit: it has stopped or the disk failed */
 int wl_host_may_exit (const WlHost *host);
 
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -101,6 +101,7 @@
   uint8_t is_bootstrap_settled; /* it is known which nodes bootstrap the control group */
   uint8_t may_bootstrap;        /* the disk was set up at the system's first start */
   uint8_t has_failed;
+  uint8_t is_closing; /* no more requests are taken; the process exits soon */
   char address[WL_ADDRESS_SIZE];
 };
 
--- a/testkit/wl_raw_client.c
+++ b/testkit/wl_raw_client.c
@@ -8,16 +8,22 @@
 #include "wl_raw_client.h"
 
 void
-raw_client_connect (RawClient *client, uint16_t port)
+raw_client_connect_to (RawClient *client, uint32_t address, uint16_t port)
 {
   struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (port) };
   memset (client, 0, sizeof *client);
-  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  sa.sin_addr.s_addr = htonl (address);
   client->fd = socket (AF_INET, SOCK_STREAM, 0);
   ck_assert_int_eq (connect (client->fd, (struct sockaddr *)&sa, sizeof sa), 0);
   fcntl (client->fd, F_SETFL, O_NONBLOCK);
 }
 
+void
+raw_client_connect (RawClient *client, uint16_t port)
+{
+  raw_client_connect_to (client, INADDR_LOOPBACK, port);
+}
+
 void
 raw_client_send (RawClient *client, const char *text)
 {
--- a/testkit/wl_raw_client.h
+++ b/testkit/wl_raw_client.h
@@ -24,6 +24,9 @@
 /** raw_client_connect() - connects to a loopback port */
 void raw_client_connect (RawClient *client, uint16_t port);
 
+/** raw_client_connect_to() - connects to a port of an address in host byte order */
+void raw_client_connect_to (RawClient *client, uint32_t address, uint16_t port);
+
 /** raw_client_send() - sends a text */
 void raw_client_send (RawClient *client, const char *text);
 
