Operators' calls are answered before a node exits

What operators saw: a submission or a read that waited for the control leader when its node exited lost its connection without a response. Read from the code during the incident; the same cause as callers' requests: the end of the process was the end of the call.

The test calls the leader of a node that knows none; without wl_host_fail_leader_requests () it fails: n_answers == 0.

--- a/relay/tests/test_host_stop.c
+++ b/relay/tests/test_host_stop.c
@@ -151,6 +151,37 @@
 }
 END_TEST
 
+static uint32_t n_answers;
+static WlHostOutcome outcome;
+
+static void
+on_answer (void *data, WlHostOutcome result, WlBytes config)
+{
+  (void)data;
+  (void)config;
+  n_answers++;
+  outcome = result;
+}
+
+/* Guards against operators' calls that end with the process, without a response. */
+START_TEST (a_call_that_waits_for_the_leader_is_answered_before_the_exit)
+{
+  create ();
+  wl_host_stop (f.host);
+  advance (LINGER_US);
+  n_answers = 0;
+  ck_assert_uint_ne (wl_host_read_config (f.host, on_answer, NULL), 0);
+  settle ();
+  ck_assert_uint_eq (n_answers, 0);
+  advance (100000);
+  ck_assert_int_eq (wl_host_is_closing (f.host), 1);
+  ck_assert_uint_eq (n_answers, 1);
+  ck_assert_int_eq (outcome, WL_HOST_UNKNOWN);
+  ck_assert_uint_eq (wl_host_read_config (f.host, on_answer, NULL), 0);
+  destroy ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -159,6 +190,7 @@
     WL_TEST (a_request_that_has_arrived_in_part_is_refused_before_the_exit),
     WL_TEST (a_request_that_arrives_as_the_node_closes_is_answered),
     WL_TEST (a_node_exits_before_the_grace_time_ends_even_if_callers_stay),
+    WL_TEST (a_call_that_waits_for_the_leader_is_answered_before_the_exit),
   };
   apr_initialize ();
   if (sodium_init () < 0)
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -396,6 +396,7 @@
   if (host->is_closing || (!is_last_part && has_callers (host)))
     return;
   host->is_closing = 1;
+  wl_host_fail_leader_requests (host);
 }
 
 /* Whether anything may be due at the next tick; otherwise slow ticks are enough. */
--- a/relay/wl_host.h
+++ b/relay/wl_host.h
@@ -158,7 +158,8 @@
  * @data: passed to @on_answer
  *
  * Return: id of the request, for wl_host_cancel(). 0 when too many are in
- * progress: nothing was submitted, and @on_answer is not called.
+ * progress or the node is closing: nothing was submitted, and @on_answer is not
+ * called.
  */
 uint64_t wl_host_submit_config (WlHost *host, uint64_t version, WlBytes config,
                                 WlHostAnswer on_answer, void *data);
--- a/relay/wl_host_config.c
+++ b/relay/wl_host_config.c
@@ -339,7 +339,8 @@
   uint32_t n = count_requests (host, &bytes);
   apr_pool_create (&pool, NULL);
   WlBytes compressed = wl_config_compress (config, pool);
-  if (n >= WL_HOST_LEADER_REQUESTS_MAX || bytes + compressed.size > WL_HOST_SUBMISSIONS_BYTES)
+  if (host->is_closing || n >= WL_HOST_LEADER_REQUESTS_MAX
+      || bytes + compressed.size > WL_HOST_SUBMISSIONS_BYTES)
     wl_log_eventf (WL2111_SUBMISSION_REFUSED,
                    "version=%" PRIu64 " bytes=%u waiting=%u waiting_bytes=%" PRIu64, version,
                    compressed.size, n, bytes);
@@ -359,7 +360,7 @@
 wl_host_read_config (WlHost *host, WlHostAnswer on_answer, void *data)
 {
   uint64_t bytes;
-  if (count_requests (host, &bytes) >= WL_HOST_LEADER_REQUESTS_MAX)
+  if (host->is_closing || count_requests (host, &bytes) >= WL_HOST_LEADER_REQUESTS_MAX)
     return 0;
   WlHostLeaderRequest *r = add_request (host, WL_MESSAGE_QUERY, on_answer, data);
   send_request (host, r, r->created_us);
@@ -472,6 +473,13 @@
     }
 }
 
+static void
+log_unanswered (const WlHost *host, const WlHostLeaderRequest *r, uint64_t now_us)
+{
+  wl_log_eventf (r->kind == WL_MESSAGE_SUBMIT ? WL2108_CONFIG_UNANSWERED : WL2109_READ_UNCONFIRMED,
+                 "version=%" PRIu64 " leader=%u", r->version, wl_host_leader (host, now_us));
+}
+
 void
 wl_host_config_tick (WlHost *host, uint64_t now_us)
 {
@@ -482,9 +490,7 @@
       WlHostLeaderRequest *next = r->next;
       if (now_us > r->created_us + WL_HOST_LEADER_TIMEOUT_US)
         {
-          wl_log_eventf (
-              r->kind == WL_MESSAGE_SUBMIT ? WL2108_CONFIG_UNANSWERED : WL2109_READ_UNCONFIRMED,
-              "version=%" PRIu64 " leader=%u", r->version, wl_host_leader (host, now_us));
+          log_unanswered (host, r, now_us);
           finish_request (host, r->id, WL_HOST_UNKNOWN, (WlBytes){ NULL, 0 });
           next = host->leader_requests; /* the callback may have dropped others */
         }
@@ -513,6 +519,17 @@
   wl_metrics_write_gauge (out, "journal_queued_bytes", wl_journal_queued_bytes (host->journal));
 }
 
+void
+wl_host_fail_leader_requests (WlHost *host)
+{
+  while (host->leader_requests != NULL)
+    {
+      const WlHostLeaderRequest *r = host->leader_requests;
+      log_unanswered (host, r, wl_clock_now_us ());
+      finish_request (host, r->id, WL_HOST_UNKNOWN, (WlBytes){ NULL, 0 });
+    }
+}
+
 void
 wl_host_drop_leader_requests (WlHost *host)
 {
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -174,6 +174,9 @@
 /** wl_host_pull_config() - requests newer configurations from a node that has @number */
 void wl_host_pull_config (WlHost *host, uint32_t node, uint64_t number, uint64_t now_us);
 
+/** wl_host_fail_leader_requests() - ends all requests to the leader with WL_HOST_UNKNOWN */
+void wl_host_fail_leader_requests (WlHost *host);
+
 /** wl_host_drop_leader_requests() - frees all requests to the leader without calling back */
 void wl_host_drop_leader_requests (WlHost *host);
 
