A finishing connection stays until its caller has the bytes

Callers saw a status and a part of the body, then a close: wl_tcp_finish() closed a connection a second after the call, whether or not the response had been sent. While a node stops, every response ends with a close of its connection, so a caller that read slowly had one second from the moment at which the endpoint finished. Bytes that the kernel held were lost too where the caller sent on, since a close with unread input resets the connection.

The time to wait for the caller's close now starts when the process has written all and the kernel's send queue is empty (SIOCOUTQ; a kernel that does not support it counts as empty). Before that the connection stays as long as the caller takes 16 KiB, or what is left, in each 15 s, which is how long callers may be idle. That bounds a caller that reads a byte a second, which the kernel's user timeout does not end.

Tests on loopback sockets with a receive buffer of 32 KiB and a paused clock, before the change: a_response_is_sent_whole_after_the_linger_time: Assertion 'f->caller.taken_bytes == RESPONSE_BYTES' failed: 3768320, 8388608 bytes_in_the_kernel_reach_a_caller_that_sends_on: Assertion 'f->caller.taken_bytes == KERNEL_RESPONSE_BYTES' failed: 49152, 262144 a_caller_that_reads_slowly_keeps_its_connection: Assertion 'wl_tcp_finishing (f->loop) == 1' failed: 0, 1 After it all bytes arrive and the connection ends without a reset.

--- /dev/null
+++ b/relay/tests/test_tcp.c
@@ -0,0 +1,249 @@
+#include <string.h>
+#include <apr_general.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include "wl_clock.h"
+#include "wl_raw_client.h"
+#include "wl_tcp.h"
+#include "wl_test.h"
+
+/*
+ * Connections of callers on real sockets. Guards against a response that is
+ * forgotten before its bytes have reached the caller. The clock is paused.
+ */
+
+enum
+{
+  START_US = 1000000000,
+  RESPONSE_BYTES = 8 << 20,       /* more than the kernel queues for a caller that does not read */
+  KERNEL_RESPONSE_BYTES = 262144, /* fits into the kernel's queues, but not into the caller's */
+  CALLER_BUFFER_BYTES = 32768,
+  ROUNDS_MAX = 4000, /* iterations of the event loop, 1 ms each without traffic */
+};
+
+typedef struct
+{
+  WlReactor *reactor;
+  WlTcpLoop *loop;
+  uint16_t port;
+  uint64_t now_us;
+  WlTcp *tcp; /* the connection accepted last */
+  int n_accepted;
+  int n_received;
+  int n_ended;
+  WlTcpEnd end;
+  RawClient caller;
+} Fixture;
+
+static void
+on_received (void *data, WlBytes bytes)
+{
+  Fixture *f = data;
+  (void)bytes;
+  f->n_received++;
+}
+
+static void
+on_ended (void *data, WlTcpEnd end)
+{
+  Fixture *f = data;
+  f->n_ended++;
+  f->end = end;
+  wl_tcp_close (f->tcp);
+}
+
+static const WlTcpHandlers handlers = { .received = on_received, .ended = on_ended };
+
+static void
+on_accepted (void *data, WlTcp *tcp)
+{
+  Fixture *f = data;
+  f->tcp = tcp;
+  f->n_accepted++;
+  wl_tcp_set_handlers (tcp, &handlers, f);
+}
+
+static void
+turn (Fixture *f)
+{
+  wl_tcp_flush (f->loop);
+  wl_reactor_poll (f->reactor, 1000);
+  wl_tcp_flush (f->loop);
+}
+
+/* Lets everything that waits on the sockets happen while the clock stands still. */
+static void
+settle (Fixture *f)
+{
+  for (int i = 0; i < 60; i++)
+    turn (f);
+}
+
+static void
+advance (Fixture *f, uint64_t us)
+{
+  f->now_us += us;
+  wl_clock_set (f->now_us);
+  wl_tcp_tick (f->loop, f->now_us);
+  wl_tcp_flush (f->loop);
+}
+
+static Fixture *
+create (int buffer_bytes)
+{
+  static Fixture f;
+  memset (&f, 0, sizeof f);
+  f.now_us = START_US;
+  wl_clock_set (f.now_us);
+  ck_assert_int_eq (wl_reactor_create (&f.reactor), WL_OK);
+  f.loop = wl_tcp_loop_create (f.reactor);
+  f.port = wl_tcp_listen (f.loop, htonl (INADDR_LOOPBACK), 0, on_accepted, &f);
+  ck_assert_uint_ne (f.port, 0);
+  raw_client_connect_with_buffer (&f.caller, f.port, buffer_bytes);
+  for (int i = 0; i < ROUNDS_MAX && f.n_accepted == 0; i++)
+    turn (&f);
+  ck_assert_int_eq (f.n_accepted, 1);
+  return &f;
+}
+
+static void
+destroy (Fixture *f)
+{
+  raw_client_close (&f->caller);
+  wl_tcp_loop_destroy (f->loop);
+  wl_reactor_destroy (f->reactor);
+}
+
+static void
+respond (Fixture *f, uint32_t size)
+{
+  static uint8_t response[RESPONSE_BYTES];
+  memset (response, 'r', size);
+  wl_tcp_write (f->tcp, (WlBytes){ response, size });
+}
+
+/* The caller reads until it has @bytes in all, or the connection has closed. */
+static void
+take_up_to (Fixture *f, uint64_t bytes)
+{
+  for (int i = 0; i < ROUNDS_MAX && !f->caller.is_closed && f->caller.taken_bytes < bytes; i++)
+    {
+      turn (f);
+      raw_client_take (&f->caller, bytes - f->caller.taken_bytes);
+    }
+}
+
+static void
+take_until_closed (Fixture *f)
+{
+  take_up_to (f, UINT64_MAX);
+  ck_assert_int_eq (f->caller.is_closed, 1);
+}
+
+/* Guards against a slow caller that loses a response whose time to be sent ran from its end. */
+START_TEST (a_response_is_sent_whole_after_the_linger_time)
+{
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  respond (f, RESPONSE_BYTES);
+  wl_tcp_finish (f->tcp);
+  settle (f);
+  advance (f, 2 * WL_TCP_LINGER_US);
+  advance (f, 2 * WL_TCP_LINGER_US);
+  take_until_closed (f);
+  ck_assert_uint_eq (f->caller.taken_bytes, RESPONSE_BYTES);
+  ck_assert_int_eq (f->caller.error, 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a reset by the kernel that drops what it had not yet delivered. */
+START_TEST (bytes_in_the_kernel_reach_a_caller_that_sends_on)
+{
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  respond (f, KERNEL_RESPONSE_BYTES);
+  wl_tcp_finish (f->tcp);
+  settle (f);
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 1);
+  advance (f, 2 * WL_TCP_LINGER_US);
+  advance (f, 2 * WL_TCP_LINGER_US);
+  raw_client_send (&f->caller, "the rest of a body");
+  settle (f);
+  take_until_closed (f);
+  ck_assert_uint_eq (f->caller.taken_bytes, KERNEL_RESPONSE_BYTES);
+  ck_assert_int_eq (f->caller.error, 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against connections that stay for ever: the time runs once the caller has all bytes. */
+START_TEST (a_delivered_response_is_closed_after_the_linger_time)
+{
+  Fixture *f = create (0);
+  respond (f, 1000);
+  wl_tcp_finish (f->tcp);
+  settle (f);
+  take_until_closed (f);
+  ck_assert_uint_eq (f->caller.taken_bytes, 1000);
+  settle (f);
+  advance (f, WL_TCP_LINGER_US / 2);
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 1);
+  advance (f, WL_TCP_LINGER_US + 1);
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a caller that holds a connection and its bytes by reading a byte a second. */
+START_TEST (a_caller_that_hardly_reads_is_closed)
+{
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  respond (f, RESPONSE_BYTES);
+  wl_tcp_finish (f->tcp);
+  settle (f);
+  advance (f, 1);
+  for (uint64_t us = 0; us <= WL_TCP_SLOW_US + 1000000; us += 1000000)
+    {
+      raw_client_take (&f->caller, 1);
+      turn (f);
+      advance (f, 1000000);
+    }
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a slow caller that is cut although it takes its response steadily. */
+START_TEST (a_caller_that_reads_slowly_keeps_its_connection)
+{
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  respond (f, RESPONSE_BYTES);
+  wl_tcp_finish (f->tcp);
+  settle (f);
+  advance (f, 1);
+  for (uint32_t i = 1; i <= 20; i++)
+    {
+      take_up_to (f, (uint64_t)i * 8 * WL_TCP_SLOW_BYTES);
+      settle (f);
+      advance (f, WL_TCP_SLOW_US - 1000000);
+    }
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 1);
+  take_until_closed (f);
+  ck_assert_uint_eq (f->caller.taken_bytes, RESPONSE_BYTES);
+  ck_assert_int_eq (f->caller.error, 0);
+  destroy (f);
+}
+END_TEST
+
+int
+main (void)
+{
+  const WlTest tests[] = {
+    WL_TEST (a_response_is_sent_whole_after_the_linger_time),
+    WL_TEST (bytes_in_the_kernel_reach_a_caller_that_sends_on),
+    WL_TEST (a_delivered_response_is_closed_after_the_linger_time),
+    WL_TEST (a_caller_that_hardly_reads_is_closed),
+    WL_TEST (a_caller_that_reads_slowly_keeps_its_connection),
+  };
+  apr_initialize ();
+  return wl_test_run ("tcp", tests, sizeof tests / sizeof tests[0]);
+}
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <fcntl.h>
+#include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -40,7 +41,10 @@
   WlTcpHandlers handlers;
   void *data;
   WlBuffer out;
-  uint64_t linger_until_us; /* set by wl_tcp_finish(), else 0 */
+  uint64_t linger_until_us; /* end of the wait for the other end to close, 0 before it begins */
+  uint64_t slow_since_us;   /* when slow_from_bytes were undelivered */
+  size_t slow_from_bytes;
+  uint8_t is_finishing;
   uint8_t is_accepted;
   uint8_t is_connecting;
   uint8_t has_sent;
@@ -93,6 +97,16 @@
   return ioctl (tcp->fd, request, &n) == 0 && n > 0 ? (size_t)n : 0;
 }
 
+/* Bytes that the other end has not acknowledged, without the FIN, which the kernel counts too. */
+static size_t
+undelivered_bytes (const WlTcp *tcp)
+{
+  size_t in_kernel = kernel_queue_bytes (tcp, SIOCOUTQ);
+  if (tcp->has_shutdown && in_kernel > 0)
+    in_kernel--;
+  return wl_buffer_left (&tcp->out) + in_kernel;
+}
+
 /* Logs what is lost with a caller's connection that is about to be closed, if anything is. */
 static void
 log_cut (const WlTcp *tcp, const char *reason)
@@ -166,7 +180,7 @@
 static void
 end_connection (WlTcp *tcp, WlTcpEnd end)
 {
-  if (tcp->linger_until_us == 0 && tcp->handlers.ended != NULL)
+  if (!tcp->is_finishing && tcp->handlers.ended != NULL)
     {
       tcp->handlers.ended (tcp->data, end);
       return;
@@ -178,7 +192,7 @@
 static void
 shutdown_when_drained (WlTcp *tcp)
 {
-  if (tcp->linger_until_us == 0 || tcp->has_shutdown || wl_buffer_left (&tcp->out) > 0)
+  if (!tcp->is_finishing || tcp->has_shutdown || wl_buffer_left (&tcp->out) > 0)
     return;
   tcp->has_shutdown = 1;
   shutdown (tcp->fd, SHUT_WR);
@@ -227,7 +241,7 @@
       end_connection (tcp, n == 0 ? WL_TCP_END_CLOSED : WL_TCP_END_FAILED);
       return;
     }
-  if (tcp->linger_until_us == 0)
+  if (!tcp->is_finishing)
     tcp->handlers.received (tcp->data, (WlBytes){ chunk, (uint32_t)n });
 }
 
@@ -459,7 +473,8 @@
 {
   if (tcp->is_closed)
     return;
-  tcp->linger_until_us = wl_clock_now_us () + WL_TCP_LINGER_US;
+  tcp->is_finishing = 1;
+  tcp->slow_from_bytes = SIZE_MAX;
   tcp->handlers.drained = NULL;
   wl_tcp_pause (tcp, 0);
   mark_dirty (tcp);
@@ -470,7 +485,7 @@
 {
   uint32_t n = 0;
   for (const WlTcp *tcp = loop->open; tcp != NULL; tcp = tcp->next)
-    n += tcp->linger_until_us != 0;
+    n += tcp->is_finishing;
   return n;
 }
 
@@ -488,15 +503,35 @@
   free_closed (loop);
 }
 
+/* Why a finishing connection has to be closed now, NULL when it goes on. */
+static const char *
+find_end_reason (WlTcp *tcp, uint64_t now_us)
+{
+  size_t left = undelivered_bytes (tcp);
+  if (left == 0)
+    {
+      if (tcp->linger_until_us == 0)
+        tcp->linger_until_us = now_us + WL_TCP_LINGER_US;
+      return now_us > tcp->linger_until_us ? "linger" : NULL;
+    }
+  if (tcp->slow_from_bytes >= left + WL_TCP_SLOW_BYTES)
+    {
+      tcp->slow_from_bytes = left;
+      tcp->slow_since_us = now_us;
+    }
+  return now_us > tcp->slow_since_us + WL_TCP_SLOW_US ? "slow" : NULL;
+}
+
 void
 wl_tcp_tick (WlTcpLoop *loop, uint64_t now_us)
 {
   for (WlTcp *tcp = loop->open; tcp != NULL;)
     {
       WlTcp *next = tcp->next;
-      if (tcp->linger_until_us != 0 && now_us > tcp->linger_until_us)
+      const char *reason = tcp->is_finishing ? find_end_reason (tcp, now_us) : NULL;
+      if (reason != NULL)
         {
-          log_cut (tcp, "linger");
+          log_cut (tcp, reason);
           wl_tcp_close (tcp);
         }
       tcp = next;
--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -15,7 +15,9 @@
 {
   WL_TCP_USER_TIMEOUT_MS = 3000, /* a connection ends when data is unacknowledged for so long */
   WL_TCP_PROBE_S = 2,            /* idle time before a keep-alive probe, and between probes */
-  WL_TCP_LINGER_US = 1000000,    /* wait for the other end to close after the last byte sent */
+  WL_TCP_LINGER_US = 1000000,    /* wait for the other end to close after it has all bytes */
+  WL_TCP_SLOW_US = 15000000,     /* time in which it has to take WL_TCP_SLOW_BYTES, or the rest */
+  WL_TCP_SLOW_BYTES = 16384,
 };
 
 typedef struct WlTcpLoop WlTcpLoop;
@@ -112,9 +114,13 @@
  * wl_tcp_finish() - sends what is queued, then closes
  * @tcp: the connection; must not be used afterwards
  *
- * Reads and discards what still arrives until the other end closes or
- * WL_TCP_LINGER_US pass: closing with unread bytes would send a reset, which can
- * destroy the end of the response.
+ * Reads and discards what still arrives until the other end closes, or until
+ * WL_TCP_LINGER_US after it has acknowledged the last byte: closing with unread
+ * bytes would send a reset, which can destroy the end of the response.
+ *
+ * A slow reader keeps its connection as long as it takes WL_TCP_SLOW_BYTES, or
+ * what is left, in each WL_TCP_SLOW_US. One that takes fewer loses the rest, and
+ * so does one that is unresponsive for the user timeout of the kernel.
  */
 void wl_tcp_finish (WlTcp *tcp);
 
@@ -124,7 +130,7 @@
 /** wl_tcp_flush() - writes the bytes queued in this iteration, frees closed connections */
 void wl_tcp_flush (WlTcpLoop *loop);
 
-/** wl_tcp_tick() - runs timers: closes finished connections after WL_TCP_LINGER_US */
+/** wl_tcp_tick() - runs timers: closes finished connections, see wl_tcp_finish() */
 void wl_tcp_tick (WlTcpLoop *loop, uint64_t now_us);
 
 #endif
--- a/testkit/wl_raw_client.c
+++ b/testkit/wl_raw_client.c
@@ -8,22 +8,40 @@
 #include "wl_raw_client.h"
 
 void
-raw_client_connect (RawClient *client, uint16_t port)
+raw_client_connect_with_buffer (RawClient *client, uint16_t port, int buffer_bytes)
 {
   struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (port) };
   memset (client, 0, sizeof *client);
   sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   client->fd = socket (AF_INET, SOCK_STREAM, 0);
+  if (buffer_bytes > 0)
+    setsockopt (client->fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
   ck_assert_int_eq (connect (client->fd, (struct sockaddr *)&sa, sizeof sa), 0);
   fcntl (client->fd, F_SETFL, O_NONBLOCK);
 }
 
+void
+raw_client_connect (RawClient *client, uint16_t port)
+{
+  raw_client_connect_with_buffer (client, port, 0);
+}
+
 void
 raw_client_send (RawClient *client, const char *text)
 {
   ck_assert_int_eq (send (client->fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t)strlen (text));
 }
 
+/* Takes note of a receive that returned no bytes. */
+static void
+note_end (RawClient *client, ssize_t n)
+{
+  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    return;
+  client->error = n < 0 ? errno : 0;
+  client->is_closed = 1;
+}
+
 void
 raw_client_receive (RawClient *client)
 {
@@ -31,11 +49,29 @@
   ssize_t n = recv (client->fd, client->answer + client->size, room, 0);
   if (n > 0)
     client->size += (size_t)n;
-  else if (n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
-    client->is_closed = 1;
+  else
+    note_end (client, n);
   client->answer[client->size] = '\0';
 }
 
+void
+raw_client_take (RawClient *client, size_t max_bytes)
+{
+  static char chunk[65536];
+  while (max_bytes > 0 && !client->is_closed)
+    {
+      size_t size = max_bytes < sizeof chunk ? max_bytes : sizeof chunk;
+      ssize_t n = recv (client->fd, chunk, size, 0);
+      if (n <= 0)
+        {
+          note_end (client, n);
+          return;
+        }
+      client->taken_bytes += (uint64_t)n;
+      max_bytes -= (size_t)n;
+    }
+}
+
 void
 raw_client_close (RawClient *client)
 {
--- a/testkit/wl_raw_client.h
+++ b/testkit/wl_raw_client.h
@@ -11,6 +11,8 @@
  * @fd: the socket
  * @answer: bytes received, with a terminating zero
  * @size: number of bytes
+ * @taken_bytes: bytes received by raw_client_take()
+ * @error: errno of the failed receive when the connection was reset, else 0
  * @is_closed: the server has closed or reset the connection
  */
 typedef struct
@@ -18,18 +20,26 @@
   int fd;
   char answer[65536];
   size_t size;
+  uint64_t taken_bytes;
+  int error;
   int is_closed;
 } RawClient;
 
 /** raw_client_connect() - connects to a loopback port */
 void raw_client_connect (RawClient *client, uint16_t port);
 
+/** raw_client_connect_with_buffer() - connects with a receive buffer of a given size */
+void raw_client_connect_with_buffer (RawClient *client, uint16_t port, int buffer_bytes);
+
 /** raw_client_send() - sends a text */
 void raw_client_send (RawClient *client, const char *text);
 
 /** raw_client_receive() - takes what has arrived */
 void raw_client_receive (RawClient *client);
 
+/** raw_client_take() - takes up to @max_bytes of what has arrived, and only counts them */
+void raw_client_take (RawClient *client, size_t max_bytes);
+
 /** raw_client_close() - closes the connection */
 void raw_client_close (RawClient *client);
 
