A caller that shuts down its side still receives its response

Callers that shut down their sending side after a request, as many one-shot clients do, or that had pipelined a request which they then gave up, saw a response end short: recv() returning 0 closed the connection with all that was queued, both after wl_tcp_finish() and on a kept connection whose response had been completed but not sent.

A finishing connection now stops reading and writes on until its queue is empty or a write fails, and then closes; nothing is unread at that moment, so that the kernel goes on with what it holds. The HTTP server finishes the connection of a client that has shut down its side instead of closing it. A request that is with its handler is given up at once as before: a half-close cannot be told from a close, and its work must end.

--- a/relay/tests/test_tcp.c
+++ b/relay/tests/test_tcp.c
@@ -140,6 +140,13 @@
   ck_assert_int_eq (f->caller.is_closed, 1);
 }
 
+static void
+wait_finished (Fixture *f)
+{
+  for (int i = 0; i < ROUNDS_MAX && wl_tcp_finishing (f->loop) > 0; i++)
+    turn (f);
+}
+
 /* Guards against a slow caller that loses a response whose time to be sent ran from its end. */
 START_TEST (a_response_is_sent_whole_after_the_linger_time)
 {
@@ -193,6 +200,25 @@
 }
 END_TEST
 
+/* Guards against a response that is dropped because its caller has shut down its sending side. */
+START_TEST (a_caller_that_shuts_down_its_side_receives_what_is_queued)
+{
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  respond (f, RESPONSE_BYTES);
+  wl_tcp_finish (f->tcp);
+  settle (f);
+  shutdown (f->caller.fd, SHUT_WR);
+  settle (f);
+  advance (f, 2 * WL_TCP_LINGER_US);
+  take_until_closed (f);
+  ck_assert_uint_eq (f->caller.taken_bytes, RESPONSE_BYTES);
+  ck_assert_int_eq (f->caller.error, 0);
+  wait_finished (f);
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 0);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against a caller that holds a connection and its bytes by reading a byte a second. */
 START_TEST (a_caller_that_hardly_reads_is_closed)
 {
@@ -241,6 +267,7 @@
     WL_TEST (a_response_is_sent_whole_after_the_linger_time),
     WL_TEST (bytes_in_the_kernel_reach_a_caller_that_sends_on),
     WL_TEST (a_delivered_response_is_closed_after_the_linger_time),
+    WL_TEST (a_caller_that_shuts_down_its_side_receives_what_is_queued),
     WL_TEST (a_caller_that_hardly_reads_is_closed),
     WL_TEST (a_caller_that_reads_slowly_keeps_its_connection),
   };
--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -13,6 +13,9 @@
 enum
 {
   BODIES_MAX_BYTES = 4096 + 64, /* the largest body, and little more */
+  LARGE_BYTES = 8 << 20,        /* more than the kernel queues for a client that does not read */
+  SMALL_BUFFER_BYTES = 32768,
+  ROUNDS_MAX = 2000,
 };
 
 typedef struct
@@ -35,6 +38,11 @@
   f->n_handled++;
   if (strcmp (target, "/echo") == 0)
     wl_web_reply (request, 200, "", wl_web_body (request));
+  else if (strcmp (target, "/large") == 0)
+    {
+      static uint8_t body[LARGE_BYTES];
+      wl_web_reply (request, 200, "", (WlBytes){ body, sizeof body });
+    }
   else if (strcmp (target, "/broken") == 0)
     {
       wl_web_begin (request, 200, "");
@@ -99,6 +107,24 @@
   raw_client_send (&f->client, text);
 }
 
+/* A client that takes nothing until take_all() is called. */
+static void
+connect_slow (Fixture *f, RawClient *client)
+{
+  raw_client_connect_with_buffer (client, wl_web_port (f->web), SMALL_BUFFER_BYTES);
+}
+
+static void
+take_all (Fixture *f, RawClient *client)
+{
+  for (int i = 0; i < ROUNDS_MAX && !client->is_closed; i++)
+    {
+      script_run (f->reactor, f->loop, 1000, NULL);
+      raw_client_take (client, SIZE_MAX);
+    }
+  ck_assert_int_eq (client->is_closed, 1);
+}
+
 /* Guards against memory exhaustion: bodies within their limit, held for many connections. */
 START_TEST (a_body_above_the_common_limit_is_rejected_before_the_handler)
 {
@@ -216,6 +242,46 @@
 }
 END_TEST
 
+/* Guards against a complete response that is dropped because its client shut down its side. */
+START_TEST (a_client_that_shuts_down_its_side_receives_a_complete_response)
+{
+  Fixture *f = create ();
+  RawClient client;
+  connect_slow (f, &client);
+  raw_client_send (&client, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+  run (f, 60);
+  shutdown (client.fd, SHUT_WR);
+  run (f, 60);
+  take_all (f, &client);
+  ck_assert_uint_gt (client.taken_bytes, LARGE_BYTES);
+  ck_assert_int_eq (client.error, 0);
+  ck_assert_int_eq (f->n_gone, 0);
+  raw_client_close (&client);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against the loss of an earlier response with the request that its client has given up. */
+START_TEST (a_given_up_request_leaves_the_response_before_it)
+{
+  Fixture *f = create ();
+  RawClient client;
+  connect_slow (f, &client);
+  raw_client_send (&client, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
+                            "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  run (f, 60);
+  ck_assert_ptr_nonnull (f->waiting);
+  shutdown (client.fd, SHUT_WR);
+  run (f, 60);
+  ck_assert_int_eq (f->n_gone, 1);
+  take_all (f, &client);
+  ck_assert_uint_gt (client.taken_bytes, LARGE_BYTES);
+  ck_assert_int_eq (client.error, 0);
+  raw_client_close (&client);
+  destroy (f);
+}
+END_TEST
+
 START_TEST (a_draining_server_closes_after_its_response)
 {
   Fixture *f = create ();
@@ -254,6 +320,8 @@
     WL_TEST (oversized_and_malformed_requests_are_rejected_and_closed),
     WL_TEST (an_aborted_response_has_no_last_chunk),
     WL_TEST (a_close_after_pipelined_bytes_is_detected),
+    WL_TEST (a_client_that_shuts_down_its_side_receives_a_complete_response),
+    WL_TEST (a_given_up_request_leaves_the_response_before_it),
     WL_TEST (a_draining_server_closes_after_its_response),
     WL_TEST (an_incomplete_request_times_out),
   };
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -51,7 +51,8 @@
   uint8_t is_paused;
   uint8_t is_dirty; /* in the list of connections to be flushed */
   uint8_t is_closed;
-  uint8_t has_shutdown; /* the sending side is shut down */
+  uint8_t has_shutdown;      /* the sending side is shut down */
+  uint8_t has_peer_shutdown; /* the other end's is, and all that it sent has been read */
   uint8_t wants_write;
   WlTcp *next;
   WlTcp *previous;
@@ -161,7 +162,7 @@
 static void
 update_watch (WlTcp *tcp)
 {
-  int events = tcp->is_paused ? 0 : WL_READABLE;
+  int events = tcp->is_paused || tcp->has_peer_shutdown ? 0 : WL_READABLE;
   if (tcp->wants_write)
     events |= WL_WRITABLE;
   wl_reactor_modify (tcp->watch, events);
@@ -185,17 +186,24 @@
       tcp->handlers.ended (tcp->data, end);
       return;
     }
-  log_cut (tcp, end == WL_TCP_END_CLOSED ? "closed" : "failed");
+  log_cut (tcp, "failed");
   wl_tcp_close (tcp);
 }
 
+/* Ends the sending side of a finishing connection once its bytes are with the kernel. */
 static void
 shutdown_when_drained (WlTcp *tcp)
 {
-  if (!tcp->is_finishing || tcp->has_shutdown || wl_buffer_left (&tcp->out) > 0)
+  if (!tcp->is_finishing || wl_buffer_left (&tcp->out) > 0)
     return;
+  if (tcp->has_peer_shutdown)
+    {
+      wl_tcp_close (tcp); /* nothing is unread: the kernel goes on sending */
+      return;
+    }
+  if (!tcp->has_shutdown)
+    shutdown (tcp->fd, SHUT_WR);
   tcp->has_shutdown = 1;
-  shutdown (tcp->fd, SHUT_WR);
 }
 
 static void
@@ -225,10 +233,23 @@
       update_watch (tcp);
     }
   shutdown_when_drained (tcp);
-  if (was_blocked && tcp->handlers.drained != NULL)
+  if (was_blocked && !tcp->is_closed && tcp->handlers.drained != NULL)
     tcp->handlers.drained (tcp->data);
 }
 
+/* The other end has shut down its sending side, which need not mean that it has left. */
+static void
+end_reading (WlTcp *tcp)
+{
+  tcp->has_peer_shutdown = 1;
+  if (tcp->is_finishing)
+    shutdown_when_drained (tcp);
+  else
+    end_connection (tcp, WL_TCP_END_CLOSED);
+  if (!tcp->is_closed)
+    update_watch (tcp);
+}
+
 static void
 read_socket (WlTcp *tcp)
 {
@@ -236,19 +257,26 @@
   ssize_t n = recv (tcp->fd, chunk, sizeof chunk, 0);
   if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
     return;
+  if (n < 0)
+    end_connection (tcp, WL_TCP_END_FAILED);
+  if (n == 0)
+    end_reading (tcp);
   if (n <= 0)
-    {
-      end_connection (tcp, n == 0 ? WL_TCP_END_CLOSED : WL_TCP_END_FAILED);
-      return;
-    }
+    return;
   if (!tcp->is_finishing)
     tcp->handlers.received (tcp->data, (WlBytes){ chunk, (uint32_t)n });
 }
 
+static int
+can_read (const WlTcp *tcp)
+{
+  return !tcp->is_closed && !tcp->is_connecting && !tcp->has_peer_shutdown;
+}
+
 void
 wl_tcp_read_now (WlTcp *tcp)
 {
-  if (!tcp->is_closed && !tcp->is_connecting && !tcp->is_paused)
+  if (can_read (tcp) && !tcp->is_paused)
     read_socket (tcp);
 }
 
@@ -277,7 +305,7 @@
     finish_connect (tcp);
   else if ((ready & WL_WRITABLE) && !tcp->is_closed)
     write_queued (tcp);
-  if ((ready & WL_READABLE) && !tcp->is_closed && !tcp->is_connecting)
+  if ((ready & WL_READABLE) && can_read (tcp))
     read_socket (tcp);
 }
 
@@ -477,6 +505,7 @@
   tcp->slow_from_bytes = SIZE_MAX;
   tcp->handlers.drained = NULL;
   wl_tcp_pause (tcp, 0);
+  shutdown_when_drained (tcp);
   mark_dirty (tcp);
 }
 
--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -25,7 +25,8 @@
 
 /**
  * enum WlTcpEnd - how a connection ended
- * @WL_TCP_END_CLOSED: the other end closed its side
+ * @WL_TCP_END_CLOSED: the other end closed, or shut down its sending side and may
+ *   still be receiving
  * @WL_TCP_END_FAILED: reset, timeout or failed connect
  */
 typedef enum
@@ -38,7 +39,8 @@
  * struct WlTcpHandlers - callbacks of a connection
  * @connected: an outgoing connection is established; may be NULL
  * @received: bytes have arrived
- * @ended: the connection has ended; the callback has to close it
+ * @ended: the connection has ended; the callback has to close it, or to finish it
+ *   after WL_TCP_END_CLOSED
  * @drained: after a blocked write, all queued bytes are in the send buffer of the
  *   kernel; may be NULL
  */
@@ -119,7 +121,8 @@
  * bytes would send a reset, which can destroy the end of the response.
  *
  * A slow reader keeps its connection as long as it takes WL_TCP_SLOW_BYTES, or
- * what is left, in each WL_TCP_SLOW_US. One that takes fewer loses the rest, and
+ * what is left, in each WL_TCP_SLOW_US, also after it has shut down its sending
+ * side. One that takes fewer loses the rest, and
  * so does one that is unresponsive for the user timeout of the kernel.
  */
 void wl_tcp_finish (WlTcp *tcp);
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -175,10 +175,12 @@
 on_ended (void *data, WlTcpEnd end)
 {
   WlWebRequest *c = data;
-  (void)end;
   if (c->is_answering)
     c->web->options.disconnected (c->web->options.data, c);
-  close_connection (c);
+  if (end == WL_TCP_END_CLOSED)
+    finish_connection (c); /* the client may still be receiving earlier responses */
+  else
+    close_connection (c);
 }
 
 static void
