--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <fcntl.h>
+#include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -40,14 +41,18 @@
   WlTcpHandlers handlers;
   void *data;
   WlBuffer out;
-  uint64_t linger_until_us; /* set by wl_tcp_finish(), else 0 */
+  uint64_t linger_until_us; /* end of the wait for the other end to close, 0 before it begins */
+  uint64_t slow_since_us;   /* when slow_from_bytes were undelivered */
+  size_t slow_from_bytes;
+  uint8_t is_finishing;
   uint8_t is_accepted;
   uint8_t is_connecting;
   uint8_t has_sent;
   uint8_t is_paused;
   uint8_t is_dirty; /* in the list of connections to be flushed */
   uint8_t is_closed;
-  uint8_t has_shutdown; /* the sending side is shut down */
+  uint8_t has_shutdown;      /* the sending side is shut down */
+  uint8_t has_peer_shutdown; /* the other end's is, and all that it sent has been read */
   uint8_t wants_write;
   WlTcp *next;
   WlTcp *previous;
@@ -93,6 +98,16 @@
   return ioctl (tcp->fd, request, &n) == 0 && n > 0 ? (size_t)n : 0;
 }
 
+/* Bytes that the other end has not acknowledged, without the FIN, which the kernel counts too. */
+static size_t
+undelivered_bytes (const WlTcp *tcp)
+{
+  size_t in_kernel = kernel_queue_bytes (tcp, SIOCOUTQ);
+  if (tcp->has_shutdown && in_kernel > 0)
+    in_kernel--;
+  return wl_buffer_left (&tcp->out) + in_kernel;
+}
+
 /* Logs what is lost with a caller's connection that is about to be closed, if anything is. */
 static void
 log_cut (const WlTcp *tcp, const char *reason)
@@ -147,7 +162,7 @@
 static void
 update_watch (WlTcp *tcp)
 {
-  int events = tcp->is_paused ? 0 : WL_READABLE;
+  int events = tcp->is_paused || tcp->has_peer_shutdown ? 0 : WL_READABLE;
   if (tcp->wants_write)
     events |= WL_WRITABLE;
   wl_reactor_modify (tcp->watch, events);
@@ -166,22 +181,29 @@
 static void
 end_connection (WlTcp *tcp, WlTcpEnd end)
 {
-  if (tcp->linger_until_us == 0 && tcp->handlers.ended != NULL)
+  if (!tcp->is_finishing && tcp->handlers.ended != NULL)
     {
       tcp->handlers.ended (tcp->data, end);
       return;
     }
-  log_cut (tcp, end == WL_TCP_END_CLOSED ? "closed" : "failed");
+  log_cut (tcp, "failed");
   wl_tcp_close (tcp);
 }
 
+/* Ends the sending side of a finishing connection once its bytes are with the kernel. */
 static void
 shutdown_when_drained (WlTcp *tcp)
 {
-  if (tcp->linger_until_us == 0 || tcp->has_shutdown || wl_buffer_left (&tcp->out) > 0)
+  if (!tcp->is_finishing || wl_buffer_left (&tcp->out) > 0)
     return;
+  if (tcp->has_peer_shutdown)
+    {
+      wl_tcp_close (tcp); /* nothing is unread: the kernel goes on sending */
+      return;
+    }
+  if (!tcp->has_shutdown)
+    shutdown (tcp->fd, SHUT_WR);
   tcp->has_shutdown = 1;
-  shutdown (tcp->fd, SHUT_WR);
 }
 
 static void
@@ -211,10 +233,23 @@
       update_watch (tcp);
     }
   shutdown_when_drained (tcp);
-  if (was_blocked && tcp->handlers.drained != NULL)
+  if (was_blocked && !tcp->is_closed && tcp->handlers.drained != NULL)
     tcp->handlers.drained (tcp->data);
 }
 
+/* The other end has shut down its sending side, which need not mean that it has left. */
+static void
+end_reading (WlTcp *tcp)
+{
+  tcp->has_peer_shutdown = 1;
+  if (tcp->is_finishing)
+    shutdown_when_drained (tcp);
+  else
+    end_connection (tcp, WL_TCP_END_CLOSED);
+  if (!tcp->is_closed)
+    update_watch (tcp);
+}
+
 static void
 read_socket (WlTcp *tcp)
 {
@@ -222,19 +257,26 @@
   ssize_t n = recv (tcp->fd, chunk, sizeof chunk, 0);
   if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
     return;
+  if (n < 0)
+    end_connection (tcp, WL_TCP_END_FAILED);
+  if (n == 0)
+    end_reading (tcp);
   if (n <= 0)
-    {
-      end_connection (tcp, n == 0 ? WL_TCP_END_CLOSED : WL_TCP_END_FAILED);
-      return;
-    }
-  if (tcp->linger_until_us == 0)
+    return;
+  if (!tcp->is_finishing)
     tcp->handlers.received (tcp->data, (WlBytes){ chunk, (uint32_t)n });
 }
 
+static int
+can_read (const WlTcp *tcp)
+{
+  return !tcp->is_closed && !tcp->is_connecting && !tcp->has_peer_shutdown;
+}
+
 void
 wl_tcp_read_now (WlTcp *tcp)
 {
-  if (!tcp->is_closed && !tcp->is_connecting && !tcp->is_paused)
+  if (can_read (tcp) && !tcp->is_paused)
     read_socket (tcp);
 }
 
@@ -263,7 +305,7 @@
     finish_connect (tcp);
   else if ((ready & WL_WRITABLE) && !tcp->is_closed)
     write_queued (tcp);
-  if ((ready & WL_READABLE) && !tcp->is_closed && !tcp->is_connecting)
+  if ((ready & WL_READABLE) && can_read (tcp))
     read_socket (tcp);
 }
 
@@ -459,9 +501,11 @@
 {
   if (tcp->is_closed)
     return;
-  tcp->linger_until_us = wl_clock_now_us () + WL_TCP_LINGER_US;
+  tcp->is_finishing = 1;
+  tcp->slow_from_bytes = SIZE_MAX;
   tcp->handlers.drained = NULL;
   wl_tcp_pause (tcp, 0);
+  shutdown_when_drained (tcp);
   mark_dirty (tcp);
 }
 
@@ -470,7 +514,7 @@
 {
   uint32_t n = 0;
   for (const WlTcp *tcp = loop->open; tcp != NULL; tcp = tcp->next)
-    n += tcp->linger_until_us != 0;
+    n += tcp->is_finishing;
   return n;
 }
 
@@ -488,15 +532,35 @@
   free_closed (loop);
 }
 
+/* Why a finishing connection has to be closed now, NULL when it goes on. */
+static const char *
+find_end_reason (WlTcp *tcp, uint64_t now_us)
+{
+  size_t left = undelivered_bytes (tcp);
+  if (left == 0)
+    {
+      if (tcp->linger_until_us == 0)
+        tcp->linger_until_us = now_us + WL_TCP_LINGER_US;
+      return now_us > tcp->linger_until_us ? "linger" : NULL;
+    }
+  if (tcp->slow_from_bytes >= left + WL_TCP_SLOW_BYTES)
+    {
+      tcp->slow_from_bytes = left;
+      tcp->slow_since_us = now_us;
+    }
+  return now_us > tcp->slow_since_us + WL_TCP_SLOW_US ? "slow" : NULL;
+}
+
 void
 wl_tcp_tick (WlTcpLoop *loop, uint64_t now_us)
 {
   for (WlTcp *tcp = loop->open; tcp != NULL;)
     {
       WlTcp *next = tcp->next;
-      if (tcp->linger_until_us != 0 && now_us > tcp->linger_until_us)
+      const char *reason = tcp->is_finishing ? find_end_reason (tcp, now_us) : NULL;
+      if (reason != NULL)
         {
-          log_cut (tcp, "linger");
+          log_cut (tcp, reason);
           wl_tcp_close (tcp);
         }
       tcp = next;
