A long response goes on when the kernel takes all queued bytes at once

What callers saw: a response of more than 256 KiB stopped in the middle and was cut at the route's time limit: a status, a part of the body, no end.

Cause: the relay pauses reading from an endpoint when more than 256 KiB are queued for the caller, and resumes it in the drained callback of the caller's connection. That callback was called only after a write that had blocked. When the send buffer took the whole queue in one call, the callback never came and the endpoint's connection was never read again. A body that is kept until it exceeds 1 MiB is always queued at once; a single event over 256 KiB also is.

Fix: drained is called whenever a write has emptied the queue. It only resumes what is paused, so that the additional calls change nothing else.

--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -287,6 +287,52 @@
 }
 END_TEST
 
+/*
+ * Starts the response of endpoint 0: @head, then filler up to ENDLESS_BYTES less one in all.
+ * Returns the number of bytes after the head.
+ */
+static size_t
+respond_at_length (RelayFixture *f, const char *head, ScriptThen then)
+{
+  static char bytes[ENDLESS_BYTES];
+  size_t size = strlen (head);
+  memset (bytes, 'a', sizeof bytes - 1);
+  for (size_t i = 0; i < size; i++)
+    bytes[i] = head[i];
+  script_server_add (&f->endpoints[0], bytes, then);
+  relay_fixture_register (f, 0, f->endpoints[0].port);
+  raw_client_send (&f->caller, RELAY_SAFE_REQUEST);
+  return sizeof bytes - 1 - size;
+}
+
+/* Runs with a caller that keeps reading; returns the number of bytes that it has received. */
+static size_t
+read_at_length (RelayFixture *f)
+{
+  size_t n = 0;
+  for (int i = 0; i < TURNS_MAX; i++)
+    {
+      relay_fixture_run (f, 2);
+      n += f->caller.size;
+      f->caller.size = 0;
+    }
+  return n;
+}
+
+/*
+ * Guards against a response that stops in the middle: reading from the endpoint was paused, and the
+ * kernel took all queued bytes at once, so that nothing resumed it.
+ */
+START_TEST (a_long_response_is_forwarded_whole)
+{
+  RelayFixture *f = relay_fixture_create ();
+  size_t size
+      = respond_at_length (f, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n\r\n", SCRIPT_CLOSE);
+  ck_assert_uint_ge (read_at_length (f), size);
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 START_TEST (an_endless_head_is_aborted)
 {
   RelayFixture *f = relay_fixture_create ();
@@ -314,6 +360,7 @@
     WL_TEST (an_error_with_an_endless_body_is_aborted),
     WL_TEST (a_response_without_seal_and_with_an_endless_body_is_aborted),
     WL_TEST (an_endless_event_is_aborted),
+    WL_TEST (a_long_response_is_forwarded_whole),
     WL_TEST (an_endless_head_is_aborted),
   };
   apr_initialize ();
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -186,6 +186,7 @@
 static void
 write_queued (WlTcp *tcp)
 {
+  int had_bytes = wl_buffer_left (&tcp->out) > 0;
   while (!tcp->is_closed && !tcp->is_connecting && wl_buffer_left (&tcp->out) > 0)
     {
       WlBytes bytes = wl_buffer_bytes (&tcp->out);
@@ -203,14 +204,13 @@
   if (tcp->is_closed)
     return;
   uint8_t wants_write = tcp->is_connecting || wl_buffer_left (&tcp->out) > 0;
-  int was_blocked = tcp->wants_write && !wants_write;
   if (tcp->wants_write != wants_write)
     {
       tcp->wants_write = wants_write;
       update_watch (tcp);
     }
   shutdown_when_drained (tcp);
-  if (was_blocked && tcp->handlers.drained != NULL)
+  if (had_bytes && !wants_write && tcp->handlers.drained != NULL)
     tcp->handlers.drained (tcp->data);
 }
 
--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -37,8 +37,7 @@
  * @connected: an outgoing connection is established; may be NULL
  * @received: bytes have arrived
  * @ended: the connection has ended; the callback has to close it
- * @drained: after a blocked write, all queued bytes are in the send buffer of the
- *   kernel; may be NULL
+ * @drained: all queued bytes are in the send buffer of the kernel; may be NULL
  */
 typedef struct
 {
--- a/relay/transport/wl_web.h
+++ b/relay/transport/wl_web.h
@@ -45,7 +45,8 @@
  * @handle: called with each complete request
  * @disconnected: the client disconnected before the response ended, or the server is
  *   destroyed; the request is freed after the callback
- * @drained: a slow client has received all that was queued for it; may be NULL
+ * @drained: all that was queued for the client is in the send buffer of the kernel; may
+ *   be NULL
  * @data: passed to the callbacks
  */
 typedef struct
