A response that has begun is continued only by events of a resumable stream

What callers saw: on an idempotent route a response longer than 1 MiB is forwarded while it arrives.

Cause: wl_relay_may_retry() looked at what may run twice, not at what the caller had already received.

Evidence: the new test fails on the code before: a_long_response_that_breaks_is_not_continued_by_another_one: Assertion 'f->endpoints[1].n_requests == 0' failed: f->endpoints[1].n_requests == 1, 0 == 0

Fix: once a part of the response was forwarded, the request goes on elsewhere only as a resumable stream with the id of an event to go on from. Anything else ends as broken: its connection is closed without the last chunk.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -238,11 +238,20 @@
   return 0;
 }
 
+/* Only events with ids can follow a part of a response that the caller has received. */
+static int
+can_continue_response (const WlRelayRequest *r)
+{
+  return r->route->kind == WL_ROUTE_STREAM && r->route->can_resume && r->events.last_id[0] != '\0';
+}
+
 int
 wl_relay_may_retry (WlRelayRequest *r, uint64_t now_us)
 {
   if (r->attempts >= r->route->attempts || now_us >= r->limit_us)
     return 0;
+  if (r->phase == WL_RELAY_ANSWERING && !can_continue_response (r))
+    return 0;
   switch (r->route->kind)
     {
     case WL_ROUTE_NON_IDEMPOTENT:
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -333,6 +333,25 @@
 }
 END_TEST
 
+/* Guards against joining two answers: a body too long to be kept has begun, and breaks off. */
+START_TEST (a_long_response_that_breaks_is_not_continued_by_another_one)
+{
+  RelayFixture *f = relay_fixture_create ();
+  respond_at_length (f,
+                     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n"
+                     "Content-Length: 9000000\r\n\r\n",
+                     SCRIPT_CLOSE);
+  relay_fixture_run (f, 20);
+  script_server_add (&f->endpoints[1], RELAY_WHOLE, SCRIPT_KEEP);
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  ck_assert_uint_gt (read_at_length (f), 1 << 20);
+  ck_assert_uint_eq (f->endpoints[0].n_requests, 1);
+  ck_assert_uint_eq (f->endpoints[1].n_requests, 0);
+  ck_assert_int_eq (f->caller.is_closed, 1);
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 START_TEST (an_endless_head_is_aborted)
 {
   RelayFixture *f = relay_fixture_create ();
@@ -361,6 +380,7 @@
     WL_TEST (a_response_without_seal_and_with_an_endless_body_is_aborted),
     WL_TEST (an_endless_event_is_aborted),
     WL_TEST (a_long_response_is_forwarded_whole),
+    WL_TEST (a_long_response_that_breaks_is_not_continued_by_another_one),
     WL_TEST (an_endless_head_is_aborted),
   };
   apr_initialize ();
