The answer to a resumption is forwarded only if it goes on with the stream

Cause: on_complete() ended every sealed response below 500 with reply_and_finish(), which appends the kept body to what the caller has and ends it as whole. It did not ask whether the response went on with the stream.

Fix: the head of the answer to a resumption decides: 200, sealed, no other media type than text/event-stream, no content coding. Events of that are forwarded; anything else is kept back within WL_RELAY_BODY_MAX_BYTES, counts as a failed attempt, and the stream goes on elsewhere or is cut. A request whose response has begun counts as run, so that no path can refuse it.

--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -213,6 +213,8 @@
   r->progress_us = now_us;
   r->status = 0;
   r->is_stall_recorded = 0;
+  r->is_resumed = r->phase == WL_RELAY_ANSWERING;
+  r->forwards_events = 0;
   if (r->attempts++ == 0)
     wl_histogram_add (&relay->metrics.waiting, now_us - r->arrived_us);
   wl_log_eventf (
@@ -291,6 +293,16 @@
   return r->status >= 200 && r->status < 300;
 }
 
+/* Whether a successful response is an event stream, by its header fields. */
+static int
+is_event_stream (const WlHttpHead *head)
+{
+  static const char type[] = "text/event-stream";
+  const char *field = wl_http_head_field (head, "Content-Type");
+  return head->status == 200 && wl_http_head_field (head, "Content-Encoding") == NULL
+         && (field == NULL || strncasecmp (field, type, sizeof type - 1) == 0);
+}
+
 static int
 on_head (void *data, const WlHttpHead *head)
 {
@@ -301,7 +313,9 @@
   r->response.id = NULL; /* the string belongs to the parsed head */
   r->status = head->status;
   r->progress_us = wl_clock_now_us ();
-  if (r->phase != WL_RELAY_ANSWERING)
+  r->forwards_events = is_success (r) && r->route->kind == WL_ROUTE_STREAM && r->response.is_sealed
+                       && (!r->is_resumed || is_event_stream (head));
+  if (!r->is_resumed)
     save_fields (r, head);
   return 1;
 }
@@ -323,6 +337,7 @@
     {
       wl_web_begin (r->web, r->status, terminate_fields (r));
       r->phase = WL_RELAY_ANSWERING;
+      r->may_have_run = 1;
       r->first_us = wl_clock_now_us ();
     }
   wl_web_write (r->web, bytes);
@@ -337,18 +352,19 @@
  * A sealed successful stream is forwarded event by event; it fails if an
  * incomplete event exceeds WL_RELAY_BODY_MAX_BYTES. Any other body is kept until
  * it is complete. If it exceeds WL_RELAY_BODY_MAX_BYTES, a sealed successful one
- * is forwarded in parts, any other fails. Returns 0 to fail the attempt.
+ * is forwarded in parts, any other fails, as does one in place of a resumed stream.
+ * Returns 0 to fail the attempt.
  */
 static int
 on_body (void *data, WlBytes bytes)
 {
   WlRelayRequest *r = data;
-  if (!is_success (r) || r->route->kind != WL_ROUTE_STREAM || !r->response.is_sealed)
+  if (!r->forwards_events)
     {
       wl_buffer_append (&r->body, bytes);
       if (wl_buffer_left (&r->body) <= WL_RELAY_BODY_MAX_BYTES)
         return 1;
-      if (!is_success (r) || !r->response.is_sealed)
+      if (!is_success (r) || !r->response.is_sealed || r->is_resumed)
         return 0;
       forward_to_caller (r, wl_buffer_bytes (&r->body));
       wl_buffer_clear (&r->body);
@@ -385,12 +401,19 @@
 on_complete (WlRelayRequest *r, uint64_t now_us)
 {
   WlEndpoint *e = wl_relay_current_endpoint (r);
-  if (r->response.was_not_run || r->status == 421)
+  if ((r->response.was_not_run && !is_success (r)) || r->status == 421)
     {
       wl_relay_on_rejection (r, now_us);
       return;
     }
   r->may_have_run = 1;
+  if (r->is_resumed && !r->forwards_events)
+    {
+      if (is_success (r) || r->status >= 500)
+        wl_relay_record_failure (r, e, WL_FAILURE_ERROR, WL_REASON_ERROR, now_us);
+      wl_relay_on_failure (r, WL_REASON_ERROR, now_us);
+      return;
+    }
   if (!r->response.is_sealed)
     {
       wl_relay_record_failure (r, wl_relay_current_endpoint (r), WL_FAILURE_LOST, WL_REASON_NO_SEAL,
@@ -404,10 +427,7 @@
                                now_us);
       if (wl_relay_replace_attempt (r, WL_REASON_ERROR, now_us))
         return;
-      if (r->phase == WL_RELAY_ANSWERING)
-        wl_relay_fail (r, 502, WL_REASON_ERROR);
-      else
-        reply_and_finish (r, "endpoint_error");
+      reply_and_finish (r, "endpoint_error");
       return;
     }
   if (e != NULL)
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -75,6 +75,8 @@
  * @is_decoding: the current attempt has delivered output
  * @is_paused: reading of the response is paused until the caller has read more
  * @is_stall_recorded: the stall of the current attempt was recorded as a failure
+ * @is_resumed: the current attempt goes on with a response that the caller has a part of
+ * @forwards_events: the response is a stream whose events are forwarded as they arrive
  * @status: HTTP status of the response
  * @fields: header fields of the response, for the caller
  * @body: the part of the response's body that is kept back
@@ -114,6 +116,8 @@
   uint8_t is_decoding;
   uint8_t is_paused;
   uint8_t is_stall_recorded;
+  uint8_t is_resumed;
+  uint8_t forwards_events;
 
   uint32_t status;
   WlRelayResponseInfo response;
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -11,6 +11,12 @@
  * requests, respond with errors, or send nothing.
  */
 
+enum
+{
+  ENDLESS_BYTES = 3 << 19, /* more than WL_RELAY_BODY_MAX_BYTES */
+  TURNS_MAX = 200,         /* of the loop; the limit only ends a test that has failed */
+};
+
 /* Guards against running a request twice: it may have run before the connection closed. */
 START_TEST (a_non_idempotent_request_is_not_retried_after_a_broken_connection)
 {
@@ -164,6 +170,123 @@
 }
 END_TEST
 
+/* ---- responses to a resumed stream ---- */
+
+static const char begun_stream[]
+    = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: first\r\nContent-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n"
+      "2a\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: ha\r\n";
+
+/*
+ * A stream breaks after two events and a half at endpoint 0; endpoint 1 answers
+ * the resumption with @answer. Returns what the caller received.
+ */
+static const char *
+answer_resumption (RelayFixture *f, const char *answer, ScriptThen then)
+{
+  script_server_add (&f->endpoints[0], begun_stream, SCRIPT_CLOSE);
+  relay_fixture_register (f, 0, f->endpoints[0].port);
+  raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
+  relay_fixture_run (f, 4);
+  script_server_add (&f->endpoints[1], answer, then);
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  relay_fixture_run (f, 120);
+  ck_assert_uint_eq (f->endpoints[0].n_requests, 1);
+  ck_assert_uint_eq (f->endpoints[1].n_requests, 1);
+  ck_assert_ptr_nonnull (strstr (f->endpoints[1].seen, "X-Last: 2\r\n"));
+  return f->caller.answer;
+}
+
+/* The caller has the two events, and sees that the stream is not complete. */
+static void
+check_stream_is_cut (const RelayFixture *f)
+{
+  const char *body = strstr (f->caller.answer, "\r\n\r\n");
+  ck_assert_ptr_nonnull (body);
+  ck_assert_str_eq (body, "\r\n\r\n1e\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n\r\n");
+  ck_assert_int_eq (f->caller.is_closed, 1);
+}
+
+/*
+ * Guards against an error of the second endpoint in the caller's stream (issue 29): its text or
+ * head appended, or the stream ended as if it were complete.
+ */
+START_TEST (an_error_in_response_to_a_resumption_never_reaches_the_caller)
+{
+  static const char *const answers[] = {
+    "HTTP/1.1 400 Bad\r\nX-Id: 1\r\nX-Seal: e\r\nContent-Length: 5\r\n\r\nerror",
+    "HTTP/1.1 404 Not Found\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nerror",
+    "HTTP/1.1 302 Found\r\nX-Id: 1\r\nX-Seal: e\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nX-Id: 1\r\nX-Seal: e\r\n\r\n",
+    "HTTP/1.1 206 Part\r\nX-Id: 1\r\nX-Seal: e\r\nContent-Length: 5\r\n\r\nerror",
+    "HTTP/1.1 500 No\r\nX-Id: 1\r\nX-Seal: e\r\nContent-Length: 5\r\n\r\nerror",
+    "HTTP/1.1 500 No\r\nX-Id: 1\r\nX-Seal: e\r\nContent-Length: 50\r\n\r\n",
+    "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Seal: e\r\nContent-Length: 5\r\n\r\nerror",
+    "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 5\r\n\r\nerror",
+    "HTTP/1.1 429 Busy\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 5\r\n\r\nerror",
+    "HTTP/1.1 429 Busy\r\nX-Id: 1\r\nX-Seal: e\r\nContent-Length: 5\r\n\r\nerror",
+    "HTTP/1.1 421 Other\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nerror",
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 15\r\n\r\nid: 3\ndata: c\n\n",
+    ("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: e\r\nContent-Type: application/json\r\n"
+     "Content-Length: 14\r\n\r\n{\"error\":\"no\"}"),
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 15\r\n\r\nid: 3\ndata: c\n\n",
+    ("HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: e\r\nContent-Length: 15\r\n\r\n"
+     "id: 3\ndata: c\n\n"),
+    ("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: e\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "8\r\nid: 3\nda\r\nHTTP/1.1 500 No\r\nContent-Length: 5\r\n\r\nerror"),
+  };
+  for (size_t i = 0; i < sizeof answers / sizeof *answers; i++)
+    {
+      RelayFixture *f = relay_fixture_create ();
+      answer_resumption (f, answers[i], SCRIPT_CLOSE);
+      check_stream_is_cut (f);
+      relay_fixture_destroy (f);
+    }
+}
+END_TEST
+
+/* Guards against memory without bound, and against an error that is forwarded in parts. */
+START_TEST (a_long_error_in_response_to_a_resumption_never_reaches_the_caller)
+{
+  static char answer[ENDLESS_BYTES];
+  RelayFixture *f = relay_fixture_create ();
+  memset (answer, 'a', sizeof answer - 1);
+  static const char head[] = "HTTP/1.1 500 No\r\nX-Id: 1\r\nX-Seal: e\r\n\r\nid: 3\n\n";
+  for (size_t i = 0; i < sizeof head - 1; i++)
+    answer[i] = head[i];
+  answer_resumption (f, answer, SCRIPT_KEEP);
+  check_stream_is_cut (f);
+  relay_fixture_destroy (f);
+}
+END_TEST
+
+/* Guards against a stream that is given up, or answered by a refusal, after an error elsewhere. */
+START_TEST (a_stream_goes_on_at_a_third_endpoint_after_an_error_of_the_second)
+{
+  RelayFixture *f = relay_fixture_create ();
+  WlRoutes *routes = relay_fixture_routes ();
+  routes->routes[2].attempts = 3;
+  wl_relay_set_routes (f->relay, routes);
+  script_server_add (&f->endpoints[2],
+                     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: t\r\nContent-Length: 15\r\n\r\n"
+                     "id: 3\ndata: c\n\n",
+                     SCRIPT_KEEP);
+  answer_resumption (f,
+                     "HTTP/1.1 500 No\r\nX-Id: 1\r\nX-Seal: e\r\nContent-Length: 5\r\n\r\n"
+                     "error",
+                     SCRIPT_KEEP);
+  ck_assert_int_eq (f->caller.is_closed, 0);
+  relay_fixture_register (f, 2, f->endpoints[2].port);
+  relay_fixture_run (f, 120);
+  ck_assert_uint_eq (relay_fixture_n_seen (f, "X-Last: 2\r\n"), 2);
+  ck_assert_ptr_null (strstr (f->caller.answer, "error"));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer,
+                                 "\r\n\r\n1e\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                                 "\r\nf\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n"));
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 /* Guards against giving up a stream that could still continue, when no other endpoint has room. */
 START_TEST (a_silent_endpoint_is_left_only_for_another_one)
 {
@@ -227,12 +350,6 @@
 
 /* ---- responses without end ---- */
 
-enum
-{
-  ENDLESS_BYTES = 3 << 19, /* more than WL_RELAY_BODY_MAX_BYTES */
-  TURNS_MAX = 200,         /* of the loop; the limit only ends a test that has failed */
-};
-
 /*
  * Guards against unbounded memory for a response that must be kept back. The
  * endpoint's response begins with @head and never ends, and the clock stands
@@ -374,6 +491,9 @@
     WL_TEST (an_unresponsive_helper_is_ejected),
     WL_TEST (a_refused_connection_does_not_count_as_an_attempt),
     WL_TEST (a_broken_stream_continues_after_its_last_complete_event),
+    WL_TEST (an_error_in_response_to_a_resumption_never_reaches_the_caller),
+    WL_TEST (a_long_error_in_response_to_a_resumption_never_reaches_the_caller),
+    WL_TEST (a_stream_goes_on_at_a_third_endpoint_after_an_error_of_the_second),
     WL_TEST (a_silent_endpoint_is_left_only_for_another_one),
     WL_TEST (memory_reserved_for_a_dead_engine_is_given_back),
     WL_TEST (an_error_with_an_endless_body_is_aborted),
