A resumed stream must go on after the last event

Cause: the events of the second endpoint were forwarded without a look at their ids. An id of 64 bytes or more was dropped, so that the stream would have been resumed after an earlier event; an id with a carriage return would have put a line into the request head.

Evidence: the new tests fail on the code before: a_resumed_stream_that_goes_on_elsewhere_is_cut: body == "...id: 2\ndata: b\n\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n" a_stream_without_usable_ids_is_not_resumed: relay_fixture_n_runs (f) == 2, 1 == 1

Fix: the first event with an id after a resumption is compared with the last one forwarded. The same id, a number that is not higher, or after two or more consecutive numbers any but the next one fails the attempt. Ids of other forms are compared for equality only: their order is not known. After an id that a header field cannot carry the stream cannot be resumed.

Measured: test_event_stream and test_relay_retry pass; ctest 47 of 47; the two mutants are found out.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -242,7 +242,8 @@
 static int
 can_continue_response (const WlRelayRequest *r)
 {
-  return r->route->kind == WL_ROUTE_STREAM && r->route->can_resume && r->events.last_id[0] != '\0';
+  return r->route->kind == WL_ROUTE_STREAM && r->route->can_resume
+         && wl_event_stream_can_resume (&r->events);
 }
 
 int
--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -350,7 +350,8 @@
 
 /*
  * A sealed successful stream is forwarded event by event; it fails if an
- * incomplete event exceeds WL_RELAY_BODY_MAX_BYTES. Any other body is kept until
+ * incomplete event exceeds WL_RELAY_BODY_MAX_BYTES, or if it does not go on where
+ * it was to be resumed. Any other body is kept until
  * it is complete. If it exceeds WL_RELAY_BODY_MAX_BYTES, a sealed successful one
  * is forwarded in parts, any other fails, as does one in place of a resumed stream.
  * Returns 0 to fail the attempt.
@@ -371,6 +372,8 @@
       return 1;
     }
   WlBytes events = wl_event_stream_feed (&r->events, bytes);
+  if (r->events.is_misplaced)
+    return 0;
   if (events.size == 0)
     return wl_buffer_left (&r->events.pending) <= WL_RELAY_BODY_MAX_BYTES;
   record_output (r, wl_clock_now_us ());
--- a/relay/tests/test_event_stream.c
+++ b/relay/tests/test_event_stream.c
@@ -55,12 +55,74 @@
 }
 END_TEST
 
+static size_t
+feed_text (WlEventStream *s, const char *text)
+{
+  char out[256];
+  return feed (s, text, strlen (text), out, 0);
+}
+
+/* Guards against repeated and missing events after a resumption. */
+START_TEST (the_first_event_after_a_resumption_must_follow_the_last_one)
+{
+  static const struct
+  {
+    const char *before;
+    const char *after;
+    int is_misplaced;
+  } cases[] = {
+    { "id: 1\n\nid: 2\n\n", "id: 3\n\n", 0 },
+    { "id: 1\n\nid: 2\n\n", ": comment\n\nid: 3\n\n", 0 },
+    { "id: 1\n\nid: 2\n\n", "id: 1\n\n", 1 },
+    { "id: 1\n\nid: 2\n\n", "id: 2\n\n", 1 },
+    { "id: 1\n\nid: 2\n\n", "id: 4\n\n", 1 },
+    { "id: 43\n\nid: 86\n\n", "id: 129\n\n", 0 },
+    { "id: 43\n\nid: 86\n\n", "id: 43\n\n", 1 },
+    { "id: a\n\nid: b\n\n", "id: c\n\n", 0 },
+    { "id: a\n\nid: b\n\n", "id: b\n\n", 1 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      WlEventStream s = { 0 };
+      feed_text (&s, cases[i].before);
+      wl_event_stream_discard_partial (&s);
+      size_t forwarded = feed_text (&s, cases[i].after);
+      ck_assert_int_eq (s.is_misplaced, cases[i].is_misplaced);
+      ck_assert_uint_eq (forwarded, cases[i].is_misplaced ? 0 : strlen (cases[i].after));
+      wl_event_stream_clear (&s);
+    }
+}
+END_TEST
+
+/* Guards against a resumption after an earlier event, and against control bytes in a field. */
+START_TEST (an_id_that_no_field_can_carry_ends_resumption)
+{
+  static const char *const bad[] = {
+    "id: 1\r2\n\n",
+    "id:\n\n",
+    "id: 2\t\n\n",
+    "id: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\n\n",
+  };
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    {
+      WlEventStream s = { 0 };
+      feed_text (&s, "id: 7\n\n");
+      ck_assert_int_eq (wl_event_stream_can_resume (&s), 1);
+      feed_text (&s, bad[i]);
+      ck_assert_int_eq (wl_event_stream_can_resume (&s), 0);
+      wl_event_stream_clear (&s);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
   const WlTest tests[] = {
     WL_TEST (events_end_at_blank_lines_at_any_read_boundary),
     WL_TEST (an_incomplete_event_does_not_change_the_last_id),
+    WL_TEST (the_first_event_after_a_resumption_must_follow_the_last_one),
+    WL_TEST (an_id_that_no_field_can_carry_ends_resumption),
   };
   return wl_test_run ("event_stream", tests, sizeof tests / sizeof tests[0]);
 }
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -287,6 +287,51 @@
 }
 END_TEST
 
+/* Guards against doubled or missing events when an endpoint ignores where to go on. */
+START_TEST (a_resumed_stream_that_goes_on_elsewhere_is_cut)
+{
+  static const char *const events[] = {
+    "id: 1\ndata: a\n\n",
+    "id: 2\ndata: b\n\n",
+    "id: 5\ndata: e\n\n",
+  };
+  for (size_t i = 0; i < sizeof events / sizeof *events; i++)
+    {
+      RelayFixture *f = relay_fixture_create ();
+      char answer[200];
+      snprintf (answer, sizeof answer,
+                "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: e\r\nContent-Length: 15\r\n\r\n%s",
+                events[i]);
+      answer_resumption (f, answer, SCRIPT_KEEP);
+      check_stream_is_cut (f);
+      relay_fixture_destroy (f);
+    }
+}
+END_TEST
+
+/* Guards against a resumption that cannot say where to go on, which would repeat the events. */
+START_TEST (a_stream_without_usable_ids_is_not_resumed)
+{
+  static const char *const fields[] = { "data: a\n\n", "id: 1\r2\ndata: a\n\n" };
+  for (size_t i = 0; i < sizeof fields / sizeof *fields; i++)
+    {
+      RelayFixture *f = relay_fixture_create ();
+      char answer[200];
+      snprintf (answer, sizeof answer,
+                "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 90\r\n\r\n%s",
+                fields[i]);
+      relay_fixture_all_answer (f, answer, SCRIPT_CLOSE);
+      raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
+      relay_fixture_run (f, 60);
+      ck_assert_uint_eq (relay_fixture_n_runs (f), 1);
+      ck_assert_ptr_nonnull (strstr (f->caller.answer, fields[i]));
+      ck_assert_ptr_null (strstr (f->caller.answer, "\r\n0\r\n\r\n"));
+      ck_assert_int_eq (f->caller.is_closed, 1);
+      relay_fixture_destroy (f);
+    }
+}
+END_TEST
+
 /* Guards against giving up a stream that could still continue, when no other endpoint has room. */
 START_TEST (a_silent_endpoint_is_left_only_for_another_one)
 {
@@ -494,6 +539,8 @@
     WL_TEST (an_error_in_response_to_a_resumption_never_reaches_the_caller),
     WL_TEST (a_long_error_in_response_to_a_resumption_never_reaches_the_caller),
     WL_TEST (a_stream_goes_on_at_a_third_endpoint_after_an_error_of_the_second),
+    WL_TEST (a_resumed_stream_that_goes_on_elsewhere_is_cut),
+    WL_TEST (a_stream_without_usable_ids_is_not_resumed),
     WL_TEST (a_silent_endpoint_is_left_only_for_another_one),
     WL_TEST (memory_reserved_for_a_dead_engine_is_given_back),
     WL_TEST (an_error_with_an_endless_body_is_aborted),
--- a/relay/transport/wl_event_stream.h
+++ b/relay/transport/wl_event_stream.h
@@ -11,8 +11,13 @@
 /**
  * struct WlEventStream - splits a text/event-stream body into complete events
  * @pending: bytes of an event that is not complete yet
- * @last_id: id of the last complete event, empty for none
+ * @last_id: id of the last complete event; empty for none, and after one that cannot be
+ *   sent in a header field
  * @n_events: complete events so far
+ * @last_number: @last_id as a whole number, when @n_consecutive is not 0
+ * @n_consecutive: events at the end whose ids are whole numbers, each one more than the last
+ * @is_resumed: the next event with an id is the first of a resumed stream
+ * @is_misplaced: a resumed stream did not continue after @last_id
  *
  * Format: WHATWG HTML, section 9.2 "Server-sent events". Only complete events
  * are passed on, byte for byte, so that a stream that breaks within an event can
@@ -23,6 +28,10 @@
   WlBuffer pending;
   char last_id[WL_EVENT_ID_SIZE];
   uint64_t n_events;
+  uint64_t last_number;
+  uint64_t n_consecutive;
+  uint8_t is_resumed;
+  uint8_t is_misplaced;
 } WlEventStream;
 
 /**
@@ -31,14 +40,22 @@
  * @bytes: bytes of the body
  *
  * Return: the complete events, owned by the stream; valid until it is used
- * again. The caller removes them with wl_event_stream_consume().
+ * again. The caller removes them with wl_event_stream_consume(). No events once
+ * @is_misplaced is set: the first event of a resumed stream repeats @last_id or a
+ * lower number, or leaves out numbers after two or more consecutive ones.
  */
 WlBytes wl_event_stream_feed (WlEventStream *stream, WlBytes bytes);
 
 /** wl_event_stream_consume() - removes the events that wl_event_stream_feed() returned */
 void wl_event_stream_consume (WlEventStream *stream, WlBytes events);
 
-/** wl_event_stream_discard_partial() - discards an incomplete event, whose stream broke */
+/** wl_event_stream_can_resume() - whether events of another server can follow the last one */
+int wl_event_stream_can_resume (const WlEventStream *stream);
+
+/**
+ * wl_event_stream_discard_partial() - discards an incomplete event, whose stream broke
+ * @stream: the stream; the next event must follow @last_id, if there was any
+ */
 void wl_event_stream_discard_partial (WlEventStream *stream);
 
 /** wl_event_stream_clear() - frees the memory of a stream */
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -74,6 +74,8 @@
 start any-call-on-any-port test_platform_path platform/wl_platform_api.c 's/\s*\|\| !\(server->purposes & call->purpose\)//'
 start repeats-after-break test_relay_retry relay/forwarding/wl_relay.c 's/if \(r->may_have_run\)\n        return 0;\n      break;\n    case WL_ROUTE_STREAM/break;\n    case WL_ROUTE_STREAM/; s/if \(r->attempts >= r->route->attempts \|\| now_us >= r->limit_us\)\n    return 0;//'
 start half-events-passed test_event_stream relay/transport/wl_event_stream.c 's/return \(WlBytes\)\{ all.data, complete \};/return all;/'
+start error-joined-to-stream test_relay_retry relay/forwarding/wl_relay_answer.c 's/if \(r->is_resumed && !r->forwards_events\)/if (0)/'
+start resumed-stream-not-compared test_event_stream relay/transport/wl_event_stream.c 's/ && !follows_last_id \(stream, id\)/ \&\& 0/'
 start unsealed-success-passed test_relay relay/forwarding/wl_relay_answer.c 's/if \(!r->response.is_sealed\)\n    \{/if (0)\n    {/'
 start resend-on-reused-connection test_fetch relay/transport/wl_fetch.c 's/c->is_reused \|\| wl_tcp_has_sent \(c->tcp\) \? WL_FETCH_BROKEN : WL_FETCH_NOT_SENT/WL_FETCH_NOT_SENT/'
 start late-answer-taken test_fetch relay/transport/wl_fetch.c 's/c->is_skipping = !c->handlers.head \(c->data, &c->reader.head\);/c->handlers.head (c->data, \&c->reader.head);/'
