--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -41,8 +41,7 @@
  * @received: bytes have arrived
  * @ended: the connection has ended; the callback has to close it, or to finish it
  *   after WL_TCP_END_CLOSED
- * @drained: after a blocked write, all queued bytes are in the send buffer of the
- *   kernel; may be NULL
+ * @drained: all queued bytes are in the send buffer of the kernel; may be NULL
  */
 typedef struct
 {
