A caller that goes on sending is not reset behind its response

Callers that were rejected before their body had arrived (408, 413, 503) and went on sending it, as most do until they have written all, met a reset a second later: closing with unread bytes, or before they arrive, makes the kernel answer them with one, and a client whose send fails may never read the response. The same holds for the last response of a stopping node to a caller that pipelines.

The second that a finishing connection waits for its caller to close now starts anew with each byte that arrives, up to 15 s, so that sending without an end does not hold it for ever.

Tests on loopback sockets with a paused clock, before the change: a_caller_that_goes_on_sending_is_not_reset: Assertion 'send (f->caller.fd, body, sizeof body, MSG_NOSIGNAL) >= 1' failed: -1 a_rejection_reaches_a_client_that_goes_on_sending: Assertion 'send (client->fd, ...) == (ssize_t)strlen (text)' failed: -1, 775 After it 408, 413 and 503 arrive while five seconds of body are still sent.

--- a/relay/tests/test_tcp.c
+++ b/relay/tests/test_tcp.c
@@ -219,6 +219,45 @@
 }
 END_TEST
 
+/* Guards against a rejection that a caller loses because it is still sending its body. */
+START_TEST (a_caller_that_goes_on_sending_is_not_reset)
+{
+  static char body[16384];
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  respond (f, KERNEL_RESPONSE_BYTES);
+  wl_tcp_finish (f->tcp);
+  for (int i = 0; i < 100; i++)
+    {
+      ck_assert_int_ge (send (f->caller.fd, body, sizeof body, MSG_NOSIGNAL), 1);
+      turn (f);
+      advance (f, WL_TCP_LINGER_US / 10);
+      raw_client_take (&f->caller, 8192);
+    }
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 1);
+  take_until_closed (f);
+  ck_assert_uint_eq (f->caller.taken_bytes, KERNEL_RESPONSE_BYTES);
+  ck_assert_int_eq (f->caller.error, 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a caller that holds a connection for ever by sending without an end. */
+START_TEST (a_caller_that_sends_without_end_is_closed)
+{
+  Fixture *f = create (0);
+  respond (f, 1000);
+  wl_tcp_finish (f->tcp);
+  for (uint64_t us = 0; us <= WL_TCP_LINGER_MAX_US + WL_TCP_LINGER_US; us += WL_TCP_LINGER_US / 2)
+    {
+      send (f->caller.fd, "more", 4, MSG_NOSIGNAL);
+      turn (f);
+      advance (f, WL_TCP_LINGER_US / 2);
+    }
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 0);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against a caller that holds a connection and its bytes by reading a byte a second. */
 START_TEST (a_caller_that_hardly_reads_is_closed)
 {
@@ -268,6 +307,8 @@
     WL_TEST (bytes_in_the_kernel_reach_a_caller_that_sends_on),
     WL_TEST (a_delivered_response_is_closed_after_the_linger_time),
     WL_TEST (a_caller_that_shuts_down_its_side_receives_what_is_queued),
+    WL_TEST (a_caller_that_goes_on_sending_is_not_reset),
+    WL_TEST (a_caller_that_sends_without_end_is_closed),
     WL_TEST (a_caller_that_hardly_reads_is_closed),
     WL_TEST (a_caller_that_reads_slowly_keeps_its_connection),
   };
--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <apr_general.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include "wl_clock.h"
 #include "wl_raw_client.h"
@@ -26,6 +27,7 @@
   WlWebRequest *waiting;
   int n_handled;
   int n_gone;
+  WlWebLimits limits;
   RawClient client;
 } Fixture;
 
@@ -69,9 +71,10 @@
   memset (&f, 0, sizeof f);
   ck_assert_int_eq (wl_reactor_create (&f.reactor), WL_OK);
   f.loop = wl_tcp_loop_create (f.reactor);
+  f.limits = (WlWebLimits){ 1024, 4096, 1000000, 2000000 };
   WlWebOptions options = {
     .address = htonl (INADDR_LOOPBACK),
-    .limits = { 1024, 4096, 1000000, 2000000 },
+    .limits = f.limits,
     .bodies_max = BODIES_MAX_BYTES,
     .handle = on_request,
     .disconnected = on_gone,
@@ -297,6 +300,63 @@
 }
 END_TEST
 
+/* One iteration of the event loop, in which a paused clock advances. */
+static void
+advance (Fixture *f, uint64_t us)
+{
+  uint64_t now_us = wl_clock_now_us () + us;
+  wl_clock_set (now_us);
+  wl_tcp_flush (f->loop);
+  wl_reactor_poll (f->reactor, 1000);
+  wl_web_tick (f->web, now_us);
+  wl_tcp_tick (f->loop, now_us);
+  wl_tcp_flush (f->loop);
+}
+
+/* Sends pieces of a body until some time after the rejection, and returns the answer. */
+static const char *
+reject_while_sending (Fixture *f, const char *head, const char *piece)
+{
+  int on = 1;
+  setsockopt (f->client.fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  send_text (f, head);
+  for (int i = 0; i < 50; i++)
+    {
+      send_text (f, piece);
+      advance (f, 100000);
+    }
+  raw_client_receive (&f->client);
+  raw_client_receive (&f->client);
+  ck_assert_int_eq (f->client.error, 0);
+  ck_assert_int_eq (f->n_handled, 0);
+  return f->client.answer;
+}
+
+/* Guards against a rejection that is lost because the client is still sending its body. */
+START_TEST (a_rejection_reaches_a_client_that_goes_on_sending)
+{
+  static const char head[] = "POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  static char piece[1024];
+  Fixture *f = create ();
+  wl_clock_set (wl_clock_now_us ());
+  strcpy (piece, "300\r\n");
+  memset (piece + 5, 'x', 0x300);
+  strcpy (piece + 5 + 0x300, "\r\n");
+  ck_assert_ptr_nonnull (strstr (reject_while_sending (f, head, piece), " 413 "));
+  destroy (f);
+
+  f = create ();
+  ck_assert_ptr_nonnull (strstr (reject_while_sending (f, head, "1\r\nx\r\n"), " 408 "));
+  destroy (f);
+
+  f = create ();
+  f->limits.body_bytes = 2 * BODIES_MAX_BYTES;
+  wl_web_set_limits (f->web, &f->limits);
+  ck_assert_ptr_nonnull (strstr (reject_while_sending (f, head, piece), " 503 "));
+  destroy (f);
+}
+END_TEST
+
 START_TEST (an_incomplete_request_times_out)
 {
   Fixture *f = create ();
@@ -323,6 +383,7 @@
     WL_TEST (a_client_that_shuts_down_its_side_receives_a_complete_response),
     WL_TEST (a_given_up_request_leaves_the_response_before_it),
     WL_TEST (a_draining_server_closes_after_its_response),
+    WL_TEST (a_rejection_reaches_a_client_that_goes_on_sending),
     WL_TEST (an_incomplete_request_times_out),
   };
   apr_initialize ();
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -42,6 +42,7 @@
   void *data;
   WlBuffer out;
   uint64_t linger_until_us; /* end of the wait for the other end to close, 0 before it begins */
+  uint64_t linger_limit_us; /* latest value of linger_until_us */
   uint64_t slow_since_us;   /* when slow_from_bytes were undelivered */
   size_t slow_from_bytes;
   uint8_t is_finishing;
@@ -250,6 +251,16 @@
     update_watch (tcp);
 }
 
+/* The other end is still sending, and would be reset by a close. */
+static void
+extend_linger (WlTcp *tcp)
+{
+  if (tcp->linger_until_us == 0)
+    return;
+  uint64_t until_us = wl_clock_now_us () + WL_TCP_LINGER_US;
+  tcp->linger_until_us = until_us < tcp->linger_limit_us ? until_us : tcp->linger_limit_us;
+}
+
 static void
 read_socket (WlTcp *tcp)
 {
@@ -263,7 +274,9 @@
     end_reading (tcp);
   if (n <= 0)
     return;
-  if (!tcp->is_finishing)
+  if (tcp->is_finishing)
+    extend_linger (tcp);
+  else
     tcp->handlers.received (tcp->data, (WlBytes){ chunk, (uint32_t)n });
 }
 
@@ -540,7 +553,10 @@
   if (left == 0)
     {
       if (tcp->linger_until_us == 0)
-        tcp->linger_until_us = now_us + WL_TCP_LINGER_US;
+        {
+          tcp->linger_until_us = now_us + WL_TCP_LINGER_US;
+          tcp->linger_limit_us = now_us + WL_TCP_LINGER_MAX_US;
+        }
       return now_us > tcp->linger_until_us ? "linger" : NULL;
     }
   if (tcp->slow_from_bytes >= left + WL_TCP_SLOW_BYTES)
--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -13,10 +13,11 @@
 
 enum
 {
-  WL_TCP_USER_TIMEOUT_MS = 3000, /* a connection ends when data is unacknowledged for so long */
-  WL_TCP_PROBE_S = 2,            /* idle time before a keep-alive probe, and between probes */
-  WL_TCP_LINGER_US = 1000000,    /* wait for the other end to close after it has all bytes */
-  WL_TCP_SLOW_US = 15000000,     /* time in which it has to take WL_TCP_SLOW_BYTES, or the rest */
+  WL_TCP_USER_TIMEOUT_MS = 3000,   /* a connection ends when data is unacknowledged for so long */
+  WL_TCP_PROBE_S = 2,              /* idle time before a keep-alive probe, and between probes */
+  WL_TCP_LINGER_US = 1000000,      /* wait for the other end to close after it has all bytes */
+  WL_TCP_LINGER_MAX_US = 15000000, /* the same while the other end goes on sending */
+  WL_TCP_SLOW_US = 15000000,       /* time in which it has to take WL_TCP_SLOW_BYTES, or the rest */
   WL_TCP_SLOW_BYTES = 16384,
 };
 
@@ -118,7 +119,8 @@
  *
  * Reads and discards what still arrives until the other end closes, or until
  * WL_TCP_LINGER_US after it has acknowledged the last byte: closing with unread
- * bytes would send a reset, which can destroy the end of the response.
+ * bytes would send a reset, which can destroy the end of the response. The time
+ * starts anew with each byte that arrives, up to WL_TCP_LINGER_MAX_US.
  *
  * A slow reader keeps its connection as long as it takes WL_TCP_SLOW_BYTES, or
  * what is left, in each WL_TCP_SLOW_US, also after it has shut down its sending
