A caller may pause reading for 15 s before its connection is reset

A caller that stopped reading for more than 3 s lost its response. On Linux TCP_USER_TIMEOUT also counts the time in which the window of the other end is zero, though it acknowledges every probe, so the kernel reset a caller that was responsive. While a node stops this is the last response of its connection.

Accepted connections now have 15 s, the time that clients may stay idle. A caller that is gone without a close is found out as late; keep-alive probes still end such connections, once the user timeout has passed. Connections to endpoints keep 3 s.

--- a/relay/tests/test_tcp.c
+++ b/relay/tests/test_tcp.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <apr_general.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include "wl_clock.h"
 #include "wl_raw_client.h"
@@ -18,7 +19,9 @@
   RESPONSE_BYTES = 8 << 20,       /* more than the kernel queues for a caller that does not read */
   KERNEL_RESPONSE_BYTES = 262144, /* fits into the kernel's queues, but not into the caller's */
   CALLER_BUFFER_BYTES = 32768,
-  ROUNDS_MAX = 4000, /* iterations of the event loop, 1 ms each without traffic */
+  ROUNDS_MAX = 4000,          /* iterations of the event loop, 1 ms each without traffic */
+  CALLER_IDLE_MS = 15000,     /* how long a caller may be idle */
+  ENDPOINT_TIMEOUT_MS = 3000, /* after which an endpoint counts as unresponsive */
 };
 
 typedef struct
@@ -299,6 +302,58 @@
 }
 END_TEST
 
+/* A descriptor of this process other than @except whose socket is connected to @port. */
+static int
+find_peer_of (uint16_t port, int except)
+{
+  for (int fd = 0; fd < 256; fd++)
+    {
+      struct sockaddr_in sa;
+      socklen_t size = sizeof sa;
+      if (fd != except && getpeername (fd, (struct sockaddr *)&sa, &size) == 0
+          && sa.sin_family == AF_INET && ntohs (sa.sin_port) == port)
+        return fd;
+    }
+  ck_abort_msg ("no socket is connected to port %u", port);
+}
+
+static uint16_t
+own_port (int fd)
+{
+  struct sockaddr_in sa;
+  socklen_t size = sizeof sa;
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&sa, &size), 0);
+  return ntohs (sa.sin_port);
+}
+
+static int
+tcp_option (int fd, int option)
+{
+  int value = -1;
+  socklen_t size = sizeof value;
+  ck_assert_int_eq (getsockopt (fd, IPPROTO_TCP, option, &value, &size), 0);
+  return value;
+}
+
+/* Guards against a reset by the kernel of a caller that pauses reading for some seconds. */
+START_TEST (a_caller_may_pause_reading_for_its_idle_time)
+{
+  Fixture *f = create (0);
+  int accepted = find_peer_of (own_port (f->caller.fd), -1);
+  int keeps_alive = 0;
+  socklen_t size = sizeof keeps_alive;
+  ck_assert_int_ge (tcp_option (accepted, TCP_USER_TIMEOUT), CALLER_IDLE_MS);
+  ck_assert_int_eq (getsockopt (accepted, SOL_SOCKET, SO_KEEPALIVE, &keeps_alive, &size), 0);
+  ck_assert_int_eq (keeps_alive, 1);
+  WlTcp *out = wl_tcp_connect (f->loop, htonl (INADDR_LOOPBACK), f->port, &handlers, f);
+  settle (f);
+  int connected = find_peer_of (f->port, f->caller.fd);
+  ck_assert_int_eq (tcp_option (connected, TCP_USER_TIMEOUT), ENDPOINT_TIMEOUT_MS);
+  wl_tcp_close (out);
+  destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -311,6 +366,7 @@
     WL_TEST (a_caller_that_sends_without_end_is_closed),
     WL_TEST (a_caller_that_hardly_reads_is_closed),
     WL_TEST (a_caller_that_reads_slowly_keeps_its_connection),
+    WL_TEST (a_caller_may_pause_reading_for_its_idle_time),
   };
   apr_initialize ();
   return wl_test_run ("tcp", tests, sizeof tests / sizeof tests[0]);
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -146,12 +146,11 @@
 }
 
 static void
-set_socket_options (int fd)
+set_socket_options (int fd, unsigned timeout_ms)
 {
   int on = 1;
   int probe_s = WL_TCP_PROBE_S;
   int probes = PROBES_MAX;
-  unsigned timeout_ms = WL_TCP_USER_TIMEOUT_MS;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof probe_s);
@@ -359,7 +358,7 @@
         wl_log_eventf (WL1105_ACCEPT_FAILED, "errno=%d", errno);
       if (fd < 0)
         return;
-      set_socket_options (fd);
+      set_socket_options (fd, WL_TCP_CALLER_TIMEOUT_MS);
       WlTcp *tcp = add_connection (l->loop, fd, 0);
       if (tcp == NULL)
         continue;
@@ -432,7 +431,7 @@
   if (fd < 0)
     return NULL;
   sa.sin_addr.s_addr = address;
-  set_socket_options (fd);
+  set_socket_options (fd, WL_TCP_USER_TIMEOUT_MS);
   if (connect (fd, (struct sockaddr *)&sa, sizeof sa) != 0 && errno != EINPROGRESS)
     {
       close (fd);
--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -8,16 +8,19 @@
  * Buffered TCP connections on the reactor. Writes of one iteration of the event
  * loop are sent together by wl_tcp_flush(). Every connection has
  * TCP_USER_TIMEOUT and keep-alive probes set, so that it ends when the other
- * end is unresponsive.
+ * end is unresponsive. The kernel also counts the time in which the other end is
+ * responsive but takes no bytes; accepted connections have longer, since their
+ * callers may pause.
  */
 
 enum
 {
-  WL_TCP_USER_TIMEOUT_MS = 3000,   /* a connection ends when data is unacknowledged for so long */
-  WL_TCP_PROBE_S = 2,              /* idle time before a keep-alive probe, and between probes */
-  WL_TCP_LINGER_US = 1000000,      /* wait for the other end to close after it has all bytes */
-  WL_TCP_LINGER_MAX_US = 15000000, /* the same while the other end goes on sending */
-  WL_TCP_SLOW_US = 15000000,       /* time in which it has to take WL_TCP_SLOW_BYTES, or the rest */
+  WL_TCP_USER_TIMEOUT_MS = 3000,    /* a connection ends when data is unacknowledged for so long */
+  WL_TCP_CALLER_TIMEOUT_MS = 15000, /* the same for an accepted connection */
+  WL_TCP_PROBE_S = 2,               /* idle time before a keep-alive probe, and between probes */
+  WL_TCP_LINGER_US = 1000000,       /* wait for the other end to close after it has all bytes */
+  WL_TCP_LINGER_MAX_US = 15000000,  /* the same while the other end goes on sending */
+  WL_TCP_SLOW_US = 15000000, /* time in which it has to take WL_TCP_SLOW_BYTES, or the rest */
   WL_TCP_SLOW_BYTES = 16384,
 };
 
