Closing a port accepts all connections that wait on it

wl_tcp_unlisten() accepted 64 connections, the share of one iteration of the event loop, and closed the port with up to 512 waiting: the kernel resets the others, whose callers may have sent a request already. A connection that had been aborted in the queue, or a signal, also ended the round early.

It now accepts until none is left, at most the length of the queue.

--- a/relay/tests/test_tcp.c
+++ b/relay/tests/test_tcp.c
@@ -20,6 +20,7 @@
   KERNEL_RESPONSE_BYTES = 262144, /* fits into the kernel's queues, but not into the caller's */
   CALLER_BUFFER_BYTES = 32768,
   ROUNDS_MAX = 4000,          /* iterations of the event loop, 1 ms each without traffic */
+  WAITING = 150,              /* connections that wait to be accepted */
   CALLER_IDLE_MS = 15000,     /* how long a caller may be idle */
   ENDPOINT_TIMEOUT_MS = 3000, /* after which an endpoint counts as unresponsive */
 };
@@ -354,6 +355,22 @@
 }
 END_TEST
 
+/* Guards against callers that are reset while they wait to be accepted by a node that stops. */
+START_TEST (all_connections_that_wait_are_accepted_before_the_port_closes)
+{
+  static RawClient waiting[WAITING];
+  Fixture *f = create (0);
+  for (int i = 0; i < WAITING; i++)
+    raw_client_connect (&waiting[i], f->port);
+  wl_tcp_unlisten (f->loop, f->port);
+  ck_assert_int_eq (f->n_accepted, 1 + WAITING);
+  wl_tcp_unlisten (f->loop, f->port);
+  for (int i = 0; i < WAITING; i++)
+    raw_client_close (&waiting[i]);
+  destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -367,6 +384,7 @@
     WL_TEST (a_caller_that_hardly_reads_is_closed),
     WL_TEST (a_caller_that_reads_slowly_keeps_its_connection),
     WL_TEST (a_caller_may_pause_reading_for_its_idle_time),
+    WL_TEST (all_connections_that_wait_are_accepted_before_the_port_closes),
   };
   apr_initialize ();
   return wl_test_run ("tcp", tests, sizeof tests / sizeof tests[0]);
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -346,18 +346,19 @@
   return tcp;
 }
 
-static void
-on_accept (void *data, int ready)
+/* Accepts up to ACCEPTS_MAX connections; returns whether more may be waiting. */
+static int
+accept_waiting (Listener *l)
 {
-  Listener *l = data;
-  (void)ready;
   for (int i = 0; i < ACCEPTS_MAX; i++)
     {
       int fd = accept4 (l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0 && (errno == ECONNABORTED || errno == EINTR))
+        continue; /* concerns one connection, or none */
       if (fd < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
         wl_log_eventf (WL1105_ACCEPT_FAILED, "errno=%d", errno);
       if (fd < 0)
-        return;
+        return 0;
       set_socket_options (fd, WL_TCP_CALLER_TIMEOUT_MS);
       WlTcp *tcp = add_connection (l->loop, fd, 0);
       if (tcp == NULL)
@@ -365,6 +366,14 @@
       tcp->is_accepted = 1;
       l->accepted (l->data, tcp);
     }
+  return 1;
+}
+
+static void
+on_accept (void *data, int ready)
+{
+  (void)ready;
+  accept_waiting (data);
 }
 
 uint16_t
@@ -415,7 +424,8 @@
       Listener *l = *slot;
       if (l->port != port)
         continue;
-      on_accept (l, WL_READABLE);
+      for (int i = 0; i <= BACKLOG / ACCEPTS_MAX && accept_waiting (l); i++)
+        ;
       *slot = l->next;
       close_listener (l);
       return;
