Bytes lost with any caller's connection are logged (WL1107)

The close itself now writes the line, with the reason that led to it, so that no way of ending a connection leaves it out. The reason "linger" is gone, since that time starts when nothing is left.

Tests on loopback sockets, before the change (the text is the empty log): bytes_lost_with_a_kept_connection_are_logged: failed bytes_lost_in_the_kernel_are_logged: failed Those for finishing connections and for the exit held before.

--- a/relay/tests/test_tcp.c
+++ b/relay/tests/test_tcp.c
@@ -1,9 +1,13 @@
+#include <fcntl.h>
+#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 #include <apr_general.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include "wl_clock.h"
+#include "wl_log.h"
 #include "wl_raw_client.h"
 #include "wl_tcp.h"
 #include "wl_test.h"
@@ -371,6 +375,89 @@
 }
 END_TEST
 
+/* Sends what the log writes from now on into a pipe; returns its end to be read. */
+static int
+open_log (void)
+{
+  int fds[2];
+  ck_assert_int_eq (pipe (fds), 0);
+  fcntl (fds[0], F_SETFL, O_NONBLOCK);
+  dup2 (fds[1], STDOUT_FILENO);
+  close (fds[1]);
+  wl_log_open (1);
+  return fds[0];
+}
+
+static const char *
+close_log (int fd)
+{
+  static char text[4096];
+  wl_log_close ();
+  ssize_t n = read (fd, text, sizeof text - 1);
+  text[n > 0 ? n : 0] = '\0';
+  close (fd);
+  return text;
+}
+
+/* Sends a response whose caller takes none of it and resets the connection. Returns the log. */
+static const char *
+log_of_reset (uint32_t response_bytes, int is_finishing)
+{
+  struct linger no_linger = { .l_onoff = 1, .l_linger = 0 };
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  int log = open_log ();
+  respond (f, response_bytes);
+  if (is_finishing)
+    wl_tcp_finish (f->tcp);
+  settle (f);
+  setsockopt (f->caller.fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof no_linger);
+  close (f->caller.fd);
+  f->caller.fd = -1;
+  settle (f);
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 0);
+  const char *text = close_log (log);
+  destroy (f);
+  return text;
+}
+
+/* Guards against bytes lost in silence with a finishing connection that is reset. */
+START_TEST (bytes_lost_with_a_finishing_connection_are_logged)
+{
+  const char *text = log_of_reset (RESPONSE_BYTES, 1);
+  ck_assert_msg (strstr (text, "WL1107 reason=failed unsent=") != NULL, "%s", text);
+}
+END_TEST
+
+/* Guards against bytes lost in silence with a kept connection that is reset. */
+START_TEST (bytes_lost_with_a_kept_connection_are_logged)
+{
+  const char *text = log_of_reset (RESPONSE_BYTES, 0);
+  ck_assert_msg (strstr (text, "WL1107 reason=failed unsent=") != NULL, "%s", text);
+}
+END_TEST
+
+/* Guards against bytes lost in silence with a connection that the kernel holds them for. */
+START_TEST (bytes_lost_in_the_kernel_are_logged)
+{
+  const char *text = log_of_reset (KERNEL_RESPONSE_BYTES, 1);
+  ck_assert_msg (strstr (text, "WL1107 reason=failed unsent=0 unacknowledged=") != NULL, "%s",
+                 text);
+}
+END_TEST
+
+/* Guards against bytes lost in silence at the end of the process. */
+START_TEST (bytes_lost_at_the_exit_are_logged)
+{
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  int log = open_log ();
+  respond (f, RESPONSE_BYTES);
+  settle (f);
+  destroy (f);
+  const char *text = close_log (log);
+  ck_assert_msg (strstr (text, "WL1107 reason=exit unsent=") != NULL, "%s", text);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -385,6 +472,10 @@
     WL_TEST (a_caller_that_reads_slowly_keeps_its_connection),
     WL_TEST (a_caller_may_pause_reading_for_its_idle_time),
     WL_TEST (all_connections_that_wait_are_accepted_before_the_port_closes),
+    WL_TEST (bytes_lost_with_a_finishing_connection_are_logged),
+    WL_TEST (bytes_lost_with_a_kept_connection_are_logged),
+    WL_TEST (bytes_lost_in_the_kernel_are_logged),
+    WL_TEST (bytes_lost_at_the_exit_are_logged),
   };
   apr_initialize ();
   return wl_test_run ("tcp", tests, sizeof tests / sizeof tests[0]);
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -41,6 +41,7 @@
   WlTcpHandlers handlers;
   void *data;
   WlBuffer out;
+  const char *end_reason;   /* why the connection is closed, for the log */
   uint64_t linger_until_us; /* end of the wait for the other end to close, 0 before it begins */
   uint64_t linger_limit_us; /* latest value of linger_until_us */
   uint64_t slow_since_us;   /* when slow_from_bytes were undelivered */
@@ -53,6 +54,7 @@
   uint8_t is_dirty; /* in the list of connections to be flushed */
   uint8_t is_closed;
   uint8_t has_shutdown;      /* the sending side is shut down */
+  uint8_t has_failed;        /* reset or timed out */
   uint8_t has_peer_shutdown; /* the other end's is, and all that it sent has been read */
   uint8_t wants_write;
   WlTcp *next;
@@ -109,18 +111,22 @@
   return wl_buffer_left (&tcp->out) + in_kernel;
 }
 
-/* Logs what is lost with a caller's connection that is about to be closed, if anything is. */
+/*
+ * Logs what is lost with a caller's connection that is about to be closed, if
+ * anything is. The kernel sends on what it holds, unless the connection has
+ * failed or has unread bytes.
+ */
 static void
-log_cut (const WlTcp *tcp, const char *reason)
+log_cut (const WlTcp *tcp)
 {
   if (!tcp->is_accepted)
     return;
   size_t unsent = wl_buffer_left (&tcp->out);
-  size_t unread = kernel_queue_bytes (tcp, FIONREAD);
-  size_t unacknowledged = kernel_queue_bytes (tcp, SIOCOUTQ);
-  if (unsent > 0 || (unread > 0 && unacknowledged > 0))
+  size_t unacknowledged = undelivered_bytes (tcp) - unsent;
+  size_t unread = unacknowledged > 0 ? kernel_queue_bytes (tcp, FIONREAD) : 0;
+  if (unsent > 0 || (unacknowledged > 0 && (unread > 0 || tcp->has_failed)))
     wl_log_eventf (WL1107_RESPONSE_CUT, "reason=%s unsent=%zu unacknowledged=%zu unread=%zu",
-                   reason, unsent, unacknowledged, unread);
+                   tcp->end_reason, unsent, unacknowledged, unread);
 }
 
 void
@@ -129,10 +135,7 @@
   if (loop == NULL)
     return;
   while (loop->open != NULL)
-    {
-      log_cut (loop->open, "exit");
-      wl_tcp_close (loop->open);
-    }
+    wl_tcp_close (loop->open);
   free_closed (loop);
   while (loop->listeners != NULL)
     {
@@ -181,13 +184,15 @@
 static void
 end_connection (WlTcp *tcp, WlTcpEnd end)
 {
-  if (!tcp->is_finishing && tcp->handlers.ended != NULL)
+  if (end == WL_TCP_END_FAILED)
     {
-      tcp->handlers.ended (tcp->data, end);
-      return;
+      tcp->has_failed = 1;
+      tcp->end_reason = "failed";
     }
-  log_cut (tcp, "failed");
-  wl_tcp_close (tcp);
+  if (!tcp->is_finishing && tcp->handlers.ended != NULL)
+    tcp->handlers.ended (tcp->data, end);
+  else
+    wl_tcp_close (tcp);
 }
 
 /* Ends the sending side of a finishing connection once its bytes are with the kernel. */
@@ -329,6 +334,7 @@
     abort ();
   tcp->loop = loop;
   tcp->fd = fd;
+  tcp->end_reason = "exit";
   tcp->is_connecting = (uint8_t)is_connecting;
   tcp->wants_write = tcp->is_connecting;
   tcp->watch = wl_reactor_add (loop->reactor, fd, is_connecting ? WL_WRITABLE : WL_READABLE,
@@ -495,6 +501,7 @@
 {
   if (tcp == NULL || tcp->is_closed)
     return;
+  log_cut (tcp);
   tcp->is_closed = 1;
   wl_reactor_remove (tcp->watch);
   close (tcp->fd);
@@ -554,9 +561,9 @@
   free_closed (loop);
 }
 
-/* Why a finishing connection has to be closed now, NULL when it goes on. */
-static const char *
-find_end_reason (WlTcp *tcp, uint64_t now_us)
+/* Whether the time of a finishing connection has passed. */
+static int
+must_end (WlTcp *tcp, uint64_t now_us)
 {
   size_t left = undelivered_bytes (tcp);
   if (left == 0)
@@ -566,14 +573,17 @@
           tcp->linger_until_us = now_us + WL_TCP_LINGER_US;
           tcp->linger_limit_us = now_us + WL_TCP_LINGER_MAX_US;
         }
-      return now_us > tcp->linger_until_us ? "linger" : NULL;
+      return now_us > tcp->linger_until_us;
     }
   if (tcp->slow_from_bytes >= left + WL_TCP_SLOW_BYTES)
     {
       tcp->slow_from_bytes = left;
       tcp->slow_since_us = now_us;
     }
-  return now_us > tcp->slow_since_us + WL_TCP_SLOW_US ? "slow" : NULL;
+  if (now_us <= tcp->slow_since_us + WL_TCP_SLOW_US)
+    return 0;
+  tcp->end_reason = "slow";
+  return 1;
 }
 
 void
@@ -582,12 +592,8 @@
   for (WlTcp *tcp = loop->open; tcp != NULL;)
     {
       WlTcp *next = tcp->next;
-      const char *reason = tcp->is_finishing ? find_end_reason (tcp, now_us) : NULL;
-      if (reason != NULL)
-        {
-          log_cut (tcp, reason);
-          wl_tcp_close (tcp);
-        }
+      if (tcp->is_finishing && must_end (tcp, now_us))
+        wl_tcp_close (tcp);
       tcp = next;
     }
 }
--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -110,7 +110,11 @@
 /** wl_tcp_pause() - pauses (1) or resumes (0) reading */
 void wl_tcp_pause (WlTcp *tcp, int is_paused);
 
-/** wl_tcp_close() - closes at once; accepts NULL. No handler is called afterwards */
+/**
+ * wl_tcp_close() - closes at once; accepts NULL. No handler is called afterwards
+ *
+ * Logs WL1107_RESPONSE_CUT when bytes for a caller are lost with it.
+ */
 void wl_tcp_close (WlTcp *tcp);
 
 /** wl_tcp_reset() - closes with a reset; accepts NULL. No handler is called afterwards */
