--- a/relay/tests/test_tcp.c
+++ b/relay/tests/test_tcp.c
@@ -1,8 +1,13 @@
+#include <fcntl.h>
+#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 #include <apr_general.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include "wl_clock.h"
+#include "wl_log.h"
 #include "wl_raw_client.h"
 #include "wl_tcp.h"
 #include "wl_test.h"
@@ -18,7 +23,10 @@
   RESPONSE_BYTES = 8 << 20,       /* more than the kernel queues for a caller that does not read */
   KERNEL_RESPONSE_BYTES = 262144, /* fits into the kernel's queues, but not into the caller's */
   CALLER_BUFFER_BYTES = 32768,
-  ROUNDS_MAX = 4000, /* iterations of the event loop, 1 ms each without traffic */
+  ROUNDS_MAX = 4000,          /* iterations of the event loop, 1 ms each without traffic */
+  WAITING = 150,              /* connections that wait to be accepted */
+  CALLER_IDLE_MS = 15000,     /* how long a caller may be idle */
+  ENDPOINT_TIMEOUT_MS = 3000, /* after which an endpoint counts as unresponsive */
 };
 
 typedef struct
@@ -219,6 +227,45 @@
 }
 END_TEST
 
+/* Guards against a rejection that a caller loses because it is still sending its body. */
+START_TEST (a_caller_that_goes_on_sending_is_not_reset)
+{
+  static char body[16384];
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  respond (f, KERNEL_RESPONSE_BYTES);
+  wl_tcp_finish (f->tcp);
+  for (int i = 0; i < 100; i++)
+    {
+      ck_assert_int_ge (send (f->caller.fd, body, sizeof body, MSG_NOSIGNAL), 1);
+      turn (f);
+      advance (f, WL_TCP_LINGER_US / 10);
+      raw_client_take (&f->caller, 8192);
+    }
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 1);
+  take_until_closed (f);
+  ck_assert_uint_eq (f->caller.taken_bytes, KERNEL_RESPONSE_BYTES);
+  ck_assert_int_eq (f->caller.error, 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a caller that holds a connection for ever by sending without an end. */
+START_TEST (a_caller_that_sends_without_end_is_closed)
+{
+  Fixture *f = create (0);
+  respond (f, 1000);
+  wl_tcp_finish (f->tcp);
+  for (uint64_t us = 0; us <= WL_TCP_LINGER_MAX_US + WL_TCP_LINGER_US; us += WL_TCP_LINGER_US / 2)
+    {
+      send (f->caller.fd, "more", 4, MSG_NOSIGNAL);
+      turn (f);
+      advance (f, WL_TCP_LINGER_US / 2);
+    }
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 0);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against a caller that holds a connection and its bytes by reading a byte a second. */
 START_TEST (a_caller_that_hardly_reads_is_closed)
 {
@@ -260,6 +307,157 @@
 }
 END_TEST
 
+/* A descriptor of this process other than @except whose socket is connected to @port. */
+static int
+find_peer_of (uint16_t port, int except)
+{
+  for (int fd = 0; fd < 256; fd++)
+    {
+      struct sockaddr_in sa;
+      socklen_t size = sizeof sa;
+      if (fd != except && getpeername (fd, (struct sockaddr *)&sa, &size) == 0
+          && sa.sin_family == AF_INET && ntohs (sa.sin_port) == port)
+        return fd;
+    }
+  ck_abort_msg ("no socket is connected to port %u", port);
+}
+
+static uint16_t
+own_port (int fd)
+{
+  struct sockaddr_in sa;
+  socklen_t size = sizeof sa;
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&sa, &size), 0);
+  return ntohs (sa.sin_port);
+}
+
+static int
+tcp_option (int fd, int option)
+{
+  int value = -1;
+  socklen_t size = sizeof value;
+  ck_assert_int_eq (getsockopt (fd, IPPROTO_TCP, option, &value, &size), 0);
+  return value;
+}
+
+/* Guards against a reset by the kernel of a caller that pauses reading for some seconds. */
+START_TEST (a_caller_may_pause_reading_for_its_idle_time)
+{
+  Fixture *f = create (0);
+  int accepted = find_peer_of (own_port (f->caller.fd), -1);
+  int keeps_alive = 0;
+  socklen_t size = sizeof keeps_alive;
+  ck_assert_int_ge (tcp_option (accepted, TCP_USER_TIMEOUT), CALLER_IDLE_MS);
+  ck_assert_int_eq (getsockopt (accepted, SOL_SOCKET, SO_KEEPALIVE, &keeps_alive, &size), 0);
+  ck_assert_int_eq (keeps_alive, 1);
+  WlTcp *out = wl_tcp_connect (f->loop, htonl (INADDR_LOOPBACK), f->port, &handlers, f);
+  settle (f);
+  int connected = find_peer_of (f->port, f->caller.fd);
+  ck_assert_int_eq (tcp_option (connected, TCP_USER_TIMEOUT), ENDPOINT_TIMEOUT_MS);
+  wl_tcp_close (out);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against callers that are reset while they wait to be accepted by a node that stops. */
+START_TEST (all_connections_that_wait_are_accepted_before_the_port_closes)
+{
+  static RawClient waiting[WAITING];
+  Fixture *f = create (0);
+  for (int i = 0; i < WAITING; i++)
+    raw_client_connect (&waiting[i], f->port);
+  wl_tcp_unlisten (f->loop, f->port);
+  ck_assert_int_eq (f->n_accepted, 1 + WAITING);
+  wl_tcp_unlisten (f->loop, f->port);
+  for (int i = 0; i < WAITING; i++)
+    raw_client_close (&waiting[i]);
+  destroy (f);
+}
+END_TEST
+
+/* Sends what the log writes from now on into a pipe; returns its end to be read. */
+static int
+open_log (void)
+{
+  int fds[2];
+  ck_assert_int_eq (pipe (fds), 0);
+  fcntl (fds[0], F_SETFL, O_NONBLOCK);
+  dup2 (fds[1], STDOUT_FILENO);
+  close (fds[1]);
+  wl_log_open (1);
+  return fds[0];
+}
+
+static const char *
+close_log (int fd)
+{
+  static char text[4096];
+  wl_log_close ();
+  ssize_t n = read (fd, text, sizeof text - 1);
+  text[n > 0 ? n : 0] = '\0';
+  close (fd);
+  return text;
+}
+
+/* Sends a response whose caller takes none of it and resets the connection. Returns the log. */
+static const char *
+log_of_reset (uint32_t response_bytes, int is_finishing)
+{
+  struct linger no_linger = { .l_onoff = 1, .l_linger = 0 };
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  int log = open_log ();
+  respond (f, response_bytes);
+  if (is_finishing)
+    wl_tcp_finish (f->tcp);
+  settle (f);
+  setsockopt (f->caller.fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof no_linger);
+  close (f->caller.fd);
+  f->caller.fd = -1;
+  settle (f);
+  ck_assert_uint_eq (wl_tcp_finishing (f->loop), 0);
+  const char *text = close_log (log);
+  destroy (f);
+  return text;
+}
+
+/* Guards against bytes lost in silence with a finishing connection that is reset. */
+START_TEST (bytes_lost_with_a_finishing_connection_are_logged)
+{
+  const char *text = log_of_reset (RESPONSE_BYTES, 1);
+  ck_assert_msg (strstr (text, "WL1107 reason=failed unsent=") != NULL, "%s", text);
+}
+END_TEST
+
+/* Guards against bytes lost in silence with a kept connection that is reset. */
+START_TEST (bytes_lost_with_a_kept_connection_are_logged)
+{
+  const char *text = log_of_reset (RESPONSE_BYTES, 0);
+  ck_assert_msg (strstr (text, "WL1107 reason=failed unsent=") != NULL, "%s", text);
+}
+END_TEST
+
+/* Guards against bytes lost in silence with a connection that the kernel holds them for. */
+START_TEST (bytes_lost_in_the_kernel_are_logged)
+{
+  const char *text = log_of_reset (KERNEL_RESPONSE_BYTES, 1);
+  ck_assert_msg (strstr (text, "WL1107 reason=failed unsent=0 unacknowledged=") != NULL, "%s",
+                 text);
+}
+END_TEST
+
+/* Guards against bytes lost in silence at the end of the process. */
+START_TEST (bytes_lost_at_the_exit_are_logged)
+{
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  int log = open_log ();
+  respond (f, RESPONSE_BYTES);
+  settle (f);
+  destroy (f);
+  const char *text = close_log (log);
+  ck_assert_msg (strstr (text, "WL1107 reason=exit unsent=") != NULL, "%s", text);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -268,8 +466,16 @@
     WL_TEST (bytes_in_the_kernel_reach_a_caller_that_sends_on),
     WL_TEST (a_delivered_response_is_closed_after_the_linger_time),
     WL_TEST (a_caller_that_shuts_down_its_side_receives_what_is_queued),
+    WL_TEST (a_caller_that_goes_on_sending_is_not_reset),
+    WL_TEST (a_caller_that_sends_without_end_is_closed),
     WL_TEST (a_caller_that_hardly_reads_is_closed),
     WL_TEST (a_caller_that_reads_slowly_keeps_its_connection),
+    WL_TEST (a_caller_may_pause_reading_for_its_idle_time),
+    WL_TEST (all_connections_that_wait_are_accepted_before_the_port_closes),
+    WL_TEST (bytes_lost_with_a_finishing_connection_are_logged),
+    WL_TEST (bytes_lost_with_a_kept_connection_are_logged),
+    WL_TEST (bytes_lost_in_the_kernel_are_logged),
+    WL_TEST (bytes_lost_at_the_exit_are_logged),
   };
   apr_initialize ();
   return wl_test_run ("tcp", tests, sizeof tests / sizeof tests[0]);
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -41,7 +41,9 @@
   WlTcpHandlers handlers;
   void *data;
   WlBuffer out;
+  const char *end_reason;   /* why the connection is closed, for the log */
   uint64_t linger_until_us; /* end of the wait for the other end to close, 0 before it begins */
+  uint64_t linger_limit_us; /* latest value of linger_until_us */
   uint64_t slow_since_us;   /* when slow_from_bytes were undelivered */
   size_t slow_from_bytes;
   uint8_t is_finishing;
@@ -52,6 +54,7 @@
   uint8_t is_dirty; /* in the list of connections to be flushed */
   uint8_t is_closed;
   uint8_t has_shutdown;      /* the sending side is shut down */
+  uint8_t has_failed;        /* reset or timed out */
   uint8_t has_peer_shutdown; /* the other end's is, and all that it sent has been read */
   uint8_t wants_write;
   WlTcp *next;
@@ -108,18 +111,22 @@
   return wl_buffer_left (&tcp->out) + in_kernel;
 }
 
-/* Logs what is lost with a caller's connection that is about to be closed, if anything is. */
+/*
+ * Logs what is lost with a caller's connection that is about to be closed, if
+ * anything is. The kernel sends on what it holds, unless the connection has
+ * failed or has unread bytes.
+ */
 static void
-log_cut (const WlTcp *tcp, const char *reason)
+log_cut (const WlTcp *tcp)
 {
   if (!tcp->is_accepted)
     return;
   size_t unsent = wl_buffer_left (&tcp->out);
-  size_t unread = kernel_queue_bytes (tcp, FIONREAD);
-  size_t unacknowledged = kernel_queue_bytes (tcp, SIOCOUTQ);
-  if (unsent > 0 || (unread > 0 && unacknowledged > 0))
+  size_t unacknowledged = undelivered_bytes (tcp) - unsent;
+  size_t unread = unacknowledged > 0 ? kernel_queue_bytes (tcp, FIONREAD) : 0;
+  if (unsent > 0 || (unacknowledged > 0 && (unread > 0 || tcp->has_failed)))
     wl_log_eventf (WL1107_RESPONSE_CUT, "reason=%s unsent=%zu unacknowledged=%zu unread=%zu",
-                   reason, unsent, unacknowledged, unread);
+                   tcp->end_reason, unsent, unacknowledged, unread);
 }
 
 void
@@ -128,10 +135,7 @@
   if (loop == NULL)
     return;
   while (loop->open != NULL)
-    {
-      log_cut (loop->open, "exit");
-      wl_tcp_close (loop->open);
-    }
+    wl_tcp_close (loop->open);
   free_closed (loop);
   while (loop->listeners != NULL)
     {
@@ -145,12 +149,11 @@
 }
 
 static void
-set_socket_options (int fd)
+set_socket_options (int fd, unsigned timeout_ms)
 {
   int on = 1;
   int probe_s = WL_TCP_PROBE_S;
   int probes = PROBES_MAX;
-  unsigned timeout_ms = WL_TCP_USER_TIMEOUT_MS;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof probe_s);
@@ -181,13 +184,15 @@
 static void
 end_connection (WlTcp *tcp, WlTcpEnd end)
 {
-  if (!tcp->is_finishing && tcp->handlers.ended != NULL)
+  if (end == WL_TCP_END_FAILED)
     {
-      tcp->handlers.ended (tcp->data, end);
-      return;
+      tcp->has_failed = 1;
+      tcp->end_reason = "failed";
     }
-  log_cut (tcp, "failed");
-  wl_tcp_close (tcp);
+  if (!tcp->is_finishing && tcp->handlers.ended != NULL)
+    tcp->handlers.ended (tcp->data, end);
+  else
+    wl_tcp_close (tcp);
 }
 
 /* Ends the sending side of a finishing connection once its bytes are with the kernel. */
@@ -250,6 +255,16 @@
     update_watch (tcp);
 }
 
+/* The other end is still sending, and would be reset by a close. */
+static void
+extend_linger (WlTcp *tcp)
+{
+  if (tcp->linger_until_us == 0)
+    return;
+  uint64_t until_us = wl_clock_now_us () + WL_TCP_LINGER_US;
+  tcp->linger_until_us = until_us < tcp->linger_limit_us ? until_us : tcp->linger_limit_us;
+}
+
 static void
 read_socket (WlTcp *tcp)
 {
@@ -263,7 +278,9 @@
     end_reading (tcp);
   if (n <= 0)
     return;
-  if (!tcp->is_finishing)
+  if (tcp->is_finishing)
+    extend_linger (tcp);
+  else
     tcp->handlers.received (tcp->data, (WlBytes){ chunk, (uint32_t)n });
 }
 
@@ -317,6 +334,7 @@
     abort ();
   tcp->loop = loop;
   tcp->fd = fd;
+  tcp->end_reason = "exit";
   tcp->is_connecting = (uint8_t)is_connecting;
   tcp->wants_write = tcp->is_connecting;
   tcp->watch = wl_reactor_add (loop->reactor, fd, is_connecting ? WL_WRITABLE : WL_READABLE,
@@ -334,25 +352,34 @@
   return tcp;
 }
 
-static void
-on_accept (void *data, int ready)
+/* Accepts up to ACCEPTS_MAX connections; returns whether more may be waiting. */
+static int
+accept_waiting (Listener *l)
 {
-  Listener *l = data;
-  (void)ready;
   for (int i = 0; i < ACCEPTS_MAX; i++)
     {
       int fd = accept4 (l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0 && (errno == ECONNABORTED || errno == EINTR))
+        continue; /* concerns one connection, or none */
       if (fd < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
         wl_log_eventf (WL1105_ACCEPT_FAILED, "errno=%d", errno);
       if (fd < 0)
-        return;
-      set_socket_options (fd);
+        return 0;
+      set_socket_options (fd, WL_TCP_CALLER_TIMEOUT_MS);
       WlTcp *tcp = add_connection (l->loop, fd, 0);
       if (tcp == NULL)
         continue;
       tcp->is_accepted = 1;
       l->accepted (l->data, tcp);
     }
+  return 1;
+}
+
+static void
+on_accept (void *data, int ready)
+{
+  (void)ready;
+  accept_waiting (data);
 }
 
 uint16_t
@@ -403,7 +430,8 @@
       Listener *l = *slot;
       if (l->port != port)
         continue;
-      on_accept (l, WL_READABLE);
+      for (int i = 0; i <= BACKLOG / ACCEPTS_MAX && accept_waiting (l); i++)
+        ;
       *slot = l->next;
       close_listener (l);
       return;
@@ -419,7 +447,7 @@
   if (fd < 0)
     return NULL;
   sa.sin_addr.s_addr = address;
-  set_socket_options (fd);
+  set_socket_options (fd, WL_TCP_USER_TIMEOUT_MS);
   if (connect (fd, (struct sockaddr *)&sa, sizeof sa) != 0 && errno != EINPROGRESS)
     {
       close (fd);
@@ -473,6 +501,7 @@
 {
   if (tcp == NULL || tcp->is_closed)
     return;
+  log_cut (tcp);
   tcp->is_closed = 1;
   wl_reactor_remove (tcp->watch);
   close (tcp->fd);
@@ -532,23 +561,29 @@
   free_closed (loop);
 }
 
-/* Why a finishing connection has to be closed now, NULL when it goes on. */
-static const char *
-find_end_reason (WlTcp *tcp, uint64_t now_us)
+/* Whether the time of a finishing connection has passed. */
+static int
+must_end (WlTcp *tcp, uint64_t now_us)
 {
   size_t left = undelivered_bytes (tcp);
   if (left == 0)
     {
       if (tcp->linger_until_us == 0)
-        tcp->linger_until_us = now_us + WL_TCP_LINGER_US;
-      return now_us > tcp->linger_until_us ? "linger" : NULL;
+        {
+          tcp->linger_until_us = now_us + WL_TCP_LINGER_US;
+          tcp->linger_limit_us = now_us + WL_TCP_LINGER_MAX_US;
+        }
+      return now_us > tcp->linger_until_us;
     }
   if (tcp->slow_from_bytes >= left + WL_TCP_SLOW_BYTES)
     {
       tcp->slow_from_bytes = left;
       tcp->slow_since_us = now_us;
     }
-  return now_us > tcp->slow_since_us + WL_TCP_SLOW_US ? "slow" : NULL;
+  if (now_us <= tcp->slow_since_us + WL_TCP_SLOW_US)
+    return 0;
+  tcp->end_reason = "slow";
+  return 1;
 }
 
 void
@@ -557,12 +592,8 @@
   for (WlTcp *tcp = loop->open; tcp != NULL;)
     {
       WlTcp *next = tcp->next;
-      const char *reason = tcp->is_finishing ? find_end_reason (tcp, now_us) : NULL;
-      if (reason != NULL)
-        {
-          log_cut (tcp, reason);
-          wl_tcp_close (tcp);
-        }
+      if (tcp->is_finishing && must_end (tcp, now_us))
+        wl_tcp_close (tcp);
       tcp = next;
     }
 }
