A stream that ends within an event is not complete

Cause: such a response ends with its connection, so that HTTP calls it complete; the relay forwarded what was left of an event and ended the response as whole.

Evidence: the new test fails on the code before: a_stream_without_length_that_ends_within_an_event_goes_on_elsewhere: Assertion 'strstr (f->caller.answer, "\r\n0\r\n\r\n") == NULL' failed

Fix: bytes of an unfinished event at the end of a stream of which events were forwarded count as a broken connection: the stream goes on elsewhere after its last complete event, or is cut.

--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -388,7 +388,6 @@
   WlWebRequest *web = r->web;
   if (r->phase == WL_RELAY_ANSWERING)
     {
-      forward_to_caller (r, wl_buffer_bytes (&r->events.pending));
       forward_to_caller (r, wl_buffer_bytes (&r->body));
       wl_relay_finish (r, outcome);
       wl_web_end (web, 1);
@@ -433,6 +432,13 @@
       reply_and_finish (r, "endpoint_error");
       return;
     }
+  if (r->phase == WL_RELAY_ANSWERING && wl_buffer_left (&r->events.pending) > 0)
+    {
+      /* The endpoint stopped within an event. Without a length that is no error of HTTP. */
+      wl_relay_record_failure (r, e, WL_FAILURE_LOST, WL_REASON_BROKEN, now_us);
+      wl_relay_on_failure (r, WL_REASON_BROKEN, now_us);
+      return;
+    }
   if (e != NULL)
     wl_fleet_note_success (e, now_us);
   reply_and_finish (r, "whole");
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -245,6 +245,32 @@
 }
 END_TEST
 
+/*
+ * Guards against half an event in the caller's stream, which then ended as if it were complete: a
+ * response without a length ends with its connection, also when the endpoint stopped early.
+ */
+START_TEST (a_stream_without_length_that_ends_within_an_event_goes_on_elsewhere)
+{
+  RelayFixture *f = relay_fixture_create ();
+  script_server_add (&f->endpoints[0],
+                     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: f\r\n\r\n"
+                     "id: 1\ndata: a\n\nid: 2\nda",
+                     SCRIPT_CLOSE);
+  script_server_add (&f->endpoints[1],
+                     "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n\r\nid: 2\ndata: b\n\n",
+                     SCRIPT_CLOSE);
+  relay_fixture_register (f, 0, f->endpoints[0].port);
+  raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
+  relay_fixture_run (f, 10);
+  ck_assert_ptr_null (strstr (f->caller.answer, "\r\n0\r\n\r\n"));
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  relay_fixture_run (f, 120);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n"
+                                                   "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"));
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 /* Guards against memory without bound, and against an error that is forwarded in parts. */
 START_TEST (a_long_error_in_response_to_a_resumption_never_reaches_the_caller)
 {
@@ -537,6 +563,7 @@
     WL_TEST (a_refused_connection_does_not_count_as_an_attempt),
     WL_TEST (a_broken_stream_continues_after_its_last_complete_event),
     WL_TEST (an_error_in_response_to_a_resumption_never_reaches_the_caller),
+    WL_TEST (a_stream_without_length_that_ends_within_an_event_goes_on_elsewhere),
     WL_TEST (a_long_error_in_response_to_a_resumption_never_reaches_the_caller),
     WL_TEST (a_stream_goes_on_at_a_third_endpoint_after_an_error_of_the_second),
     WL_TEST (a_resumed_stream_that_goes_on_elsewhere_is_cut),
