A kept connection is read again when the call that had paused it has ended

What callers saw: a request on a kept connection to an endpoint got no response until the route's time limit, although the endpoint had answered.

Cause: reading is paused while much is queued for a caller. If the pause came with the last bytes of a response, the connection went idle while it was paused, and the next call on it never read its response.

Evidence: the new test fails on the code before: a_call_that_ends_paused_does_not_pause_the_next_one: Assertion 'f->n_ended == 1' failed: f->n_ended == 0, 1 == 1

Fix: a connection that becomes idle is read again, which is also what notices that its server has closed it.

Measured: test_fetch passes; ctest 47 of 47. interim_responses_are_not_the_response passed before and guards 100 and 103 in front of a response.

--- a/relay/tests/test_fetch.c
+++ b/relay/tests/test_fetch.c
@@ -20,6 +20,8 @@
   ScriptServer server;
   const char *expected_id;
   int n_ended;
+  int pauses_on_body;
+  WlFetch *call;
   WlFetchEnd end;
   uint32_t status;
   char body[4096];
@@ -43,6 +45,8 @@
   Fixture *f = data;
   memcpy (f->body + f->body_size, bytes.data, bytes.size);
   f->body_size += bytes.size;
+  if (f->pauses_on_body)
+    wl_fetch_pause (f->call, 1);
   return 1;
 }
 
@@ -77,8 +81,8 @@
   wl_reactor_destroy (f->reactor);
 }
 
-static WlFetchEnd
-call (Fixture *f, uint16_t port, int is_fresh)
+static void
+start (Fixture *f, uint16_t port, int is_fresh)
 {
   static const char head[] = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n";
   WlFetchRequest request = {
@@ -91,7 +95,14 @@
   f->n_ended = 0;
   f->body_size = 0;
   f->status = 0;
-  ck_assert_ptr_nonnull (wl_fetch_client_start (f->client, &request, &handlers, f));
+  f->call = wl_fetch_client_start (f->client, &request, &handlers, f);
+  ck_assert_ptr_nonnull (f->call);
+}
+
+static WlFetchEnd
+call (Fixture *f, uint16_t port, int is_fresh)
+{
+  start (f, port, is_fresh);
   script_run (f->reactor, f->loop, 300000, &f->n_ended);
   ck_assert_int_eq (f->n_ended, 1);
   return f->end;
@@ -214,6 +225,37 @@
 }
 END_TEST
 
+/* Guards against a response that is never read: the call before it had paused their connection. */
+START_TEST (a_call_that_ends_paused_does_not_pause_the_next_one)
+{
+  static const char whole[] = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+  Fixture *f = create ();
+  script_server_add (&f->server, whole, SCRIPT_KEEP);
+  script_server_add (&f->server, whole, SCRIPT_KEEP);
+  f->pauses_on_body = 1;
+  ck_assert_int_eq (call (f, f->server.port, 0), WL_FETCH_COMPLETE);
+  f->pauses_on_body = 0;
+  ck_assert_int_eq (call (f, f->server.port, 0), WL_FETCH_COMPLETE);
+  ck_assert_uint_eq (f->body_size, 1);
+  ck_assert_uint_eq (f->server.n_connections, 1);
+  destroy (f);
+}
+END_TEST
+
+START_TEST (interim_responses_are_not_the_response)
+{
+  Fixture *f = create ();
+  script_server_add (&f->server,
+                     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nX-Id: 9\r\n\r\n"
+                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+                     SCRIPT_KEEP);
+  ck_assert_int_eq (call (f, f->server.port, 0), WL_FETCH_COMPLETE);
+  ck_assert_uint_eq (f->status, 200);
+  ck_assert_uint_eq (f->body_size, 1);
+  destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -227,6 +269,8 @@
     WL_TEST (a_response_without_a_length_is_complete_on_close_but_not_on_reset),
     WL_TEST (a_response_that_is_too_short_or_not_http_is_broken),
     WL_TEST (an_idle_connection_is_not_reused_after_its_announced_timeout),
+    WL_TEST (a_call_that_ends_paused_does_not_pause_the_next_one),
+    WL_TEST (interim_responses_are_not_the_response),
   };
   apr_initialize ();
   return wl_test_run ("fetch", tests, sizeof tests / sizeof tests[0]);
--- a/relay/transport/wl_fetch.c
+++ b/relay/transport/wl_fetch.c
@@ -137,6 +137,7 @@
       close_connection (c);
       return;
     }
+  wl_tcp_pause (c->tcp, 0);
   c->is_idle = 1;
   c->idle_until_us = now_us + c->idle_limit_us;
 }
