A kept connection with unread bytes is not used for another request

Cause: bytes on an idle connection close it, but only once the event loop has read them. Those that had arrived in the kernel were read after the next request had been written, and looked like its response. Where the response has no id to compare, as those to commands for reservations, nothing told them apart.

Evidence: the new test fails on the code before: an_idle_connection_with_unread_bytes_is_not_reused: Assertion 'f->n_ended == 0' failed: f->n_ended == 1

Fix: before a kept connection is used again, its socket is asked for unread bytes; if there are any, or its end, the connection is closed. That also avoids sending on a connection that the server has already closed. Bytes that arrive later are told apart by id where there is one.

--- a/relay/tests/test_fetch.c
+++ b/relay/tests/test_fetch.c
@@ -1,6 +1,8 @@
 #include <string.h>
+#include <unistd.h>
 #include <apr_general.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include "wl_clock.h"
 #include "wl_fetch.h"
 #include "wl_script_server.h"
@@ -256,6 +258,47 @@
 }
 END_TEST
 
+static void
+send_text (int fd, const char *text)
+{
+  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t)strlen (text));
+}
+
+/*
+ * Guards against a repeated response that is taken for the response to the next request (issue 29):
+ * it had arrived on the idle connection, and was not read before the request was written.
+ */
+START_TEST (an_idle_connection_with_unread_bytes_is_not_reused)
+{
+  static const char whole[] = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  socklen_t size = sizeof sa;
+  Fixture *f = create ();
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_eq (listen (listener, 8), 0);
+  getsockname (listener, (struct sockaddr *)&sa, &size);
+  start (f, ntohs (sa.sin_port), 0);
+  script_run (f->reactor, f->loop, 50000, NULL);
+  int fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  send_text (fd, whole);
+  script_run (f->reactor, f->loop, 300000, &f->n_ended);
+  ck_assert_int_eq (f->end, WL_FETCH_COMPLETE);
+  send_text (fd, whole);
+  start (f, ntohs (sa.sin_port), 0);
+  script_run (f->reactor, f->loop, 50000, NULL);
+  ck_assert_int_eq (f->n_ended, 0);
+  int second = accept (listener, NULL, NULL);
+  ck_assert_int_ge (second, 0);
+  close (second);
+  close (fd);
+  close (listener);
+  destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -271,6 +314,7 @@
     WL_TEST (an_idle_connection_is_not_reused_after_its_announced_timeout),
     WL_TEST (a_call_that_ends_paused_does_not_pause_the_next_one),
     WL_TEST (interim_responses_are_not_the_response),
+    WL_TEST (an_idle_connection_with_unread_bytes_is_not_reused),
   };
   apr_initialize ();
   return wl_test_run ("fetch", tests, sizeof tests / sizeof tests[0]);
--- a/relay/transport/wl_fetch.c
+++ b/relay/transport/wl_fetch.c
@@ -219,12 +219,21 @@
   .ended = on_ended,
 };
 
+/* Bytes that arrived on an idle connection would be read as the response to the next request. */
 static WlFetch *
 find_idle (WlFetchClient *client, uint32_t address, uint16_t port, uint64_t now_us)
 {
-  for (WlFetch *c = client->connections; c != NULL; c = c->next)
-    if (c->is_idle && c->address == address && c->port == port && now_us < c->idle_until_us)
-      return c;
+  for (WlFetch *c = client->connections; c != NULL;)
+    {
+      WlFetch *next = c->next;
+      int is_match
+          = c->is_idle && c->address == address && c->port == port && now_us < c->idle_until_us;
+      if (is_match && !wl_tcp_has_input (c->tcp))
+        return c;
+      if (is_match)
+        close_connection (c);
+      c = next;
+    }
   return NULL;
 }
 
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -378,6 +378,14 @@
   return wl_buffer_left (&tcp->out);
 }
 
+int
+wl_tcp_has_input (const WlTcp *tcp)
+{
+  uint8_t byte;
+  ssize_t n = recv (tcp->fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 int
 wl_tcp_has_sent (const WlTcp *tcp)
 {
