A response on a kept connection answers a request only if its id says so

Two gaps were left for requests that may be repeated. A repeated response without an id was taken, a success of another request included. A second attempt, whose id is that of the first, could use a connection that had carried the first one's refusal.

Evidence: the new tests fail on the code before: a_response_without_id_on_a_kept_connection_answers_no_request: Assertion 'strstr (answer, " 502 ") != NULL' failed a_retry_uses_a_new_connection: Assertion 'f->endpoints[1].n_connections == 2' failed: f->endpoints[1].n_connections == 1

Fix: endpoints echo the id, so that a response without it counts only as the first one of its connection; later the attempt ends as broken, which makes no promise. Second attempts, and requests without an id, get a new connection.

Limits: on a new connection the first response without id is believed. Responses to commands for reservations have no id: a repeated one that arrives after the command was written is taken. The engine then rejects the request itself, since it lacks the reservation; that is its own statement.

--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -190,6 +190,18 @@
     r->choice_request.excluded[r->choice_request.n_excluded++] = key;
 }
 
+/*
+ * On a kept connection an endpoint may repeat an earlier response. The response to a request that
+ * must not run twice, to one without an id, or to an earlier attempt could not be told apart.
+ */
+static int
+needs_new_connection (const WlRelayRequest *r)
+{
+  return r->route->kind == WL_ROUTE_NON_IDEMPOTENT
+         || (r->route->kind == WL_ROUTE_STREAM && !r->route->can_resume) || r->info.id == NULL
+         || r->attempts > 0;
+}
+
 static void
 send_attempt (WlRelayRequest *r, uint64_t now_us)
 {
@@ -204,8 +216,7 @@
     .port = r->target.port,
     .head = wl_buffer_bytes (&head),
     .body = wl_web_body (r->web),
-    .needs_new_connection = r->route->kind == WL_ROUTE_NON_IDEMPOTENT
-                            || (r->route->kind == WL_ROUTE_STREAM && !r->route->can_resume),
+    .needs_new_connection = (uint8_t)needs_new_connection (r),
     .expects_no_response_body = wl_web_head (r->web)->method == HTTP_HEAD,
   };
   r->phase = r->phase == WL_RELAY_WAITING ? WL_RELAY_SENT : r->phase;
@@ -303,13 +314,28 @@
          && (field == NULL || strncasecmp (field, type, sizeof type - 1) == 0);
 }
 
-static int
+/*
+ * Whether a response belongs to the current attempt. Endpoints echo the request's id. A response
+ * without it belongs to the attempt only if its connection has carried no other one.
+ */
+static WlFetchVerdict
+attribute_response (const WlRelayRequest *r)
+{
+  if (r->info.id == NULL)
+    return WL_FETCH_TAKE; /* sent on a new connection */
+  if (r->response.id == NULL)
+    return wl_fetch_is_first_response (r->fetch) ? WL_FETCH_TAKE : WL_FETCH_ABORT;
+  return strcmp (r->response.id, r->info.id) == 0 ? WL_FETCH_TAKE : WL_FETCH_SKIP;
+}
+
+static WlFetchVerdict
 on_head (void *data, const WlHttpHead *head)
 {
   WlRelayRequest *r = data;
   r->relay->options.protocol.read_response (head, &r->response);
-  if (r->response.id != NULL && r->info.id != NULL && strcmp (r->response.id, r->info.id) != 0)
-    return 0;
+  WlFetchVerdict verdict = attribute_response (r);
+  if (verdict != WL_FETCH_TAKE)
+    return verdict;
   r->response.id = NULL; /* the string belongs to the parsed head */
   r->status = head->status;
   r->progress_us = wl_clock_now_us ();
@@ -317,7 +343,7 @@
                        && (!r->is_resumed || is_event_stream (head));
   if (!r->is_resumed)
     save_fields (r, head);
-  return 1;
+  return WL_FETCH_TAKE;
 }
 
 static const char *
--- a/relay/forwarding/wl_reservation.c
+++ b/relay/forwarding/wl_reservation.c
@@ -102,12 +102,12 @@
   wl_buffer_clear (&body);
 }
 
-static int
+static WlFetchVerdict
 on_head (void *data, const WlHttpHead *head)
 {
   WlReservation *r = data;
   r->status = head->status;
-  return 1;
+  return WL_FETCH_TAKE;
 }
 
 static int
--- a/relay/tests/test_fetch.c
+++ b/relay/tests/test_fetch.c
@@ -30,15 +30,15 @@
   size_t body_size;
 } Fixture;
 
-static int
+static WlFetchVerdict
 on_head (void *data, const WlHttpHead *head)
 {
   Fixture *f = data;
   const char *id = wl_http_head_field (head, "X-Id");
   if (id != NULL && f->expected_id != NULL && strcmp (id, f->expected_id) != 0)
-    return 0;
+    return WL_FETCH_SKIP;
   f->status = head->status;
-  return 1;
+  return WL_FETCH_TAKE;
 }
 
 static int
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -419,6 +419,117 @@
 }
 END_TEST
 
+/* ---- repeated responses ---- */
+
+#define REFUSAL_1 "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+#define WHOLE_2 "HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\ntwo"
+#define SAFE_2 "GET /safe/ HTTP/1.1\r\nHost: h\r\nX-Id: 2\r\nX-Key: k1\r\n\r\n"
+#define ONCE_2                                                                                     \
+  "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Id: 2\r\nX-Key: k1\r\nContent-Length: 0\r\n\r\n"
+
+/*
+ * Endpoint 0 answers the first request with @first and the second one, with id 2, with @second.
+ * Returns what the caller received in response to the second one.
+ */
+static const char *
+answer_two_requests (RelayFixture *f, const char *first, const char *request, const char *second)
+{
+  script_server_add (&f->endpoints[0], first, SCRIPT_KEEP);
+  script_server_add (&f->endpoints[0], second, SCRIPT_KEEP);
+  relay_fixture_register (f, 0, f->endpoints[0].port);
+  raw_client_send (&f->caller, RELAY_SAFE_REQUEST);
+  relay_fixture_run (f, 30);
+  ck_assert_uint_eq (f->endpoints[0].n_requests, 1);
+  f->caller.size = 0;
+  raw_client_send (&f->caller, request);
+  relay_fixture_run (f, 60);
+  ck_assert_uint_eq (f->endpoints[0].n_requests, 2);
+  return f->caller.answer;
+}
+
+/* Guards against "not run" for a request that runs (rule REFUSED): an earlier refusal is repeated.
+ */
+START_TEST (a_repeated_refusal_does_not_refuse_the_next_request)
+{
+  static const char *const requests[] = { SAFE_2, ONCE_2 };
+  for (size_t i = 0; i < sizeof requests / sizeof *requests; i++)
+    {
+      RelayFixture *f = relay_fixture_create ();
+      const char *answer = answer_two_requests (f, REFUSAL_1, requests[i], REFUSAL_1 WHOLE_2);
+      ck_assert_ptr_nonnull (strstr (answer, " 200 "));
+      ck_assert_ptr_nonnull (strstr (answer, "two"));
+      relay_fixture_destroy (f);
+    }
+}
+END_TEST
+
+/* Guards against the refusal being read by a request that must not run twice. */
+START_TEST (a_non_idempotent_request_never_uses_a_kept_connection)
+{
+  RelayFixture *f = relay_fixture_create ();
+  answer_two_requests (f, RELAY_WHOLE, ONCE_2, WHOLE_2);
+  ck_assert_uint_eq (f->endpoints[0].n_connections, 2);
+  relay_fixture_destroy (f);
+}
+END_TEST
+
+/* Guards against a repeated response without id that is taken for the next one (rule MIXED). */
+START_TEST (a_response_without_id_on_a_kept_connection_answers_no_request)
+{
+  static const char *const repeated[] = {
+    "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nstale" WHOLE_2,
+    "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 5\r\n\r\nstale" WHOLE_2,
+    "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n\r\n" WHOLE_2,
+  };
+  for (size_t i = 0; i < sizeof repeated / sizeof *repeated; i++)
+    {
+      RelayFixture *f = relay_fixture_create ();
+      const char *answer = answer_two_requests (f, RELAY_WHOLE, SAFE_2, repeated[i]);
+      ck_assert_ptr_nonnull (strstr (answer, " 502 "));
+      ck_assert_ptr_null (strstr (answer, "stale"));
+      relay_fixture_destroy (f);
+    }
+}
+END_TEST
+
+/* Guards against a response that is put together from two: the repeated one is cut. */
+START_TEST (half_a_repeated_response_answers_no_request)
+{
+  static const char half[]
+      = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 40\r\n\r\nstale" WHOLE_2;
+  RelayFixture *f = relay_fixture_create ();
+  const char *answer = answer_two_requests (f, RELAY_WHOLE, SAFE_2, half);
+  ck_assert_ptr_nonnull (strstr (answer, " 502 "));
+  ck_assert_ptr_null (strstr (answer, "stale"));
+  ck_assert_ptr_null (strstr (answer, "two"));
+  relay_fixture_destroy (f);
+}
+END_TEST
+
+/*
+ * Guards against a refusal of an earlier attempt that is read by a later one: both have the
+ * caller's id, so that the id cannot tell them apart.
+ */
+START_TEST (a_retry_uses_a_new_connection)
+{
+  RelayFixture *f = relay_fixture_create ();
+  for (int i = 0; i < 2; i++)
+    script_server_add (&f->endpoints[1], RELAY_WHOLE, SCRIPT_KEEP);
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  raw_client_send (&f->caller, RELAY_SAFE_REQUEST);
+  relay_fixture_run (f, 30);
+  script_server_add (&f->endpoints[0], REFUSAL_1, SCRIPT_KEEP);
+  relay_fixture_register (f, 0, f->endpoints[0].port);
+  relay_fixture_occupy (f, "e1");
+  raw_client_send (&f->caller, RELAY_SAFE_REQUEST);
+  relay_fixture_run (f, 60);
+  ck_assert_uint_eq (f->endpoints[0].n_requests, 1);
+  ck_assert_uint_eq (f->endpoints[1].n_requests, 2);
+  ck_assert_uint_eq (f->endpoints[1].n_connections, 2);
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 /* ---- responses without end ---- */
 
 /*
@@ -570,6 +681,11 @@
     WL_TEST (a_stream_without_usable_ids_is_not_resumed),
     WL_TEST (a_silent_endpoint_is_left_only_for_another_one),
     WL_TEST (memory_reserved_for_a_dead_engine_is_given_back),
+    WL_TEST (a_repeated_refusal_does_not_refuse_the_next_request),
+    WL_TEST (a_non_idempotent_request_never_uses_a_kept_connection),
+    WL_TEST (a_response_without_id_on_a_kept_connection_answers_no_request),
+    WL_TEST (half_a_repeated_response_answers_no_request),
+    WL_TEST (a_retry_uses_a_new_connection),
     WL_TEST (an_error_with_an_endless_body_is_aborted),
     WL_TEST (a_response_without_seal_and_with_an_endless_body_is_aborted),
     WL_TEST (an_endless_event_is_aborted),
--- a/relay/transport/wl_fetch.c
+++ b/relay/transport/wl_fetch.c
@@ -19,9 +19,10 @@
   uint64_t started_us;    /* start of the call */
   uint8_t is_connected;
   uint8_t is_idle;
-  uint8_t is_reused;   /* has carried an earlier call */
-  uint8_t is_skipping; /* the response being read belongs to an earlier request */
-  uint8_t is_aborted;  /* the body callback broke the response off */
+  uint8_t is_reused;    /* has carried an earlier call */
+  uint8_t is_skipping;  /* the response being read belongs to an earlier request */
+  uint8_t is_aborted;   /* a callback broke the response off */
+  uint8_t has_response; /* the head of a response has arrived */
   uint8_t is_closed;
   WlFetch *next;
   WlFetch *previous;
@@ -113,7 +114,10 @@
 {
   WlFetch *c = data;
   read_idle_limit (c);
-  c->is_skipping = !c->handlers.head (c->data, &c->reader.head);
+  WlFetchVerdict verdict = c->handlers.head (c->data, &c->reader.head);
+  c->is_skipping = verdict == WL_FETCH_SKIP;
+  c->is_aborted = verdict == WL_FETCH_ABORT;
+  c->has_response = 1;
 }
 
 static void
@@ -299,6 +303,12 @@
     close_connection (call);
 }
 
+int
+wl_fetch_is_first_response (const WlFetch *call)
+{
+  return !call->has_response;
+}
+
 void
 wl_fetch_pause (WlFetch *call, int is_paused)
 {
--- a/relay/transport/wl_fetch.h
+++ b/relay/transport/wl_fetch.h
@@ -37,17 +37,29 @@
   WL_FETCH_BROKEN,
 } WlFetchEnd;
 
+/**
+ * enum WlFetchVerdict - what to do with a response, by its head
+ * @WL_FETCH_SKIP: it belongs to an earlier request; the next one is read
+ * @WL_FETCH_TAKE: it belongs to this call
+ * @WL_FETCH_ABORT: it is not known what it belongs to; the call ends as WL_FETCH_BROKEN
+ */
+typedef enum
+{
+  WL_FETCH_SKIP,
+  WL_FETCH_TAKE,
+  WL_FETCH_ABORT,
+} WlFetchVerdict;
+
 /**
  * struct WlFetchHandlers - callbacks of a call
- * @head: the head of the response has arrived; returns 0 to skip a response
- *   that belongs to an earlier request
+ * @head: the head of a response has arrived
  * @body: part of the body has arrived; returns 0 to abort a response that grows
  *   too large
  * @ended: the call has ended and must not be used any more
  */
 typedef struct
 {
-  int (*head) (void *data, const WlHttpHead *head);
+  WlFetchVerdict (*head) (void *data, const WlHttpHead *head);
   int (*body) (void *data, WlBytes bytes);
   void (*ended) (void *data, WlFetchEnd end);
 } WlFetchHandlers;
@@ -93,6 +105,9 @@
 /** wl_fetch_cancel() - closes the call's connection; accepts NULL. No callback is called */
 void wl_fetch_cancel (WlFetch *call);
 
+/** wl_fetch_is_first_response() - whether no response arrived on the call's connection before */
+int wl_fetch_is_first_response (const WlFetch *call);
+
 /** wl_fetch_pause() - pauses (1) or resumes (0) reading the response */
 void wl_fetch_pause (WlFetch *call, int is_paused);
 
