A stream whose reader falls 8 MiB behind ends as broken, not as whole

Callers that read a stream slowly could get it with a hole: a part that did not fit into the 8 MiB queue of their connection was dropped, later parts and the end of the stream were sent, and the response looked complete.

Cause: wl_exchange_write() reported WL_ERROR_NO_SPACE and the daemon ignored it, although docs/http.md says that such a reader is cut off. No caller of the function can do anything else, so the exchange itself now ends as a broken one: what is queued is sent, nothing is added, the body has no end. WL1107 reason=slow tells it.

The test on the code before: test_http.c:161:F:http:a_stream_with_dropped_bytes_is_not_complete:0: Assertion 'f.done && !f.result.is_complete' failed test_http: 6 of 6 with the fix.

--- a/runtime/tests/test_http.c
+++ b/runtime/tests/test_http.c
@@ -34,6 +34,17 @@
       wl_exchange_write (x, (WlBytes){ (const uint8_t *)"part", 4 });
       wl_exchange_end (x, strcmp (path, "/stream") == 0);
     }
+  else if (strcmp (path, "/flood") == 0)
+    {
+      uint8_t *block = calloc (1, WL_HTTP_STREAM_MAX / 2 + 1);
+      WlBytes bytes = { block, WL_HTTP_STREAM_MAX / 2 + 1 };
+      wl_exchange_begin (x, 200, "text/plain");
+      ck_assert_int_eq (wl_exchange_write (x, bytes), WL_OK);
+      ck_assert_int_eq (wl_exchange_write (x, bytes), WL_ERROR_NO_SPACE);
+      wl_exchange_write (x, (WlBytes){ (const uint8_t *)"end", 3 });
+      wl_exchange_end (x, 1);
+      free (block);
+    }
   else
     {
       f->waiting = x;
@@ -140,6 +151,18 @@
 }
 END_TEST
 
+/* Guards against a stream that lacks its middle and ends as a whole one, for a slow reader. */
+START_TEST (a_stream_with_dropped_bytes_is_not_complete)
+{
+  Fixture f;
+  open_fixture (&f);
+  call (&f, "/flood", (WlBytes){ NULL, 0 }, wl_http_server_port (f.server));
+  run (&f, 20000);
+  ck_assert (f.done && !f.result.is_complete);
+  close_fixture (&f);
+}
+END_TEST
+
 START_TEST (a_refused_connection_has_sent_nothing)
 {
   Fixture f;
@@ -204,6 +227,7 @@
   const WlTest tests[] = {
     WL_TEST (bodies_go_both_ways),
     WL_TEST (an_aborted_stream_is_not_complete),
+    WL_TEST (a_stream_with_dropped_bytes_is_not_complete),
     WL_TEST (a_refused_connection_has_sent_nothing),
     WL_TEST (a_late_answer_reaches_its_caller_and_a_gone_one_is_noticed),
     WL_TEST (an_oversized_body_is_shed),
--- a/runtime/wl_http_server.c
+++ b/runtime/wl_http_server.c
@@ -4,7 +4,9 @@
 #include <sys/socket.h>
 #include <microhttpd.h>
 #include "wl_buffer.h"
+#include "wl_events.h"
 #include "wl_http_server.h"
+#include "wl_log.h"
 
 enum
 {
@@ -128,6 +130,13 @@
 
 /* ---- answers ---- */
 
+static void
+log_cut (const WlExchange *x, const char *reason)
+{
+  wl_log_eventf (WL1107_RESPONSE_CUT, "reason=%s path=%s state=%d unsent=%zu", reason, x->path,
+                 (int)x->state, wl_buffer_left (&x->out));
+}
+
 void
 wl_exchange_add_header (WlExchange *exchange, const char *name, const char *value)
 {
@@ -209,8 +218,15 @@
   WlExchange *x = exchange;
   if (x->is_gone)
     return WL_OK;
-  if (wl_buffer_left (&x->out) + bytes.size > WL_HTTP_STREAM_MAX)
+  if (x->stream_ended)
     return WL_ERROR_NO_SPACE;
+  if (wl_buffer_left (&x->out) + bytes.size > WL_HTTP_STREAM_MAX)
+    {
+      log_cut (x, "slow");
+      x->stream_ended = 1;
+      resume (x);
+      return WL_ERROR_NO_SPACE;
+    }
   wl_buffer_append (&x->out, bytes);
   resume (x);
   return WL_OK;
@@ -219,8 +235,8 @@
 void
 wl_exchange_end (WlExchange *exchange, int is_whole)
 {
+  exchange->stream_whole = is_whole && !exchange->stream_ended;
   exchange->stream_ended = 1;
-  exchange->stream_whole = is_whole;
   exchange->data = 0;
   resume (exchange);
 }
--- a/runtime/wl_http_server.h
+++ b/runtime/wl_http_server.h
@@ -174,7 +174,8 @@
  * @exchange: the exchange
  * @bytes: the part; copied
  *
- * Return: WL_OK, or WL_ERROR_NO_SPACE when the client reads too slowly.
+ * Return: WL_OK, or WL_ERROR_NO_SPACE when the client is WL_HTTP_STREAM_MAX bytes behind. The
+ * answer then ends as a broken one, which is logged (WL1107).
  */
 WlError wl_exchange_write (WlExchange *exchange, WlBytes bytes);
 
