A stopping node sends its responses and answers operators before it exits

Callers that read slowly got 6,001 of 900,000 bytes of a response that was complete when the node was stopped; operators whose submission waited for the control group had their connection closed without a response; requests on a kept connection could cross its close.

Cause: the shell ended with the effect WL_EFFECT_STOPPED of the core. The core counts requests, not the bytes of their responses, and knows nothing of operators calls, which the shell repeats. Responses of a stopping node kept their connections open.

From the effect on, the shell now waits until each request read has its response in the kernel, for WL_NODE_SEND_US at most: longer than an operators call waits (10 s). What is cut then is logged (WL1107 reason=exit) and counted by WL1003, which the shell writes as the process really ends. From SIGTERM on each response closes its connection.

--- a/core/wl_core.c
+++ b/core/wl_core.c
@@ -312,7 +312,6 @@
       return;
     }
   core->stopped = 1;
-  wl_effects_log (fx, WL1003_NODE_STOPPED, "after_us=%lu", (unsigned long)(now_us - core->stop_us));
   wl_effects_add (fx, WL_EFFECT_STOPPED);
 }
 
--- a/daemon/wl_node.c
+++ b/daemon/wl_node.c
@@ -336,7 +336,7 @@
       wl_log_event (e->u.log.number, e->u.log.text);
       break;
     case WL_EFFECT_STOPPED:
-      node->is_stopped = 1;
+      node->core_stopped_us = wl_clock_now_us ();
       break;
     }
 }
@@ -370,6 +370,20 @@
   wl_callers_check_closed (node);
 }
 
+/* Ends a graceful stop once all responses, those to operators included, have been sent. */
+static void
+finish_stop (WlNode *node, uint64_t now_us)
+{
+  if (node->core_stopped_us == 0 || node->is_stopped)
+    return;
+  uint32_t n_open = wl_http_server_open (node->server);
+  if (n_open > 0 && now_us < node->core_stopped_us + WL_NODE_SEND_US)
+    return;
+  node->is_stopped = 1;
+  wl_log_eventf (WL1003_NODE_STOPPED, "after_us=%lu cut=%u",
+                 (unsigned long)(now_us - node->core->stop_us), n_open);
+}
+
 void
 wl_node_run_once (WlNode *node)
 {
@@ -384,6 +398,7 @@
   carry_out (node);
   wl_http_server_run (node->server);
   wl_peers_flush (node->peers);
+  finish_stop (node, now_us);
   if (node->error != WL_OK)
     node->is_stopped = 1;
 }
@@ -392,5 +407,6 @@
 wl_node_stop (WlNode *node)
 {
   WlEvent event = { .kind = WL_EVENT_STOP };
+  wl_http_server_drain (node->server);
   wl_node_event (node, &event);
 }
--- a/daemon/wl_node.h
+++ b/daemon/wl_node.h
@@ -16,6 +16,11 @@
  * wl_operators.c (operators, reports, metrics).
  */
 
+enum
+{
+  WL_NODE_SEND_US = 15000000, /* longer than an operator's call waits for the control group */
+};
+
 /** struct WlEngineCall - one call to an endpoint, see wl_engines.c */
 typedef struct WlEngineCall WlEngineCall;
 
@@ -84,6 +89,7 @@
   uint64_t next_operator;
   uint64_t tick_us;
   uint64_t second_us;
+  uint64_t core_stopped_us; /* when the core had nothing left to do, 0 before */
   uint8_t is_stopped;
   WlError error;
   char *tls_certificate;
@@ -121,6 +127,11 @@
 /**
  * wl_node_stop() - begins a graceful stop
  * @node: the node
+ *
+ * From now on requests are refused and connections are closed after their next response. The node
+ * sets is_stopped once its requests, operators' calls and claims have ended and their responses
+ * have been passed to the kernel, for which they have WL_NODE_SEND_US from the end of the last
+ * request. What is cut then is logged (WL1107).
  */
 void wl_node_stop (WlNode *node);
 
--- a/runtime/wl_http_server.c
+++ b/runtime/wl_http_server.c
@@ -31,7 +31,9 @@
   WlWatch *watch;
   uint32_t port;
   int needs_run;
+  int is_draining;
   int is_closing;
+  uint32_t n_open;
 };
 
 struct WlExchange
@@ -257,6 +259,8 @@
 static enum MHD_Result
 queue_response (WlExchange *x)
 {
+  if (x->server->is_draining)
+    MHD_add_response_header (x->response, MHD_HTTP_HEADER_CONNECTION, "close");
   enum MHD_Result result = MHD_queue_response (x->connection, x->status, x->response);
   MHD_destroy_response (x->response);
   x->response = NULL;
@@ -292,6 +296,7 @@
       x->connection = connection;
       x->method = strdup (method);
       x->path = strdup (url);
+      server->n_open++;
       *context = x;
       return MHD_YES;
     }
@@ -322,6 +327,9 @@
     return;
   *context = NULL;
   x->is_gone = 1;
+  server->n_open--;
+  if (server->is_closing)
+    log_cut (x, "exit");
   if (x->data != 0 && !server->is_closing)
     server->options.gone (server->options.data, x);
   if (x->response != NULL)
@@ -424,6 +432,18 @@
   return server->port;
 }
 
+void
+wl_http_server_drain (WlHttpServer *server)
+{
+  server->is_draining = 1;
+}
+
+uint32_t
+wl_http_server_open (const WlHttpServer *server)
+{
+  return server->n_open;
+}
+
 void
 wl_http_server_destroy (WlHttpServer *server)
 {
--- a/runtime/wl_http_server.h
+++ b/runtime/wl_http_server.h
@@ -54,7 +54,7 @@
                                WlHttpServer **out);
 
 /**
- * wl_http_server_destroy() - closes all connections
+ * wl_http_server_destroy() - closes all connections; logs the exchanges that this cuts (WL1107)
  * @server: the server, or NULL
  */
 void wl_http_server_destroy (WlHttpServer *server);
@@ -73,6 +73,21 @@
  */
 void wl_http_server_run (WlHttpServer *server);
 
+/**
+ * wl_http_server_drain() - closes each connection after its next response
+ * @server: the server
+ */
+void wl_http_server_drain (WlHttpServer *server);
+
+/**
+ * wl_http_server_open() - exchanges in progress
+ * @server: the server
+ *
+ * Return: number of requests whose head has been read and whose response has not been passed to
+ * the kernel as a whole.
+ */
+uint32_t wl_http_server_open (const WlHttpServer *server);
+
 /**
  * wl_exchange_method() - request method
  * @exchange: the exchange
