A node whose disk fails exits with 1 although calls are in progress, not by SIGABRT

A node that ended with a request or an operators call in progress, as it does after WL1004, was aborted: libmicrohttpd does not accept to be stopped with suspended connections, and each connection that waits for its response is one. The supervisor saw SIGABRT instead of status 1, and the last lines of the log, which are written at the end, were lost with the reason of the end.

The server keeps a list of its exchanges and resumes the suspended ones before it stops; each is logged as cut (WL1107 reason=exit). The operators calls that wait are freed with the node.

The test on the code before: a_node_with_a_waiting_call_can_be_destroyed: Received signal 6 (Aborted), "MHD_stop_daemon() called while we have suspended connections".

--- a/daemon/tests/test_node_stop.c
+++ b/daemon/tests/test_node_stop.c
@@ -265,6 +265,23 @@
 }
 END_TEST
 
+/* Guards against an exit by SIGABRT where a failed disk ends a node that has calls in progress. */
+START_TEST (a_node_with_a_waiting_call_can_be_destroyed)
+{
+  Fixture f;
+  Client c;
+  open_fixture (&f, 3);
+  connect_client (&f, &c);
+  send_request (&f, &c, "GET", "/v1/status", (WlBytes){ NULL, 0 });
+  run (&f, 100000);
+  ck_assert_uint_eq (wl_http_server_open (f.node->server), 1);
+  close_fixture (&f);
+  receive (&c);
+  ck_assert (c.is_closed);
+  close (c.fd);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -275,6 +292,7 @@
     WL_TEST (a_caller_that_reads_nothing_delays_the_stop_for_a_limited_time),
     WL_TEST (a_submission_that_waits_is_answered_before_the_node_exits),
     WL_TEST (a_stopping_node_closes_connections_after_their_response),
+    WL_TEST (a_node_with_a_waiting_call_can_be_destroyed),
   };
   return wl_test_run ("node_stop", tests, sizeof tests / sizeof tests[0]);
 }
--- a/daemon/wl_node.c
+++ b/daemon/wl_node.c
@@ -242,6 +242,7 @@
     return;
   wl_http_server_destroy (node->server);
   free_requests (node);
+  wl_operators_drop (node);
   wl_http_client_destroy (node->client);
   wl_peers_destroy (node->peers);
   wl_core_destroy (node->core);
--- a/daemon/wl_operators.c
+++ b/daemon/wl_operators.c
@@ -215,6 +215,17 @@
       w->exchange = NULL;
 }
 
+void
+wl_operators_drop (WlNode *node)
+{
+  while (node->operators != NULL)
+    {
+      WlWaitingOperator *w = node->operators;
+      node->operators = w->next;
+      free_waiting (w);
+    }
+}
+
 /* ---- reports ---- */
 
 static void
--- a/daemon/wl_operators.h
+++ b/daemon/wl_operators.h
@@ -42,4 +42,10 @@
  */
 void wl_operators_gone (WlNode *node, const WlExchange *exchange);
 
+/**
+ * wl_operators_drop() - forgets the calls that wait for the control group, without answering them
+ * @node: the node
+ */
+void wl_operators_drop (WlNode *node);
+
 #endif
--- a/runtime/wl_http_server.c
+++ b/runtime/wl_http_server.c
@@ -33,7 +33,8 @@
   int needs_run;
   int is_draining;
   int is_closing;
-  uint32_t n_open;
+  WlExchange *exchanges;
+  uint32_t n_open; /* exchanges in the list */
 };
 
 struct WlExchange
@@ -57,6 +58,8 @@
   int stream_whole;
   int is_gone;
   uint64_t data;
+  WlExchange *previous;
+  WlExchange *next;
 };
 
 /* ---- requests ---- */
@@ -256,6 +259,28 @@
 
 /* ---- libmicrohttpd callbacks ---- */
 
+static void
+add_exchange (WlHttpServer *server, WlExchange *x)
+{
+  x->next = server->exchanges;
+  if (x->next != NULL)
+    x->next->previous = x;
+  server->exchanges = x;
+  server->n_open++;
+}
+
+static void
+remove_exchange (WlHttpServer *server, WlExchange *x)
+{
+  if (x->previous != NULL)
+    x->previous->next = x->next;
+  else
+    server->exchanges = x->next;
+  if (x->next != NULL)
+    x->next->previous = x->previous;
+  server->n_open--;
+}
+
 static enum MHD_Result
 queue_response (WlExchange *x)
 {
@@ -296,7 +321,7 @@
       x->connection = connection;
       x->method = strdup (method);
       x->path = strdup (url);
-      server->n_open++;
+      add_exchange (server, x);
       *context = x;
       return MHD_YES;
     }
@@ -327,7 +352,7 @@
     return;
   *context = NULL;
   x->is_gone = 1;
-  server->n_open--;
+  remove_exchange (server, x);
   if (server->is_closing)
     log_cut (x, "exit");
   if (x->data != 0 && !server->is_closing)
@@ -451,6 +476,9 @@
     return;
   server->is_closing = 1;
   wl_reactor_remove (server->watch);
+  /* libmicrohttpd aborts the process when it is stopped with suspended connections. */
+  for (WlExchange *x = server->exchanges; x != NULL; x = x->next)
+    resume (x);
   MHD_stop_daemon (server->daemon);
   free (server);
 }
