A stopping node exits after others have confirmed what it hands over

What others saw of a node that stopped at a bad moment: receipts of its last ten seconds were under no committed root; the directory listed it for ten minutes, and callers were sent there; the owner of a cell kept its grants; and without a control leader the end of one claim kept the process until SIGKILL.

Cause: the stop counted open requests and unconfirmed claims only. The update on an ended attempt, the leave notice and the receipt root were sent once, or were due later, and the process ended in the tick after; nothing limited the wait for claims.

Now the core stops when the owners have acknowledged all updates, the control group has confirmed the claims and then replied to the leave notice, which is repeated like each renewal and carries the root along. Updates to a cell of the node itself do not count: it has closed its cells. After five seconds it stops anyway and logs what may be lost (WL1011).

The tests on the code before, 4 of 4 failing: the_receipts_of_a_stopped_node_are_under_a_committed_root: rooted == 1, receipts == 2 a_stopped_node_leaves_no_grant_at_the_owner: 1 grant a_stopped_node_has_left_the_directory: members[i].node == 6, ENTRY == 6 a_node_without_a_control_leader_stops_in_a_limited_time: is_up With the fix 4 of 4; ctest 49 of 49; test_stop, test_entry, test_control and test_claims also with the sanitizers.

--- a/core/requests/wl_entry.c
+++ b/core/requests/wl_entry.c
@@ -56,7 +56,7 @@
 int
 wl_entry_is_idle (const WlEntry *entry)
 {
-  return apr_hash_count (entry->requests) == 0 && entry->outbox == NULL;
+  return apr_hash_count (entry->requests) == 0;
 }
 
 /* ---- end of a request or attempt ---- */
--- a/core/requests/wl_entry.h
+++ b/core/requests/wl_entry.h
@@ -247,10 +247,10 @@
 void wl_entry_tick (WlEntry *entry, const WlEventContext *ctx);
 
 /**
- * wl_entry_is_idle() - whether a graceful stop may complete
+ * wl_entry_is_idle() - whether no request is open
  * @entry: the entry
  *
- * Return: 1 when no request is open and no end of a claim is uncommitted, otherwise 0.
+ * Return: 1 or 0.
  */
 int wl_entry_is_idle (const WlEntry *entry);
 
--- a/core/requests/wl_links.c
+++ b/core/requests/wl_links.c
@@ -189,6 +189,16 @@
   return 1;
 }
 
+uint32_t
+wl_links_count_pending (const WlEntry *entry)
+{
+  uint32_t n = 0;
+  for (const WlLink *l = entry->links; l != NULL; l = l->next)
+    if (l->owner != entry->settings->self.node)
+      n += l->n_updates;
+  return n;
+}
+
 void
 wl_links_destroy (WlEntry *entry)
 {
--- a/core/requests/wl_links.h
+++ b/core/requests/wl_links.h
@@ -51,6 +51,16 @@
 int wl_links_request_placement (WlEntry *entry, const WlRequest *request,
                                 const WlEventContext *ctx);
 
+/**
+ * wl_links_count_pending() - updates that other nodes have not acknowledged
+ * @entry: the entry
+ *
+ * Updates to a cell of this node do not count: once it is closed, nothing here acknowledges them.
+ *
+ * Return: their number.
+ */
+uint32_t wl_links_count_pending (const WlEntry *entry);
+
 /**
  * wl_links_destroy() - frees all links
  * @entry: the entry
--- a/core/requests/wl_outbox.c
+++ b/core/requests/wl_outbox.c
@@ -102,6 +102,15 @@
       send_item (entry, i, ctx);
 }
 
+uint32_t
+wl_outbox_count (const WlEntry *entry)
+{
+  uint32_t n = 0;
+  for (const WlOutboxItem *i = entry->outbox; i != NULL; i = i->next)
+    n++;
+  return n;
+}
+
 void
 wl_outbox_destroy (WlEntry *entry)
 {
--- a/core/requests/wl_outbox.h
+++ b/core/requests/wl_outbox.h
@@ -49,6 +49,14 @@
  */
 void wl_outbox_tick (WlEntry *entry, const WlEventContext *ctx);
 
+/**
+ * wl_outbox_count() - ends of claims that are not confirmed
+ * @entry: the entry
+ *
+ * Return: their number.
+ */
+uint32_t wl_outbox_count (const WlEntry *entry);
+
 /**
  * wl_outbox_destroy() - frees the queue
  * @entry: the entry
--- a/core/requests/wl_session.c
+++ b/core/requests/wl_session.c
@@ -55,6 +55,8 @@
   m.u.renew.config_number = session->wants_full_config ? 0 : session->config_number;
   m.u.renew.directory_version = session->directory_version;
   m.u.renew.leaving = session->leaving;
+  if (session->leaving && session->leave_sequence == 0)
+    session->leave_sequence = session->sequence;
   wl_effects_send (fx, wl_session_control_node (session), &m);
   session->next_renewal_us = now_us + WL_RENEW_RETRY_US;
   session->awaits_reply = 1;
@@ -186,6 +188,8 @@
   uint64_t before = session->config_number;
   session->leader = r->leader;
   session->awaits_reply = 0;
+  if (session->leave_sequence != 0 && r->sequence >= session->leave_sequence)
+    session->has_left = 1;
   apply_directory (session, r);
   if (!apply_config (session, r, fx))
     {
--- a/core/requests/wl_session.h
+++ b/core/requests/wl_session.h
@@ -21,6 +21,8 @@
  * @sequence: sequence of the latest renewal
  * @awaits_reply: the latest renewal is unanswered
  * @leaving: announces with the next renewal that the node leaves
+ * @leave_sequence: sequence of the first renewal that announced it, 0 before
+ * @has_left: the control group has replied to such a renewal
  * @wants_full_config: a delta did not apply, so the full configuration is requested
  * @generation: increases with each change of configuration, directory or lease validity
  */
@@ -46,6 +48,8 @@
   uint8_t awaits_reply;
   uint8_t draining;
   uint8_t leaving;
+  uint64_t leave_sequence;
+  uint8_t has_left;
   uint8_t wants_full_config;
   uint64_t generation;
 } WlSession;
--- a/core/wl_core.c
+++ b/core/wl_core.c
@@ -4,11 +4,13 @@
 #include "wl_events.h"
 #include "wl_links.h"
 #include "wl_model_loads.h"
+#include "wl_outbox.h"
 #include "wl_table.h"
 
 enum
 {
   ENTRY_LIST_WAIT_US = WL_ADDRESS_LIFETIME_US, /* callers may use a cached entry list */
+  HANDOVER_MAX_US = 5000000, /* of a stopping node, e.g. when no control leader can be reached */
 };
 
 WlError
@@ -297,20 +299,34 @@
   update_cells (core, now_us, fx);
 }
 
+/*
+ * A last lease renewal removes the node from the directory, after the ends of claims and attempts
+ * have been confirmed. The last receipt root goes with it.
+ */
+static void
+leave (WlCore *core, uint64_t now_us)
+{
+  core->session.leaving = 1;
+  core->session.next_renewal_us = now_us;
+}
+
 static void
 continue_stop (WlCore *core, uint64_t now_us, WlEffects *fx)
 {
-  if (!core->stopping || core->stopped)
+  if (!core->stopping || core->stopped || now_us < core->stop_us + ENTRY_LIST_WAIT_US
+      || !wl_entry_is_idle (core->entry))
     return;
-  if (now_us < core->stop_us + ENTRY_LIST_WAIT_US || !wl_entry_is_idle (core->entry))
+  if (core->handover_us == 0)
+    core->handover_us = now_us;
+  uint32_t n_claims = wl_outbox_count (core->entry);
+  uint32_t n_updates = wl_links_count_pending (core->entry);
+  int is_late = now_us >= core->handover_us + HANDOVER_MAX_US;
+  if (n_claims == 0 && n_updates == 0 && !core->session.leaving)
+    leave (core, now_us);
+  if (!core->session.has_left && !is_late)
     return;
-  if (!core->session.leaving)
-    {
-      /* A last lease renewal removes the node from the directory. */
-      core->session.leaving = 1;
-      core->session.next_renewal_us = now_us;
-      return;
-    }
+  if (!core->session.has_left)
+    wl_effects_log (fx, WL1011_HANDOVER_INCOMPLETE, "claims=%u updates=%u", n_claims, n_updates);
   core->stopped = 1;
   wl_effects_add (fx, WL_EFFECT_STOPPED);
 }
@@ -321,6 +337,8 @@
   WlEventContext at = { event->now_us, event->wall_us, fx };
   if (core->control != NULL)
     wl_control_tick (core->control, event, fx);
+  if (core->session.leaving && event->now_us >= core->session.next_renewal_us)
+    core->entry->ledger.next_root_us = 0; /* each leave notice repeats the root */
   wl_session_tick (&core->session, event->now_us, fx);
   update_cells (core, event->now_us, fx);
   update_dependencies (core);
--- a/core/wl_core.h
+++ b/core/wl_core.h
@@ -16,6 +16,7 @@
  * @applied_session_generation: WlSession.generation that the cells were last updated to
  * @stopping: a graceful stop is under way
  * @stop_us: time at which it began
+ * @handover_us: time at which the last request had ended and the stop hands over what remains
  * @stopped: it is complete
  */
 struct WlCore
@@ -28,6 +29,7 @@
   uint64_t applied_session_generation;
   uint8_t stopping;
   uint64_t stop_us;
+  uint64_t handover_us;
   uint8_t stopped;
 };
 
