The last lines of the log are written at exit, with the counts of those left out

A node that stops under load writes many lines at the end (WL4012, WL1107 and the ends of requests). With a reader that had no room at that moment the last lines were lost, WL1003 among them, and the counts of lines that the rate limit had left out in the last second were reported nowhere: a log without a line about a request that was cut did not show that there was none.

Cause: wl_log_close() wrote what the reader took at once and dropped the rest. It now waits for the reader, 50 ms between two blocks at most, and reports the lines left out (WL1009) before it closes.

--- /dev/null
+++ b/runtime/tests/test_log.c
@@ -0,0 +1,102 @@
+#include <fcntl.h>
+#include <limits.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+#include <apr_general.h>
+#include "wl_events.h"
+#include "wl_log.h"
+#include "wl_log_sink.h"
+#include "wl_test.h"
+
+/* The end of the log: standard output is a pipe that the test reads. */
+
+enum
+{
+  LINES = 500,
+  PAUSE_US = 1000, /* of the reader, between two reads */
+};
+
+typedef struct
+{
+  int pipe[2];
+  int saved_stdout;
+  char text[1 << 17];
+  size_t size;
+} Fixture;
+
+static void
+open_log (Fixture *f)
+{
+  memset (f, 0, sizeof *f);
+  ck_assert_int_eq (pipe2 (f->pipe, O_CLOEXEC), 0);
+  ck_assert_int_eq (fcntl (f->pipe[1], F_SETPIPE_SZ, PIPE_BUF), PIPE_BUF);
+  f->saved_stdout = fcntl (STDOUT_FILENO, F_DUPFD_CLOEXEC, 0);
+  ck_assert_int_eq (dup2 (f->pipe[1], STDOUT_FILENO), STDOUT_FILENO);
+  close (f->pipe[1]);
+  wl_log_open (1);
+}
+
+static void *
+read_slowly (void *data)
+{
+  Fixture *f = data;
+  ssize_t n;
+  while ((n = read (f->pipe[0], f->text + f->size, sizeof f->text - 1 - f->size)) > 0)
+    {
+      f->size += (size_t)n;
+      usleep (PAUSE_US);
+    }
+  return NULL;
+}
+
+/* Closes the log while a reader takes it, and returns what it got. */
+static const char *
+close_log (Fixture *f)
+{
+  pthread_t reader;
+  ck_assert_int_eq (pthread_create (&reader, NULL, read_slowly, f), 0);
+  wl_log_close ();
+  dup2 (f->saved_stdout, STDOUT_FILENO);
+  pthread_join (reader, NULL);
+  close (f->saved_stdout);
+  close (f->pipe[0]);
+  return f->text;
+}
+
+/* Guards against an exit whose last lines are lost while the reader has no room. */
+START_TEST (the_last_lines_are_written_at_exit_for_a_slow_reader)
+{
+  static Fixture f;
+  open_log (&f);
+  for (int i = 0; i < WL_LOG_SINK_BURST; i++)
+    wl_log_eventf (WL4012_REQUEST_CUT, "request=%d", i);
+  wl_log_eventf (WL1003_NODE_STOPPED, "status=0");
+  ck_assert_ptr_nonnull (strstr (close_log (&f), "WL1003 status=0\n"));
+}
+END_TEST
+
+/* Guards against lines that are left out shortly before the exit and counted nowhere. */
+START_TEST (lines_left_out_before_the_exit_are_counted)
+{
+  static Fixture f;
+  char count[64];
+  open_log (&f);
+  for (int i = 0; i < LINES; i++)
+    wl_log_eventf (WL4012_REQUEST_CUT, "request=%d", i);
+  snprintf (count, sizeof count, "WL1009 event=4012 count=%d\n", LINES - WL_LOG_SINK_BURST);
+  ck_assert_ptr_nonnull (strstr (close_log (&f), count));
+}
+END_TEST
+
+int
+main (void)
+{
+  apr_initialize ();
+  const WlTest tests[] = {
+    WL_TEST (the_last_lines_are_written_at_exit_for_a_slow_reader),
+    WL_TEST (lines_left_out_before_the_exit_are_counted),
+  };
+  return wl_test_run ("log", tests, sizeof tests / sizeof tests[0]);
+}
--- a/runtime/wl_log.c
+++ b/runtime/wl_log.c
@@ -11,7 +11,8 @@
 
 enum
 {
-  REPORT_US = 1000000, /* between two reports of lines that were left out */
+  REPORT_US = 1000000,   /* between two reports of lines that were left out */
+  CLOSE_TIMEOUT_MS = 50, /* for a slow reader at the end; a stop has little time left then */
 };
 
 static log4c_category_t *category;
@@ -118,7 +119,12 @@
 {
   if (category == NULL)
     return;
-  wl_log_sink_flush (sink, UINT64_MAX);
+  /* The process ends: a failure has nowhere to be reported. */
+  if (wl_log_sink_drain (sink, CLOSE_TIMEOUT_MS) == 0)
+    {
+      wl_log_sink_left_out (sink, report_left_out, NULL);
+      (void)wl_log_sink_drain (sink, CLOSE_TIMEOUT_MS);
+    }
   log4c_fini ();
   wl_log_sink_destroy (sink);
   sink = NULL;
--- a/runtime/wl_log.h
+++ b/runtime/wl_log.h
@@ -38,7 +38,7 @@
 void wl_log_flush (void);
 
 /**
- * wl_log_close() - writes what is left and closes the log
+ * wl_log_close() - writes what is left, the counts of lines left out included, and closes the log
  */
 void wl_log_close (void);
 
--- a/runtime/wl_log_sink.c
+++ b/runtime/wl_log_sink.c
@@ -140,6 +140,24 @@
   return error;
 }
 
+int
+wl_log_sink_drain (WlLogSink *sink, int timeout_ms)
+{
+  int error = 0;
+  while (sink->size > 0 && error == 0)
+    {
+      struct pollfd p = { .fd = sink->fd, .events = POLLOUT };
+      int n = poll (&p, 1, timeout_ms);
+      if (n == 0)
+        error = ETIMEDOUT;
+      else if (n < 0 && errno != EINTR)
+        error = errno;
+      else if (n > 0)
+        error = wl_log_sink_flush (sink, UINT64_MAX);
+    }
+  return error;
+}
+
 void
 wl_log_sink_left_out (WlLogSink *sink, WlLogLeftOutFunc report, void *data)
 {
--- a/runtime/wl_log_sink.h
+++ b/runtime/wl_log_sink.h
@@ -69,6 +69,15 @@
  */
 int wl_log_sink_flush (WlLogSink *sink, uint64_t now_us);
 
+/**
+ * wl_log_sink_drain() - writes all lines, for the end of the process
+ * @sink: the sink
+ * @timeout_ms: longest wait for the reader between two blocks
+ *
+ * Return: errno of a failed write, ETIMEDOUT when the reader has no room, or 0.
+ */
+int wl_log_sink_drain (WlLogSink *sink, int timeout_ms);
+
 /**
  * wl_log_sink_left_out() - reports and clears the counts of lines left out
  * @sink: the sink
