A daemon whose disk fails answers its callers before it exits

The same as on the platform: when a write or sync of a control replica failed, the daemon ended in the same turn of its loop, and all requests, streams and operators calls of the entry on that node were cut. They do not need the disk.

From the failed write on the node is no replica: the core drops that role, as on nodes without a disk, and of the batch that could not be stored only responses, ends of attempts and log lines are carried out, none of which rest on it.

--- a/core/wl_core.c
+++ b/core/wl_core.c
@@ -67,6 +67,13 @@
   return wl_session_is_valid (&core->session, now_us);
 }
 
+void
+wl_core_leave_group (WlCore *core)
+{
+  wl_control_destroy (core->control);
+  core->control = NULL;
+}
+
 /* ---- cells owned by this node ---- */
 
 /* Whether the directory lists this node as owner of a cell under the same fencing token. */
--- a/core/wl_core.h
+++ b/core/wl_core.h
@@ -52,4 +52,12 @@
  */
 int wl_core_has_lease (const WlCore *core, uint64_t now_us);
 
+/**
+ * wl_core_leave_group() - ends the node's role as control replica; it goes on as an entry
+ * @core: the node
+ *
+ * For a disk that has failed: what the replica has in memory may be more than its disk holds.
+ */
+void wl_core_leave_group (WlCore *core);
+
 #endif
--- a/daemon/tests/test_node_stop.c
+++ b/daemon/tests/test_node_stop.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -169,9 +170,8 @@
   return (WlBytes){ (const uint8_t *)out, TEXT_BYTES };
 }
 
-/* Submits a long text, requests it and reads nothing of the response. */
 static void
-request_text (Fixture *f, Client *c)
+submit_text (Fixture *f)
 {
   static char text[TEXT_BYTES + 1];
   Client operator;
@@ -180,11 +180,24 @@
   run_and_receive (f, &operator, 2000000);
   ck_assert_ptr_nonnull (strstr (operator.head, "\"accepted\""));
   close (operator.fd);
+}
+
+/* Submits a long text, requests it and reads nothing of the response. */
+static void
+request_text (Fixture *f, Client *c)
+{
+  submit_text (f);
   connect_client (f, c);
   send_request (f, c, "GET", "/v1/config?number=1", (WlBytes){ NULL, 0 });
   run (f, 500000);
-  wl_node_stop (f->node);
-  run (f, PAST_ADDRESSES_US);
+}
+
+static void
+assert_whole_text (const Client *c)
+{
+  const char *body = strstr (c->head, "\r\n\r\n");
+  ck_assert_ptr_nonnull (body);
+  ck_assert_uint_eq (c->size - (size_t)(body + 4 - c->head), TEXT_BYTES);
 }
 
 /* Guards against an exit that drops what is still queued of a response for a slow reader. */
@@ -194,15 +207,15 @@
   Client c;
   open_fixture (&f, 1);
   request_text (&f, &c);
+  wl_node_stop (f.node);
+  run (&f, PAST_ADDRESSES_US);
   run_and_receive (&f, &c, 5000000);
   ck_assert (f.node->is_stopped);
   wl_node_destroy (f.node);
   f.node = NULL;
   while (!c.is_closed)
     receive (&c);
-  const char *body = strstr (c.head, "\r\n\r\n");
-  ck_assert_ptr_nonnull (body);
-  ck_assert_uint_eq (c.size - (size_t)(body + 4 - c.head), TEXT_BYTES);
+  assert_whole_text (&c);
   close (c.fd);
   close_fixture (&f);
 }
@@ -215,6 +228,8 @@
   Client c;
   open_fixture (&f, 1);
   request_text (&f, &c);
+  wl_node_stop (f.node);
+  run (&f, PAST_ADDRESSES_US);
   ck_assert (!f.node->is_stopped);
   run (&f, WL_NODE_SEND_US);
   ck_assert (f.node->is_stopped);
@@ -282,6 +297,57 @@
 }
 END_TEST
 
+/* Makes each write to a file of the data folder fail. */
+static void
+break_disk (const Fixture *f)
+{
+  char path[32];
+  char target[64];
+  int full = open ("/dev/full", O_WRONLY | O_CLOEXEC);
+  for (int fd = 0; fd < DESCRIPTORS_MAX; fd++)
+    {
+      snprintf (path, sizeof path, "/proc/self/fd/%d", fd);
+      ssize_t size = readlink (path, target, sizeof target - 1);
+      target[size > 0 ? size : 0] = '\0';
+      if (strncmp (target, f->folder, strlen (f->folder)) == 0 && strstr (target, "/log") != NULL)
+        ck_assert_int_eq (dup3 (full, fd, O_CLOEXEC), fd);
+    }
+  close (full);
+}
+
+/* Guards against requests that are cut because the disk of their node, which they do not use,
+ * fails. */
+START_TEST (a_slow_reader_gets_its_whole_response_although_the_disk_fails)
+{
+  static char text[TEXT_BYTES + 1];
+  Fixture f;
+  Client c;
+  Client operator;
+  open_fixture (&f, 1);
+  request_text (&f, &c);
+  break_disk (&f);
+  connect_client (&f, &operator);
+  send_request (&f, &operator, "POST", "/v1/config?replaces=1", make_text (text));
+  for (int i = 0; i < 200 && f.node->error == WL_OK; i++)
+    step (&f);
+  ck_assert_int_ne (f.node->error, WL_OK);
+  ck_assert (!f.node->is_stopped);
+  for (int i = 0; i < 3000 && !f.node->is_stopped; i++)
+    {
+      step (&f);
+      receive (&c);
+      receive (&operator);
+    }
+  ck_assert (f.node->is_stopped);
+  assert_whole_text (&c);
+  ck_assert_ptr_null (strstr (operator.head, "\"accepted\""));
+  ck_assert_ptr_nonnull (strstr (operator.head, " 503 "));
+  close (operator.fd);
+  close (c.fd);
+  close_fixture (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -293,6 +359,7 @@
     WL_TEST (a_submission_that_waits_is_answered_before_the_node_exits),
     WL_TEST (a_stopping_node_closes_connections_after_their_response),
     WL_TEST (a_node_with_a_waiting_call_can_be_destroyed),
+    WL_TEST (a_slow_reader_gets_its_whole_response_although_the_disk_fails),
   };
   return wl_test_run ("node_stop", tests, sizeof tests / sizeof tests[0]);
 }
--- a/daemon/wl_node.c
+++ b/daemon/wl_node.c
@@ -342,17 +342,36 @@
     }
 }
 
-/* Carries out the effects of the batch; their execution may add a further batch. */
+/* Whether an effect does not rest on writes of its batch: a response, or the end of an attempt. */
+static int
+needs_no_disk (const WlEffect *e)
+{
+  return e->kind == WL_EFFECT_REPLY_CHUNK || e->kind == WL_EFFECT_REPLY_END
+         || e->kind == WL_EFFECT_CLOSE_ATTEMPT || e->kind == WL_EFFECT_CANCEL
+         || e->kind == WL_EFFECT_LOG || e->kind == WL_EFFECT_STOPPED;
+}
+
+/*
+ * Carries out the effects of the batch; their execution may add a further batch. When
+ * the disk fails the node is no control replica any more, and stops gracefully.
+ */
 static void
 carry_out (WlNode *node)
 {
-  while (node->effects->count > 0 && node->error == WL_OK)
+  while (node->effects->count > 0)
     {
       WlEffects *fx = node->effects;
       node->effects = wl_effects_create ();
-      node->error = store (node, fx);
-      for (uint32_t i = 0; i < fx->count && node->error == WL_OK; i++)
-        perform (node, &fx->items[i]);
+      WlError error = store (node, fx);
+      if (error != WL_OK)
+        {
+          node->error = error;
+          wl_core_leave_group (node->core);
+          wl_node_stop (node);
+        }
+      for (uint32_t i = 0; i < fx->count; i++)
+        if (error == WL_OK || needs_no_disk (&fx->items[i]))
+          perform (node, &fx->items[i]);
       wl_effects_destroy (fx);
     }
 }
@@ -400,8 +419,6 @@
   wl_http_server_run (node->server);
   wl_peers_flush (node->peers);
   finish_stop (node, now_us);
-  if (node->error != WL_OK)
-    node->is_stopped = 1;
 }
 
 void
--- a/daemon/wl_node.h
+++ b/daemon/wl_node.h
@@ -91,7 +91,7 @@
   uint64_t second_us;
   uint64_t core_stopped_us; /* when the core had nothing left to do, 0 before */
   uint8_t is_stopped;
-  WlError error;
+  WlError error; /* of the disk; the node then stops by itself */
   char *tls_certificate;
   char *tls_key;
 } WlNode;
