An oversized response of a plain service is a failure, not a shortened success

A caller of a plain service got status 200 and the first 8 MiB (8,388,608 bytes) of a response of 9 MiB, with a length and a receipt: nothing told it that the rest was missing. An event of an engine above 1 MiB was left out of a stream in the same way, without a gap if it carried no token.

Cause: what had no room was dropped without a trace.

--- a/daemon/wl_engines.c
+++ b/daemon/wl_engines.c
@@ -23,6 +23,7 @@
   uint32_t rank;
   uint8_t is_plain;
   uint8_t is_done;
+  uint8_t is_cut;  /* a part of the response had no room */
   uint64_t offset; /* from the id field of the event being read */
   WlBuffer line;   /* unfinished line of a stream, or answer of a plain service */
   WlEndEvent end;
@@ -116,7 +117,10 @@
       const char *newline = memchr (p, '\n', (size_t)(stop - p));
       size_t n = (size_t)((newline != NULL ? newline : stop) - p);
       if (wl_buffer_left (&c->line) + n > LINE_MAX_BYTES)
-        return;
+        {
+          c->is_cut = 1;
+          return;
+        }
       wl_buffer_append (&c->line, (WlBytes){ (const uint8_t *)p, (uint32_t)n });
       if (newline == NULL)
         return;
@@ -132,9 +136,13 @@
 {
   WlEngineCall *c = data;
   (void)call;
-  if (c->is_plain && wl_buffer_left (&c->line) + bytes.size <= PLAIN_ANSWER_MAX)
+  if (c->is_plain && wl_buffer_left (&c->line) + bytes.size > PLAIN_ANSWER_MAX)
+    c->is_cut = 1;
+  if (c->is_cut)
+    return;
+  if (c->is_plain)
     wl_buffer_append (&c->line, bytes);
-  else if (!c->is_plain && status == 200)
+  else if (status == 200)
     received_stream (c, bytes);
 }
 
@@ -143,6 +151,8 @@
 {
   if (!result->is_sent)
     return WL_END_NOT_SENT;
+  if (c->is_cut)
+    return WL_END_BROKEN;
   if (c->is_plain)
     return result->is_complete ? WL_END_DONE : WL_END_BROKEN;
   if (result->is_complete && (result->status == 503 || result->status == 429))
