--- a/daemon/tests/test_node_stop.c
+++ b/daemon/tests/test_node_stop.c
@@ -21,6 +21,7 @@
   TEXT_BYTES = 900000,
   WINDOW_BYTES = 4096,
   DESCRIPTORS_MAX = 64,
+  UNREAD_BYTES = 80000,                                 /* more than the server reads ahead */
   PAST_ADDRESSES_US = WL_ADDRESS_LIFETIME_US + 1000000, /* the core has stopped by then */
 };
 
@@ -348,6 +349,34 @@
 }
 END_TEST
 
+/* Guards against a reset that discards the end of a response: the caller has sent more behind it.
+ */
+START_TEST (a_response_is_whole_although_its_caller_sends_on)
+{
+  static char more[UNREAD_BYTES];
+  Fixture f;
+  Client c;
+  open_fixture (&f, 1);
+  submit_text (&f);
+  connect_client (&f, &c);
+  wl_node_stop (f.node);
+  send_request (&f, &c, "GET", "/v1/config?number=1", (WlBytes){ NULL, 0 });
+  run (&f, 100000);
+  memset (more, '\n', sizeof more);
+  ck_assert_int_gt (send (c.fd, more, sizeof more, MSG_DONTWAIT | MSG_NOSIGNAL), UNREAD_BYTES / 2);
+  for (int i = 0; i < 10000 && !c.is_closed; i++)
+    {
+      if (!f.node->is_stopped)
+        step (&f);
+      receive (&c);
+    }
+  ck_assert (c.is_closed);
+  assert_whole_text (&c);
+  close (c.fd);
+  close_fixture (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -360,6 +389,7 @@
     WL_TEST (a_stopping_node_closes_connections_after_their_response),
     WL_TEST (a_node_with_a_waiting_call_can_be_destroyed),
     WL_TEST (a_slow_reader_gets_its_whole_response_although_the_disk_fails),
+    WL_TEST (a_response_is_whole_although_its_caller_sends_on),
   };
   return wl_test_run ("node_stop", tests, sizeof tests / sizeof tests[0]);
 }
