--- a/runtime/tests/test_http.c
+++ b/runtime/tests/test_http.c
@@ -163,6 +163,23 @@
 }
 END_TEST
 
+/* Guards against a broken stream that looks complete because its end is that of the connection. */
+START_TEST (an_aborted_stream_of_a_draining_server_is_not_complete)
+{
+  Fixture f;
+  open_fixture (&f);
+  wl_http_server_drain (f.server);
+  call (&f, "/stream", (WlBytes){ NULL, 0 }, wl_http_server_port (f.server));
+  run (&f, 2000);
+  ck_assert (f.result.is_complete);
+  ck_assert_str_eq (f.answer, "part");
+  call (&f, "/abort", (WlBytes){ NULL, 0 }, wl_http_server_port (f.server));
+  run (&f, 2000);
+  ck_assert (f.done && !f.result.is_complete && f.result.is_sent);
+  close_fixture (&f);
+}
+END_TEST
+
 START_TEST (a_refused_connection_has_sent_nothing)
 {
   Fixture f;
@@ -228,6 +245,7 @@
     WL_TEST (bodies_go_both_ways),
     WL_TEST (an_aborted_stream_is_not_complete),
     WL_TEST (a_stream_with_dropped_bytes_is_not_complete),
+    WL_TEST (an_aborted_stream_of_a_draining_server_is_not_complete),
     WL_TEST (a_refused_connection_has_sent_nothing),
     WL_TEST (a_late_answer_reaches_its_caller_and_a_gone_one_is_noticed),
     WL_TEST (an_oversized_body_is_shed),
