--- a/core/wl_core.h
+++ b/core/wl_core.h
@@ -16,6 +16,7 @@
  * @applied_session_generation: WlSession.generation that the cells were last updated to
  * @stopping: a graceful stop is under way
  * @stop_us: time at which it began
+ * @handover_us: time at which the last request had ended and the stop hands over what remains
  * @stopped: it is complete
  */
 struct WlCore
@@ -28,6 +29,7 @@
   uint64_t applied_session_generation;
   uint8_t stopping;
   uint64_t stop_us;
+  uint64_t handover_us;
   uint8_t stopped;
 };
 
@@ -50,4 +52,12 @@
  */
 int wl_core_has_lease (const WlCore *core, uint64_t now_us);
 
+/**
+ * wl_core_leave_group() - ends the node's role as control replica; it goes on as an entry
+ * @core: the node
+ *
+ * For a disk that has failed: what the replica has in memory may be more than its disk holds.
+ */
+void wl_core_leave_group (WlCore *core);
+
 #endif
--- a/daemon/wl_node.c
+++ b/daemon/wl_node.c
@@ -242,6 +242,7 @@
     return;
   wl_http_server_destroy (node->server);
   free_requests (node);
+  wl_operators_drop (node);
   wl_http_client_destroy (node->client);
   wl_peers_destroy (node->peers);
   wl_core_destroy (node->core);
@@ -336,22 +337,41 @@
       wl_log_event (e->u.log.number, e->u.log.text);
       break;
     case WL_EFFECT_STOPPED:
-      node->is_stopped = 1;
+      node->core_stopped_us = wl_clock_now_us ();
       break;
     }
 }
 
-/* Carries out the effects of the batch; their execution may add a further batch. */
+/* Whether an effect does not rest on writes of its batch: a response, or the end of an attempt. */
+static int
+needs_no_disk (const WlEffect *e)
+{
+  return e->kind == WL_EFFECT_REPLY_CHUNK || e->kind == WL_EFFECT_REPLY_END
+         || e->kind == WL_EFFECT_CLOSE_ATTEMPT || e->kind == WL_EFFECT_CANCEL
+         || e->kind == WL_EFFECT_LOG || e->kind == WL_EFFECT_STOPPED;
+}
+
+/*
+ * Carries out the effects of the batch; their execution may add a further batch. When
+ * the disk fails the node is no control replica any more, and stops gracefully.
+ */
 static void
 carry_out (WlNode *node)
 {
-  while (node->effects->count > 0 && node->error == WL_OK)
+  while (node->effects->count > 0)
     {
       WlEffects *fx = node->effects;
       node->effects = wl_effects_create ();
-      node->error = store (node, fx);
-      for (uint32_t i = 0; i < fx->count && node->error == WL_OK; i++)
-        perform (node, &fx->items[i]);
+      WlError error = store (node, fx);
+      if (error != WL_OK)
+        {
+          node->error = error;
+          wl_core_leave_group (node->core);
+          wl_node_stop (node);
+        }
+      for (uint32_t i = 0; i < fx->count; i++)
+        if (error == WL_OK || needs_no_disk (&fx->items[i]))
+          perform (node, &fx->items[i]);
       wl_effects_destroy (fx);
     }
 }
@@ -370,6 +390,20 @@
   wl_callers_check_closed (node);
 }
 
+/* Ends a graceful stop once all responses, those to operators included, have been sent. */
+static void
+finish_stop (WlNode *node, uint64_t now_us)
+{
+  if (node->core_stopped_us == 0 || node->is_stopped)
+    return;
+  uint32_t n_open = wl_http_server_open (node->server);
+  if (n_open > 0 && now_us < node->core_stopped_us + WL_NODE_SEND_US)
+    return;
+  node->is_stopped = 1;
+  wl_log_eventf (WL1003_NODE_STOPPED, "after_us=%lu cut=%u",
+                 (unsigned long)(now_us - node->core->stop_us), n_open);
+}
+
 void
 wl_node_run_once (WlNode *node)
 {
@@ -384,13 +418,13 @@
   carry_out (node);
   wl_http_server_run (node->server);
   wl_peers_flush (node->peers);
-  if (node->error != WL_OK)
-    node->is_stopped = 1;
+  finish_stop (node, now_us);
 }
 
 void
 wl_node_stop (WlNode *node)
 {
   WlEvent event = { .kind = WL_EVENT_STOP };
+  wl_http_server_drain (node->server);
   wl_node_event (node, &event);
 }
--- a/runtime/wl_http_server.c
+++ b/runtime/wl_http_server.c
@@ -4,7 +4,9 @@
 #include <sys/socket.h>
 #include <microhttpd.h>
 #include "wl_buffer.h"
+#include "wl_events.h"
 #include "wl_http_server.h"
+#include "wl_log.h"
 
 enum
 {
@@ -29,7 +31,10 @@
   WlWatch *watch;
   uint32_t port;
   int needs_run;
+  int is_draining;
   int is_closing;
+  WlExchange *exchanges;
+  uint32_t n_open; /* exchanges in the list */
 };
 
 struct WlExchange
@@ -53,6 +58,8 @@
   int stream_whole;
   int is_gone;
   uint64_t data;
+  WlExchange *previous;
+  WlExchange *next;
 };
 
 /* ---- requests ---- */
@@ -128,6 +135,13 @@
 
 /* ---- answers ---- */
 
+static void
+log_cut (const WlExchange *x, const char *reason)
+{
+  wl_log_eventf (WL1107_RESPONSE_CUT, "reason=%s path=%s state=%d unsent=%zu", reason, x->path,
+                 (int)x->state, wl_buffer_left (&x->out));
+}
+
 void
 wl_exchange_add_header (WlExchange *exchange, const char *name, const char *value)
 {
@@ -209,8 +223,15 @@
   WlExchange *x = exchange;
   if (x->is_gone)
     return WL_OK;
-  if (wl_buffer_left (&x->out) + bytes.size > WL_HTTP_STREAM_MAX)
+  if (x->stream_ended)
     return WL_ERROR_NO_SPACE;
+  if (wl_buffer_left (&x->out) + bytes.size > WL_HTTP_STREAM_MAX)
+    {
+      log_cut (x, "slow");
+      x->stream_ended = 1;
+      resume (x);
+      return WL_ERROR_NO_SPACE;
+    }
   wl_buffer_append (&x->out, bytes);
   resume (x);
   return WL_OK;
@@ -219,8 +240,8 @@
 void
 wl_exchange_end (WlExchange *exchange, int is_whole)
 {
+  exchange->stream_whole = is_whole && !exchange->stream_ended;
   exchange->stream_ended = 1;
-  exchange->stream_whole = is_whole;
   exchange->data = 0;
   resume (exchange);
 }
@@ -238,9 +259,33 @@
 
 /* ---- libmicrohttpd callbacks ---- */
 
+static void
+add_exchange (WlHttpServer *server, WlExchange *x)
+{
+  x->next = server->exchanges;
+  if (x->next != NULL)
+    x->next->previous = x;
+  server->exchanges = x;
+  server->n_open++;
+}
+
+static void
+remove_exchange (WlHttpServer *server, WlExchange *x)
+{
+  if (x->previous != NULL)
+    x->previous->next = x->next;
+  else
+    server->exchanges = x->next;
+  if (x->next != NULL)
+    x->next->previous = x->previous;
+  server->n_open--;
+}
+
 static enum MHD_Result
 queue_response (WlExchange *x)
 {
+  if (x->server->is_draining)
+    MHD_add_response_header (x->response, MHD_HTTP_HEADER_CONNECTION, "close");
   enum MHD_Result result = MHD_queue_response (x->connection, x->status, x->response);
   MHD_destroy_response (x->response);
   x->response = NULL;
@@ -276,6 +321,7 @@
       x->connection = connection;
       x->method = strdup (method);
       x->path = strdup (url);
+      add_exchange (server, x);
       *context = x;
       return MHD_YES;
     }
@@ -306,6 +352,9 @@
     return;
   *context = NULL;
   x->is_gone = 1;
+  remove_exchange (server, x);
+  if (server->is_closing)
+    log_cut (x, "exit");
   if (x->data != 0 && !server->is_closing)
     server->options.gone (server->options.data, x);
   if (x->response != NULL)
@@ -408,6 +457,18 @@
   return server->port;
 }
 
+void
+wl_http_server_drain (WlHttpServer *server)
+{
+  server->is_draining = 1;
+}
+
+uint32_t
+wl_http_server_open (const WlHttpServer *server)
+{
+  return server->n_open;
+}
+
 void
 wl_http_server_destroy (WlHttpServer *server)
 {
@@ -415,6 +476,9 @@
     return;
   server->is_closing = 1;
   wl_reactor_remove (server->watch);
+  /* libmicrohttpd aborts the process when it is stopped with suspended connections. */
+  for (WlExchange *x = server->exchanges; x != NULL; x = x->next)
+    resume (x);
   MHD_stop_daemon (server->daemon);
   free (server);
 }
--- a/runtime/wl_http_server.h
+++ b/runtime/wl_http_server.h
@@ -54,7 +54,7 @@
                                WlHttpServer **out);
 
 /**
- * wl_http_server_destroy() - closes all connections
+ * wl_http_server_destroy() - closes all connections; logs the exchanges that this cuts (WL1107)
  * @server: the server, or NULL
  */
 void wl_http_server_destroy (WlHttpServer *server);
@@ -73,6 +73,21 @@
  */
 void wl_http_server_run (WlHttpServer *server);
 
+/**
+ * wl_http_server_drain() - closes each connection after its next response
+ * @server: the server
+ */
+void wl_http_server_drain (WlHttpServer *server);
+
+/**
+ * wl_http_server_open() - exchanges in progress
+ * @server: the server
+ *
+ * Return: number of requests whose head has been read and whose response has not been passed to
+ * the kernel as a whole.
+ */
+uint32_t wl_http_server_open (const WlHttpServer *server);
+
 /**
  * wl_exchange_method() - request method
  * @exchange: the exchange
@@ -174,7 +189,8 @@
  * @exchange: the exchange
  * @bytes: the part; copied
  *
- * Return: WL_OK, or WL_ERROR_NO_SPACE when the client reads too slowly.
+ * Return: WL_OK, or WL_ERROR_NO_SPACE when the client is WL_HTTP_STREAM_MAX bytes behind. The
+ * answer then ends as a broken one, which is logged (WL1107).
  */
 WlError wl_exchange_write (WlExchange *exchange, WlBytes bytes);
 
