--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -88,7 +88,7 @@
 
 trap 'finish; exit 2' INT TERM
 for ((n = 0; n < nodes; n++)); do write_settings "$n"; done
-for ((n = 0; n < nodes; n++)); do supervise "$n" & done
+for ((n = 0; n < nodes; n++)); do supervise "$n" 2>/dev/null & done
 "$SOAK" --net "$NET" --folder "$folder" "${arguments[@]}" &
 soak=$!
 wait "$soak"
--- /dev/null
+++ b/soak/wl_soak.h
@@ -0,0 +1,113 @@
+#ifndef WL_SOAK_H
+#define WL_SOAK_H
+
+#include "wl_http_client.h"
+
+/*
+ * A soak of nodes as real processes: what one run shares. scripts/soak.sh
+ * starts and restarts the nodes; wl-soak drives callers, endpoints, the
+ * operator and the signals, and judges by what callers and endpoints saw.
+ */
+
+enum
+{
+  WL_SOAK_FRONT_PORT = 8227,
+  WL_SOAK_CONTROL_PORT = 8229,
+  WL_SOAK_DIRECTORY_PORT = 8224,
+  WL_SOAK_ENDPOINT_PORT = 8080,
+  WL_SOAK_ENDPOINT_HOST = 101, /* last number of the first endpoint's address; nodes are from 1 */
+  WL_SOAK_NODES_MAX = 16,
+  WL_SOAK_ENDPOINTS_MAX = 64,
+  WL_SOAK_CALLERS_MAX = 512,
+  WL_SOAK_SLOTS = 4,             /* of an endpoint */
+  WL_SOAK_PREFILL_PER_S = 20000, /* prompt tokens of an engine */
+  WL_SOAK_GRACE_US = 8000000,    /* grace_s of the settings */
+};
+
+/** enum WlSoakTrait - what a caller does besides; bits */
+typedef enum
+{
+  WL_SOAK_PRESSES = 1,   /* sends the next request as soon as the answer has ended */
+  WL_SOAK_SLOW = 2,      /* reads some 200 KB a second into a small buffer */
+  WL_SOAK_PIECES = 4,    /* writes requests in pieces with pauses */
+  WL_SOAK_PIPELINES = 8, /* sends the next request before the answer has ended */
+  WL_SOAK_ANEW = 16,     /* opens a connection for each request */
+  WL_SOAK_HALF = 32,     /* closes its sending side behind a request */
+  WL_SOAK_LEAVES = 64,   /* gives up some requests */
+  WL_SOAK_STALE = 128,   /* keeps addresses for three lifetimes */
+  WL_SOAK_BIG = 256,     /* sends bodies of up to a MB */
+  WL_SOAK_NETWORK = 512, /* its segments are those of an Ethernet, not of the loopback */
+  WL_SOAK_ALL_TRAITS = 1023,
+} WlSoakTrait;
+
+/** enum WlSoakSeries - what a step of the signals' plan does; bits */
+typedef enum
+{
+  WL_SOAK_ONE = 1,       /* stops a node */
+  WL_SOAK_TWO = 2,       /* stops two nodes at nearly the same time */
+  WL_SOAK_ALL = 4,       /* stops all in turn, before the first is back */
+  WL_SOAK_TERM = 8,      /* stops a node and sends it another SIGTERM */
+  WL_SOAK_HUP = 16,      /* SIGHUP shortly before or after SIGTERM */
+  WL_SOAK_SETTINGS = 32, /* the same with a changed settings file */
+  WL_SOAK_CONFIG = 64,   /* a new configuration shortly before or after SIGTERM */
+  WL_SOAK_ALL_SERIES = 127,
+} WlSoakSeries;
+
+/**
+ * struct WlSoakOptions - options of a run
+ * @seed: determines the requests, their faults, the callers and the signals
+ * @n_engines, @n_plain: endpoints of the two services
+ * @traits, @series: those that may occur
+ * @share: per cent of the callers that have a trait
+ * @is_sound: endpoints meet no fault
+ * @net: first address of the run, host byte order, its last number 0
+ * @folder: files of the nodes, see wl_soak_nodes.h
+ */
+typedef struct
+{
+  uint64_t seed;
+  uint32_t seconds;
+  uint32_t n_nodes;
+  uint32_t n_callers;
+  uint32_t n_engines;
+  uint32_t n_plain;
+  uint32_t traits;
+  uint32_t series;
+  uint32_t share;
+  uint8_t is_sound;
+  uint32_t net;
+  const char *folder;
+} WlSoakOptions;
+
+/** struct WlSoak - a run; @client makes the calls to directory and control */
+typedef struct
+{
+  WlSoakOptions options;
+  WlReactor *reactor;
+  WlHttpClient *client;
+} WlSoak;
+
+/**
+ * wl_soak_call() - calls a node, see wl_http_client_call ()
+ * @body: JSON, empty for GET
+ * @received, @done: as in WlHttpParams
+ */
+void wl_soak_call (const WlSoak *soak, uint32_t node, uint16_t port, const char *path,
+                   const char *body,
+                   void (*received) (void *data, WlHttpCall *call, uint32_t status, WlBytes bytes),
+                   void (*done) (void *data, WlHttpCall *call, const WlHttpResult *result),
+                   void *data);
+
+/** wl_soak_broken() - prints and counts a broken promise */
+void wl_soak_broken (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
+
+/** wl_soak_n_broken() - broken promises so far */
+uint32_t wl_soak_n_broken (void);
+
+/** wl_soak_random() - next number of a sequence that @state alone determines */
+uint64_t wl_soak_random (uint64_t *state);
+
+/** wl_soak_between() - a number from @low to @high, both included */
+uint32_t wl_soak_between (uint64_t *state, uint32_t low, uint32_t high);
+
+#endif
--- a/soak/wl_soak_caller.c
+++ b/soak/wl_soak_caller.c
@@ -1,46 +1,43 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
-#include <arpa/inet.h>
-#include <http_parser.h>
 #include <jansson.h>
 #include <sys/socket.h>
 #include "wl_clock.h"
-#include "wl_soak_call.h"
 #include "wl_soak_caller.h"
 #include "wl_soak_conn.h"
+#include "wl_soak_message.h"
 #include "wl_soak_request.h"
 
 enum
 {
   READ_BYTES = 65536,
   SLOW_READ_BYTES = 4096,
-  SLOW_READ_INTERVAL_US = 60000,
-  SLOW_RECEIVE_BYTES = 8192,
-  SLOW_ANSWER_MAX_BYTES = 200000,
-  RESOLVE_TIMEOUT_US = 1000000,
+  SLOW_READ_INTERVAL_US = 20000,
+  SLOW_RECEIVE_BYTES = 4096,
+  SLOW_ANSWER_MAX_BYTES = 600000, /* read within 4 s */
+  SEGMENT_BYTES = 1400,
   CONNECT_TIMEOUT_US = 1000000,
   RETRY_PAUSE_US = 50000,
   GRACE_PAST_DEADLINE_US
   = 500000, /* a node answers by the deadline; a caller waits a little longer */
-  ADDRESSES_MAX = 64,
   BIG_BODY_MAX_BYTES = 1000000,
-  NAME_SIZE = 64,
+  REFUSED_PAUSE_MS = 20,
 };
 
 struct WlSoakCaller
 {
-  WlSoakCallerOptions options;
+  const WlSoak *soak;
+  uint32_t number;
   uint32_t traits;
   uint64_t random;
   WlSoakConn conn;
-  http_parser parser;
+  WlSoakMessage message;
   uint64_t connected_us;
   uint64_t connect_us; /* earliest time to connect */
   uint32_t node;
 
-  uint32_t addresses[ADDRESSES_MAX]; /* node indexes */
+  uint32_t addresses[WL_SOAK_NODES_MAX]; /* nodes */
   uint32_t n_addresses;
   uint64_t addresses_end_us;
   uint8_t is_resolving;
@@ -55,10 +52,8 @@
 
   WlBuffer text; /* left to send of a request */
   uint64_t piece_us;
-  char name[NAME_SIZE];
-  char value[NAME_SIZE];
-  uint8_t was_value;
-  uint8_t closes;
+  uint8_t closes; /* the answer announced it */
+  WlBuffer resolved;
 };
 
 /* ---- the end of a request ---- */
@@ -80,122 +75,75 @@
     end_request (c, c->current, end, now_us);
   if (c->next != NULL)
     end_request (c, c->next, end, now_us);
-  if (c->next != NULL && c->closes)
-    c->next->is_behind_close = 1;
+  if (c->next != NULL)
+    c->next->behind = c->current;
   c->current = c->next = c->sending = NULL;
   wl_buffer_clear (&c->text);
   wl_soak_conn_close (&c->conn, 0);
-  c->connect_us = now_us + (c->traits & WL_SOAK_PRESSES ? 0 : RETRY_PAUSE_US);
+  c->connect_us = now_us + (c->traits & WL_SOAK_PRESSES && c->has_answer ? 0 : RETRY_PAUSE_US);
 }
 
 /* ---- reading ---- */
 
 static int
-on_begin (http_parser *parser)
+on_begin (void *data)
 {
-  WlSoakCaller *c = parser->data;
+  WlSoakCaller *c = data;
   c->closes = 0;
-  c->was_value = 0;
-  c->name[0] = c->value[0] = '\0';
   return c->current == NULL;
 }
 
-static void
-end_field (WlSoakCaller *c)
-{
-  WlSoakRequest *r = c->current;
-  if (strcasecmp (c->name, "X-Server-Seal") == 0)
-    r->has_seal = 1;
-  if (strcasecmp (c->name, "X-Attempt-Id") == 0 && strcmp (c->value, r->id) != 0)
-    r->has_wrong_id = 1;
-  c->name[0] = c->value[0] = '\0';
-}
-
-static void
-append (char *out, const char *data, size_t size)
-{
-  size_t used = strlen (out);
-  if (used + size < NAME_SIZE)
-    snprintf (out + used, NAME_SIZE - used, "%.*s", (int)size, data);
-}
-
-static int
-on_name (http_parser *parser, const char *data, size_t size)
-{
-  WlSoakCaller *c = parser->data;
-  if (c->was_value)
-    end_field (c);
-  c->was_value = 0;
-  append (c->name, data, size);
-  return 0;
-}
-
-static int
-on_value (http_parser *parser, const char *data, size_t size)
-{
-  WlSoakCaller *c = parser->data;
-  c->was_value = 1;
-  append (c->value, data, size);
-  return 0;
-}
-
 static int
-on_head (http_parser *parser)
+on_head (void *data)
 {
-  WlSoakCaller *c = parser->data;
-  end_field (c);
-  c->current->status = (uint16_t)parser->status_code;
-  c->current->answered_us = wl_clock_now_us ();
-  c->closes = !http_should_keep_alive (parser);
+  WlSoakCaller *c = data;
+  WlSoakRequest *r = c->current;
+  const char *id = c->message.values[WL_SOAK_FIELD_ID];
+  r->status = c->message.parser.status_code;
+  r->answered_us = wl_clock_now_us ();
+  r->has_seal = c->message.values[WL_SOAK_FIELD_SEAL][0] != '\0';
+  r->has_wrong_id = id[0] != '\0' && strcmp (id, r->id) != 0;
+  c->closes = !http_should_keep_alive (&c->message.parser);
   return 0;
 }
 
 static int
-on_body (http_parser *parser, const char *data, size_t size)
+on_body (void *data, const char *bytes, size_t size)
 {
-  WlSoakCaller *c = parser->data;
+  WlSoakCaller *c = data;
   WlSoakRequest *r = c->current;
   char expected[READ_BYTES];
   if (r->status == 200 && r->body_bytes + size <= wl_soak_request_body_bytes (r))
     {
       wl_soak_request_body (r, r->body_bytes, expected, size);
-      r->has_other_bytes |= memcmp (expected, data, size) != 0;
+      r->has_other_bytes |= memcmp (expected, bytes, size) != 0;
     }
   r->body_bytes += size;
   return 0;
 }
 
 static int
-on_complete (http_parser *parser)
+on_complete (void *data)
 {
-  WlSoakCaller *c = parser->data;
+  WlSoakCaller *c = data;
+  WlSoakRequest *r = c->current;
   uint64_t now_us = wl_clock_now_us ();
-  int is_pressing = c->traits & WL_SOAK_PRESSES;
-  c->closes |= !http_should_keep_alive (parser);
-  end_request (c, c->current, WL_SOAK_ANSWERED, now_us);
+  uint32_t pause_ms = c->traits & WL_SOAK_PRESSES ? 0 : wl_soak_between (&c->random, 0, 500);
+  if (r->status >= 400 && pause_ms < REFUSED_PAUSE_MS)
+    pause_ms = REFUSED_PAUSE_MS;
+  end_request (c, r, WL_SOAK_ANSWERED, now_us);
   c->current = c->next;
   c->next = NULL;
   c->has_answer = 1;
-  c->next_us = now_us + (is_pressing ? 0 : wl_soak_between (&c->random, 0, 500) * 1000u);
-  if (c->closes || c->traits & (WL_SOAK_ANEW | WL_SOAK_HALF))
-    {
-      if (c->current != NULL)
-        c->current->is_behind_close = 1;
-      close_connection (c, WL_SOAK_CLOSED);
-      return 1;
-    }
-  return 0;
+  c->next_us = now_us + pause_ms * 1000u;
+  if (!c->closes && (c->traits & (WL_SOAK_ANEW | WL_SOAK_HALF)) == 0)
+    return 0;
+  if (c->current != NULL)
+    c->current->behind = r;
+  close_connection (c, WL_SOAK_CLOSED);
+  return 1;
 }
 
-static const http_parser_settings callbacks = {
-  .on_message_begin = on_begin,
-  .on_header_field = on_name,
-  .on_header_value = on_value,
-  .on_headers_complete = on_head,
-  .on_body = on_body,
-  .on_message_complete = on_complete,
-};
-
 static void
 on_readable (void *data, WlSoakConn *conn)
 {
@@ -205,20 +153,16 @@
   int n = wl_soak_conn_read (conn, bytes, is_slow ? SLOW_READ_BYTES : sizeof bytes);
   if (n == WL_SOAK_AGAIN)
     return;
-  if (n >= 0)
-    http_parser_execute (&c->parser, &callbacks, bytes, (size_t)n);
+  int is_valid = n >= 0 && wl_soak_message_read (&c->message, bytes, (size_t)n);
   if (conn->fd < 0)
     return;
-  if (n <= 0 || c->parser.http_errno != HPE_OK)
+  if (n <= 0 || !is_valid)
     {
       if (n > 0 && c->current == NULL)
-        printf ("broken: caller %u got bytes without a request from node %u\n", c->options.number,
-                c->node);
+        wl_soak_broken ("caller %u got bytes without a request from node %u", c->number, c->node);
       close_connection (c, n == 0 ? WL_SOAK_CLOSED : WL_SOAK_BROKEN);
       return;
     }
-  if (c->current != NULL && n < SLOW_READ_BYTES)
-    c->current->stalled_us = wl_clock_now_us ();
   if (is_slow)
     {
       c->read_us = wl_clock_now_us () + SLOW_READ_INTERVAL_US;
@@ -229,41 +173,50 @@
 /* ---- addresses ---- */
 
 static void
-on_resolved (void *data, int status, const char *body)
+on_addresses (void *data, WlHttpCall *call, uint32_t status, WlBytes bytes)
+{
+  WlSoakCaller *c = data;
+  (void)call;
+  if (status == 200)
+    wl_buffer_append (&c->resolved, bytes);
+}
+
+/* Without addresses in the response, the caller keeps those that it has and asks again. */
+static void
+on_resolved (void *data, WlHttpCall *call, const WlHttpResult *result)
 {
   WlSoakCaller *c = data;
-  json_t *o = status == 200 ? json_loads (body, 0, NULL) : NULL;
+  WlBytes text = wl_buffer_bytes (&c->resolved);
+  json_t *o = result->is_complete ? json_loadb ((const char *)text.data, text.size, 0, NULL) : NULL;
   const json_t *list = json_object_get (o, "addresses");
   double ttl_s = json_number_value (json_object_get (o, "ttl_s"));
+  uint64_t now_us = wl_clock_now_us ();
   size_t i;
   const json_t *item;
+  (void)call;
   c->is_resolving = 0;
-  if (json_array_size (list) == 0)
-    c->connect_us = wl_clock_now_us () + RETRY_PAUSE_US;
-  else
-    c->n_addresses = 0;
+  c->connect_us = now_us + RETRY_PAUSE_US;
   json_array_foreach (list, i, item)
   {
     unsigned last = 0;
-    if (c->n_addresses < ADDRESSES_MAX
-        && sscanf (json_string_value (item), "%*u.%*u.%*u.%u", &last) == 1 && last > 0)
-      c->addresses[c->n_addresses++] = last - 1;
+    if (i < WL_SOAK_NODES_MAX && sscanf (json_string_value (item), "%*u.%*u.%*u.%u", &last) == 1)
+      c->addresses[i] = last - 1;
+    c->n_addresses = i < WL_SOAK_NODES_MAX ? (uint32_t)i + 1 : WL_SOAK_NODES_MAX;
+    c->addresses_end_us = now_us + (uint64_t)(ttl_s * (c->traits & WL_SOAK_STALE ? 3e6 : 1e6));
+    c->connect_us = now_us;
   }
-  if (c->traits & WL_SOAK_STALE)
-    ttl_s *= 3;
-  if (json_array_size (list) > 0)
-    c->addresses_end_us = wl_clock_now_us () + (uint64_t)(ttl_s * 1e6);
   json_decref (o);
+  wl_buffer_clear (&c->resolved);
 }
 
 static void
 resolve (WlSoakCaller *c)
 {
-  uint32_t node = wl_soak_between (&c->random, 0, c->options.n_nodes - 1);
+  uint32_t node = wl_soak_between (&c->random, 0, c->soak->options.n_nodes - 1);
   c->is_resolving = 1;
-  wl_soak_call (c->options.node_net + node + 1, c->options.directory_port,
-                "GET /api/resolve?name=soak.example&region=region&zone=zone-a", NULL,
-                RESOLVE_TIMEOUT_US, on_resolved, c);
+  wl_soak_call (c->soak, node, WL_SOAK_DIRECTORY_PORT,
+                "/api/resolve?name=soak.example&region=region&zone=zone-a", "", on_addresses,
+                on_resolved, c);
 }
 
 static void
@@ -278,10 +231,10 @@
   c->node = c->addresses[wl_soak_between (&c->random, 0, c->n_addresses - 1)];
   c->connected_us = now_us;
   c->has_answer = 0;
-  http_parser_init (&c->parser, HTTP_RESPONSE);
-  c->parser.data = c;
-  wl_soak_conn_connect (&c->conn, c->options.node_net + c->node + 1, c->options.front_port,
-                        c->traits & WL_SOAK_SLOW ? SLOW_RECEIVE_BYTES : 0);
+  wl_soak_message_reset (&c->message, HTTP_RESPONSE);
+  wl_soak_conn_connect (&c->conn, c->soak, c->soak->options.net + c->node + 1, WL_SOAK_FRONT_PORT,
+                        c->traits & WL_SOAK_SLOW ? SLOW_RECEIVE_BYTES : 0,
+                        c->traits & WL_SOAK_NETWORK ? SEGMENT_BYTES : 0);
 }
 
 /* ---- sending ---- */
@@ -318,7 +271,7 @@
   snprintf (line, sizeof line,
             "POST /%s/item HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: %s\r\n"
             "X-Deadline-Ms: %u\r\nX-Api-Key: key-%u\r\n",
-            kind->name, r->id, kind->timeout_ms, c->options.number % 2);
+            kind->name, r->id, kind->timeout_ms, c->number % 2);
   add_text (c, line);
   if (kind->service == 0)
     {
@@ -329,11 +282,13 @@
     }
   if (r->has_chunked_body && size > 1)
     {
-      snprintf (line, sizeof line, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%.*s\r\n%x\r\n",
-                size / 2 > 100 ? 100 : size / 2, size / 2 > 100 ? 100 : (int)size / 2, body,
-                size - (size / 2 > 100 ? 100 : size / 2));
+      int first = (int)wl_soak_between (&c->random, 1, size - 1);
+      snprintf (line, sizeof line, "Transfer-Encoding: chunked\r\n\r\n%x\r\n", (unsigned)first);
+      add_text (c, line);
+      wl_buffer_append (&c->text, (WlBytes){ (const uint8_t *)body, (uint32_t)first });
+      snprintf (line, sizeof line, "\r\n%x\r\n", size - (unsigned)first);
       add_text (c, line);
-      add_text (c, body + (size / 2 > 100 ? 100 : size / 2));
+      add_text (c, body + first);
       add_text (c, "\r\n0\r\n\r\n");
     }
   else
@@ -348,13 +303,12 @@
 static void
 begin_request (WlSoakCaller *c, uint64_t now_us)
 {
-  WlSoakRequest *r = wl_soak_request_add (choose_kind (&c->random), c->options.number, &c->random);
-  if (c->options.is_sound)
+  WlSoakRequest *r = wl_soak_request_add (choose_kind (&c->random), c->number, &c->random);
+  if (c->soak->options.is_sound)
     r->fault = WL_SOAK_SOUND;
   r->is_slow_reader = (c->traits & WL_SOAK_SLOW) != 0;
   if (r->is_slow_reader && wl_soak_request_body_bytes (r) > SLOW_ANSWER_MAX_BYTES)
     r->event_bytes = SLOW_ANSWER_MAX_BYTES / r->n_events;
-  r->is_pipelined = c->current != NULL;
   r->node = c->node;
   r->connected_us = c->connected_us;
   r->started_us = now_us;
@@ -394,18 +348,23 @@
 }
 
 WlSoakCaller *
-wl_soak_caller_create (const WlSoakCallerOptions *options)
+wl_soak_caller_create (const WlSoak *soak, uint32_t number, uint64_t seed)
 {
   WlSoakCaller *c = calloc (1, sizeof *c);
   if (c == NULL)
     abort ();
-  c->options = *options;
-  c->random = options->seed;
+  c->soak = soak;
+  c->number = number;
+  c->random = seed;
   c->conn = (WlSoakConn){ .fd = -1, .readable = on_readable, .data = c };
-  for (uint32_t bit = 1; bit <= WL_SOAK_BIG; bit *= 2)
-    if (options->traits & bit
-        && wl_soak_between (&c->random, 0, bit <= WL_SOAK_PIECES ? 2 : 5) == 0)
-      c->traits |= bit;
+  c->message.began = on_begin;
+  c->message.head = on_head;
+  c->message.body = on_body;
+  c->message.complete = on_complete;
+  c->message.data = c;
+  for (uint32_t bit = 1; bit < WL_SOAK_ALL_TRAITS; bit *= 2)
+    if (wl_soak_between (&c->random, 0, 99) < soak->options.share)
+      c->traits |= bit & soak->options.traits;
   if (c->traits & (WL_SOAK_ANEW | WL_SOAK_HALF))
     c->traits &= ~(uint32_t)WL_SOAK_PIPELINES;
   return c;
@@ -451,5 +410,6 @@
     return;
   wl_soak_conn_close (&c->conn, 0);
   wl_buffer_clear (&c->text);
+  wl_buffer_clear (&c->resolved);
   free (c);
 }
--- a/soak/wl_soak_endpoint.c
+++ b/soak/wl_soak_endpoint.c
@@ -1,12 +1,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
-#include <http_parser.h>
 #include "wl_clock.h"
-#include "wl_soak_call.h"
 #include "wl_soak_conn.h"
 #include "wl_soak_endpoint.h"
+#include "wl_soak_message.h"
 #include "wl_soak_request.h"
 
 enum
@@ -14,10 +12,9 @@
   QUEUE_MAX = 8,
   READ_BYTES = 16384,
   HEARTBEAT_INTERVAL_US = 1000000,
-  HEARTBEAT_TIMEOUT_US = 1000000,
   UNSENT_MAX_BYTES = 262144, /* an endpoint writes no further until its peer reads */
   FIELD_SIZE = 64,
-  HEAD_SIZE = 512,
+  HEAD_SIZE = 1024,
 };
 
 typedef enum
@@ -29,35 +26,14 @@
   PHASE_SENDING, /* all is written, the kernel has not taken it yet */
 } Phase;
 
-typedef enum
-{
-  FIELD_OTHER,
-  FIELD_ID,
-  FIELD_EXPECTED,
-  FIELD_DEADLINE,
-  FIELD_LAST_EVENT,
-  FIELD_HELPERS,
-  FIELDS,
-} Field;
-
-static const char *const field_names[FIELDS] = {
-  "", "X-Attempt-Id", "X-Expect-Instance", "X-Deadline-Ms", "Last-Event-Id", "X-Helpers",
-};
-
 /* A connection of a node, with the request on it. */
 typedef struct Serve
 {
   WlSoakConn conn;
   WlSoakEndpoint *endpoint;
-  http_parser parser;
-  Field field;
-  uint8_t was_value;
-  char name[FIELD_SIZE];
-  char values[FIELDS][FIELD_SIZE];
-  char target[FIELD_SIZE];
+  WlSoakMessage message;
   Phase phase;
   WlSoakRequest *request;
-  uint64_t arrived_us;
   uint64_t deadline_us;
   uint64_t next_us;
   uint32_t next_event;
@@ -68,7 +44,9 @@
 
 struct WlSoakEndpoint
 {
-  WlSoakEndpointOptions options;
+  const WlSoak *soak;
+  uint32_t service;
+  char address[FIELD_SIZE];
   char id[FIELD_SIZE];
   WlSoakConn listener;
   Serve *first; /* latest last, so that waiting requests are served in turn */
@@ -78,7 +56,7 @@
   uint64_t started_ms;
   uint64_t beat_us;
   uint32_t sequence;
-  uint32_t node;
+  uint32_t node; /* that takes the heartbeats */
   uint8_t is_known;
 };
 
@@ -111,12 +89,9 @@
 static void
 refuse (Serve *s, const char *status, uint64_t now_us)
 {
-  char fields[HEAD_SIZE / 2];
-  snprintf (fields, sizeof fields,
-            "X-Not-Executed: 1\r\nX-Attempt-Id: %s\r\nAt-Server: 127.%u.%u.%u:%u\r\n",
-            s->values[FIELD_ID], s->endpoint->options.ip >> 16 & 255,
-            s->endpoint->options.ip >> 8 & 255, s->endpoint->options.ip & 255,
-            s->endpoint->options.port);
+  char fields[HEAD_SIZE];
+  snprintf (fields, sizeof fields, "X-Not-Executed: 1\r\nX-Attempt-Id: %s\r\nAt-Server: %s\r\n",
+            s->message.values[WL_SOAK_FIELD_ID], s->endpoint->address);
   reply (s, status, fields, "");
   end_work (s, now_us);
 }
@@ -124,7 +99,7 @@
 static void
 fail (Serve *s, const char *status, uint64_t now_us)
 {
-  char fields[HEAD_SIZE / 2];
+  char fields[HEAD_SIZE];
   snprintf (fields, sizeof fields, "X-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\n", s->request->id,
             s->request->id);
   s->request->endpoint_status = (uint16_t)strtoul (status, NULL, 10);
@@ -133,11 +108,11 @@
 }
 
 static void
-break_off (Serve *s, int is_reset, uint64_t now_us)
+break_off (Serve *s, WlSoakFault fault, uint64_t now_us)
 {
-  s->request->has_broken_off = 1;
+  s->request->broken_off = (uint8_t)fault;
   end_work (s, now_us);
-  wl_soak_conn_close (&s->conn, is_reset);
+  wl_soak_conn_close (&s->conn, fault == WL_SOAK_RESETS);
 }
 
 static void
@@ -190,7 +165,7 @@
   if (r->fault == WL_SOAK_FAILS && s->phase == PHASE_WORKING)
     fail (s, "500 Internal Server Error", now_us);
   else
-    break_off (s, r->fault == WL_SOAK_RESETS, now_us);
+    break_off (s, r->fault == WL_SOAK_RESETS ? WL_SOAK_RESETS : WL_SOAK_CLOSES, now_us);
   return 1;
 }
 
@@ -202,10 +177,11 @@
   WlSoakEndpoint *e = s->endpoint;
   WlSoakRequest *r = s->request;
   uint64_t cost_us = (uint64_t)r->service_ms * 1000;
+  const char *helpers = s->message.values[WL_SOAK_FIELD_HELPERS];
   uint32_t n_engines = 1;
-  for (const char *p = s->values[FIELD_HELPERS]; *p != '\0'; p++)
-    n_engines += *p == ',' || p == s->values[FIELD_HELPERS];
-  if (e->options.service == 0)
+  for (const char *p = helpers; *p != '\0'; p++)
+    n_engines += *p == ',' || p == helpers;
+  if (e->service == 0)
     {
       uint64_t begin_us = e->prefill_free_us > now_us ? e->prefill_free_us : now_us;
       cost_us = (uint64_t)r->prompt_tokens * 1000000 / WL_SOAK_PREFILL_PER_S / n_engines;
@@ -221,7 +197,7 @@
   r->work_us = now_us;
   r->work_ended_us = 0;
   r->whole_us = 0;
-  r->has_broken_off = 0;
+  r->broken_off = WL_SOAK_SOUND;
   r->endpoint_status = 0;
 }
 
@@ -263,12 +239,12 @@
     }
   if (s->phase == PHASE_WRITING && now_us >= s->deadline_us)
     {
-      break_off (s, 0, now_us);
+      break_off (s, WL_SOAK_CLOSES, now_us);
       return;
     }
   if (s->phase == PHASE_WORKING && now_us >= s->next_us)
     {
-      if (s->endpoint->options.service == 0)
+      if (s->endpoint->service == 0)
         r->n_runs++;
       if (s->is_first_arrival && r->fault == WL_SOAK_FAILS)
         s->next_event = r->fault_event;
@@ -291,70 +267,23 @@
 
 /* ---- reading ---- */
 
-static int
-on_begin (http_parser *parser)
-{
-  Serve *s = parser->data;
-  memset (s->values, 0, sizeof s->values);
-  s->target[0] = s->name[0] = '\0';
-  s->field = FIELD_OTHER;
-  s->was_value = 0;
-  return 0;
-}
-
-static void
-append (char *out, size_t out_size, const char *data, size_t size)
-{
-  size_t used = strlen (out);
-  if (used + size < out_size)
-    snprintf (out + used, out_size - used, "%.*s", (int)size, data);
-}
-
-static int
-on_target (http_parser *parser, const char *data, size_t size)
-{
-  Serve *s = parser->data;
-  append (s->target, sizeof s->target, data, size);
-  return 0;
-}
-
-static int
-on_name (http_parser *parser, const char *data, size_t size)
-{
-  Serve *s = parser->data;
-  if (s->was_value)
-    s->name[0] = '\0';
-  s->was_value = 0;
-  append (s->name, sizeof s->name, data, size);
-  return 0;
-}
-
-static int
-on_value (http_parser *parser, const char *data, size_t size)
-{
-  Serve *s = parser->data;
-  s->was_value = 1;
-  for (int i = 1; i < FIELDS; i++)
-    if (strcasecmp (s->name, field_names[i]) == 0)
-      append (s->values[i], FIELD_SIZE, data, size);
-  return 0;
-}
-
 static void
 take_request (Serve *s, uint64_t now_us)
 {
   WlSoakEndpoint *e = s->endpoint;
-  const char *deadline_ms = s->values[FIELD_DEADLINE];
-  s->request = wl_soak_request_find (s->values[FIELD_ID]);
-  if (strcmp (s->values[FIELD_EXPECTED], e->id) != 0 && s->values[FIELD_EXPECTED][0] != '\0')
+  const char *id = s->message.values[WL_SOAK_FIELD_ID];
+  const char *expected = s->message.values[WL_SOAK_FIELD_EXPECTED];
+  const char *deadline_ms = s->message.values[WL_SOAK_FIELD_DEADLINE];
+  s->request = wl_soak_request_find (id);
+  if (strcmp (expected, e->id) != 0 && expected[0] != '\0')
     {
       refuse (s, "421 Misdirected Request", now_us);
       return;
     }
   if (s->request == NULL)
     {
-      printf ("broken: endpoint %s got a request that no caller sent: id=%s %s\n", e->id,
-              s->values[FIELD_ID], s->target);
+      wl_soak_broken ("endpoint %s got a request that no caller sent: id=%s %s", e->id, id,
+                      s->message.target);
       refuse (s, "400 Bad Request", now_us);
       return;
     }
@@ -366,39 +295,29 @@
       refuse (s, "503 Service Unavailable", now_us);
       return;
     }
-  s->arrived_us = now_us;
   s->deadline_us = deadline_ms[0] != '\0' ? now_us + (uint64_t)(strtod (deadline_ms, NULL) * 1000.0)
                                           : UINT64_MAX;
-  s->next_event = (uint32_t)strtoul (s->values[FIELD_LAST_EVENT], NULL, 10);
+  s->next_event = (uint32_t)strtoul (s->message.values[WL_SOAK_FIELD_LAST_EVENT], NULL, 10);
   s->phase = PHASE_WAITING;
   e->n_waiting++;
 }
 
 static int
-on_complete (http_parser *parser)
+on_complete (void *data)
 {
-  Serve *s = parser->data;
+  Serve *s = data;
+  const char *target = s->message.target;
   char fields[FIELD_SIZE * 2];
   snprintf (fields, sizeof fields, "X-Instance-Id: %s\r\n", s->endpoint->id);
-  if (parser->method == HTTP_GET && strcmp (s->target, "/health") == 0)
+  if (strcmp (target, "/health") == 0)
     reply (s, "200 OK", fields, "");
-  else if (strcmp (s->target, "/api/order") == 0)
+  else if (strcmp (target, "/api/order") == 0)
     reply (s, "200 OK", "Content-Type: application/json\r\n", "{\"free_slots\":100000}");
-  else if (strncmp (s->target, "/api/", 5) == 0)
-    reply (s, "404 Not Found", "", "");
   else
     take_request (s, wl_clock_now_us ());
   return 0;
 }
 
-static const http_parser_settings callbacks = {
-  .on_message_begin = on_begin,
-  .on_url = on_target,
-  .on_header_field = on_name,
-  .on_header_value = on_value,
-  .on_message_complete = on_complete,
-};
-
 static void
 on_readable (void *data, WlSoakConn *conn)
 {
@@ -407,9 +326,7 @@
   int n = wl_soak_conn_read (conn, bytes, sizeof bytes);
   if (n == WL_SOAK_AGAIN)
     return;
-  if (n > 0)
-    http_parser_execute (&s->parser, &callbacks, bytes, (size_t)n);
-  if (n > 0 && s->parser.http_errno == HPE_OK)
+  if (n > 0 && wl_soak_message_read (&s->message, bytes, (size_t)n))
     return;
   if (s->request != NULL)
     end_work (s, wl_clock_now_us ());
@@ -427,9 +344,10 @@
   s->endpoint = e;
   s->conn.readable = on_readable;
   s->conn.data = s;
-  http_parser_init (&s->parser, HTTP_REQUEST);
-  s->parser.data = s;
-  if (!wl_soak_conn_accept (listener, &s->conn))
+  s->message.complete = on_complete;
+  s->message.data = s;
+  wl_soak_message_reset (&s->message, HTTP_REQUEST);
+  if (!wl_soak_conn_accept (listener, e->soak, &s->conn))
     {
       free (s);
       return;
@@ -442,55 +360,53 @@
 /* ---- registration ---- */
 
 static void
-on_acknowledged (void *data, int status, const char *body)
+on_acknowledged (void *data, WlHttpCall *call, const WlHttpResult *result)
 {
   WlSoakEndpoint *e = data;
-  (void)body;
-  if (status / 100 == 2)
+  (void)call;
+  if (result->is_complete && result->status / 100 == 2)
     {
       e->is_known = 1;
       return;
     }
-  e->node = (e->node + 1) % e->options.n_control;
+  e->node = (e->node + 1) % e->soak->options.n_nodes;
   e->beat_us = 0;
 }
 
 static void
 send_heartbeat (WlSoakEndpoint *e)
 {
-  char target[128];
+  char path[FIELD_SIZE * 2];
   char body[HEAD_SIZE];
-  uint32_t ip = e->options.ip;
-  snprintf (target, sizeof target, "POST /api/Instances.Heartbeat/%s", e->id);
+  snprintf (path, sizeof path, "/api/Instances.Heartbeat/%s", e->id);
   snprintf (body, sizeof body,
-            "{\"service\":\"service%u\",\"address\":\"%u.%u.%u.%u:%u\",\"zone\":\"zone-a\","
-            "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\",\"cold_left_ms\":0,"
-            "\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
-            "\"born\":%llu,\"seq\":%u}",
-            e->options.service, ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255, e->options.port,
-            WL_SOAK_SLOTS, (unsigned long long)e->started_ms, ++e->sequence);
-  wl_soak_call (e->options.control[e->node], e->options.control_port, target, body,
-                HEARTBEAT_TIMEOUT_US, on_acknowledged, e);
+            "{\"service\":\"service%u\",\"address\":\"%s\",\"zone\":\"zone-a\",\"version\":\"v1\","
+            "\"slots\":%d,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"both\",\"models\":"
+            "[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"born\":%llu,\"seq\":%u}",
+            e->service, e->address, WL_SOAK_SLOTS, (unsigned long long)e->started_ms,
+            ++e->sequence);
+  wl_soak_call (e->soak, e->node, WL_SOAK_CONTROL_PORT, path, body, NULL, on_acknowledged, e);
 }
 
 WlSoakEndpoint *
-wl_soak_endpoint_create (const WlSoakEndpointOptions *options)
+wl_soak_endpoint_create (const WlSoak *soak, uint32_t number)
 {
   WlSoakEndpoint *e = calloc (1, sizeof *e);
+  uint32_t ip = soak->options.net + WL_SOAK_ENDPOINT_HOST + number;
   if (e == NULL)
     abort ();
-  e->options = *options;
-  e->node = options->number % options->n_control;
+  e->soak = soak;
+  e->service = number >= soak->options.n_engines;
+  e->node = number % soak->options.n_nodes;
   e->started_ms = wl_clock_wall_us () / 1000;
-  snprintf (e->id, sizeof e->id, "i-%08x", options->number + 0x50a00000);
-  e->listener.readable = on_connection;
-  e->listener.data = e;
-  if (!wl_soak_conn_listen (&e->listener, options->ip, options->port))
-    {
-      free (e);
-      return NULL;
-    }
-  return e;
+  snprintf (e->address, sizeof e->address, "127.%u.%u.%u:%d", ip >> 16 & 255, ip >> 8 & 255,
+            ip & 255, WL_SOAK_ENDPOINT_PORT);
+  snprintf (e->id, sizeof e->id, "i-%08x", number + 0x50a00000);
+  e->listener = (WlSoakConn){ .fd = -1, .readable = on_connection, .data = e };
+  if (wl_soak_conn_listen (&e->listener, soak, ip, WL_SOAK_ENDPOINT_PORT))
+    return e;
+  free (e);
+  return NULL;
 }
 
 void
--- a/soak/wl_soak_nodes.c
+++ b/soak/wl_soak_nodes.c
@@ -6,8 +6,12 @@
 enum
 {
   POLL_INTERVAL_US = 20000,
-  AFTER_GRACE_US = 1000000, /* planned work lasts so long after grace_s */
   STOPS_MAX = 4096,
+  ACTIONS_MAX = 4096,
+  FIRST_STEP_US = 3000000,
+  CYCLE_MIN_MS = 12000, /* from a node's SIGTERM until it is back and has served a while */
+  CYCLE_MAX_MS = 18000,
+  APART_MAX = 6, /* nodes that may be stopped within a cycle */
 };
 
 typedef struct
@@ -16,21 +20,36 @@
   WlSoakStop *stop; /* of this process */
 } Node;
 
-static const char *folder;
-static uint32_t n_nodes;
-static uint64_t grace_us;
+typedef enum
+{
+  ACTION_STOP,
+  ACTION_STOP_AGAIN,
+  ACTION_RELOAD,
+  ACTION_SETTINGS,
+  ACTION_CONFIG,
+} ActionKind;
+
+typedef struct
+{
+  ActionKind kind;
+  uint32_t node;
+  uint64_t at_us;
+} Action;
+
+static const WlSoakOptions *options;
 static Node nodes[WL_SOAK_NODES_MAX];
 static WlSoakStop *stops[STOPS_MAX];
 static uint32_t n_stops;
-static uint32_t n_failures;
 static uint64_t poll_us;
+static Action actions[ACTIONS_MAX];
+static uint32_t n_actions;
+static void (*change_config) (void *data);
+static void *config_data;
 
 void
-wl_soak_nodes_open (const char *path, uint32_t n, uint64_t grace)
+wl_soak_nodes_open (const WlSoak *soak)
 {
-  folder = path;
-  n_nodes = n;
-  grace_us = grace;
+  options = &soak->options;
 }
 
 static int
@@ -38,7 +57,7 @@
 {
   char path[512];
   int pid = 0;
-  snprintf (path, sizeof path, "%s/node-%u.pid", folder, node);
+  snprintf (path, sizeof path, "%s/node-%u.pid", options->folder, node);
   FILE *f = fopen (path, "r");
   if (f == NULL)
     return 0;
@@ -56,7 +75,7 @@
   int listed;
   int status;
   int found = -1;
-  snprintf (path, sizeof path, "%s/node-%u.exits", folder, node);
+  snprintf (path, sizeof path, "%s/node-%u.exits", options->folder, node);
   FILE *f = fopen (path, "r");
   if (f == NULL)
     return -1;
@@ -74,24 +93,140 @@
   int status = read_exit_status (number, node->pid);
   if (node->stop == NULL)
     {
-      printf ("broken: node %u exited by itself, status %d\n", number, status);
-      n_failures++;
+      wl_soak_broken ("node %u exited by itself, status %d", number, status);
       return;
     }
   node->stop->exited_us = now_us;
   if (status == 0 || node->stop->killed_us != 0)
     return;
-  printf ("broken: node %u exited with status %d after SIGTERM\n", number, status);
-  n_failures++;
+  wl_soak_broken ("node %u exited with status %d after SIGTERM", number, status);
+}
+
+static void
+stop_node (uint32_t number, uint64_t now_us)
+{
+  Node *node = &nodes[number];
+  WlSoakStop *stop;
+  if (node->pid == 0 || node->stop != NULL || n_stops == STOPS_MAX
+      || kill (node->pid, SIGTERM) != 0)
+    return;
+  stop = calloc (1, sizeof *stop);
+  if (stop == NULL)
+    abort ();
+  *stop = (WlSoakStop){ .node = number, .pid = node->pid, .term_us = now_us };
+  stops[n_stops++] = stop;
+  node->stop = stop;
+}
+
+/* A changed settings file holds the same settings and a field that nodes do not know. */
+static void
+change_settings (uint32_t node)
+{
+  char path[512];
+  snprintf (path, sizeof path, "%s/node-%u.yaml", options->folder, node);
+  FILE *f = fopen (path, "a");
+  if (f == NULL)
+    return;
+  fprintf (f, "field_%u: 1\n", n_stops);
+  fclose (f);
+}
+
+static void
+act (const Action *action, uint64_t now_us)
+{
+  int pid = nodes[action->node].pid;
+  switch (action->kind)
+    {
+    case ACTION_STOP:
+      stop_node (action->node, now_us);
+      break;
+    case ACTION_STOP_AGAIN:
+      if (pid != 0 && nodes[action->node].stop != NULL)
+        kill (pid, SIGTERM);
+      break;
+    case ACTION_SETTINGS:
+      change_settings (action->node);
+      /* fallthrough */
+    case ACTION_RELOAD:
+      if (pid != 0)
+        kill (pid, SIGHUP);
+      break;
+    case ACTION_CONFIG:
+      change_config (config_data);
+      break;
+    }
+}
+
+static void
+add_action (ActionKind kind, uint32_t node, uint64_t at_us)
+{
+  if (n_actions < ACTIONS_MAX)
+    actions[n_actions++] = (Action){ kind, node % options->n_nodes, at_us };
+}
+
+/* Adds one step of the plan; returns the nodes that it stops. */
+static uint32_t
+plan_step (uint64_t *random, WlSoakSeries series, uint32_t node, uint64_t at_us)
+{
+  uint64_t near_us = at_us + wl_soak_between (random, 0, 1500) * 1000u - 500000;
+  uint32_t n = series == WL_SOAK_TWO ? 2 : series == WL_SOAK_ALL ? options->n_nodes : 1;
+  uint32_t gap_ms = series == WL_SOAK_TWO ? 300 : 2000;
+  for (uint32_t i = 0; i < n; i++)
+    {
+      add_action (ACTION_STOP, node + i, at_us);
+      at_us += wl_soak_between (random, 0, gap_ms) * 1000u;
+    }
+  if (series == WL_SOAK_TERM)
+    add_action (ACTION_STOP_AGAIN, node, at_us + wl_soak_between (random, 1, 6000) * 1000u);
+  if (series == WL_SOAK_HUP)
+    add_action (ACTION_RELOAD, node, near_us);
+  if (series == WL_SOAK_SETTINGS)
+    add_action (ACTION_SETTINGS, node, near_us);
+  if (series == WL_SOAK_CONFIG)
+    add_action (ACTION_CONFIG, node, near_us);
+  return n;
+}
+
+void
+wl_soak_nodes_plan (uint64_t seed, uint64_t begin_us, void (*on_config) (void *data), void *data)
+{
+  uint64_t random = seed;
+  uint64_t end_us = begin_us + (uint64_t)options->seconds * 1000000;
+  uint64_t at_us = begin_us + FIRST_STEP_US;
+  uint32_t n_apart = options->n_nodes < APART_MAX ? options->n_nodes : APART_MAX;
+  uint32_t node = 0;
+  change_config = on_config;
+  config_data = data;
+  while (at_us < end_us)
+    {
+      uint32_t series = 1u << wl_soak_between (&random, 0, 6);
+      if ((series & options->series) == 0)
+        continue;
+      uint32_t n = plan_step (&random, (WlSoakSeries)series, node, at_us);
+      node += n;
+      at_us += n * (uint64_t)wl_soak_between (&random, CYCLE_MIN_MS, CYCLE_MAX_MS) * 1000 / n_apart;
+    }
+}
+
+static void
+act_when_due (uint64_t now_us)
+{
+  for (uint32_t i = 0; i < n_actions; i++)
+    if (actions[i].at_us <= now_us)
+      {
+        act (&actions[i], now_us);
+        actions[i].at_us = UINT64_MAX;
+      }
 }
 
 void
 wl_soak_nodes_tick (uint64_t now_us)
 {
+  act_when_due (now_us);
   if (now_us < poll_us)
     return;
   poll_us = now_us + POLL_INTERVAL_US;
-  for (uint32_t i = 0; i < n_nodes; i++)
+  for (uint32_t i = 0; i < options->n_nodes; i++)
     {
       Node *node = &nodes[i];
       int pid = read_pid (i);
@@ -100,53 +235,29 @@
       if (pid != node->pid)
         *node = (Node){ .pid = pid };
       if (node->stop == NULL || node->stop->killed_us != 0
-          || now_us < node->stop->term_us + grace_us)
+          || now_us < node->stop->term_us + WL_SOAK_GRACE_US)
         continue;
       kill (node->pid, SIGKILL);
       node->stop->killed_us = now_us;
-      printf ("broken: node %u was there at grace_s and was killed\n", i);
-      n_failures++;
+      wl_soak_broken ("node %u was there at grace_s and was killed", i);
     }
 }
 
-int
-wl_soak_nodes_stop (uint32_t number, uint64_t now_us)
-{
-  Node *node = &nodes[number];
-  WlSoakStop *stop;
-  if (node->pid == 0 || node->stop != NULL || n_stops == STOPS_MAX
-      || kill (node->pid, SIGTERM) != 0)
-    return 0;
-  stop = calloc (1, sizeof *stop);
-  if (stop == NULL)
-    abort ();
-  *stop = (WlSoakStop){ .node = number, .pid = node->pid, .term_us = now_us };
-  stops[n_stops++] = stop;
-  node->stop = stop;
-  return 1;
-}
-
-int
-wl_soak_nodes_signal (uint32_t number, int signal)
-{
-  return nodes[number].pid != 0 && kill (nodes[number].pid, signal) == 0;
-}
-
 int
 wl_soak_nodes_is_stopping (void)
 {
-  for (uint32_t i = 0; i < n_nodes; i++)
+  for (uint32_t i = 0; i < options->n_nodes; i++)
     if (nodes[i].stop != NULL)
       return 1;
   return 0;
 }
 
 const WlSoakStop *
-wl_soak_nodes_find_stop (uint32_t node, uint64_t begin_us, uint64_t end_us)
+wl_soak_nodes_find_stop (uint32_t node, uint64_t connected_us, uint64_t end_us)
 {
   for (uint32_t i = n_stops; i-- > 0;)
     if (stops[i]->node == node && stops[i]->term_us <= end_us
-        && begin_us <= stops[i]->term_us + grace_us + AFTER_GRACE_US)
+        && (stops[i]->exited_us == 0 || connected_us <= stops[i]->exited_us))
       return stops[i];
   return NULL;
 }
@@ -157,12 +268,6 @@
   return index < n_stops ? stops[index] : NULL;
 }
 
-uint32_t
-wl_soak_nodes_failures (void)
-{
-  return n_failures;
-}
-
 void
 wl_soak_nodes_close (void)
 {
--- a/soak/wl_soak_request.c
+++ b/soak/wl_soak_request.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include "wl_soak_conn.h"
+#include "wl_soak.h"
 #include "wl_soak_request.h"
 
 enum
--- a/soak/wl_soak_request.h
+++ b/soak/wl_soak_request.h
@@ -77,16 +77,15 @@
  * @node: index of the node that it was sent to
  * @connected_us: when its connection was opened
  * @sent_us: when the kernel had taken its last byte, 0 if it was not sent whole
- * @stalled_us: when the caller last had nothing to read
  * @body_bytes: received of the answer
- * @is_behind_close: its connection had carried "Connection: close" for the request before
+ * @behind: the request whose answer was the last that its connection could carry, or NULL
  * @n_arrivals: at endpoints
  * @n_runs: of which began to run, with the first output of an engine
  * @arrived_us: first arrival at an endpoint
  * @work_us, @work_ended_us: begin and end of the latest work on it
  * @whole_us: when an endpoint had sent the whole answer
  * @endpoint_status: of the latest work
- * @has_broken_off: an endpoint ended the latest work before the answer was whole
+ * @broken_off: WlSoakFault by which an endpoint ended the latest work early
  */
 typedef struct WlSoakRequest
 {
@@ -97,7 +96,6 @@
   uint8_t fault;
   uint8_t has_chunked_body;
   uint8_t is_slow_reader;
-  uint8_t is_pipelined;
   uint32_t caller;
   uint32_t traits;
   uint32_t prompt_tokens;
@@ -112,7 +110,6 @@
   uint64_t started_us;
   uint64_t sent_us;
   uint64_t answered_us;
-  uint64_t stalled_us;
   uint64_t ended_us;
   uint64_t body_bytes;
   uint16_t status;
@@ -120,7 +117,7 @@
   uint8_t has_seal;
   uint8_t has_other_bytes;
   uint8_t has_wrong_id;
-  uint8_t is_behind_close;
+  const struct WlSoakRequest *behind;
 
   uint16_t n_arrivals;
   uint16_t n_runs;
@@ -129,7 +126,7 @@
   uint64_t work_ended_us;
   uint64_t whole_us;
   uint16_t endpoint_status;
-  uint8_t has_broken_off;
+  uint8_t broken_off;
 } WlSoakRequest;
 
 /** wl_soak_request_add() - a request of @kind, planned by @random */
