--- a/soak/wl_soak_nodes.c
+++ b/soak/wl_soak_nodes.c
@@ -9,6 +9,7 @@
   STOPS_MAX = 4096,
   ACTIONS_MAX = 4096,
   FIRST_STEP_US = 3000000,
+  STARTED_MIN_US = 1000000,
   CYCLE_MIN_MS = 12000, /* from a node's SIGTERM until it is back and has served a while */
   CYCLE_MAX_MS = 18000,
   APART_MAX = 6, /* nodes that may be stopped within a cycle */
@@ -16,22 +17,16 @@
 
 typedef struct
 {
-  int pid;
+  int pid; /* 0 while it does not run */
+  uint64_t started_us;
   WlSoakStop *stop; /* of this process */
 } Node;
 
-typedef enum
-{
-  ACTION_STOP,
-  ACTION_STOP_AGAIN,
-  ACTION_RELOAD,
-  ACTION_SETTINGS,
-  ACTION_CONFIG,
-} ActionKind;
-
+/* A signal or, where it is 0, a new configuration. */
 typedef struct
 {
-  ActionKind kind;
+  int signal;
+  uint8_t has_new_settings;
   uint32_t node;
   uint64_t at_us;
 } Action;
@@ -102,20 +97,15 @@
   wl_soak_broken ("node %u exited with status %d after SIGTERM", number, status);
 }
 
-static void
-stop_node (uint32_t number, uint64_t now_us)
+static WlSoakStop *
+add_stop (uint32_t number, uint64_t now_us)
 {
-  Node *node = &nodes[number];
-  WlSoakStop *stop;
-  if (node->pid == 0 || node->stop != NULL || n_stops == STOPS_MAX
-      || kill (node->pid, SIGTERM) != 0)
-    return;
-  stop = calloc (1, sizeof *stop);
+  WlSoakStop *stop = n_stops < STOPS_MAX ? calloc (1, sizeof *stop) : NULL;
   if (stop == NULL)
     abort ();
-  *stop = (WlSoakStop){ .node = number, .pid = node->pid, .term_us = now_us };
+  *stop = (WlSoakStop){ .node = number, .term_us = now_us };
   stops[n_stops++] = stop;
-  node->stop = stop;
+  return stop;
 }
 
 /* A changed settings file holds the same settings and a field that nodes do not know. */
@@ -134,34 +124,24 @@
 static void
 act (const Action *action, uint64_t now_us)
 {
-  int pid = nodes[action->node].pid;
-  switch (action->kind)
-    {
-    case ACTION_STOP:
-      stop_node (action->node, now_us);
-      break;
-    case ACTION_STOP_AGAIN:
-      if (pid != 0 && nodes[action->node].stop != NULL)
-        kill (pid, SIGTERM);
-      break;
-    case ACTION_SETTINGS:
-      change_settings (action->node);
-      /* fallthrough */
-    case ACTION_RELOAD:
-      if (pid != 0)
-        kill (pid, SIGHUP);
-      break;
-    case ACTION_CONFIG:
-      change_config (config_data);
-      break;
-    }
+  Node *node = &nodes[action->node];
+  if (action->signal == 0)
+    change_config (config_data);
+  /* A process that has just begun may not handle signals yet. */
+  if (action->signal == 0 || node->pid == 0 || now_us < node->started_us + STARTED_MIN_US)
+    return;
+  if (action->has_new_settings)
+    change_settings (action->node);
+  if (kill (node->pid, action->signal) == 0 && action->signal == SIGTERM && node->stop == NULL)
+    node->stop = add_stop (action->node, now_us);
 }
 
 static void
-add_action (ActionKind kind, uint32_t node, uint64_t at_us)
+add_action (int signal, int has_new_settings, uint32_t node, uint64_t at_us)
 {
   if (n_actions < ACTIONS_MAX)
-    actions[n_actions++] = (Action){ kind, node % options->n_nodes, at_us };
+    actions[n_actions++]
+        = (Action){ signal, (uint8_t)has_new_settings, node % options->n_nodes, at_us };
 }
 
 /* Adds one step of the plan; returns the nodes that it stops. */
@@ -173,17 +153,15 @@
   uint32_t gap_ms = series == WL_SOAK_TWO ? 300 : 2000;
   for (uint32_t i = 0; i < n; i++)
     {
-      add_action (ACTION_STOP, node + i, at_us);
+      add_action (SIGTERM, 0, node + i, at_us);
       at_us += wl_soak_between (random, 0, gap_ms) * 1000u;
     }
   if (series == WL_SOAK_TERM)
-    add_action (ACTION_STOP_AGAIN, node, at_us + wl_soak_between (random, 1, 6000) * 1000u);
-  if (series == WL_SOAK_HUP)
-    add_action (ACTION_RELOAD, node, near_us);
-  if (series == WL_SOAK_SETTINGS)
-    add_action (ACTION_SETTINGS, node, near_us);
+    add_action (SIGTERM, 0, node, at_us + wl_soak_between (random, 1, 6000) * 1000u);
+  if (series == WL_SOAK_HUP || series == WL_SOAK_SETTINGS)
+    add_action (SIGHUP, series == WL_SOAK_SETTINGS, node, near_us);
   if (series == WL_SOAK_CONFIG)
-    add_action (ACTION_CONFIG, node, near_us);
+    add_action (0, 0, node, near_us);
   return n;
 }
 
@@ -233,7 +211,7 @@
       if (node->pid != 0 && pid != node->pid)
         note_exit (i, now_us);
       if (pid != node->pid)
-        *node = (Node){ .pid = pid };
+        *node = (Node){ .pid = pid, .started_us = now_us };
       if (node->stop == NULL || node->stop->killed_us != 0
           || now_us < node->stop->term_us + WL_SOAK_GRACE_US)
         continue;
--- a/soak/wl_soak_nodes.h
+++ b/soak/wl_soak_nodes.h
@@ -13,7 +13,6 @@
 typedef struct
 {
   uint32_t node;
-  int pid;
   uint64_t term_us;
   uint64_t exited_us;
   uint64_t killed_us;
