The end of a request is logged before its head is freed

A response that closes its connection, as every response of a stopping node does, frees the request's head, and the line of its end (WL4007) was written from it afterwards: a read of freed memory, and with a next request on the connection the id of that one in the log.

Shown by the sanitizers on the code before, in test_relay_stop, a_stopping_node_serves_what_it_can_answer_before_its_exit: heap-use-after-free in wl_relay_finish(), freed by wl_web_reply(). After: no report.

--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -408,6 +408,14 @@
   return 1;
 }
 
+static WlBuffer
+take_buffer (WlBuffer *buffer)
+{
+  WlBuffer taken = *buffer;
+  *buffer = (WlBuffer){ 0 };
+  return taken;
+}
+
 static void
 reply_and_finish (WlRelayRequest *r, const char *outcome)
 {
@@ -419,10 +427,16 @@
       wl_web_end (web, 1);
       return;
     }
-  WlBytes body = wl_buffer_bytes (wl_buffer_left (&r->body) > 0 ? &r->body : &r->events.pending);
-  wl_relay_release_endpoints (r);
-  wl_web_reply (web, r->status, terminate_fields (r), body);
+  /* The reply may free the request's head, which the log of its end needs. */
+  uint32_t status = r->status;
+  const char *fields_text = terminate_fields (r);
+  WlBuffer *kept = wl_buffer_left (&r->body) > 0 ? &r->body : &r->events.pending;
+  WlBuffer fields = take_buffer (&r->fields);
+  WlBuffer body = take_buffer (kept);
   wl_relay_finish (r, outcome);
+  wl_web_reply (web, status, fields_text, wl_buffer_bytes (&body));
+  wl_buffer_clear (&fields);
+  wl_buffer_clear (&body);
 }
 
 static void
