Tests of servers that close in order

For each state in which a stopping server can meet a connection: waiting to be accepted with a request sent, idle with a request that has arrived, idle, read in part with a body in chunks, with its handler, and ended by the handler of another one that is read before the close; also for repeated calls. All hold on the functions as they are.

--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -45,6 +45,14 @@
       static uint8_t body[LARGE_BYTES];
       wl_web_reply (request, 200, "", (WlBytes){ body, sizeof body });
     }
+  else if (strcmp (target, "/release") == 0)
+    {
+      WlWebRequest *released = f->waiting;
+      f->waiting = NULL;
+      if (released != NULL)
+        wl_web_reply (released, 200, "", (WlBytes){ (const uint8_t *)"released", 8 });
+      wl_web_reply (request, 200, "", (WlBytes){ NULL, 0 });
+    }
   else if (strcmp (target, "/broken") == 0)
     {
       wl_web_begin (request, 200, "");
@@ -357,6 +365,139 @@
 }
 END_TEST
 
+/* Guards against requests that are reset with the connection that waits to be accepted. */
+START_TEST (a_request_on_a_connection_that_waits_is_answered)
+{
+  Fixture *f = create ();
+  RawClient waiting;
+  run (f, 10);
+  raw_client_connect (&waiting, wl_web_port (f->web));
+  raw_client_send (&waiting, "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok");
+  wl_web_close_idle (f->web);
+  run (f, 30);
+  raw_client_receive (&waiting);
+  ck_assert_ptr_nonnull (strstr (waiting.answer, "Connection: close\r\n\r\nok"));
+  ck_assert_uint_eq (wl_web_port (f->web), 0);
+  raw_client_close (&waiting);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against requests that have arrived at a connection that is closed as idle. */
+START_TEST (a_request_that_has_arrived_is_answered_before_the_close)
+{
+  Fixture *f = create ();
+  run (f, 10);
+  send_text (f, "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok");
+  wl_web_close_idle (f->web);
+  wl_web_close_idle (f->web);
+  run (f, 30);
+  ck_assert_ptr_nonnull (strstr (f->client.answer, "Connection: close\r\n\r\nok"));
+  ck_assert_int_eq (f->client.is_closed, 1);
+  ck_assert_int_eq (f->client.error, 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against an idle connection that keeps a stopping server. */
+START_TEST (idle_connections_are_closed)
+{
+  Fixture *f = create ();
+  send_text (f, "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok");
+  run (f, 30);
+  ck_assert_uint_eq (wl_web_connections (f->web), 1);
+  wl_web_close_idle (f->web);
+  ck_assert_uint_eq (wl_web_connections (f->web), 0);
+  run (f, 30);
+  ck_assert_int_eq (f->client.is_closed, 1);
+  ck_assert_int_eq (f->client.error, 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a request that loses its connection while its body is on its way. */
+START_TEST (a_partial_request_is_kept_and_then_rejected)
+{
+  static const char part[] = "POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "3\r\nabc\r\n";
+  Fixture *f = create ();
+  RawClient second;
+  raw_client_connect (&second, wl_web_port (f->web));
+  send_text (f, part);
+  raw_client_send (&second, part);
+  run (f, 30);
+  wl_web_close_idle (f->web);
+  ck_assert_uint_eq (wl_web_connections (f->web), 2);
+  send_text (f, "0\r\n\r\n");
+  run (f, 30);
+  ck_assert_ptr_nonnull (strstr (f->client.answer, "Connection: close\r\n\r\nabc"));
+  wl_web_close (f->web);
+  wl_web_close (f->web);
+  ck_assert_uint_eq (wl_web_connections (f->web), 0);
+  raw_client_send (&second, "2\r\nde\r\n");
+  run (f, 30);
+  raw_client_receive (&second);
+  ck_assert_ptr_nonnull (strstr (second.answer, "HTTP/1.1 503"));
+  ck_assert_ptr_nonnull (strstr (second.answer, "Retry-After: 0\r\n"));
+  ck_assert_int_eq (second.error, 0);
+  ck_assert_int_eq (f->n_handled, 1);
+  raw_client_close (&second);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a close of a connection whose request is with its handler. */
+START_TEST (a_request_with_its_handler_is_kept)
+{
+  Fixture *f = create ();
+  send_text (f, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  run (f, 30);
+  wl_web_close_idle (f->web);
+  wl_web_close (f->web);
+  run (f, 10);
+  ck_assert_uint_eq (wl_web_connections (f->web), 1);
+  ck_assert_int_eq (f->client.is_closed, 0);
+  wl_web_reply (f->waiting, 200, "", (WlBytes){ (const uint8_t *)"done", 4 });
+  ck_assert_uint_eq (wl_web_connections (f->web), 0);
+  run (f, 30);
+  ck_assert_ptr_nonnull (strstr (f->client.answer, "Connection: close\r\n\r\ndone"));
+  ck_assert_int_eq (f->client.is_closed, 1);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against a use after free: a request that is read before the close ends another one. */
+START_TEST (a_handler_may_end_other_requests_while_connections_are_closed)
+{
+  Fixture *f = create ();
+  RawClient others[4];
+  for (int i = 0; i < 2; i++)
+    raw_client_connect (&others[i], wl_web_port (f->web));
+  run (f, 10);
+  send_text (f, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  run (f, 30);
+  for (int i = 2; i < 4; i++)
+    raw_client_connect (&others[i], wl_web_port (f->web));
+  run (f, 10);
+  raw_client_send (&others[0], "GET /release HTTP/1.1\r\nHost: h\r\n\r\n");
+  raw_client_send (&others[3], "GET /release HTTP/1.1\r\nHost: h\r\n\r\n");
+  wl_web_close_idle (f->web);
+  ck_assert_uint_eq (wl_web_connections (f->web), 0);
+  run (f, 30);
+  ck_assert_ptr_nonnull (strstr (f->client.answer, "released"));
+  for (int i = 0; i < 4; i++)
+    {
+      raw_client_receive (&others[i]);
+      raw_client_receive (&others[i]);
+      ck_assert_int_eq (others[i].is_closed, 1);
+      ck_assert_int_eq (others[i].error, 0);
+      ck_assert_int_eq (strstr (others[i].answer, " 200 ") != NULL, i == 0 || i == 3);
+      raw_client_close (&others[i]);
+    }
+  destroy (f);
+}
+END_TEST
+
 START_TEST (an_incomplete_request_times_out)
 {
   Fixture *f = create ();
@@ -384,6 +525,12 @@
     WL_TEST (a_given_up_request_leaves_the_response_before_it),
     WL_TEST (a_draining_server_closes_after_its_response),
     WL_TEST (a_rejection_reaches_a_client_that_goes_on_sending),
+    WL_TEST (a_request_on_a_connection_that_waits_is_answered),
+    WL_TEST (a_request_that_has_arrived_is_answered_before_the_close),
+    WL_TEST (idle_connections_are_closed),
+    WL_TEST (a_partial_request_is_kept_and_then_rejected),
+    WL_TEST (a_request_with_its_handler_is_kept),
+    WL_TEST (a_handler_may_end_other_requests_while_connections_are_closed),
     WL_TEST (an_incomplete_request_times_out),
   };
   apr_initialize ();
