Closing a server passes over its connections once

wl_web_close_idle() searched the list from its head after each connection that it had read, n^2 / 2 steps for n idle connections, and is called every 10 ms by a stopping node. It now keeps the next connection, which free_connection() moves on, so that handlers may still end other requests meanwhile. Connections that have a request in part are read before they are rejected only; the event loop reads them anyway.

a_handler_may_end_other_requests_while_connections_are_closed now ends the request that is next in the list: with the upkeep taken out, the sanitizer reports a heap-use-after-free in read_before_close() there.

--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -480,7 +480,7 @@
     raw_client_connect (&others[i], wl_web_port (f->web));
   run (f, 10);
   raw_client_send (&others[0], "GET /release HTTP/1.1\r\nHost: h\r\n\r\n");
-  raw_client_send (&others[3], "GET /release HTTP/1.1\r\nHost: h\r\n\r\n");
+  raw_client_send (&others[3], "GET /echo HTTP/1.1\r\nHost: h\r\n\r\n");
   wl_web_close_idle (f->web);
   ck_assert_uint_eq (wl_web_connections (f->web), 0);
   run (f, 30);
--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -104,7 +104,11 @@
 /** wl_tcp_has_sent() - whether any byte was ever passed to the kernel */
 int wl_tcp_has_sent (const WlTcp *tcp);
 
-/** wl_tcp_read_now() - passes on what has arrived, without waiting for the event loop */
+/**
+ * wl_tcp_read_now() - passes on what has arrived, without waiting for the event loop
+ *
+ * Not to be called from the callbacks of a connection, whose bytes it overwrites.
+ */
 void wl_tcp_read_now (WlTcp *tcp);
 
 /** wl_tcp_pause() - pauses (1) or resumes (0) reading */
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -17,7 +17,6 @@
   uint8_t is_answering;    /* a request is with its handler */
   uint8_t is_reading;      /* part of a request has arrived */
   uint8_t is_closing;
-  uint32_t close_round;   /* of the server when the connection was last read for a close */
   uint8_t is_over_budget; /* the body exceeds what bodies_max leaves */
   WlWebRequest *next;
   WlWebRequest *previous;
@@ -32,7 +31,7 @@
   uint32_t n_active;
   uint64_t body_bytes; /* bytes of the bodies of all connections */
   uint8_t is_draining;
-  uint32_t close_round; /* number of calls that closed unused connections */
+  WlWebRequest *next_read; /* next connection of read_before_close(), valid when others are freed */
 };
 
 static void
@@ -51,6 +50,8 @@
     c->web->connections = c->next;
   if (c->next != NULL)
     c->next->previous = c->previous;
+  if (c->web->next_read == c)
+    c->web->next_read = c->next;
   if (c->is_answering)
     c->web->n_active--;
   wl_http_reader_clear (&c->reader);
@@ -308,31 +309,27 @@
   return !c->is_answering && !c->is_reading;
 }
 
-/* The next connection to be read before the close, NULL for none; the list may change meanwhile. */
-static WlWebRequest *
-find_unchecked (const WlWeb *web, uint32_t round)
+/* Handles requests that have arrived; their handlers may end other requests. */
+static void
+read_before_close (WlWeb *web, int with_partial)
 {
-  for (WlWebRequest *c = web->connections; c != NULL; c = c->next)
-    if (c->close_round != round && !c->is_answering)
-      return c;
-  return NULL;
+  for (WlWebRequest *c = web->connections; c != NULL; c = web->next_read)
+    {
+      web->next_read = c->next;
+      if (is_idle (c) || (with_partial && !c->is_answering))
+        wl_tcp_read_now (c->tcp);
+    }
 }
 
 static void
 close_unused (WlWeb *web, int with_partial)
 {
-  WlWebRequest *c;
   if (web->port != 0)
     wl_tcp_unlisten (web->loop, web->port);
   web->port = 0;
   web->is_draining = 1;
-  web->close_round++;
-  while ((c = find_unchecked (web, web->close_round)) != NULL)
-    {
-      c->close_round = web->close_round;
-      wl_tcp_read_now (c->tcp); /* may free the connection */
-    }
-  for (c = web->connections; c != NULL;)
+  read_before_close (web, with_partial);
+  for (WlWebRequest *c = web->connections; c != NULL;)
     {
       WlWebRequest *next = c->next;
       if (is_idle (c))
--- a/relay/transport/wl_web.h
+++ b/relay/transport/wl_web.h
@@ -74,7 +74,7 @@
 /** wl_web_destroy() - closes all connections and frees the server; accepts NULL */
 void wl_web_destroy (WlWeb *web);
 
-/** wl_web_port() - port that the server listens on */
+/** wl_web_port() - port that the server listens on, 0 after wl_web_close_idle() */
 uint16_t wl_web_port (const WlWeb *web);
 
 /** wl_web_set_limits() - changes the limits, also of open connections */
@@ -89,7 +89,8 @@
  *
  * Stops listening at the first call. An idle connection is read once more before
  * it is closed, so that a request that has arrived is still handled. Repeated
- * calls close the connections that have become idle meanwhile.
+ * calls close the connections that have become idle meanwhile. Not to be called
+ * from the server's callbacks.
  */
 void wl_web_close_idle (WlWeb *web);
 
