A close is announced before it happens

What callers saw: a stream that had begun before SIGTERM ended without 'Connection: close', so that they kept the connection and sent the next request on it; the node had closed it, and that request got no response.

Cause: whether to close was decided when the response ended, what the caller is told when it began. The connection now closes only after a response that says so; one that said nothing is kept for the next request, whose response does, or is closed once idle.

The test on the code before: a_close_is_announced_before_it_happens: Assertion 'f->client.is_closed == 0' failed: 1, 0 == 0.

--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -308,6 +308,27 @@
 }
 END_TEST
 
+/* Guards against a kept connection that is closed as the client sends its next request. */
+START_TEST (a_close_is_announced_before_it_happens)
+{
+  Fixture *f = create ();
+  send_text (f, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  run (f, 30);
+  wl_web_begin (f->waiting, 200, "");
+  wl_web_drain (f->web);
+  wl_web_write (f->waiting, (WlBytes){ (const uint8_t *)"part", 4 });
+  wl_web_end (f->waiting, 1);
+  run (f, 30);
+  ck_assert_ptr_null (strstr (f->client.answer, "Connection: close"));
+  ck_assert_int_eq (f->client.is_closed, 0);
+  send_text (f, "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nnext");
+  run (f, 30);
+  ck_assert_ptr_nonnull (strstr (f->client.answer, "Connection: close\r\n\r\nnext"));
+  ck_assert_int_eq (f->client.is_closed, 1);
+  destroy (f);
+}
+END_TEST
+
 /* One iteration of the event loop, in which a paused clock advances. */
 static void
 advance (Fixture *f, uint64_t us)
@@ -524,6 +545,7 @@
     WL_TEST (a_client_that_shuts_down_its_side_receives_a_complete_response),
     WL_TEST (a_given_up_request_leaves_the_response_before_it),
     WL_TEST (a_draining_server_closes_after_its_response),
+    WL_TEST (a_close_is_announced_before_it_happens),
     WL_TEST (a_rejection_reaches_a_client_that_goes_on_sending),
     WL_TEST (a_request_on_a_connection_that_waits_is_answered),
     WL_TEST (a_request_that_has_arrived_is_answered_before_the_close),
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -16,8 +16,8 @@
   uint64_t state_since_us; /* when the connection became idle or began to read a request */
   uint8_t is_answering;    /* a request is with its handler */
   uint8_t is_reading;      /* part of a request has arrived */
-  uint8_t is_closing;
-  uint8_t is_over_budget; /* the body exceeds what bodies_max leaves */
+  uint8_t is_closing;      /* closes after the response, which usually announces it */
+  uint8_t is_over_budget;  /* the body exceeds what bodies_max leaves */
   WlWebRequest *next;
   WlWebRequest *previous;
 };
@@ -80,12 +80,6 @@
   wl_tcp_write (c->tcp, (WlBytes){ (const uint8_t *)text, (uint32_t)strlen (text) });
 }
 
-static int
-must_close (const WlWebRequest *c)
-{
-  return c->is_closing || c->web->is_draining || !c->reader.head.keep_alive;
-}
-
 static void
 write_head (WlWebRequest *c, uint32_t status, const char *fields, const char *framing)
 {
@@ -95,7 +89,9 @@
   write_text (c, line);
   write_text (c, fields);
   write_text (c, framing);
-  write_text (c, must_close (c) ? "Connection: close\r\n\r\n" : "\r\n");
+  if (c->web->is_draining || !c->reader.head.keep_alive)
+    c->is_closing = 1;
+  write_text (c, c->is_closing ? "Connection: close\r\n\r\n" : "\r\n");
 }
 
 static void
@@ -411,7 +407,7 @@
 static void
 end_exchange (WlWebRequest *c)
 {
-  if (must_close (c))
+  if (c->is_closing)
     {
       finish_connection (c);
       return;
--- a/relay/transport/wl_web.h
+++ b/relay/transport/wl_web.h
@@ -81,7 +81,7 @@
 /** wl_web_set_limits() - changes the limits, also of open connections */
 void wl_web_set_limits (WlWeb *web, const WlWebLimits *limits);
 
-/** wl_web_drain() - closes each connection after its next response */
+/** wl_web_drain() - announces with the next response that a connection closes, and closes it */
 void wl_web_drain (WlWeb *web);
 
 /**
