A node whose disk fails leaves the control group and stops gracefully

Callers of a replica whose disk failed to sync once lost all their requests: those that waited, those at endpoints and streams ended with the process, at once. They do not need the disk.

Cause: wl_host_may_exit() was true from a failed sync (WL1004 reason=sync) on, because the replica must not go on with more in memory than its disk holds.

--- a/relay/tests/test_host.c
+++ b/relay/tests/test_host.c
@@ -1,3 +1,5 @@
+#include <dirent.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,10 +9,11 @@
 #include <sodium.h>
 #include "wl_clock.h"
 #include "wl_host_internal.h"
+#include "wl_raw_client.h"
 #include "wl_test.h"
 #include "wl_test_host.h"
 
-/* Restarts of a node: what it restores from its disk, without other nodes. */
+/* Restarts of a node: what it restores from its disk, without other nodes. Failures of its disk. */
 
 typedef struct
 {
@@ -198,6 +201,98 @@
 }
 END_TEST
 
+/* Makes each sync of a file of the data folder fail: a pipe takes its descriptor's place. */
+static void
+break_disk (const Fixture *f)
+{
+  char path[320];
+  char target[384];
+  int ends[2];
+  size_t n = strlen (f->options.data_folder);
+  DIR *dir = opendir ("/proc/self/fd");
+  ck_assert_ptr_nonnull (dir);
+  ck_assert_int_eq (pipe2 (ends, O_CLOEXEC), 0);
+  for (const struct dirent *e = readdir (dir); e != NULL; e = readdir (dir))
+    {
+      snprintf (path, sizeof path, "/proc/self/fd/%s", e->d_name);
+      ssize_t size = readlink (path, target, sizeof target - 1);
+      target[size > 0 ? size : 0] = '\0';
+      if (strncmp (target, f->options.data_folder, n) == 0 && target[n] == '/'
+          && strstr (target, "lock") == NULL)
+        ck_assert_int_ge (dup3 (ends[1], atoi (e->d_name), O_CLOEXEC), 0);
+    }
+  closedir (dir);
+}
+
+/* Runs a replica that leads its group, fails its disk, and submits a configuration. */
+static void
+fail_disk (Fixture *f, int *is_done)
+{
+  for (int i = 0; i < 100 && wl_host_leader (f->host, wl_clock_now_us ()) == 0; i++)
+    run (f, 50000);
+  ck_assert_uint_eq (wl_host_leader (f->host, wl_clock_now_us ()), f->options.node);
+  break_disk (f);
+  wl_host_submit_config (f->host, 7, (WlBytes){ (const uint8_t *)"text", 4 }, on_submitted,
+                         is_done);
+  for (int i = 0; i < 100 && !wl_host_has_failed (f->host); i++)
+    run (f, 10000);
+  ck_assert_int_eq (wl_host_has_failed (f->host), 1);
+}
+
+/* Guards against requests that are cut because the disk of their node, which they do not use,
+ * fails. */
+START_TEST (a_request_is_answered_although_the_disk_fails)
+{
+  static Fixture f;
+  static RawClient caller;
+  int is_done = 0;
+  create (&f);
+  f.options.parse = wl_test_parse_any;
+  f.options.seeds[0] = f.options.node;
+  f.options.n_seeds = 1;
+  start (&f);
+  raw_client_connect_to (&caller, f.options.node, f.options.client_port);
+  raw_client_send (&caller, "GET /x HTTP/1.1\r\n");
+  fail_disk (&f, &is_done);
+  ck_assert_int_eq (wl_host_may_exit (f.host), 0);
+  raw_client_send (&caller, "Host: h\r\n\r\n");
+  for (int i = 0; i < 200 && !wl_host_may_exit (f.host); i++)
+    {
+      run (&f, 10000);
+      raw_client_receive (&caller);
+      if (caller.is_closed)
+        raw_client_close (&caller);
+    }
+  ck_assert_int_eq (wl_host_may_exit (f.host), 1);
+  ck_assert_ptr_nonnull (strstr (caller.answer, "HTTP/1.1 "));
+  ck_assert_ptr_nonnull (strstr (caller.answer, "\r\n\r\n"));
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against a replica that leads or acknowledges with more in memory than its disk holds. */
+START_TEST (a_node_whose_disk_has_failed_is_no_replica)
+{
+  static Fixture f;
+  int is_done = 0;
+  create (&f);
+  f.options.parse = wl_test_parse_any;
+  f.options.seeds[0] = f.options.node;
+  f.options.n_seeds = 1;
+  start (&f);
+  fail_disk (&f, &is_done);
+  uint64_t queued = gauge (&f, "journal_queued_bytes");
+  wl_host_submit_config (f.host, 8, (WlBytes){ (const uint8_t *)"next", 4 }, on_submitted,
+                         &is_done);
+  for (int i = 0; i < 200 && !wl_host_may_exit (f.host); i++)
+    run (&f, 10000);
+  ck_assert_int_eq (is_done, 0);
+  ck_assert_uint_eq (gauge (&f, "control_leader"), 0);
+  ck_assert_uint_eq (gauge (&f, "journal_queued_bytes"), queued);
+  destroy (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -205,6 +300,8 @@
     WL_TEST (endpoints_are_restored_after_a_restart),
     WL_TEST (the_committed_configuration_is_restored_without_a_quorum),
     WL_TEST (a_node_starts_with_a_damaged_file_of_endpoints),
+    WL_TEST (a_request_is_answered_although_the_disk_fails),
+    WL_TEST (a_node_whose_disk_has_failed_is_no_replica),
   };
   if (sodium_init () < 0)
     return 1;
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -100,6 +100,7 @@
     {
       wl_log_eventf (WL1004_STORAGE_FAILED, "reason=sync");
       host->has_failed = 1;
+      wl_host_stop (host);
       return;
     }
   for (uint32_t i = 0; i < effects->count; i++)
@@ -132,7 +133,7 @@
   if (wl_message_decode (bytes, &message, pool) != WL_OK)
     wl_log_eventf (WL1104_FRAME_REJECTED, "peer=%u size=%u reason=message", from, bytes.size);
   else if (!wl_host_gossip_receive (host, from, &message, now_us)
-           && !wl_host_config_receive (host, from, &message, now_us) && host->config_store != NULL)
+           && !wl_host_config_receive (host, from, &message, now_us) && wl_host_is_replica (host))
     {
       WlEffects *fx = wl_effects_create ();
       wl_config_store_receive (host->config_store, from, &message, now_us, fx);
@@ -403,7 +404,7 @@
 static int
 is_busy (const WlHost *host)
 {
-  return host->config_store != NULL || host->outbound_reports.n_reports > 0
+  return wl_host_is_replica (host) || host->outbound_reports.n_reports > 0
          || host->inbound_reports.n_reports > 0 || host->leader_requests != NULL
          || host->is_config_pending || host->saved_config.size > 0
          || wl_relay_active (host->relay) > 0 || host->stopping_us != 0;
@@ -427,7 +428,7 @@
 static void
 run_config_store (WlHost *host, uint64_t now_us)
 {
-  if (host->config_store == NULL)
+  if (!wl_host_is_replica (host))
     return;
   WlEffects *fx = wl_effects_create ();
   wl_config_store_tick (host->config_store, now_us, fx);
@@ -466,6 +467,12 @@
          || wl_clock_now_us () > host->started_us + WL_HOST_READY_TIMEOUT_US;
 }
 
+int
+wl_host_is_replica (const WlHost *host)
+{
+  return host->config_store != NULL && !host->has_failed;
+}
+
 int
 wl_host_has_failed (const WlHost *host)
 {
@@ -497,8 +504,6 @@
 int
 wl_host_may_exit (const WlHost *host)
 {
-  if (host->has_failed)
-    return 1;
   if (host->stopping_us == 0)
     return 0;
   uint64_t elapsed_us = wl_clock_now_us () - host->stopping_us;
--- a/relay/wl_host.h
+++ b/relay/wl_host.h
@@ -119,10 +119,10 @@
 /** wl_host_is_closing() - whether the servers of the user should take no more requests */
 int wl_host_is_closing (const WlHost *host);
 
-/** wl_host_may_exit() - whether the process may exit: it has stopped or the disk failed */
+/** wl_host_may_exit() - whether the process may exit: the graceful stop is complete */
 int wl_host_may_exit (const WlHost *host);
 
-/** wl_host_has_failed() - whether the disk has failed */
+/** wl_host_has_failed() - whether the disk has failed, upon which the node stops gracefully */
 int wl_host_has_failed (const WlHost *host);
 
 /** wl_host_stop() - begins a graceful stop; wl_host_may_exit() reports when it is complete */
--- a/relay/wl_host_config.c
+++ b/relay/wl_host_config.c
@@ -19,7 +19,7 @@
 uint32_t
 wl_host_leader (const WlHost *host, uint64_t now_us)
 {
-  uint32_t leader = host->config_store != NULL ? wl_config_store_leader (host->config_store) : 0;
+  uint32_t leader = wl_host_is_replica (host) ? wl_config_store_leader (host->config_store) : 0;
   return leader != 0 ? leader : wl_roster_leader (host->roster, 0, now_us);
 }
 
@@ -174,7 +174,7 @@
       if (wl_view_is_subscriber (n, now_us) && can_apply (n, change))
         send_change (host, n->status.node, change);
     }
-  if (host->config_store != NULL
+  if (wl_host_is_replica (host)
       && wl_config_store_leader (host->config_store) == host->options.node)
     n_contacts = wl_view_contacts (host->membership->view, now_us, contacts);
   for (uint32_t i = 0; i < n_contacts; i++)
@@ -206,7 +206,7 @@
   uint64_t number;
   uint64_t before = host->config_number;
   WlConfigChange full;
-  if (host->config_store == NULL)
+  if (!wl_host_is_replica (host))
     return;
   WlBytes config = wl_config_store_latest (host->config_store, &number);
   if (number <= before)
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -186,7 +186,7 @@
   s->is_draining = host->stopping_us != 0;
   s->config_number = host->config_number;
   s->leader = 0;
-  if (host->config_store != NULL)
+  if (wl_host_is_replica (host))
     s->leader = wl_config_store_leader (host->config_store);
   else if (!wl_view_is_mesh (host->membership->view))
     s->leader = wl_roster_leader (host->roster, 1, wl_clock_now_us ());
@@ -200,7 +200,7 @@
   if (wl_membership_is_load_peer (host->membership, node))
     wl_log_eventf (WL2203_NODE_HEARD, "node=%u boot=%" PRIx64 " zone=%s disk=%u config=%" PRIu64,
                    s->node, s->boot, s->domain, s->has_disk, s->config_number);
-  if (s->has_disk && host->config_store != NULL)
+  if (s->has_disk && wl_host_is_replica (host))
     wl_config_store_add_peer (host->config_store, s->node);
   wl_load_drop_node (host->load, s->node, s->boot, now_us);
   if (wl_membership_is_load_peer (host->membership, node))
@@ -215,7 +215,7 @@
   if (s->is_draining && !was_draining && node != NULL
       && wl_membership_is_load_peer (host->membership, node))
     wl_log_eventf (WL2205_NODE_DRAINING, "node=%u", s->node);
-  if (s->has_disk && host->config_store != NULL)
+  if (s->has_disk && wl_host_is_replica (host))
     wl_config_store_add_peer (host->config_store, s->node);
   wl_host_pull_config (host, s->node, s->config_number, now_us);
 }
@@ -365,7 +365,7 @@
   uint32_t bootstrap_nodes[WL_HOST_SEEDS_MAX];
   uint32_t n = 0;
   int has_self = 0;
-  if (host->is_bootstrap_settled || !host->may_bootstrap || host->config_store == NULL)
+  if (host->is_bootstrap_settled || !host->may_bootstrap || !wl_host_is_replica (host))
     return;
   for (uint32_t i = 0; i < host->options.n_seeds; i++)
     {
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -100,8 +100,8 @@
   uint64_t stopping_us;         /* 0 while running */
   uint8_t is_bootstrap_settled; /* it is known which nodes bootstrap the control group */
   uint8_t may_bootstrap;        /* the disk was set up at the system's first start */
-  uint8_t has_failed;
-  uint8_t is_closing; /* no more requests are taken; the process exits soon */
+  uint8_t has_failed;           /* the disk: the node is no replica any more, and stops */
+  uint8_t is_closing;           /* no more requests are taken; the process exits soon */
   char address[WL_ADDRESS_SIZE];
 };
 
@@ -180,6 +180,16 @@
 /** wl_host_drop_leader_requests() - frees all requests to the leader without calling back */
 void wl_host_drop_leader_requests (WlHost *host);
 
+/**
+ * wl_host_is_replica() - whether this node takes part in the control group
+ *
+ * Without a disk it never does. After a failed sync what the replica has in memory may be more
+ * than its disk holds, so it must not act on it, nor vote or acknowledge.
+ *
+ * Return: 1 or 0.
+ */
+int wl_host_is_replica (const WlHost *host);
+
 /** wl_host_leader() - the control leader as known here, 0 for none */
 uint32_t wl_host_leader (const WlHost *host, uint64_t now_us);
 
