--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -85,6 +85,8 @@
 start torn-log-lines test_log_sink runtime/wl_log_sink.c 's/return end != NULL \? .*?;\n/return n;\n/'
 start unbounded-log test_log_sink runtime/wl_log_sink.c 's/b->tokens_us -= SECOND_US;//'
 start opening-packet-waited-for test_peers runtime/wl_peers.c 's/c->is_connecting \? WL_PEER_CONNECT_US : //'
+start failed-disk-leads test_host relay/wl_host.c 's/host->config_store != NULL && !host->has_failed;/host->config_store != NULL;/'
+start failed-disk-cuts test_host relay/wl_host.c 's/wl_host_may_exit \(const WlHost \*host\)\n\{/$&\n  if (host->has_failed)\n    return 1;/'
 start endpoints-not-restored test_host relay/wl_host_files.c 's/  load_file \(host, disk, endpoints_file, restore_endpoints\);//'
 start culprit-ignored test_relay_retry relay/forwarding/wl_relay_retry.c 's/if \(r->response.fault_port != 0\)/if (0)/'
 start memory-held-for-the-dead test_relay_retry relay/forwarding/wl_relay.c 's/wl_relay_abandon_attempt \(r, now_us\);/;/'
