A draining server keeps connections that it has said to keep

A stream that had begun before SIGTERM carries no "Connection: close"; when it ended, the stopping node closed its connection all the same. The caller, told that the connection stays, sends its next request into the close, and finds it closed without an answer. Every stream that is in progress at a SIGTERM led to such a close.

Whether a connection closes is now decided when the head of a response is written, which tells the caller so. Connections kept in this way close with their next response, or by wl_web_close_idle() at the end of the stop.

a_response_that_began_before_the_drain_keeps_its_connection, before the change: Assertion 'f->client.is_closed == 0' failed: 1, 0

--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -415,6 +415,27 @@
 }
 END_TEST
 
+/* Guards against a close that crosses the next request, since no response had announced it. */
+START_TEST (a_response_that_began_before_the_drain_keeps_its_connection)
+{
+  Fixture *f = create ();
+  send_text (f, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  run (f, 30);
+  wl_web_begin (f->waiting, 200, "");
+  wl_web_drain (f->web);
+  wl_web_end (f->waiting, 1);
+  run (f, 30);
+  ck_assert_ptr_null (strstr (f->client.answer, "Connection: close"));
+  ck_assert_int_eq (f->client.is_closed, 0);
+  send_text (f, "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok");
+  run (f, 30);
+  ck_assert_ptr_nonnull (strstr (f->client.answer, "Connection: close\r\n\r\nok"));
+  ck_assert_int_eq (f->client.is_closed, 1);
+  ck_assert_int_eq (f->client.error, 0);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against a request that loses its connection while its body is on its way. */
 START_TEST (a_partial_request_is_kept_and_then_rejected)
 {
@@ -528,6 +549,7 @@
     WL_TEST (a_request_on_a_connection_that_waits_is_answered),
     WL_TEST (a_request_that_has_arrived_is_answered_before_the_close),
     WL_TEST (idle_connections_are_closed),
+    WL_TEST (a_response_that_began_before_the_drain_keeps_its_connection),
     WL_TEST (a_partial_request_is_kept_and_then_rejected),
     WL_TEST (a_request_with_its_handler_is_kept),
     WL_TEST (a_handler_may_end_other_requests_while_connections_are_closed),
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -16,8 +16,8 @@
   uint64_t state_since_us; /* when the connection became idle or began to read a request */
   uint8_t is_answering;    /* a request is with its handler */
   uint8_t is_reading;      /* part of a request has arrived */
-  uint8_t is_closing;
-  uint8_t is_over_budget; /* the body exceeds what bodies_max leaves */
+  uint8_t is_closing;      /* the connection closes after the response in progress */
+  uint8_t is_over_budget;  /* the body exceeds what bodies_max leaves */
   WlWebRequest *next;
   WlWebRequest *previous;
 };
@@ -80,22 +80,18 @@
   wl_tcp_write (c->tcp, (WlBytes){ (const uint8_t *)text, (uint32_t)strlen (text) });
 }
 
-static int
-must_close (const WlWebRequest *c)
-{
-  return c->is_closing || c->web->is_draining || !c->reader.head.keep_alive;
-}
-
 static void
 write_head (WlWebRequest *c, uint32_t status, const char *fields, const char *framing)
 {
   char line[96];
+  if (c->web->is_draining || !c->reader.head.keep_alive)
+    c->is_closing = 1;
   snprintf (line, sizeof line, "HTTP/1.1 %u %s\r\n", status,
             http_status_str ((enum http_status)status));
   write_text (c, line);
   write_text (c, fields);
   write_text (c, framing);
-  write_text (c, must_close (c) ? "Connection: close\r\n\r\n" : "\r\n");
+  write_text (c, c->is_closing ? "Connection: close\r\n\r\n" : "\r\n");
 }
 
 static void
@@ -411,7 +407,7 @@
 static void
 end_exchange (WlWebRequest *c)
 {
-  if (must_close (c))
+  if (c->is_closing)
     {
       finish_connection (c);
       return;
--- a/relay/transport/wl_web.h
+++ b/relay/transport/wl_web.h
@@ -80,7 +80,12 @@
 /** wl_web_set_limits() - changes the limits, also of open connections */
 void wl_web_set_limits (WlWeb *web, const WlWebLimits *limits);
 
-/** wl_web_drain() - closes each connection after its next response */
+/**
+ * wl_web_drain() - closes each connection after the next response that begins
+ *
+ * A response that has begun has told its client that the connection stays, which
+ * is kept: closing behind it would cross the client's next request.
+ */
 void wl_web_drain (WlWeb *web);
 
 /**
