A request that crosses the close of an idle connection is not read

A server that closed an idle connection went on reading for a second and discarded what came: a caller whose next request crossed the close saw an end without an answer, for a request that had been read whole.

An idle connection whose responses have all been acknowledged is now closed without further reading, so that the kernel answers a later request with a reset. One with undelivered bytes is finished as before; a test shows that a slow reader still receives a complete response after wl_web_close_idle().

a_request_that_crosses_an_idle_close_is_not_read, before the change: Assertion 'error != 0' failed: 0

--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -415,6 +415,48 @@
 }
 END_TEST
 
+/* Guards against a request that is read and dropped because it crossed an idle close. */
+START_TEST (a_request_that_crosses_an_idle_close_is_not_read)
+{
+  for (int by_timeout = 0; by_timeout < 2; by_timeout++)
+    {
+      Fixture *f = create ();
+      int error = 0;
+      socklen_t size = sizeof error;
+      run (f, 10);
+      if (by_timeout)
+        wl_web_tick (f->web, wl_clock_now_us () + 2100000);
+      else
+        wl_web_close_idle (f->web);
+      ck_assert_uint_eq (wl_web_connections (f->web), 0);
+      send_text (f, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+      run (f, 30);
+      ck_assert_int_eq (getsockopt (f->client.fd, SOL_SOCKET, SO_ERROR, &error, &size), 0);
+      ck_assert_int_ne (error, 0);
+      ck_assert_int_eq (f->n_handled, 0);
+      destroy (f);
+    }
+}
+END_TEST
+
+/* Guards against a slow client that loses a complete response with its idle connection. */
+START_TEST (an_idle_close_leaves_the_response_before_it)
+{
+  Fixture *f = create ();
+  RawClient client;
+  connect_slow (f, &client);
+  raw_client_send (&client, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+  run (f, 60);
+  wl_web_close_idle (f->web);
+  ck_assert_uint_eq (wl_web_connections (f->web), 0);
+  take_all (f, &client);
+  ck_assert_uint_gt (client.taken_bytes, LARGE_BYTES);
+  ck_assert_int_eq (client.error, 0);
+  raw_client_close (&client);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against a close that crosses the next request, since no response had announced it. */
 START_TEST (a_response_that_began_before_the_drain_keeps_its_connection)
 {
@@ -549,6 +591,8 @@
     WL_TEST (a_request_on_a_connection_that_waits_is_answered),
     WL_TEST (a_request_that_has_arrived_is_answered_before_the_close),
     WL_TEST (idle_connections_are_closed),
+    WL_TEST (a_request_that_crosses_an_idle_close_is_not_read),
+    WL_TEST (an_idle_close_leaves_the_response_before_it),
     WL_TEST (a_response_that_began_before_the_drain_keeps_its_connection),
     WL_TEST (a_partial_request_is_kept_and_then_rejected),
     WL_TEST (a_request_with_its_handler_is_kept),
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -101,13 +101,12 @@
   return ioctl (tcp->fd, request, &n) == 0 && n > 0 ? (size_t)n : 0;
 }
 
-/* Bytes that the other end has not acknowledged, without the FIN, which the kernel counts too. */
-static size_t
-undelivered_bytes (const WlTcp *tcp)
+size_t
+wl_tcp_undelivered (const WlTcp *tcp)
 {
   size_t in_kernel = kernel_queue_bytes (tcp, SIOCOUTQ);
   if (tcp->has_shutdown && in_kernel > 0)
-    in_kernel--;
+    in_kernel--; /* the FIN */
   return wl_buffer_left (&tcp->out) + in_kernel;
 }
 
@@ -122,7 +121,7 @@
   if (!tcp->is_accepted)
     return;
   size_t unsent = wl_buffer_left (&tcp->out);
-  size_t unacknowledged = undelivered_bytes (tcp) - unsent;
+  size_t unacknowledged = wl_tcp_undelivered (tcp) - unsent;
   size_t unread = unacknowledged > 0 ? kernel_queue_bytes (tcp, FIONREAD) : 0;
   if (unsent > 0 || (unacknowledged > 0 && (unread > 0 || tcp->has_failed)))
     wl_log_eventf (WL1107_RESPONSE_CUT, "reason=%s unsent=%zu unacknowledged=%zu unread=%zu",
@@ -565,7 +564,7 @@
 static int
 must_end (WlTcp *tcp, uint64_t now_us)
 {
-  size_t left = undelivered_bytes (tcp);
+  size_t left = wl_tcp_undelivered (tcp);
   if (left == 0)
     {
       if (tcp->linger_until_us == 0)
--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -101,6 +101,9 @@
 /** wl_tcp_queued() - number of bytes not yet passed to the kernel */
 size_t wl_tcp_queued (const WlTcp *tcp);
 
+/** wl_tcp_undelivered() - number of bytes that the other end has not acknowledged */
+size_t wl_tcp_undelivered (const WlTcp *tcp);
+
 /** wl_tcp_has_sent() - whether any byte was ever passed to the kernel */
 int wl_tcp_has_sent (const WlTcp *tcp);
 
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -74,6 +74,19 @@
   free_connection (c);
 }
 
+/*
+ * Closes a connection that waits for a request. A request that crosses the close
+ * is not read: the reset tells its client so, who may send it again.
+ */
+static void
+close_idle (WlWebRequest *c)
+{
+  if (wl_tcp_undelivered (c->tcp) > 0)
+    finish_connection (c);
+  else
+    close_connection (c);
+}
+
 static void
 write_text (WlWebRequest *c, const char *text)
 {
@@ -329,7 +342,7 @@
     {
       WlWebRequest *next = c->next;
       if (is_idle (c))
-        finish_connection (c);
+        close_idle (c);
       else if (with_partial && !c->is_answering)
         reject (c, 503, "Retry-After: 0\r\n");
       c = next;
@@ -374,7 +387,7 @@
         reject (c, 408, "");
       else if (!c->is_answering && !c->is_reading
                && now_us > c->state_since_us + web->options.limits.idle_us)
-        finish_connection (c);
+        close_idle (c);
       c = next;
     }
 }
