A line end behind a request is not taken for the next request

Some clients send an empty line behind a body, which HTTP asks servers to ignore. The server took it for the begin of a request: once the time limit for requests had passed, the idle connection got a 408 that no request had asked for, and a stopping node would have sent it a 503. A connection now reads a request from its first byte on, as the parser reports it.

a_line_end_behind_a_request_is_not_a_request, before the change: Assertion 'strstr (f->client.answer, " 408 ") == NULL' failed

--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -457,6 +457,22 @@
 }
 END_TEST
 
+/* Guards against a 408 that no request asked for: some clients send a line end after a body. */
+START_TEST (a_line_end_behind_a_request_is_not_a_request)
+{
+  Fixture *f = create ();
+  send_text (f, "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok\r\n");
+  run (f, 30);
+  wl_web_tick (f->web, wl_clock_now_us () + 1100000);
+  run (f, 30);
+  ck_assert_ptr_null (strstr (f->client.answer, " 408 "));
+  ck_assert_int_eq (f->client.is_closed, 0);
+  wl_web_close_idle (f->web);
+  ck_assert_uint_eq (wl_web_connections (f->web), 0);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against a close that crosses the next request, since no response had announced it. */
 START_TEST (a_response_that_began_before_the_drain_keeps_its_connection)
 {
@@ -593,6 +609,7 @@
     WL_TEST (idle_connections_are_closed),
     WL_TEST (a_request_that_crosses_an_idle_close_is_not_read),
     WL_TEST (an_idle_close_leaves_the_response_before_it),
+    WL_TEST (a_line_end_behind_a_request_is_not_a_request),
     WL_TEST (a_response_that_began_before_the_drain_keeps_its_connection),
     WL_TEST (a_partial_request_is_kept_and_then_rejected),
     WL_TEST (a_request_with_its_handler_is_kept),
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -139,11 +139,11 @@
 {
   while (!c->is_answering && wl_buffer_left (&c->input) > 0)
     {
-      if (!c->is_reading)
-        c->state_since_us = wl_clock_now_us ();
-      c->is_reading = 1;
       uint32_t n = wl_http_reader_feed (&c->reader, wl_buffer_bytes (&c->input));
       wl_buffer_take (&c->input, n);
+      if (!c->is_reading && c->reader.in_message)
+        c->state_since_us = wl_clock_now_us ();
+      c->is_reading = c->reader.in_message; /* line ends before a request are no part of it */
       if (c->reader.fault != WL_HTTP_FAULT_NONE)
         {
           reject_fault (c);
@@ -158,7 +158,6 @@
         {
           c->reader.is_complete = 0;
           c->is_answering = 1;
-          c->is_reading = 0;
           c->web->n_active++;
           c->web->options.handle (c->web->options.data, c);
           return; /* a handler that has answered has also parsed the rest */
