A destroyed server no longer listens

wl_web_destroy() left its port open: the next connection was given to memory that had been freed. The daemon destroys its servers just before the loop of connections, where this cannot happen; a stop in another order would have.

a_destroyed_server_does_not_listen, before the change: Assertion 'connect (fd, ...) != 0' failed: 0

--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <unistd.h>
 #include <apr_general.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -473,6 +474,22 @@
 }
 END_TEST
 
+/* Guards against a use after free: a port that outlives its server. */
+START_TEST (a_destroyed_server_does_not_listen)
+{
+  Fixture *f = create ();
+  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons (wl_web_port (f->web)) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  run (f, 10);
+  wl_web_destroy (f->web);
+  f->web = NULL;
+  ck_assert_int_ne (connect (fd, (struct sockaddr *)&sa, sizeof sa), 0);
+  close (fd);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against a close that crosses the next request, since no response had announced it. */
 START_TEST (a_response_that_began_before_the_drain_keeps_its_connection)
 {
@@ -610,6 +627,7 @@
     WL_TEST (a_request_that_crosses_an_idle_close_is_not_read),
     WL_TEST (an_idle_close_leaves_the_response_before_it),
     WL_TEST (a_line_end_behind_a_request_is_not_a_request),
+    WL_TEST (a_destroyed_server_does_not_listen),
     WL_TEST (a_response_that_began_before_the_drain_keeps_its_connection),
     WL_TEST (a_partial_request_is_kept_and_then_rejected),
     WL_TEST (a_request_with_its_handler_is_kept),
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -276,11 +276,20 @@
   return WL_OK;
 }
 
+static void
+stop_listening (WlWeb *web)
+{
+  if (web->port != 0)
+    wl_tcp_unlisten (web->loop, web->port);
+  web->port = 0;
+}
+
 void
 wl_web_destroy (WlWeb *web)
 {
   if (web == NULL)
     return;
+  stop_listening (web);
   while (web->connections != NULL)
     {
       WlWebRequest *c = web->connections;
@@ -332,9 +341,7 @@
 static void
 close_unused (WlWeb *web, int with_partial)
 {
-  if (web->port != 0)
-    wl_tcp_unlisten (web->loop, web->port);
-  web->port = 0;
+  stop_listening (web);
   web->is_draining = 1;
   read_before_close (web, with_partial);
   for (WlWebRequest *c = web->connections; c != NULL;)
--- a/relay/transport/wl_web.h
+++ b/relay/transport/wl_web.h
@@ -71,7 +71,7 @@
  */
 WlError wl_web_create (WlTcpLoop *loop, const WlWebOptions *options, WlWeb **out);
 
-/** wl_web_destroy() - closes all connections and frees the server; accepts NULL */
+/** wl_web_destroy() - closes the port and all connections, frees the server; accepts NULL */
 void wl_web_destroy (WlWeb *web);
 
 /** wl_web_port() - port that the server listens on, 0 after wl_web_close_idle() */
