--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -103,6 +103,9 @@
 /** wl_tcp_has_input() - whether bytes, or the end of the connection, wait to be read */
 int wl_tcp_has_input (const WlTcp *tcp);
 
+/** wl_tcp_undelivered() - number of bytes that the other end has not acknowledged */
+size_t wl_tcp_undelivered (const WlTcp *tcp);
+
 /** wl_tcp_has_sent() - whether any byte was ever passed to the kernel */
 int wl_tcp_has_sent (const WlTcp *tcp);
 
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -16,7 +16,7 @@
   uint64_t state_since_us; /* when the connection became idle or began to read a request */
   uint8_t is_answering;    /* a request is with its handler */
   uint8_t is_reading;      /* part of a request has arrived */
-  uint8_t is_closing;      /* closes after the response, which usually announces it */
+  uint8_t is_closing;      /* the connection closes after the response in progress */
   uint8_t is_over_budget;  /* the body exceeds what bodies_max leaves */
   WlWebRequest *next;
   WlWebRequest *previous;
@@ -74,6 +74,19 @@
   free_connection (c);
 }
 
+/*
+ * Closes a connection that waits for a request. A request that crosses the close
+ * is not read: the reset tells its client so, who may send it again.
+ */
+static void
+close_idle (WlWebRequest *c)
+{
+  if (wl_tcp_undelivered (c->tcp) > 0)
+    finish_connection (c);
+  else
+    close_connection (c);
+}
+
 static void
 write_text (WlWebRequest *c, const char *text)
 {
@@ -84,13 +97,13 @@
 write_head (WlWebRequest *c, uint32_t status, const char *fields, const char *framing)
 {
   char line[96];
+  if (c->web->is_draining || !c->reader.head.keep_alive)
+    c->is_closing = 1;
   snprintf (line, sizeof line, "HTTP/1.1 %u %s\r\n", status,
             http_status_str ((enum http_status)status));
   write_text (c, line);
   write_text (c, fields);
   write_text (c, framing);
-  if (c->web->is_draining || !c->reader.head.keep_alive)
-    c->is_closing = 1;
   write_text (c, c->is_closing ? "Connection: close\r\n\r\n" : "\r\n");
 }
 
@@ -126,11 +139,11 @@
 {
   while (!c->is_answering && wl_buffer_left (&c->input) > 0)
     {
-      if (!c->is_reading)
-        c->state_since_us = wl_clock_now_us ();
-      c->is_reading = 1;
       uint32_t n = wl_http_reader_feed (&c->reader, wl_buffer_bytes (&c->input));
       wl_buffer_take (&c->input, n);
+      if (!c->is_reading && c->reader.in_message)
+        c->state_since_us = wl_clock_now_us ();
+      c->is_reading = c->reader.in_message; /* line ends before a request are no part of it */
       if (c->reader.fault != WL_HTTP_FAULT_NONE)
         {
           reject_fault (c);
@@ -145,7 +158,6 @@
         {
           c->reader.is_complete = 0;
           c->is_answering = 1;
-          c->is_reading = 0;
           c->web->n_active++;
           c->web->options.handle (c->web->options.data, c);
           return; /* a handler that has answered has also parsed the rest */
@@ -264,11 +276,20 @@
   return WL_OK;
 }
 
+static void
+stop_listening (WlWeb *web)
+{
+  if (web->port != 0)
+    wl_tcp_unlisten (web->loop, web->port);
+  web->port = 0;
+}
+
 void
 wl_web_destroy (WlWeb *web)
 {
   if (web == NULL)
     return;
+  stop_listening (web);
   while (web->connections != NULL)
     {
       WlWebRequest *c = web->connections;
@@ -320,16 +341,14 @@
 static void
 close_unused (WlWeb *web, int with_partial)
 {
-  if (web->port != 0)
-    wl_tcp_unlisten (web->loop, web->port);
-  web->port = 0;
+  stop_listening (web);
   web->is_draining = 1;
   read_before_close (web, with_partial);
   for (WlWebRequest *c = web->connections; c != NULL;)
     {
       WlWebRequest *next = c->next;
       if (is_idle (c))
-        finish_connection (c);
+        close_idle (c);
       else if (with_partial && !c->is_answering)
         reject (c, 503, "Retry-After: 0\r\n");
       c = next;
@@ -374,7 +393,7 @@
         reject (c, 408, "");
       else if (!c->is_answering && !c->is_reading
                && now_us > c->state_since_us + web->options.limits.idle_us)
-        finish_connection (c);
+        close_idle (c);
       c = next;
     }
 }
--- a/relay/transport/wl_web.h
+++ b/relay/transport/wl_web.h
@@ -72,7 +72,7 @@
  */
 WlError wl_web_create (WlTcpLoop *loop, const WlWebOptions *options, WlWeb **out);
 
-/** wl_web_destroy() - closes all connections and frees the server; accepts NULL */
+/** wl_web_destroy() - closes the port and all connections, frees the server; accepts NULL */
 void wl_web_destroy (WlWeb *web);
 
 /** wl_web_port() - port that the server listens on, 0 after wl_web_close_idle() */
@@ -81,7 +81,12 @@
 /** wl_web_set_limits() - changes the limits, also of open connections */
 void wl_web_set_limits (WlWeb *web, const WlWebLimits *limits);
 
-/** wl_web_drain() - announces with the next response that a connection closes, and closes it */
+/**
+ * wl_web_drain() - closes each connection after the next response that begins
+ *
+ * A response that has begun has told its client that the connection stays, which
+ * is kept: closing behind it would cross the client's next request.
+ */
 void wl_web_drain (WlWeb *web);
 
 /**
