Soak: log lines of broken requests, slow engines

A run that breaks a promise prints what the nodes logged about the first 20 broken requests and the connections that they cut. Engines are half as fast as the configuration says in every fourth seed.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -89,7 +89,7 @@
 trap 'finish; exit 2' INT TERM
 for ((n = 0; n < nodes; n++)); do write_settings "$n"; done
 for ((n = 0; n < nodes; n++)); do supervise "$n" 2>/dev/null & done
-"$SOAK" --net "$NET" --folder "$folder" "${arguments[@]}" &
+"$SOAK" --net "$NET" --folder "$folder" "${arguments[@]}" > >(tee "$folder/soak.log") &
 soak=$!
 wait "$soak"
 status=$?
@@ -98,6 +98,10 @@
 if [ "$status" -eq 0 ] && [ "$KEEP" -eq 0 ]; then
   rm -r "$folder"
 else
+  # What the nodes logged about the first broken requests, and all that they cut on connections.
+  grep -oE '^broken: .* id=[0-9a-f]{16}' "$folder/soak.log" | grep -oE '[0-9a-f]{16}$' | head -20 \
+    | while read -r id; do grep -H "request=$id" "$folder"/node-*.log | sed "s#^$folder/##"; done
+  grep -H WL1107 "$folder"/node-*.log | sed "s#^$folder/##" | head -20
   echo "logs: $folder"
 fi
 exit "$status"
--- a/soak/wl_soak_endpoint.c
+++ b/soak/wl_soak_endpoint.c
@@ -10,6 +10,8 @@
 enum
 {
   QUEUE_MAX = 8,
+  SLOW_ONE_IN = 4, /* seeds whose engines are slower than the configuration says */
+  SLOW_FACTOR = 2,
   READ_BYTES = 16384,
   HEARTBEAT_INTERVAL_US = 1000000,
   UNSENT_MAX_BYTES = 262144, /* an endpoint writes no further until its peer reads */
@@ -185,6 +187,8 @@
     {
       uint64_t begin_us = e->prefill_free_us > now_us ? e->prefill_free_us : now_us;
       cost_us = (uint64_t)r->prompt_tokens * 1000000 / WL_SOAK_PREFILL_PER_S / n_engines;
+      if (e->soak->options.seed % SLOW_ONE_IN == 0)
+        cost_us *= SLOW_FACTOR;
       e->prefill_free_us = begin_us + cost_us;
       cost_us = e->prefill_free_us - now_us;
     }
