--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -21,8 +21,8 @@
   CONFIG_SIZE = 16384,
   TICK_US = 2000,
   START_TIMEOUT_US = 20000000,
-  SETTLE_US = 1500000, /* nodes hear of the endpoints */
-  END_TIMEOUT_US = 25000000,
+  SETTLE_US = 1500000,       /* nodes hear of the endpoints */
+  END_TIMEOUT_US = 25000000, /* over the longest timeout of a route */
 };
 
 typedef struct
--- a/soak/wl_soak_judge.c
+++ b/soak/wl_soak_judge.c
@@ -123,8 +123,7 @@
          && (r->work_ended_us == 0 || r->work_ended_us >= from_us);
 }
 
-/* An answer that the endpoint had sent is not excused by the deadline, unless its caller is slow.
- */
+/* The deadline is no excuse for an answer that the endpoint had sent, unless its caller is slow. */
 static Verdict
 judge_expiry (const WlSoakRequest *r)
 {
@@ -166,6 +165,8 @@
     {
     case WL_SOAK_ANSWERED:
       return judge_answer (r, stop);
+    case WL_SOAK_OPEN:
+      return VERDICT_NO_ANSWER;
     case WL_SOAK_LEFT:
       return r->ended_us >= expiry_us (r) ? judge_expiry (r) : VERDICT_LEFT;
     default:
