A stream whose caller read slowly is not taken for silent

Callers that read a resumable stream slowly had it moved to another endpoint in the middle, and their sound endpoint counted a failure (and could be ejected).

Cause: while a caller is slow, reading from its endpoint is paused, and progress_us stands still. When the caller has taken all, reading goes on, but the tick of the same iteration sees a stream without progress for the whole pause and without anything to excuse it: nothing can have been read yet. Without a further endpoint the failure is recorded all the same.

Evidence: the test fails before the fix with test_relay_retry.c:715:F: an_endpoint_is_not_silent_while_its_caller_reads_slowly: Assertion 'f->endpoints[1].n_requests == 0' failed: f->endpoints[1].n_requests == 1, 0 == 0

The time without progress now counts from the moment at which reading goes on. After the fix test_relay_retry passes (28 tests).

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -501,6 +501,7 @@
   if (r == NULL || r->fetch == NULL || !r->is_paused)
     return;
   r->is_paused = 0;
+  r->progress_us = wl_clock_now_us (); /* nothing was read from the endpoint until now */
   wl_fetch_pause (r->fetch, 0);
 }
 
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -67,7 +67,7 @@
  * @n_pending_reservations: reservations without a response yet
  * @is_reservation_refused: one of the attempt's reservations was refused
  * @sent_us: when the current attempt was sent
- * @progress_us: when the endpoint last sent something
+ * @progress_us: when the endpoint last sent something, or reading from it went on
  * @first_us: when the first output was forwarded, 0 for not yet
  * @longest_pause_us: longest pause between two events so far
  * @attempts: number of attempts sent to endpoints
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -1,9 +1,11 @@
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <apr_general.h>
 #include "wl_clock.h"
 #include "wl_relay_fixture.h"
+#include "wl_relay_internal.h"
 #include "wl_test.h"
 
 /*
@@ -14,7 +16,10 @@
 enum
 {
   ENDLESS_BYTES = 3 << 19, /* more than WL_RELAY_BODY_MAX_BYTES */
-  TURNS_MAX = 200,         /* of the loop; the limit only ends a test that has failed */
+  LONG_BYTES = 24 << 20,   /* more than kernels keep for a connection */
+  EVENT_BYTES = 4096,
+  LONG_TURNS = 1000, /* enough for all of it */
+  TURNS_MAX = 200,   /* of the loop; the limit only ends a test that has failed */
 };
 
 /* Guards against running a request twice: it may have run before the connection closed. */
@@ -651,6 +656,70 @@
 }
 END_TEST
 
+/* ---- callers that read slowly ---- */
+
+/* A response of LONG_BYTES with events whose ids are no numbers. */
+static const char *
+write_long_stream (void)
+{
+  static char bytes[LONG_BYTES + 1];
+  static const char head[]
+      = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+  memset (bytes, 'a', LONG_BYTES);
+  memcpy (bytes, head, sizeof head - 1);
+  for (size_t at = sizeof head - 1; at + EVENT_BYTES < LONG_BYTES; at += EVENT_BYTES)
+    {
+      int n = sprintf (bytes + at, "id: e%zu\ndata: ", at);
+      bytes[at + (size_t)n] = 'a';
+      memcpy (bytes + at + EVENT_BYTES - 2, "\n\n", 2);
+    }
+  return bytes;
+}
+
+/* Iterations of the event loop, in each of which the caller takes up to @max_bytes. */
+static void
+run_with_slow_caller (RelayFixture *f, size_t max_bytes)
+{
+  for (int i = 0; i < LONG_TURNS; i++)
+    {
+      wl_tcp_flush (f->loop);
+      wl_reactor_poll (f->reactor, 1000);
+      wl_relay_tick (f->relay, wl_clock_now_us ());
+      raw_client_take (&f->caller, max_bytes);
+    }
+}
+
+/* A stream at endpoint 0 whose caller reads nothing; endpoint 1 could go on with it. */
+static RelayFixture *
+create_with_paused_stream (void)
+{
+  wl_clock_set (wl_clock_now_us ());
+  RelayFixture *f = relay_fixture_create ();
+  raw_client_close (&f->caller);
+  raw_client_connect_with_buffer (&f->caller, wl_web_port (f->web), 65536);
+  script_server_add (&f->endpoints[0], write_long_stream (), SCRIPT_KEEP);
+  relay_fixture_register (f, 0, f->endpoints[0].port);
+  raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
+  run_with_slow_caller (f, 0);
+  ck_assert_uint_gt (wl_web_queued (f->relay->requests->web), WL_RELAY_QUEUE_PAUSE_BYTES);
+  return f;
+}
+
+/* Guards against leaving a sound endpoint: while its reader was slow, nothing was read from it. */
+START_TEST (an_endpoint_is_not_silent_while_its_caller_reads_slowly)
+{
+  RelayFixture *f = create_with_paused_stream ();
+  script_server_add (&f->endpoints[1], RELAY_WHOLE, SCRIPT_KEEP);
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  wl_clock_set (wl_clock_now_us () + 1500000);
+  run_with_slow_caller (f, SIZE_MAX);
+  ck_assert_uint_eq (f->endpoints[1].n_requests, 0);
+  ck_assert_uint_gt (f->caller.taken_bytes, LONG_BYTES - 2 * EVENT_BYTES);
+  wl_clock_set (0);
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 START_TEST (an_endless_head_is_aborted)
 {
   RelayFixture *f = relay_fixture_create ();
@@ -691,6 +760,7 @@
     WL_TEST (an_endless_event_is_aborted),
     WL_TEST (a_long_response_is_forwarded_whole),
     WL_TEST (a_long_response_that_breaks_is_not_continued_by_another_one),
+    WL_TEST (an_endpoint_is_not_silent_while_its_caller_reads_slowly),
     WL_TEST (an_endless_head_is_aborted),
   };
   apr_initialize ();
