A stream resumed for a slow caller is paused like any other

A node held the whole rest of a resumed stream in memory when its caller read slowly; with memory_mb as a limit that ends the process, with all its requests.

Cause: is_paused belongs to the connection of an attempt, but outlived it. An endpoint that reset its connection while reading from it was paused left the flag set; the connection of the next attempt is not paused, and forward_to_caller () pauses only if the flag is clear. It is cleared only when the caller has taken everything. The same flag kept the next endpoint from being found unresponsive.

An attempt now begins unpaused; its first part pauses it while the queue is over WL_RELAY_QUEUE_PAUSE_BYTES.

--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -224,6 +224,7 @@
   r->progress_us = now_us;
   r->status = 0;
   r->is_stall_recorded = 0;
+  r->is_paused = 0;
   r->is_resumed = r->phase == WL_RELAY_ANSWERING;
   r->forwards_events = 0;
   if (r->attempts++ == 0)
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -720,6 +720,22 @@
 }
 END_TEST
 
+/* Guards against memory without a bound: a stream resumed for a slow caller was never paused. */
+START_TEST (a_stream_resumed_for_a_slow_caller_is_paused_too)
+{
+  RelayFixture *f = create_with_paused_stream ();
+  script_server_add (&f->endpoints[1], write_long_stream (), SCRIPT_KEEP);
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  size_t queued = wl_web_queued (f->relay->requests->web);
+  script_server_reset (&f->endpoints[0]);
+  run_with_slow_caller (f, 0);
+  ck_assert_uint_eq (f->endpoints[1].n_requests, 1);
+  ck_assert_uint_lt (wl_web_queued (f->relay->requests->web), queued + LONG_BYTES / 2);
+  wl_clock_set (0);
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 START_TEST (an_endless_head_is_aborted)
 {
   RelayFixture *f = relay_fixture_create ();
@@ -761,6 +777,7 @@
     WL_TEST (a_long_response_is_forwarded_whole),
     WL_TEST (a_long_response_that_breaks_is_not_continued_by_another_one),
     WL_TEST (an_endpoint_is_not_silent_while_its_caller_reads_slowly),
+    WL_TEST (a_stream_resumed_for_a_slow_caller_is_paused_too),
     WL_TEST (an_endless_head_is_aborted),
   };
   apr_initialize ();
--- a/testkit/wl_script_server.c
+++ b/testkit/wl_script_server.c
@@ -138,6 +138,16 @@
     }
 }
 
+void
+script_server_reset (ScriptServer *server)
+{
+  while (server->connections != NULL)
+    {
+      wl_tcp_reset (server->connections->tcp);
+      free_connection (server->connections);
+    }
+}
+
 void
 script_server_add (ScriptServer *server, const char *bytes, ScriptThen then)
 {
--- a/testkit/wl_script_server.h
+++ b/testkit/wl_script_server.h
@@ -62,6 +62,9 @@
 /** script_server_stop() - frees what its connections hold, before the loop is destroyed */
 void script_server_stop (ScriptServer *server);
 
+/** script_server_reset() - resets all connections */
+void script_server_reset (ScriptServer *server);
+
 /** script_server_add() - adds the answer to the next request */
 void script_server_add (ScriptServer *server, const char *bytes, ScriptThen then);
 
