--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -671,7 +671,7 @@
     {
       int n = sprintf (bytes + at, "id: e%zu\ndata: ", at);
       bytes[at + (size_t)n] = 'a';
-      memcpy (bytes + at + EVENT_BYTES - 2, "\n\n", 2);
+      memset (bytes + at + EVENT_BYTES - 2, '\n', 2);
     }
   return bytes;
 }
