A call whose retry closes an idle connection ends once

A node could run a request's end twice: the second attempt of the request was forgotten and a third one begun while it ran, or memory was used after it had been freed, which ends the process and all its requests.

Cause: wl_fetch_client_tick () ends calls that cannot connect, and goes on with the connection that was next. The call's end starts another attempt, and since "A kept connection with unread bytes is not used for another request" that can close idle connections, the next one too. A closed connection is in the list of closed ones, whose next element is the call that has just ended: it ended again, and all further connections were left out of the tick.

Evidence: the test fails before the fix with test_fetch.c:348:F: a_call_whose_retry_closes_an_idle_connection_ends_once: Assertion 'f->n_ended == 1' failed: f->n_ended == 2, 1 == 1

After a callback the pass over the connections begins again. It ends: each round removes a call, and one that has just been started is not late. test_fetch passes (13 tests).

--- a/relay/tests/test_fetch.c
+++ b/relay/tests/test_fetch.c
@@ -24,6 +24,7 @@
   int n_ended;
   int pauses_on_body;
   WlFetch *call;
+  uint16_t retry_port;
   WlFetchEnd end;
   uint32_t status;
   char body[4096];
@@ -264,22 +265,32 @@
   ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t)strlen (text));
 }
 
-/*
- * Guards against a repeated response that is taken for the response to the next request (issue 29):
- * it had arrived on the idle connection, and was not read before the request was written.
- */
-START_TEST (an_idle_connection_with_unread_bytes_is_not_reused)
+/* Listens on a free loopback port. */
+static int
+listen_at (uint16_t *port)
 {
-  static const char whole[] = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
   struct sockaddr_in sa = { .sin_family = AF_INET };
   socklen_t size = sizeof sa;
-  Fixture *f = create ();
   int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
   sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
   ck_assert_int_eq (listen (listener, 8), 0);
   getsockname (listener, (struct sockaddr *)&sa, &size);
-  start (f, ntohs (sa.sin_port), 0);
+  *port = ntohs (sa.sin_port);
+  return listener;
+}
+
+/*
+ * Guards against a repeated response that is taken for the response to the next request (issue 29):
+ * it had arrived on the idle connection, and was not read before the request was written.
+ */
+START_TEST (an_idle_connection_with_unread_bytes_is_not_reused)
+{
+  static const char whole[] = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  uint16_t port;
+  Fixture *f = create ();
+  int listener = listen_at (&port);
+  start (f, port, 0);
   script_run (f->reactor, f->loop, 50000, NULL);
   int fd = accept (listener, NULL, NULL);
   ck_assert_int_ge (fd, 0);
@@ -287,7 +298,7 @@
   script_run (f->reactor, f->loop, 300000, &f->n_ended);
   ck_assert_int_eq (f->end, WL_FETCH_COMPLETE);
   send_text (fd, whole);
-  start (f, ntohs (sa.sin_port), 0);
+  start (f, port, 0);
   script_run (f->reactor, f->loop, 50000, NULL);
   ck_assert_int_eq (f->n_ended, 0);
   int second = accept (listener, NULL, NULL);
@@ -299,6 +310,50 @@
 }
 END_TEST
 
+/* Retries a call at the endpoint of the idle connection. */
+static void
+on_ended_retry (void *data, WlFetchEnd end)
+{
+  Fixture *f = data;
+  f->end = end;
+  if (f->n_ended++ > 0)
+    return;
+  WlFetchRequest request = { .address = htonl (INADDR_LOOPBACK), .port = f->retry_port };
+  f->call = wl_fetch_client_start (f->client, &request, &handlers, f);
+  ck_assert_ptr_nonnull (f->call);
+}
+
+/* Guards against a call that ends twice: its retry closed the next connection of the list. */
+START_TEST (a_call_whose_retry_closes_an_idle_connection_ends_once)
+{
+  static const char whole[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  static const WlFetchHandlers retrying = { on_head, on_body, on_ended_retry };
+  Fixture *f = create ();
+  int listener = listen_at (&f->retry_port);
+  start (f, f->retry_port, 0);
+  script_run (f->reactor, f->loop, 50000, NULL);
+  int fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  send_text (fd, whole);
+  script_run (f->reactor, f->loop, 300000, &f->n_ended);
+  ck_assert_int_eq (f->end, WL_FETCH_COMPLETE);
+  send_text (fd, whole);
+  uint64_t now_us = wl_clock_now_us ();
+  wl_clock_set (now_us);
+  WlFetchRequest request = { .address = htonl (INADDR_LOOPBACK), .port = f->server.port };
+  f->n_ended = 0;
+  ck_assert_ptr_nonnull (wl_fetch_client_start (f->client, &request, &retrying, f));
+  wl_clock_set (now_us + WL_FETCH_CONNECT_US + 1);
+  wl_fetch_client_tick (f->client, wl_clock_now_us ());
+  ck_assert_int_eq (f->n_ended, 1);
+  ck_assert_int_eq (f->end, WL_FETCH_NOT_SENT);
+  wl_clock_set (0);
+  close (fd);
+  close (listener);
+  destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -315,6 +370,7 @@
     WL_TEST (a_call_that_ends_paused_does_not_pause_the_next_one),
     WL_TEST (interim_responses_are_not_the_response),
     WL_TEST (an_idle_connection_with_unread_bytes_is_not_reused),
+    WL_TEST (a_call_whose_retry_closes_an_idle_connection_ends_once),
   };
   apr_initialize ();
   return wl_test_run ("fetch", tests, sizeof tests / sizeof tests[0]);
--- a/relay/transport/wl_fetch.c
+++ b/relay/transport/wl_fetch.c
@@ -336,7 +336,10 @@
       if (c->is_idle && now_us >= c->idle_until_us)
         close_connection (c);
       else if (!c->is_idle && !c->is_connected && now_us > c->started_us + WL_FETCH_CONNECT_US)
-        end_call (c, WL_FETCH_NOT_SENT);
+        {
+          end_call (c, WL_FETCH_NOT_SENT);
+          next = client->connections; /* the callback may have closed others */
+        }
       c = next;
     }
   free_closed (client);
