A response sent before the request was read survives the reset behind it

An endpoint may answer before it has read a long body, for example that it is full and has not run the request, and close; closing with unread bytes resets the connection. The node saw the failure of its own write first and gave the call up as broken, with the response unread in the kernel: the caller got 502 for a request that could have been sent elsewhere, or lost an answer that the endpoint had given.

When a write to an endpoint fails, what has arrived is now read before the connection ends.

--- a/relay/tests/test_fetch.c
+++ b/relay/tests/test_fetch.c
@@ -200,6 +200,29 @@
 }
 END_TEST
 
+/* Guards against the loss of a response that was sent before the body had been read. */
+START_TEST (a_response_before_a_reset_is_read_while_the_body_is_being_sent)
+{
+  static const char head[] = "POST /x HTTP/1.1\r\nHost: h\r\ncontent-length: 8388608\r\n\r\n";
+  static uint8_t body[8 << 20];
+  Fixture *f = create ();
+  WlFetchRequest request = {
+    .address = htonl (INADDR_LOOPBACK),
+    .port = f->server.port,
+    .head = { (const uint8_t *)head, sizeof head - 1 },
+    .body = { body, sizeof body },
+  };
+  /* The server takes a field name in lower case for a request without a body. */
+  script_server_add (&f->server, "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno", SCRIPT_RESET);
+  ck_assert_ptr_nonnull (wl_fetch_client_start (f->client, &request, &handlers, f));
+  script_run (f->reactor, f->loop, 300000, &f->n_ended);
+  ck_assert_int_eq (f->n_ended, 1);
+  ck_assert_int_eq (f->end, WL_FETCH_COMPLETE);
+  ck_assert_uint_eq (f->status, 503);
+  destroy (f);
+}
+END_TEST
+
 START_TEST (an_idle_connection_is_not_reused_after_its_announced_timeout)
 {
   Fixture *f = create ();
@@ -226,6 +249,7 @@
     WL_TEST (a_repeated_response_on_a_reused_connection_is_skipped),
     WL_TEST (a_response_without_a_length_is_complete_on_close_but_not_on_reset),
     WL_TEST (a_response_that_is_too_short_or_not_http_is_broken),
+    WL_TEST (a_response_before_a_reset_is_read_while_the_body_is_being_sent),
     WL_TEST (an_idle_connection_is_not_reused_after_its_announced_timeout),
   };
   apr_initialize ();
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -210,37 +210,6 @@
   tcp->has_shutdown = 1;
 }
 
-static void
-write_queued (WlTcp *tcp)
-{
-  while (!tcp->is_closed && !tcp->is_connecting && wl_buffer_left (&tcp->out) > 0)
-    {
-      WlBytes bytes = wl_buffer_bytes (&tcp->out);
-      ssize_t n = send (tcp->fd, bytes.data, bytes.size, MSG_NOSIGNAL);
-      if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-        break;
-      if (n < 0)
-        {
-          end_connection (tcp, WL_TCP_END_FAILED);
-          return;
-        }
-      tcp->has_sent = 1;
-      wl_buffer_take (&tcp->out, (size_t)n);
-    }
-  if (tcp->is_closed)
-    return;
-  uint8_t wants_write = tcp->is_connecting || wl_buffer_left (&tcp->out) > 0;
-  int was_blocked = tcp->wants_write && !wants_write;
-  if (tcp->wants_write != wants_write)
-    {
-      tcp->wants_write = wants_write;
-      update_watch (tcp);
-    }
-  shutdown_when_drained (tcp);
-  if (was_blocked && !tcp->is_closed && tcp->handlers.drained != NULL)
-    tcp->handlers.drained (tcp->data);
-}
-
 /* The other end has shut down its sending side, which need not mean that it has left. */
 static void
 end_reading (WlTcp *tcp)
@@ -283,6 +252,50 @@
     tcp->handlers.received (tcp->data, (WlBytes){ chunk, (uint32_t)n });
 }
 
+/* An endpoint may have sent its response, and closed, before it had read the whole request. */
+static void
+end_failed_write (WlTcp *tcp)
+{
+  while (!tcp->is_accepted && !tcp->is_closed && !tcp->has_peer_shutdown
+         && kernel_queue_bytes (tcp, FIONREAD) > 0)
+    read_socket (tcp);
+  if (!tcp->is_closed)
+    end_connection (tcp, WL_TCP_END_FAILED);
+}
+
+static void
+write_queued (WlTcp *tcp)
+{
+  while (!tcp->is_closed && !tcp->is_connecting && wl_buffer_left (&tcp->out) > 0)
+    {
+      WlBytes bytes = wl_buffer_bytes (&tcp->out);
+      ssize_t n = send (tcp->fd, bytes.data, bytes.size, MSG_NOSIGNAL);
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        break;
+      if (n < 0)
+        {
+          end_failed_write (tcp);
+          return;
+        }
+      tcp->has_sent = 1;
+      wl_buffer_take (&tcp->out, (size_t)n);
+    }
+  if (tcp->is_closed)
+    return;
+  uint8_t wants_write = tcp->is_connecting || wl_buffer_left (&tcp->out) > 0;
+  int was_blocked = tcp->wants_write && !wants_write;
+  if (tcp->wants_write != wants_write)
+    {
+      tcp->wants_write = wants_write;
+      update_watch (tcp);
+    }
+  shutdown_when_drained (tcp);
+  if (was_blocked && !tcp->is_closed && tcp->handlers.drained != NULL)
+    tcp->handlers.drained (tcp->data);
+}
+
 static int
 can_read (const WlTcp *tcp)
 {
