Test of a client that sends ahead of the response in progress

Bytes above WL_WEB_PIPELINE_MAX_BYTES are dropped and the connection closes behind the response. The test shows that the response itself stays whole, also for a slow reader that goes on sending. Holds on the code as it is.

--- a/relay/tests/test_web.c
+++ b/relay/tests/test_web.c
@@ -32,6 +32,8 @@
   RawClient client;
 } Fixture;
 
+static const uint8_t large[LARGE_BYTES];
+
 static void
 on_request (void *data, WlWebRequest *request)
 {
@@ -42,10 +44,7 @@
   if (strcmp (target, "/echo") == 0)
     wl_web_reply (request, 200, "", wl_web_body (request));
   else if (strcmp (target, "/large") == 0)
-    {
-      static uint8_t body[LARGE_BYTES];
-      wl_web_reply (request, 200, "", (WlBytes){ body, sizeof body });
-    }
+    wl_web_reply (request, 200, "", (WlBytes){ large, sizeof large });
   else if (strcmp (target, "/release") == 0)
     {
       WlWebRequest *released = f->waiting;
@@ -294,6 +293,35 @@
 }
 END_TEST
 
+/* Guards against a response that ends short because its client sends ahead without a limit. */
+START_TEST (a_client_that_sends_ahead_without_limit_receives_the_response_in_progress)
+{
+  static char ahead[16385];
+  Fixture *f = create ();
+  RawClient client;
+  memset (ahead, 'x', sizeof ahead - 1);
+  connect_slow (f, &client);
+  raw_client_send (&client, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  run (f, 30);
+  ck_assert_ptr_nonnull (f->waiting);
+  wl_web_begin (f->waiting, 200, "");
+  for (int i = 0; i < 2 * WL_WEB_PIPELINE_MAX_BYTES / 16384; i++)
+    {
+      raw_client_send (&client, ahead);
+      run (f, 4);
+    }
+  wl_web_write (f->waiting, (WlBytes){ large, sizeof large });
+  wl_web_end (f->waiting, 1);
+  raw_client_send (&client, ahead);
+  take_all (f, &client);
+  ck_assert_uint_gt (client.taken_bytes, LARGE_BYTES);
+  ck_assert_int_eq (client.error, 0);
+  ck_assert_int_eq (f->n_handled, 1);
+  raw_client_close (&client);
+  destroy (f);
+}
+END_TEST
+
 START_TEST (a_draining_server_closes_after_its_response)
 {
   Fixture *f = create ();
@@ -619,6 +647,7 @@
     WL_TEST (a_close_after_pipelined_bytes_is_detected),
     WL_TEST (a_client_that_shuts_down_its_side_receives_a_complete_response),
     WL_TEST (a_given_up_request_leaves_the_response_before_it),
+    WL_TEST (a_client_that_sends_ahead_without_limit_receives_the_response_in_progress),
     WL_TEST (a_draining_server_closes_after_its_response),
     WL_TEST (a_rejection_reaches_a_client_that_goes_on_sending),
     WL_TEST (a_request_on_a_connection_that_waits_is_answered),
