Unread input at the exit does not drop what the kernel still sends

A process that ends with unread input from a caller makes the kernel reset that connection and discard the bytes of the response that it holds, although it would otherwise deliver them after the exit.

A caller's connection that is closed with undelivered bytes is now read empty first (1 MiB at most).

unread_input_at_the_exit_does_not_drop_the_response, before the change: Assertion 'f->caller.taken_bytes == KERNEL_RESPONSE_BYTES' failed: 49152, 262144

--- a/relay/tests/test_tcp.c
+++ b/relay/tests/test_tcp.c
@@ -445,6 +445,25 @@
 }
 END_TEST
 
+/* Guards against a reset at the end of the process that drops what the kernel still sends. */
+START_TEST (unread_input_at_the_exit_does_not_drop_the_response)
+{
+  static char input[16384];
+  Fixture *f = create (CALLER_BUFFER_BYTES);
+  respond (f, KERNEL_RESPONSE_BYTES);
+  settle (f);
+  ck_assert_uint_eq (wl_tcp_queued (f->tcp), 0);
+  for (int i = 0; i < 4; i++)
+    ck_assert_int_eq (send (f->caller.fd, input, sizeof input, MSG_NOSIGNAL), sizeof input);
+  wl_tcp_loop_destroy (f->loop);
+  f->loop = wl_tcp_loop_create (f->reactor);
+  take_until_closed (f);
+  ck_assert_uint_eq (f->caller.taken_bytes, KERNEL_RESPONSE_BYTES);
+  ck_assert_int_eq (f->caller.error, 0);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against bytes lost in silence at the end of the process. */
 START_TEST (bytes_lost_at_the_exit_are_logged)
 {
@@ -475,6 +494,7 @@
     WL_TEST (bytes_lost_with_a_finishing_connection_are_logged),
     WL_TEST (bytes_lost_with_a_kept_connection_are_logged),
     WL_TEST (bytes_lost_in_the_kernel_are_logged),
+    WL_TEST (unread_input_at_the_exit_does_not_drop_the_response),
     WL_TEST (bytes_lost_at_the_exit_are_logged),
   };
   apr_initialize ();
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -17,9 +17,10 @@
 enum
 {
   READ_BYTES = 65536,
-  BACKLOG = 512,    /* connections that wait to be accepted */
-  ACCEPTS_MAX = 64, /* connections accepted in one iteration of the event loop */
-  PROBES_MAX = 2,   /* unanswered keep-alive probes before the connection ends */
+  BACKLOG = 512,     /* connections that wait to be accepted */
+  ACCEPTS_MAX = 64,  /* connections accepted in one iteration of the event loop */
+  DISCARDS_MAX = 16, /* reads of input that is discarded before a close */
+  PROBES_MAX = 2,    /* unanswered keep-alive probes before the connection ends */
 };
 
 typedef struct Listener
@@ -508,11 +509,23 @@
     update_watch (tcp);
 }
 
+/* Closing with unread bytes would reset the connection, and the kernel drop what it still sends. */
+static void
+discard_unread (WlTcp *tcp)
+{
+  static uint8_t chunk[READ_BYTES];
+  if (!tcp->is_accepted || tcp->has_peer_shutdown || wl_tcp_undelivered (tcp) == 0)
+    return;
+  for (int i = 0; i < DISCARDS_MAX && recv (tcp->fd, chunk, sizeof chunk, 0) > 0; i++)
+    ;
+}
+
 void
 wl_tcp_close (WlTcp *tcp)
 {
   if (tcp == NULL || tcp->is_closed)
     return;
+  discard_unread (tcp);
   log_cut (tcp);
   tcp->is_closed = 1;
   wl_reactor_remove (tcp->watch);
