--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -17,9 +17,10 @@
 enum
 {
   READ_BYTES = 65536,
-  BACKLOG = 512,    /* connections that wait to be accepted */
-  ACCEPTS_MAX = 64, /* connections accepted in one iteration of the event loop */
-  PROBES_MAX = 2,   /* unanswered keep-alive probes before the connection ends */
+  BACKLOG = 512,     /* connections that wait to be accepted */
+  ACCEPTS_MAX = 64,  /* connections accepted in one iteration of the event loop */
+  DISCARDS_MAX = 16, /* reads of input that is discarded before a close */
+  PROBES_MAX = 2,    /* unanswered keep-alive probes before the connection ends */
 };
 
 typedef struct Listener
@@ -210,37 +211,6 @@
   tcp->has_shutdown = 1;
 }
 
-static void
-write_queued (WlTcp *tcp)
-{
-  int had_bytes = wl_buffer_left (&tcp->out) > 0;
-  while (!tcp->is_closed && !tcp->is_connecting && wl_buffer_left (&tcp->out) > 0)
-    {
-      WlBytes bytes = wl_buffer_bytes (&tcp->out);
-      ssize_t n = send (tcp->fd, bytes.data, bytes.size, MSG_NOSIGNAL);
-      if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-        break;
-      if (n < 0)
-        {
-          end_connection (tcp, WL_TCP_END_FAILED);
-          return;
-        }
-      tcp->has_sent = 1;
-      wl_buffer_take (&tcp->out, (size_t)n);
-    }
-  if (tcp->is_closed)
-    return;
-  uint8_t wants_write = tcp->is_connecting || wl_buffer_left (&tcp->out) > 0;
-  if (tcp->wants_write != wants_write)
-    {
-      tcp->wants_write = wants_write;
-      update_watch (tcp);
-    }
-  shutdown_when_drained (tcp);
-  if (had_bytes && !wants_write && !tcp->is_closed && tcp->handlers.drained != NULL)
-    tcp->handlers.drained (tcp->data);
-}
-
 /* The other end has shut down its sending side, which need not mean that it has left. */
 static void
 end_reading (WlTcp *tcp)
@@ -283,6 +253,50 @@
     tcp->handlers.received (tcp->data, (WlBytes){ chunk, (uint32_t)n });
 }
 
+/* An endpoint may have sent its response, and closed, before it had read the whole request. */
+static void
+end_failed_write (WlTcp *tcp)
+{
+  while (!tcp->is_accepted && !tcp->is_closed && !tcp->has_peer_shutdown
+         && kernel_queue_bytes (tcp, FIONREAD) > 0)
+    read_socket (tcp);
+  if (!tcp->is_closed)
+    end_connection (tcp, WL_TCP_END_FAILED);
+}
+
+static void
+write_queued (WlTcp *tcp)
+{
+  int had_bytes = wl_buffer_left (&tcp->out) > 0;
+  while (!tcp->is_closed && !tcp->is_connecting && wl_buffer_left (&tcp->out) > 0)
+    {
+      WlBytes bytes = wl_buffer_bytes (&tcp->out);
+      ssize_t n = send (tcp->fd, bytes.data, bytes.size, MSG_NOSIGNAL);
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        break;
+      if (n < 0)
+        {
+          end_failed_write (tcp);
+          return;
+        }
+      tcp->has_sent = 1;
+      wl_buffer_take (&tcp->out, (size_t)n);
+    }
+  if (tcp->is_closed)
+    return;
+  uint8_t wants_write = tcp->is_connecting || wl_buffer_left (&tcp->out) > 0;
+  if (tcp->wants_write != wants_write)
+    {
+      tcp->wants_write = wants_write;
+      update_watch (tcp);
+    }
+  shutdown_when_drained (tcp);
+  if (had_bytes && !wants_write && !tcp->is_closed && tcp->handlers.drained != NULL)
+    tcp->handlers.drained (tcp->data);
+}
+
 static int
 can_read (const WlTcp *tcp)
 {
@@ -503,11 +517,23 @@
     update_watch (tcp);
 }
 
+/* Closing with unread bytes would reset the connection, and the kernel drop what it still sends. */
+static void
+discard_unread (WlTcp *tcp)
+{
+  static uint8_t chunk[READ_BYTES];
+  if (!tcp->is_accepted || tcp->has_peer_shutdown || wl_tcp_undelivered (tcp) == 0)
+    return;
+  for (int i = 0; i < DISCARDS_MAX && recv (tcp->fd, chunk, sizeof chunk, 0) > 0; i++)
+    ;
+}
+
 void
 wl_tcp_close (WlTcp *tcp)
 {
   if (tcp == NULL || tcp->is_closed)
     return;
+  discard_unread (tcp);
   log_cut (tcp);
   tcp->is_closed = 1;
   wl_reactor_remove (tcp->watch);
