An odd registration of another writer takes no endpoint away

Cause: values were checked for their type only. slots was cut to 32 bits; any start and sequence that fits 64 bits counted and, as the latest, shut the real endpoint out; a port was read up to its first other character; members that are not used, and services that no configuration names, were not looked at, though an entry at the address of an endpoint replaces that endpoint; texts with line breaks went into the log; of two members of one name the last counted; a departure with an unreadable body was carried out. Records from other nodes and from the saved file were not checked at all, and their port was cut to 16 bits.

Fix: wl_fleet_is_valid() states what a registration may hold, and every way into the fleet passes it: calls, gossip and the saved file. An endpoint whose record is overdue is accepted again with a lower sequence, so that a made-up sequence does not shut it out for a minute.

Left: an entry in the form of a real one, with the id or address of an endpoint and a later start within range, still replaces that endpoint until its record expires (60 s); nothing in the entry tells it from a restart.

--- a/relay/membership/wl_fleet.c
+++ b/relay/membership/wl_fleet.c
@@ -78,6 +78,27 @@
     }
 }
 
+/* Whether a text has only characters from @min on, and no DEL. */
+static int
+is_printable (const char *text, unsigned char min)
+{
+  for (; *text != '\0'; text++)
+    if ((unsigned char)*text < min || *text == 0x7f)
+      return 0;
+  return 1;
+}
+
+int
+wl_fleet_is_valid (const WlEndpointRecord *record)
+{
+  return record->id[0] != '\0' && is_printable (record->id, '!')
+         && is_printable (record->service, ' ') && is_printable (record->domain, ' ')
+         && record->address != 0 && record->port > 0 && record->port <= UINT16_MAX
+         && record->slots > 0 && record->slots <= WL_FLEET_SLOTS_MAX
+         && record->started_ms < WL_FLEET_STARTED_MAX_MS
+         && record->sequence < WL_FLEET_SEQUENCE_MAX;
+}
+
 /* Orders registrations of one id by start, then a departure last, then by sequence. */
 static int
 is_older (const WlEndpointRecord *a, const WlEndpointRecord *b)
@@ -89,6 +110,17 @@
   return a->sequence < b->sequence;
 }
 
+/*
+ * Whether an endpoint that is overdue was heard again, with a lower sequence. Its record then holds
+ * a sequence that another writer made up, which must not shut the endpoint out.
+ */
+static int
+is_heard_again (const WlEndpoint *e, const WlEndpointRecord *record, uint64_t contact_us)
+{
+  return record->started_ms == e->record.started_ms && !record->has_left && !e->record.has_left
+         && contact_us > e->last_contact_us + WL_FLEET_OVERDUE_US;
+}
+
 static int
 is_different (const WlEndpointRecord *a, const WlEndpointRecord *b)
 {
@@ -103,7 +135,9 @@
 {
   WlEndpoint *e = wl_fleet_find (fleet, record->id);
   uint64_t contact_us = now_us > record->age_us ? now_us - record->age_us : 0;
-  if (e != NULL && is_older (record, &e->record))
+  if (!wl_fleet_is_valid (record))
+    return -1;
+  if (e != NULL && is_older (record, &e->record) && !is_heard_again (e, record, contact_us))
     return -1;
   if (e == NULL && fleet->n_endpoints == WL_FLEET_ENDPOINTS_MAX)
     return -1;
--- a/relay/membership/wl_fleet.h
+++ b/relay/membership/wl_fleet.h
@@ -25,8 +25,13 @@
   WL_FLEET_EJECT_ERRORS = 6,            /* likewise, when the last is an error response */
   WL_FLEET_SLOWDOWN_DECAY_US = 3000000, /* age at which half of a measured slowdown still counts */
   WL_FLEET_RECENT_SUCCESS_US = 300000, /* a success this recent outweighs another node's ejection */
+  WL_FLEET_SLOTS_MAX = 65536,          /* requests processed at once; more are not plausible */
 };
 
+/* Start and sequence must be below these: 2100-01-01, and what every JSON writer can represent. */
+#define WL_FLEET_STARTED_MAX_MS UINT64_C (4102444800000)
+#define WL_FLEET_SEQUENCE_MAX (UINT64_C (1) << 53)
+
 /**
  * struct WlEndpoint - one registered endpoint
  * @record: latest registration
@@ -83,6 +88,18 @@
 /** wl_fleet_key() - hash of an endpoint's id that stands for it in messages between nodes */
 uint64_t wl_fleet_key (const char *id);
 
+/**
+ * wl_fleet_is_valid() - whether a registration can name an endpoint to use
+ * @record: the registration
+ *
+ * Checks the limits above, that the port is 1 to 65535, and that no text has
+ * control characters, or spaces in the id: the id is sent in a header field and
+ * all texts are logged.
+ *
+ * Return: 1 or 0.
+ */
+int wl_fleet_is_valid (const WlEndpointRecord *record);
+
 /**
  * wl_fleet_apply() - applies a registration
  * @fleet: the fleet
@@ -90,7 +107,7 @@
  * @now_us: monotonic time
  *
  * Return: 1 when the endpoint is new or changed in more than its time of
- * contact; 0 when not; -1 when the registration is outdated or the fleet is full.
+ * contact; 0 when not; -1 when the registration is invalid or outdated or the fleet is full.
  */
 int wl_fleet_apply (WlFleet *fleet, const WlEndpointRecord *record, uint64_t now_us);
 
--- a/relay/membership/wl_membership.c
+++ b/relay/membership/wl_membership.c
@@ -302,6 +302,8 @@
 wl_membership_register (WlMembership *membership, const WlEndpointRecord *record, uint64_t now_us)
 {
   WlEndpointRecord copy = *record;
+  if (!wl_fleet_is_valid (record))
+    return;
   wl_membership_apply_record (membership, record, now_us);
   wl_view_note_registration (membership->view, record, now_us);
   send_records (membership, 0, &copy, 1, now_us);
--- a/relay/tests/test_fleet.c
+++ b/relay/tests/test_fleet.c
@@ -159,6 +159,81 @@
 }
 END_TEST
 
+/* Guards against values of another writer that pass through gossip or a saved file (issue 29). */
+START_TEST (an_odd_registration_changes_nothing)
+{
+  WlFleet *f = wl_fleet_create ();
+  WlEndpointRecord real = record ("a", 80, 1000, 5);
+  wl_fleet_apply (f, &real, now_us);
+  for (int i = 0; i < 11; i++)
+    {
+      WlEndpointRecord odd = record ("a", 80, 1000, 6);
+      switch (i)
+        {
+        case 0:
+          odd.port = 0;
+          break;
+        case 1:
+          odd.port = 65536 + 80;
+          break;
+        case 2:
+          odd.slots = 0;
+          break;
+        case 3:
+          odd.slots = UINT32_MAX;
+          break;
+        case 4:
+          odd.started_ms = UINT64_MAX;
+          break;
+        case 5:
+          odd.started_ms = INT64_MAX;
+          break;
+        case 6:
+          odd.sequence = UINT64_MAX;
+          break;
+        case 7:
+          odd.address = 0;
+          break;
+        case 8:
+          strcpy (odd.service, "s\nWL4002 x");
+          break;
+        case 9:
+          strcpy (odd.domain, "z\r");
+          break;
+        default:
+          strcpy (odd.id, "a b");
+          break;
+        }
+      ck_assert_int_eq (wl_fleet_is_valid (&odd), 0);
+      ck_assert_int_eq (wl_fleet_apply (f, &odd, now_us), -1);
+    }
+  ck_assert_uint_eq (f->n_endpoints, 1);
+  ck_assert_mem_eq (&f->endpoints[0].record, &real, sizeof real);
+  real.sequence = 7;
+  ck_assert_int_eq (wl_fleet_apply (f, &real, now_us + 1000000), 0);
+  ck_assert (wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us + 6500000));
+  wl_fleet_destroy (f);
+}
+END_TEST
+
+/* Guards against another writer's sequence that shuts the endpoint out until its record expires. */
+START_TEST (an_endpoint_that_is_heard_again_with_a_lower_sequence_is_usable)
+{
+  WlFleet *f = wl_fleet_create ();
+  WlEndpointRecord odd = record ("a", 80, 1000, WL_FLEET_SEQUENCE_MAX - 1);
+  uint64_t t_us = now_us;
+  wl_fleet_apply (f, &odd, t_us);
+  for (uint64_t sequence = 1; sequence < 20; sequence++)
+    {
+      WlEndpointRecord real = record ("a", 80, 1000, sequence);
+      t_us += 1000000;
+      wl_fleet_apply (f, &real, t_us);
+      ck_assert (wl_fleet_is_usable (wl_fleet_find (f, "a"), t_us));
+    }
+  wl_fleet_destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -172,6 +247,8 @@
     WL_TEST (an_isolated_node_keeps_its_endpoints),
     WL_TEST (a_measured_slowdown_is_bounded_and_decays),
     WL_TEST (a_registration_that_arrives_too_old_makes_no_endpoint_usable),
+    WL_TEST (an_odd_registration_changes_nothing),
+    WL_TEST (an_endpoint_that_is_heard_again_with_a_lower_sequence_is_usable),
   };
   return wl_test_run ("fleet", tests, sizeof tests / sizeof tests[0]);
 }
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -266,9 +266,33 @@
   host->fleet = host->membership->fleet;
 }
 
+/*
+ * Whether a registration belongs to a service of the configuration in force, or to an endpoint that
+ * was registered for its service before. Of another one nothing is kept: at the address of a known
+ * endpoint it would replace that endpoint.
+ */
+static int
+names_known_service (const WlHost *host, const WlEndpointRecord *record)
+{
+  const WlRoutes *routes = wl_relay_routes (host->relay);
+  const WlEndpoint *e = wl_fleet_find (host->fleet, record->id);
+  if (routes == NULL || (e != NULL && strcmp (e->record.service, record->service) == 0))
+    return 1;
+  for (uint32_t i = 0; i < routes->n_services; i++)
+    if (strcmp (routes->services[i].name, record->service) == 0)
+      return 1;
+  return 0;
+}
+
 void
 wl_host_register (WlHost *host, const WlEndpointRecord *record)
 {
+  if (!names_known_service (host, record))
+    {
+      wl_log_eventf (WL3011_REGISTRATION_IGNORED, "endpoint=%s service=%s", record->id,
+                     record->service);
+      return;
+    }
   wl_membership_register (host->membership, record, wl_clock_now_us ());
 }
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -81,6 +81,7 @@
 start late-answer-taken test_fetch relay/transport/wl_fetch.c 's/c->is_skipping = verdict == WL_FETCH_SKIP;//'
 start unidentified-answer-taken test_relay_retry relay/forwarding/wl_relay_answer.c 's/wl_fetch_is_first_response \(r->fetch\) \? WL_FETCH_TAKE : WL_FETCH_ABORT/WL_FETCH_TAKE/'
 start repeat-on-kept-connection test_relay_retry relay/forwarding/wl_relay_answer.c 's/\n\s*\|\| r->attempts > 0;/;/; s/ \|\| r->attempts > 0;/;/'
+start odd-record-applied test_fleet relay/membership/wl_fleet.c 's/if \(!wl_fleet_is_valid \(record\)\)\n    return -1;//'
 start leaving-comes-back test_fleet relay/membership/wl_fleet.c 's/e->record.is_draining \|= was_draining;//'
 start lost-node-keeps-work test_load relay/placement/wl_load.c 's/queue->items\[i\].node == node && queue->items\[i\].boot != kept_boot/0/'
 start no-release-after-silence test_reservation relay/forwarding/wl_reservation.c 's/if \(r->unanswered_us != 0\)\n    return now_us > r->unanswered_us \+ WL_RESERVATION_MAX_DELAY_US;//'
