--- a/relay/tests/test_fleet.c
+++ b/relay/tests/test_fleet.c
@@ -1,6 +1,9 @@
 #include <stdio.h>
 #include <string.h>
+#include <apr_general.h>
 #include "wl_fleet.h"
+#include "wl_message.h"
+#include "wl_random.h"
 #include "wl_test.h"
 
 /*
@@ -234,6 +237,49 @@
 }
 END_TEST
 
+enum
+{
+  MUTATIONS = 4000,
+};
+
+/* Guards against a record that another node or a damaged file passes on in a form no call accepts.
+ */
+START_TEST (damaged_records_leave_only_valid_endpoints)
+{
+  for (uint64_t seed = 1; seed <= 4; seed++)
+    {
+      WlFleet *f = wl_fleet_create ();
+      WlEndpointRecord records[2] = { record ("a", 80, 1000, 5), record ("b", 81, 2000, 6) };
+      WlMessage m = { .kind = WL_MESSAGE_ENDPOINTS };
+      uint64_t random = seed;
+      apr_pool_t *pool;
+      apr_pool_create (&pool, NULL);
+      m.u.endpoints.records = records;
+      m.u.endpoints.n_records = 2;
+      WlBytes bytes = wl_message_encode (&m, pool);
+      for (int i = 0; i < MUTATIONS; i++)
+        {
+          apr_pool_t *turn;
+          WlMessage out;
+          apr_pool_create (&turn, pool);
+          uint8_t *copy = apr_pmemdup (turn, bytes.data, bytes.size);
+          for (uint64_t n = 1 + wl_random_next (&random) % 3; n > 0; n--)
+            copy[wl_random_next (&random) % bytes.size] = (uint8_t)wl_random_next (&random);
+          if (wl_message_decode ((WlBytes){ copy, bytes.size }, &out, turn) == WL_OK
+              && out.kind == WL_MESSAGE_ENDPOINTS)
+            for (uint32_t k = 0; k < out.u.endpoints.n_records; k++)
+              wl_fleet_apply (f, &out.u.endpoints.records[k], now_us + (uint64_t)i);
+          apr_pool_destroy (turn);
+        }
+      ck_assert_uint_gt (f->n_endpoints, 2);
+      for (uint32_t i = 0; i < f->n_endpoints; i++)
+        ck_assert_int_eq (wl_fleet_is_valid (&f->endpoints[i].record), 1);
+      apr_pool_destroy (pool);
+      wl_fleet_destroy (f);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -247,8 +293,10 @@
     WL_TEST (an_isolated_node_keeps_its_endpoints),
     WL_TEST (a_measured_slowdown_is_bounded_and_decays),
     WL_TEST (a_registration_that_arrives_too_old_makes_no_endpoint_usable),
+    WL_TEST (damaged_records_leave_only_valid_endpoints),
     WL_TEST (an_odd_registration_changes_nothing),
     WL_TEST (an_endpoint_that_is_heard_again_with_a_lower_sequence_is_usable),
   };
+  apr_initialize ();
   return wl_test_run ("fleet", tests, sizeof tests / sizeof tests[0]);
 }
