--- a/relay/tests/test_fleet.c
+++ b/relay/tests/test_fleet.c
@@ -1,6 +1,9 @@
 #include <stdio.h>
 #include <string.h>
+#include <apr_general.h>
 #include "wl_fleet.h"
+#include "wl_message.h"
+#include "wl_random.h"
 #include "wl_test.h"
 
 /*
@@ -159,6 +162,124 @@
 }
 END_TEST
 
+/* Guards against values of another writer that pass through gossip or a saved file (issue 29). */
+START_TEST (an_odd_registration_changes_nothing)
+{
+  WlFleet *f = wl_fleet_create ();
+  WlEndpointRecord real = record ("a", 80, 1000, 5);
+  wl_fleet_apply (f, &real, now_us);
+  for (int i = 0; i < 11; i++)
+    {
+      WlEndpointRecord odd = record ("a", 80, 1000, 6);
+      switch (i)
+        {
+        case 0:
+          odd.port = 0;
+          break;
+        case 1:
+          odd.port = 65536 + 80;
+          break;
+        case 2:
+          odd.slots = 0;
+          break;
+        case 3:
+          odd.slots = UINT32_MAX;
+          break;
+        case 4:
+          odd.started_ms = UINT64_MAX;
+          break;
+        case 5:
+          odd.started_ms = INT64_MAX;
+          break;
+        case 6:
+          odd.sequence = UINT64_MAX;
+          break;
+        case 7:
+          odd.address = 0;
+          break;
+        case 8:
+          strcpy (odd.service, "s\nWL4002 x");
+          break;
+        case 9:
+          strcpy (odd.domain, "z\r");
+          break;
+        default:
+          strcpy (odd.id, "a b");
+          break;
+        }
+      ck_assert_int_eq (wl_fleet_is_valid (&odd), 0);
+      ck_assert_int_eq (wl_fleet_apply (f, &odd, now_us), -1);
+    }
+  ck_assert_uint_eq (f->n_endpoints, 1);
+  ck_assert_mem_eq (&f->endpoints[0].record, &real, sizeof real);
+  real.sequence = 7;
+  ck_assert_int_eq (wl_fleet_apply (f, &real, now_us + 1000000), 0);
+  ck_assert (wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us + 6500000));
+  wl_fleet_destroy (f);
+}
+END_TEST
+
+/* Guards against another writer's sequence that shuts the endpoint out until its record expires. */
+START_TEST (an_endpoint_that_is_heard_again_with_a_lower_sequence_is_usable)
+{
+  WlFleet *f = wl_fleet_create ();
+  WlEndpointRecord odd = record ("a", 80, 1000, WL_FLEET_SEQUENCE_MAX - 1);
+  uint64_t t_us = now_us;
+  wl_fleet_apply (f, &odd, t_us);
+  for (uint64_t sequence = 1; sequence < 20; sequence++)
+    {
+      WlEndpointRecord real = record ("a", 80, 1000, sequence);
+      t_us += 1000000;
+      wl_fleet_apply (f, &real, t_us);
+      ck_assert (wl_fleet_is_usable (wl_fleet_find (f, "a"), t_us));
+    }
+  wl_fleet_destroy (f);
+}
+END_TEST
+
+enum
+{
+  MUTATIONS = 4000,
+};
+
+/* Guards against a record that another node or a damaged file passes on in a form no call accepts.
+ */
+START_TEST (damaged_records_leave_only_valid_endpoints)
+{
+  for (uint64_t seed = 1; seed <= 4; seed++)
+    {
+      WlFleet *f = wl_fleet_create ();
+      WlEndpointRecord records[2] = { record ("a", 80, 1000, 5), record ("b", 81, 2000, 6) };
+      WlMessage m = { .kind = WL_MESSAGE_ENDPOINTS };
+      uint64_t random = seed;
+      apr_pool_t *pool;
+      apr_pool_create (&pool, NULL);
+      m.u.endpoints.records = records;
+      m.u.endpoints.n_records = 2;
+      WlBytes bytes = wl_message_encode (&m, pool);
+      for (int i = 0; i < MUTATIONS; i++)
+        {
+          apr_pool_t *turn;
+          WlMessage out;
+          apr_pool_create (&turn, pool);
+          uint8_t *copy = apr_pmemdup (turn, bytes.data, bytes.size);
+          for (uint64_t n = 1 + wl_random_next (&random) % 3; n > 0; n--)
+            copy[wl_random_next (&random) % bytes.size] = (uint8_t)wl_random_next (&random);
+          if (wl_message_decode ((WlBytes){ copy, bytes.size }, &out, turn) == WL_OK
+              && out.kind == WL_MESSAGE_ENDPOINTS)
+            for (uint32_t k = 0; k < out.u.endpoints.n_records; k++)
+              wl_fleet_apply (f, &out.u.endpoints.records[k], now_us + (uint64_t)i);
+          apr_pool_destroy (turn);
+        }
+      ck_assert_uint_gt (f->n_endpoints, 2);
+      for (uint32_t i = 0; i < f->n_endpoints; i++)
+        ck_assert_int_eq (wl_fleet_is_valid (&f->endpoints[i].record), 1);
+      apr_pool_destroy (pool);
+      wl_fleet_destroy (f);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -172,6 +293,10 @@
     WL_TEST (an_isolated_node_keeps_its_endpoints),
     WL_TEST (a_measured_slowdown_is_bounded_and_decays),
     WL_TEST (a_registration_that_arrives_too_old_makes_no_endpoint_usable),
+    WL_TEST (damaged_records_leave_only_valid_endpoints),
+    WL_TEST (an_odd_registration_changes_nothing),
+    WL_TEST (an_endpoint_that_is_heard_again_with_a_lower_sequence_is_usable),
   };
+  apr_initialize ();
   return wl_test_run ("fleet", tests, sizeof tests / sizeof tests[0]);
 }
