Test of the log's end: the clock is paused

lines_left_out_before_the_exit_are_counted failed once of two runs of all tests under the sanitizers, beside load (strstr (close_log (&f), count) == 0): the sink admits 200 lines a second, so that a test that takes more than 5 ms for its 500 lines has one line left out less than it expects. With a paused clock the count is exact; the assertion is the same.

--- a/runtime/tests/test_log.c
+++ b/runtime/tests/test_log.c
@@ -5,12 +5,13 @@
 #include <string.h>
 #include <unistd.h>
 #include <apr_general.h>
+#include "wl_clock.h"
 #include "wl_events.h"
 #include "wl_log.h"
 #include "wl_log_sink.h"
 #include "wl_test.h"
 
-/* The end of the log: standard output is a pipe that the test reads. */
+/* The end of the log: standard output is a pipe that the test reads. The clock is paused. */
 
 enum
 {
@@ -30,6 +31,7 @@
 open_log (Fixture *f)
 {
   memset (f, 0, sizeof *f);
+  wl_clock_set (wl_clock_now_us ());
   ck_assert_int_eq (pipe2 (f->pipe, O_CLOEXEC), 0);
   ck_assert_int_eq (fcntl (f->pipe[1], F_SETPIPE_SZ, PIPE_BUF), PIPE_BUF);
   f->saved_stdout = fcntl (STDOUT_FILENO, F_DUPFD_CLOEXEC, 0);
