--- a/relay/tests/test_tcp.c
+++ b/relay/tests/test_tcp.c
@@ -37,26 +37,21 @@
   uint64_t now_us;
   WlTcp *tcp; /* the connection accepted last */
   int n_accepted;
-  int n_received;
-  int n_ended;
-  WlTcpEnd end;
   RawClient caller;
 } Fixture;
 
 static void
 on_received (void *data, WlBytes bytes)
 {
-  Fixture *f = data;
+  (void)data;
   (void)bytes;
-  f->n_received++;
 }
 
 static void
 on_ended (void *data, WlTcpEnd end)
 {
   Fixture *f = data;
-  f->n_ended++;
-  f->end = end;
+  (void)end;
   wl_tcp_close (f->tcp);
 }
 
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -129,6 +129,14 @@
                    tcp->end_reason, unsent, unacknowledged, unread);
 }
 
+static void
+close_listener (Listener *l)
+{
+  wl_reactor_remove (l->watch);
+  close (l->fd);
+  free (l);
+}
+
 void
 wl_tcp_loop_destroy (WlTcpLoop *loop)
 {
@@ -141,9 +149,7 @@
     {
       Listener *l = loop->listeners;
       loop->listeners = l->next;
-      wl_reactor_remove (l->watch);
-      close (l->fd);
-      free (l);
+      close_listener (l);
     }
   free (loop);
 }
@@ -427,14 +433,6 @@
   return l->port;
 }
 
-static void
-close_listener (Listener *l)
-{
-  wl_reactor_remove (l->watch);
-  close (l->fd);
-  free (l);
-}
-
 void
 wl_tcp_unlisten (WlTcpLoop *loop, uint16_t port)
 {
