A replacement that the budget forbids leaves no mark on the request

What callers saw: 502 for a request that its endpoint had rejected as not run, instead of 503 with Retry-After.

Cause: wl_relay_replace_attempt() sets may_have_run, since the attempt that it is about to leave may run, and asks wl_relay_may_retry(). When that refused, the attempt went on, but the mark stayed, and its later rejection counted for nothing.

Evidence: the new test fails on the code before: a_rejection_after_a_replacement_that_was_not_allowed_is_passed_on: Assertion 'strstr (f->caller.answer, " 503 ") != NULL' failed

Fix: the mark is taken back when the attempt goes on.

--- a/relay/forwarding/wl_relay_retry.c
+++ b/relay/forwarding/wl_relay_retry.c
@@ -88,9 +88,14 @@
   WlChoice other = wl_relay_choose (r, now_us);
   if (other.result != WL_CHOICE_PLACED || needs_reservations (&other))
     return 0;
+  /* While the attempt goes on its response may still say that the request was not run. */
+  uint8_t had_run = r->may_have_run;
   r->may_have_run = 1;
   if (!wl_relay_may_retry (r, now_us))
-    return 0;
+    {
+      r->may_have_run = had_run;
+      return 0;
+    }
   wl_fetch_cancel (r->fetch);
   r->fetch = NULL;
   wl_relay_release_endpoints (r);
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -1,7 +1,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <apr_general.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include "wl_clock.h"
 #include "wl_relay_fixture.h"
 #include "wl_test.h"
@@ -384,6 +387,45 @@
 }
 END_TEST
 
+/*
+ * Guards against 502 for a request that its endpoint rejects: it was silent for a while, and the
+ * retry budget did not allow to replace it.
+ */
+START_TEST (a_rejection_after_a_replacement_that_was_not_allowed_is_passed_on)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t size = sizeof sa;
+  RelayFixture *f = relay_fixture_create ();
+  uint64_t now_us = wl_clock_now_us ();
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_eq (listen (listener, 8), 0);
+  getsockname (listener, (struct sockaddr *)&sa, &size);
+  wl_clock_set (now_us);
+  wl_relay_set_nodes (f->relay, 1000); /* the share of one node is less than one retry */
+  relay_fixture_register (f, 0, ntohs (sa.sin_port));
+  raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
+  relay_fixture_settle (f);
+  int fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  wl_clock_set (now_us + 1500000);
+  relay_fixture_settle (f);
+  ck_assert_uint_eq (f->endpoints[1].n_requests, 0);
+  static const char refusal[]
+      = "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  ck_assert_int_eq (send (fd, refusal, sizeof refusal - 1, MSG_NOSIGNAL), sizeof refusal - 1);
+  relay_fixture_settle (f);
+  relay_fixture_settle (f);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: "));
+  close (fd);
+  close (listener);
+  wl_clock_set (0);
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 /*
  * The engine that answers a prompt larger than its memory dies without closing
  * its connection. Its reservation at the other engine must be released within a
@@ -680,6 +722,7 @@
     WL_TEST (a_resumed_stream_that_goes_on_elsewhere_is_cut),
     WL_TEST (a_stream_without_usable_ids_is_not_resumed),
     WL_TEST (a_silent_endpoint_is_left_only_for_another_one),
+    WL_TEST (a_rejection_after_a_replacement_that_was_not_allowed_is_passed_on),
     WL_TEST (memory_reserved_for_a_dead_engine_is_given_back),
     WL_TEST (a_repeated_refusal_does_not_refuse_the_next_request),
     WL_TEST (a_non_idempotent_request_never_uses_a_kept_connection),
