An item of the load does not go back to prefill

What was wrong: a report that an item was sent, repeated or overtaken by the one that it decodes, put the item back into prefill, and requests were kept from an endpoint by a backlog that did not exist.

Cause: wl_load_apply() took any other phase for the next one.

Evidence: the new test fails on the code before: an_item_does_not_go_back_to_prefill: Assertion 's.decodes == 1' failed: s.decodes == 0

Fix: an earlier phase is ignored like a repeated one.

Left: a report that an item was sent which arrives after its end still adds the item, until the next full report (2.5 s) or its expiry. It cannot be told from the second placement of a request at the same endpoint after a reservation was refused; that needs the number of the attempt in the report.

--- a/relay/placement/wl_load.c
+++ b/relay/placement/wl_load.c
@@ -101,8 +101,8 @@
         queue->head_since_us = now_us;
       queue->n_items++;
     }
-  else if (queue->items[i].work.phase == work->phase)
-    return 0.0; /* a duplicate */
+  else if (work->phase <= queue->items[i].work.phase)
+    return 0.0; /* a duplicate, or one that was overtaken */
   else
     {
       ratio = ttft_ratio (&queue->items[i], now_us);
--- a/relay/tests/test_load.c
+++ b/relay/tests/test_load.c
@@ -46,6 +46,22 @@
 }
 END_TEST
 
+/* Guards against a backlog that does not exist: a report that was repeated after a later one. */
+START_TEST (an_item_does_not_go_back_to_prefill)
+{
+  WlLoad *l = wl_load_create ();
+  WlWorkItem sent = work_item (1, WL_WORK_SENT);
+  apply_item (l, 1, 1, 1, WL_WORK_SENT, 1000);
+  apply_item (l, 1, 1, 1, WL_WORK_DECODING, 41000);
+  ck_assert (wl_load_apply (l, 1, 1, &sent, 42000) <= 0.0);
+  WlLoadSum s = wl_load_sum (l, 7, 42000);
+  ck_assert_uint_eq (s.n_items, 1);
+  ck_assert_uint_eq (s.decodes, 1);
+  ck_assert_uint_eq (s.backlog_us, 0);
+  wl_load_destroy (l);
+}
+END_TEST
+
 START_TEST (the_backlog_shrinks_by_the_prefill_done)
 {
   WlLoad *l = wl_load_create ();
@@ -118,6 +134,7 @@
 {
   const WlTest tests[] = {
     WL_TEST (the_items_of_all_nodes_add_up_until_they_end),
+    WL_TEST (an_item_does_not_go_back_to_prefill),
     WL_TEST (the_backlog_shrinks_by_the_prefill_done),
     WL_TEST (a_full_report_ends_the_items_that_it_does_not_list),
     WL_TEST (parts_of_split_prompts_are_counted_separately),
