The retry budget holds after an idle time too

What was wrong (rule BUDGET): after an idle time the nodes together could send more retries in a window than the slack allows: 144 of 112 with 12 nodes.

Cause: a full bucket held the refill of two windows and one token, which with the refill of the window makes 1.3 of a node's part of the slack. The existing test starts with buckets that are not full.

Evidence: the new test fails on the code before: retries_after_an_idle_time_stay_within_the_slack: Assertion 'n <= 112' failed: n == 144

Fix: a bucket holds 0.6 of the node's part and refills 0.4 in a window, as before, so that both add up to the part. A bucket still holds one token where the part is smaller; with more nodes than slack, each idle node may send one retry, as before.

Measured: test_budget passes; ctest 47 of 47.

--- a/relay/placement/wl_budget.c
+++ b/relay/placement/wl_budget.c
@@ -1,7 +1,8 @@
 #include "wl_budget.h"
 
-static const double SLACK_SHARE
-    = 0.4; /* of a node's part of the slack: a window may see a full bucket and its refill */
+/* Shares of a node's part of the slack. A window may see a full bucket and one refill. */
+static const double REFILL_SHARE = 0.4; /* refilled in a window */
+static const double BURST_SHARE = 0.6;  /* held at most */
 
 void
 wl_budget_earn (WlBudget *budget)
@@ -12,15 +13,17 @@
 int
 wl_budget_spend (WlBudget *budget, uint32_t n_nodes, uint64_t now_us)
 {
-  double share = SLACK_SHARE * budget->slack / (n_nodes > 0 ? n_nodes : 1);
+  double part = budget->slack / (n_nodes > 0 ? n_nodes : 1);
+  double refill = REFILL_SHARE * part;
+  double most = BURST_SHARE * part > 1.0 ? BURST_SHARE * part : 1.0;
   double elapsed = (double)(now_us - budget->filled_us);
   if (budget->filled_us == 0)
-    budget->tokens = share;
+    budget->tokens = refill;
   else
-    budget->tokens += share * elapsed / (double)budget->window_us;
+    budget->tokens += refill * elapsed / (double)budget->window_us;
   budget->filled_us = now_us;
-  if (budget->tokens > 2.0 * share + 1.0)
-    budget->tokens = 2.0 * share + 1.0;
+  if (budget->tokens > most)
+    budget->tokens = most;
   if (budget->tokens < 1.0)
     return 0;
   budget->tokens -= 1.0;
--- a/relay/placement/wl_budget.h
+++ b/relay/placement/wl_budget.h
@@ -11,9 +11,10 @@
  * @tokens: retries that may be sent now
  * @filled_us: time of the latest refill
  *
- * A token bucket that holds at most the refill of two windows and one token more.
- * The aim is that in any window all nodes together send at most
- * ratio x requests + slack retries.
+ * A token bucket. In any window all nodes together send at most ratio x requests +
+ * slack retries: what a full bucket holds and what a window refills add up to the
+ * node's part of the slack. Only where that part is below 1.7 a bucket holds more,
+ * since it must hold one token.
  */
 typedef struct
 {
