A stream that ends within its first event is not complete

Callers got half an event as a whole response (200 with a length): an endpoint stopped within the first event of a response without a length.

Cause: such a response ends with its connection, which is no error of HTTP.

--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -227,6 +227,7 @@
   r->is_paused = 0;
   r->is_resumed = r->phase == WL_RELAY_ANSWERING;
   r->forwards_events = 0;
+  r->has_only_events = 0;
   if (r->attempts++ == 0)
     wl_histogram_add (&relay->metrics.waiting, now_us - r->arrived_us);
   wl_log_eventf (
@@ -305,14 +306,22 @@
   return r->status >= 200 && r->status < 300;
 }
 
-/* Whether a successful response is an event stream, by its header fields. */
 static int
-is_event_stream (const WlHttpHead *head)
+is_typed_event_stream (const WlHttpHead *head)
 {
   static const char type[] = "text/event-stream";
   const char *field = wl_http_head_field (head, "Content-Type");
   return head->status == 200 && wl_http_head_field (head, "Content-Encoding") == NULL
-         && (field == NULL || strncasecmp (field, type, sizeof type - 1) == 0);
+         && field != NULL && strncasecmp (field, type, sizeof type - 1) == 0;
+}
+
+/* Whether a successful response may be an event stream, by its header fields. */
+static int
+is_event_stream (const WlHttpHead *head)
+{
+  return is_typed_event_stream (head)
+         || (head->status == 200 && wl_http_head_field (head, "Content-Encoding") == NULL
+             && wl_http_head_field (head, "Content-Type") == NULL);
 }
 
 /*
@@ -342,6 +351,7 @@
   r->progress_us = wl_clock_now_us ();
   r->forwards_events = is_success (r) && r->route->kind == WL_ROUTE_STREAM && r->response.is_sealed
                        && (!r->is_resumed || is_event_stream (head));
+  r->has_only_events = r->forwards_events && is_typed_event_stream (head);
   if (!r->is_resumed)
     save_fields (r, head);
   return WL_FETCH_TAKE;
@@ -473,7 +483,8 @@
       reply_and_finish (r, "endpoint_error");
       return;
     }
-  if (r->phase == WL_RELAY_ANSWERING && wl_buffer_left (&r->events.pending) > 0)
+  if ((r->phase == WL_RELAY_ANSWERING || r->has_only_events)
+      && wl_buffer_left (&r->events.pending) > 0)
     {
       /* The endpoint stopped within an event. Without a length that is no error of HTTP. */
       wl_relay_record_failure (r, e, WL_FAILURE_LOST, WL_REASON_BROKEN, now_us);
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -78,6 +78,8 @@
  * @is_stall_recorded: the stall of the current attempt was recorded as a failure
  * @is_resumed: the current attempt goes on with a response that the caller has a part of
  * @forwards_events: the response is a stream whose events are forwarded as they arrive
+ * @has_only_events: the endpoint says so by the type of the response, which otherwise may be a
+ *   body without events
  * @status: HTTP status of the response
  * @fields: header fields of the response, for the caller
  * @body: the part of the response's body that is kept back
@@ -119,6 +121,7 @@
   uint8_t is_stall_recorded;
   uint8_t is_resumed;
   uint8_t forwards_events;
+  uint8_t has_only_events;
 
   uint32_t status;
   WlRelayResponseInfo response;
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -277,6 +277,29 @@
 END_TEST
 
 /* Guards against memory without bound, and against an error that is forwarded in parts. */
+/* Guards against half an event as a whole response: the endpoint stopped within the first one. */
+START_TEST (a_stream_without_length_that_ends_within_its_first_event_is_retried)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n"
+                             "Content-Type: text/event-stream\r\n\r\n";
+  char first[160];
+  char second[160];
+  RelayFixture *f = relay_fixture_create ();
+  snprintf (first, sizeof first, "%sid: 1\nda", head);
+  snprintf (second, sizeof second, "%sid: 1\ndata: b\n\n", head);
+  script_server_add (&f->endpoints[0], first, SCRIPT_CLOSE);
+  script_server_add (&f->endpoints[1], second, SCRIPT_CLOSE);
+  relay_fixture_register (f, 0, f->endpoints[0].port);
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  relay_fixture_occupy (f, "e1");
+  raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
+  relay_fixture_run (f, 120);
+  ck_assert_ptr_null (strstr (f->caller.answer, "id: 1\nda\r\n"));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "\r\n\r\nf\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n"));
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 START_TEST (a_long_error_in_response_to_a_resumption_never_reaches_the_caller)
 {
   static char answer[ENDLESS_BYTES];
@@ -760,6 +783,7 @@
     WL_TEST (a_broken_stream_continues_after_its_last_complete_event),
     WL_TEST (an_error_in_response_to_a_resumption_never_reaches_the_caller),
     WL_TEST (a_stream_without_length_that_ends_within_an_event_goes_on_elsewhere),
+    WL_TEST (a_stream_without_length_that_ends_within_its_first_event_is_retried),
     WL_TEST (a_long_error_in_response_to_a_resumption_never_reaches_the_caller),
     WL_TEST (a_stream_goes_on_at_a_third_endpoint_after_an_error_of_the_second),
     WL_TEST (a_resumed_stream_that_goes_on_elsewhere_is_cut),
