A node that was held up answers before it exits

Cause: wl_host_may_exit () looked at the time alone. The loop asks it before each iteration; when it comes to run again after the exit's time, it exits before the tick that ends the remaining requests. What was cut then was logged as callers that had left (WL4010).

Evidence: the test, which advances the clock to the end of the grace time at once, fails before the fix with test_host_stop.c:194:F: a_node_that_was_held_up_answers_before_it_exits: Assertion 'wl_host_may_exit (f.host) == 0' failed: wl_host_may_exit (f.host) == 1, 0 == 0

The time ends the process only after that tick, whose responses the same iteration passes to the kernel. It costs one iteration at most. test_host_stop passes (6 tests); test_host, test_host_config, test_relay_stop and test_platform_path too.

--- a/relay/tests/test_host_stop.c
+++ b/relay/tests/test_host_stop.c
@@ -182,6 +182,24 @@
 }
 END_TEST
 
+/* Guards against requests that end with the process because it did not run for a while. */
+START_TEST (a_node_that_was_held_up_answers_before_it_exits)
+{
+  create ();
+  raw_client_send (&f.caller, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+  settle ();
+  wl_host_stop (f.host);
+  settle ();
+  wl_clock_set (wl_clock_now_us () + GRACE_US);
+  ck_assert_int_eq (wl_host_may_exit (f.host), 0);
+  wl_host_run_once (f.host);
+  ck_assert_int_eq (wl_host_may_exit (f.host), 1);
+  raw_client_receive (&f.caller);
+  ck_assert_ptr_nonnull (strstr (f.caller.answer, " 503 "));
+  destroy ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -191,6 +209,7 @@
     WL_TEST (a_request_that_arrives_as_the_node_closes_is_answered),
     WL_TEST (a_node_exits_before_the_grace_time_ends_even_if_callers_stay),
     WL_TEST (a_call_that_waits_for_the_leader_is_answered_before_the_exit),
+    WL_TEST (a_node_that_was_held_up_answers_before_it_exits),
   };
   apr_initialize ();
   if (sodium_init () < 0)
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -508,7 +508,7 @@
     return 0;
   uint64_t elapsed_us = wl_clock_now_us () - host->stopping_us;
   if (elapsed_us >= host->options.grace_us - host->options.grace_us / EXIT_SHARE)
-    return 1;
+    return host->is_closing; /* a process that did not run for a while ends its requests first */
   return host->is_closing && !has_callers (host) && wl_tcp_finishing (host->loop) == 0;
 }
 
