--- a/relay/tests/test_host_gossip.c
+++ b/relay/tests/test_host_gossip.c
@@ -120,6 +120,38 @@
 }
 END_TEST
 
+/* Guards against a busy node whose work the others do not see: it sent no full report, silently. */
+START_TEST (a_node_with_much_work_sends_full_load_reports)
+{
+  enum
+  {
+    ENDPOINTS = 20,
+    ITEMS = 75, /* at each endpoint */
+  };
+  Fixture f;
+  uint32_t n = 0;
+  setup (&f);
+  start (&f, 0);
+  for (uint32_t i = 0; i < ENDPOINTS * ITEMS; i++)
+    {
+      WlWorkItem item = { .endpoint = 1 + i % ENDPOINTS, .id = i + 1, .phase = WL_WORK_DECODING };
+      wl_load_apply (f.nodes[0]->load, f.nodes[0]->options.node, f.nodes[0]->boot_id, &item,
+                     NOW_US);
+    }
+  run_turn (&f);
+  start (&f, 1);
+  for (int i = 0; i < TURNS && n < ENDPOINTS * ITEMS; i++)
+    {
+      run_turn (&f);
+      n = 0;
+      for (uint64_t endpoint = 1; endpoint <= ENDPOINTS; endpoint++)
+        n += wl_load_sum (f.nodes[1]->load, endpoint, NOW_US).n_items;
+    }
+  ck_assert_uint_eq (n, ENDPOINTS * ITEMS);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -127,6 +159,7 @@
     WL_TEST (nodes_with_one_seed_discover_each_other_before_the_next_tick),
     WL_TEST (a_seed_that_starts_later_discovers_the_node_at_the_next_tick),
     WL_TEST (a_new_node_receives_a_full_load_report),
+    WL_TEST (a_node_with_much_work_sends_full_load_reports),
   };
   if (sodium_init () < 0)
     return 1;
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  FULL_REPORT_ITEMS_LIMIT = 1024, /* a node with this many items or more sends no full report */
+  FULL_REPORT_ITEMS_MAX = 4096, /* receivers compare each item with those that they hold */
 };
 
 /* ---- load reports ---- */
@@ -144,17 +144,17 @@
 static void
 send_full_report (WlHost *host, uint32_t node)
 {
+  static WlWorkItem items[FULL_REPORT_ITEMS_MAX + 1];
   WlMessage m = { .kind = WL_MESSAGE_LOAD_REPORT };
-  WlWorkItem items[FULL_REPORT_ITEMS_LIMIT];
   wl_host_flush_work (host);
   m.u.load_report.boot = host->boot_id;
   m.u.load_report.is_full = 1;
   m.u.load_report.items = items;
   m.u.load_report.n_items
-      = wl_load_list (host->load, host->options.node, items, FULL_REPORT_ITEMS_LIMIT);
-  if (m.u.load_report.n_items == FULL_REPORT_ITEMS_LIMIT)
-    return;
-  if (node != 0)
+      = wl_load_list (host->load, host->options.node, items, FULL_REPORT_ITEMS_MAX + 1);
+  if (m.u.load_report.n_items > FULL_REPORT_ITEMS_MAX)
+    wl_log_eventf (WL2206_LOAD_REPORT_TOO_LARGE, "items_max=%d", FULL_REPORT_ITEMS_MAX);
+  else if (node != 0)
     wl_host_send (host, node, &m);
   else
     send_report (host, &m.u.load_report, wl_clock_now_us ());
