Soak: a pipelined request is held from its turn

Answers come in the order of the requests, so a refusal behind an answer cannot reach its caller before that answer has been read. The bound stays; it counts from the moment at which the caller had read the answer before.

--- a/soak/wl_soak_caller.c
+++ b/soak/wl_soak_caller.c
@@ -134,6 +134,8 @@
   end_request (c, r, WL_SOAK_ANSWERED, now_us);
   c->current = c->next;
   c->next = NULL;
+  if (c->current != NULL)
+    c->current->turn_us = now_us;
   c->has_answer = 1;
   c->next_us = now_us + pause_ms * 1000u;
   if (!c->closes && (c->traits & (WL_SOAK_ANEW | WL_SOAK_HALF)) == 0)
@@ -313,6 +315,7 @@
   r->connected_us = c->connected_us;
   r->started_us = now_us;
   r->traits = c->traits;
+  r->turn_us = now_us;
   if (c->current == NULL)
     c->current = r;
   else
--- a/soak/wl_soak_judge.c
+++ b/soak/wl_soak_judge.c
@@ -84,14 +84,21 @@
   return r->started_us + (uint64_t)wl_soak_kinds[r->kind].timeout_ms * 1000;
 }
 
+/* Answers come in the order of the requests: a pipelined one is held from its turn only. */
+static uint64_t
+held_since_us (const WlSoakRequest *r)
+{
+  return r->sent_us > r->turn_us ? r->sent_us : r->turn_us;
+}
+
 static Verdict
 judge_refusal (const WlSoakRequest *r, const WlSoakStop *stop)
 {
   if (r->n_runs > 0)
     return wl_soak_kinds[r->kind].may_repeat ? VERDICT_FAILED : VERDICT_REFUSED_AND_RAN;
   if (stop != NULL && r->ended_us >= stop->term_us + WL_SOAK_GRACE_US / 6 * 5
-      && r->ended_us <= stop->term_us + WL_SOAK_GRACE_US && r->sent_us + HELD_MIN_US < r->ended_us
-      && r->ended_us < expiry_us (r))
+      && r->ended_us <= stop->term_us + WL_SOAK_GRACE_US
+      && held_since_us (r) + HELD_MIN_US < r->ended_us && r->ended_us < expiry_us (r))
     return VERDICT_LATE_REFUSAL;
   return VERDICT_REFUSED;
 }
--- a/soak/wl_soak_request.h
+++ b/soak/wl_soak_request.h
@@ -77,6 +77,7 @@
  * @node: index of the node that it was sent to
  * @connected_us: when its connection was opened
  * @sent_us: when the kernel had taken its last byte, 0 if it was not sent whole
+ * @turn_us: when the caller had read the answer before it, or began to send it if there is none
  * @body_bytes: received of the answer
  * @behind: the request whose answer was the last that its connection could carry, or NULL
  * @n_arrivals: at endpoints
@@ -109,6 +110,7 @@
   uint64_t connected_us;
   uint64_t started_us;
   uint64_t sent_us;
+  uint64_t turn_us;
   uint64_t answered_us;
   uint64_t ended_us;
   uint64_t body_bytes;
