A resumed stream is not cut where its numbers have gaps

A stream with increasing numbers that are not consecutive, as when an event has several tokens, was cut in the middle when the endpoint that resumed it went on with the right event.

Cause: two consecutive numbers at the end of the stream were taken for proof that the next one is known. In 43, 86, 87 they are not.

Evidence: by the protocol ids increase, and an event may have several tokens. The new case fails before the fix with test_event_stream.c:92:F: the_first_event_after_a_resumption_must_follow_the_last_one: Assertion 's.is_misplaced == cases[i].is_misplaced' failed: s.is_misplaced == 1, cases[i].is_misplaced == 0

The next number is known only if the stream has left out none so far. Repeated and lower numbers are refused as before (a case each). test_event_stream passes (4 tests), test_relay_retry passes (30 tests).

--- a/relay/transport/wl_event_stream.c
+++ b/relay/transport/wl_event_stream.c
@@ -55,7 +55,7 @@
     return 0;
   if (stream->n_consecutive == 0 || !read_number (id, &number))
     return 1;
-  if (stream->n_consecutive >= CONSECUTIVE_MIN)
+  if (stream->n_consecutive >= CONSECUTIVE_MIN && !stream->has_gaps)
     return number == stream->last_number + 1;
   return number > stream->last_number;
 }
@@ -71,6 +71,7 @@
       return;
     }
   int is_next = stream->n_consecutive > 0 && number == stream->last_number + 1;
+  stream->has_gaps |= stream->n_consecutive > 0 && !is_next;
   stream->n_consecutive = is_next ? stream->n_consecutive + 1 : 1;
   stream->last_number = number;
 }
--- a/relay/transport/wl_event_stream.h
+++ b/relay/transport/wl_event_stream.h
@@ -16,6 +16,7 @@
  * @n_events: complete events so far
  * @last_number: @last_id as a whole number, when @n_consecutive is not 0
  * @n_consecutive: events at the end whose ids are whole numbers, each one more than the last
+ * @has_gaps: a number was not one more than the last: the next number is never known
  * @is_resumed: the next event with an id is the first of a resumed stream
  * @is_misplaced: a resumed stream did not continue after @last_id
  *
@@ -30,6 +31,7 @@
   uint64_t n_events;
   uint64_t last_number;
   uint64_t n_consecutive;
+  uint8_t has_gaps;
   uint8_t is_resumed;
   uint8_t is_misplaced;
 } WlEventStream;
@@ -42,7 +44,7 @@
  * Return: the complete events, owned by the stream; valid until it is used
  * again. The caller removes them with wl_event_stream_consume(). No events once
  * @is_misplaced is set: the first event of a resumed stream repeats @last_id or a
- * lower number, or leaves out numbers after two or more consecutive ones.
+ * lower number, or leaves out numbers although the stream had two or more and left out none.
  */
 WlBytes wl_event_stream_feed (WlEventStream *stream, WlBytes bytes);
 
