Soak: work in the last sixth excuses only what is cut in it

A node that cut a request early while its endpoint went on until the last sixth of the grace time was excused. The caller's connection must have ended in the last sixth too. Stricter than before.

--- a/soak/wl_soak_judge.c
+++ b/soak/wl_soak_judge.c
@@ -120,7 +120,7 @@
 {
   uint64_t from_us = stop->term_us + WL_SOAK_GRACE_US / 6 * 5;
   return r->sent_us <= stop->term_us + SENT_AFTER_STOP_MAX_US && r->work_us != 0
-         && r->work_us <= stop->term_us + WL_SOAK_GRACE_US
+         && r->ended_us >= from_us && r->work_us <= stop->term_us + WL_SOAK_GRACE_US
          && (r->work_ended_us == 0 || r->work_ended_us >= from_us);
 }
 
