--- a/soak/wl_soak_judge.c
+++ b/soak/wl_soak_judge.c
@@ -96,7 +96,8 @@
 {
   if (r->n_runs > 0)
     return wl_soak_kinds[r->kind].may_repeat ? VERDICT_FAILED : VERDICT_REFUSED_AND_RAN;
-  if (stop != NULL && r->ended_us >= stop->term_us + WL_SOAK_GRACE_US / 6 * 5
+  /* A request that was not sent whole could not be refused before. */
+  if (stop != NULL && r->sent_us != 0 && r->ended_us >= stop->term_us + WL_SOAK_GRACE_US / 6 * 5
       && r->ended_us <= stop->term_us + WL_SOAK_GRACE_US
       && held_since_us (r) + HELD_MIN_US < r->ended_us && r->ended_us < expiry_us (r))
     return VERDICT_LATE_REFUSAL;
@@ -126,7 +127,7 @@
 {
   uint64_t from_us = stop->term_us + WL_SOAK_GRACE_US / 6 * 5;
   return r->sent_us <= stop->term_us + SENT_AFTER_STOP_MAX_US && r->work_us != 0
-         && r->work_us <= stop->term_us + WL_SOAK_GRACE_US
+         && r->ended_us >= from_us && r->work_us <= stop->term_us + WL_SOAK_GRACE_US
          && (r->work_ended_us == 0 || r->work_ended_us >= from_us);
 }
 
