A short grace time leaves time to exit

With a grace time of 2 s the process exited 33 ms before it would be killed, with 1 s 16 ms; a trial of the soak with 2 s saw exits 1.976 to 2.000 s after SIGTERM on a busy machine. A kill there cuts what is being sent.

The last part, in which the remaining requests end, is now 0.2 s at least and the margin before the kill 0.1 s, as long as both lie within the last sixth of the grace time. Nothing changes from 6 s on. The test on the code before: a_short_grace_time_leaves_time_to_exit_and_ends_requests_in_its_last_sixth: Assertion 'strstr (f.caller.answer, " 503 ") != NULL' failed.

--- a/relay/tests/test_host_stop.c
+++ b/relay/tests/test_host_stop.c
@@ -29,6 +29,7 @@
 } Fixture;
 
 static Fixture f;
+static uint64_t grace_us = GRACE_US;
 
 static WlRoutes *
 parse_any (WlBytes text, WlFindings *findings)
@@ -67,7 +68,7 @@
     .key = "key",
     .peer_port = f.ports[0],
     .client_port = f.ports[1],
-    .grace_us = GRACE_US,
+    .grace_us = grace_us,
     .linger_us = LINGER_US,
     .address_lifetime_us = 1000000,
     .parse = parse_any,
@@ -83,6 +84,7 @@
 {
   raw_client_close (&f.caller);
   wl_host_destroy (f.host);
+  grace_us = GRACE_US;
   wl_clock_set (0);
 }
 
@@ -151,6 +153,26 @@
 }
 END_TEST
 
+/* Guards against a process that is killed at the end of a short grace time, or ends requests early.
+ */
+START_TEST (a_short_grace_time_leaves_time_to_exit_and_ends_requests_in_its_last_sixth)
+{
+  grace_us = 2000000;
+  create ();
+  raw_client_send (&f.caller, "GET /x HTTP/1.1\r\nHost: h\r\n");
+  settle ();
+  wl_host_stop (f.host);
+  advance (grace_us - grace_us / 6);
+  ck_assert_uint_eq (f.caller.size, 0);
+  advance (grace_us / 6 - 200000);
+  ck_assert_ptr_nonnull (strstr (f.caller.answer, " 503 "));
+  ck_assert_int_eq (wl_host_may_exit (f.host), 0);
+  advance (100000);
+  ck_assert_int_eq (wl_host_may_exit (f.host), 1);
+  destroy ();
+}
+END_TEST
+
 static uint32_t n_answers;
 static WlHostOutcome outcome;
 
@@ -208,6 +230,7 @@
     WL_TEST (a_request_that_has_arrived_in_part_is_refused_before_the_exit),
     WL_TEST (a_request_that_arrives_as_the_node_closes_is_answered),
     WL_TEST (a_node_exits_before_the_grace_time_ends_even_if_callers_stay),
+    WL_TEST (a_short_grace_time_leaves_time_to_exit_and_ends_requests_in_its_last_sixth),
     WL_TEST (a_call_that_waits_for_the_leader_is_answered_before_the_exit),
     WL_TEST (a_node_that_was_held_up_answers_before_it_exits),
   };
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -15,8 +15,12 @@
   SLOW_TICK_US = 100000,       /* interval of timeouts, expiry and gossip */
   BODIES_MAX_BYTES = 32 << 20, /* of callers' requests: a fifth of the smallest VM's 160 MB */
   FIRST_START_BIT = 1,         /* of replica incarnations: the disk was set up at the first start */
-  CLOSE_SHARE = 12,            /* the last part of the time to the exit: remaining requests end */
-  EXIT_SHARE = 60,             /* the process exits this part of the time before it is killed */
+  CLOSE_SHARE = 12,            /* the last part of the grace time: remaining requests end */
+  CLOSE_MIN_US = 200000,
+  EXIT_SHARE = 60, /* the process exits this part of the grace time before it is killed */
+  EXIT_MIN_US = 100000,
+  SHORT_GRACE_SHARE
+  = 14, /* limits EXIT_MIN_US, and half of it CLOSE_MIN_US, for short grace times */
 };
 
 /* Limits until a configuration is applied. */
@@ -362,11 +366,35 @@
   wl_host_gossip_tick (host, now_us);
 }
 
+static uint64_t
+larger (uint64_t a, uint64_t b)
+{
+  return a > b ? a : b;
+}
+
+static uint64_t
+smaller (uint64_t a, uint64_t b)
+{
+  return a < b ? a : b;
+}
+
 /* Time from the beginning of the stop at which the requests that remain are ended. */
 static uint64_t
 close_delay_us (const WlHost *host)
 {
-  return host->options.grace_us - host->options.grace_us / CLOSE_SHARE;
+  uint64_t grace_us = host->options.grace_us;
+  return grace_us
+         - larger (grace_us / CLOSE_SHARE,
+                   smaller (CLOSE_MIN_US, 2 * grace_us / SHORT_GRACE_SHARE));
+}
+
+/* Time from the beginning of the stop at which the process exits at the latest. */
+static uint64_t
+exit_delay_us (const WlHost *host)
+{
+  uint64_t grace_us = host->options.grace_us;
+  return grace_us
+         - larger (grace_us / EXIT_SHARE, smaller (EXIT_MIN_US, grace_us / SHORT_GRACE_SHARE));
 }
 
 static int
@@ -507,7 +535,7 @@
   if (host->stopping_us == 0)
     return 0;
   uint64_t elapsed_us = wl_clock_now_us () - host->stopping_us;
-  if (elapsed_us >= host->options.grace_us - host->options.grace_us / EXIT_SHARE)
+  if (elapsed_us >= exit_delay_us (host))
     return host->is_closing; /* a process that did not run for a while ends its requests first */
   return host->is_closing && !has_callers (host) && wl_tcp_finishing (host->loop) == 0;
 }
