--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -15,12 +15,16 @@
   SLOW_TICK_US = 100000,       /* interval of timeouts, expiry and gossip */
   BODIES_MAX_BYTES = 32 << 20, /* of callers' requests: a fifth of the smallest VM's 160 MB */
   FIRST_START_BIT = 1,         /* of replica incarnations: the disk was set up at the first start */
-  CLOSE_SHARE = 12,            /* the last part of the grace time: remaining requests end */
+  /*
+   * The last parts of the grace time of a stop: in the one the remaining requests end, in the
+   * other the process has exited. Both are at least so long, or twice and once the grace time /
+   * SHORT_GRACE_SHARE, so that requests end in the last sixth of a short grace time, too.
+   */
+  CLOSE_SHARE = 12,
   CLOSE_MIN_US = 200000,
-  EXIT_SHARE = 60, /* the process exits this part of the grace time before it is killed */
+  EXIT_SHARE = 60,
   EXIT_MIN_US = 100000,
-  SHORT_GRACE_SHARE
-  = 14, /* limits EXIT_MIN_US, and half of it CLOSE_MIN_US, for short grace times */
+  SHORT_GRACE_SHARE = 14,
 };
 
 /* Limits until a configuration is applied. */
