--- a/daemon/main.c
+++ b/daemon/main.c
@@ -86,7 +86,7 @@
     case WL_OPTIONS_RUN:
       wl_log_open (options.settings.self.node);
       status = run (&options);
-      wl_log_close ();
+      wl_log_close (WL_LOG_CLOSE_MS);
       break;
     }
 out:
--- a/runtime/wl_log.c
+++ b/runtime/wl_log.c
@@ -11,8 +11,7 @@
 
 enum
 {
-  REPORT_US = 1000000,   /* between two reports of lines that were left out */
-  CLOSE_TIMEOUT_MS = 50, /* for a slow reader at the end; a stop has little time left then */
+  REPORT_US = 1000000, /* between two reports of lines that were left out */
 };
 
 static log4c_category_t *category;
@@ -115,15 +114,15 @@
 }
 
 void
-wl_log_close (void)
+wl_log_close (int timeout_ms)
 {
   if (category == NULL)
     return;
   /* The process ends: a failure has nowhere to be reported. */
-  if (wl_log_sink_drain (sink, CLOSE_TIMEOUT_MS) == 0)
+  if (wl_log_sink_drain (sink, timeout_ms) == 0)
     {
       wl_log_sink_left_out (sink, report_left_out, NULL);
-      (void)wl_log_sink_drain (sink, CLOSE_TIMEOUT_MS);
+      (void)wl_log_sink_drain (sink, timeout_ms);
     }
   log4c_fini ();
   wl_log_sink_destroy (sink);
--- a/runtime/wl_log.h
+++ b/runtime/wl_log.h
@@ -37,9 +37,15 @@
  */
 void wl_log_flush (void);
 
+enum
+{
+  WL_LOG_CLOSE_MS = 50, /* wait for a slow reader at the end; a stop has little time left then */
+};
+
 /**
  * wl_log_close() - writes what is left, the counts of lines left out included, and closes the log
+ * @timeout_ms: longest wait for the reader between two blocks
  */
-void wl_log_close (void);
+void wl_log_close (int timeout_ms);
 
 #endif
