A stopping node does not let requests wait that another node can take

Cause: a request was allowed to wait as long as its response could still be complete before the exit.

Once callers can use another node, a request that waits is refused at once, with the time to come back; until then it waits as before, since a refused caller would wait as long.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -301,8 +301,7 @@
       r->retry_us = now_us + RESUME_RETRY_US;
       return;
     }
-  if ((r->choice.result == WL_CHOICE_PLACED || r->choice.result == WL_CHOICE_WAIT)
-      && wl_relay_exits_before_response (r, now_us))
+  if (wl_relay_must_move (r, now_us))
     {
       wl_relay_refuse (r, wl_relay_move_delay_us (r->relay, now_us), WL_REASON_STOPPING);
       return;
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -199,8 +199,9 @@
  * @relay: the relay
  * @stop: when the node will exit
  *
- * A request that is not at an endpoint is refused as soon as its response cannot
- * be expected to be complete before @stop->close_us.
+ * A request that is not at an endpoint is refused once its response cannot be
+ * expected to be complete before @stop->close_us, or if it still waits at
+ * @stop->moved_us.
  */
 void wl_relay_stop (WlRelay *relay, const WlRelayStop *stop);
 
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -218,13 +218,15 @@
 void wl_relay_replace_unresponsive (WlRelayRequest *r, uint64_t now_us);
 
 /**
- * wl_relay_exits_before_response() - whether the node may exit before a response is complete
- * @r: a request whose endpoint was just chosen, or that has to wait
+ * wl_relay_must_move() - whether another node has to answer a request, since this one stops
+ * @r: a request for which a choice was just made
  * @now_us: monotonic time
  *
- * Return: 0 also for a response that has begun, which goes on as long as possible.
+ * Return: 1 for a request that waits although its caller can use another node, and
+ * for one whose response may not be complete before the exit. 0 for a response
+ * that has begun, which goes on as long as possible.
  */
-int wl_relay_exits_before_response (const WlRelayRequest *r, uint64_t now_us);
+int wl_relay_must_move (const WlRelayRequest *r, uint64_t now_us);
 
 /** wl_relay_move_delay_us() - time until refused callers find another node; 0 while not stopping */
 uint64_t wl_relay_move_delay_us (const WlRelay *relay, uint64_t now_us);
--- a/relay/forwarding/wl_relay_stop.c
+++ b/relay/forwarding/wl_relay_stop.c
@@ -29,12 +29,25 @@
 }
 
 int
-wl_relay_exits_before_response (const WlRelayRequest *r, uint64_t now_us)
+wl_relay_must_move (const WlRelayRequest *r, uint64_t now_us)
 {
-  const WlRelay *relay = r->relay;
-  if (relay->stop.close_us == 0 || r->phase == WL_RELAY_ANSWERING)
+  const WlRelayStop *stop = &r->relay->stop;
+  if (stop->close_us == 0 || r->phase == WL_RELAY_ANSWERING)
     return 0;
-  return now_us + DURATION_FACTOR * expected_duration_us (r, now_us) > relay->stop.close_us;
+  switch (r->choice.result)
+    {
+    case WL_CHOICE_WAIT:
+      if (now_us >= stop->moved_us)
+        return 1; /* it can wait at a node that stays */
+      break;
+    case WL_CHOICE_PLACED:
+      break;
+    case WL_CHOICE_PAST_DEADLINE:
+    case WL_CHOICE_NO_ENDPOINT:
+    case WL_CHOICE_TOO_LARGE:
+      return 0;
+    }
+  return now_us + DURATION_FACTOR * expected_duration_us (r, now_us) > stop->close_us;
 }
 
 uint64_t
--- a/relay/tests/test_relay_stop.c
+++ b/relay/tests/test_relay_stop.c
@@ -78,16 +78,15 @@
   ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
 }
 
-/* Guards against requests that wait until the exit and are dropped without a response. */
-START_TEST (a_request_that_waits_is_refused_when_it_can_no_longer_be_answered_before_the_exit)
+/* Guards against requests that wait until the exit, and learn only then that they were not run. */
+START_TEST (a_request_that_waits_is_refused_once_its_caller_can_use_another_node)
 {
   RelayFixture *f = create ();
   send_large_that_waits (f);
   stop (f, GRACE_US);
+  advance (f, MOVE_US - 1000);
   ck_assert_uint_eq (f->caller.size, 0);
-  advance (f, GRACE_US / 4);
-  ck_assert_uint_eq (f->caller.size, 0);
-  advance (f, GRACE_US / 2);
+  advance (f, 20000); /* the interval in which placement is tried again */
   ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
   ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: 0."));
   ck_assert_uint_eq (wl_relay_active (f->relay), 0);
@@ -96,6 +95,19 @@
 }
 END_TEST
 
+/* Guards against requests that are told late what was known when the stop began. */
+START_TEST (a_request_that_cannot_be_answered_before_the_exit_does_not_wait)
+{
+  RelayFixture *f = create ();
+  send_large_that_waits (f);
+  stop (f, 500000);
+  advance (f, 20000);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_uint_eq (wl_relay_active (f->relay), 0);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against requests that are sent to an endpoint and cut by the exit. */
 START_TEST (a_request_that_would_outlast_the_node_is_refused_on_arrival)
 {
@@ -210,7 +222,8 @@
 main (void)
 {
   const WlTest tests[] = {
-    WL_TEST (a_request_that_waits_is_refused_when_it_can_no_longer_be_answered_before_the_exit),
+    WL_TEST (a_request_that_waits_is_refused_once_its_caller_can_use_another_node),
+    WL_TEST (a_request_that_cannot_be_answered_before_the_exit_does_not_wait),
     WL_TEST (a_request_that_would_outlast_the_node_is_refused_on_arrival),
     WL_TEST (a_stopping_node_serves_what_it_can_answer_before_its_exit),
     WL_TEST (a_request_at_an_endpoint_fails_with_504_at_the_exit),
