--- a/relay/tests/test_fetch.c
+++ b/relay/tests/test_fetch.c
@@ -304,7 +304,7 @@
 }
 
 /*
- * Guards against a repeated response that is taken for the response to the next request (issue 29):
+ * Guards against a repeated response that is taken for the response to the next request:
  * it had arrived on the idle connection, and was not read before the request was written.
  */
 START_TEST (an_idle_connection_with_unread_bytes_is_not_reused)
--- a/relay/tests/test_fleet.c
+++ b/relay/tests/test_fleet.c
@@ -162,7 +162,7 @@
 }
 END_TEST
 
-/* Guards against values of another writer that pass through gossip or a saved file (issue 29). */
+/* Guards against values of another writer that pass through gossip or a saved file. */
 START_TEST (an_odd_registration_changes_nothing)
 {
   WlFleet *f = wl_fleet_create ();
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -216,7 +216,7 @@
 }
 
 /*
- * Guards against an error of the second endpoint in the caller's stream (issue 29): its text or
+ * Guards against an error of the second endpoint in the caller's stream: its text or
  * head appended, or the stream ended as if it were complete.
  */
 START_TEST (an_error_in_response_to_a_resumption_never_reaches_the_caller)
