Soak: callers that stay with a stopping node, and slow endpoints

Requests that a close cut are printed with what tells the hypotheses apart; a node's own 502 and 504 are counted apart from endpoints' failures, so that a fix that turns cuts into failures is seen. Nothing that was judged before is judged less strictly.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = $(shell grep -v '^\#' packages.txt)
 SOURCES = $(filter-out scripts/cppcheck-macros.h,$(shell git ls-files --cached --others --exclude-standard '*.c' '*.h'))
 
-.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short
+.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short soak-press
 
 all: build
 
@@ -44,6 +44,11 @@
 soak-short: build
 	@BUILD=$(BUILD) scripts/known-red.sh soak-short scripts/soak.sh --seed 1 --seconds 45
 
+# The same under callers that stay with a stopping node, with endpoints slower than their figures.
+soak-press: build
+	@BUILD=$(BUILD) scripts/known-red.sh soak-press scripts/soak.sh --seed 1 --seconds 30 --callers 36 \
+	  --engines 12 --stays 66 --slow 6
+
 asan: setup
 	@cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=Debug -DWL_SANITIZE=ON >/dev/null
 	@cmake --build build-asan -j $(JOBS) -- --no-print-directory
@@ -55,7 +60,7 @@
 mutants: setup
 	@tests/mutants.sh
 
-check: build format-check lint unit soak-short asan model mutants
+check: build format-check lint unit soak-short soak-press asan model mutants
 	@scripts/check-symbols.sh $(BUILD)
 	@echo "make check: all parts passed"
 
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,6 +1,7 @@
 #include <getopt.h>
 #include <signal.h>
 #include <stdarg.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -82,12 +83,12 @@
        "],\"services\":[{\"name\":\"service0\",\"health_path\":\"/health\","
        "\"max_connections\":294,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":%d,"
        "\"kv_tokens\":232000,\"kv_bytes\":327680,\"link_mbps\":400000.0,\"stride\":4,"
-       "\"models\":[{\"name\":\"m\"}],\"step_ms\":5.0,\"per_seq_ms\":0.02,"
+       "\"models\":[{\"name\":\"m\"}],\"step_ms\":%d.0,\"per_seq_ms\":0.02,"
        "\"context_per_k\":0.004,\"read_per_s\":%d.0,\"pairs_per_m\":0.001,\"chunk\":2048,"
        "\"report_lag_ms\":200.0,\"usual\":{\"prompt\":25000,\"answer\":30},\"hop_ms\":0.075}},"
        "{\"name\":\"service1\",\"health_path\":\"/health\",\"max_connections\":56,"
        "\"protocol\":\"h1\",\"tls\":false}],",
-       WL_SOAK_SLOTS, WL_SOAK_PREFILL_PER_S);
+       WL_SOAK_SLOTS, WL_SOAK_STEP_MS, WL_SOAK_PREFILL_PER_S);
   add (out, "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
             "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
             "\"tenants\":[{\"name\":\"tenant0\",\"api_keys\":[\"key-0\"],\"priority\":1},"
@@ -241,34 +242,60 @@
             (double)(stop->term_us - start_us) / 1e6,
             ((double)stop->exited_us - (double)stop->term_us) / 1e6);
   wl_soak_judge (start_us);
-  printf ("seed=%llu nodes=%u callers=%u seconds=%u stops=%u configs=%u broken=%u\n",
-          (unsigned long long)o->seed, o->n_nodes, o->n_callers, o->seconds, n_stops,
-          run->n_acknowledged, wl_soak_n_broken ());
+  printf ("seed=%u nodes=%u callers=%u seconds=%u stops=%u configs=%u broken=%u\n", o->seed,
+          o->n_nodes, o->n_callers, o->seconds, n_stops, run->n_acknowledged, wl_soak_n_broken ());
   return wl_soak_n_broken () > 0 ? EXIT_BROKEN : EXIT_KEPT;
 }
 
+/* Options with a number, and their value when they are not given. */
+static const struct
+{
+  const char *name;
+  size_t offset;
+  uint32_t usual;
+} numbers[] = {
+  { "seed", offsetof (WlSoakOptions, seed), 1 },
+  { "seconds", offsetof (WlSoakOptions, seconds), 60 },
+  { "nodes", offsetof (WlSoakOptions, n_nodes), 3 },
+  { "callers", offsetof (WlSoakOptions, n_callers), 48 },
+  { "engines", offsetof (WlSoakOptions, n_engines), 8 },
+  { "plain", offsetof (WlSoakOptions, n_plain), 3 },
+  { "traits", offsetof (WlSoakOptions, traits), WL_SOAK_ALL_TRAITS },
+  { "share", offsetof (WlSoakOptions, share), 25 },
+  { "stays", offsetof (WlSoakOptions, stays), 0 },
+  { "series", offsetof (WlSoakOptions, series), WL_SOAK_ALL_SERIES },
+  { "slow", offsetof (WlSoakOptions, slow), 1 },
+  { "slow-share", offsetof (WlSoakOptions, slow_share), 100 },
+  { "slow-from", offsetof (WlSoakOptions, slow_from_s), 0 },
+};
+
+enum
+{
+  N_NUMBERS = sizeof numbers / sizeof numbers[0],
+};
+
+static uint32_t *
+number_at (WlSoakOptions *o, int i)
+{
+  return (uint32_t *)(void *)((char *)o + numbers[i].offset);
+}
+
 static int
 read_options (int argc, char **argv, WlSoakOptions *o)
 {
-  static const struct option names[] = {
-    { "seed", required_argument, NULL, 0 },
-    { "seconds", required_argument, NULL, 1 },
-    { "nodes", required_argument, NULL, 2 },
-    { "callers", required_argument, NULL, 3 },
-    { "engines", required_argument, NULL, 4 },
-    { "plain", required_argument, NULL, 5 },
-    { "traits", required_argument, NULL, 6 },
-    { "series", required_argument, NULL, 7 },
-    { "share", required_argument, NULL, 8 },
-    { "sound", no_argument, NULL, 's' },
+  struct option names[N_NUMBERS + 4] = {
+    [N_NUMBERS] = { "sound", no_argument, NULL, 's' },
     { "net", required_argument, NULL, 'n' },
     { "folder", required_argument, NULL, 'f' },
-    { NULL, 0, NULL, 0 },
   };
-  uint32_t numbers[] = { 1, 60, 3, 48, 8, 3, WL_SOAK_ALL_TRAITS, WL_SOAK_ALL_SERIES, 25 };
   unsigned x = 0;
   unsigned y = 0;
   int c;
+  for (int i = 0; i < N_NUMBERS; i++)
+    {
+      names[i] = (struct option){ numbers[i].name, required_argument, NULL, i };
+      *number_at (o, i) = numbers[i].usual;
+    }
   while ((c = getopt_long (argc, argv, "", names, NULL)) != -1)
     switch (c)
       {
@@ -285,19 +312,11 @@
       case '?':
         return 0;
       default:
-        numbers[c] = (uint32_t)strtoul (optarg, NULL, 10);
+        *number_at (o, c) = (uint32_t)strtoul (optarg, NULL, 10);
         break;
       }
-  o->seed = numbers[0];
-  o->seconds = numbers[1];
-  o->n_nodes = numbers[2];
-  o->n_callers = numbers[3];
-  o->n_engines = numbers[4];
-  o->n_plain = numbers[5];
-  o->traits = numbers[6];
-  o->share = numbers[8];
-  o->series = numbers[7] & WL_SOAK_ALL_SERIES;
-  return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->series != 0
+  o->series &= WL_SOAK_ALL_SERIES;
+  return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->series != 0 && o->slow > 0
          && o->n_nodes <= WL_SOAK_NODES_MAX && o->n_callers <= WL_SOAK_CALLERS_MAX
          && o->n_engines > 0 && o->n_plain > 0
          && o->n_engines + o->n_plain <= WL_SOAK_ENDPOINTS_MAX;
@@ -311,9 +330,10 @@
   int status = EXIT_NOT_RUN;
   if (!read_options (argc, argv, &run.soak.options))
     {
-      fprintf (stderr, "usage: scripts/soak.sh [--seed N] [--seconds S] [--nodes N] [--callers N]"
-                       " [--traits BITS] [--series BITS] [--share PERCENT] [--sound] [--engines N] "
-                       "[--plain N]\n");
+      fprintf (stderr, "usage: scripts/soak.sh [--sound]");
+      for (int i = 0; i < N_NUMBERS; i++)
+        fprintf (stderr, " [--%s N]", numbers[i].name);
+      fprintf (stderr, "\n");
       return EXIT_NOT_RUN;
     }
   setvbuf (stdout, NULL, _IOLBF, 0);
@@ -327,10 +347,10 @@
   wl_soak_nodes_open (&run.soak);
   if (start (&run))
     {
-      uint64_t start_us = wl_clock_now_us ();
-      open_callers (&run, start_us);
+      run.soak.begin_us = wl_clock_now_us ();
+      open_callers (&run, run.soak.begin_us);
       drive (&run);
-      status = is_interrupted ? EXIT_NOT_RUN : report (&run, start_us);
+      status = is_interrupted ? EXIT_NOT_RUN : report (&run, run.soak.begin_us);
     }
   close_run (&run);
   curl_global_cleanup ();
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -20,7 +20,8 @@
   WL_SOAK_ENDPOINTS_MAX = 64,
   WL_SOAK_CALLERS_MAX = 512,
   WL_SOAK_SLOTS = 4,             /* of an endpoint */
-  WL_SOAK_PREFILL_PER_S = 20000, /* prompt tokens of an engine */
+  WL_SOAK_PREFILL_PER_S = 20000, /* prompt tokens of an engine, by the configuration */
+  WL_SOAK_STEP_MS = 5,           /* of an output token, by the configuration */
   WL_SOAK_GRACE_US = 8000000,    /* grace_s of the settings */
 };
 
@@ -38,6 +39,8 @@
   WL_SOAK_BIG = 256,     /* sends bodies of up to a MB */
   WL_SOAK_NETWORK = 512, /* its segments are those of an Ethernet, not of the loopback */
   WL_SOAK_ALL_TRAITS = 1023,
+  WL_SOAK_STAYS = 1024, /* stays with its node as long as that accepts connections, whatever the
+                           directory says, and goes on at once after a refusal */
 } WlSoakTrait;
 
 /** enum WlSoakSeries - what a step of the signals' plan does; bits */
@@ -59,13 +62,17 @@
  * @n_engines, @n_plain: endpoints of the two services
  * @traits, @series: those that may occur
  * @share: per cent of the callers that have a trait
+ * @stays: per cent of the callers that press and stay (WL_SOAK_PRESSES, WL_SOAK_STAYS)
+ * @slow: endpoints take so many times as long to write, and plain ones to answer, as planned
+ * @slow_share: per cent of the endpoints that are slow
+ * @slow_from_s: the second of the run from which they are
  * @is_sound: endpoints meet no fault
  * @net: first address of the run, host byte order, its last number 0
  * @folder: files of the nodes, see wl_soak_nodes.h
  */
 typedef struct
 {
-  uint64_t seed;
+  uint32_t seed;
   uint32_t seconds;
   uint32_t n_nodes;
   uint32_t n_callers;
@@ -74,17 +81,26 @@
   uint32_t traits;
   uint32_t series;
   uint32_t share;
+  uint32_t stays;
+  uint32_t slow;
+  uint32_t slow_share;
+  uint32_t slow_from_s;
   uint8_t is_sound;
   uint32_t net;
   const char *folder;
 } WlSoakOptions;
 
-/** struct WlSoak - a run; @client makes the calls to directory and control */
+/**
+ * struct WlSoak - a run
+ * @client: makes the calls to directory and control
+ * @begin_us: when the callers began, 0 before
+ */
 typedef struct
 {
   WlSoakOptions options;
   WlReactor *reactor;
   WlHttpClient *client;
+  uint64_t begin_us;
 } WlSoak;
 
 /**
--- a/soak/wl_soak_caller.c
+++ b/soak/wl_soak_caller.c
@@ -23,6 +23,7 @@
   = 500000, /* a node answers by the deadline; a caller waits a little longer */
   BIG_BODY_MAX_BYTES = 1000000,
   REFUSED_PAUSE_MS = 20,
+  STAYS_PAUSE_MS = 5, /* of a caller that stays */
 };
 
 struct WlSoakCaller
@@ -36,6 +37,7 @@
   uint64_t connected_us;
   uint64_t connect_us; /* earliest time to connect */
   uint32_t node;
+  uint8_t is_staying; /* with @node */
 
   uint32_t addresses[WL_SOAK_NODES_MAX]; /* nodes */
   uint32_t n_addresses;
@@ -80,7 +82,11 @@
   c->current = c->next = c->sending = NULL;
   wl_buffer_clear (&c->text);
   wl_soak_conn_close (&c->conn, 0);
-  c->connect_us = now_us + (c->traits & WL_SOAK_PRESSES && c->has_answer ? 0 : RETRY_PAUSE_US);
+  c->connect_us = now_us;
+  if (c->is_staying)
+    c->connect_us += STAYS_PAUSE_MS * 1000;
+  else if ((c->traits & WL_SOAK_PRESSES) == 0 || !c->has_answer)
+    c->connect_us += RETRY_PAUSE_US;
 }
 
 /* ---- reading ---- */
@@ -129,7 +135,9 @@
   WlSoakRequest *r = c->current;
   uint64_t now_us = wl_clock_now_us ();
   uint32_t pause_ms = c->traits & WL_SOAK_PRESSES ? 0 : wl_soak_between (&c->random, 0, 500);
-  if (r->status >= 400 && pause_ms < REFUSED_PAUSE_MS)
+  if (r->status >= 400 && c->is_staying)
+    pause_ms = STAYS_PAUSE_MS;
+  else if (r->status >= 400 && pause_ms < REFUSED_PAUSE_MS)
     pause_ms = REFUSED_PAUSE_MS;
   end_request (c, r, WL_SOAK_ANSWERED, now_us);
   c->current = c->next;
@@ -162,6 +170,8 @@
     {
       if (n > 0 && c->current == NULL)
         wl_soak_broken ("caller %u got bytes without a request from node %u", c->number, c->node);
+      if (n == WL_SOAK_RESET && c->current == NULL && !c->has_answer)
+        c->is_staying = 0; /* the node is gone */
       close_connection (c, n == 0 ? WL_SOAK_CLOSED : WL_SOAK_BROKEN);
       return;
     }
@@ -224,13 +234,15 @@
 static void
 connect_to_node (WlSoakCaller *c, uint64_t now_us)
 {
-  if (now_us >= c->addresses_end_us)
+  if (!c->is_staying && now_us >= c->addresses_end_us)
     {
       if (!c->is_resolving)
         resolve (c);
       return;
     }
-  c->node = c->addresses[wl_soak_between (&c->random, 0, c->n_addresses - 1)];
+  if (!c->is_staying)
+    c->node = c->addresses[wl_soak_between (&c->random, 0, c->n_addresses - 1)];
+  c->is_staying = (c->traits & WL_SOAK_STAYS) != 0;
   c->connected_us = now_us;
   c->has_answer = 0;
   wl_soak_message_reset (&c->message, HTTP_RESPONSE);
@@ -368,6 +380,8 @@
   for (uint32_t bit = 1; bit < WL_SOAK_ALL_TRAITS; bit *= 2)
     if (wl_soak_between (&c->random, 0, 99) < soak->options.share)
       c->traits |= bit & soak->options.traits;
+  if (soak->options.stays > 0 && wl_soak_between (&c->random, 0, 99) < soak->options.stays)
+    c->traits = (c->traits | WL_SOAK_STAYS | WL_SOAK_PRESSES) & ~(uint32_t)WL_SOAK_HALF;
   if (c->traits & (WL_SOAK_ANEW | WL_SOAK_HALF))
     c->traits &= ~(uint32_t)WL_SOAK_PIPELINES;
   return c;
@@ -391,7 +405,10 @@
   if (c->conn.fd < 0)
     return !is_ending;
   if (c->conn.is_connecting && now_us > c->connected_us + CONNECT_TIMEOUT_US)
-    close_connection (c, WL_SOAK_LEFT);
+    {
+      c->is_staying = 0;
+      close_connection (c, WL_SOAK_LEFT);
+    }
   else if (!is_ending && may_begin (c, now_us))
     begin_request (c, now_us);
   if (c->conn.fd >= 0 && c->sending != NULL)
--- a/soak/wl_soak_endpoint.c
+++ b/soak/wl_soak_endpoint.c
@@ -58,6 +58,7 @@
   uint64_t started_ms;
   uint64_t beat_us;
   uint32_t sequence;
+  uint8_t is_slow;
   uint32_t node; /* that takes the heartbeats */
   uint8_t is_known;
 };
@@ -113,6 +114,7 @@
 break_off (Serve *s, WlSoakFault fault, uint64_t now_us)
 {
   s->request->broken_off = (uint8_t)fault;
+  s->request->n_broken_off++;
   end_work (s, now_us);
   wl_soak_conn_close (&s->conn, fault == WL_SOAK_RESETS);
 }
@@ -173,12 +175,23 @@
 
 /* ---- work ---- */
 
+/* How many times as long as planned it takes to write, and a plain endpoint to answer. */
+static uint32_t
+slowness (const WlSoakEndpoint *e, uint64_t now_us)
+{
+  const WlSoak *soak = e->soak;
+  return e->is_slow && now_us >= soak->begin_us + soak->options.slow_from_s * UINT64_C (1000000)
+             ? soak->options.slow
+             : 1;
+}
+
 static void
 start_work (Serve *s, uint64_t now_us)
 {
   WlSoakEndpoint *e = s->endpoint;
   WlSoakRequest *r = s->request;
   uint64_t cost_us = (uint64_t)r->service_ms * 1000;
+  r->slowness = slowness (e, now_us);
   const char *helpers = s->message.values[WL_SOAK_FIELD_HELPERS];
   uint32_t n_engines = 1;
   for (const char *p = helpers; *p != '\0'; p++)
@@ -193,7 +206,10 @@
       cost_us = e->prefill_free_us - now_us;
     }
   else
-    r->n_runs++;
+    {
+      cost_us *= r->slowness;
+      r->n_runs++;
+    }
   s->endpoint->n_waiting--;
   s->endpoint->n_working++;
   s->phase = PHASE_WORKING;
@@ -216,7 +232,7 @@
         return;
       if (s->next_event < r->n_events)
         write_event (s);
-      s->next_us += (uint64_t)r->event_gap_ms * 1000;
+      s->next_us += (uint64_t)r->event_gap_ms * 1000 * r->slowness;
       if (s->next_event < r->n_events)
         continue;
       if (r->framing == WL_SOAK_CHUNKED)
@@ -397,11 +413,13 @@
 {
   WlSoakEndpoint *e = calloc (1, sizeof *e);
   uint32_t ip = soak->options.net + WL_SOAK_ENDPOINT_HOST + number;
+  uint64_t random = (uint64_t)soak->options.seed << 32 | number;
   if (e == NULL)
     abort ();
   e->soak = soak;
   e->service = number >= soak->options.n_engines;
   e->node = number % soak->options.n_nodes;
+  e->is_slow = wl_soak_between (&random, 0, 99) < soak->options.slow_share;
   e->started_ms = wl_clock_wall_us () / 1000;
   snprintf (e->address, sizeof e->address, "127.%u.%u.%u:%d", ip >> 16 & 255, ip >> 8 & 255,
             ip & 255, WL_SOAK_ENDPOINT_PORT);
--- a/soak/wl_soak_judge.c
+++ b/soak/wl_soak_judge.c
@@ -19,6 +19,7 @@
   VERDICT_WHOLE,
   VERDICT_REFUSED,
   VERDICT_FAILED,
+  VERDICT_OWN_FAILURE,
   VERDICT_NOT_SENT,
   VERDICT_LEFT,
   VERDICT_HALF_CLOSED,
@@ -44,7 +45,8 @@
 static const char *const verdict_text[VERDICTS] = {
   "whole answer",
   "refused, not run",
-  "complete failure",
+  "complete failure of an endpoint",
+  "complete failure of the node's own",
   "not sent whole",
   "caller left",
   "caller closed its sending side",
@@ -96,7 +98,7 @@
 judge_refusal (const WlSoakRequest *r, const WlSoakStop *stop)
 {
   if (r->n_runs > 0)
-    return wl_soak_kinds[r->kind].may_repeat ? VERDICT_FAILED : VERDICT_REFUSED_AND_RAN;
+    return wl_soak_kinds[r->kind].may_repeat ? VERDICT_OWN_FAILURE : VERDICT_REFUSED_AND_RAN;
   /* A request that was not sent whole could not be refused before. */
   if (stop != NULL && r->sent_us != 0 && r->ended_us >= stop->term_us + WL_SOAK_GRACE_US / 6 * 5
       && r->ended_us <= stop->term_us + WL_SOAK_GRACE_US
@@ -120,7 +122,9 @@
     }
   if (r->status / 100 == 2)
     return judge_success (r);
-  return r->status < 500 ? VERDICT_DENIED : VERDICT_FAILED;
+  if (r->status < 500)
+    return VERDICT_DENIED;
+  return r->has_seal ? VERDICT_FAILED : VERDICT_OWN_FAILURE;
 }
 
 static int
@@ -213,12 +217,14 @@
   add_time (times, "exit", stop != NULL ? stop->exited_us : 0, from_us);
   snprintf (line, sizeof line,
             "%s: id=%s kind=%s caller=%u node=%u %s=%.3f%s status=%u end=%s bytes=%llu/%llu"
-            " arrivals=%u runs=%u framing=%u traits=%x",
+            " arrivals=%u runs=%u broke_off=%u stated_ms=%llu taken_ms=%llu framing=%u traits=%x",
             verdict_text[verdict], r->id, wl_soak_kinds[r->kind].name, r->caller, r->node,
             stop != NULL ? "stopped" : "no stop, begin", (double)(from_us - start_us) / 1e6, times,
             r->status, r->end == WL_SOAK_BROKEN ? "reset" : "closed",
             (unsigned long long)r->body_bytes, (unsigned long long)wl_soak_request_body_bytes (r),
-            r->n_arrivals, r->n_runs, r->framing, r->traits);
+            r->n_arrivals, r->n_runs, r->n_broken_off,
+            (unsigned long long)wl_soak_request_stated_ms (r),
+            (unsigned long long)wl_soak_request_taken_ms (r), r->framing, r->traits);
   if (verdict >= FIRST_BROKEN)
     wl_soak_broken ("%s", line);
   else
@@ -235,7 +241,7 @@
       const WlSoakStop *stop = wl_soak_nodes_find_stop (r->node, r->connected_us, r->ended_us);
       Verdict verdict = judge (r, stop);
       counts[verdict][stop != NULL]++;
-      if (verdict >= FIRST_BROKEN || verdict == VERDICT_SLOW_READER)
+      if (verdict >= FIRST_BROKEN || verdict == VERDICT_SLOW_READER || verdict == VERDICT_AT_WORK)
         print_request (r, verdict, stop, start_us);
     }
   printf ("%-36s %8s %8s\n", "requests", "at stops", "others");
--- a/soak/wl_soak_request.c
+++ b/soak/wl_soak_request.c
@@ -85,6 +85,28 @@
   n_requests = 0;
 }
 
+static uint64_t
+prefill_ms (const WlSoakRequest *r)
+{
+  return r->prompt_tokens * UINT64_C (1000) / WL_SOAK_PREFILL_PER_S;
+}
+
+uint64_t
+wl_soak_request_stated_ms (const WlSoakRequest *r)
+{
+  const WlSoakKindInfo *kind = &wl_soak_kinds[r->kind];
+  return kind->service == 0 ? prefill_ms (r) + (uint64_t)r->n_events * WL_SOAK_STEP_MS
+                            : kind->objective_ms;
+}
+
+uint64_t
+wl_soak_request_taken_ms (const WlSoakRequest *r)
+{
+  if (wl_soak_kinds[r->kind].service != 0)
+    return (uint64_t)r->service_ms * r->slowness;
+  return prefill_ms (r) + (uint64_t)r->n_events * r->event_gap_ms * r->slowness;
+}
+
 uint64_t
 wl_soak_request_body_bytes (const WlSoakRequest *r)
 {
--- a/soak/wl_soak_request.h
+++ b/soak/wl_soak_request.h
@@ -87,6 +87,8 @@
  * @whole_us: when an endpoint had sent the whole answer
  * @endpoint_status: of the latest work
  * @broken_off: WlSoakFault by which an endpoint ended the latest work early
+ * @n_broken_off: how often endpoints have done so
+ * @slowness: of the endpoint at its latest work, see WlSoakOptions
  */
 typedef struct WlSoakRequest
 {
@@ -129,6 +131,8 @@
   uint64_t whole_us;
   uint16_t endpoint_status;
   uint8_t broken_off;
+  uint16_t n_broken_off;
+  uint32_t slowness;
 } WlSoakRequest;
 
 /** wl_soak_request_add() - a request of @kind, planned by @random */
@@ -143,6 +147,12 @@
 /** wl_soak_request_clear() - frees all */
 void wl_soak_request_clear (void);
 
+/** wl_soak_request_stated_ms() - time of a whole answer by the figures of the configuration */
+uint64_t wl_soak_request_stated_ms (const WlSoakRequest *r);
+
+/** wl_soak_request_taken_ms() - time of a whole answer at the endpoint of the latest work */
+uint64_t wl_soak_request_taken_ms (const WlSoakRequest *r);
+
 /** wl_soak_request_body_bytes() - size of the whole answer */
 uint64_t wl_soak_request_body_bytes (const WlSoakRequest *r);
 
