Log how long a response was expected to take, and took

WL4012 tells when the attempt was sent, the forecast of its whole response, and the time that the caller and the route allowed; WL4007 tells the first two for every whole response, so that forecast and truth can be compared without a stop. No behaviour changes.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -124,11 +124,12 @@
   wl_log_eventf (
       WL4007_REQUEST_ENDED,
       "request=%s route=%s outcome=%s status=%u attempts=%u endpoint=%s total_ms=%" PRIu64
-      " first_ms=%" PRIu64 " predicted_ms=%" PRIu64 " pause_ms=%" PRIu64,
+      " first_ms=%" PRIu64 " predicted_ms=%" PRIu64 " pause_ms=%" PRIu64 " sent_ms=%" PRIu64
+      " expected_ms=%" PRIu64,
       r->info.id != NULL ? r->info.id : "-", r->route->name, outcome, r->status, r->attempts,
       r->target.id, (now_us - r->arrived_us) / 1000,
       r->first_us > 0 ? (r->first_us - r->arrived_us) / 1000 : 0, r->choice.predicted_us / 1000,
-      r->longest_pause_us / 1000);
+      r->longest_pause_us / 1000, (now_us - r->sent_us) / 1000, r->expected_us / 1000);
   wl_relay_free_request (r);
 }
 
--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -269,6 +269,7 @@
 wl_relay_start_attempt (WlRelayRequest *r, uint64_t now_us)
 {
   set_targets (r);
+  r->expected_us = wl_relay_expected_duration_us (r, now_us);
   report_phase (r, WL_WORK_SENT);
   r->is_reservation_refused = 0;
   r->n_pending_reservations = 0;
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -67,6 +67,7 @@
  * @n_pending_reservations: reservations without a response yet
  * @is_reservation_refused: one of the attempt's reservations was refused
  * @sent_us: when the current attempt was sent
+ * @expected_us: forecast, at its placement, of the time until its response is complete
  * @progress_us: when the endpoint last sent something, or reading from it went on
  * @first_us: when the first output was forwarded, 0 for not yet
  * @longest_pause_us: longest pause between two events so far
@@ -110,6 +111,7 @@
   uint32_t n_pending_reservations;
   uint8_t is_reservation_refused;
   uint64_t sent_us;
+  uint64_t expected_us;
   uint64_t progress_us;
   uint64_t first_us;
   uint64_t longest_pause_us;
@@ -217,6 +219,9 @@
 /** wl_relay_replace_unresponsive() - moves a request from an unresponsive endpoint, if possible */
 void wl_relay_replace_unresponsive (WlRelayRequest *r, uint64_t now_us);
 
+/** wl_relay_expected_duration_us() - forecast of a request's response, sent now as in its choice */
+uint64_t wl_relay_expected_duration_us (const WlRelayRequest *r, uint64_t now_us);
+
 /**
  * wl_relay_must_move() - whether another node has to answer a request, since this one stops
  * @r: a request for which a choice was just made
--- a/relay/forwarding/wl_relay_stop.c
+++ b/relay/forwarding/wl_relay_stop.c
@@ -11,9 +11,8 @@
   DURATION_FACTOR = 2, /* responses rarely take longer than this multiple of the forecast */
 };
 
-/* Forecast of the time until a request's response is complete if it is sent now. */
-static uint64_t
-expected_duration_us (const WlRelayRequest *r, uint64_t now_us)
+uint64_t
+wl_relay_expected_duration_us (const WlRelayRequest *r, uint64_t now_us)
 {
   const WlEngineModel *m = &r->service->engine;
   uint32_t prompt = r->choice_request.prompt;
@@ -47,7 +46,7 @@
     case WL_CHOICE_TOO_LARGE:
       return 0;
     }
-  return now_us + DURATION_FACTOR * expected_duration_us (r, now_us) > stop->close_us;
+  return now_us + DURATION_FACTOR * wl_relay_expected_duration_us (r, now_us) > stop->close_us;
 }
 
 uint64_t
@@ -73,11 +72,14 @@
 {
   wl_log_eventf (WL4012_REQUEST_CUT,
                  "request=%s route=%s phase=%d held_ms=%" PRIu64 " after_stop_ms=%" PRId64
-                 " attempts=%u endpoint=%s prompt=%u queued_bytes=%zu",
+                 " attempts=%u endpoint=%s prompt=%u queued_bytes=%zu sent_ms=%" PRIu64
+                 " expected_ms=%" PRIu64 " limit_ms=%" PRIu64,
                  r->info.id != NULL ? r->info.id : "-", r->route->name, (int)r->phase,
                  (now_us - r->arrived_us) / 1000,
                  ((int64_t)r->arrived_us - (int64_t)r->relay->stop.began_us) / 1000, r->attempts,
-                 r->target.id, r->choice_request.prompt, wl_web_queued (r->web));
+                 r->target.id, r->choice_request.prompt, wl_web_queued (r->web),
+                 (now_us - r->sent_us) / 1000, r->expected_us / 1000,
+                 (r->limit_us - r->arrived_us) / 1000);
 }
 
 static void
