Test: a request taken by its forecast late in a stop, failing

At the relay: a second after the stop began, a prompt whose caller waits for 15 s is sent to an endpoint, since the forecast ends before the exit 6 s later. Fails on this code: a_request_that_may_outlast_the_node_is_refused_although_its_forecast_fits: Assertion 'strstr (f->caller.answer, " 503 ") != NULL' failed. Beside it a request whose own limit ends before the exit, which is to be taken, and is.

--- a/relay/tests/test_relay_stop.c
+++ b/relay/tests/test_relay_stop.c
@@ -122,6 +122,35 @@
 }
 END_TEST
 
+/* Guards against streams that are taken by their forecast, outlast it and are cut by the exit. */
+START_TEST (a_request_that_may_outlast_the_node_is_refused_although_its_forecast_fits)
+{
+  RelayFixture *f = create ();
+  relay_fixture_register_engine (f, 0);
+  stop (f, GRACE_US);
+  advance (f, MOVE_US);
+  send_large (f);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: 0."));
+  ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against refusals of requests that end by their own limit while the node is there. */
+START_TEST (a_request_whose_limit_is_before_the_exit_is_taken)
+{
+  RelayFixture *f = create ();
+  relay_fixture_all_answer (f, RELAY_WHOLE, SCRIPT_KEEP);
+  stop (f, GRACE_US);
+  advance (f, MOVE_US);
+  raw_client_send (&f->caller, RELAY_ONCE_REQUEST);
+  advance (f, 0);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "200 OK"));
+  destroy (f);
+}
+END_TEST
+
 START_TEST (a_stopping_node_serves_what_it_can_answer_before_its_exit)
 {
   RelayFixture *f = create ();
@@ -225,6 +254,8 @@
     WL_TEST (a_request_that_waits_is_refused_once_its_caller_can_use_another_node),
     WL_TEST (a_request_that_cannot_be_answered_before_the_exit_does_not_wait),
     WL_TEST (a_request_that_would_outlast_the_node_is_refused_on_arrival),
+    WL_TEST (a_request_that_may_outlast_the_node_is_refused_although_its_forecast_fits),
+    WL_TEST (a_request_whose_limit_is_before_the_exit_is_taken),
     WL_TEST (a_stopping_node_serves_what_it_can_answer_before_its_exit),
     WL_TEST (a_request_at_an_endpoint_fails_with_504_at_the_exit),
     WL_TEST (a_request_that_waits_is_refused_at_the_exit_and_one_that_was_sent_is_not),
