A stopping node takes only requests whose own limit is before its exit

Cause: a stopping node sent a request on whenever twice the forecast of its response ended before the exit. The forecast is the engine model of the configuration, or the route's objective; endpoints may be slower. A forecast is no proof.

Only the request's own limit, the caller's time and the route's timeout, is proof that it ends before the node. A request whose limit is before the close is sent as at other times; any other one is refused at once as not run, to come back at once: to another node, since callers leave out the one that refused them.

Tests that change with it: a request that waits at a stopping node has a limit before the exit now, as others are refused earlier; a refused caller is told to come back at once instead of in a second.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -304,7 +304,7 @@
     }
   if (wl_relay_must_move (r, now_us))
     {
-      wl_relay_refuse (r, wl_relay_move_delay_us (r->relay, now_us), WL_REASON_STOPPING);
+      wl_relay_refuse (r, 0, WL_REASON_STOPPING); /* other nodes can take it at once */
       return;
     }
   switch (r->choice.result)
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -199,9 +199,9 @@
  * @relay: the relay
  * @stop: when the node will exit
  *
- * A request that is not at an endpoint is refused once its response cannot be
- * expected to be complete before @stop->close_us, or if it still waits at
- * @stop->moved_us.
+ * From now on a request is sent to an endpoint only if its own limit, the caller's time
+ * and the route's timeout, ends before @stop->close_us. Others are refused at once, as not
+ * run; so is one that still waits at @stop->moved_us.
  */
 void wl_relay_stop (WlRelay *relay, const WlRelayStop *stop);
 
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -222,18 +222,18 @@
 /** wl_relay_expected_duration_us() - forecast of a request's response, sent now as in its choice */
 uint64_t wl_relay_expected_duration_us (const WlRelayRequest *r, uint64_t now_us);
 
+/** wl_relay_may_outlast_node() - whether a request's limit is behind the exit of a stopping node */
+int wl_relay_may_outlast_node (const WlRelayRequest *r);
+
 /**
  * wl_relay_must_move() - whether another node has to answer a request, since this one stops
  * @r: a request for which a choice was just made
  * @now_us: monotonic time
  *
- * Return: 1 for a request that waits although its caller can use another node, and
- * for one whose response may not be complete before the exit. 0 for a response
- * that has begun, which goes on as long as possible.
+ * Return: 1 for a request that may outlast the node, and for one that waits although its
+ * caller can use another node. 0 for a response that has begun, which goes on as long as
+ * possible.
  */
 int wl_relay_must_move (const WlRelayRequest *r, uint64_t now_us);
 
-/** wl_relay_move_delay_us() - time until refused callers find another node; 0 while not stopping */
-uint64_t wl_relay_move_delay_us (const WlRelay *relay, uint64_t now_us);
-
 #endif
--- a/relay/forwarding/wl_relay_stop.c
+++ b/relay/forwarding/wl_relay_stop.c
@@ -4,12 +4,11 @@
 #include "wl_log.h"
 #include "wl_relay_internal.h"
 
-/* The stop of the node: which requests it still sends, and how the others end. */
-
-enum
-{
-  DURATION_FACTOR = 2, /* responses rarely take longer than this multiple of the forecast */
-};
+/*
+ * The stop of the node: which requests it still sends, and how the others end. An
+ * endpoint may take longer than any forecast: only a request's own limit is proof that
+ * it ends before the node.
+ */
 
 uint64_t
 wl_relay_expected_duration_us (const WlRelayRequest *r, uint64_t now_us)
@@ -27,6 +26,13 @@
   return r->choice.predicted_us + (uint64_t)((double)decode_us * wl_fleet_slowdown (e, now_us));
 }
 
+int
+wl_relay_may_outlast_node (const WlRelayRequest *r)
+{
+  uint64_t close_us = r->relay->stop.close_us;
+  return close_us != 0 && r->phase != WL_RELAY_ANSWERING && r->limit_us > close_us;
+}
+
 int
 wl_relay_must_move (const WlRelayRequest *r, uint64_t now_us)
 {
@@ -36,23 +42,15 @@
   switch (r->choice.result)
     {
     case WL_CHOICE_WAIT:
-      if (now_us >= stop->moved_us)
-        return 1; /* it can wait at a node that stays */
-      break;
+      return now_us >= stop->moved_us || wl_relay_may_outlast_node (r);
     case WL_CHOICE_PLACED:
-      break;
+      return wl_relay_may_outlast_node (r);
     case WL_CHOICE_PAST_DEADLINE:
     case WL_CHOICE_NO_ENDPOINT:
     case WL_CHOICE_TOO_LARGE:
-      return 0;
+      break;
     }
-  return now_us + DURATION_FACTOR * wl_relay_expected_duration_us (r, now_us) > stop->close_us;
-}
-
-uint64_t
-wl_relay_move_delay_us (const WlRelay *relay, uint64_t now_us)
-{
-  return relay->stop.moved_us > now_us ? relay->stop.moved_us - now_us : 0;
+  return 0;
 }
 
 void
@@ -97,7 +95,7 @@
   switch (r->phase)
     {
     case WL_RELAY_WAITING:
-      wl_relay_refuse (r, wl_relay_move_delay_us (relay, now_us), WL_REASON_STOPPING);
+      wl_relay_refuse (r, 0, WL_REASON_STOPPING);
       break;
     case WL_RELAY_SENT:
     case WL_RELAY_ANSWERING:
--- a/relay/tests/test_relay_stop.c
+++ b/relay/tests/test_relay_stop.c
@@ -11,8 +11,10 @@
 enum
 {
   LARGE_PROMPT = 20000,
-  GRACE_US = 7000000, /* from the beginning of the stop to wl_relay_close() */
-  MOVE_US = 1000000,  /* until callers use other nodes */
+  LONG_LIMIT_MS = 15000, /* behind the exit */
+  SHORT_LIMIT_MS = 5000, /* before it */
+  GRACE_US = 7000000,    /* from the beginning of the stop to wl_relay_close() */
+  MOVE_US = 1000000,     /* until callers use other nodes */
 };
 
 #define EVENT_STREAM                                                                               \
@@ -52,20 +54,20 @@
 }
 
 static void
-send_large (RelayFixture *f)
+send_large (RelayFixture *f, int limit_ms)
 {
   char text[256];
   snprintf (text, sizeof text,
-            "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: 15000\r\n"
+            "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: %d\r\n"
             "X-Prompt: %d\r\nContent-Length: 0\r\n\r\n",
-            LARGE_PROMPT);
+            limit_ms, LARGE_PROMPT);
   raw_client_send (&f->caller, text);
   relay_fixture_settle (f);
 }
 
 /* Occupies the only engine, so that a large prompt has to wait for its memory. */
 static void
-send_large_that_waits (RelayFixture *f)
+send_large_that_waits (RelayFixture *f, int limit_ms)
 {
   WlWorkItem item = { .id = 1,
                       .endpoint = wl_fleet_key ("engine-0"),
@@ -73,7 +75,7 @@
                       .kv_tokens = RELAY_FIXTURE_MEMORY };
   relay_fixture_register_engine (f, 0);
   wl_load_apply (f->load, 2, 1, &item, wl_clock_now_us ());
-  send_large (f);
+  send_large (f, limit_ms);
   ck_assert_uint_eq (wl_relay_active (f->relay), 1);
   ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
 }
@@ -82,7 +84,7 @@
 START_TEST (a_request_that_waits_is_refused_once_its_caller_can_use_another_node)
 {
   RelayFixture *f = create ();
-  send_large_that_waits (f);
+  send_large_that_waits (f, SHORT_LIMIT_MS);
   stop (f, GRACE_US);
   advance (f, MOVE_US - 1000);
   ck_assert_uint_eq (f->caller.size, 0);
@@ -99,7 +101,7 @@
 START_TEST (a_request_that_cannot_be_answered_before_the_exit_does_not_wait)
 {
   RelayFixture *f = create ();
-  send_large_that_waits (f);
+  send_large_that_waits (f, LONG_LIMIT_MS);
   stop (f, 500000);
   advance (f, 20000);
   ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
@@ -114,9 +116,9 @@
   RelayFixture *f = create ();
   relay_fixture_register_engine (f, 0);
   stop (f, 500000);
-  send_large (f);
+  send_large (f, LONG_LIMIT_MS);
   ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
-  ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: 1."));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: 0."));
   ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
   destroy (f);
 }
@@ -129,7 +131,7 @@
   relay_fixture_register_engine (f, 0);
   stop (f, GRACE_US);
   advance (f, MOVE_US);
-  send_large (f);
+  send_large (f, LONG_LIMIT_MS);
   ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
   ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: 0."));
   ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
@@ -186,7 +188,7 @@
 START_TEST (a_request_that_waits_is_refused_at_the_exit_and_one_that_was_sent_is_not)
 {
   RelayFixture *f = create ();
-  send_large_that_waits (f);
+  send_large_that_waits (f, SHORT_LIMIT_MS);
   stop (f, GRACE_US);
   wl_relay_close (f->relay);
   relay_fixture_settle (f);
