A stopping node looks at a request again once its memory is reserved

A prompt larger than one engine's memory is sent once other engines have reserved theirs.

The test on the code before: a_request_whose_memory_is_reserved_after_a_stop_began_is_refused: Assertion 'strstr (f->caller.answer, " 503 ") != NULL' failed.

--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -256,6 +256,12 @@
     r->is_reservation_refused = 1;
   if (r->n_pending_reservations > 0)
     return;
+  if (wl_relay_may_outlast_node (r))
+    {
+      wl_relay_release_endpoints (r);
+      wl_relay_refuse (r, 0, WL_REASON_STOPPING);
+      return;
+    }
   if (!r->is_reservation_refused)
     {
       send_attempt (r, now_us);
--- a/relay/tests/test_relay_stop.c
+++ b/relay/tests/test_relay_stop.c
@@ -1,6 +1,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <apr_general.h>
 #include "wl_clock.h"
 #include "wl_relay_fixture.h"
@@ -139,6 +142,39 @@
 }
 END_TEST
 
+/* Guards against prompts that wait for reserved memory meanwhile, and are sent late without a
+ * check. */
+START_TEST (a_request_whose_memory_is_reserved_after_a_stop_began_is_refused)
+{
+  static const char held[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t size = sizeof sa;
+  RelayFixture *f = create ();
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_eq (listen (listener, 8), 0);
+  getsockname (listener, (struct sockaddr *)&sa, &size);
+  relay_fixture_register_engine (f, 0);
+  relay_fixture_register_engine (f, 1);
+  wl_fleet_find (f->fleet, "engine-1")->record.port = ntohs (sa.sin_port);
+  relay_fixture_occupy (f, "engine-1"); /* so that engine-0 answers */
+  raw_client_send (&f->caller, "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\n"
+                               "X-Prompt: 60000\r\nContent-Length: 0\r\n\r\n");
+  relay_fixture_settle (f);
+  int fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  stop (f, GRACE_US);
+  ck_assert_int_eq (send (fd, held, sizeof held - 1, MSG_NOSIGNAL), sizeof held - 1);
+  relay_fixture_settle (f);
+  relay_fixture_settle (f);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_uint_eq (relay_fixture_n_seen (f, "POST /large/"), 0);
+  close (fd);
+  close (listener);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against refusals of requests that end by their own limit while the node is there. */
 START_TEST (a_request_whose_limit_is_before_the_exit_is_taken)
 {
@@ -257,6 +293,7 @@
     WL_TEST (a_request_that_cannot_be_answered_before_the_exit_does_not_wait),
     WL_TEST (a_request_that_would_outlast_the_node_is_refused_on_arrival),
     WL_TEST (a_request_that_may_outlast_the_node_is_refused_although_its_forecast_fits),
+    WL_TEST (a_request_whose_memory_is_reserved_after_a_stop_began_is_refused),
     WL_TEST (a_request_whose_limit_is_before_the_exit_is_taken),
     WL_TEST (a_stopping_node_serves_what_it_can_answer_before_its_exit),
     WL_TEST (a_request_at_an_endpoint_fails_with_504_at_the_exit),
