--- a/relay/forwarding/wl_relay_stop.c
+++ b/relay/forwarding/wl_relay_stop.c
@@ -4,16 +4,14 @@
 #include "wl_log.h"
 #include "wl_relay_internal.h"
 
-/* The stop of the node: which requests it still sends, and how the others end. */
+/*
+ * The stop of the node: which requests it still sends, and how the others end. An
+ * endpoint may take longer than any forecast: only a request's own limit is proof that
+ * it ends before the node.
+ */
 
-enum
-{
-  DURATION_FACTOR = 2, /* responses rarely take longer than this multiple of the forecast */
-};
-
-/* Forecast of the time until a request's response is complete if it is sent now. */
-static uint64_t
-expected_duration_us (const WlRelayRequest *r, uint64_t now_us)
+uint64_t
+wl_relay_expected_duration_us (const WlRelayRequest *r, uint64_t now_us)
 {
   const WlEngineModel *m = &r->service->engine;
   uint32_t prompt = r->choice_request.prompt;
@@ -28,6 +26,13 @@
   return r->choice.predicted_us + (uint64_t)((double)decode_us * wl_fleet_slowdown (e, now_us));
 }
 
+int
+wl_relay_may_outlast_node (const WlRelayRequest *r)
+{
+  uint64_t close_us = r->relay->stop.close_us;
+  return close_us != 0 && r->phase != WL_RELAY_ANSWERING && r->limit_us > close_us;
+}
+
 int
 wl_relay_must_move (const WlRelayRequest *r, uint64_t now_us)
 {
@@ -37,23 +42,15 @@
   switch (r->choice.result)
     {
     case WL_CHOICE_WAIT:
-      if (now_us >= stop->moved_us)
-        return 1; /* it can wait at a node that stays */
-      break;
+      return now_us >= stop->moved_us || wl_relay_may_outlast_node (r);
     case WL_CHOICE_PLACED:
-      break;
+      return wl_relay_may_outlast_node (r);
     case WL_CHOICE_PAST_DEADLINE:
     case WL_CHOICE_NO_ENDPOINT:
     case WL_CHOICE_TOO_LARGE:
-      return 0;
+      break;
     }
-  return now_us + DURATION_FACTOR * expected_duration_us (r, now_us) > stop->close_us;
-}
-
-uint64_t
-wl_relay_move_delay_us (const WlRelay *relay, uint64_t now_us)
-{
-  return relay->stop.moved_us > now_us ? relay->stop.moved_us - now_us : 0;
+  return 0;
 }
 
 void
@@ -73,11 +70,14 @@
 {
   wl_log_eventf (WL4012_REQUEST_CUT,
                  "request=%s route=%s phase=%d held_ms=%" PRIu64 " after_stop_ms=%" PRId64
-                 " attempts=%u endpoint=%s prompt=%u queued_bytes=%zu",
+                 " attempts=%u endpoint=%s prompt=%u queued_bytes=%zu sent_ms=%" PRIu64
+                 " expected_ms=%" PRIu64 " limit_ms=%" PRIu64,
                  r->info.id != NULL ? r->info.id : "-", r->route->name, (int)r->phase,
                  (now_us - r->arrived_us) / 1000,
                  ((int64_t)r->arrived_us - (int64_t)r->relay->stop.began_us) / 1000, r->attempts,
-                 r->target.id, r->choice_request.prompt, wl_web_queued (r->web));
+                 r->target.id, r->choice_request.prompt, wl_web_queued (r->web),
+                 (now_us - r->sent_us) / 1000, r->expected_us / 1000,
+                 (r->limit_us - r->arrived_us) / 1000);
 }
 
 static void
@@ -95,7 +95,7 @@
   switch (r->phase)
     {
     case WL_RELAY_WAITING:
-      wl_relay_refuse (r, wl_relay_move_delay_us (relay, now_us), WL_REASON_STOPPING);
+      wl_relay_refuse (r, 0, WL_REASON_STOPPING);
       break;
     case WL_RELAY_SENT:
     case WL_RELAY_ANSWERING:
--- a/relay/tests/test_relay_stop.c
+++ b/relay/tests/test_relay_stop.c
@@ -1,6 +1,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <apr_general.h>
 #include "wl_clock.h"
 #include "wl_relay_fixture.h"
@@ -11,8 +14,10 @@
 enum
 {
   LARGE_PROMPT = 20000,
-  GRACE_US = 7000000, /* from the beginning of the stop to wl_relay_close() */
-  MOVE_US = 1000000,  /* until callers use other nodes */
+  LONG_LIMIT_MS = 15000, /* behind the exit */
+  SHORT_LIMIT_MS = 5000, /* before it */
+  GRACE_US = 7000000,    /* from the beginning of the stop to wl_relay_close() */
+  MOVE_US = 1000000,     /* until callers use other nodes */
 };
 
 #define EVENT_STREAM                                                                               \
@@ -52,20 +57,20 @@
 }
 
 static void
-send_large (RelayFixture *f)
+send_large (RelayFixture *f, int limit_ms)
 {
   char text[256];
   snprintf (text, sizeof text,
-            "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: 15000\r\n"
+            "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: %d\r\n"
             "X-Prompt: %d\r\nContent-Length: 0\r\n\r\n",
-            LARGE_PROMPT);
+            limit_ms, LARGE_PROMPT);
   raw_client_send (&f->caller, text);
   relay_fixture_settle (f);
 }
 
 /* Occupies the only engine, so that a large prompt has to wait for its memory. */
 static void
-send_large_that_waits (RelayFixture *f)
+send_large_that_waits (RelayFixture *f, int limit_ms)
 {
   WlWorkItem item = { .id = 1,
                       .endpoint = wl_fleet_key ("engine-0"),
@@ -73,7 +78,7 @@
                       .kv_tokens = RELAY_FIXTURE_MEMORY };
   relay_fixture_register_engine (f, 0);
   wl_load_apply (f->load, 2, 1, &item, wl_clock_now_us ());
-  send_large (f);
+  send_large (f, limit_ms);
   ck_assert_uint_eq (wl_relay_active (f->relay), 1);
   ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
 }
@@ -82,7 +87,7 @@
 START_TEST (a_request_that_waits_is_refused_once_its_caller_can_use_another_node)
 {
   RelayFixture *f = create ();
-  send_large_that_waits (f);
+  send_large_that_waits (f, SHORT_LIMIT_MS);
   stop (f, GRACE_US);
   advance (f, MOVE_US - 1000);
   ck_assert_uint_eq (f->caller.size, 0);
@@ -99,7 +104,7 @@
 START_TEST (a_request_that_cannot_be_answered_before_the_exit_does_not_wait)
 {
   RelayFixture *f = create ();
-  send_large_that_waits (f);
+  send_large_that_waits (f, LONG_LIMIT_MS);
   stop (f, 500000);
   advance (f, 20000);
   ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
@@ -114,14 +119,76 @@
   RelayFixture *f = create ();
   relay_fixture_register_engine (f, 0);
   stop (f, 500000);
-  send_large (f);
+  send_large (f, LONG_LIMIT_MS);
   ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
-  ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: 1."));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: 0."));
+  ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against streams that are taken by their forecast, outlast it and are cut by the exit. */
+START_TEST (a_request_that_may_outlast_the_node_is_refused_although_its_forecast_fits)
+{
+  RelayFixture *f = create ();
+  relay_fixture_register_engine (f, 0);
+  stop (f, GRACE_US);
+  advance (f, MOVE_US);
+  send_large (f, LONG_LIMIT_MS);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "Retry-After: 0."));
   ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
   destroy (f);
 }
 END_TEST
 
+/* Guards against prompts that wait for reserved memory meanwhile, and are sent late without a
+ * check. */
+START_TEST (a_request_whose_memory_is_reserved_after_a_stop_began_is_refused)
+{
+  static const char held[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t size = sizeof sa;
+  RelayFixture *f = create ();
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_eq (listen (listener, 8), 0);
+  getsockname (listener, (struct sockaddr *)&sa, &size);
+  relay_fixture_register_engine (f, 0);
+  relay_fixture_register_engine (f, 1);
+  wl_fleet_find (f->fleet, "engine-1")->record.port = ntohs (sa.sin_port);
+  relay_fixture_occupy (f, "engine-1"); /* so that engine-0 answers */
+  raw_client_send (&f->caller, "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\n"
+                               "X-Prompt: 60000\r\nContent-Length: 0\r\n\r\n");
+  relay_fixture_settle (f);
+  int fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  stop (f, GRACE_US);
+  ck_assert_int_eq (send (fd, held, sizeof held - 1, MSG_NOSIGNAL), sizeof held - 1);
+  relay_fixture_settle (f);
+  relay_fixture_settle (f);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_uint_eq (relay_fixture_n_seen (f, "POST /large/"), 0);
+  close (fd);
+  close (listener);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against refusals of requests that end by their own limit while the node is there. */
+START_TEST (a_request_whose_limit_is_before_the_exit_is_taken)
+{
+  RelayFixture *f = create ();
+  relay_fixture_all_answer (f, RELAY_WHOLE, SCRIPT_KEEP);
+  stop (f, GRACE_US);
+  advance (f, MOVE_US);
+  raw_client_send (&f->caller, RELAY_ONCE_REQUEST);
+  advance (f, 0);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "200 OK"));
+  destroy (f);
+}
+END_TEST
+
 START_TEST (a_stopping_node_serves_what_it_can_answer_before_its_exit)
 {
   RelayFixture *f = create ();
@@ -157,7 +224,7 @@
 START_TEST (a_request_that_waits_is_refused_at_the_exit_and_one_that_was_sent_is_not)
 {
   RelayFixture *f = create ();
-  send_large_that_waits (f);
+  send_large_that_waits (f, SHORT_LIMIT_MS);
   stop (f, GRACE_US);
   wl_relay_close (f->relay);
   relay_fixture_settle (f);
@@ -225,6 +292,9 @@
     WL_TEST (a_request_that_waits_is_refused_once_its_caller_can_use_another_node),
     WL_TEST (a_request_that_cannot_be_answered_before_the_exit_does_not_wait),
     WL_TEST (a_request_that_would_outlast_the_node_is_refused_on_arrival),
+    WL_TEST (a_request_that_may_outlast_the_node_is_refused_although_its_forecast_fits),
+    WL_TEST (a_request_whose_memory_is_reserved_after_a_stop_began_is_refused),
+    WL_TEST (a_request_whose_limit_is_before_the_exit_is_taken),
     WL_TEST (a_stopping_node_serves_what_it_can_answer_before_its_exit),
     WL_TEST (a_request_at_an_endpoint_fails_with_504_at_the_exit),
     WL_TEST (a_request_that_waits_is_refused_at_the_exit_and_one_that_was_sent_is_not),
