Soak: endpoints that end and come back

The soak's endpoints broke off single answers but never ended: all connections closed or reset at once, no listener, back after 3 to 5 s under a new id and a later start.

Requests at an endpoint that ended have the verdict that "endpoint broke off" had before, until another endpoint works on them.

A run whose wl-soak could not start left a node running and waited for it: finish had looked for the node's id before it was written. The supervisor now ends a node that it started after the end.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -65,6 +65,7 @@
     WISTERIALOFT_BOOT=$folder/node-$1.yaml "$DAEMON" >>"$folder/node-$1.log" 2>&1 &
     pid=$!
     echo "$pid" >"$folder/node-$1.new" && mv "$folder/node-$1.new" "$folder/node-$1.pid"
+    [ -e "$folder/ending" ] && kill -KILL "$pid" # finish may have looked before it was there
     wait "$pid"
     status=$?
     echo "$pid $status" >>"$folder/node-$1.exits"
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -32,6 +32,8 @@
   WlSoakCaller *callers[WL_SOAK_CALLERS_MAX];
   WlSoakEndpoint *endpoints[WL_SOAK_ENDPOINTS_MAX];
   uint32_t n_endpoints;
+  uint64_t chance;    /* state of random numbers of the ends by chance */
+  uint64_t end_us;    /* the next of them */
   uint64_t version;   /* of the configuration */
   uint64_t submitted; /* latest version that was sent */
   uint32_t operator_node;
@@ -144,6 +146,32 @@
   submit (run);
 }
 
+/* Ends an endpoint now and then. */
+static void
+end_by_chance (Run *run, uint64_t now_us)
+{
+  const WlSoakOptions *o = &run->soak.options;
+  int is_stopping = o->stop_ends_ms > 0 && wl_soak_nodes_is_stopping ();
+  uint32_t every_ms = is_stopping ? o->stop_ends_ms : o->ends_every_ms;
+  uint32_t n = is_stopping ? run->n_endpoints : o->n_engines;
+  uint64_t next_us
+      = now_us + wl_soak_between (&run->chance, every_ms / 2, every_ms * 3 / 2) * UINT64_C (1000);
+  if (every_ms == 0)
+    return;
+  if (run->end_us == 0 || run->end_us > now_us + every_ms * UINT64_C (1500))
+    run->end_us = next_us;
+  if (now_us < run->end_us)
+    return;
+  uint32_t first = wl_soak_between (&run->chance, 0, n - 1);
+  uint64_t away_us = wl_soak_between (&run->chance, 3000, 5000) * UINT64_C (1000);
+  int is_reset = (int)wl_soak_between (&run->chance, 0, 1);
+  uint32_t i = 0;
+  while (i < n
+         && !wl_soak_endpoint_crash (run->endpoints[(first + i) % n], is_reset, away_us, now_us))
+    i++;
+  run->end_us = next_us;
+}
+
 static int
 are_endpoints_known (const Run *run)
 {
@@ -195,6 +223,7 @@
 open_callers (Run *run, uint64_t now_us)
 {
   uint64_t random = run->soak.options.seed;
+  run->chance = random;
   for (uint32_t i = 0; i < run->soak.options.n_callers; i++)
     run->callers[i] = wl_soak_caller_create (&run->soak, i, wl_soak_random (&random));
   wl_soak_nodes_plan (wl_soak_random (&random), now_us, change_config, run);
@@ -212,6 +241,8 @@
     {
       tick (run);
       now_us = wl_clock_now_us ();
+      if (now_us < end_us)
+        end_by_chance (run, now_us);
       n_open = 0;
       for (uint32_t i = 0; i < run->soak.options.n_callers; i++)
         n_open += (uint32_t)wl_soak_caller_tick (run->callers[i], now_us, now_us >= end_us);
@@ -237,13 +268,17 @@
   const WlSoakOptions *o = &run->soak.options;
   const WlSoakStop *stop;
   uint32_t n_stops = 0;
+  uint32_t n_ends = 0;
   for (; (stop = wl_soak_nodes_at (n_stops)) != NULL; n_stops++)
     printf ("stop: node=%u at=%.3f exit=%+.3f\n", stop->node,
             (double)(stop->term_us - start_us) / 1e6,
             ((double)stop->exited_us - (double)stop->term_us) / 1e6);
   wl_soak_judge (start_us);
-  printf ("seed=%u nodes=%u callers=%u seconds=%u stops=%u configs=%u broken=%u\n", o->seed,
-          o->n_nodes, o->n_callers, o->seconds, n_stops, run->n_acknowledged, wl_soak_n_broken ());
+  for (uint32_t i = 0; i < run->n_endpoints; i++)
+    n_ends += wl_soak_endpoint_n_ends (run->endpoints[i]);
+  printf ("seed=%u nodes=%u callers=%u seconds=%u stops=%u configs=%u ends=%u broken=%u\n", o->seed,
+          o->n_nodes, o->n_callers, o->seconds, n_stops, run->n_acknowledged, n_ends,
+          wl_soak_n_broken ());
   return wl_soak_n_broken () > 0 ? EXIT_BROKEN : EXIT_KEPT;
 }
 
@@ -267,6 +302,8 @@
   { "slow", offsetof (WlSoakOptions, slow), 1 },
   { "slow-share", offsetof (WlSoakOptions, slow_share), 100 },
   { "slow-from", offsetof (WlSoakOptions, slow_from_s), 0 },
+  { "ends-every", offsetof (WlSoakOptions, ends_every_ms), 0 },
+  { "stop-ends", offsetof (WlSoakOptions, stop_ends_ms), 0 },
 };
 
 enum
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -66,6 +66,8 @@
  * @slow: endpoints take so many times as long to write, and plain ones to answer, as planned
  * @slow_share: per cent of the endpoints that are slow
  * @slow_from_s: the second of the run from which they are
+ * @ends_every_ms: mean time between engines that end by chance, 0 for never
+ * @stop_ends_ms: the same, of any endpoints, while a node is stopping
  * @is_sound: endpoints meet no fault
  * @net: first address of the run, host byte order, its last number 0
  * @folder: files of the nodes, see wl_soak_nodes.h
@@ -85,6 +87,8 @@
   uint32_t slow;
   uint32_t slow_share;
   uint32_t slow_from_s;
+  uint32_t ends_every_ms;
+  uint32_t stop_ends_ms;
   uint8_t is_sound;
   uint32_t net;
   const char *folder;
--- a/soak/wl_soak_endpoint.c
+++ b/soak/wl_soak_endpoint.c
@@ -47,6 +47,9 @@
 struct WlSoakEndpoint
 {
   const WlSoak *soak;
+  uint32_t number;
+  uint32_t n_starts;
+  uint64_t back_us; /* while it is away, when it starts again */
   uint32_t service;
   char address[FIELD_SIZE];
   char id[FIELD_SIZE];
@@ -173,6 +176,41 @@
   return 1;
 }
 
+static void
+start_anew (WlSoakEndpoint *e)
+{
+  uint32_t ip = e->soak->options.net + WL_SOAK_ENDPOINT_HOST + e->number;
+  if (!wl_soak_conn_listen (&e->listener, e->soak, ip, WL_SOAK_ENDPOINT_PORT))
+    return;
+  snprintf (e->id, sizeof e->id, "i-%08x", 0x50a00000 + e->n_starts++ * 0x100 + e->number);
+  e->started_ms = wl_clock_wall_us () / 1000;
+  e->sequence = 0;
+  e->beat_us = 0;
+  e->back_us = 0;
+}
+
+int
+wl_soak_endpoint_crash (WlSoakEndpoint *e, int is_reset, uint64_t away_us, uint64_t now_us)
+{
+  if (e->back_us != 0)
+    return 0;
+  e->back_us = now_us + away_us;
+  e->prefill_free_us = 0;
+  wl_soak_conn_close (&e->listener, 0);
+  for (Serve *s = e->first; s != NULL; s = s->next)
+    if (s->request != NULL)
+      break_off (s, is_reset ? WL_SOAK_RESETS : WL_SOAK_CLOSES, now_us);
+    else
+      wl_soak_conn_close (&s->conn, is_reset);
+  return 1;
+}
+
+uint32_t
+wl_soak_endpoint_n_ends (const WlSoakEndpoint *e)
+{
+  return e->n_starts - (e->back_us == 0);
+}
+
 /* ---- work ---- */
 
 /* How many times as long as planned it takes to write, and a plain endpoint to answer. */
@@ -418,14 +456,14 @@
     abort ();
   e->soak = soak;
   e->service = number >= soak->options.n_engines;
+  e->number = number;
   e->node = number % soak->options.n_nodes;
   e->is_slow = wl_soak_between (&random, 0, 99) < soak->options.slow_share;
-  e->started_ms = wl_clock_wall_us () / 1000;
   snprintf (e->address, sizeof e->address, "127.%u.%u.%u:%d", ip >> 16 & 255, ip >> 8 & 255,
             ip & 255, WL_SOAK_ENDPOINT_PORT);
-  snprintf (e->id, sizeof e->id, "i-%08x", number + 0x50a00000);
   e->listener = (WlSoakConn){ .fd = -1, .readable = on_connection, .data = e };
-  if (wl_soak_conn_listen (&e->listener, soak, ip, WL_SOAK_ENDPOINT_PORT))
+  start_anew (e);
+  if (e->listener.fd >= 0)
     return e;
   free (e);
   return NULL;
@@ -434,7 +472,9 @@
 void
 wl_soak_endpoint_tick (WlSoakEndpoint *e, uint64_t now_us)
 {
-  if (now_us >= e->beat_us)
+  if (e->back_us != 0 && now_us >= e->back_us)
+    start_anew (e);
+  if (e->back_us == 0 && now_us >= e->beat_us)
     {
       e->beat_us = now_us + HEARTBEAT_INTERVAL_US;
       send_heartbeat (e);
--- a/soak/wl_soak_endpoint.h
+++ b/soak/wl_soak_endpoint.h
@@ -18,6 +18,19 @@
 /** wl_soak_endpoint_tick() - goes on with its requests and registers; call it every few ms */
 void wl_soak_endpoint_tick (WlSoakEndpoint *endpoint, uint64_t now_us);
 
+/**
+ * wl_soak_endpoint_crash() - ends an endpoint: all its connections and its listening socket close
+ * @is_reset: the connections are reset
+ * @away_us: until it starts again, under a new id
+ *
+ * Return: 0 when it is away already.
+ */
+int wl_soak_endpoint_crash (WlSoakEndpoint *endpoint, int is_reset, uint64_t away_us,
+                            uint64_t now_us);
+
+/** wl_soak_endpoint_n_ends() - how often it has ended */
+uint32_t wl_soak_endpoint_n_ends (const WlSoakEndpoint *endpoint);
+
 /** wl_soak_endpoint_is_known() - whether a node has acknowledged a registration */
 int wl_soak_endpoint_is_known (const WlSoakEndpoint *endpoint);
 
