Soak: callers resume streams that broke off; more answers without length

The soak's callers dropped a stream whose connection ended inside it.

--resumes P: callers ask for the rest with a request of its own; its answer is compared, byte for byte, with the origin's from the event behind the last whole one.

--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -302,6 +302,8 @@
   { "slow", offsetof (WlSoakOptions, slow), 1 },
   { "slow-share", offsetof (WlSoakOptions, slow_share), 100 },
   { "slow-from", offsetof (WlSoakOptions, slow_from_s), 0 },
+  { "resumes", offsetof (WlSoakOptions, resumes), 0 },
+  { "unframed", offsetof (WlSoakOptions, unframed), 0 },
   { "ends-every", offsetof (WlSoakOptions, ends_every_ms), 0 },
   { "stop-ends", offsetof (WlSoakOptions, stop_ends_ms), 0 },
 };
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -39,8 +39,9 @@
   WL_SOAK_BIG = 256,     /* sends bodies of up to a MB */
   WL_SOAK_NETWORK = 512, /* its segments are those of an Ethernet, not of the loopback */
   WL_SOAK_ALL_TRAITS = 1023,
-  WL_SOAK_STAYS = 1024, /* stays with its node as long as that accepts connections, whatever the
-                           directory says, and goes on at once after a refusal */
+  WL_SOAK_STAYS = 1024,   /* stays with its node as long as that accepts connections, whatever the
+                             directory says, and goes on at once after a refusal */
+  WL_SOAK_RESUMES = 2048, /* asks for the rest of a stream that broke off */
 } WlSoakTrait;
 
 /** enum WlSoakSeries - what a step of the signals' plan does; bits */
@@ -66,6 +67,8 @@
  * @slow: endpoints take so many times as long to write, and plain ones to answer, as planned
  * @slow_share: per cent of the endpoints that are slow
  * @slow_from_s: the second of the run from which they are
+ * @resumes: per cent of the callers that resume streams (WL_SOAK_RESUMES)
+ * @unframed: per cent of the answers that have no length and no chunks, besides a third of the rest
  * @ends_every_ms: mean time between engines that end by chance, 0 for never
  * @stop_ends_ms: the same, of any endpoints, while a node is stopping
  * @is_sound: endpoints meet no fault
@@ -87,6 +90,8 @@
   uint32_t slow;
   uint32_t slow_share;
   uint32_t slow_from_s;
+  uint32_t resumes;
+  uint32_t unframed;
   uint32_t ends_every_ms;
   uint32_t stop_ends_ms;
   uint8_t is_sound;
--- a/soak/wl_soak_caller.c
+++ b/soak/wl_soak_caller.c
@@ -48,6 +48,7 @@
   WlSoakRequest *current; /* whose answer is due */
   WlSoakRequest *next;    /* pipelined behind it */
   WlSoakRequest *sending; /* one of them, until all is sent */
+  WlSoakRequest *broken;  /* to be resumed */
   uint64_t next_us;       /* earliest time of the next request */
   uint64_t leave_us;
   uint64_t read_us;
@@ -69,10 +70,22 @@
     c->sending = NULL;
 }
 
+/* Only whole events count as received, and there must be one that was not. */
+static int
+may_resume (const WlSoakCaller *c, WlSoakEnd end)
+{
+  const WlSoakRequest *r = c->current;
+  return c->traits & WL_SOAK_RESUMES && r != NULL && wl_soak_kinds[r->kind].may_resume
+         && (end == WL_SOAK_CLOSED || end == WL_SOAK_BROKEN) && r->status == 200
+         && r->body_bytes >= r->event_bytes && r->body_bytes < wl_soak_request_body_bytes (r);
+}
+
 static void
 close_connection (WlSoakCaller *c, WlSoakEnd end)
 {
   uint64_t now_us = wl_clock_now_us ();
+  if (may_resume (c, end))
+    c->broken = c->current;
   if (c->current != NULL)
     end_request (c, c->current, end, now_us);
   if (c->next != NULL)
@@ -121,7 +134,8 @@
   char expected[READ_BYTES];
   if (r->status == 200 && r->body_bytes + size <= wl_soak_request_body_bytes (r))
     {
-      wl_soak_request_body (r, r->body_bytes, expected, size);
+      wl_soak_request_body (r, (uint64_t)r->first_event * r->event_bytes + r->body_bytes, expected,
+                            size);
       r->has_other_bytes |= memcmp (expected, bytes, size) != 0;
     }
   r->body_bytes += size;
@@ -294,6 +308,11 @@
                 r->prompt_tokens, r->n_events, r->id, r->prompt_tokens);
       add_text (c, line);
     }
+  if (r->origin != NULL)
+    {
+      snprintf (line, sizeof line, "Last-Event-Id: %u\r\n", r->first_event);
+      add_text (c, line);
+    }
   if (r->has_chunked_body && size > 1)
     {
       int first = (int)wl_soak_between (&c->random, 1, size - 1);
@@ -317,11 +336,20 @@
 static void
 begin_request (WlSoakCaller *c, uint64_t now_us)
 {
-  WlSoakRequest *r = wl_soak_request_add (choose_kind (&c->random), c->number, &c->random);
-  if (c->soak->options.is_sound)
+  const WlSoakOptions *o = &c->soak->options;
+  const WlSoakRequest *broken = c->current == NULL ? c->broken : NULL;
+  WlSoakKind kind = broken != NULL ? (WlSoakKind)broken->kind : choose_kind (&c->random);
+  WlSoakRequest *r = wl_soak_request_add (kind, c->number, &c->random);
+  if (o->is_sound)
     r->fault = WL_SOAK_SOUND;
+  if (o->unframed > 0 && wl_soak_between (&c->random, 0, 99) < o->unframed)
+    r->framing = WL_SOAK_UNTIL_CLOSE;
+  if (broken != NULL)
+    wl_soak_request_resume (r, broken);
   r->is_slow_reader = (c->traits & WL_SOAK_SLOW) != 0;
-  if (r->is_slow_reader && wl_soak_request_body_bytes (r) > SLOW_ANSWER_MAX_BYTES)
+  if (broken != NULL)
+    c->broken = NULL;
+  else if (r->is_slow_reader && wl_soak_request_body_bytes (r) > SLOW_ANSWER_MAX_BYTES)
     r->event_bytes = SLOW_ANSWER_MAX_BYTES / r->n_events;
   r->node = c->node;
   r->connected_us = c->connected_us;
@@ -382,6 +410,8 @@
       c->traits |= bit & soak->options.traits;
   if (soak->options.stays > 0 && wl_soak_between (&c->random, 0, 99) < soak->options.stays)
     c->traits = (c->traits | WL_SOAK_STAYS | WL_SOAK_PRESSES) & ~(uint32_t)WL_SOAK_HALF;
+  if (soak->options.resumes > 0 && wl_soak_between (&c->random, 0, 99) < soak->options.resumes)
+    c->traits |= WL_SOAK_RESUMES;
   if (c->traits & (WL_SOAK_ANEW | WL_SOAK_HALF))
     c->traits &= ~(uint32_t)WL_SOAK_PIPELINES;
   return c;
--- a/soak/wl_soak_judge.c
+++ b/soak/wl_soak_judge.c
@@ -235,12 +235,16 @@
 wl_soak_judge (uint64_t start_us)
 {
   uint32_t counts[VERDICTS][2] = { { 0 } };
+  uint32_t n_resumed = 0;
+  uint32_t n_resumed_whole = 0;
   const WlSoakRequest *r;
   for (uint32_t i = 0; (r = wl_soak_request_at (i)) != NULL; i++)
     {
       const WlSoakStop *stop = wl_soak_nodes_find_stop (r->node, r->connected_us, r->ended_us);
       Verdict verdict = judge (r, stop);
       counts[verdict][stop != NULL]++;
+      n_resumed += r->origin != NULL;
+      n_resumed_whole += r->origin != NULL && verdict == VERDICT_WHOLE;
       if (verdict >= FIRST_BROKEN || verdict == VERDICT_SLOW_READER || verdict == VERDICT_AT_WORK)
         print_request (r, verdict, stop, start_us);
     }
@@ -248,4 +252,5 @@
   for (int v = 0; v < VERDICTS; v++)
     printf ("%s%-*s %8u %8u\n", v < FIRST_BROKEN ? "" : "BROKEN ", v < FIRST_BROKEN ? 36 : 29,
             verdict_text[v], counts[v][1], counts[v][0]);
+  printf ("resumed by callers: %u, of them whole answer: %u\n", n_resumed, n_resumed_whole);
 }
--- a/soak/wl_soak_request.c
+++ b/soak/wl_soak_request.c
@@ -62,6 +62,18 @@
   return r;
 }
 
+void
+wl_soak_request_resume (WlSoakRequest *r, const WlSoakRequest *broken)
+{
+  r->origin = broken->origin != NULL ? broken->origin : broken;
+  r->first_event = broken->first_event + (uint32_t)(broken->body_bytes / broken->event_bytes);
+  r->prompt_tokens = broken->prompt_tokens;
+  r->n_events = broken->n_events;
+  r->event_bytes = broken->event_bytes;
+  r->event_gap_ms = broken->event_gap_ms;
+  r->fault_event = r->n_events - 1;
+}
+
 WlSoakRequest *
 wl_soak_request_find (const char *id)
 {
@@ -104,18 +116,19 @@
 {
   if (wl_soak_kinds[r->kind].service != 0)
     return (uint64_t)r->service_ms * r->slowness;
-  return prefill_ms (r) + (uint64_t)r->n_events * r->event_gap_ms * r->slowness;
+  return prefill_ms (r) + (uint64_t)(r->n_events - r->first_event) * r->event_gap_ms * r->slowness;
 }
 
 uint64_t
 wl_soak_request_body_bytes (const WlSoakRequest *r)
 {
-  return (uint64_t)r->n_events * r->event_bytes;
+  return (uint64_t)(r->n_events - r->first_event) * r->event_bytes;
 }
 
 void
 wl_soak_request_body (const WlSoakRequest *r, uint64_t offset, char *out, size_t size)
 {
+  const WlSoakRequest *source = r->origin != NULL ? r->origin : r;
   char head[EVENT_HEAD_SIZE];
   size_t done = 0;
   while (done < size)
@@ -123,11 +136,11 @@
       uint32_t event = (uint32_t)(offset / r->event_bytes);
       uint32_t at = (uint32_t)(offset % r->event_bytes);
       uint32_t head_size
-          = (uint32_t)snprintf (head, sizeof head, "id: %u\ndata: %s-", event + 1, r->id);
+          = (uint32_t)snprintf (head, sizeof head, "id: %u\ndata: %s-", event + 1, source->id);
       uint32_t n = r->event_bytes - at;
       if (n > size - done)
         n = (uint32_t)(size - done);
-      memset (out + done, 'a' + (int)((event + r->index) % 26), n);
+      memset (out + done, 'a' + (int)((event + source->index) % 26), n);
       for (uint32_t i = at; i < at + n && i < head_size; i++)
         out[done + i - at] = head[i];
       for (uint32_t i = r->event_bytes - 2 > at ? r->event_bytes - 2 : at; i < at + n; i++)
--- a/soak/wl_soak_request.h
+++ b/soak/wl_soak_request.h
@@ -74,6 +74,8 @@
  * @service_ms: of a plain service
  * @n_events, @event_bytes, @event_gap_ms: the answer; its body is the events one after the other
  * @fault_event: event before which the fault happens
+ * @origin: the stream that it resumes, whose answer it continues, or NULL
+ * @first_event: the first that its caller has not got, 0 without @origin
  * @node: index of the node that it was sent to
  * @connected_us: when its connection was opened
  * @sent_us: when the kernel had taken its last byte, 0 if it was not sent whole
@@ -107,6 +109,8 @@
   uint32_t event_bytes;
   uint32_t event_gap_ms;
   uint32_t fault_event;
+  const struct WlSoakRequest *origin;
+  uint32_t first_event;
 
   uint32_t node;
   uint64_t connected_us;
@@ -138,6 +142,12 @@
 /** wl_soak_request_add() - a request of @kind, planned by @random */
 WlSoakRequest *wl_soak_request_add (WlSoakKind kind, uint32_t caller, uint64_t *random);
 
+/**
+ * wl_soak_request_resume() - makes a request that was just added ask for the rest of a stream
+ * @broken: the stream, of the same kind, of which some whole events have been received
+ */
+void wl_soak_request_resume (WlSoakRequest *r, const WlSoakRequest *broken);
+
 /** wl_soak_request_find() - the request with an id, NULL if no caller sent one */
 WlSoakRequest *wl_soak_request_find (const char *id);
 
@@ -153,10 +163,10 @@
 /** wl_soak_request_taken_ms() - time of a whole answer at the endpoint of the latest work */
 uint64_t wl_soak_request_taken_ms (const WlSoakRequest *r);
 
-/** wl_soak_request_body_bytes() - size of the whole answer */
+/** wl_soak_request_body_bytes() - size of the whole answer, from @first_event */
 uint64_t wl_soak_request_body_bytes (const WlSoakRequest *r);
 
-/** wl_soak_request_body() - writes @size bytes of the answer from @offset */
+/** wl_soak_request_body() - writes @size bytes of the answer from @offset, 0 is that of event 0 */
 void wl_soak_request_body (const WlSoakRequest *r, uint64_t offset, char *out, size_t size);
 
 #endif
