--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -299,6 +299,7 @@
   { "share", offsetof (WlSoakOptions, share), 25 },
   { "stays", offsetof (WlSoakOptions, stays), 0 },
   { "series", offsetof (WlSoakOptions, series), WL_SOAK_ALL_SERIES },
+  { "beside", offsetof (WlSoakOptions, beside), 0 },
   { "slow", offsetof (WlSoakOptions, slow), 1 },
   { "slow-share", offsetof (WlSoakOptions, slow_share), 100 },
   { "slow-from", offsetof (WlSoakOptions, slow_from_s), 0 },
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -62,6 +62,7 @@
  * @seed: determines the requests, their faults, the callers and the signals
  * @n_engines, @n_plain: endpoints of the two services
  * @traits, @series: those that may occur
+ * @beside: per cent of the steps of the signals' plan that do each of the other @series, too
  * @share: per cent of the callers that have a trait
  * @stays: per cent of the callers that press and stay (WL_SOAK_PRESSES, WL_SOAK_STAYS)
  * @slow: endpoints take so many times as long to write, and plain ones to answer, as planned
@@ -85,6 +86,7 @@
   uint32_t n_plain;
   uint32_t traits;
   uint32_t series;
+  uint32_t beside;
   uint32_t share;
   uint32_t stays;
   uint32_t slow;
--- a/soak/wl_soak_nodes.c
+++ b/soak/wl_soak_nodes.c
@@ -144,23 +144,35 @@
         = (Action){ signal, (uint8_t)has_new_settings, node % options->n_nodes, at_us };
 }
 
-/* Adds one step of the plan; returns the nodes that it stops. */
+/* The series of a step with what goes on beside it, which is not a stop of all nodes. */
 static uint32_t
-plan_step (uint64_t *random, WlSoakSeries series, uint32_t node, uint64_t at_us)
+add_beside (uint64_t *random, uint32_t series)
+{
+  if (options->beside == 0)
+    return series;
+  for (uint32_t bit = 1; bit < WL_SOAK_ALL_SERIES; bit *= 2)
+    if (bit != WL_SOAK_ALL && wl_soak_between (random, 0, 99) < options->beside)
+      series |= bit & options->series;
+  return series;
+}
+
+/* Adds one step of the plan, @series as bits; returns the nodes that it stops. */
+static uint32_t
+plan_step (uint64_t *random, uint32_t series, uint32_t node, uint64_t at_us)
 {
   uint64_t near_us = at_us + wl_soak_between (random, 0, 1500) * 1000u - 500000;
-  uint32_t n = series == WL_SOAK_TWO ? 2 : series == WL_SOAK_ALL ? options->n_nodes : 1;
-  uint32_t gap_ms = series == WL_SOAK_TWO ? 300 : 2000;
+  uint32_t n = series & WL_SOAK_ALL ? options->n_nodes : series & WL_SOAK_TWO ? 2 : 1;
+  uint32_t gap_ms = n == 2 ? 300 : 2000;
   for (uint32_t i = 0; i < n; i++)
     {
       add_action (SIGTERM, 0, node + i, at_us);
       at_us += wl_soak_between (random, 0, gap_ms) * 1000u;
     }
-  if (series == WL_SOAK_TERM)
+  if (series & WL_SOAK_TERM)
     add_action (SIGTERM, 0, node, at_us + wl_soak_between (random, 1, 6000) * 1000u);
-  if (series == WL_SOAK_HUP || series == WL_SOAK_SETTINGS)
-    add_action (SIGHUP, series == WL_SOAK_SETTINGS, node, near_us);
-  if (series == WL_SOAK_CONFIG)
+  if (series & (WL_SOAK_HUP | WL_SOAK_SETTINGS))
+    add_action (SIGHUP, (series & WL_SOAK_SETTINGS) != 0, node, near_us);
+  if (series & WL_SOAK_CONFIG)
     add_action (0, 0, node, near_us);
   return n;
 }
@@ -180,7 +192,7 @@
       uint32_t series = 1u << wl_soak_between (&random, 0, 6);
       if ((series & options->series) == 0)
         continue;
-      uint32_t n = plan_step (&random, (WlSoakSeries)series, node, at_us);
+      uint32_t n = plan_step (&random, add_beside (&random, series), node, at_us);
       node += n;
       at_us += n * (uint64_t)wl_soak_between (&random, CYCLE_MIN_MS, CYCLE_MAX_MS) * 1000 / n_apart;
     }
