Soak: runs beside busy processors

--busy N: threads of wl-soak that only use processor time while the callers run, so that the nodes of a run compete for processors. They end with the run.

--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,6 +1,8 @@
 #include <getopt.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -43,6 +45,7 @@
 } Run;
 
 static volatile sig_atomic_t is_interrupted;
+static atomic_int is_over; /* the callers have ended */
 
 static void
 on_signal (int number)
@@ -249,6 +252,34 @@
     }
 }
 
+static void *
+use_processor (void *data)
+{
+  (void)data;
+  while (!atomic_load_explicit (&is_over, memory_order_relaxed))
+    ;
+  return NULL;
+}
+
+static int
+run_beside_load (Run *run)
+{
+  pthread_t threads[WL_SOAK_BUSY_MAX];
+  uint32_t n = 0;
+  while (n < run->soak.options.n_busy
+         && pthread_create (&threads[n], NULL, use_processor, NULL) == 0)
+    n++;
+  int is_whole = n == run->soak.options.n_busy;
+  if (is_whole)
+    drive (run);
+  else
+    fprintf (stderr, "wl-soak: no thread\n");
+  atomic_store (&is_over, 1);
+  while (n > 0)
+    pthread_join (threads[--n], NULL);
+  return is_whole && !is_interrupted;
+}
+
 static void
 close_run (Run *run)
 {
@@ -305,6 +336,7 @@
   { "slow-from", offsetof (WlSoakOptions, slow_from_s), 0 },
   { "resumes", offsetof (WlSoakOptions, resumes), 0 },
   { "unframed", offsetof (WlSoakOptions, unframed), 0 },
+  { "busy", offsetof (WlSoakOptions, n_busy), 0 },
   { "ends-every", offsetof (WlSoakOptions, ends_every_ms), 0 },
   { "stop-ends", offsetof (WlSoakOptions, stop_ends_ms), 0 },
 };
@@ -358,7 +390,7 @@
   o->series &= WL_SOAK_ALL_SERIES;
   return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->series != 0 && o->slow > 0
          && o->n_nodes <= WL_SOAK_NODES_MAX && o->n_callers <= WL_SOAK_CALLERS_MAX
-         && o->n_engines > 0 && o->n_plain > 0
+         && o->n_busy <= WL_SOAK_BUSY_MAX && o->n_engines > 0 && o->n_plain > 0
          && o->n_engines + o->n_plain <= WL_SOAK_ENDPOINTS_MAX;
 }
 
@@ -389,8 +421,8 @@
     {
       run.soak.begin_us = wl_clock_now_us ();
       open_callers (&run, run.soak.begin_us);
-      drive (&run);
-      status = is_interrupted ? EXIT_NOT_RUN : report (&run, run.soak.begin_us);
+      if (run_beside_load (&run))
+        status = report (&run, run.soak.begin_us);
     }
   close_run (&run);
   curl_global_cleanup ();
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -19,6 +19,7 @@
   WL_SOAK_NODES_MAX = 16,
   WL_SOAK_ENDPOINTS_MAX = 64,
   WL_SOAK_CALLERS_MAX = 512,
+  WL_SOAK_BUSY_MAX = 16,
   WL_SOAK_SLOTS = 4,             /* of an endpoint */
   WL_SOAK_PREFILL_PER_S = 20000, /* prompt tokens of an engine, by the configuration */
   WL_SOAK_STEP_MS = 5,           /* of an output token, by the configuration */
@@ -72,6 +73,7 @@
  * @unframed: per cent of the answers that have no length and no chunks, besides a third of the rest
  * @ends_every_ms: mean time between engines that end by chance, 0 for never
  * @stop_ends_ms: the same, of any endpoints, while a node is stopping
+ * @n_busy: threads that only use processor time while the callers run
  * @is_sound: endpoints meet no fault
  * @net: first address of the run, host byte order, its last number 0
  * @folder: files of the nodes, see wl_soak_nodes.h
@@ -96,6 +98,7 @@
   uint32_t unframed;
   uint32_t ends_every_ms;
   uint32_t stop_ends_ms;
+  uint32_t n_busy;
   uint8_t is_sound;
   uint32_t net;
   const char *folder;
