Soak: requests with deadlines shorter than their route's timeout

All requests had their route's timeout of 10 or 20 s as their deadline, longer than a node has after SIGTERM. Requests whose own limit ends before the node does are the ones that a stopping node may take late, and none was sent.

--hurried P: P per cent of the requests have a deadline of 0.4 to 4 s. The judge takes the deadline of the request where it took the timeout of its route.

--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -336,6 +336,7 @@
   { "slow-from", offsetof (WlSoakOptions, slow_from_s), 0 },
   { "resumes", offsetof (WlSoakOptions, resumes), 0 },
   { "unframed", offsetof (WlSoakOptions, unframed), 0 },
+  { "hurried", offsetof (WlSoakOptions, hurried), 0 },
   { "busy", offsetof (WlSoakOptions, n_busy), 0 },
   { "ends-every", offsetof (WlSoakOptions, ends_every_ms), 0 },
   { "stop-ends", offsetof (WlSoakOptions, stop_ends_ms), 0 },
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -71,6 +71,7 @@
  * @slow_from_s: the second of the run from which they are
  * @resumes: per cent of the callers that resume streams (WL_SOAK_RESUMES)
  * @unframed: per cent of the answers that have no length and no chunks, besides a third of the rest
+ * @hurried: per cent of the requests whose deadline is 0.4 to 4 s
  * @ends_every_ms: mean time between engines that end by chance, 0 for never
  * @stop_ends_ms: the same, of any endpoints, while a node is stopping
  * @n_busy: threads that only use processor time while the callers run
@@ -96,6 +97,7 @@
   uint32_t slow_from_s;
   uint32_t resumes;
   uint32_t unframed;
+  uint32_t hurried;
   uint32_t ends_every_ms;
   uint32_t stop_ends_ms;
   uint32_t n_busy;
--- a/soak/wl_soak_caller.c
+++ b/soak/wl_soak_caller.c
@@ -299,7 +299,7 @@
   snprintf (line, sizeof line,
             "POST /%s/item HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: %s\r\n"
             "X-Deadline-Ms: %u\r\nX-Api-Key: key-%u\r\n",
-            kind->name, r->id, kind->timeout_ms, c->number % 2);
+            kind->name, r->id, r->deadline_ms, c->number % 2);
   add_text (c, line);
   if (kind->service == 0)
     {
@@ -344,6 +344,8 @@
     r->fault = WL_SOAK_SOUND;
   if (o->unframed > 0 && wl_soak_between (&c->random, 0, 99) < o->unframed)
     r->framing = WL_SOAK_UNTIL_CLOSE;
+  if (o->hurried > 0 && wl_soak_between (&c->random, 0, 99) < o->hurried)
+    r->deadline_ms = wl_soak_between (&c->random, 400, 4000);
   if (broken != NULL)
     wl_soak_request_resume (r, broken);
   r->is_slow_reader = (c->traits & WL_SOAK_SLOW) != 0;
@@ -447,7 +449,7 @@
     wl_soak_conn_pause (&c->conn, 0);
   if (c->current == NULL)
     return !is_ending;
-  uint64_t limit_us = (uint64_t)wl_soak_kinds[c->current->kind].timeout_ms * 1000;
+  uint64_t limit_us = (uint64_t)c->current->deadline_ms * 1000;
   if (now_us > c->leave_us || now_us > c->current->started_us + limit_us + GRACE_PAST_DEADLINE_US)
     close_connection (c, WL_SOAK_LEFT);
   return 1;
--- a/soak/wl_soak_judge.c
+++ b/soak/wl_soak_judge.c
@@ -84,7 +84,7 @@
 static uint64_t
 expiry_us (const WlSoakRequest *r)
 {
-  return r->started_us + (uint64_t)wl_soak_kinds[r->kind].timeout_ms * 1000;
+  return r->started_us + (uint64_t)r->deadline_ms * 1000;
 }
 
 /* Answers come in the order of the requests: a pipelined one is held from its turn only. */
@@ -217,12 +217,13 @@
   add_time (times, "exit", stop != NULL ? stop->exited_us : 0, from_us);
   snprintf (line, sizeof line,
             "%s: id=%s kind=%s caller=%u node=%u %s=%.3f%s status=%u end=%s bytes=%llu/%llu"
-            " arrivals=%u runs=%u broke_off=%u stated_ms=%llu taken_ms=%llu framing=%u traits=%x",
+            " deadline_ms=%u arrivals=%u runs=%u broke_off=%u stated_ms=%llu taken_ms=%llu "
+            "framing=%u traits=%x",
             verdict_text[verdict], r->id, wl_soak_kinds[r->kind].name, r->caller, r->node,
             stop != NULL ? "stopped" : "no stop, begin", (double)(from_us - start_us) / 1e6, times,
             r->status, r->end == WL_SOAK_BROKEN ? "reset" : "closed",
             (unsigned long long)r->body_bytes, (unsigned long long)wl_soak_request_body_bytes (r),
-            r->n_arrivals, r->n_runs, r->n_broken_off,
+            r->deadline_ms, r->n_arrivals, r->n_runs, r->n_broken_off,
             (unsigned long long)wl_soak_request_stated_ms (r),
             (unsigned long long)wl_soak_request_taken_ms (r), r->framing, r->traits);
   if (verdict >= FIRST_BROKEN)
--- a/soak/wl_soak_request.c
+++ b/soak/wl_soak_request.c
@@ -31,6 +31,7 @@
   r->prompt_tokens = r->kind == WL_SOAK_LONG ? wl_soak_between (random, 40000, 120000)
                      : is_engine             ? wl_soak_between (random, 500, 8000)
                                              : 0;
+  r->deadline_ms = wl_soak_kinds[r->kind].timeout_ms;
   r->service_ms = wl_soak_between (random, 5, 800);
   r->n_events = is_engine ? wl_soak_between (random, 5, 60) : 1;
   r->event_bytes = wl_soak_between (random, EVENT_BYTES_MIN, 600);
--- a/soak/wl_soak_request.h
+++ b/soak/wl_soak_request.h
@@ -28,7 +28,7 @@
  * @route_kind: as in the configuration
  * @service: index of its service, 0 has engines
  * @objective_ms: of its route
- * @timeout_ms: of its route, and the callers' deadline
+ * @timeout_ms: of its route, and the callers' usual deadline
  */
 typedef struct
 {
@@ -72,6 +72,7 @@
  * struct WlSoakRequest - a request
  * @prompt_tokens: X-Token-Count
  * @service_ms: of a plain service
+ * @deadline_ms: of its caller, the timeout of its route at most
  * @n_events, @event_bytes, @event_gap_ms: the answer; its body is the events one after the other
  * @fault_event: event before which the fault happens
  * @origin: the stream that it resumes, whose answer it continues, or NULL
@@ -105,6 +106,7 @@
   uint32_t traits;
   uint32_t prompt_tokens;
   uint32_t service_ms;
+  uint32_t deadline_ms;
   uint32_t n_events;
   uint32_t event_bytes;
   uint32_t event_gap_ms;
