--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -256,6 +256,12 @@
     r->is_reservation_refused = 1;
   if (r->n_pending_reservations > 0)
     return;
+  if (wl_relay_may_outlast_node (r))
+    {
+      wl_relay_release_endpoints (r);
+      wl_relay_refuse (r, 0, WL_REASON_STOPPING);
+      return;
+    }
   if (!r->is_reservation_refused)
     {
       send_attempt (r, now_us);
@@ -269,6 +275,7 @@
 wl_relay_start_attempt (WlRelayRequest *r, uint64_t now_us)
 {
   set_targets (r);
+  r->expected_us = wl_relay_expected_duration_us (r, now_us);
   report_phase (r, WL_WORK_SENT);
   r->is_reservation_refused = 0;
   r->n_pending_reservations = 0;
