--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -19,6 +19,7 @@
   WL_SOAK_NODES_MAX = 16,
   WL_SOAK_ENDPOINTS_MAX = 64,
   WL_SOAK_CALLERS_MAX = 512,
+  WL_SOAK_BUSY_MAX = 16,
   WL_SOAK_SLOTS = 4,             /* of an endpoint */
   WL_SOAK_PREFILL_PER_S = 20000, /* prompt tokens of an engine, by the configuration */
   WL_SOAK_STEP_MS = 5,           /* of an output token, by the configuration */
@@ -39,8 +40,9 @@
   WL_SOAK_BIG = 256,     /* sends bodies of up to a MB */
   WL_SOAK_NETWORK = 512, /* its segments are those of an Ethernet, not of the loopback */
   WL_SOAK_ALL_TRAITS = 1023,
-  WL_SOAK_STAYS = 1024, /* stays with its node as long as that accepts connections, whatever the
-                           directory says, and goes on at once after a refusal */
+  WL_SOAK_STAYS = 1024,   /* stays with its node as long as that accepts connections, whatever the
+                             directory says, and goes on at once after a refusal */
+  WL_SOAK_RESUMES = 2048, /* asks for the rest of a stream that broke off */
 } WlSoakTrait;
 
 /** enum WlSoakSeries - what a step of the signals' plan does; bits */
@@ -61,11 +63,18 @@
  * @seed: determines the requests, their faults, the callers and the signals
  * @n_engines, @n_plain: endpoints of the two services
  * @traits, @series: those that may occur
+ * @beside: per cent of the steps of the signals' plan that do each of the other @series, too
  * @share: per cent of the callers that have a trait
  * @stays: per cent of the callers that press and stay (WL_SOAK_PRESSES, WL_SOAK_STAYS)
  * @slow: endpoints take so many times as long to write, and plain ones to answer, as planned
  * @slow_share: per cent of the endpoints that are slow
  * @slow_from_s: the second of the run from which they are
+ * @resumes: per cent of the callers that resume streams (WL_SOAK_RESUMES)
+ * @unframed: per cent of the answers that have no length and no chunks, besides a third of the rest
+ * @hurried: per cent of the requests whose deadline is 0.4 to 4 s
+ * @ends_every_ms: mean time between engines that end by chance, 0 for never
+ * @stop_ends_ms: the same, of any endpoints, while a node is stopping
+ * @n_busy: threads that only use processor time while the callers run
  * @is_sound: endpoints meet no fault
  * @net: first address of the run, host byte order, its last number 0
  * @folder: files of the nodes, see wl_soak_nodes.h
@@ -80,11 +89,18 @@
   uint32_t n_plain;
   uint32_t traits;
   uint32_t series;
+  uint32_t beside;
   uint32_t share;
   uint32_t stays;
   uint32_t slow;
   uint32_t slow_share;
   uint32_t slow_from_s;
+  uint32_t resumes;
+  uint32_t unframed;
+  uint32_t hurried;
+  uint32_t ends_every_ms;
+  uint32_t stop_ends_ms;
+  uint32_t n_busy;
   uint8_t is_sound;
   uint32_t net;
   const char *folder;
