A stream without length that ends before or within its first event is cut

Here it could happen to a response of a streaming route with neither a length nor chunks: ended by a plain close between its head and its first event, or, without a Content-Type, anywhere within the first event.

Cause: wl_relay_answer.c took a body without a complete event for a body without events unless its type said "text/event-stream", and an end before the first byte of the body for a whole one.

Why the fix works: a 200 on a streaming route that ends with its connection has to end after an event, whether it has a type or not; one without any event is cut, unless it is the rest of a stream (resumed here, or asked for by the caller with Last-Event-Id), which may be empty. The request then goes on elsewhere where it may, as after any other cut.

--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -28,6 +28,7 @@
  * @prompt: prompt tokens, 0 for requests without a prompt
  * @output: limit of output tokens, 0 for none
  * @output_hint: the caller's estimate of output tokens, 0 when missing
+ * @has_last_event: the caller has events of the stream and wants those after them
  *
  * The strings belong to the request's head.
  */
@@ -39,6 +40,7 @@
   uint32_t prompt;
   uint32_t output;
   uint32_t output_hint;
+  uint8_t has_last_event;
 } WlRelayRequestInfo;
 
 /**
--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -351,7 +351,10 @@
   r->progress_us = wl_clock_now_us ();
   r->forwards_events = is_success (r) && r->route->kind == WL_ROUTE_STREAM && r->response.is_sealed
                        && (!r->is_resumed || is_event_stream (head));
-  r->has_only_events = r->forwards_events && is_typed_event_stream (head);
+  r->is_close_delimited = head->is_close_delimited;
+  r->has_only_events
+      = r->forwards_events
+        && (is_typed_event_stream (head) || (head->is_close_delimited && is_event_stream (head)));
   if (!r->is_resumed)
     save_fields (r, head);
   return WL_FETCH_TAKE;
@@ -450,6 +453,19 @@
   wl_buffer_clear (&body);
 }
 
+/*
+ * Whether a stream stopped within an event, or before its first one. Without a length that is no
+ * error of HTTP. A stream that goes on from a given event may have none left.
+ */
+static int
+is_stream_cut (const WlRelayRequest *r)
+{
+  if (wl_buffer_left (&r->events.pending) > 0)
+    return r->phase == WL_RELAY_ANSWERING || r->has_only_events;
+  return r->has_only_events && r->is_close_delimited && r->events.n_events == 0
+         && !r->info.has_last_event;
+}
+
 static void
 on_complete (WlRelayRequest *r, uint64_t now_us)
 {
@@ -483,10 +499,8 @@
       reply_and_finish (r, "endpoint_error");
       return;
     }
-  if ((r->phase == WL_RELAY_ANSWERING || r->has_only_events)
-      && wl_buffer_left (&r->events.pending) > 0)
+  if (is_stream_cut (r))
     {
-      /* The endpoint stopped within an event. Without a length that is no error of HTTP. */
       wl_relay_record_failure (r, e, WL_FAILURE_LOST, WL_REASON_BROKEN, now_us);
       wl_relay_on_failure (r, WL_REASON_BROKEN, now_us);
       return;
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -78,8 +78,9 @@
  * @is_stall_recorded: the stall of the current attempt was recorded as a failure
  * @is_resumed: the current attempt goes on with a response that the caller has a part of
  * @forwards_events: the response is a stream whose events are forwarded as they arrive
- * @has_only_events: the endpoint says so by the type of the response, which otherwise may be a
- *   body without events
+ * @has_only_events: it must end after an event: the endpoint says so by the type, or the body ends
+ *   with its connection; any other one may be a body without events
+ * @is_close_delimited: the response's body ends with its connection
  * @status: HTTP status of the response
  * @fields: header fields of the response, for the caller
  * @body: the part of the response's body that is kept back
@@ -122,6 +123,7 @@
   uint8_t is_resumed;
   uint8_t forwards_events;
   uint8_t has_only_events;
+  uint8_t is_close_delimited;
 
   uint32_t status;
   WlRelayResponseInfo response;
--- a/relay/transport/wl_http_reader.c
+++ b/relay/transport/wl_http_reader.c
@@ -103,6 +103,15 @@
   return 0;
 }
 
+static int
+is_close_delimited (const http_parser *p)
+{
+  const WlHttpReader *r = p->data;
+  return p->type == HTTP_RESPONSE && p->status_code >= 200 && p->status_code != 204
+         && p->status_code != 304 && !r->has_no_body
+         && (p->flags & (F_CONTENTLENGTH | F_CHUNKED)) == 0;
+}
+
 static int
 on_head_done (http_parser *p)
 {
@@ -113,6 +122,7 @@
   h->status = p->status_code;
   h->has_length = (p->flags & F_CONTENTLENGTH) != 0;
   h->length = h->has_length ? p->content_length : 0;
+  h->is_close_delimited = (uint8_t)is_close_delimited (p);
   h->keep_alive = (uint8_t)http_should_keep_alive (p);
   h->expects_continue = expect != NULL && strcasecmp (expect, "100-continue") == 0;
   r->has_head = 1;
--- a/relay/transport/wl_http_reader.h
+++ b/relay/transport/wl_http_reader.h
@@ -30,6 +30,7 @@
  * @method: request method, from http_parser
  * @status: response status
  * @length: value of Content-Length, when @has_length
+ * @is_close_delimited: the response's body ends with its connection: no length, no chunks
  * @keep_alive: the connection may be used for another message
  * @expects_continue: the client waits for 100 (Continue) before it sends the body
  * @bytes: size of the head as received
@@ -44,6 +45,7 @@
   uint32_t status;
   uint64_t length;
   uint8_t has_length;
+  uint8_t is_close_delimited;
   uint8_t keep_alive;
   uint8_t expects_continue;
   uint64_t bytes;
