--- a/testkit/wl_relay_fixture.c
+++ b/testkit/wl_relay_fixture.c
@@ -145,6 +145,12 @@
   wl_fleet_apply (f->fleet, &e, wl_clock_now_us ());
 }
 
+WlRelayProtocol
+relay_fixture_protocol (void)
+{
+  return (WlRelayProtocol){ read_request, is_own_field, write_fields, read_answer, write_order };
+}
+
 RelayFixture *
 relay_fixture_create (void)
 {
@@ -159,7 +165,7 @@
     .client = f.client,
     .fleet = f.fleet,
     .load = f.load,
-    .protocol = { read_request, is_own_field, write_fields, read_answer, write_order },
+    .protocol = relay_fixture_protocol (),
     .domain = "z",
     .node = 1,
     .boot_id = 1,
--- a/testkit/wl_relay_fixture.h
+++ b/testkit/wl_relay_fixture.h
@@ -50,6 +50,9 @@
 /** relay_fixture_routes() - the routes: /safe/, /once/, /stream/, and /large/ on engines */
 WlRoutes *relay_fixture_routes (void);
 
+/** relay_fixture_protocol() - the protocol's header fields */
+WlRelayProtocol relay_fixture_protocol (void);
+
 /** relay_fixture_register() - registers an endpoint as eN, at a port */
 void relay_fixture_register (RelayFixture *f, uint32_t i, uint16_t port);
 
