--- a/testkit/wl_memory_disk.c
+++ b/testkit/wl_memory_disk.c
@@ -44,10 +44,11 @@
 
 /* Counts an operation. Returns its error. */
 static WlError
-operate (MemoryFolder *f)
+operate (MemoryFolder *f, MemoryOperation kind)
 {
   f->operations++;
-  return f->fail_at != 0 && f->operations >= f->fail_at ? f->fail_with : WL_OK;
+  int is_failing = f->fail_kinds == 0 || (f->fail_kinds & kind) != 0;
+  return f->fail_at != 0 && f->operations >= f->fail_at && is_failing ? f->fail_with : WL_OK;
 }
 
 static WlError
@@ -75,7 +76,7 @@
 memory_append (WlDisk *disk, const char *name, WlBytes bytes)
 {
   MemoryFolder *f = folder_of (disk);
-  WlError error = operate (f);
+  WlError error = operate (f, MEMORY_APPEND);
   MemoryFile *file = make_file (f, name);
   /* A failing write may still have written a part. */
   uint32_t n = error == WL_OK ? bytes.size : bytes.size / 2;
@@ -91,7 +92,7 @@
 memory_truncate (WlDisk *disk, const char *name, uint64_t size)
 {
   MemoryFolder *f = folder_of (disk);
-  WlError error = operate (f);
+  WlError error = operate (f, MEMORY_TRUNCATE);
   MemoryFile *file = find_file (f, name);
   if (error != WL_OK || file == NULL)
     return error != WL_OK ? error : WL_ERROR_NOT_FOUND;
@@ -106,7 +107,7 @@
 memory_sync (WlDisk *disk, const char *name)
 {
   MemoryFolder *f = folder_of (disk);
-  WlError error = operate (f);
+  WlError error = operate (f, MEMORY_SYNC);
   if (error == WL_OK)
     make_file (f, name)->synced = make_file (f, name)->size;
   return error;
@@ -116,7 +117,7 @@
 memory_rename (WlDisk *disk, const char *from, const char *to)
 {
   MemoryFolder *f = folder_of (disk);
-  WlError error = operate (f);
+  WlError error = operate (f, MEMORY_RENAME);
   if (error != WL_OK)
     return error;
   MemoryFile *target = find_file (f, to);
@@ -136,7 +137,7 @@
   MemoryFile *file = find_file (f, name);
   if (file == NULL)
     return WL_ERROR_NOT_FOUND;
-  WlError error = operate (f);
+  WlError error = operate (f, MEMORY_REMOVE);
   if (error == WL_OK)
     file->exists = 0;
   return error;
@@ -159,7 +160,7 @@
 memory_sync_folder (WlDisk *disk)
 {
   MemoryFolder *f = folder_of (disk);
-  WlError error = operate (f);
+  WlError error = operate (f, MEMORY_SYNC_FOLDER);
   if (error != WL_OK)
     return error;
   for (int i = 0; i < MEMORY_FILES; i++)
--- a/testkit/wl_memory_disk.h
+++ b/testkit/wl_memory_disk.h
@@ -20,10 +20,22 @@
   uint8_t exists;
 } MemoryFile;
 
+/** enum MemoryOperation - operations that may fail; bits */
+typedef enum
+{
+  MEMORY_APPEND = 1,
+  MEMORY_TRUNCATE = 2,
+  MEMORY_SYNC = 4,
+  MEMORY_RENAME = 8,
+  MEMORY_REMOVE = 16,
+  MEMORY_SYNC_FOLDER = 32,
+} MemoryOperation;
+
 /**
  * struct MemoryFolder - what outlives the process
  * @operations: write, sync, rename and remove operations so far
  * @fail_at: operation that fails, together with all later ones; 0 for none
+ * @fail_kinds: kinds of operations that fail then, 0 for all
  * @fail_with: error of the failing operations
  * @keep_unsynced: a crash keeps unsynced bytes up to this many of each file
  */
@@ -33,6 +45,7 @@
   MemoryFile shadow[MEMORY_FILES]; /* names as of the latest sync of the folder */
   uint32_t operations;
   uint32_t fail_at;
+  uint32_t fail_kinds;
   WlError fail_with;
   uint32_t keep_unsynced;
 } MemoryFolder;
