--- a/runtime/tests/test_storage.c
+++ b/runtime/tests/test_storage.c
@@ -230,6 +230,43 @@
 }
 END_TEST
 
+static uint32_t
+count_files (const MemoryFolder *folder, const char *prefix)
+{
+  uint32_t n = 0;
+  for (int i = 0; i < MEMORY_FILES; i++)
+    n += folder->files[i].exists && strncmp (folder->files[i].name, prefix, strlen (prefix)) == 0;
+  return n;
+}
+
+/*
+ * Guards against a disk that fills up with old snapshots, which nothing removes: there was no room
+ * for the segment that follows a new one.
+ */
+START_TEST (a_snapshot_that_found_no_room_at_first_leaves_no_older_one)
+{
+  for (uint32_t operation = 10; operation < 200; operation++)
+    {
+      MemoryFolder folder = { 0 };
+      Expected now = { 0 };
+      WlStorage *s = NULL;
+      folder.fail_at = operation;
+      folder.fail_with = WL_ERROR_NO_SPACE;
+      recovering = &folder;
+      ck_assert_int_eq (wl_storage_open (memory_disk_open (&folder), 7, &s), WL_OK);
+      for (uint64_t n = 1; n <= STEPS; n++)
+        ck_assert_int_eq (step (s, n, &now), WL_OK);
+      recovering = NULL;
+      ck_assert_msg (count_files (&folder, "snapshot-") == 1, "operation %u: %u snapshots",
+                     operation, count_files (&folder, "snapshot-"));
+      ck_assert_msg (count_files (&folder, "log-") == 1, "operation %u: %u segments", operation,
+                     count_files (&folder, "log-"));
+      wl_storage_close (s);
+      memory_folder_clear (&folder);
+    }
+}
+END_TEST
+
 static MemoryFile *
 find_segment (MemoryFolder *folder)
 {
@@ -342,6 +379,7 @@
     WL_TEST (torn_tails_of_any_length_are_cut),
     WL_TEST (a_full_disk_is_reported_and_loses_nothing),
     WL_TEST (what_failed_on_a_full_disk_can_be_stored_again),
+    WL_TEST (a_snapshot_that_found_no_room_at_first_leaves_no_older_one),
     WL_TEST (damage_before_the_tail_stops_the_replica),
     WL_TEST (a_folder_without_its_identity_is_refused),
     WL_TEST (files_are_locked_and_read_back),
--- a/runtime/wl_storage.c
+++ b/runtime/wl_storage.c
@@ -83,7 +83,8 @@
   uint64_t segment_size; /* its bytes up to the last complete record */
   uint64_t segments[SEGMENTS_MAX];
   uint32_t n_segments;
-  uint64_t snapshot; /* index of the snapshot file, 0 for none */
+  uint64_t snapshot;     /* index of the snapshot file, 0 for none */
+  uint64_t old_snapshot; /* the one before, until it is removed; 0 for none */
   uint64_t snapshots[SEGMENTS_MAX];
   uint32_t n_snapshots;
   uint32_t batch;
@@ -489,7 +490,7 @@
 }
 
 static WlError
-remove_older (WlStorage *s, uint64_t old_snapshot)
+remove_older (WlStorage *s)
 {
   char name[NAME_SIZE];
   WlError error = WL_OK;
@@ -500,12 +501,17 @@
       if (error == WL_ERROR_NOT_FOUND)
         error = WL_OK;
     }
+  if (error != WL_OK)
+    return error; /* all are tried again */
   s->n_segments = 0;
-  if (error != WL_OK || old_snapshot == 0)
-    return error;
-  snapshot_name (name, old_snapshot);
+  if (s->old_snapshot == 0)
+    return WL_OK;
+  snapshot_name (name, s->old_snapshot);
   error = s->disk->remove (s->disk, name);
-  return error == WL_ERROR_NOT_FOUND ? WL_OK : error;
+  if (error != WL_OK && error != WL_ERROR_NOT_FOUND)
+    return error;
+  s->old_snapshot = 0;
+  return WL_OK;
 }
 
 static WlError
@@ -513,11 +519,12 @@
 {
   char name[NAME_SIZE];
   SnapshotFile f = { index, index_term, XXH64 (data.data, data.size, index), data };
-  uint64_t old_snapshot = s->snapshot != index ? s->snapshot : 0;
   snapshot_name (name, index);
   WlError error = wl_disk_replace (s->disk, name, wl_encode_bytes (snapshot_fields, &f, pool));
   if (error != WL_OK)
     return error;
+  if (s->snapshot != index)
+    s->old_snapshot = s->snapshot;
   s->snapshot = index;
   drop_kept_to (s, index);
   error = start_segment (s, pool);
@@ -526,7 +533,7 @@
   insert_sorted (s->segments, &s->n_segments, s->segment);
   s->segment++;
   s->is_torn = 0;
-  return remove_older (s, old_snapshot);
+  return remove_older (s);
 }
 
 WlError
