Storage: a segment that a later one replaces is not read at the start

What operators would see: a replica that lost power just as it compacted its log refused to start ("corrupt"). Found while testing full disks, not reported.

The new segment is synced and holds them, but the old one was read as well until it was removed, and damage in any segment but the last stopped the start.

Evidence: a_crash_as_a_snapshot_follows_unsynced_entries_loses_nothing crashes at each of 12 operations with 0 to 60 unsynced bytes kept.

So the last one is enough. Damage in it still stops the start (damage_before_the_tail_stops_the_replica).

--- a/runtime/tests/test_storage.c
+++ b/runtime/tests/test_storage.c
@@ -230,6 +230,55 @@
 }
 END_TEST
 
+/* A replica with a few entries, and one more that is not synced. */
+static WlStorage *
+open_with_unsynced_entry (MemoryFolder *folder, Expected *now)
+{
+  WlStorage *s = NULL;
+  ck_assert_int_eq (wl_storage_open (memory_disk_open (folder), 7, &s), WL_OK);
+  for (uint64_t n = 1; n < 8; n++)
+    ck_assert_int_eq (step (s, n, now), WL_OK);
+  WlEffect e = entry_effect (now->last + 1);
+  ck_assert_int_eq (wl_storage_write (s, &e), WL_OK);
+  return s;
+}
+
+/* Loses the power and checks what is there after a restart. */
+static void
+check_power_loss (MemoryFolder *folder, WlStorage *s, uint32_t keep, const Expected *now)
+{
+  wl_storage_close (s);
+  s = NULL;
+  folder->keep_unsynced = keep;
+  memory_folder_crash (folder);
+  ck_assert_msg (wl_storage_open (memory_disk_open (folder), 8, &s) == WL_OK,
+                 "the replica does not start; %u unsynced bytes kept", keep);
+  assert_state (s, now);
+  wl_storage_close (s);
+  memory_folder_clear (folder);
+}
+
+/*
+ * Guards against a replica that refuses to start: a snapshot followed entries of its batch, which
+ * were not synced, and the power was lost before the segment that holds them was gone.
+ */
+START_TEST (a_crash_as_a_snapshot_follows_unsynced_entries_loses_nothing)
+{
+  for (uint32_t keep = 0; keep <= 60; keep += 15)
+    for (uint32_t operation = 1; operation <= 12; operation++)
+      {
+        MemoryFolder folder = { 0 };
+        Expected now = { 0 };
+        WlStorage *s = open_with_unsynced_entry (&folder, &now);
+        folder.fail_at = folder.operations + operation;
+        folder.fail_with = WL_ERROR_SYSTEM;
+        if (store_snapshot (s, now.last - 2) == WL_OK)
+          now.last++;
+        check_power_loss (&folder, s, keep, &now);
+      }
+}
+END_TEST
+
 static uint32_t
 count_files (const MemoryFolder *folder, const char *prefix)
 {
@@ -379,6 +428,7 @@
     WL_TEST (torn_tails_of_any_length_are_cut),
     WL_TEST (a_full_disk_is_reported_and_loses_nothing),
     WL_TEST (what_failed_on_a_full_disk_can_be_stored_again),
+    WL_TEST (a_crash_as_a_snapshot_follows_unsynced_entries_loses_nothing),
     WL_TEST (a_snapshot_that_found_no_room_at_first_leaves_no_older_one),
     WL_TEST (damage_before_the_tail_stops_the_replica),
     WL_TEST (a_folder_without_its_identity_is_refused),
--- a/runtime/wl_storage.c
+++ b/runtime/wl_storage.c
@@ -207,7 +207,7 @@
 }
 
 static WlError
-read_segment (WlStorage *s, uint64_t number, int is_last)
+read_segment (WlStorage *s, uint64_t number)
 {
   char name[NAME_SIZE];
   WlBytes file;
@@ -231,7 +231,7 @@
   if (error == WL_OK && offset < file.size)
     {
       /* The damaged record belongs to the last batch read or to the one after it. */
-      if (!is_last || later_batch_follows (file, offset, s->batch, pool))
+      if (later_batch_follows (file, offset, s->batch, pool))
         error = WL_ERROR_CORRUPT;
       else
         error = s->disk->truncate (s->disk, name, offset);
@@ -346,10 +346,12 @@
     error = read_identity (s, incarnation);
   if (error == WL_OK && s->n_snapshots > 0)
     error = read_snapshot (s, s->snapshots[s->n_snapshots - 1]);
-  for (uint32_t i = 0; error == WL_OK && i < s->n_segments; i++)
+  /* The last segment begins with all that the ones before hold, which the crash may have damaged.
+   */
+  if (error == WL_OK && s->n_segments > 0)
     {
-      error = read_segment (s, s->segments[i], i + 1 == s->n_segments);
-      s->segment = s->segments[i];
+      s->segment = s->segments[s->n_segments - 1];
+      error = read_segment (s, s->segment);
     }
   if (error != WL_OK)
     return error;
