Storage: what a sync found no room for is written again

What operators would see: a change that was acknowledged is gone after a loss of power (rule LOST), if a disk was full as the replica synced it.

Evidence: the memory disk now loses what a failed sync covered. With it, on the code before, what_failed_on_a_full_disk_can_be_stored_again found term 8 after a crash in place of the stored 9, and three of the five tests of test_config_disk read an old change back after a power loss (version 7, 8 and 6 in place of 15); a_crash_after_a_sync_that_found_no_room_loses_nothing (new) missed an entry.

--- a/runtime/tests/test_storage.c
+++ b/runtime/tests/test_storage.c
@@ -258,6 +258,29 @@
   memory_folder_clear (folder);
 }
 
+/*
+ * Guards against a replica that refuses to start: a sync found no room, what it held is written
+ * again, and the power is lost before the damaged segment is gone.
+ */
+START_TEST (a_crash_after_a_sync_that_found_no_room_loses_nothing)
+{
+  for (uint32_t keep = 0; keep <= 60; keep += 15)
+    for (uint32_t operation = 1; operation <= 12; operation++)
+      {
+        MemoryFolder folder = { 0 };
+        Expected now = { 0 };
+        WlStorage *s = open_with_unsynced_entry (&folder, &now);
+        folder.fail_at = folder.operations + 1;
+        folder.fail_with = WL_ERROR_NO_SPACE;
+        ck_assert_int_eq (wl_storage_sync (s), WL_ERROR_NO_SPACE);
+        folder.fail_at = folder.operations + operation;
+        folder.fail_with = WL_ERROR_SYSTEM;
+        now.last += wl_storage_sync (s) == WL_OK;
+        check_power_loss (&folder, s, keep, &now);
+      }
+}
+END_TEST
+
 /*
  * Guards against a replica that refuses to start: a snapshot followed entries of its batch, which
  * were not synced, and the power was lost before the segment that holds them was gone.
@@ -428,6 +451,7 @@
     WL_TEST (torn_tails_of_any_length_are_cut),
     WL_TEST (a_full_disk_is_reported_and_loses_nothing),
     WL_TEST (what_failed_on_a_full_disk_can_be_stored_again),
+    WL_TEST (a_crash_after_a_sync_that_found_no_room_loses_nothing),
     WL_TEST (a_crash_as_a_snapshot_follows_unsynced_entries_loses_nothing),
     WL_TEST (a_snapshot_that_found_no_room_at_first_leaves_no_older_one),
     WL_TEST (damage_before_the_tail_stops_the_replica),
--- a/runtime/wl_storage.c
+++ b/runtime/wl_storage.c
@@ -92,6 +92,7 @@
   uint8_t dirty;
   uint8_t folder_dirty;
   uint8_t is_torn; /* the segment may end with part of a record */
+  uint8_t is_lost; /* a sync of the segment failed: what it held may not be on the disk */
 };
 
 static void
@@ -469,6 +470,7 @@
 start_segment (WlStorage *s, apr_pool_t *pool)
 {
   char name[NAME_SIZE];
+  uint8_t was_batch_start = s->is_batch_start;
   msgpack_sbuffer buffer;
   msgpack_sbuffer_init (&buffer);
   Record r = { .kind = RECORD_TERM, .term = s->term, .vote = s->vote };
@@ -487,6 +489,8 @@
       s->disk, name, (WlBytes){ (const uint8_t *)buffer.data, (uint32_t)buffer.size });
   if (error == WL_OK)
     s->segment_size = buffer.size;
+  else
+    s->is_batch_start = was_batch_start;
   msgpack_sbuffer_destroy (&buffer);
   return error;
 }
@@ -516,6 +520,20 @@
   return WL_OK;
 }
 
+/* Goes on with a new segment, and removes what it replaces. */
+static WlError
+replace_segment (WlStorage *s, apr_pool_t *pool)
+{
+  WlError error = start_segment (s, pool);
+  if (error != WL_OK)
+    return error;
+  insert_sorted (s->segments, &s->n_segments, s->segment);
+  s->segment++;
+  s->is_torn = 0;
+  s->is_lost = 0;
+  return remove_older (s);
+}
+
 static WlError
 write_snapshot (WlStorage *s, uint64_t index, uint64_t index_term, WlBytes data, apr_pool_t *pool)
 {
@@ -529,13 +547,7 @@
     s->old_snapshot = s->snapshot;
   s->snapshot = index;
   drop_kept_to (s, index);
-  error = start_segment (s, pool);
-  if (error != WL_OK)
-    return error;
-  insert_sorted (s->segments, &s->n_segments, s->segment);
-  s->segment++;
-  s->is_torn = 0;
-  return remove_older (s);
+  return replace_segment (s, pool);
 }
 
 WlError
@@ -576,16 +588,37 @@
   return error;
 }
 
+/*
+ * After a failed sync the system may drop what it had cached, and report success from then on, as
+ * Linux does. The next sync writes all of it again.
+ */
+static WlError
+sync_segment (WlStorage *s)
+{
+  char name[NAME_SIZE];
+  apr_pool_t *pool;
+  WlError error;
+  if (s->is_lost)
+    {
+      apr_pool_create (&pool, NULL);
+      error = replace_segment (s, pool);
+      apr_pool_destroy (pool);
+      return error;
+    }
+  segment_name (name, s->segment);
+  error = s->disk->sync (s->disk, name);
+  if (error == WL_OK && s->folder_dirty)
+    error = s->disk->sync_folder (s->disk);
+  s->is_lost = error != WL_OK;
+  return error;
+}
+
 WlError
 wl_storage_sync (WlStorage *storage)
 {
-  char name[NAME_SIZE];
   if (!storage->dirty)
     return WL_OK;
-  segment_name (name, storage->segment);
-  WlError error = storage->disk->sync (storage->disk, name);
-  if (error == WL_OK && storage->folder_dirty)
-    error = storage->disk->sync_folder (storage->disk);
+  WlError error = sync_segment (storage);
   if (error != WL_OK)
     return error;
   storage->folder_dirty = 0;
--- a/testkit/wl_memory_disk.c
+++ b/testkit/wl_memory_disk.c
@@ -108,8 +108,11 @@
 {
   MemoryFolder *f = folder_of (disk);
   WlError error = operate (f, MEMORY_SYNC);
-  if (error == WL_OK)
-    make_file (f, name)->synced = make_file (f, name)->size;
+  MemoryFile *file = make_file (f, name);
+  if (error != WL_OK)
+    file->is_lost = 1;
+  else if (!file->is_lost)
+    file->synced = file->size;
   return error;
 }
 
@@ -206,6 +209,7 @@
   else
     copy_file (now, then);
   now->synced = now->size;
+  now->is_lost = 0;
 }
 
 void
--- a/testkit/wl_memory_disk.h
+++ b/testkit/wl_memory_disk.h
@@ -16,6 +16,7 @@
   uint8_t *data;
   uint32_t size;
   uint32_t synced; /* bytes that survive a crash */
+  uint8_t is_lost; /* a sync failed: the system has dropped what was not synced, as Linux does */
   uint8_t name_synced;
   uint8_t exists;
 } MemoryFile;
