A file size limit is a full disk and does not end the process

What operators would see: a node whose files reach a size limit (RLIMIT_FSIZE, a file system's largest file) ended by SIGXFSZ, without a stop. Found while trying full disks with real files, not reported.

Cause: the daemon did not ignore SIGXFSZ. The error that follows, EFBIG, would have been an error of the system, not a full disk.

The new tests a_limit_of_file_size_is_a_full_disk (real files, 82 limits up to 3000 bytes) and a_limit_of_file_size_does_not_end_the_daemon failed before.

Why the fix works: the signal is ignored, and EFBIG counts as a full disk, so that the write is tried again until there is room.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -36,6 +36,7 @@
   sigaction (SIGINT, &stop, NULL);
   sigaction (SIGHUP, &stop, NULL);
   sigaction (SIGPIPE, &ignore, NULL);
+  sigaction (SIGXFSZ, &ignore, NULL); /* the write fails, and is tried again */
 }
 
 static int
--- a/daemon/tests/test_signals.c
+++ b/daemon/tests/test_signals.c
@@ -84,11 +84,31 @@
 }
 END_TEST
 
+/* Guards against a file size limit, which the system signals, that ends a daemon. */
+START_TEST (a_limit_of_file_size_does_not_end_the_daemon)
+{
+  uint16_t ports[2];
+  char folder[] = "/tmp/wl-signals-XXXXXX";
+  int status = 0;
+  ck_assert_ptr_nonnull (mkdtemp (folder));
+  wl_test_free_ports (ports, 2);
+  pid_t pid = start_daemon (folder, ports[0], ports[1]);
+  for (int i = 0; i < START_TRIES && !is_healthy (ports[0]); i++)
+    usleep (TRY_US);
+  ck_assert_int_eq (kill (pid, SIGXFSZ), 0);
+  usleep (10 * TRY_US);
+  ck_assert (is_healthy (ports[0]));
+  ck_assert_int_eq (kill (pid, SIGKILL), 0);
+  ck_assert_int_eq (waitpid (pid, &status, 0), pid);
+}
+END_TEST
+
 int
 main (void)
 {
   const WlTest tests[] = {
     WL_TEST (hang_ups_and_repeated_sigterms_do_not_cut_a_stop_short),
+    WL_TEST (a_limit_of_file_size_does_not_end_the_daemon),
   };
   return wl_test_run ("signals", tests, sizeof tests / sizeof tests[0]);
 }
--- a/runtime/tests/test_storage.c
+++ b/runtime/tests/test_storage.c
@@ -1,7 +1,9 @@
 #include <fcntl.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <apr_general.h>
 #include "wl_effects.h"
@@ -416,6 +418,54 @@
 }
 END_TEST
 
+static void
+limit_file_size (rlim_t bytes)
+{
+  struct rlimit limit;
+  ck_assert_int_eq (getrlimit (RLIMIT_FSIZE, &limit), 0);
+  limit.rlim_cur = bytes;
+  ck_assert_int_eq (setrlimit (RLIMIT_FSIZE, &limit), 0);
+}
+
+/*
+ * Guards against a full disk that counts as a broken one, and against half a record in a file: the
+ * limit is reached at any byte of a segment or a snapshot, where real files are full half-way.
+ */
+START_TEST (a_limit_of_file_size_is_a_full_disk)
+{
+  char path[] = "/tmp/wl-storage-XXXXXX";
+  char command[64];
+  signal (SIGXFSZ, SIG_IGN);
+  for (rlim_t limit = 0; limit < 3000; limit += 37)
+    {
+      Expected now = { 0 };
+      WlStorage *s = NULL;
+      WlDisk *disk = NULL;
+      WlError error = WL_OK;
+      strcpy (path, "/tmp/wl-storage-XXXXXX");
+      ck_assert_ptr_nonnull (mkdtemp (path));
+      ck_assert_int_eq (wl_disk_files_open (path, &disk), WL_OK);
+      ck_assert_int_eq (wl_storage_open (disk, 7, &s), WL_OK);
+      for (uint64_t n = 1; n <= STEPS; n++)
+        {
+          limit_file_size (limit);
+          error = step (s, n, &now);
+          limit_file_size (RLIM_INFINITY);
+          ck_assert (error == WL_OK || error == WL_ERROR_NO_SPACE);
+          if (error != WL_OK)
+            ck_assert_int_eq (step (s, n, &now), WL_OK);
+        }
+      wl_storage_close (s);
+      ck_assert_int_eq (wl_disk_files_open (path, &disk), WL_OK);
+      ck_assert_int_eq (wl_storage_open (disk, 8, &s), WL_OK);
+      assert_state (s, &now);
+      wl_storage_close (s);
+      snprintf (command, sizeof command, "rm -r %s", path);
+      ck_assert_int_eq (system (command), 0);
+    }
+}
+END_TEST
+
 START_TEST (files_are_locked_and_read_back)
 {
   char path[] = "/tmp/wl-storage-XXXXXX";
@@ -456,6 +506,7 @@
     WL_TEST (a_snapshot_that_found_no_room_at_first_leaves_no_older_one),
     WL_TEST (damage_before_the_tail_stops_the_replica),
     WL_TEST (a_folder_without_its_identity_is_refused),
+    WL_TEST (a_limit_of_file_size_is_a_full_disk),
     WL_TEST (files_are_locked_and_read_back),
   };
   return wl_test_run ("storage", tests, sizeof tests / sizeof tests[0]);
--- a/runtime/wl_disk_files.c
+++ b/runtime/wl_disk_files.c
@@ -32,7 +32,7 @@
 static WlError
 from_errno (void)
 {
-  if (errno == ENOSPC || errno == EDQUOT)
+  if (errno == ENOSPC || errno == EDQUOT || errno == EFBIG)
     return WL_ERROR_NO_SPACE;
   return errno == ENOENT ? WL_ERROR_NOT_FOUND : WL_ERROR_SYSTEM;
 }
