Nodes with settings by flags: half a head is no response

What callers saw (a report of other operators): an endpoint stopped in the middle of its response's head and closed, and its callers got a 200 with an empty body, framed as whole.

Cause: wl_http_client.c reported every transfer without an error of libcurl as complete. libcurl 7.88 reports no error when the connection ends within the head, once the status line has arrived.

Evidence: a_response_that_is_closed_early_is_not_complete cuts responses after every byte.

Why the fix works: a response counts as complete only if the empty line that ends its head has been seen; interim heads don't count.

Of a chunked response the very last LF may be missing: libcurl does not wait for it.

--- a/runtime/tests/test_http.c
+++ b/runtime/tests/test_http.c
@@ -1,4 +1,7 @@
 #include <string.h>
+#include <unistd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <apr_general.h>
 #include <curl/curl.h>
 #include "wl_clock.h"
@@ -236,6 +239,74 @@
 }
 END_TEST
 
+/* Listens on a free loopback port, for a server of the test's own. */
+static int
+listen_at (uint32_t *port)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t size = sizeof sa;
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_eq (listen (listener, 8), 0);
+  getsockname (listener, (struct sockaddr *)&sa, &size);
+  *port = ntohs (sa.sin_port);
+  return listener;
+}
+
+/* Sends the first bytes of a response to the next request, and closes the connection. */
+static void
+answer_in_part (Fixture *f, int listener, const char *response, size_t size)
+{
+  char request[2048] = "";
+  size_t got = 0;
+  int fd = -1;
+  for (int i = 0; i < 500 && strstr (request, "\r\n\r\n") == NULL; i++)
+    {
+      run (f, 1);
+      if (fd < 0)
+        fd = accept (listener, NULL, NULL);
+      ssize_t n = fd < 0 ? 0 : recv (fd, request + got, sizeof request - 1 - got, MSG_DONTWAIT);
+      got += n > 0 ? (size_t)n : 0;
+      request[got] = '\0';
+    }
+  ck_assert_int_ge (fd, 0);
+  ck_assert_int_eq (send (fd, response, size, MSG_NOSIGNAL), (ssize_t)size);
+  close (fd);
+}
+
+/* Guards against a response that ends within its head, and counts as a whole one without body. */
+START_TEST (a_response_that_is_closed_early_is_not_complete)
+{
+  static const char *const responses[] = {
+    "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nplain",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\npla\r\n2\r\nin\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nplain\r\n0\r\nX-Sum: 1\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nplain",
+  };
+  Fixture f;
+  uint32_t port;
+  open_fixture (&f);
+  int listener = listen_at (&port);
+  for (size_t i = 0; i < sizeof responses / sizeof *responses; i++)
+    for (size_t n = 0; n <= strlen (responses[i]); n++)
+      {
+        call (&f, "/cut", (WlBytes){ NULL, 0 }, port);
+        answer_in_part (&f, listener, responses[i], n);
+        run (&f, 500);
+        ck_assert_int_eq (f.done, 1);
+        size_t all = strlen (responses[i]);
+        /* Without its very last LF a chunked body has ended, too: libcurl does not wait for it. */
+        int may_be_complete = n == all || (n + 1 == all && responses[i][all - 1] == '\n');
+        ck_assert_msg (!f.result.is_complete || may_be_complete,
+                       "response %zu, cut after %zu of %zu bytes: status %u, complete", i, n, all,
+                       f.result.status);
+        ck_assert_msg (f.result.is_complete || n < all, "response %zu is not complete", i);
+      }
+  close (listener);
+  close_fixture (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -249,6 +320,7 @@
     WL_TEST (a_refused_connection_has_sent_nothing),
     WL_TEST (a_late_answer_reaches_its_caller_and_a_gone_one_is_noticed),
     WL_TEST (an_oversized_body_is_shed),
+    WL_TEST (a_response_that_is_closed_early_is_not_complete),
   };
   return wl_test_run ("http", tests, sizeof tests / sizeof tests[0]);
 }
--- a/runtime/wl_http_client.c
+++ b/runtime/wl_http_client.c
@@ -13,6 +13,7 @@
   struct curl_slist *headers;
   uint8_t *body;
   int is_cancelled;
+  int has_head; /* of the response, interim ones aside */
   WlHttpCall *next;
   WlHttpCall **slot;
 };
@@ -148,6 +149,18 @@
   return call->is_cancelled ? 0 : size * n;
 }
 
+/* libcurl takes a head that ends with its connection for a whole response. */
+static size_t
+on_header (char *line, size_t size, size_t n, void *context)
+{
+  WlHttpCall *call = context;
+  long status = 0;
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (status >= 200 && size * n > 0 && (line[0] == '\r' || line[0] == '\n'))
+    call->has_head = 1;
+  return size * n;
+}
+
 static void
 set_options (WlHttpCall *call)
 {
@@ -165,6 +178,8 @@
   curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, (long)WL_HTTP_POOL_AGE_S);
   curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_data);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (call->easy, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
   if (p->fresh)
     {
@@ -236,7 +251,7 @@
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_size);
   result.status = (uint32_t)status;
-  result.is_complete = code == CURLE_OK;
+  result.is_complete = code == CURLE_OK && call->has_head;
   result.is_sent = request_size > 0;
   if (!call->is_cancelled && call->params.done != NULL)
     call->params.done (call->params.data, call, &result);
