Tests: one reader of responses, one way to listen for endpoints of a test's own

wl_raw_client.h reads the response that a caller has so far, and wl_test_loopback.h listens for plain sockets, in place of copies in four test programs.

--- a/relay/tests/test_fetch.c
+++ b/relay/tests/test_fetch.c
@@ -7,6 +7,7 @@
 #include "wl_fetch.h"
 #include "wl_script_server.h"
 #include "wl_test.h"
+#include "wl_test_loopback.h"
 
 /*
  * The HTTP client. Guards against a request that runs twice, since the client
@@ -288,21 +289,6 @@
   ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t)strlen (text));
 }
 
-/* Listens on a free loopback port. */
-static int
-listen_at (uint16_t *port)
-{
-  struct sockaddr_in sa = { .sin_family = AF_INET };
-  socklen_t size = sizeof sa;
-  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
-  ck_assert_int_eq (listen (listener, 8), 0);
-  getsockname (listener, (struct sockaddr *)&sa, &size);
-  *port = ntohs (sa.sin_port);
-  return listener;
-}
-
 /*
  * Guards against a repeated response that is taken for the response to the next request:
  * it had arrived on the idle connection, and was not read before the request was written.
@@ -312,7 +298,7 @@
   static const char whole[] = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
   uint16_t port;
   Fixture *f = create ();
-  int listener = listen_at (&port);
+  int listener = wl_test_listen (&port);
   start (f, port, 0);
   script_run (f->reactor, f->loop, 50000, NULL);
   int fd = accept (listener, NULL, NULL);
@@ -352,7 +338,7 @@
   static const char whole[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   static const WlFetchHandlers retrying = { on_head, on_body, on_ended_retry };
   Fixture *f = create ();
-  int listener = listen_at (&f->retry_port);
+  int listener = wl_test_listen (&f->retry_port);
   start (f, f->retry_port, 0);
   script_run (f->reactor, f->loop, 50000, NULL);
   int fd = accept (listener, NULL, NULL);
--- a/relay/tests/test_host_late.c
+++ b/relay/tests/test_host_late.c
@@ -280,29 +280,12 @@
 
 /* ---- callers ---- */
 
-static void
-on_head (void *data)
-{
-  (void)data;
-}
-
-static void
-on_body (void *data, WlBytes bytes)
-{
-  (void)data;
-  (void)bytes;
-}
-
 static int
 has_whole_response (const RawClient *c)
 {
-  WlHttpReader reader
-      = { .on_head = on_head, .on_body = on_body, .head_limit = 8192, .body_limit = 65536 };
-  wl_http_reader_init (&reader, 1);
-  wl_http_reader_feed (&reader, (WlBytes){ (const uint8_t *)c->answer, (uint32_t)c->size });
-  int is_whole = reader.is_complete;
-  wl_http_reader_clear (&reader);
-  return is_whole;
+  RawResponse response;
+  raw_client_read (c, &response);
+  return response.is_whole;
 }
 
 /* Returns whether it was sent. */
@@ -444,19 +427,6 @@
   return routes;
 }
 
-static int
-listen_at (uint16_t *port)
-{
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
-  socklen_t size = sizeof sa;
-  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
-  ck_assert_int_eq (listen (listener, WORKS_MAX), 0);
-  getsockname (listener, (struct sockaddr *)&sa, &size);
-  *port = ntohs (sa.sin_port);
-  return listener;
-}
-
 static void
 start (const Case *what)
 {
@@ -465,7 +435,7 @@
   f.probes = calloc (PROBES, sizeof *f.probes);
   ck_assert_ptr_nonnull (f.probes);
   for (int i = 0; i < ENDPOINTS; i++)
-    f.listeners[i] = listen_at (&f.endpoint_ports[i]);
+    f.listeners[i] = wl_test_listen (&f.endpoint_ports[i]);
   wl_test_free_ports (f.ports, 2);
   const WlHostOptions options = {
     .node = wl_test_loopback (1),
--- a/relay/tests/test_relay_cut.c
+++ b/relay/tests/test_relay_cut.c
@@ -8,6 +8,7 @@
 #include "wl_clock.h"
 #include "wl_relay_fixture.h"
 #include "wl_test.h"
+#include "wl_test_loopback.h"
 
 /*
  * Endpoints that break off a response: each response of a table is cut after every byte, by a close
@@ -125,20 +126,6 @@
 
 /* ---- an endpoint of the test's own ---- */
 
-static int
-listen_at (uint16_t *port)
-{
-  struct sockaddr_in sa = { .sin_family = AF_INET };
-  socklen_t size = sizeof sa;
-  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
-  ck_assert_int_eq (listen (listener, 8), 0);
-  getsockname (listener, (struct sockaddr *)&sa, &size);
-  *port = ntohs (sa.sin_port);
-  return listener;
-}
-
 static void
 turn (RelayFixture *f)
 {
@@ -190,58 +177,13 @@
   close (fd);
 }
 
-/* ---- what the caller sees ---- */
-
-typedef struct
-{
-  uint32_t status;
-  int is_whole;
-  char body[BODY_MAX_BYTES];
-  size_t size;
-} Seen;
-
-static void
-on_seen_head (void *data)
-{
-  (void)data;
-}
-
-static void
-on_seen_body (void *data, WlBytes bytes)
-{
-  Seen *s = data;
-  ck_assert_uint_lt (s->size + bytes.size, sizeof s->body);
-  memcpy (s->body + s->size, bytes.data, bytes.size);
-  s->size += bytes.size;
-}
-
-static void
-read_seen (const RawClient *caller, Seen *s)
-{
-  WlHttpReader reader = { .on_head = on_seen_head,
-                          .on_body = on_seen_body,
-                          .data = s,
-                          .head_limit = 8192,
-                          .body_limit = BODY_MAX_BYTES };
-  memset (s, 0, sizeof *s);
-  wl_http_reader_init (&reader, 1);
-  wl_http_reader_feed (&reader,
-                       (WlBytes){ (const uint8_t *)caller->answer, (uint32_t)caller->size });
-  ck_assert_int_eq (reader.fault, WL_HTTP_FAULT_NONE);
-  s->status = reader.has_head ? reader.head.status : 0;
-  s->is_whole = reader.is_complete;
-  if (reader.has_head && !reader.is_complete && caller->is_closed && caller->error == 0)
-    s->is_whole = wl_http_reader_finish (&reader);
-  wl_http_reader_clear (&reader);
-}
-
 static void
-run_until_response (RelayFixture *f, Seen *s)
+run_until_response (RelayFixture *f, RawResponse *s)
 {
   for (int i = 0; i < TURNS_MAX; i++)
     {
       turn (f);
-      read_seen (&f->caller, s);
+      raw_client_read (&f->caller, s);
       if (s->is_whole || f->caller.is_closed)
         return;
     }
@@ -268,7 +210,7 @@
 }
 
 static void
-check_seen (const Response *r, size_t n, ScriptThen then, const char *before, const Seen *s)
+check_seen (const Response *r, size_t n, ScriptThen then, const char *before, const RawResponse *s)
 {
   char text[BODY_MAX_BYTES];
   size_t head = strlen (r->head);
@@ -301,7 +243,7 @@
   for (uint32_t i = 0; i < routes->n_routes; i++)
     routes->routes[i].attempts = attempts;
   wl_relay_set_routes (f->relay, routes);
-  *listener = listen_at (&port);
+  *listener = wl_test_listen (&port);
   relay_fixture_register (f, 0, port);
   return f;
 }
@@ -319,7 +261,7 @@
 {
   static const char whole[]
       = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nfirst";
-  Seen seen;
+  RawResponse seen;
   raw_client_send (&f->caller, "GET /safe/ HTTP/1.1\r\nHost: h\r\nX-Id: 0\r\nX-Key: k1\r\n\r\n");
   int fd = take_request (f, listener, -1);
   send_bytes (fd, whole, sizeof whole - 1);
@@ -345,7 +287,7 @@
 cut_at (const Response *r, size_t n, ScriptThen then, int is_kept)
 {
   int listener;
-  Seen seen;
+  RawResponse seen;
   RelayFixture *f = create (&listener, 1);
   int fd = is_kept ? keep_connection (f, listener) : -1;
   raw_client_send (&f->caller, r->request);
@@ -397,11 +339,11 @@
 {
   int listeners[2];
   uint16_t port;
-  Seen seen;
+  RawResponse seen;
   RelayFixture *f = create (&listeners[0], 2);
   raw_client_send (&f->caller, r->request);
   int fd = take_request (f, listeners[0], -1);
-  listeners[1] = listen_at (&port);
+  listeners[1] = wl_test_listen (&port);
   relay_fixture_register (f, 1, port);
   send_bytes (fd, begun_stream, sizeof begun_stream - 1);
   end_connection (fd, SCRIPT_CLOSE);
@@ -442,7 +384,7 @@
 {
   static const char empty[] = EVENTS "Connection: close\r\n\r\n";
   int listener;
-  Seen seen;
+  RawResponse seen;
   RelayFixture *f = create (&listener, 1);
   raw_client_send (&f->caller, "POST /stream/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\n"
                                "X-Last: 2\r\nContent-Length: 0\r\n\r\n");
@@ -464,7 +406,7 @@
 pause_at (const Response *r, size_t n)
 {
   int listener;
-  Seen seen;
+  RawResponse seen;
   char bytes[BODY_MAX_BYTES];
   size_t all = (size_t)snprintf (bytes, sizeof bytes, "%s%s", r->head, r->body);
   RelayFixture *f = create (&listener, 1);
@@ -474,7 +416,7 @@
   turn (f);
   wl_clock_set (wl_clock_now_us () + PAUSE_US);
   turn (f);
-  read_seen (&f->caller, &seen);
+  raw_client_read (&f->caller, &seen);
   ck_assert_msg (!seen.is_whole && !f->caller.is_closed, "%s: ended at byte %zu", r->name, n);
   send_bytes (fd, bytes + n, all - n);
   end_connection (fd, SCRIPT_CLOSE);
@@ -519,7 +461,7 @@
   for (size_t n = 0; n < strlen (r->head); n++)
     {
       int listener;
-      Seen seen;
+      RawResponse seen;
       RelayFixture *f = create (&listener, 1);
       int kept = keep_connection (f, listener);
       raw_client_connect (&second, wl_web_port (f->web));
@@ -538,7 +480,7 @@
           turn (f);
           raw_client_receive (&second);
         }
-      read_seen (&second, &seen);
+      raw_client_read (&second, &seen);
       ck_assert_uint_eq (seen.status, 200);
       ck_assert_int_eq (seen.is_whole, 1);
       ck_assert_uint_eq (seen.size, 3);
@@ -565,7 +507,7 @@
   for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
     {
       int listener;
-      Seen seen;
+      RawResponse seen;
       RelayFixture *f = create (&listener, 1);
       raw_client_send (&f->caller, i % 2 == 0 ? RELAY_SAFE_REQUEST : RELAY_STREAM_REQUEST);
       int fd = take_request (f, listener, -1);
--- a/runtime/tests/test_http.c
+++ b/runtime/tests/test_http.c
@@ -8,6 +8,7 @@
 #include "wl_http_client.h"
 #include "wl_http_server.h"
 #include "wl_test.h"
+#include "wl_test_loopback.h"
 
 /* HTTP server and client joined on one reactor. */
 
@@ -239,20 +240,6 @@
 }
 END_TEST
 
-/* Listens on a free loopback port, for a server of the test's own. */
-static int
-listen_at (uint32_t *port)
-{
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
-  socklen_t size = sizeof sa;
-  int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
-  ck_assert_int_eq (listen (listener, 8), 0);
-  getsockname (listener, (struct sockaddr *)&sa, &size);
-  *port = ntohs (sa.sin_port);
-  return listener;
-}
-
 /* Sends the first bytes of a response to the next request, and closes the connection. */
 static void
 answer_in_part (Fixture *f, int listener, const char *response, size_t size)
@@ -284,9 +271,9 @@
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nplain",
   };
   Fixture f;
-  uint32_t port;
+  uint16_t port;
   open_fixture (&f);
-  int listener = listen_at (&port);
+  int listener = wl_test_listen (&port);
   for (size_t i = 0; i < sizeof responses / sizeof *responses; i++)
     for (size_t n = 0; n <= strlen (responses[i]); n++)
       {
--- a/testkit/wl_raw_client.c
+++ b/testkit/wl_raw_client.c
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <check.h>
+#include "wl_http_reader.h"
 #include "wl_raw_client.h"
 
 static void
@@ -89,3 +90,40 @@
 {
   close (client->fd);
 }
+
+static void
+on_head (void *data)
+{
+  (void)data;
+}
+
+static void
+on_body (void *data, WlBytes bytes)
+{
+  RawResponse *r = data;
+  size_t room = r->size < sizeof r->body ? sizeof r->body - r->size : 0;
+  size_t n = bytes.size < room ? bytes.size : room;
+  if (n > 0)
+    memcpy (r->body + r->size, bytes.data, n);
+  r->size += bytes.size;
+}
+
+void
+raw_client_read (const RawClient *client, RawResponse *out)
+{
+  WlHttpReader reader = { .on_head = on_head,
+                          .on_body = on_body,
+                          .data = out,
+                          .head_limit = sizeof client->answer,
+                          .body_limit = sizeof client->answer };
+  memset (out, 0, sizeof *out);
+  wl_http_reader_init (&reader, 1);
+  wl_http_reader_feed (&reader,
+                       (WlBytes){ (const uint8_t *)client->answer, (uint32_t)client->size });
+  ck_assert_int_eq (reader.fault, WL_HTTP_FAULT_NONE);
+  out->status = reader.has_head ? reader.head.status : 0;
+  out->is_whole = reader.is_complete;
+  if (reader.has_head && !reader.is_complete && client->is_closed && client->error == 0)
+    out->is_whole = wl_http_reader_finish (&reader);
+  wl_http_reader_clear (&reader);
+}
--- a/testkit/wl_raw_client.h
+++ b/testkit/wl_raw_client.h
@@ -25,6 +25,25 @@
   int is_closed;
 } RawClient;
 
+/**
+ * struct RawResponse - the first response among the bytes that came back
+ * @status: its status, 0 while its head is not complete
+ * @is_whole: it is complete by its length, its last chunk, or an orderly close
+ * @body: its body, as far as there is room
+ * @size: size of the body
+ */
+typedef struct
+{
+  uint32_t status;
+  int is_whole;
+  char body[4096];
+  size_t size;
+} RawResponse;
+
+/** raw_client_read() - reads the response as it has arrived so far; fails for bytes that are none
+ */
+void raw_client_read (const RawClient *client, RawResponse *out);
+
 /** raw_client_connect() - connects to a loopback port */
 void raw_client_connect (RawClient *client, uint16_t port);
 
--- a/tests/wl_test_loopback.h
+++ b/tests/wl_test_loopback.h
@@ -18,6 +18,7 @@
 {
   WL_TEST_IP_SIZE = 16,
   WL_TEST_PORTS_MAX = 8,
+  WL_TEST_BACKLOG = 512, /* connections that wait to be accepted */
 };
 
 /** wl_test_loopback() - address @number (from 1) of this process, host byte order */
@@ -56,4 +57,18 @@
     close (fds[i]);
 }
 
+/** wl_test_listen() - listens, without blocking, on a free port of 127.0.0.1 for plain sockets */
+static inline int
+wl_test_listen (uint16_t *port)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t size = sizeof a;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  if (fd < 0 || bind (fd, (struct sockaddr *)&a, sizeof a) != 0 || listen (fd, WL_TEST_BACKLOG) != 0
+      || getsockname (fd, (struct sockaddr *)&a, &size) != 0)
+    abort ();
+  *port = ntohs (a.sin_port);
+  return fd;
+}
+
 #endif
