--- a/runtime/tests/test_storage.c
+++ b/runtime/tests/test_storage.c
@@ -1,7 +1,9 @@
 #include <fcntl.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <apr_general.h>
 #include "wl_effects.h"
@@ -230,6 +232,115 @@
 }
 END_TEST
 
+/* A replica with a few entries, and one more that is not synced. */
+static WlStorage *
+open_with_unsynced_entry (MemoryFolder *folder, Expected *now)
+{
+  WlStorage *s = NULL;
+  ck_assert_int_eq (wl_storage_open (memory_disk_open (folder), 7, &s), WL_OK);
+  for (uint64_t n = 1; n < 8; n++)
+    ck_assert_int_eq (step (s, n, now), WL_OK);
+  WlEffect e = entry_effect (now->last + 1);
+  ck_assert_int_eq (wl_storage_write (s, &e), WL_OK);
+  return s;
+}
+
+/* Loses the power and checks what is there after a restart. */
+static void
+check_power_loss (MemoryFolder *folder, WlStorage *s, uint32_t keep, const Expected *now)
+{
+  wl_storage_close (s);
+  s = NULL;
+  folder->keep_unsynced = keep;
+  memory_folder_crash (folder);
+  ck_assert_msg (wl_storage_open (memory_disk_open (folder), 8, &s) == WL_OK,
+                 "the replica does not start; %u unsynced bytes kept", keep);
+  assert_state (s, now);
+  wl_storage_close (s);
+  memory_folder_clear (folder);
+}
+
+/*
+ * Guards against a replica that refuses to start: a sync found no room, what it held is written
+ * again, and the power is lost before the damaged segment is gone.
+ */
+START_TEST (a_crash_after_a_sync_that_found_no_room_loses_nothing)
+{
+  for (uint32_t keep = 0; keep <= 60; keep += 15)
+    for (uint32_t operation = 1; operation <= 12; operation++)
+      {
+        MemoryFolder folder = { 0 };
+        Expected now = { 0 };
+        WlStorage *s = open_with_unsynced_entry (&folder, &now);
+        folder.fail_at = folder.operations + 1;
+        folder.fail_with = WL_ERROR_NO_SPACE;
+        ck_assert_int_eq (wl_storage_sync (s), WL_ERROR_NO_SPACE);
+        folder.fail_at = folder.operations + operation;
+        folder.fail_with = WL_ERROR_SYSTEM;
+        now.last += wl_storage_sync (s) == WL_OK;
+        check_power_loss (&folder, s, keep, &now);
+      }
+}
+END_TEST
+
+/*
+ * Guards against a replica that refuses to start: a snapshot followed entries of its batch, which
+ * were not synced, and the power was lost before the segment that holds them was gone.
+ */
+START_TEST (a_crash_as_a_snapshot_follows_unsynced_entries_loses_nothing)
+{
+  for (uint32_t keep = 0; keep <= 60; keep += 15)
+    for (uint32_t operation = 1; operation <= 12; operation++)
+      {
+        MemoryFolder folder = { 0 };
+        Expected now = { 0 };
+        WlStorage *s = open_with_unsynced_entry (&folder, &now);
+        folder.fail_at = folder.operations + operation;
+        folder.fail_with = WL_ERROR_SYSTEM;
+        if (store_snapshot (s, now.last - 2) == WL_OK)
+          now.last++;
+        check_power_loss (&folder, s, keep, &now);
+      }
+}
+END_TEST
+
+static uint32_t
+count_files (const MemoryFolder *folder, const char *prefix)
+{
+  uint32_t n = 0;
+  for (int i = 0; i < MEMORY_FILES; i++)
+    n += folder->files[i].exists && strncmp (folder->files[i].name, prefix, strlen (prefix)) == 0;
+  return n;
+}
+
+/*
+ * Guards against a disk that fills up with old snapshots, which nothing removes: there was no room
+ * for the segment that follows a new one.
+ */
+START_TEST (a_snapshot_that_found_no_room_at_first_leaves_no_older_one)
+{
+  for (uint32_t operation = 10; operation < 200; operation++)
+    {
+      MemoryFolder folder = { 0 };
+      Expected now = { 0 };
+      WlStorage *s = NULL;
+      folder.fail_at = operation;
+      folder.fail_with = WL_ERROR_NO_SPACE;
+      recovering = &folder;
+      ck_assert_int_eq (wl_storage_open (memory_disk_open (&folder), 7, &s), WL_OK);
+      for (uint64_t n = 1; n <= STEPS; n++)
+        ck_assert_int_eq (step (s, n, &now), WL_OK);
+      recovering = NULL;
+      ck_assert_msg (count_files (&folder, "snapshot-") == 1, "operation %u: %u snapshots",
+                     operation, count_files (&folder, "snapshot-"));
+      ck_assert_msg (count_files (&folder, "log-") == 1, "operation %u: %u segments", operation,
+                     count_files (&folder, "log-"));
+      wl_storage_close (s);
+      memory_folder_clear (&folder);
+    }
+}
+END_TEST
+
 static MemoryFile *
 find_segment (MemoryFolder *folder)
 {
@@ -307,6 +418,54 @@
 }
 END_TEST
 
+static void
+limit_file_size (rlim_t bytes)
+{
+  struct rlimit limit;
+  ck_assert_int_eq (getrlimit (RLIMIT_FSIZE, &limit), 0);
+  limit.rlim_cur = bytes;
+  ck_assert_int_eq (setrlimit (RLIMIT_FSIZE, &limit), 0);
+}
+
+/*
+ * Guards against a full disk that counts as a broken one, and against half a record in a file: the
+ * limit is reached at any byte of a segment or a snapshot, where real files are full half-way.
+ */
+START_TEST (a_limit_of_file_size_is_a_full_disk)
+{
+  char path[] = "/tmp/wl-storage-XXXXXX";
+  char command[64];
+  signal (SIGXFSZ, SIG_IGN);
+  for (rlim_t limit = 0; limit < 3000; limit += 37)
+    {
+      Expected now = { 0 };
+      WlStorage *s = NULL;
+      WlDisk *disk = NULL;
+      WlError error = WL_OK;
+      strcpy (path, "/tmp/wl-storage-XXXXXX");
+      ck_assert_ptr_nonnull (mkdtemp (path));
+      ck_assert_int_eq (wl_disk_files_open (path, &disk), WL_OK);
+      ck_assert_int_eq (wl_storage_open (disk, 7, &s), WL_OK);
+      for (uint64_t n = 1; n <= STEPS; n++)
+        {
+          limit_file_size (limit);
+          error = step (s, n, &now);
+          limit_file_size (RLIM_INFINITY);
+          ck_assert (error == WL_OK || error == WL_ERROR_NO_SPACE);
+          if (error != WL_OK)
+            ck_assert_int_eq (step (s, n, &now), WL_OK);
+        }
+      wl_storage_close (s);
+      ck_assert_int_eq (wl_disk_files_open (path, &disk), WL_OK);
+      ck_assert_int_eq (wl_storage_open (disk, 8, &s), WL_OK);
+      assert_state (s, &now);
+      wl_storage_close (s);
+      snprintf (command, sizeof command, "rm -r %s", path);
+      ck_assert_int_eq (system (command), 0);
+    }
+}
+END_TEST
+
 START_TEST (files_are_locked_and_read_back)
 {
   char path[] = "/tmp/wl-storage-XXXXXX";
@@ -342,8 +501,12 @@
     WL_TEST (torn_tails_of_any_length_are_cut),
     WL_TEST (a_full_disk_is_reported_and_loses_nothing),
     WL_TEST (what_failed_on_a_full_disk_can_be_stored_again),
+    WL_TEST (a_crash_after_a_sync_that_found_no_room_loses_nothing),
+    WL_TEST (a_crash_as_a_snapshot_follows_unsynced_entries_loses_nothing),
+    WL_TEST (a_snapshot_that_found_no_room_at_first_leaves_no_older_one),
     WL_TEST (damage_before_the_tail_stops_the_replica),
     WL_TEST (a_folder_without_its_identity_is_refused),
+    WL_TEST (a_limit_of_file_size_is_a_full_disk),
     WL_TEST (files_are_locked_and_read_back),
   };
   return wl_test_run ("storage", tests, sizeof tests / sizeof tests[0]);
