--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -178,6 +178,80 @@
   uint64_t eject_us;
 } WlSuspicion;
 
+/**
+ * struct WlPartSuspect - a part of a prompt that an end of an endpoint speaks against
+ * @part: id of the part
+ * @service: hash of the service's name
+ * @customer: hash of the name of the customer whose request had it, 0 for none
+ */
+typedef struct
+{
+  uint64_t part;
+  uint64_t service;
+  uint64_t customer;
+} WlPartSuspect;
+
+/**
+ * struct WlPartEnd - an endpoint ended under requests that it had not written for
+ * @endpoint: key of the endpoint
+ * @age_us: time since then
+ * @suspects: parts of these requests, @n_suspects of them, in the order of their prompts
+ */
+typedef struct
+{
+  uint64_t endpoint;
+  uint64_t age_us;
+  WlPartSuspect *suspects;
+  uint32_t n_suspects;
+} WlPartEnd;
+
+/**
+ * struct WlSoundPart - a part of a response that went on or was complete
+ * @part: id of the part
+ * @service: hash of the service's name
+ * @age_us: time since then
+ */
+typedef struct
+{
+  uint64_t part;
+  uint64_t service;
+  uint64_t age_us;
+} WlSoundPart;
+
+/**
+ * struct WlQuarantinedPart - a part whose requests are refused
+ * @part: id of the part
+ * @service: hash of the service's name
+ * @customer: hash of the name of the customer whose requests are refused, 0 for all
+ * @n_ends: endpoints that ended under it before it was quarantined
+ * @n_trials: trials since then
+ * @age_us: time since it was quarantined
+ * @trial_us: time until the next trial
+ * @unused_us: time since a request with it was last refused
+ */
+typedef struct
+{
+  uint64_t part;
+  uint64_t service;
+  uint64_t customer;
+  uint32_t n_ends;
+  uint32_t n_trials;
+  uint64_t age_us;
+  uint64_t trial_us;
+  uint64_t unused_us;
+} WlQuarantinedPart;
+
+/** struct WlPartReport - evidence on parts of prompts, see wl_quarantine.h */
+typedef struct
+{
+  WlPartEnd *ends;
+  uint32_t n_ends;
+  WlSoundPart *sound;
+  uint32_t n_sound;
+  WlQuarantinedPart *quarantined;
+  uint32_t n_quarantined;
+} WlPartReport;
+
 /** struct WlEndpointKey - key of an endpoint; a struct because WL_FIELD_ARRAY holds structs */
 typedef struct
 {
@@ -257,6 +331,7 @@
 extern const WlField wl_load_reports_fields[];
 extern const WlField wl_suspicion_fields[];
 extern const WlField wl_membership_report_fields[];
+extern const WlField wl_part_report_fields[];
 extern const WlField wl_config_pull_fields[];
 extern const WlField wl_config_push_fields[];
 
