--- a/relay/forwarding/wl_quarantine.h
+++ b/relay/forwarding/wl_quarantine.h
@@ -90,7 +90,8 @@
  * @part: the quarantined part, 0 for none
  * @n_ends: endpoints that ended under it before it was quarantined
  * @age_us: time since it was quarantined
- * @trial_us: time until the next trial, 0 when it is due
+ * @trial_us: time until the next trial; when one is due, 0 for the request that may be it and
+ *   the time after which to repeat the request for those that are refused
  * @is_overdue: the trial has been due for as long as it was waited for
  */
 typedef struct
