Quarantine: tests of the verdict; sound parts are looked up in sets

The tests cover two bad parts, parts that ride with a bad one, services, scopes and a million parts.

--- a/relay/forwarding/wl_quarantine_evidence.c
+++ b/relay/forwarding/wl_quarantine_evidence.c
@@ -1,5 +1,6 @@
 #include <string.h>
 #include "wl_quarantine_internal.h"
+#include "wl_table.h"
 
 /* What speaks against parts and for them: ends, sound responses, and what routes share. */
 
@@ -83,15 +84,21 @@
   return 0;
 }
 
+/* The WL_QUARANTINE_SOUND_WAYS records of which one may be a part's, so that few are searched. */
+static WlSoundRecord *
+sound_set (WlQuarantine *quarantine, uint64_t part, uint64_t service)
+{
+  uint64_t n_sets = WL_QUARANTINE_SOUND_MAX / WL_QUARANTINE_SOUND_WAYS;
+  return &quarantine->sound[wl_hash_ids (part, service) % n_sets * WL_QUARANTINE_SOUND_WAYS];
+}
+
 WlSoundRecord *
 wl_quarantine_sound_record (WlQuarantine *quarantine, uint64_t part, uint64_t service)
 {
-  for (uint32_t i = 0; i < WL_QUARANTINE_SOUND_MAX; i++)
-    {
-      WlSoundRecord *s = &quarantine->sound[i];
-      if (s->part == part && s->service == service)
-        return s;
-    }
+  WlSoundRecord *set = sound_set (quarantine, part, service);
+  for (uint32_t i = 0; i < WL_QUARANTINE_SOUND_WAYS; i++)
+    if (set[i].part == part && set[i].service == service)
+      return &set[i];
   return NULL;
 }
 
@@ -108,10 +115,11 @@
   WlSoundRecord *found = wl_quarantine_sound_record (quarantine, part, service);
   if (found != NULL)
     return found;
-  found = &quarantine->sound[0];
-  for (uint32_t i = 1; i < WL_QUARANTINE_SOUND_MAX && found->part != 0; i++)
-    if (quarantine->sound[i].part == 0 || quarantine->sound[i].at_us < found->at_us)
-      found = &quarantine->sound[i];
+  found = sound_set (quarantine, part, service);
+  const WlSoundRecord *end = found + WL_QUARANTINE_SOUND_WAYS;
+  for (WlSoundRecord *s = found; s < end; s++)
+    if (s->at_us < found->at_us)
+      found = s;
   *found = (WlSoundRecord){ .part = part, .service = service };
   return found;
 }
@@ -121,15 +129,18 @@
 remove_suspect (WlEndRecord *end, uint64_t part, uint64_t service)
 {
   uint32_t n = 0;
-  for (uint32_t i = 0; i < end->n_suspects; i++)
+  while (n < end->n_suspects && !wl_quarantine_is_suspect (&end->suspects[n], part, service))
+    n++;
+  if (n == end->n_suspects)
+    return 0;
+  for (uint32_t i = n + 1; i < end->n_suspects; i++)
     if (!wl_quarantine_is_suspect (&end->suspects[i], part, service))
       {
         end->suspects[n] = end->suspects[i];
         end->is_own[n++] = end->is_own[i];
       }
-  int was_suspect = n < end->n_suspects;
   end->n_suspects = n;
-  return was_suspect;
+  return 1;
 }
 
 /*
--- a/relay/forwarding/wl_quarantine_internal.h
+++ b/relay/forwarding/wl_quarantine_internal.h
@@ -14,6 +14,7 @@
   WL_QUARANTINE_SAME_END_US = 1000000, /* ends of one endpoint within this are one */
   WL_QUARANTINE_REPEAT_US = 500000,    /* a sound part is not told more often */
   WL_QUARANTINE_SOUND_REPEATS = 3,     /* reports of a sound part that others may have doubted */
+  WL_QUARANTINE_SOUND_WAYS = 16,       /* records that may hold what is known of a sound part */
   WL_QUARANTINE_TOLD_MAX = 128,        /* sound parts in a report; the next one has the rest */
   WL_QUARANTINE_TRIALS_MAX = 1000000,  /* counted; a report may name any number */
   WL_QUARANTINE_RETRY_US = 1000000,    /* told to refused callers while a trial is due elsewhere */
@@ -216,7 +217,11 @@
 void wl_quarantine_forget_ends (WlQuarantine *quarantine, uint64_t now_us);
 
 /** wl_quarantine_is_suspect() - whether a suspect is this part for this service */
-int wl_quarantine_is_suspect (const WlPartSuspect *suspect, uint64_t part, uint64_t service);
+static inline int
+wl_quarantine_is_suspect (const WlPartSuspect *suspect, uint64_t part, uint64_t service)
+{
+  return suspect->part == part && suspect->service == service;
+}
 
 /** wl_quarantine_is_common() - whether all requests of some route have a part */
 int wl_quarantine_is_common (WlQuarantine *quarantine, uint64_t part, uint64_t now_us);
--- a/relay/forwarding/wl_quarantine_verdict.c
+++ b/relay/forwarding/wl_quarantine_verdict.c
@@ -2,12 +2,6 @@
 
 /* The verdict: which parts account for the ends. */
 
-int
-wl_quarantine_is_suspect (const WlPartSuspect *suspect, uint64_t part, uint64_t service)
-{
-  return suspect->part == part && suspect->service == service;
-}
-
 int
 wl_quarantine_explains (const WlQuarantineEntry *entry, const WlEndRecord *end)
 {
--- a/relay/tests/test_quarantine.c
+++ b/relay/tests/test_quarantine.c
@@ -119,6 +119,169 @@
 }
 END_TEST
 
+/* Guards against two bad parts of which one hides the other. */
+START_TEST (two_bad_parts_at_once_are_both_quarantined)
+{
+  WlQuarantine *q = create_with_traffic ();
+  WlPromptParts bad[] = { parts_of (SHARED, BAD, 0), parts_of (SHARED, BAD + 1, 0) };
+  for (uint64_t i = 0; i < 6; i++)
+    note_end (q, 1 + i, &bad[i % 2], 1, start_us + i * SECOND_US / 5);
+  ck_assert (refuses (q, BAD, 1, start_us + 2 * SECOND_US));
+  ck_assert (refuses (q, BAD + 1, 1, start_us + 2 * SECOND_US));
+  ck_assert_uint_eq (wl_quarantine_n_entries (q), 2);
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
+/* Guards against a sound part that is condemned for the ends of the bad part beside it. */
+START_TEST (a_part_that_rode_with_the_bad_one_is_not_quarantined)
+{
+  WlQuarantine *q = create_with_traffic ();
+  WlPromptParts parts = parts_of (SHARED, MIDDLE, BAD);
+  uint64_t now_us = end_endpoints (q, 1, 8, &parts, 1, start_us);
+  ck_assert (refuses (q, BAD, 1, now_us));
+  ck_assert (!refuses (q, MIDDLE, 1, now_us));
+  ck_assert_uint_eq (wl_quarantine_n_entries (q), 1);
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
+/* Guards against the same when the sound part comes after the bad one. */
+START_TEST (of_two_parts_the_one_that_was_never_sound_is_quarantined)
+{
+  WlQuarantine *q = create_with_traffic ();
+  WlPromptParts sound = parts_of (SHARED, MIDDLE, 0);
+  WlPromptParts parts = parts_of (SHARED, BAD, MIDDLE);
+  note_sound (q, &sound, start_us);
+  uint64_t now_us = start_us + 2 * WL_QUARANTINE_SOUND_FOR_US;
+  now_us = end_endpoints (q, 1, 8, &parts, 1, now_us);
+  ck_assert (refuses (q, BAD, 1, now_us));
+  ck_assert (!refuses (q, MIDDLE, 1, now_us));
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
+/* Guards against a wrong verdict that keeps the bad part from being found. */
+START_TEST (a_part_quarantined_for_another_is_released_and_the_other_found)
+{
+  WlQuarantine *q = create_with_traffic ();
+  WlPromptParts parts = parts_of (SHARED, BAD, MIDDLE);
+  WlPromptParts sound = parts_of (SHARED, MIDDLE, 0);
+  uint64_t now_us = end_endpoints (q, 1, 3, &parts, 1, start_us);
+  ck_assert (refuses (q, MIDDLE, 1, now_us));
+  note_sound (q, &sound, now_us);
+  ck_assert (!refuses (q, MIDDLE, 1, now_us));
+  ck_assert (refuses (q, BAD, 1, now_us));
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
+/* Guards against the order of requests, of which each names some of the parts, as that of parts. */
+START_TEST (the_most_specific_part_is_that_of_the_prompts_not_of_the_first_request)
+{
+  WlQuarantine *q = create_with_traffic ();
+  WlPromptParts last_only = parts_of (SHARED, BAD, 0);
+  WlPromptParts both = parts_of (SHARED, MIDDLE, BAD);
+  for (uint64_t i = 0; i < 3; i++)
+    {
+      note_end (q, 1 + i, &last_only, 1, start_us + i * SECOND_US);
+      note_end (q, 1 + i, &both, 1, start_us + i * SECOND_US + 1000);
+    }
+  ck_assert (refuses (q, BAD, 1, start_us + 3 * SECOND_US));
+  ck_assert (!refuses (q, MIDDLE, 1, start_us + 3 * SECOND_US));
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
+/* Guards against a part that is refused at engines that can read it. */
+START_TEST (a_part_is_quarantined_for_one_service)
+{
+  WlQuarantine *q = create_with_traffic ();
+  WlPromptParts parts = parts_of (SHARED, BAD, 0);
+  WlPartUse other = use_of (&parts, 1);
+  other.service = SERVICE + 1;
+  uint64_t now_us = end_endpoints (q, 1, 3, &parts, 1, start_us);
+  ck_assert (refuses (q, BAD, 1, now_us));
+  ck_assert_int_eq (wl_quarantine_check (q, &other, 0, now_us).verdict, WL_QUARANTINE_ADMIT);
+  wl_quarantine_note_sound (q, &other, now_us);
+  ck_assert (refuses (q, BAD, 1, now_us));
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
+/* Guards against a customer who has another one's part refused. */
+START_TEST (ends_under_one_customers_requests_quarantine_for_this_customer)
+{
+  WlQuarantine *q = create_with_traffic ();
+  WlPromptParts parts = parts_of (SHARED, BAD, 0);
+  uint64_t now_us = end_endpoints (q, 1, 3, &parts, 1, start_us);
+  note_end (q, 3, &parts, 2, now_us); /* of the same end: customer 1 accounts for it */
+  ck_assert (refuses (q, BAD, 1, now_us));
+  ck_assert (!refuses (q, BAD, 2, now_us));
+  ck_assert (!refuses (q, BAD, 0, now_us));
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
+/* Guards against engines that go on to end under other customers' requests. */
+START_TEST (an_end_under_another_customers_request_widens_the_scope)
+{
+  WlQuarantine *q = create_with_traffic ();
+  WlPromptParts parts = parts_of (SHARED, BAD, 0);
+  uint64_t now_us = end_endpoints (q, 1, 3, &parts, 1, start_us);
+  uint64_t generation = wl_quarantine_generation (q);
+  WlPartReport report;
+  wl_quarantine_take_report (q, now_us, &report);
+  note_end (q, 4, &parts, 2, now_us);
+  ck_assert_uint_gt (wl_quarantine_generation (q), generation);
+  for (uint64_t customer = 0; customer < 4; customer++)
+    ck_assert (refuses (q, BAD, customer, now_us));
+  ck_assert (wl_quarantine_take_report (q, now_us, &report));
+  ck_assert_uint_eq (report.n_quarantined, 1);
+  ck_assert_uint_eq (report.quarantined[0].customer, 0);
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
+/* Guards against a part of several customers that is refused to the first of them alone. */
+START_TEST (ends_under_several_customers_requests_quarantine_for_all)
+{
+  WlQuarantine *q = create_with_traffic ();
+  WlPromptParts parts = parts_of (SHARED, BAD, 0);
+  for (uint64_t i = 0; i < 3; i++)
+    note_end (q, 1 + i, &parts, 1 + i % 2, start_us + i * SECOND_US);
+  for (uint64_t customer = 0; customer < 4; customer++)
+    ck_assert (refuses (q, BAD, customer, start_us + 3 * SECOND_US));
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
+/* Guards against memory that grows with the parts that a customer sends, or loses the bad one. */
+START_TEST (a_million_parts_displace_no_quarantined_part)
+{
+  WlQuarantine *q = create_with_traffic ();
+  WlPromptParts parts = parts_of (SHARED, BAD, 0);
+  uint64_t now_us = end_endpoints (q, 1, 3, &parts, 1, start_us);
+  for (uint64_t part = 1000000; part < 2000000; part += WL_QUARANTINE_PARTS_MAX)
+    {
+      WlPromptParts many = { .n = WL_QUARANTINE_PARTS_MAX };
+      for (uint64_t k = 0; k < many.n; k++)
+        many.ids[k] = part + k;
+      note_request (q, &many, now_us);
+      if (part % 2000 == 0)
+        {
+          WlPromptParts few = parts_of (part, part + 1, part + 2);
+          note_end (q, part, &few, 1, now_us);
+        }
+      else
+        note_sound (q, &many, now_us);
+      now_us += 1000;
+    }
+  ck_assert (refuses (q, BAD, 1, now_us));
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -131,6 +294,16 @@
     WL_TEST (a_sound_response_clears_ends_before_and_just_after_it),
     WL_TEST (a_part_that_all_requests_of_a_route_share_is_not_quarantined),
     WL_TEST (all_parts_of_the_first_request_of_a_route_count_as_common),
+    WL_TEST (two_bad_parts_at_once_are_both_quarantined),
+    WL_TEST (a_part_that_rode_with_the_bad_one_is_not_quarantined),
+    WL_TEST (of_two_parts_the_one_that_was_never_sound_is_quarantined),
+    WL_TEST (a_part_quarantined_for_another_is_released_and_the_other_found),
+    WL_TEST (the_most_specific_part_is_that_of_the_prompts_not_of_the_first_request),
+    WL_TEST (a_part_is_quarantined_for_one_service),
+    WL_TEST (ends_under_one_customers_requests_quarantine_for_this_customer),
+    WL_TEST (an_end_under_another_customers_request_widens_the_scope),
+    WL_TEST (ends_under_several_customers_requests_quarantine_for_all),
+    WL_TEST (a_million_parts_displace_no_quarantined_part),
   };
   return wl_test_run ("quarantine", tests, sizeof tests / sizeof tests[0]);
 }
