--- a/relay/tests/test_quarantine.c
+++ b/relay/tests/test_quarantine.c
@@ -1,4 +1,3 @@
-#include <string.h>
 #include "wl_test_quarantine.h"
 
 /* A part that ends engines must be kept from them, and no other part. */
--- a/tests/wl_test_quarantine.h
+++ b/tests/wl_test_quarantine.h
@@ -96,4 +96,34 @@
   return now_us;
 }
 
+/* Passes on what a quarantine has to tell. Return: 1 when it had something. */
+static inline int
+tell (WlQuarantine *from, WlQuarantine *to, uint64_t now_us)
+{
+  WlPartReport report;
+  int has_report = wl_quarantine_take_report (from, now_us, &report);
+  if (has_report)
+    wl_quarantine_apply (to, &report, now_us);
+  return has_report;
+}
+
+static inline int
+tell_all (WlQuarantine *from, WlQuarantine *to, uint64_t now_us)
+{
+  WlPartReport report;
+  int has_report = wl_quarantine_full_report (from, now_us, &report);
+  if (has_report)
+    wl_quarantine_apply (to, &report, now_us);
+  return has_report;
+}
+
+/* Quarantines BAD for customer 1 by three ends before @now_us. */
+static inline void
+quarantine_bad (WlQuarantine *q, uint64_t now_us)
+{
+  WlPromptParts parts = parts_of (SHARED, BAD, 0);
+  end_endpoints (q, 1, 3, &parts, 1, now_us - SECOND_US / 2);
+  ck_assert (refuses (q, BAD, 1, now_us));
+}
+
 #endif
