--- a/relay/forwarding/wl_quarantine_evidence.c
+++ b/relay/forwarding/wl_quarantine_evidence.c
@@ -55,8 +55,12 @@
   r->used_us = now_us;
   WlPromptParts *common = &r->current.common;
   if (!r->current.has_requests)
-    *common = *use->parts;
-  r->current.has_requests = 1;
+    {
+      *common = *use->parts;
+      r->current.has_requests = 1;
+      r->current.is_known = 0;
+    }
+  uint32_t n_before = common->n;
   for (uint32_t i = 0; i < common->n;)
     {
       if (!has_part (use->parts, common->ids[i]))
@@ -64,24 +68,37 @@
       else
         i++;
     }
+  r->current.is_known |= common->n < n_before || common->n < use->parts->n;
 }
 
-int
-wl_quarantine_is_common (WlQuarantine *quarantine, uint64_t part, uint64_t now_us)
+WlCommonality
+wl_quarantine_commonality (WlQuarantine *quarantine, uint64_t part, uint64_t now_us)
 {
+  WlCommonality found = WL_COMMON_TO_NONE;
   for (uint32_t i = 0; i < WL_QUARANTINE_ROUTES_MAX; i++)
     {
       WlRouteRecord *r = &quarantine->routes[i];
       if (r->route == 0)
         continue;
       update_windows (r, now_us);
-      int is_in_current = r->current.has_requests && has_part (&r->current.common, part);
-      int is_in_previous = r->previous.has_requests && has_part (&r->previous.common, part);
-      if ((is_in_current || !r->current.has_requests)
-          && (is_in_previous || !r->previous.has_requests) && (is_in_current || is_in_previous))
-        return 1;
+      const WlRouteWindow *windows[] = { &r->current, &r->previous };
+      uint32_t n_windows = 0;
+      uint32_t n_common = 0;
+      int is_known = 0;
+      for (uint32_t k = 0; k < 2; k++)
+        if (windows[k]->has_requests)
+          {
+            n_windows++;
+            n_common += (uint32_t)has_part (&windows[k]->common, part);
+            is_known |= windows[k]->is_known;
+          }
+      if (n_windows == 0 || n_common < n_windows)
+        continue;
+      if (is_known)
+        return WL_COMMON_TO_ROUTE;
+      found = WL_COMMON_SO_FAR;
     }
-  return 0;
+  return found;
 }
 
 /* The WL_QUARANTINE_SOUND_WAYS records of which one may be a part's, so that few are searched. */
@@ -210,13 +227,22 @@
   for (uint32_t i = 0; i < quarantine->n_ends;)
     {
       const WlEndRecord *end = &quarantine->ends[i];
-      if (end->n_suspects == 0 || now_us > end->at_us + WL_QUARANTINE_WINDOW_US)
+      if (now_us > end->at_us + WL_QUARANTINE_WINDOW_US)
         quarantine->ends[i] = quarantine->ends[--quarantine->n_ends];
       else
         i++;
     }
 }
 
+/* Whether an end is replaced before another one: those without suspects first, then by age. */
+static int
+is_less_needed (const WlEndRecord *a, const WlEndRecord *b)
+{
+  if ((a->n_suspects == 0) != (b->n_suspects == 0))
+    return a->n_suspects == 0;
+  return a->at_us < b->at_us;
+}
+
 WlEndRecord *
 wl_quarantine_end_record (WlQuarantine *quarantine, uint64_t endpoint, uint64_t at_us)
 {
@@ -231,12 +257,12 @@
             e->at_us = at_us;
           return e;
         }
-      if (e->at_us < oldest->at_us)
+      if (is_less_needed (e, oldest))
         oldest = e;
     }
   if (quarantine->n_ends < WL_QUARANTINE_ENDS_MAX)
     oldest = &quarantine->ends[quarantine->n_ends++];
-  else if (oldest->at_us > at_us)
+  else if (oldest->n_suspects > 0 && oldest->at_us > at_us)
     return NULL;
   oldest->endpoint = endpoint;
   oldest->at_us = at_us;
@@ -281,10 +307,9 @@
       WlPartSuspect suspect = { use->parts->ids[i], use->service, use->customer };
       WlSoundRecord *s = wl_quarantine_sound_record (quarantine, suspect.part, suspect.service);
       if (suspect.part != 0 && !wl_quarantine_is_void (s, now_us)
-          && !wl_quarantine_is_common (quarantine, suspect.part, now_us))
+          && wl_quarantine_commonality (quarantine, suspect.part, now_us) != WL_COMMON_TO_ROUTE)
         wl_quarantine_add_suspect (end, &suspect, 1, &next);
     }
   quarantine->has_news |= end != NULL && end->is_news;
-  wl_quarantine_forget_ends (quarantine, now_us);
   wl_quarantine_decide (quarantine, now_us);
 }
--- a/relay/forwarding/wl_quarantine_internal.h
+++ b/relay/forwarding/wl_quarantine_internal.h
@@ -92,11 +92,13 @@
  * struct WlRouteWindow - the parts that all requests of a route in a time had in common
  * @common: the parts
  * @has_requests: there were requests
+ * @is_known: one of them had another part as well
  */
 typedef struct
 {
   WlPromptParts common;
   uint8_t has_requests;
+  uint8_t is_known;
 } WlRouteWindow;
 
 /**
@@ -213,7 +215,7 @@
 void wl_quarantine_add_suspect (WlEndRecord *end, const WlPartSuspect *suspect, int is_own,
                                 uint32_t *next);
 
-/** wl_quarantine_forget_ends() - removes ends without suspects and those out of the window */
+/** wl_quarantine_forget_ends() - removes ends out of the window */
 void wl_quarantine_forget_ends (WlQuarantine *quarantine, uint64_t now_us);
 
 /** wl_quarantine_is_suspect() - whether a suspect is this part for this service */
@@ -223,8 +225,21 @@
   return suspect->part == part && suspect->service == service;
 }
 
-/** wl_quarantine_is_common() - whether all requests of some route have a part */
-int wl_quarantine_is_common (WlQuarantine *quarantine, uint64_t part, uint64_t now_us);
+/**
+ * enum WlCommonality - whether all requests of some route have a part
+ * @WL_COMMON_TO_NONE: no
+ * @WL_COMMON_SO_FAR: those seen by now, which were all of the same parts
+ * @WL_COMMON_TO_ROUTE: yes, and they have others that differ
+ */
+typedef enum
+{
+  WL_COMMON_TO_NONE,
+  WL_COMMON_SO_FAR,
+  WL_COMMON_TO_ROUTE,
+} WlCommonality;
+
+/** wl_quarantine_commonality() - whether all requests of some route have a part */
+WlCommonality wl_quarantine_commonality (WlQuarantine *quarantine, uint64_t part, uint64_t now_us);
 
 /** wl_quarantine_explains() - whether a quarantined part accounts for an end */
 int wl_quarantine_explains (const WlQuarantineEntry *entry, const WlEndRecord *end);
--- a/relay/forwarding/wl_quarantine_report.c
+++ b/relay/forwarding/wl_quarantine_report.c
@@ -188,6 +188,5 @@
     apply_entry (quarantine, &report->quarantined[i], now_us);
   for (uint32_t i = 0; i < report->n_ends; i++)
     apply_end (quarantine, &report->ends[i], now_us);
-  wl_quarantine_forget_ends (quarantine, now_us);
   wl_quarantine_decide (quarantine, now_us);
 }
--- a/relay/forwarding/wl_quarantine_verdict.c
+++ b/relay/forwarding/wl_quarantine_verdict.c
@@ -12,28 +12,47 @@
   return 0;
 }
 
+enum
+{
+  SURE_ENDS = 5,        /* so many ends are enough in any case */
+  OTHERS_US = 60000000, /* ends so long before the first one are looked at as well */
+};
+
+/**
+ * struct Evidence - what parts are judged by
+ * @ends: the ends for which no quarantined part accounts, by time, @n_ends of them
+ * @now_us: monotonic time
+ */
+typedef struct
+{
+  const WlEndRecord *ends[WL_QUARANTINE_ENDS_MAX];
+  uint32_t n_ends;
+  uint64_t now_us;
+} Evidence;
+
 /**
  * struct Verdict - the case against a part
  * @part: id of the part
  * @service: the service
- * @customer: customer whose requests account for all of the ends, 0 for none
- * @n_ends: ends that count
+ * @counted: the ends that count, by time, @n_ends of them
  * @was_sound: it was sound once
+ * @is_proven: they are enough
  */
 typedef struct
 {
   uint64_t part;
   uint64_t service;
-  uint64_t customer;
+  const WlEndRecord *counted[WL_QUARANTINE_ENDS_MAX];
   uint32_t n_ends;
   uint8_t was_sound;
+  uint8_t is_proven;
 } Verdict;
 
-/* The ends for which no quarantined part accounts, by time. Return: how many. */
-static uint32_t
-unexplained_ends (const WlQuarantine *quarantine, const WlEndRecord **ends)
+static void
+gather_evidence (const WlQuarantine *quarantine, uint64_t now_us, Evidence *out)
 {
-  uint32_t n = 0;
+  out->n_ends = 0;
+  out->now_us = now_us;
   for (uint32_t i = 0; i < quarantine->n_ends; i++)
     {
       const WlEndRecord *end = &quarantine->ends[i];
@@ -42,11 +61,10 @@
         k++;
       if (k < quarantine->n_entries)
         continue;
-      for (k = n++; k > 0 && ends[k - 1]->at_us > end->at_us; k--)
-        ends[k] = ends[k - 1];
-      ends[k] = end;
+      for (k = out->n_ends++; k > 0 && out->ends[k - 1]->at_us > end->at_us; k--)
+        out->ends[k] = out->ends[k - 1];
+      out->ends[k] = end;
     }
-  return n;
 }
 
 /* Index of a part among the suspects of an end, of any customer; n_suspects when it is none. */
@@ -59,6 +77,16 @@
   return i;
 }
 
+/* Whether a part is a suspect of an end because of a request of this node. */
+static int
+is_own_suspect (const WlEndRecord *end, uint64_t part, uint64_t service)
+{
+  for (uint32_t i = 0; i < end->n_suspects; i++)
+    if (end->is_own[i] && wl_quarantine_is_suspect (&end->suspects[i], part, service))
+      return 1;
+  return 0;
+}
+
 static int
 has_suspect_of (const WlEndRecord *end, const WlPartSuspect *suspect)
 {
@@ -81,50 +109,117 @@
   return 1;
 }
 
-/* Customer whose requests with a part were under all of the ends, 0 for none. */
+/* Customer whose requests account for all ends that count against a part, 0 for none. */
 static uint64_t
-single_customer (const WlEndRecord *const *ends, uint32_t n_ends, uint64_t part, uint64_t service)
+single_customer (const Verdict *v)
 {
-  for (uint32_t i = 0; i < ends[0]->n_suspects; i++)
+  for (uint32_t i = 0; i < v->counted[0]->n_suspects; i++)
     {
-      const WlPartSuspect *s = &ends[0]->suspects[i];
+      const WlPartSuspect *s = &v->counted[0]->suspects[i];
       uint32_t k = 1;
-      if (!wl_quarantine_is_suspect (s, part, service) || s->customer == 0)
+      if (!wl_quarantine_is_suspect (s, v->part, v->service) || s->customer == 0)
         continue;
-      while (k < n_ends && has_suspect_of (ends[k], s))
+      while (k < v->n_ends && has_suspect_of (v->counted[k], s))
         k++;
-      if (k == n_ends)
+      if (k == v->n_ends)
         return s->customer;
     }
   return 0;
 }
 
-/* The case against a suspect, by the ends for which no quarantined part accounts. */
+/* How many ends a part is a suspect of. */
+static uint32_t
+count_ends (const WlEndRecord *const *ends, uint32_t n_ends, uint64_t part, uint64_t service)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < n_ends; i++)
+    n += suspect_index (ends[i], part, service) < ends[i]->n_suspects;
+  return n;
+}
+
+/* Whether a suspect of an end that counts against a part may account for the ends as well. */
+static int
+is_rival (WlQuarantine *quarantine, const Evidence *ev, const Verdict *v, const WlPartSuspect *s)
+{
+  if (wl_quarantine_is_suspect (s, v->part, v->service))
+    return 0;
+  uint32_t n_shared = count_ends (v->counted, v->n_ends, s->part, s->service);
+  int is_near = n_shared + 1 >= v->n_ends;
+  int is_ahead = count_ends (ev->ends, ev->n_ends, s->part, s->service)
+                 > count_ends (ev->ends, ev->n_ends, v->part, v->service);
+  int is_sounder
+      = !v->was_sound && wl_quarantine_sound_record (quarantine, s->part, s->service) != NULL;
+  return (is_near || is_ahead) && !is_sounder
+         && wl_quarantine_commonality (quarantine, s->part, ev->now_us) == WL_COMMON_TO_NONE;
+}
+
+/* Whether some other part may account for the ends that count against a part as well. */
+static int
+has_rival (WlQuarantine *quarantine, const Evidence *ev, const Verdict *v)
+{
+  for (uint32_t i = 0; i < v->n_ends; i++)
+    for (uint32_t k = 0; k < v->counted[i]->n_suspects; k++)
+      if (is_rival (quarantine, ev, v, &v->counted[i]->suspects[k]))
+        return 1;
+  return 0;
+}
+
+/* Whether the ends that count against a part are half of those that have happened around them. */
+static int
+is_half_of_ends (const Evidence *ev, const Verdict *v)
+{
+  uint64_t last_us = 0;
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < ev->n_ends; i++)
+    {
+      uint64_t at_us = ev->ends[i]->at_us;
+      if (at_us + OTHERS_US < v->counted[0]->at_us
+          || (n > 0 && at_us < last_us + WL_QUARANTINE_END_GAP_US))
+        continue;
+      last_us = at_us;
+      n++;
+    }
+  return 2 * v->n_ends >= n;
+}
+
+/*
+ * The case against a suspect. It is left to the nodes that had requests with the part: others can't
+ * know whether all requests of their route have it. A few ends are not enough when another part may
+ * account for them, since reports of an end arrive one by one and the other part's may be missing;
+ * nor when they are a few of many, of which some have a part in common by chance.
+ */
 static Verdict
-judge (WlQuarantine *quarantine, const WlEndRecord *const *ends, uint32_t n_ends,
-       const WlPartSuspect *suspect)
+judge (WlQuarantine *quarantine, const Evidence *ev, const WlPartSuspect *suspect)
 {
   Verdict v = { .part = suspect->part, .service = suspect->service };
-  const WlEndRecord *counted[WL_QUARANTINE_ENDS_MAX];
-  for (uint32_t i = 0; i < n_ends; i++)
-    if (suspect_index (ends[i], v.part, v.service) < ends[i]->n_suspects
-        && counts (ends[i], counted, v.n_ends))
-      counted[v.n_ends++] = ends[i];
-  v.customer = single_customer (counted, v.n_ends, v.part, v.service);
+  int is_own = 0;
+  for (uint32_t i = 0; i < ev->n_ends; i++)
+    {
+      const WlEndRecord *end = ev->ends[i];
+      if (suspect_index (end, v.part, v.service) < end->n_suspects
+          && counts (end, v.counted, v.n_ends))
+        v.counted[v.n_ends++] = end;
+      is_own |= is_own_suspect (end, v.part, v.service);
+    }
+  if (!is_own || v.n_ends < WL_QUARANTINE_ENDPOINTS)
+    return v;
   v.was_sound = wl_quarantine_sound_record (quarantine, v.part, v.service) != NULL;
+  v.is_proven
+      = v.n_ends >= SURE_ENDS || (is_half_of_ends (ev, &v) && !has_rival (quarantine, ev, &v));
   return v;
 }
 
 /* Whether a part is behind another one in more of the prompts than in front of it. */
 static int
-is_behind (const WlEndRecord *const *ends, uint32_t n_ends, const Verdict *a, const Verdict *b)
+is_behind (const Evidence *ev, const Verdict *a, const Verdict *b)
 {
   int n = 0;
-  for (uint32_t i = 0; i < n_ends; i++)
+  for (uint32_t i = 0; i < ev->n_ends; i++)
     {
-      uint32_t index_a = suspect_index (ends[i], a->part, a->service);
-      uint32_t index_b = suspect_index (ends[i], b->part, b->service);
-      if (index_a < ends[i]->n_suspects && index_b < ends[i]->n_suspects)
+      const WlEndRecord *end = ev->ends[i];
+      uint32_t index_a = suspect_index (end, a->part, a->service);
+      uint32_t index_b = suspect_index (end, b->part, b->service);
+      if (index_a < end->n_suspects && index_b < end->n_suspects)
         n += index_a > index_b ? 1 : -1;
     }
   return n > 0;
@@ -132,36 +227,35 @@
 
 /* Whether the case against a part is stronger than that against another one. */
 static int
-is_stronger (const WlEndRecord *const *ends, uint32_t n_ends, const Verdict *a, const Verdict *b)
+is_stronger (const Evidence *ev, const Verdict *a, const Verdict *b)
 {
   if (a->n_ends != b->n_ends)
     return a->n_ends > b->n_ends;
   if (a->was_sound != b->was_sound)
     return b->was_sound;
-  return (a->part != b->part || a->service != b->service) && is_behind (ends, n_ends, a, b);
+  return (a->part != b->part || a->service != b->service) && is_behind (ev, a, b);
 }
 
 /* Quarantines the part that accounts for the most ends. Return: 1, or 0 when there is none. */
 static int
 quarantine_strongest (WlQuarantine *quarantine, uint64_t now_us)
 {
-  const WlEndRecord *ends[WL_QUARANTINE_ENDS_MAX];
-  uint32_t n_ends = unexplained_ends (quarantine, ends);
+  Evidence ev;
   Verdict strongest = { 0 };
-  for (uint32_t i = 0; i < n_ends; i++)
-    for (uint32_t k = 0; k < ends[i]->n_suspects; k++)
+  gather_evidence (quarantine, now_us, &ev);
+  for (uint32_t i = 0; i + WL_QUARANTINE_ENDPOINTS <= ev.n_ends; i++)
+    for (uint32_t k = 0; k < ev.ends[i]->n_suspects; k++)
       {
-        Verdict v = judge (quarantine, ends, n_ends, &ends[i]->suspects[k]);
-        if (v.n_ends >= WL_QUARANTINE_ENDPOINTS
-            && (strongest.part == 0 || is_stronger (ends, n_ends, &v, &strongest))
-            && !wl_quarantine_is_common (quarantine, v.part, now_us))
+        Verdict v = judge (quarantine, &ev, &ev.ends[i]->suspects[k]);
+        if (v.is_proven && (strongest.part == 0 || is_stronger (&ev, &v, &strongest))
+            && wl_quarantine_commonality (quarantine, v.part, now_us) == WL_COMMON_TO_NONE)
           strongest = v;
       }
   if (strongest.part == 0)
     return 0;
   WlQuarantineEntry entry = { .part = strongest.part,
                               .service = strongest.service,
-                              .customer = strongest.customer,
+                              .customer = single_customer (&strongest),
                               .n_ends = strongest.n_ends,
                               .at_us = (int64_t)now_us,
                               .trial_after_us = WL_QUARANTINE_TRIAL_MIN_US,
@@ -172,14 +266,14 @@
 
 /* Widens entries of one customer's requests when an endpoint ended under another one's. */
 static void
-widen_scopes (WlQuarantine *quarantine)
+widen_scopes (WlQuarantine *quarantine, uint64_t now_us)
 {
-  const WlEndRecord *ends[WL_QUARANTINE_ENDS_MAX];
-  uint32_t n_ends = unexplained_ends (quarantine, ends);
-  for (uint32_t i = 0; i < n_ends; i++)
-    for (uint32_t k = 0; k < ends[i]->n_suspects; k++)
+  Evidence ev;
+  gather_evidence (quarantine, now_us, &ev);
+  for (uint32_t i = 0; i < ev.n_ends; i++)
+    for (uint32_t k = 0; k < ev.ends[i]->n_suspects; k++)
       {
-        const WlPartSuspect *s = &ends[i]->suspects[k];
+        const WlPartSuspect *s = &ev.ends[i]->suspects[k];
         WlQuarantineEntry *e = wl_quarantine_find (quarantine, s->part, s->service);
         if (e == NULL || wl_quarantine_covers (e, s->customer))
           continue;
@@ -194,6 +288,6 @@
 {
   uint32_t n = 0;
   do
-    widen_scopes (quarantine);
+    widen_scopes (quarantine, now_us);
   while (quarantine_strongest (quarantine, now_us) && ++n < WL_QUARANTINE_ENTRIES_MAX);
 }
--- a/relay/tests/test_quarantine_reports.c
+++ b/relay/tests/test_quarantine_reports.c
@@ -312,6 +312,42 @@
 }
 END_TEST
 
+/* Guards against a route that is refused by a node which has not seen what its requests share. */
+START_TEST (a_node_without_requests_of_the_route_leaves_the_verdict_to_others)
+{
+  WlQuarantine *old = create_with_traffic ();
+  WlQuarantine *new = wl_quarantine_create ();
+  for (uint64_t i = 0; i < 10; i++)
+    {
+      WlPartSuspect suspects[] = { { SHARED, SERVICE, 1 }, { BAD, SERVICE, 1 } };
+      WlPartEnd end = { .endpoint = 1 + i, .suspects = suspects, .n_suspects = 2 };
+      WlPartReport report = { .ends = &end, .n_ends = 1 };
+      wl_quarantine_apply (new, &report, start_us + i * SECOND_US);
+    }
+  ck_assert_uint_eq (wl_quarantine_n_entries (new), 0);
+  quarantine_bad (old, start_us + 10 * SECOND_US);
+  tell (old, new, start_us + 10 * SECOND_US);
+  ck_assert (refuses (new, BAD, 1, start_us + 10 * SECOND_US));
+  ck_assert (!refuses (new, SHARED, 1, start_us + 10 * SECOND_US));
+  wl_quarantine_destroy (new);
+  wl_quarantine_destroy (old);
+}
+END_TEST
+
+/* Guards against ends that others do not learn of since a node saw one request of the route. */
+START_TEST (a_node_that_has_just_started_tells_of_the_parts_of_its_only_request)
+{
+  WlQuarantine *q = wl_quarantine_create ();
+  WlPromptParts parts = parts_of (SHARED, BAD, 0);
+  WlPartReport report;
+  note_request (q, &parts, start_us);
+  note_end (q, 1, &parts, 1, start_us);
+  ck_assert (wl_quarantine_take_report (q, start_us, &report));
+  ck_assert_uint_eq (report.ends[0].n_suspects, 2);
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -328,6 +364,8 @@
     WL_TEST (a_node_that_has_just_started_learns_all_from_one_full_report),
     WL_TEST (entries_of_one_part_are_merged),
     WL_TEST (odd_reports_are_survived),
+    WL_TEST (a_node_without_requests_of_the_route_leaves_the_verdict_to_others),
+    WL_TEST (a_node_that_has_just_started_tells_of_the_parts_of_its_only_request),
   };
   return wl_test_run ("quarantine_reports", tests, sizeof tests / sizeof tests[0]);
 }
