--- a/relay/forwarding/wl_quarantine.h
+++ b/relay/forwarding/wl_quarantine.h
@@ -32,6 +32,7 @@
   WL_QUARANTINE_ENTRIES_MAX = 64,        /* quarantined parts */
   WL_QUARANTINE_ROUTES_MAX = 256,        /* routes whose common parts are known */
   WL_QUARANTINE_ENDPOINTS = 3,           /* ends of so many endpoints quarantine a part */
+  WL_QUARANTINE_ENDPOINTS_SURE = 5,      /* likewise, when it may also be for another reason */
   WL_QUARANTINE_END_GAP_US = 150000,     /* ends closer than this count as one: a common cause */
   WL_QUARANTINE_WINDOW_US = 600000000,   /* older ends do not count */
   WL_QUARANTINE_SOUND_AFTER_US = 500000, /* output for so long shows that the parts are sound */
@@ -134,10 +135,13 @@
  * To be called for each such request. An end that a quarantined part accounts for
  * speaks against no other part. Otherwise the part that accounts for the most
  * ends is quarantined, if these are WL_QUARANTINE_ENDPOINTS or more endpoints at
- * as many different times. Of several such parts it is one that was never sound,
- * before one that was; then the one furthest from the start of the prompt. It is
- * quarantined for the customer whose requests the ends were under, or for all
- * customers when there were several.
+ * as many different times. WL_QUARANTINE_ENDPOINTS_SURE are needed when another
+ * part may account for the same ends, or when less than half of all ends in the
+ * minute before and since are among them. Of several such parts it is one that was
+ * never sound, before one that was; then the one furthest from the start of the
+ * prompt. It is quarantined for the customer whose requests account for these
+ * ends, or for all customers when several are needed for that. Only a part of a
+ * request of this node is quarantined; on others other nodes decide.
  */
 void wl_quarantine_note_end (WlQuarantine *quarantine, uint64_t endpoint, const WlPartUse *use,
                              uint64_t now_us);
--- a/relay/forwarding/wl_quarantine_verdict.c
+++ b/relay/forwarding/wl_quarantine_verdict.c
@@ -14,8 +14,7 @@
 
 enum
 {
-  SURE_ENDS = 5,        /* so many ends are enough in any case */
-  OTHERS_US = 60000000, /* ends so long before the first one are looked at as well */
+  OTHERS_US = 60000000, /* ends so long before the first one that counts are other ones beside it */
 };
 
 /**
@@ -77,13 +76,15 @@
   return i;
 }
 
-/* Whether a part is a suspect of an end because of a request of this node. */
+/* Whether a part is a suspect because of a request of this node. */
 static int
-is_own_suspect (const WlEndRecord *end, uint64_t part, uint64_t service)
+has_own_suspect (const Evidence *ev, uint64_t part, uint64_t service)
 {
-  for (uint32_t i = 0; i < end->n_suspects; i++)
-    if (end->is_own[i] && wl_quarantine_is_suspect (&end->suspects[i], part, service))
-      return 1;
+  for (uint32_t i = 0; i < ev->n_ends; i++)
+    for (uint32_t k = 0; k < ev->ends[i]->n_suspects; k++)
+      if (ev->ends[i]->is_own[k]
+          && wl_quarantine_is_suspect (&ev->ends[i]->suspects[k], part, service))
+        return 1;
   return 0;
 }
 
@@ -164,7 +165,7 @@
   return 0;
 }
 
-/* Whether the ends that count against a part are half of those that have happened around them. */
+/* Whether the ends that count against a part are at least half of those in its time. */
 static int
 is_half_of_ends (const Evidence *ev, const Verdict *v)
 {
@@ -192,20 +193,18 @@
 judge (WlQuarantine *quarantine, const Evidence *ev, const WlPartSuspect *suspect)
 {
   Verdict v = { .part = suspect->part, .service = suspect->service };
-  int is_own = 0;
   for (uint32_t i = 0; i < ev->n_ends; i++)
     {
       const WlEndRecord *end = ev->ends[i];
-      if (suspect_index (end, v.part, v.service) < end->n_suspects
-          && counts (end, v.counted, v.n_ends))
+      if (counts (end, v.counted, v.n_ends)
+          && suspect_index (end, v.part, v.service) < end->n_suspects)
         v.counted[v.n_ends++] = end;
-      is_own |= is_own_suspect (end, v.part, v.service);
     }
-  if (!is_own || v.n_ends < WL_QUARANTINE_ENDPOINTS)
+  if (v.n_ends < WL_QUARANTINE_ENDPOINTS || !has_own_suspect (ev, v.part, v.service))
     return v;
   v.was_sound = wl_quarantine_sound_record (quarantine, v.part, v.service) != NULL;
-  v.is_proven
-      = v.n_ends >= SURE_ENDS || (is_half_of_ends (ev, &v) && !has_rival (quarantine, ev, &v));
+  v.is_proven = v.n_ends >= WL_QUARANTINE_ENDPOINTS_SURE
+                || (is_half_of_ends (ev, &v) && !has_rival (quarantine, ev, &v));
   return v;
 }
 
