Quarantine: trials in simulated fleets, bound of the memory

Mended engines: one trial releases the part at all nodes and no endpoint ends. Not mended: an endpoint ends one and three minutes after the verdict and no other, in five minutes.

--- a/relay/tests/test_quarantine.c
+++ b/relay/tests/test_quarantine.c
@@ -1,7 +1,13 @@
+#include "wl_quarantine_internal.h"
 #include "wl_test_quarantine.h"
 
 /* A part that ends engines must be kept from them, and no other part. */
 
+enum
+{
+  MEMORY_MAX_BYTES = 300 * 1024,
+};
+
 /* Guards against engines that end one after the other under requests with the same part. */
 START_TEST (three_ends_quarantine_the_part)
 {
@@ -277,6 +283,7 @@
       now_us += 1000;
     }
   ck_assert (refuses (q, BAD, 1, now_us));
+  ck_assert_uint_le (sizeof (WlQuarantine), MEMORY_MAX_BYTES);
   wl_quarantine_destroy (q);
 }
 END_TEST
--- a/testkit/wl_quarantine_sim.c
+++ b/testkit/wl_quarantine_sim.c
@@ -7,6 +7,7 @@
 {
   CUSTOMERS = 10,
   ATTEMPTS = 2,
+  TRIAL_NODE = 0, /* the node that may run trials */
   FULL_REPORT_US = 2500000,
   BEGIN_US = 150000,    /* shortest time to the first output; at most three times as long */
   END_AFTER_US = 35000, /* from there until a bad part ends the endpoint */
@@ -137,8 +138,10 @@
   r->is_active = 0;
   if (r->attempts == ATTEMPTS)
     return;
-  if (wl_quarantine_check (sim->nodes[r->node], &use, 0, sim->now_us).verdict
-      == WL_QUARANTINE_REFUSE)
+  WlQuarantine *q = sim->nodes[r->node];
+  WlQuarantineVerdict verdict
+      = wl_quarantine_check (q, &use, r->node == TRIAL_NODE, sim->now_us).verdict;
+  if (verdict == WL_QUARANTINE_REFUSE)
     {
       sim->n_refused++;
       return;
@@ -153,7 +156,13 @@
   r->begin_us = sim->now_us + BEGIN_US + wl_quarantine_sim_random (sim, 2 * BEGIN_US);
   r->is_active = 1;
   WlQuarantineSimPart *bad = &sim->bad_parts[r->bad != 0 ? r->bad - BAD : 0];
-  if (r->bad != 0 && bad->n_ends >= WL_QUARANTINE_SIM_ENDS && sim->now_us > bad->bound_us)
+  if (verdict == WL_QUARANTINE_TRIAL)
+    {
+      wl_quarantine_begin_trial (q, &use, sim->now_us);
+      r->attempts = ATTEMPTS;
+      bad->n_trials++;
+    }
+  else if (r->bad != 0 && bad->n_ends >= WL_QUARANTINE_SIM_ENDS && sim->now_us > bad->bound_us)
     bad->n_late++;
 }
 
@@ -201,6 +210,12 @@
   send_request (sim, r);
 }
 
+static int
+is_mended (const WlQuarantineSim *sim)
+{
+  return sim->plan.mended_us != 0 && sim->now_us >= start_us + sim->plan.mended_us;
+}
+
 static void
 update_request (WlQuarantineSim *sim, WlQuarantineSimRequest *r)
 {
@@ -208,7 +223,7 @@
   WlQuarantine *q = sim->nodes[r->node];
   if (!r->is_active)
     return;
-  if (r->bad != 0 && sim->now_us >= r->begin_us + END_AFTER_US)
+  if (r->bad != 0 && !is_mended (sim) && sim->now_us >= r->begin_us + END_AFTER_US)
     {
       WlQuarantineSimPart *bad = &sim->bad_parts[r->bad - BAD];
       if (++bad->n_ends == WL_QUARANTINE_SIM_ENDS)
--- a/testkit/wl_quarantine_sim.h
+++ b/testkit/wl_quarantine_sim.h
@@ -31,6 +31,7 @@
  * @delay_us: delay of reports
  * @loss: share of reports that are lost
  * @bad_from_us: when bad requests begin
+ * @mended_us: when bad parts no longer end endpoints, 0 for never
  * @chance_us: average time between ends by chance, 0 for none
  */
 typedef struct
@@ -43,6 +44,7 @@
   uint32_t delay_us;
   uint32_t loss;
   uint64_t bad_from_us;
+  uint64_t mended_us;
   uint64_t chance_us;
 } WlQuarantineSimPlan;
 
@@ -82,13 +84,15 @@
  * struct WlQuarantineSimPart - what was seen of a bad part
  * @n_ends: endpoints that ended by it
  * @bound_us: WL_QUARANTINE_SIM_BOUND_US after the WL_QUARANTINE_SIM_ENDS-th of them
- * @n_late: requests that reached endpoints after that
+ * @n_late: requests that reached endpoints after that, trials aside
+ * @n_trials: trials
  */
 typedef struct
 {
   uint32_t n_ends;
   uint64_t bound_us;
   uint32_t n_late;
+  uint32_t n_trials;
 } WlQuarantineSimPart;
 
 /**
