--- a/relay/tests/test_quarantine_fleet.c
+++ b/relay/tests/test_quarantine_fleet.c
@@ -41,7 +41,12 @@
   ck_assert_uint_gt (sim->n_refused, 0);
   for (uint32_t i = 0; i < plan->n_bad_parts; i++)
     {
-      ck_assert_uint_ge (sim->bad_parts[i].n_ends, WL_QUARANTINE_ENDPOINTS);
+      for (uint32_t k = 0; k < plan->n_nodes; k++)
+        {
+          WlQuarantineAnswer answer = check (sim->nodes[k], BAD + i, 1, 0, sim->now_us);
+          ck_assert_int_eq (answer.verdict, WL_QUARANTINE_REFUSE);
+          ck_assert_uint_ge (answer.n_ends, WL_QUARANTINE_ENDPOINTS);
+        }
       ck_assert_uint_le (sim->bad_parts[i].n_late, ARRIVALS_MAX);
     }
   wl_quarantine_sim_destroy (sim);
