Quarantine: five ends are not enough while they are few of very many

Five ends are enough only if they are a quarter of the times at which engines ended since the first of them. Three bad parts at once have a third each; when one is quarantined, its ends are explained and the shares of the others grow.

five_of_very_many_ends_are_not_enough fails without the share, as the mutant five-of-any-number-counted shows. Not measured with real processes yet.

--- a/relay/forwarding/wl_quarantine_verdict.c
+++ b/relay/forwarding/wl_quarantine_verdict.c
@@ -15,6 +15,8 @@
 enum
 {
   OTHERS_US = 60000000, /* ends so long before the first one that counts are other ones beside it */
+  CLEAR_SHARE = 2,      /* WL_QUARANTINE_ENDPOINTS are enough if they are a half of the times */
+  SURE_SHARE = 4,       /* WL_QUARANTINE_ENDPOINTS_SURE, if they are a quarter */
 };
 
 /**
@@ -165,29 +167,42 @@
   return 0;
 }
 
-/* Whether the ends that count against a part are at least half of those in its time. */
-static int
-is_half_of_ends (const Evidence *ev, const Verdict *v)
+/* How many times there are ends, from @before_us before the first one that counts against a part.
+ */
+static uint32_t
+count_times (const Evidence *ev, const Verdict *v, uint64_t before_us)
 {
   uint64_t last_us = 0;
   uint32_t n = 0;
   for (uint32_t i = 0; i < ev->n_ends; i++)
     {
       uint64_t at_us = ev->ends[i]->at_us;
-      if (at_us + OTHERS_US < v->counted[0]->at_us
+      if (at_us + before_us < v->counted[0]->at_us
           || (n > 0 && at_us < last_us + WL_QUARANTINE_END_GAP_US))
         continue;
       last_us = at_us;
       n++;
     }
-  return 2 * v->n_ends >= n;
+  return n;
+}
+
+/*
+ * Whether the ends that count against a part are enough. A few are not when another part may
+ * account for them, since reports of an end arrive one by one and the other part's may be
+ * missing; nor when they are a few of many, of which some have a part in common by chance.
+ */
+static int
+is_proven (WlQuarantine *quarantine, const Evidence *ev, const Verdict *v)
+{
+  if (v->n_ends >= WL_QUARANTINE_ENDPOINTS_SURE && SURE_SHARE * v->n_ends >= count_times (ev, v, 0))
+    return 1;
+  return CLEAR_SHARE * v->n_ends >= count_times (ev, v, OTHERS_US)
+         && !has_rival (quarantine, ev, v);
 }
 
 /*
  * The case against a suspect. It is left to the nodes that had requests with the part: others can't
- * know whether all requests of their route have it. A few ends are not enough when another part may
- * account for them, since reports of an end arrive one by one and the other part's may be missing;
- * nor when they are a few of many, of which some have a part in common by chance.
+ * know whether all requests of their route have it.
  */
 static Verdict
 judge (WlQuarantine *quarantine, const Evidence *ev, const WlPartSuspect *suspect)
@@ -203,8 +218,7 @@
   if (v.n_ends < WL_QUARANTINE_ENDPOINTS || !has_own_suspect (ev, v.part, v.service))
     return v;
   v.was_sound = wl_quarantine_sound_record (quarantine, v.part, v.service) != NULL;
-  v.is_proven = v.n_ends >= WL_QUARANTINE_ENDPOINTS_SURE
-                || (is_half_of_ends (ev, &v) && !has_rival (quarantine, ev, &v));
+  v.is_proven = (uint8_t)is_proven (quarantine, ev, &v);
   return v;
 }
 
--- a/relay/tests/test_quarantine.c
+++ b/relay/tests/test_quarantine.c
@@ -330,6 +330,37 @@
 }
 END_TEST
 
+/* Guards against a sound part that is refused since most engines fail by themselves. */
+START_TEST (five_of_very_many_ends_are_not_enough)
+{
+  WlQuarantine *q = create_with_traffic ();
+  uint64_t now_us = start_us;
+  for (uint64_t i = 0; i < 25; i++, now_us += SECOND_US)
+    {
+      WlPromptParts parts = parts_of (SHARED, i % 5 == 0 ? BAD : BAD + 1 + i, 0);
+      note_end (q, 1 + i, &parts, 1, now_us);
+    }
+  ck_assert_uint_eq (wl_quarantine_n_entries (q), 0);
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
+/* Guards against bad parts that hide one another: each accounts for a third of the ends. */
+START_TEST (three_bad_parts_at_once_are_all_quarantined)
+{
+  WlQuarantine *q = create_with_traffic ();
+  uint64_t now_us = start_us;
+  for (uint64_t i = 0; i < 15; i++, now_us += SECOND_US)
+    {
+      WlPromptParts parts = parts_of (SHARED, BAD + i % 3, 0);
+      note_end (q, 1 + i, &parts, 1, now_us);
+    }
+  ck_assert_uint_eq (wl_quarantine_n_entries (q), 3);
+  ck_assert (!refuses (q, SHARED, 1, now_us));
+  wl_quarantine_destroy (q);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -354,6 +385,8 @@
     WL_TEST (a_million_parts_displace_no_quarantined_part),
     WL_TEST (three_ends_that_another_part_may_account_for_are_not_enough),
     WL_TEST (three_of_many_ends_are_not_enough_but_five_are),
+    WL_TEST (five_of_very_many_ends_are_not_enough),
+    WL_TEST (three_bad_parts_at_once_are_all_quarantined),
   };
   return wl_test_run ("quarantine", tests, sizeof tests / sizeof tests[0]);
 }
