--- a/relay/forwarding/wl_quarantine.c
+++ b/relay/forwarding/wl_quarantine.c
@@ -59,7 +59,7 @@
 {
   uint64_t interval_us = WL_QUARANTINE_TRIAL_MIN_US;
   for (uint32_t i = 0; i < n_trials && interval_us < WL_QUARANTINE_TRIAL_MAX_US; i++)
-    interval_us *= 2;
+    interval_us *= WL_QUARANTINE_TRIAL_GROWTH;
   return interval_us < WL_QUARANTINE_TRIAL_MAX_US ? interval_us : WL_QUARANTINE_TRIAL_MAX_US;
 }
 
--- a/relay/forwarding/wl_quarantine.h
+++ b/relay/forwarding/wl_quarantine.h
@@ -37,7 +37,8 @@
   WL_QUARANTINE_WINDOW_US = 600000000,   /* older ends do not count */
   WL_QUARANTINE_SOUND_AFTER_US = 500000, /* output for so long shows that the parts are sound */
   WL_QUARANTINE_SOUND_FOR_US = 5000000,  /* ends do not speak against a part so soon after that */
-  WL_QUARANTINE_TRIAL_MIN_US = 60000000, /* until the first trial; each further one takes twice */
+  WL_QUARANTINE_TRIAL_MIN_US = 30000000, /* until the first trial */
+  WL_QUARANTINE_TRIAL_GROWTH = 4,        /* each further one takes so many times as long */
 };
 
 /* The longest time until a trial, and the time after which an entry without requests is removed. */
@@ -137,7 +138,8 @@
  * ends is quarantined, if these are WL_QUARANTINE_ENDPOINTS or more endpoints at
  * as many different times. WL_QUARANTINE_ENDPOINTS_SURE are needed when another
  * part may account for the same ends, or when less than half of all ends in the
- * minute before and since are among them. Of several such parts it is one that was
+ * minute before and since are among them; they are not enough while they are less than a
+ * quarter of all ends since the first of them. Of several such parts it is one that was
  * never sound, before one that was; then the one furthest from the start of the
  * prompt. It is quarantined for the customer whose requests account for these
  * ends, or for all customers when several are needed for that. Only a part of a
@@ -159,8 +161,8 @@
 /**
  * wl_quarantine_begin_trial() - records that a request runs as a trial of its quarantined parts
  *
- * The next trial is due after twice the time. Without wl_quarantine_note_sound() for its
- * parts, nothing else changes.
+ * The next trial is due after WL_QUARANTINE_TRIAL_GROWTH times the time. Without
+ * wl_quarantine_note_sound() for its parts, nothing else changes.
  */
 void wl_quarantine_begin_trial (WlQuarantine *quarantine, const WlPartUse *use, uint64_t now_us);
 
