--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -115,7 +115,7 @@
 start shared-part-quarantined test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/\s*&& wl_quarantine_commonality \(quarantine, v.part, now_us\) == WL_COMMON_TO_NONE//'
 start sound-part-quarantined test_quarantine relay/forwarding/wl_quarantine_evidence.c 's/return record != NULL && at_us < [^;]*;/return 0;/'
 start ends-at-once-counted test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/if \(n_counted > 0 && end->at_us < [^\n]*\n    return 0;//'
-start few-of-many-ends-counted test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/v.n_ends >= WL_QUARANTINE_ENDPOINTS_SURE/1/'
+start few-of-many-ends-counted test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/v->n_ends >= WL_QUARANTINE_ENDPOINTS_SURE && SURE_SHARE \* v->n_ends >= count_times \(ev, v, 0\)/1/'
 start five-of-any-number-counted test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/ && SURE_SHARE \* v->n_ends >= count_times \(ev, v, 0\)//'
 start other-customers-refused test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/.customer = single_customer \(&strongest\)/.customer = 0/'
 start released-part-comes-back test_quarantine_trials relay/forwarding/wl_quarantine_report.c 's/if \(s != NULL && entry.at_us < [^\n]*\n/if (0)\n/'
