Relay: the parts of a prompt are read, and logged when an engine ends under them

Cause: X-Prompt-Prefix was forwarded and read by nothing.

Change, without any other behaviour: the provider's protocol reads the parts of a request's prompt, without the last one, which belongs to the request itself. When the connection to an engine breaks, WL4013 names endpoint, request, service and parts of each request that may have ended it: without output although half of its prompt can have been read, or with its first output less than 0.5 s ago. Endpoints that drain or have left, errors, and responses that the node itself broke off are left out.

--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -4,6 +4,7 @@
 #include "wl_fetch.h"
 #include "wl_metrics.h"
 #include "wl_choice.h"
+#include "wl_quarantine.h"
 #include "wl_reservation.h"
 
 /*
@@ -28,6 +29,7 @@
  * @prompt: prompt tokens, 0 for requests without a prompt
  * @output: limit of output tokens, 0 for none
  * @output_hint: the caller's estimate of output tokens, 0 when missing
+ * @parts: the parts of the prompt, without the last one
  *
  * The strings belong to the request's head.
  */
@@ -39,6 +41,7 @@
   uint32_t prompt;
   uint32_t output;
   uint32_t output_hint;
+  WlPromptParts parts;
 } WlRelayRequestInfo;
 
 /**
--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -222,7 +222,9 @@
   r->phase = r->phase == WL_RELAY_WAITING ? WL_RELAY_SENT : r->phase;
   r->sent_us = now_us;
   r->progress_us = now_us;
+  r->output_us = 0;
   r->status = 0;
+  r->is_aborted = 0;
   r->is_stall_recorded = 0;
   r->is_paused = 0;
   r->is_resumed = r->phase == WL_RELAY_ANSWERING;
@@ -344,6 +346,7 @@
   WlRelayRequest *r = data;
   r->relay->options.protocol.read_response (head, &r->response);
   WlFetchVerdict verdict = attribute_response (r);
+  r->is_aborted = verdict == WL_FETCH_ABORT;
   if (verdict != WL_FETCH_TAKE)
     return verdict;
   r->response.id = NULL; /* the string belongs to the parsed head */
@@ -394,9 +397,8 @@
  * Returns 0 to fail the attempt.
  */
 static int
-on_body (void *data, WlBytes bytes)
+take_body (WlRelayRequest *r, WlBytes bytes)
 {
-  WlRelayRequest *r = data;
   if (!r->forwards_events)
     {
       wl_buffer_append (&r->body, bytes);
@@ -419,6 +421,16 @@
   return 1;
 }
 
+static int
+on_body (void *data, WlBytes bytes)
+{
+  WlRelayRequest *r = data;
+  if (r->output_us == 0)
+    r->output_us = wl_clock_now_us ();
+  r->is_aborted = !take_body (r, bytes);
+  return !r->is_aborted;
+}
+
 static WlBuffer
 take_buffer (WlBuffer *buffer)
 {
@@ -487,6 +499,7 @@
       && wl_buffer_left (&r->events.pending) > 0)
     {
       /* The endpoint stopped within an event. Without a length that is no error of HTTP. */
+      wl_relay_note_broken (r, now_us);
       wl_relay_record_failure (r, e, WL_FAILURE_LOST, WL_REASON_BROKEN, now_us);
       wl_relay_on_failure (r, WL_REASON_BROKEN, now_us);
       return;
@@ -511,6 +524,7 @@
       wl_relay_on_connect_failure (r, now_us);
       break;
     case WL_FETCH_BROKEN:
+      wl_relay_note_broken (r, now_us);
       wl_relay_record_failure (r, wl_relay_current_endpoint (r), WL_FAILURE_LOST, WL_REASON_BROKEN,
                                now_us);
       wl_relay_on_failure (r, WL_REASON_BROKEN, now_us);
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -7,8 +7,8 @@
 
 /*
  * Shared by the files of the relay: wl_relay.c (requests), wl_relay_answer.c
- * (attempts and their responses), wl_relay_retry.c (failed attempts) and
- * wl_relay_stop.c (the exit of the node).
+ * (attempts and their responses), wl_relay_retry.c (failed attempts),
+ * wl_relay_quarantine.c (parts that end engines) and wl_relay_stop.c (the exit of the node).
  */
 
 enum
@@ -68,6 +68,7 @@
  * @is_reservation_refused: one of the attempt's reservations was refused
  * @sent_us: when the current attempt was sent
  * @progress_us: when the endpoint last sent something, or reading from it went on
+ * @output_us: when the first output of the current attempt arrived, 0 for not yet
  * @first_us: when the first output was forwarded, 0 for not yet
  * @longest_pause_us: longest pause between two events so far
  * @attempts: number of attempts sent to endpoints
@@ -75,6 +76,7 @@
  * @may_have_run: an endpoint may have run the request, or a part of it
  * @is_decoding: the current attempt has delivered output
  * @is_paused: reading of the response is paused until the caller has read more
+ * @is_aborted: this node broke the current attempt's response off, which it cannot use
  * @is_stall_recorded: the stall of the current attempt was recorded as a failure
  * @is_resumed: the current attempt goes on with a response that the caller has a part of
  * @forwards_events: the response is a stream whose events are forwarded as they arrive
@@ -111,6 +113,7 @@
   uint8_t is_reservation_refused;
   uint64_t sent_us;
   uint64_t progress_us;
+  uint64_t output_us;
   uint64_t first_us;
   uint64_t longest_pause_us;
   uint32_t attempts;
@@ -118,6 +121,7 @@
   uint8_t may_have_run;
   uint8_t is_decoding;
   uint8_t is_paused;
+  uint8_t is_aborted;
   uint8_t is_stall_recorded;
   uint8_t is_resumed;
   uint8_t forwards_events;
@@ -189,6 +193,13 @@
 void wl_relay_record_failure (WlRelayRequest *r, WlEndpoint *e, WlFailure failure, WlReason reason,
                               uint64_t now_us);
 
+/**
+ * wl_relay_note_broken() - records that the connection of the current attempt broke
+ * @r: the request; still with the state of the attempt
+ * @now_us: monotonic time
+ */
+void wl_relay_note_broken (WlRelayRequest *r, uint64_t now_us);
+
 /** wl_relay_on_failure() - retries or fails a request after an attempt that may have run */
 void wl_relay_on_failure (WlRelayRequest *r, WlReason reason, uint64_t now_us);
 
--- a/testkit/wl_relay_fixture.c
+++ b/testkit/wl_relay_fixture.c
@@ -20,6 +20,10 @@
   out->remaining_us = left_ms != NULL ? strtoull (left_ms, NULL, 10) * 1000 : 0;
   const char *prompt = wl_http_head_field (head, "X-Prompt");
   out->prompt = prompt != NULL ? (uint32_t)strtoul (prompt, NULL, 10) : 0;
+  const char *parts = wl_http_head_field (head, "X-Parts");
+  for (char *end; parts != NULL && *parts != '\0' && out->parts.n < WL_QUARANTINE_PARTS_MAX;
+       parts = *end == ',' ? end + 1 : NULL)
+    out->parts.ids[out->parts.n++] = strtoull (parts, &end, 16);
 }
 
 static int
