--- a/wire/tests/test_codec.c
+++ b/wire/tests/test_codec.c
@@ -46,6 +46,59 @@
 }
 END_TEST
 
+/* An end with @n_suspects of one customer's requests, all ids of 64 bits. */
+static WlMessage
+sample_part_report (WlPartEnd *end, WlPartSuspect *suspects, uint32_t n_suspects)
+{
+  WlMessage m = { .kind = WL_MESSAGE_PART_REPORT };
+  for (uint32_t i = 0; i < n_suspects; i++)
+    suspects[i] = (WlPartSuspect){ UINT64_MAX - i, UINT64_MAX - 10, UINT64_MAX - 20 };
+  *end = (WlPartEnd){ .endpoint = UINT64_MAX, .age_us = 1200, .suspects = suspects };
+  end->n_suspects = n_suspects;
+  m.u.part_report.ends = end;
+  m.u.part_report.n_ends = 1;
+  return m;
+}
+
+START_TEST (part_report_round_trips)
+{
+  WlPartSuspect suspects[2];
+  WlPartEnd end;
+  WlSoundPart sound = { 5, 6, 7 };
+  WlQuarantinedPart part = { 11, 12, 13, 14, 15, 16, 17, 18 };
+  WlMessage m = sample_part_report (&end, suspects, 2);
+  WlMessage out;
+  m.u.part_report.sound = &sound;
+  m.u.part_report.n_sound = 1;
+  m.u.part_report.quarantined = &part;
+  m.u.part_report.n_quarantined = 1;
+  ck_assert_int_eq (wl_message_decode (wl_message_encode (&m, pool), &out, pool), WL_OK);
+  const WlPartReport *r = &out.u.part_report;
+  ck_assert_uint_eq (r->n_ends, 1);
+  ck_assert_uint_eq (r->ends[0].endpoint, UINT64_MAX);
+  ck_assert_uint_eq (r->ends[0].age_us, 1200);
+  ck_assert_uint_eq (r->ends[0].n_suspects, 2);
+  ck_assert_mem_eq (r->ends[0].suspects, suspects, sizeof suspects);
+  ck_assert_uint_eq (r->n_sound, 1);
+  ck_assert_mem_eq (r->sound, &sound, sizeof sound);
+  ck_assert_uint_eq (r->n_quarantined, 1);
+  ck_assert_mem_eq (r->quarantined, &part, sizeof part);
+}
+END_TEST
+
+/* Guards against reports of ends that cost the nodes' connections more than the requests do. */
+START_TEST (an_end_of_an_endpoint_is_told_in_few_bytes)
+{
+  WlPartSuspect suspects[3];
+  WlPartEnd end;
+  WlQuarantinedPart part = { UINT64_MAX, UINT64_MAX, UINT64_MAX, 3, 1, 90000000, 30000000, 200000 };
+  WlMessage m = sample_part_report (&end, suspects, 3);
+  ck_assert_uint_lt (wl_message_encode (&m, pool).size, 150);
+  m.u.part_report = (WlPartReport){ .quarantined = &part, .n_quarantined = 1 };
+  ck_assert_uint_lt (wl_message_encode (&m, pool).size, 75);
+}
+END_TEST
+
 /*
  * Guards against a decoder that crashes on a damaged message: every turn changes a
  * random byte, and every other turn also truncates the message.
@@ -90,6 +143,8 @@
   const WlTest tests[] = {
     WL_TEST (append_request_round_trips),
     WL_TEST (embedded_struct_round_trips),
+    WL_TEST (part_report_round_trips),
+    WL_TEST (an_end_of_an_endpoint_is_told_in_few_bytes),
     WL_TEST (damaged_bytes_do_not_crash_the_decoder),
     WL_TEST (unknown_kinds_are_rejected),
   };
--- a/wire/wl_message.c
+++ b/wire/wl_message.c
@@ -357,6 +357,7 @@
   [WL_MESSAGE_SUSPICION] = { "suspicion", wl_suspicion_fields },
   [WL_MESSAGE_NODE_REPORT] = { "node_report", wl_membership_report_fields },
   [WL_MESSAGE_LOAD_REPORTS] = { "works", wl_load_reports_fields },
+  [WL_MESSAGE_PART_REPORT] = { "part_report", wl_part_report_fields },
 };
 
 typedef struct
--- a/wire/wl_message.h
+++ b/wire/wl_message.h
@@ -508,6 +508,7 @@
   WL_MESSAGE_SUSPICION = 32,
   WL_MESSAGE_NODE_REPORT = 33,
   WL_MESSAGE_LOAD_REPORTS = 34,
+  WL_MESSAGE_PART_REPORT = 35,
   WL_MESSAGE_KINDS,
 } WlMessageKind;
 
@@ -555,6 +556,7 @@
     WlSuspicion suspicion;
     WlMembershipReport node_report;
     WlLoadReports load_reports;
+    WlPartReport part_report;
   } u;
 } WlMessage;
 
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -69,6 +69,46 @@
   WL_END,
 };
 
+static const WlField part_suspect_fields[] = {
+  WL_U64 (WlPartSuspect, part),
+  WL_U64 (WlPartSuspect, service),
+  WL_U64 (WlPartSuspect, customer),
+  WL_END,
+};
+
+static const WlField part_end_fields[] = {
+  WL_U64 (WlPartEnd, endpoint),
+  WL_U64 (WlPartEnd, age_us),
+  WL_ARRAY (WlPartEnd, suspects, n_suspects, part_suspect_fields),
+  WL_END,
+};
+
+static const WlField sound_part_fields[] = {
+  WL_U64 (WlSoundPart, part),
+  WL_U64 (WlSoundPart, service),
+  WL_U64 (WlSoundPart, age_us),
+  WL_END,
+};
+
+static const WlField quarantined_part_fields[] = {
+  WL_U64 (WlQuarantinedPart, part),
+  WL_U64 (WlQuarantinedPart, service),
+  WL_U64 (WlQuarantinedPart, customer),
+  WL_U32 (WlQuarantinedPart, n_ends),
+  WL_U32 (WlQuarantinedPart, n_trials),
+  WL_U64 (WlQuarantinedPart, age_us),
+  WL_U64 (WlQuarantinedPart, trial_us),
+  WL_U64 (WlQuarantinedPart, unused_us),
+  WL_END,
+};
+
+const WlField wl_part_report_fields[] = {
+  WL_ARRAY (WlPartReport, ends, n_ends, part_end_fields),
+  WL_ARRAY (WlPartReport, sound, n_sound, sound_part_fields),
+  WL_ARRAY (WlPartReport, quarantined, n_quarantined, quarantined_part_fields),
+  WL_END,
+};
+
 static const WlField endpoint_key_fields[] = {
   WL_U64 (WlEndpointKey, key),
   WL_END,
