Relay: requests with a quarantined part of a prompt are refused

Cause: each end was the endpoint's failure (WL3004); nothing counted against what the requests had in common.

Change: the relay owns a WlQuarantine. It tells it the parts of requests that arrive, that wrote for 0.5 s or were complete, and under which engines ended. Before each placement (new, waiting, second attempt, resumption) the parts are checked: a quarantined one is refused at once with the time to the next trial, 503 if no engine can have run the request, else 502. A verdict, also one by another node, ends at once the requests that wait or are at an engine without output; those that write go on, and are not moved to another engine when they fall silent. A trial runs at an engine without other work or when it is overdue, and only as a first attempt. A response whose end is the close of the connection counts as sound only after 0.5 s of output: the engine may have ended.

WL4014 to WL4016 log what was quarantined, released and tried; WL4008 and WL4002 of such requests name the part. wl_quarantine_list_endpoints () is for WL4014.

Not measured here: real processes.

--- a/relay/forwarding/wl_metrics.h
+++ b/relay/forwarding/wl_metrics.h
@@ -30,6 +30,7 @@
   WL_REASON_NO_SEAL,     /* a response without the endpoint's seal, see WlRelayResponseInfo */
   WL_REASON_ERROR,       /* the endpoint responded with status 5xx */
   WL_REASON_STOPPING,    /* the response cannot be complete before this node exits */
+  WL_REASON_QUARANTINED, /* a part of the prompt is quarantined, see wl_quarantine.h */
   WL_REASONS,
 } WlReason;
 
--- a/relay/forwarding/wl_quarantine.h
+++ b/relay/forwarding/wl_quarantine.h
@@ -166,6 +166,19 @@
 /** wl_quarantine_n_entries() - quarantined parts */
 uint32_t wl_quarantine_n_entries (const WlQuarantine *quarantine);
 
+/**
+ * wl_quarantine_list_endpoints() - lists endpoints whose latest ends speak against a part
+ * @quarantine: the quarantine
+ * @part: id of the part
+ * @service: hash of the service's name
+ * @out: receives up to @max keys
+ * @max: size of @out
+ *
+ * Return: the number of keys.
+ */
+uint32_t wl_quarantine_list_endpoints (const WlQuarantine *quarantine, uint64_t part,
+                                       uint64_t service, uint64_t *out, uint32_t max);
+
 /**
  * wl_quarantine_take_report() - takes what other nodes are to be told since the last call
  * @quarantine: the quarantine
--- a/relay/forwarding/wl_quarantine_report.c
+++ b/relay/forwarding/wl_quarantine_report.c
@@ -191,3 +191,20 @@
   wl_quarantine_forget_ends (quarantine, now_us);
   wl_quarantine_decide (quarantine, now_us);
 }
+
+uint32_t
+wl_quarantine_list_endpoints (const WlQuarantine *quarantine, uint64_t part, uint64_t service,
+                              uint64_t *out, uint32_t max)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < quarantine->n_ends && n < max; i++)
+    {
+      const WlEndRecord *end = &quarantine->ends[i];
+      uint32_t k = 0;
+      while (k < end->n_suspects && !wl_quarantine_is_suspect (&end->suspects[k], part, service))
+        k++;
+      if (k < end->n_suspects)
+        out[n++] = end->endpoint;
+    }
+  return n;
+}
--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -36,6 +36,7 @@
   relay->started_us = wl_clock_now_us ();
   relay->reservations = wl_reservations_create (
       options->client, options->protocol.write_reservation, options->boot_id);
+  relay->quarantine = wl_quarantine_create ();
   return relay;
 }
 
@@ -67,6 +68,7 @@
   while (relay->requests != NULL)
     wl_relay_free_request (relay->requests);
   wl_reservations_destroy (relay->reservations);
+  wl_quarantine_destroy (relay->quarantine);
   wl_routes_release (relay->routes);
   free (relay);
 }
@@ -145,6 +147,7 @@
 wl_relay_refuse (WlRelayRequest *r, uint64_t retry_after_us, WlReason reason)
 {
   WlRelay *relay = r->relay;
+  char part[WL_RELAY_PART_TEXT_SIZE];
   if (r->may_have_run)
     {
       wl_relay_fail (r, 502, reason);
@@ -155,12 +158,12 @@
   wl_log_eventf (WL4008_REQUEST_REFUSED,
                  "request=%s route=%s reason=%s held_ms=%" PRIu64 " retry_after_ms=%" PRIu64
                  " attempts=%u prompt=%u deadline_ms=%" PRIu64 " hold=%s reading_ms=%" PRIu64
-                 " config=%" PRIu64,
+                 " config=%" PRIu64 "%s",
                  r->info.id != NULL ? r->info.id : "-", r->route->name, wl_reason_name (reason),
                  (wl_clock_now_us () - r->arrived_us) / 1000, retry_after_us / 1000, r->attempts,
                  r->choice_request.prompt, r->choice_request.deadline_us / 1000,
                  wl_choice_hold_name (r->choice.hold), r->choice.mean_backlog_us / 1000,
-                 r->routes->number);
+                 r->routes->number, wl_relay_part_text (r, part, sizeof part));
   WlWebRequest *web = r->web;
   wl_relay_free_request (r);
   reply_unavailable (web, retry_after_us);
@@ -172,13 +175,14 @@
   WlRelay *relay = r->relay;
   WlWebRequest *web = r->web;
   int has_begun = r->phase == WL_RELAY_ANSWERING;
+  char part[WL_RELAY_PART_TEXT_SIZE];
   relay->metrics.failed[reason]++;
   wl_log_eventf (WL4002_REQUEST_FAILED,
                  "request=%s route=%s reason=%s status=%u held_ms=%" PRIu64
-                 " attempts=%u endpoint=%s begun=%d",
+                 " attempts=%u endpoint=%s begun=%d%s",
                  r->info.id != NULL ? r->info.id : "-", r->route->name, wl_reason_name (reason),
                  status, (wl_clock_now_us () - r->arrived_us) / 1000, r->attempts, r->target.id,
-                 has_begun);
+                 has_begun, wl_relay_part_text (r, part, sizeof part));
   wl_relay_free_request (r);
   if (has_begun)
     wl_web_end (web, 0);
@@ -294,7 +298,11 @@
 void
 wl_relay_place (WlRelayRequest *r, uint64_t now_us)
 {
+  if (wl_relay_refuse_quarantined (r, now_us))
+    return;
   r->choice = wl_relay_choose (r, now_us);
+  if (wl_relay_refuse_trial (r, now_us))
+    return;
   if (r->phase == WL_RELAY_ANSWERING && r->choice.result != WL_CHOICE_PLACED)
     {
       /* The caller has a part of the response: keep trying until the time limit. */
@@ -309,6 +317,7 @@
   switch (r->choice.result)
     {
     case WL_CHOICE_PLACED:
+      wl_relay_begin_trial (r, now_us);
       wl_relay_start_attempt (r, now_us);
       return;
     case WL_CHOICE_WAIT:
@@ -394,6 +403,7 @@
   };
   relay->metrics.requests++;
   wl_budget_earn (find_budget (relay, r->service->name));
+  wl_relay_begin_parts (r, now_us);
   wl_relay_place (r, now_us);
 }
 
@@ -578,6 +588,7 @@
 wl_relay_tick (WlRelay *relay, uint64_t now_us)
 {
   wl_reservations_tick (relay->reservations, now_us);
+  wl_relay_end_quarantined (relay, now_us);
   for (WlRelayRequest *r = relay->requests; r != NULL;)
     {
       WlRelayRequest *next = r->next; /* a tick frees at most its own request */
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -132,7 +132,9 @@
  * @retry_window_us: window of the retry budget
  * @report_work: reports a change of work to the other nodes
  * @report_ejection: reports to the other nodes that this one has ejected an endpoint; may be NULL
- * @data: passed to the two callbacks
+ * @may_try_part: whether this node runs the trials of a quarantined part, see wl_quarantine.h;
+ *   NULL for never
+ * @data: passed to the callbacks
  *
  * The objects are not owned and must outlive the relay.
  */
@@ -151,6 +153,7 @@
   uint64_t retry_window_us;
   void (*report_work) (void *data, const WlWorkItem *item);
   void (*report_ejection) (void *data, const WlEndpoint *endpoint);
+  int (*may_try_part) (void *data, uint64_t part);
   void *data;
 } WlRelayOptions;
 
@@ -220,6 +223,24 @@
 /** wl_relay_tick() - places waiting requests and applies time limits */
 void wl_relay_tick (WlRelay *relay, uint64_t now_us);
 
+/** wl_relay_quarantine() - quarantined parts and the evidence, owned by the relay; for reports */
+WlQuarantine *wl_relay_quarantine (WlRelay *relay);
+
+/**
+ * wl_relay_apply_part_report() - applies another node's evidence on parts
+ * @relay: the relay
+ * @node: the node, for the log
+ * @report: its report
+ * @now_us: monotonic time
+ *
+ * Ends the requests whose parts are now quarantined, unless they have output.
+ */
+void wl_relay_apply_part_report (WlRelay *relay, uint32_t node, const WlPartReport *report,
+                                 uint64_t now_us);
+
+/** wl_relay_expire_parts() - releases quarantined parts that have been unused for long */
+void wl_relay_expire_parts (WlRelay *relay, uint64_t now_us);
+
 /** wl_relay_active() - number of requests in progress */
 uint32_t wl_relay_active (const WlRelay *relay);
 
--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -225,6 +225,7 @@
   r->output_us = 0;
   r->status = 0;
   r->is_aborted = 0;
+  r->is_sound = 0;
   r->is_stall_recorded = 0;
   r->is_paused = 0;
   r->is_resumed = r->phase == WL_RELAY_ANSWERING;
@@ -351,6 +352,7 @@
     return verdict;
   r->response.id = NULL; /* the string belongs to the parsed head */
   r->status = head->status;
+  r->has_marked_end = head->has_length || wl_http_head_field (head, "Transfer-Encoding") != NULL;
   r->progress_us = wl_clock_now_us ();
   r->forwards_events = is_success (r) && r->route->kind == WL_ROUTE_STREAM && r->response.is_sealed
                        && (!r->is_resumed || is_event_stream (head));
@@ -425,8 +427,7 @@
 on_body (void *data, WlBytes bytes)
 {
   WlRelayRequest *r = data;
-  if (r->output_us == 0)
-    r->output_us = wl_clock_now_us ();
+  wl_relay_note_output (r, wl_clock_now_us ());
   r->is_aborted = !take_body (r, bytes);
   return !r->is_aborted;
 }
@@ -506,6 +507,7 @@
     }
   if (e != NULL)
     wl_fleet_note_success (e, now_us);
+  wl_relay_note_complete (r, now_us);
   reply_and_finish (r, "whole");
 }
 
@@ -513,6 +515,7 @@
 on_ended (void *data, WlFetchEnd end)
 {
   WlRelayRequest *r = data;
+  WlRelay *relay = r->relay;
   uint64_t now_us = wl_clock_now_us ();
   r->fetch = NULL;
   switch (end)
@@ -530,6 +533,7 @@
       wl_relay_on_failure (r, WL_REASON_BROKEN, now_us);
       break;
     }
+  wl_relay_end_quarantined (relay, now_us); /* @r may have ended */
 }
 
 static const WlFetchHandlers fetch_handlers = {
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -17,6 +17,7 @@
   WL_RELAY_BUDGETS_MAX = 64,           /* services with a retry budget of their own */
   WL_RELAY_QUEUE_PAUSE_BYTES = 262144, /* queue for a caller above which reading pauses */
   WL_RELAY_BODY_MAX_BYTES = 1 << 20,   /* of a response that is kept until it is complete */
+  WL_RELAY_PART_TEXT_SIZE = 80,        /* see wl_relay_part_text() */
 };
 
 /**
@@ -59,6 +60,10 @@
  * @retry_us: when to try the placement again
  * @is_wait_logged: whether it was logged why the request waits
  * @is_parked: waits for the first configuration; only @relay, @web and @number are set
+ * @part_use: the parts of its prompt; without parts, or for endpoints that are no engines,
+ *   @part_use.parts is NULL
+ * @quarantine_answer: the latest verdict on these parts
+ * @is_trial: the current attempt is a trial of a quarantined part
  * @fetch: the HTTP request to @target, NULL when none is in progress
  * @choice_request: the input of the placement
  * @choice: the placement of the current attempt
@@ -77,6 +82,8 @@
  * @is_decoding: the current attempt has delivered output
  * @is_paused: reading of the response is paused until the caller has read more
  * @is_aborted: this node broke the current attempt's response off, which it cannot use
+ * @is_sound: the current attempt has shown that the parts of the prompt are sound
+ * @has_marked_end: the end of the response is marked, by a length or by chunks
  * @is_stall_recorded: the stall of the current attempt was recorded as a failure
  * @is_resumed: the current attempt goes on with a response that the caller has a part of
  * @forwards_events: the response is a stream whose events are forwarded as they arrive
@@ -102,6 +109,9 @@
   WlRelayPhase phase;
   uint8_t is_wait_logged;
   uint8_t is_parked;
+  WlPartUse part_use;
+  WlQuarantineAnswer quarantine_answer;
+  uint8_t is_trial;
 
   WlFetch *fetch;
   WlChoiceRequest choice_request;
@@ -122,6 +132,8 @@
   uint8_t is_decoding;
   uint8_t is_paused;
   uint8_t is_aborted;
+  uint8_t is_sound;
+  uint8_t has_marked_end;
   uint8_t is_stall_recorded;
   uint8_t is_resumed;
   uint8_t forwards_events;
@@ -152,6 +164,10 @@
   uint32_t n_budgets;
   WlMetrics metrics;
   WlReservations *reservations;
+  WlQuarantine *quarantine;
+  uint64_t quarantine_generation; /* whose quarantined parts have ended their requests */
+  WlQuarantinedPart logged_parts[WL_QUARANTINE_ENTRIES_MAX]; /* as last logged */
+  uint32_t n_logged_parts;
   WlRelayStop stop;  /* @close_us is 0 until the node begins to stop */
   uint8_t is_closed; /* wl_relay_close() was called */
 };
@@ -193,13 +209,56 @@
 void wl_relay_record_failure (WlRelayRequest *r, WlEndpoint *e, WlFailure failure, WlReason reason,
                               uint64_t now_us);
 
+/** wl_relay_begin_parts() - records the parts of a new request; its service must be set */
+void wl_relay_begin_parts (WlRelayRequest *r, uint64_t now_us);
+
 /**
  * wl_relay_note_broken() - records that the connection of the current attempt broke
  * @r: the request; still with the state of the attempt
  * @now_us: monotonic time
+ *
+ * May quarantine a part. wl_relay_end_quarantined() must follow once @r has been handled.
  */
 void wl_relay_note_broken (WlRelayRequest *r, uint64_t now_us);
 
+/** wl_relay_note_output() - records that the endpoint has sent a part of the response's body */
+void wl_relay_note_output (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_note_complete() - records that the response is complete */
+void wl_relay_note_complete (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_is_quarantined() - whether a part of the request's prompt is quarantined */
+int wl_relay_is_quarantined (WlRelayRequest *r, uint64_t now_us);
+
+/**
+ * wl_relay_refuse_quarantined() - ends a request with a quarantined part, unless a trial is due
+ * @r: the request; without an attempt in progress
+ * @now_us: monotonic time
+ *
+ * Return: 1 when the request has ended. Else it may be sent, after wl_relay_refuse_trial().
+ */
+int wl_relay_refuse_quarantined (WlRelayRequest *r, uint64_t now_us);
+
+/**
+ * wl_relay_refuse_trial() - ends a request that may be a trial, if it cannot begin now
+ * @r: the request, whose choice was just made
+ * @now_us: monotonic time
+ *
+ * A trial runs at an endpoint without other work, unless it is overdue.
+ *
+ * Return: 1 when the request has ended.
+ */
+int wl_relay_refuse_trial (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_begin_trial() - records that a request is sent as a trial, if it is one */
+void wl_relay_begin_trial (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_end_quarantined() - ends the requests whose parts are newly quarantined */
+void wl_relay_end_quarantined (WlRelay *relay, uint64_t now_us);
+
+/** wl_relay_part_text() - the quarantined part, for log lines of requests; empty without one */
+const char *wl_relay_part_text (const WlRelayRequest *r, char *out, size_t size);
+
 /** wl_relay_on_failure() - retries or fails a request after an attempt that may have run */
 void wl_relay_on_failure (WlRelayRequest *r, WlReason reason, uint64_t now_us);
 
--- a/relay/forwarding/wl_relay_quarantine.c
+++ b/relay/forwarding/wl_relay_quarantine.c
@@ -1,16 +1,156 @@
 #include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+#include "wl_clock.h"
 #include "wl_events.h"
 #include "wl_log.h"
 #include "wl_relay_internal.h"
 
-/* Parts of prompts at which engines end: evidence from the attempts of this node. */
+/*
+ * Parts of prompts at which engines end: evidence from the attempts of this node, and
+ * the refusal of requests whose parts are quarantined.
+ */
 
 enum
 {
   PARTS_TEXT_SIZE = WL_QUARANTINE_PARTS_MAX * 17 + 1, /* 16 digits and a comma for each */
+  CAUSE_SIZE = 160,
+  NAME_SIZE = 24,                 /* a hash in place of a name that is not known any more */
+  ENDPOINTS_TEXT_SIZE = 320,      /* of the endpoints of one part in a log line */
+  TRIAL_RETRY_AFTER_US = 1000000, /* Retry-After while a trial is due but has to wait */
 };
 
+static uint64_t
+hash_name (const char *name)
+{
+  return XXH64 (name, strlen (name), 0);
+}
+
+void
+wl_relay_begin_parts (WlRelayRequest *r, uint64_t now_us)
+{
+  if (!r->service->has_engine || r->info.parts.n == 0)
+    return;
+  r->part_use = (WlPartUse){
+    .service = hash_name (r->service->name),
+    .route = hash_name (r->route->name),
+    .customer = r->customer != NULL ? hash_name (r->customer->name) : 0,
+    .parts = &r->info.parts,
+  };
+  wl_quarantine_note_request (r->relay->quarantine, &r->part_use, now_us);
+}
+
+/* ---- log of the quarantine's changes ---- */
+
+static const char *
+service_name (const WlRelay *relay, uint64_t hash, char *out)
+{
+  for (uint32_t i = 0; relay->routes != NULL && i < relay->routes->n_services; i++)
+    if (hash_name (relay->routes->services[i].name) == hash)
+      return relay->routes->services[i].name;
+  snprintf (out, NAME_SIZE, "%" PRIx64, hash);
+  return out;
+}
+
+static const char *
+customer_name (const WlRelay *relay, uint64_t hash, char *out)
+{
+  if (hash == 0)
+    return "all";
+  for (uint32_t i = 0; relay->routes != NULL && i < relay->routes->n_customers; i++)
+    if (hash_name (relay->routes->customers[i].name) == hash)
+      return relay->routes->customers[i].name;
+  snprintf (out, NAME_SIZE, "%" PRIx64, hash);
+  return out;
+}
+
+/* Lists the endpoints whose ends speak against a part, as far as there is room. */
+static void
+write_endpoints (const WlRelay *relay, const WlQuarantinedPart *part, char *out, size_t size)
+{
+  uint64_t keys[WL_QUARANTINE_ENDS_MAX];
+  uint32_t n = wl_quarantine_list_endpoints (relay->quarantine, part->part, part->service, keys,
+                                             WL_QUARANTINE_ENDS_MAX);
+  size_t used = 0;
+  out[0] = '\0';
+  for (uint32_t i = 0; i < n; i++)
+    {
+      char id[WL_LABEL_SIZE];
+      const WlEndpoint *e = wl_fleet_find_key (relay->options.fleet, keys[i]);
+      if (e != NULL)
+        snprintf (id, sizeof id, "%s", e->record.id);
+      else
+        snprintf (id, sizeof id, "%" PRIx64, keys[i]);
+      if (used + strlen (id) + 2 > size)
+        return;
+      used += (size_t)snprintf (out + used, size - used, "%s%s", used > 0 ? "," : "", id);
+    }
+}
+
+static void
+log_quarantined (const WlRelay *relay, const WlQuarantinedPart *part, const char *cause)
+{
+  char endpoints[ENDPOINTS_TEXT_SIZE];
+  char service[NAME_SIZE];
+  char customer[NAME_SIZE];
+  write_endpoints (relay, part, endpoints, sizeof endpoints);
+  wl_log_eventf (WL4014_PART_QUARANTINED,
+                 "part=%" PRIx64 " service=%s customer=%s ends=%u endpoints=%s trials=%u "
+                 "age_ms=%" PRIu64 " trial_ms=%" PRIu64 " %s",
+                 part->part, service_name (relay, part->service, service),
+                 customer_name (relay, part->customer, customer), part->n_ends, endpoints,
+                 part->n_trials, part->age_us / 1000, part->trial_us / 1000, cause);
+}
+
+static const WlQuarantinedPart *
+find_part (const WlQuarantinedPart *parts, uint32_t n, const WlQuarantinedPart *part)
+{
+  for (uint32_t i = 0; i < n; i++)
+    if (parts[i].part == part->part && parts[i].service == part->service)
+      return &parts[i];
+  return NULL;
+}
+
+/* Logs what has been quarantined, extended to all customers, or released since the last call. */
+static void
+log_changes (WlRelay *relay, const char *cause, uint64_t now_us)
+{
+  WlPartReport report;
+  char service[NAME_SIZE];
+  if (wl_quarantine_n_entries (relay->quarantine) + relay->n_logged_parts == 0)
+    return;
+  wl_quarantine_full_report (relay->quarantine, now_us, &report);
+  for (uint32_t i = 0; i < report.n_quarantined; i++)
+    {
+      const WlQuarantinedPart *part = &report.quarantined[i];
+      const WlQuarantinedPart *logged
+          = find_part (relay->logged_parts, relay->n_logged_parts, part);
+      if (logged == NULL || logged->customer != part->customer)
+        log_quarantined (relay, part, cause);
+    }
+  for (uint32_t i = 0; i < relay->n_logged_parts; i++)
+    {
+      const WlQuarantinedPart *part = &relay->logged_parts[i];
+      if (find_part (report.quarantined, report.n_quarantined, part) == NULL)
+        wl_log_eventf (WL4015_PART_RELEASED, "part=%" PRIx64 " service=%s trials=%u %s", part->part,
+                       service_name (relay, part->service, service), part->n_trials, cause);
+    }
+  relay->n_logged_parts = report.n_quarantined;
+  if (report.n_quarantined > 0)
+    memcpy (relay->logged_parts, report.quarantined,
+            report.n_quarantined * sizeof *report.quarantined);
+}
+
+static void
+log_changes_by_request (const WlRelayRequest *r, uint64_t now_us)
+{
+  char cause[CAUSE_SIZE];
+  snprintf (cause, sizeof cause, "request=%.64s endpoint=%s", r->info.id != NULL ? r->info.id : "-",
+            r->target.id);
+  log_changes (r->relay, cause, now_us);
+}
+
 /* ---- evidence ---- */
 
 /* Whether an endpoint has said that it will end, so that its end needs no other cause. */
@@ -28,8 +168,7 @@
 is_suspect (const WlRelayRequest *r, uint64_t now_us)
 {
   int has_failed = r->status >= 300 || r->is_aborted; /* an error, or not to be used here */
-  if (!r->service->has_engine || r->info.parts.n == 0 || has_failed
-      || has_announced_end (wl_relay_current_endpoint (r)))
+  if (r->part_use.parts == NULL || has_failed || has_announced_end (wl_relay_current_endpoint (r)))
     return 0;
   if (r->output_us > 0)
     return now_us < r->output_us + WL_QUARANTINE_SOUND_AFTER_US;
@@ -56,4 +195,174 @@
   wl_log_eventf (WL4013_REQUEST_SUSPECTED, "endpoint=%s request=%s service=%s begun=%d parts=%s",
                  r->target.id, r->info.id != NULL ? r->info.id : "-", r->service->name,
                  r->output_us > 0, parts);
+  wl_quarantine_note_end (r->relay->quarantine, r->target.key, &r->part_use, now_us);
+  log_changes_by_request (r, now_us);
+}
+
+static void
+note_sound (WlRelayRequest *r, uint64_t now_us)
+{
+  if (r->part_use.parts == NULL || r->is_sound)
+    return;
+  r->is_sound = 1;
+  wl_quarantine_note_sound (r->relay->quarantine, &r->part_use, now_us);
+  log_changes_by_request (r, now_us);
+}
+
+void
+wl_relay_note_output (WlRelayRequest *r, uint64_t now_us)
+{
+  if (r->output_us == 0)
+    r->output_us = now_us;
+  else if (r->status < 300 && now_us >= r->output_us + WL_QUARANTINE_SOUND_AFTER_US)
+    note_sound (r, now_us);
+}
+
+void
+wl_relay_note_complete (WlRelayRequest *r, uint64_t now_us)
+{
+  if (r->status < 300 && r->has_marked_end)
+    note_sound (r, now_us);
+}
+
+/* ---- refusals ---- */
+
+const char *
+wl_relay_part_text (const WlRelayRequest *r, char *out, size_t size)
+{
+  const WlQuarantineAnswer *a = &r->quarantine_answer;
+  out[0] = '\0';
+  if (a->verdict != WL_QUARANTINE_ADMIT)
+    snprintf (out, size, " part=%" PRIx64 " since_ms=%" PRIu64 " ends=%u", a->part,
+              a->age_us / 1000, a->n_ends);
+  return out;
+}
+
+/* A retried or resumed request is no trial: what it did at other endpoints is not known. */
+static int
+may_try (const WlRelayRequest *r, uint64_t part)
+{
+  const WlRelayOptions *options = &r->relay->options;
+  return r->phase == WL_RELAY_WAITING && r->attempts == 0 && options->may_try_part != NULL
+         && options->may_try_part (options->data, part);
+}
+
+static WlQuarantineVerdict
+check (WlRelayRequest *r, uint64_t now_us)
+{
+  WlQuarantine *q = r->relay->quarantine;
+  r->quarantine_answer = (WlQuarantineAnswer){ .verdict = WL_QUARANTINE_ADMIT };
+  if (r->part_use.parts == NULL || wl_quarantine_n_entries (q) == 0)
+    return WL_QUARANTINE_ADMIT;
+  r->quarantine_answer = wl_quarantine_check (q, &r->part_use, 0, now_us);
+  if (r->quarantine_answer.verdict == WL_QUARANTINE_REFUSE
+      && may_try (r, r->quarantine_answer.part))
+    r->quarantine_answer = wl_quarantine_check (q, &r->part_use, 1, now_us);
+  return r->quarantine_answer.verdict;
+}
+
+static void
+refuse (WlRelayRequest *r)
+{
+  uint64_t trial_us = r->quarantine_answer.trial_us;
+  wl_relay_refuse (r, trial_us > 0 ? trial_us : TRIAL_RETRY_AFTER_US, WL_REASON_QUARANTINED);
+}
+
+int
+wl_relay_refuse_quarantined (WlRelayRequest *r, uint64_t now_us)
+{
+  if (check (r, now_us) != WL_QUARANTINE_REFUSE)
+    return 0;
+  refuse (r);
+  return 1;
+}
+
+int
+wl_relay_refuse_trial (WlRelayRequest *r, uint64_t now_us)
+{
+  const WlQuarantineAnswer *a = &r->quarantine_answer;
+  if (a->verdict != WL_QUARANTINE_TRIAL)
+    return 0;
+  if (r->choice.result != WL_CHOICE_PLACED
+      || (!a->is_overdue
+          && wl_load_sum (r->relay->options.load, r->choice.endpoint->key, now_us).n_items > 0))
+    {
+      refuse (r);
+      return 1;
+    }
+  return 0;
+}
+
+void
+wl_relay_begin_trial (WlRelayRequest *r, uint64_t now_us)
+{
+  const WlQuarantineAnswer *a = &r->quarantine_answer;
+  if (a->verdict != WL_QUARANTINE_TRIAL)
+    return;
+  r->is_trial = 1;
+  wl_log_eventf (WL4016_PART_TRIED,
+                 "part=%" PRIx64 " request=%s endpoint=%s since_ms=%" PRIu64 " ends=%u", a->part,
+                 r->info.id != NULL ? r->info.id : "-", r->choice.endpoint->record.id,
+                 a->age_us / 1000, a->n_ends);
+  wl_quarantine_begin_trial (r->relay->quarantine, &r->part_use, now_us);
+  log_changes_by_request (r, now_us); /* nothing yet; the line on a release has the trials */
+}
+
+int
+wl_relay_is_quarantined (WlRelayRequest *r, uint64_t now_us)
+{
+  return check (r, now_us) != WL_QUARANTINE_ADMIT;
+}
+
+/* Whether an attempt is at an endpoint and has output: then the request goes on. */
+static int
+is_writing (const WlRelayRequest *r)
+{
+  return r->fetch != NULL && r->output_us > 0;
+}
+
+void
+wl_relay_end_quarantined (WlRelay *relay, uint64_t now_us)
+{
+  uint64_t generation = wl_quarantine_generation (relay->quarantine);
+  if (generation == relay->quarantine_generation)
+    return;
+  relay->quarantine_generation = generation;
+  for (WlRelayRequest *r = relay->requests; r != NULL;)
+    {
+      WlRelayRequest *next = r->next; /* a refusal frees at most its own request */
+      if (!r->is_parked && !r->is_trial && !is_writing (r)
+          && check (r, now_us) != WL_QUARANTINE_ADMIT)
+        {
+          r->may_have_run |= r->fetch != NULL;
+          refuse (r);
+        }
+      r = next;
+    }
+}
+
+/* ---- other nodes ---- */
+
+WlQuarantine *
+wl_relay_quarantine (WlRelay *relay)
+{
+  return relay->quarantine;
+}
+
+void
+wl_relay_apply_part_report (WlRelay *relay, uint32_t node, const WlPartReport *report,
+                            uint64_t now_us)
+{
+  char cause[CAUSE_SIZE];
+  wl_quarantine_apply (relay->quarantine, report, now_us);
+  snprintf (cause, sizeof cause, "peer=%u", node);
+  log_changes (relay, cause, now_us);
+  wl_relay_end_quarantined (relay, now_us);
+}
+
+void
+wl_relay_expire_parts (WlRelay *relay, uint64_t now_us)
+{
+  wl_quarantine_expire (relay->quarantine, now_us);
+  log_changes (relay, "reason=unused", now_us);
 }
--- a/relay/forwarding/wl_relay_retry.c
+++ b/relay/forwarding/wl_relay_retry.c
@@ -64,6 +64,8 @@
 {
   r->may_have_run = 1;
   wl_relay_release_endpoints (r);
+  if (wl_relay_refuse_quarantined (r, now_us))
+    return;
   if (wl_relay_may_retry (r, now_us))
     retry_elsewhere (r, reason, now_us);
   else
@@ -83,7 +85,7 @@
 int
 wl_relay_replace_attempt (WlRelayRequest *r, WlReason reason, uint64_t now_us)
 {
-  if (r->attempts >= r->route->attempts)
+  if (r->attempts >= r->route->attempts || wl_relay_is_quarantined (r, now_us))
     return 0;
   WlChoice other = wl_relay_choose (r, now_us);
   if (other.result != WL_CHOICE_PLACED || needs_reservations (&other))
@@ -167,6 +169,8 @@
 {
   handle_rejection_cause (r, now_us);
   wl_relay_release_endpoints (r);
+  if (wl_relay_refuse_quarantined (r, now_us))
+    return;
   if (wl_relay_may_retry (r, now_us))
     retry_elsewhere (r, WL_REASON_REJECTED, now_us);
   else if (r->phase == WL_RELAY_ANSWERING)
--- a/relay/tests/test_relay_quarantine.c
+++ b/relay/tests/test_relay_quarantine.c
@@ -1,91 +1,7 @@
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-#include <unistd.h>
 #include <apr_general.h>
-#include "wl_clock.h"
-#include "wl_log.h"
-#include "wl_relay_fixture.h"
-#include "wl_test.h"
+#include "wl_test_parts.h"
 
-/*
- * Parts of prompts at which engines end. The clock is paused, and advanced by the
- * tests; the log is read back from a pipe.
- */
-
-enum
-{
-  PROMPT = 20000,
-  READ_US = 200000, /* more than the engine model's time for half of PROMPT */
-};
-
-#define STREAM_HEAD                                                                                \
-  "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n"                 \
-  "Transfer-Encoding: chunked\r\n\r\n"
-#define FIRST_EVENT "10\r\nid: 1\ndata: 1\n\n\r\n"
-
-typedef struct
-{
-  RelayFixture *relay;
-  int log_fd; /* end of the pipe to read from */
-} Fixture;
-
-static Fixture
-create (void)
-{
-  Fixture f;
-  int fds[2];
-  ck_assert_int_eq (pipe (fds), 0);
-  ck_assert_int_ge (dup2 (fds[1], STDOUT_FILENO), 0);
-  close (fds[1]);
-  f.log_fd = fds[0];
-  wl_log_open (1);
-  wl_clock_set (wl_clock_now_us ());
-  f.relay = relay_fixture_create ();
-  return f;
-}
-
-/* Ends the log and returns it. */
-static const char *
-read_log (Fixture *f)
-{
-  static char text[65536];
-  size_t used = 0;
-  wl_log_close (WL_LOG_CLOSE_MS);
-  close (STDOUT_FILENO);
-  for (ssize_t n = 1; n > 0; used += n > 0 ? (size_t)n : 0)
-    n = read (f->log_fd, text + used, sizeof text - 1 - used);
-  text[used] = '\0';
-  return text;
-}
-
-static void
-destroy (Fixture *f)
-{
-  wl_clock_set (0);
-  relay_fixture_destroy (f->relay);
-  close (f->log_fd);
-}
-
-static void
-advance (Fixture *f, uint64_t us)
-{
-  wl_clock_set (wl_clock_now_us () + us);
-  relay_fixture_settle (f->relay); /* ends with a tick; what it sends arrives in the next one */
-  relay_fixture_settle (f->relay);
-}
-
-static void
-send_prompt (Fixture *f, const char *parts)
-{
-  char text[512];
-  snprintf (text, sizeof text,
-            "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\nX-Left: 15000\r\n"
-            "X-Prompt: %d\r\n%s%s%sContent-Length: 0\r\n\r\n",
-            PROMPT, parts[0] != '\0' ? "X-Parts: " : "", parts, parts[0] != '\0' ? "\r\n" : "");
-  raw_client_send (&f->relay->caller, text);
-  relay_fixture_settle (f->relay);
-}
+/* Which requests speak against their parts, and what happens to requests with quarantined ones. */
 
 /* The only engine reads a prompt, perhaps writes @output, and ends. Returns the log. */
 static const char *
@@ -174,6 +90,203 @@
 }
 END_TEST
 
+/* ---- quarantined parts ---- */
+
+/* Guards against requests with a quarantined part that reach engines, or are held by the node. */
+START_TEST (a_new_request_with_a_quarantined_part_is_refused_at_once)
+{
+  Fixture f = create ();
+  relay_fixture_register_engine (f.relay, 0);
+  quarantine_for (&f, 0x5c, 0, 10000000);
+  send_prompt (&f, "1,5c");
+  check_refused (&f);
+  ck_assert_ptr_nonnull (strstr (f.relay->caller.answer, "Retry-After: 50."));
+  ck_assert_uint_eq (relay_fixture_n_runs (f.relay), 0);
+  const char *log = read_log (&f);
+  ck_assert_ptr_nonnull (strstr (log, "WL4014 part=5c service=llm customer=all ends=3 "));
+  ck_assert_ptr_nonnull (strstr (log, " reason=quarantined "));
+  ck_assert_ptr_nonnull (strstr (log, " part=5c since_ms=10000 ends=3\n"));
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against sound requests that are refused for what they share with others. */
+START_TEST (requests_with_other_parts_or_of_other_customers_are_served)
+{
+  Fixture f = create ();
+  quarantine (&f, 0x5c);
+  quarantine_for (&f, 0x5d, wl_fleet_key ("another customer"), 0);
+  script_server_add (&f.relay->endpoints[0], RELAY_WHOLE, SCRIPT_KEEP);
+  relay_fixture_register_engine (f.relay, 0);
+  send_prompt (&f, "1,5d,7");
+  relay_fixture_settle (f.relay);
+  ck_assert_ptr_nonnull (strstr (f.relay->caller.answer, "200 OK"));
+  ck_assert_uint_eq (wl_quarantine_n_entries (wl_relay_quarantine (f.relay->relay)), 1);
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against a customer whose own harmful part is not refused. */
+START_TEST (a_part_quarantined_for_a_customer_is_refused_to_that_customer)
+{
+  Fixture f = create ();
+  relay_fixture_register_engine (f.relay, 0);
+  quarantine_for (&f, 0x5c, wl_fleet_key ("acme"), 0);
+  send_prompt (&f, "5c");
+  check_refused (&f);
+  ck_assert_ptr_nonnull (strstr (read_log (&f), "WL4014 part=5c service=llm customer=acme "));
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against requests that wait for room and are sent, or refused only when there is some. */
+START_TEST (a_request_that_waits_is_refused_when_its_part_is_quarantined)
+{
+  Fixture f = create ();
+  WlWorkItem item = { .id = 1,
+                      .endpoint = wl_fleet_key ("engine-0"),
+                      .phase = WL_WORK_DECODING,
+                      .kv_tokens = RELAY_FIXTURE_MEMORY };
+  relay_fixture_register_engine (f.relay, 0);
+  wl_load_apply (f.relay->load, 2, 1, &item, wl_clock_now_us ());
+  send_prompt (&f, "5c");
+  ck_assert_uint_eq (wl_relay_active (f.relay->relay), 1);
+  quarantine (&f, 0x5c);
+  check_refused (&f);
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against engines that end under requests sent before the part was quarantined. */
+START_TEST (a_request_without_output_is_taken_from_its_engine_and_may_have_run)
+{
+  Fixture f = create ();
+  script_server_add (&f.relay->endpoints[0], NULL, SCRIPT_KEEP);
+  relay_fixture_register_engine (f.relay, 0);
+  send_prompt (&f, "5c");
+  ck_assert_uint_eq (relay_fixture_n_runs (f.relay), 1);
+  quarantine (&f, 0x5c);
+  relay_fixture_settle (f.relay);
+  check_failed (&f);
+  ck_assert_uint_eq (f.relay->endpoints[0].n_closed, 1);
+  ck_assert_uint_eq (f.relay->n_ended, f.relay->n_started);
+  destroy (&f);
+}
+END_TEST
+
+/* A request has its first event. Returns once the caller has it. */
+static void
+begin_stream (Fixture *f)
+{
+  script_server_add (&f->relay->endpoints[0], STREAM_HEAD FIRST_EVENT, SCRIPT_KEEP);
+  relay_fixture_register_engine (f->relay, 0);
+  send_prompt (f, "5c");
+  advance (f, READ_US);
+  ck_assert_ptr_nonnull (strstr (f->relay->caller.answer, "id: 1\ndata: 1\n\n"));
+}
+
+/* Guards against streams that are broken off although the engine writes. */
+START_TEST (a_request_that_is_writing_goes_on)
+{
+  Fixture f = create ();
+  begin_stream (&f);
+  quarantine (&f, 0x5c);
+  advance (&f, 0);
+  ck_assert_uint_eq (wl_relay_active (f.relay->relay), 1);
+  ck_assert_int_eq (f.relay->caller.is_closed, 0);
+  ck_assert_uint_eq (f.relay->endpoints[0].n_closed, 0);
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against a silent stream that takes a quarantined part to a second engine. */
+START_TEST (a_silent_stream_with_a_quarantined_part_is_not_moved_to_another_engine)
+{
+  Fixture f = create ();
+  begin_stream (&f);
+  quarantine (&f, 0x5c);
+  advance (&f, 3000000);
+  script_server_add (&f.relay->endpoints[1], NULL, SCRIPT_KEEP);
+  relay_fixture_register_engine (f.relay, 1);
+  advance (&f, 2000000);
+  ck_assert_uint_eq (wl_relay_active (f.relay->relay), 1);
+  ck_assert_uint_eq (relay_fixture_n_runs (f.relay), 1);
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against a broken stream that takes a quarantined part to a second engine. */
+START_TEST (a_stream_that_waits_to_be_resumed_is_broken_off)
+{
+  Fixture f = create ();
+  begin_stream (&f);
+  script_server_reset (&f.relay->endpoints[0]);
+  advance (&f, 0);
+  ck_assert_uint_eq (wl_relay_active (f.relay->relay), 1);
+  quarantine (&f, 0x5c);
+  relay_fixture_register_engine (f.relay, 1);
+  advance (&f, 60000);
+  ck_assert_uint_eq (wl_relay_active (f.relay->relay), 0);
+  ck_assert_uint_eq (relay_fixture_n_runs (f.relay), 1);
+  ck_assert_int_eq (f.relay->caller.is_closed, 1);
+  ck_assert_ptr_null (strstr (f.relay->caller.answer, "\r\n0\r\n\r\n"));
+  destroy (&f);
+}
+END_TEST
+
+/* Two requests with these parts end all engines, one after the other. */
+static void
+end_three_engines (Fixture *f, const char *parts)
+{
+  uint32_t n_before = relay_fixture_n_runs (f->relay);
+  for (uint32_t i = 0; i < RELAY_FIXTURE_ENDPOINTS; i++)
+    relay_fixture_register_engine (f->relay, i);
+  for (int i = 0; i < 2; i++)
+    send_prompt (f, parts);
+  for (uint32_t n = 1; n <= RELAY_FIXTURE_ENDPOINTS; n++)
+    {
+      ck_assert_uint_eq (relay_fixture_n_runs (f->relay), n_before + n);
+      advance (f, READ_US);
+      for (uint32_t i = 0; i < RELAY_FIXTURE_ENDPOINTS; i++)
+        script_server_reset (&f->relay->endpoints[i]);
+      advance (f, 0);
+      relay_fixture_settle (f->relay);
+    }
+}
+
+/* Guards against a part that goes on to end engines until none is left. */
+START_TEST (a_part_that_ends_three_engines_is_quarantined_and_not_sent_again)
+{
+  Fixture f = create ();
+  script_server_add (&f.relay->endpoints[0], RELAY_WHOLE, SCRIPT_KEEP);
+  relay_fixture_register_engine (f.relay, 0);
+  send_prompt (&f, "1,7"); /* only 1 is common to the route */
+  advance (&f, 6000000);
+  ck_assert_ptr_nonnull (strstr (f.relay->caller.answer, "200 OK"));
+  end_three_engines (&f, "1,5c");
+  ck_assert_uint_eq (relay_fixture_n_runs (f.relay), RELAY_FIXTURE_ENDPOINTS + 1);
+  check_failed (&f);
+  send_prompt (&f, "1,5c");
+  ck_assert_uint_eq (wl_relay_metrics (f.relay->relay)->refused[WL_REASON_QUARANTINED], 1);
+  const char *log = read_log (&f);
+  ck_assert_ptr_nonnull (
+      strstr (log, "WL4014 part=5c service=llm customer=acme ends=3 endpoints="));
+  ck_assert_ptr_null (strstr (log, "WL4014 part=1 "));
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against a route that is refused whole because its engines fail for another reason. */
+START_TEST (a_part_that_all_requests_of_a_route_share_is_not_quarantined)
+{
+  Fixture f = create ();
+  end_three_engines (&f, "1");
+  ck_assert_uint_eq (wl_quarantine_n_entries (wl_relay_quarantine (f.relay->relay)), 0);
+  ck_assert_uint_eq (wl_relay_metrics (f.relay->relay)->failed[WL_REASON_QUARANTINED], 0);
+  destroy (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -185,6 +298,16 @@
     WL_TEST (a_request_that_had_been_writing_is_not_suspected),
     WL_TEST (a_request_that_got_an_error_is_not_suspected),
     WL_TEST (an_endpoint_that_drains_speaks_against_no_part),
+    WL_TEST (a_new_request_with_a_quarantined_part_is_refused_at_once),
+    WL_TEST (requests_with_other_parts_or_of_other_customers_are_served),
+    WL_TEST (a_part_quarantined_for_a_customer_is_refused_to_that_customer),
+    WL_TEST (a_request_that_waits_is_refused_when_its_part_is_quarantined),
+    WL_TEST (a_request_without_output_is_taken_from_its_engine_and_may_have_run),
+    WL_TEST (a_request_that_is_writing_goes_on),
+    WL_TEST (a_silent_stream_with_a_quarantined_part_is_not_moved_to_another_engine),
+    WL_TEST (a_stream_that_waits_to_be_resumed_is_broken_off),
+    WL_TEST (a_part_that_ends_three_engines_is_quarantined_and_not_sent_again),
+    WL_TEST (a_part_that_all_requests_of_a_route_share_is_not_quarantined),
   };
   apr_initialize ();
   return wl_test_run ("relay_quarantine", tests, sizeof tests / sizeof tests[0]);
--- a/testkit/wl_relay_fixture.c
+++ b/testkit/wl_relay_fixture.c
@@ -89,6 +89,14 @@
   f->n_ended += note->phase == WL_WORK_ENDED;
 }
 
+static int
+may_try_part (void *data, uint64_t part)
+{
+  const RelayFixture *f = data;
+  (void)part;
+  return f->may_try;
+}
+
 /* ---- fixture ---- */
 
 WlRoutes *
@@ -171,6 +179,7 @@
     .retry_slack = 100,
     .retry_window_us = 10000000,
     .report_work = tell,
+    .may_try_part = may_try_part,
     .data = &f,
   };
   f.relay = wl_relay_create (&options);
--- a/testkit/wl_relay_fixture.h
+++ b/testkit/wl_relay_fixture.h
@@ -29,6 +29,7 @@
   RawClient caller;
   uint32_t n_started;
   uint32_t n_ended;
+  int may_try; /* whether this node runs the trials of quarantined parts */
 } RelayFixture;
 
 /* Requests of the caller, one a route, and an answer. */
--- a/testkit/wl_script_server.c
+++ b/testkit/wl_script_server.c
@@ -148,6 +148,13 @@
     }
 }
 
+void
+script_server_send (ScriptServer *server, const char *bytes)
+{
+  for (Connection *c = server->connections; c != NULL; c = c->next)
+    wl_tcp_write (c->tcp, (WlBytes){ (const uint8_t *)bytes, (uint32_t)strlen (bytes) });
+}
+
 void
 script_server_add (ScriptServer *server, const char *bytes, ScriptThen then)
 {
--- a/testkit/wl_script_server.h
+++ b/testkit/wl_script_server.h
@@ -65,6 +65,9 @@
 /** script_server_reset() - resets all connections */
 void script_server_reset (ScriptServer *server);
 
+/** script_server_send() - sends bytes on all connections */
+void script_server_send (ScriptServer *server, const char *bytes);
+
 /** script_server_add() - adds the answer to the next request */
 void script_server_add (ScriptServer *server, const char *bytes, ScriptThen then);
 
