Host: nodes tell each other of parts that end engines

Change (relay/wl_host_parts.c): what the quarantine has to tell goes out in each turn of the event loop, to the nodes that exchange load reports; in fleets that are no mesh also to the first relay of each other failure domain, which passes it on within its own. All quarantined parts go to a node that joins, and to all every 2.5 s; to other failure domains only by the first relay, since each such report is passed on there. One node runs the trials of a part: the node of highest rendezvous hash of part and node among those that accept requests. Metric quarantined_parts.

Not measured here: real processes.

--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -268,6 +268,7 @@
     .retry_window_us = host->options.retry_window_us,
     .report_work = wl_host_report_work,
     .report_ejection = wl_host_report_ejection,
+    .may_try_part = wl_host_may_try_part,
     .data = host,
   };
   host->relay = wl_relay_create (&relay);
@@ -367,6 +368,7 @@
   wl_roster_expire (host->roster, now_us);
   wl_fleet_expire (host->fleet, now_us);
   wl_load_expire (host->load, now_us);
+  wl_relay_expire_parts (host->relay, now_us);
   wl_host_gossip_tick (host, now_us);
 }
 
@@ -484,6 +486,7 @@
   receive_local (host);
   wl_membership_flush (host->membership, now_us);
   wl_host_flush_work (host);
+  wl_host_flush_parts (host, now_us);
   wl_peers_flush (host->peers);
   wl_tcp_flush (host->loop);
 }
@@ -599,6 +602,8 @@
     n_usable += (uint64_t)wl_fleet_is_usable (&host->fleet->endpoints[i], now_us);
   wl_metrics_write (wl_relay_metrics (host->relay), out);
   wl_metrics_write_gauge (out, "requests_active", wl_relay_active (host->relay));
+  wl_metrics_write_gauge (out, "quarantined_parts",
+                          wl_quarantine_n_entries (wl_relay_quarantine (host->relay)));
   wl_metrics_write_gauge (out, "nodes_alive", wl_roster_count_alive (host->roster, now_us));
   wl_metrics_write_gauge (out, "endpoints_known", host->fleet->n_endpoints);
   wl_metrics_write_gauge (out, "endpoints_usable", n_usable);
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -168,6 +168,7 @@
     return;
   host->full_report_us = now_us;
   send_full_report (host, 0);
+  wl_host_send_quarantined (host, 0, now_us);
 }
 
 /* ---- membership ---- */
@@ -204,7 +205,10 @@
     wl_config_store_add_peer (host->config_store, s->node);
   wl_load_drop_node (host->load, s->node, s->boot, now_us);
   if (wl_membership_is_load_peer (host->membership, node))
-    send_full_report (host, s->node);
+    {
+      send_full_report (host, s->node);
+      wl_host_send_quarantined (host, s->node, now_us);
+    }
 }
 
 static void
@@ -372,6 +376,9 @@
     case WL_MESSAGE_LOAD_REPORTS:
       on_forwarded_reports (host, from, &message->u.load_reports, now_us);
       return 1;
+    case WL_MESSAGE_PART_REPORT:
+      wl_host_receive_parts (host, from, message, now_us);
+      return 1;
     default:
       return 0;
     }
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -7,7 +7,7 @@
 
 /*
  * Shared by the files of the host: event loop, load reports and membership,
- * configuration, and files kept across restarts.
+ * quarantined parts, configuration, and files kept across restarts.
  */
 
 enum
@@ -152,6 +152,22 @@
 /** wl_host_report_ejection() - reports an endpoint that this node ejected; callback of the relay */
 void wl_host_report_ejection (void *host, const WlEndpoint *endpoint);
 
+/** wl_host_flush_parts() - sends what the quarantine has to tell other nodes */
+void wl_host_flush_parts (WlHost *host, uint64_t now_us);
+
+/** wl_host_send_quarantined() - tells a node, or all for 0, of all quarantined parts */
+void wl_host_send_quarantined (WlHost *host, uint32_t node, uint64_t now_us);
+
+/** wl_host_receive_parts() - processes a WL_MESSAGE_PART_REPORT */
+void wl_host_receive_parts (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
+
+/**
+ * wl_host_may_try_part() - whether this node runs the trials of a part; callback of the relay
+ *
+ * It is one of the nodes that accept requests, the same by the view of each.
+ */
+int wl_host_may_try_part (void *host, uint64_t part);
+
 /** wl_host_config_receive() - processes a message on the configuration; 0 for others */
 int wl_host_config_receive (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -75,7 +75,7 @@
 start read-without-quorum test_config_store core/agreement/wl_config_store.c 's/r->round <= confirmed/r->round >= 0/'
 start lower-version-proposed test_config_store core/agreement/wl_config_store.c 's/r->kind == REQUEST_SUBMIT && r->version <= version\)/r->kind == REQUEST_SUBMIT \&\& r->version == version)/'
 start no-replacement test_config_store core/agreement/wl_raft_group.c 's/\|\| \(raft->n_voters == raft->max_voters && unresponsive != NULL\)/|| 0/'
-start work-not-told-to-new-nodes test_host_gossip relay/wl_host_gossip.c 's/  if \(wl_membership_is_load_peer \(host->membership, node\)\)\n    send_full_report \(host, s->node\);\n//'
+start work-not-told-to-new-nodes test_host_gossip relay/wl_host_gossip.c 's/      send_full_report \(host, s->node\);\n//'
 start named-nodes-met-later test_host_gossip relay/membership/wl_membership.c 's/  if \(membership->roster->n_nodes > n_before && wl_view_is_mesh[^;]*;//'
 start saved-text-before-neighbours test_host relay/wl_host_config.c 's/ \|\| now_us < host->started_us \+ SAVED_CONFIG_DELAY_US//'
 start any-call-on-any-port test_platform_path platform/wl_platform_api.c 's/\s*\|\| !\(server->purposes & call->purpose\)//'
