explain: the events of the quarantined part that a request was refused for

A refusal with reason=quarantined names a part, but not on whose evidence and since when: the ends (WL4013) and the verdict (WL4014) are earlier than the request's first line, and at other nodes. explain now reads all logs a second time for the parts that lines about the request name: their quarantine, release and trials, and for a part that is the cause also the ends that speak against it. A request that was only suspected gets no ends of others, since its first part is mostly one that all requests share.

Tests: two in test_explain, over recorded lines of two nodes; without the second reading both fail.

--- a/cli/tests/test_explain.c
+++ b/cli/tests/test_explain.c
@@ -55,6 +55,75 @@
 }
 END_TEST
 
+/* A part of a prompt ends three engines at two nodes; request dd is refused for it. */
+static const char node_c[]
+    = "2026-12-05T06:00:00.000Z INFO node=3 WL4013 endpoint=i-1 request=aa service=s begun=0 "
+      "parts=1,5c\n"
+      "2026-12-05T06:00:00.000Z INFO node=3 WL4013 endpoint=i-1 request=bb service=s begun=0 "
+      "parts=1,15c,5\n"
+      "2026-12-05T06:00:00.400Z INFO node=3 WL4014 part=5c service=s customer=all ends=3 "
+      "endpoints=i-1,i-2,i-3 trials=0 age_ms=0 trial_ms=60000 peer=4\n"
+      "2026-12-05T06:00:00.500Z INFO node=3 WL4014 part=5d service=s customer=all ends=3 "
+      "endpoints=i-1,i-2,i-3 trials=0 age_ms=0 trial_ms=60000 peer=4\n"
+      "2026-12-05T06:00:09.000Z INFO node=3 WL4008 request=dd route=r reason=quarantined "
+      "held_ms=0 config=1 part=5c since_ms=8600 ends=3\n";
+static const char node_d[]
+    = "2026-12-05T06:00:00.200Z INFO node=4 WL4013 endpoint=i-2 request=cc service=s begun=1 "
+      "parts=5c\n"
+      "2026-12-05T06:00:00.390Z INFO node=4 WL4013 endpoint=i-3 request=cc service=s begun=1 "
+      "parts=5c\n"
+      "2026-12-05T06:00:00.391Z INFO node=4 WL4014 part=5c service=s customer=all ends=3 "
+      "endpoints=i-1,i-2,i-3 trials=0 age_ms=0 trial_ms=60000 request=cc endpoint=i-3\n"
+      "2026-12-05T06:01:01.000Z INFO node=4 WL4016 part=5c request=ee endpoint=i-4\n"
+      "2026-12-05T06:01:02.000Z INFO node=4 WL4015 part=5c service=s trials=1 request=ee\n";
+
+static void
+explain_parts (WlStory *s, const char *request)
+{
+  wl_explain_add (s, request, "c", node_c);
+  wl_explain_add (s, request, "d", node_d);
+  wl_explain_add_parts (s, request, "c", node_c);
+  wl_explain_add_parts (s, request, "d", node_d);
+  wl_explain_sort (s);
+}
+
+/* Guards against a refusal whose part is named, but not on which evidence and since when. */
+START_TEST (a_refusal_for_a_part_has_the_events_of_the_part_at_all_nodes)
+{
+  static const char *const events[] = { "WL4013 endpoint=i-1 request=aa",
+                                        "WL4013 endpoint=i-2",
+                                        "WL4013 endpoint=i-3",
+                                        "WL4014 part=5c",
+                                        "WL4014 part=5c",
+                                        "WL4008 request=dd",
+                                        "WL4016 part=5c",
+                                        "WL4015 part=5c" };
+  WlStory s = { 0 };
+  explain_parts (&s, "dd");
+  ck_assert_uint_eq (s.n_lines, sizeof events / sizeof *events);
+  for (size_t i = 0; i < s.n_lines; i++)
+    {
+      ck_assert_ptr_nonnull (strstr (s.lines[i].text, events[i]));
+      ck_assert_int_eq (s.lines[i].is_context, i != 5);
+    }
+  wl_explain_clear (&s);
+}
+END_TEST
+
+/* Guards against a story of all ends under a part that all requests share. */
+START_TEST (a_suspected_request_has_the_verdicts_on_its_parts_but_not_all_ends)
+{
+  WlStory s = { 0 };
+  explain_parts (&s, "aa");
+  ck_assert_uint_eq (s.n_lines, 5);
+  ck_assert_ptr_nonnull (strstr (s.lines[0].text, "WL4013 endpoint=i-1 request=aa"));
+  ck_assert_int_eq (s.lines[0].is_context, 0);
+  for (size_t i = 1; i < s.n_lines; i++)
+    ck_assert_ptr_nonnull (strstr (s.lines[i].text, " part=5c "));
+  wl_explain_clear (&s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -62,6 +131,8 @@
     WL_TEST (a_request_is_followed_over_nodes_with_what_befell_its_endpoints),
     WL_TEST (a_refusal_stands_alone),
     WL_TEST (an_id_is_not_taken_for_the_beginning_of_another),
+    WL_TEST (a_refusal_for_a_part_has_the_events_of_the_part_at_all_nodes),
+    WL_TEST (a_suspected_request_has_the_verdicts_on_its_parts_but_not_all_ends),
   };
   return wl_test_run ("explain", tests, sizeof tests / sizeof tests[0]);
 }
--- a/cli/wl_cmd_explain.c
+++ b/cli/wl_cmd_explain.c
@@ -33,6 +33,15 @@
       wl_explain_add (&story, request->sval[0], files->filename[i], log);
       free (log);
     }
+  for (int i = 0; i < files->count && story.n_parts > 0; i++)
+    {
+      size_t size;
+      char *log = wl_cli_read_file (files->filename[i], &size);
+      if (log == NULL)
+        goto out;
+      wl_explain_add_parts (&story, request->sval[0], files->filename[i], log);
+      free (log);
+    }
   wl_explain_sort (&story);
   for (size_t i = 0; i < story.n_lines; i++)
     printf ("%s %s: %s\n", story.lines[i].is_context ? " " : "*", story.lines[i].source,
--- a/cli/wl_explain.c
+++ b/cli/wl_explain.c
@@ -8,6 +8,7 @@
   ENDPOINTS_MAX = 16, /* endpoints that one request may have met */
   NAME_SIZE = 64,
   TIME_SIZE = 24, /* 2026-12-04T06:23:35.123Z */
+  PARTS_SIZE = 1024,
 };
 
 typedef struct
@@ -73,6 +74,73 @@
     snprintf (endpoints->names[endpoints->n++], NAME_SIZE, "%s", name);
 }
 
+/* ---- parts of prompts ---- */
+
+static void
+note_part (WlStory *story, const char *id, size_t size, int is_cause)
+{
+  size_t i = 0;
+  if (size == 0 || size >= WL_STORY_PART_SIZE)
+    return;
+  while (i < story->n_parts
+         && (strlen (story->parts[i].id) != size || memcmp (story->parts[i].id, id, size) != 0))
+    i++;
+  if (i == WL_STORY_PARTS_MAX)
+    return;
+  if (i == story->n_parts)
+    {
+      story->parts[story->n_parts++] = (WlStoryPart){ .is_cause = 0 };
+      memcpy (story->parts[i].id, id, size);
+    }
+  story->parts[i].is_cause |= is_cause;
+}
+
+/* Records the parts that a line about the request names. */
+static void
+note_parts (WlStory *story, const char *line)
+{
+  char text[PARTS_SIZE];
+  if (field (line, "part", text, sizeof text))
+    note_part (story, text, strlen (text), 1);
+  if (!field (line, "parts", text, sizeof text))
+    return;
+  for (const char *p = text; *p != '\0'; p += *p == ',')
+    {
+      size_t size = strcspn (p, ",");
+      note_part (story, p, size, 0);
+      p += size;
+    }
+}
+
+/* Whether a list of parts, separated by commas, has one. */
+static int
+has_part (const char *list, const char *id)
+{
+  size_t size = strlen (id);
+  for (const char *p = list; (p = strstr (p, id)) != NULL; p++)
+    if ((p == list || p[-1] == ',') && (p[size] == ',' || p[size] == '\0'))
+      return 1;
+  return 0;
+}
+
+static int
+is_about_part (const WlStory *story, const char *line)
+{
+  char text[PARTS_SIZE];
+  int is_end = strstr (line, " WL4013 ") != NULL;
+  if (!is_end && strstr (line, " WL4014 ") == NULL && strstr (line, " WL4015 ") == NULL
+      && strstr (line, " WL4016 ") == NULL)
+    return 0;
+  if (!field (line, is_end ? "parts" : "part", text, sizeof text))
+    return 0;
+  for (size_t i = 0; i < story->n_parts; i++)
+    if ((!is_end || story->parts[i].is_cause) && has_part (text, story->parts[i].id))
+      return 1;
+  return 0;
+}
+
+/* ---- logs ---- */
+
 static int
 is_context (const Endpoints *endpoints, const char *line)
 {
@@ -120,6 +188,7 @@
         strcpy (first, time);
       strcpy (last, time);
       note_endpoint (&endpoints, line);
+      note_parts (story, line);
       add_line (story, source, line, 0);
     }
   free (copy);
@@ -132,6 +201,19 @@
   free (copy);
 }
 
+void
+wl_explain_add_parts (WlStory *story, const char *request, const char *source, const char *log)
+{
+  char id[NAME_SIZE];
+  char *copy = strdup (log);
+  char *rest = copy;
+  for (char *line; story->n_parts > 0 && (line = next_line (&rest)) != NULL;)
+    if (is_about_part (story, line)
+        && (!field (line, "request", id, sizeof id) || strcmp (id, request) != 0))
+      add_line (story, source, line, 1);
+  free (copy);
+}
+
 static int
 by_time (const void *a, const void *b)
 {
--- a/cli/wl_explain.h
+++ b/cli/wl_explain.h
@@ -10,7 +10,8 @@
  * @time: time stamp as in the log, sorts as text
  * @source: name of the file
  * @text: the line
- * @is_context: the line is about an endpoint or the node, not about the request
+ * @is_context: the line is about an endpoint, a part of the prompt or the node, not about
+ *   the request
  */
 typedef struct
 {
@@ -20,14 +21,34 @@
   int is_context;
 } WlStoryLine;
 
+enum
+{
+  WL_STORY_PARTS_MAX = 32,
+  WL_STORY_PART_SIZE = 24,
+};
+
+/**
+ * struct WlStoryPart - a part of the request's prompt
+ * @id: its id, as in the log
+ * @is_cause: a line about the request names it as the cause: the part is quarantined
+ */
+typedef struct
+{
+  char id[WL_STORY_PART_SIZE];
+  int is_cause;
+} WlStoryPart;
+
 /**
  * struct WlStory - lines in order of time
  * @lines: the lines, @n_lines of them
+ * @parts: parts that lines about the request name, @n_parts of them
  */
 typedef struct
 {
   WlStoryLine *lines;
   size_t n_lines;
+  WlStoryPart parts[WL_STORY_PARTS_MAX];
+  size_t n_parts;
 } WlStory;
 
 /**
@@ -43,6 +64,19 @@
  */
 void wl_explain_add (WlStory *story, const char *request, const char *source, const char *log);
 
+/**
+ * wl_explain_add_parts() - adds what one log says about the parts of the request's prompt
+ * @story: with the lines of all logs
+ * @request: id of the request
+ * @source: name of the log; not copied
+ * @log: the whole log
+ *
+ * These are the quarantine, the release and the trials of a part, and for one that is the cause
+ * also the ends of endpoints that speak against it, at any time.
+ */
+void wl_explain_add_parts (WlStory *story, const char *request, const char *source,
+                           const char *log);
+
 /** wl_explain_sort() - puts the lines of all logs in order of time */
 void wl_explain_sort (WlStory *story);
 
