Relay: an end of an engine is not forgotten since another one ends again and again

Reading: each refused connection and each report added to the list of the latest 16 ends, by which a short response without a marked end is judged. One engine that refuses connection after connection replaced all others within a fraction of the second that counts. An end that is listed is not listed again, and 64 ends and short responses are kept. The new test fails without the first change.

--- a/relay/forwarding/wl_relay_evidence.c
+++ b/relay/forwarding/wl_relay_evidence.c
@@ -92,12 +92,21 @@
   return (a_us > b_us ? a_us - b_us : b_us - a_us) < SAME_END_US;
 }
 
+static int
+has_ended (const WlRelay *relay, uint64_t endpoint, uint64_t at_us)
+{
+  for (uint32_t i = 0; i < WL_RELAY_ENDS_MAX; i++)
+    if (relay->ends[i].endpoint == endpoint && is_near (relay->ends[i].at_us, at_us))
+      return 1;
+  return 0;
+}
+
 /* Records that an engine ended. Short responses that it seemed to complete then are suspects. */
 static void
 note_engine_end (WlRelay *relay, uint64_t endpoint, uint64_t at_us, uint64_t now_us)
 {
-  WlRelayEnd *end = &relay->ends[relay->n_ends++ % WL_RELAY_ENDS_MAX];
-  *end = (WlRelayEnd){ .endpoint = endpoint, .at_us = at_us };
+  if (!has_ended (relay, endpoint, at_us))
+    relay->ends[relay->n_ends++ % WL_RELAY_ENDS_MAX] = (WlRelayEnd){ endpoint, at_us };
   for (uint32_t i = 0; i < WL_RELAY_ENDS_MAX; i++)
     {
       WlRelaySuspect *s = &relay->short_responses[i];
@@ -108,15 +117,6 @@
     }
 }
 
-static int
-has_ended (const WlRelay *relay, uint64_t endpoint, uint64_t now_us)
-{
-  for (uint32_t i = 0; i < WL_RELAY_ENDS_MAX; i++)
-    if (relay->ends[i].endpoint == endpoint && is_near (relay->ends[i].at_us, now_us))
-      return 1;
-  return 0;
-}
-
 /* Whether the end of the current attempt's engine would need a cause: it has not announced it. */
 static int
 is_at_working_engine (const WlRelayRequest *r)
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -19,7 +19,7 @@
   WL_RELAY_QUEUE_PAUSE_BYTES = 262144, /* queue for a caller above which reading pauses */
   WL_RELAY_BODY_MAX_BYTES = 1 << 20,   /* of a response that is kept until it is complete */
   WL_RELAY_PART_TEXT_SIZE = 80,        /* see wl_relay_part_text() */
-  WL_RELAY_ENDS_MAX = 16,              /* latest ends of engines, and latest short responses */
+  WL_RELAY_ENDS_MAX = 64,              /* latest ends of engines, and latest short responses */
 };
 
 /**
--- a/relay/tests/test_relay_quarantine.c
+++ b/relay/tests/test_relay_quarantine.c
@@ -125,7 +125,18 @@
 }
 END_TEST
 
-START_TEST (a_short_response_is_suspected_after_another_connection_broke)
+/* Another node saw an engine end. */
+static void
+report_end (Fixture *f, const char *engine)
+{
+  WlPartSuspect suspect = { 0x77, wl_fleet_key ("llm"), 0 };
+  WlPartEnd end = { .endpoint = wl_fleet_key (engine), .suspects = &suspect, .n_suspects = 1 };
+  WlPartReport report = { .ends = &end, .n_ends = 1 };
+  wl_relay_apply_part_report (f->relay->relay, 2, &report, wl_clock_now_us ());
+}
+
+static void
+check_suspected_after_break (int n_ends_elsewhere)
 {
   Fixture f = create ();
   script_server_add (&f.relay->endpoints[0], NULL, SCRIPT_KEEP);
@@ -135,11 +146,26 @@
   advance (&f, READ_US);
   script_server_reset (&f.relay->endpoints[0]);
   advance (&f, 10000);
+  for (int i = 0; i < n_ends_elsewhere; i++)
+    report_end (&f, "engine-9");
   send_prompt (&f, "5c");
   advance (&f, 0);
   ck_assert_ptr_nonnull (strstr (read_log (&f), UNMARKED_SUSPECTED));
   destroy (&f);
 }
+
+START_TEST (a_short_response_is_suspected_after_another_connection_broke)
+{
+  check_suspected_after_break (0);
+}
+END_TEST
+
+/* Guards against an end that is forgotten since another engine refuses connection after connection.
+ */
+START_TEST (a_short_response_is_suspected_after_many_ends_of_another_engine)
+{
+  check_suspected_after_break (200);
+}
 END_TEST
 
 START_TEST (a_short_response_is_suspected_when_its_engine_refuses_to_connect)
@@ -156,10 +182,7 @@
 START_TEST (a_short_response_is_suspected_when_another_node_saw_the_end)
 {
   Fixture f = create_with_short_response ();
-  WlPartSuspect suspect = { 0x77, wl_fleet_key ("llm"), 0 };
-  WlPartEnd end = { .endpoint = wl_fleet_key ("engine-0"), .suspects = &suspect, .n_suspects = 1 };
-  WlPartReport report = { .ends = &end, .n_ends = 1 };
-  wl_relay_apply_part_report (f.relay->relay, 2, &report, wl_clock_now_us ());
+  report_end (&f, "engine-0");
   ck_assert_ptr_nonnull (strstr (read_log (&f), UNMARKED_SUSPECTED));
   destroy (&f);
 }
@@ -393,6 +416,7 @@
     WL_TEST (an_endpoint_that_drains_speaks_against_no_part),
     WL_TEST (a_short_response_is_suspected_when_another_connection_breaks),
     WL_TEST (a_short_response_is_suspected_after_another_connection_broke),
+    WL_TEST (a_short_response_is_suspected_after_many_ends_of_another_engine),
     WL_TEST (a_short_response_is_suspected_when_its_engine_refuses_to_connect),
     WL_TEST (a_short_response_is_suspected_when_another_node_saw_the_end),
     WL_TEST (a_short_response_is_not_suspected_by_itself_or_later),
