--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -222,7 +222,10 @@
   r->phase = r->phase == WL_RELAY_WAITING ? WL_RELAY_SENT : r->phase;
   r->sent_us = now_us;
   r->progress_us = now_us;
+  r->output_us = 0;
   r->status = 0;
+  r->is_aborted = 0;
+  r->is_sound = 0;
   r->is_stall_recorded = 0;
   r->is_paused = 0;
   r->is_resumed = r->phase == WL_RELAY_ANSWERING;
@@ -351,10 +354,12 @@
   WlRelayRequest *r = data;
   r->relay->options.protocol.read_response (head, &r->response);
   WlFetchVerdict verdict = attribute_response (r);
+  r->is_aborted = verdict == WL_FETCH_ABORT;
   if (verdict != WL_FETCH_TAKE)
     return verdict;
   r->response.id = NULL; /* the string belongs to the parsed head */
   r->status = head->status;
+  r->has_marked_end = head->has_length || wl_http_head_field (head, "Transfer-Encoding") != NULL;
   r->progress_us = wl_clock_now_us ();
   r->forwards_events = is_success (r) && r->route->kind == WL_ROUTE_STREAM && r->response.is_sealed
                        && (!r->is_resumed || is_event_stream (head));
@@ -404,9 +409,8 @@
  * Returns 0 to fail the attempt.
  */
 static int
-on_body (void *data, WlBytes bytes)
+take_body (WlRelayRequest *r, WlBytes bytes)
 {
-  WlRelayRequest *r = data;
   if (!r->forwards_events)
     {
       wl_buffer_append (&r->body, bytes);
@@ -429,6 +433,15 @@
   return 1;
 }
 
+static int
+on_body (void *data, WlBytes bytes)
+{
+  WlRelayRequest *r = data;
+  wl_relay_note_output (r, wl_clock_now_us ());
+  r->is_aborted = !take_body (r, bytes);
+  return !r->is_aborted;
+}
+
 static WlBuffer
 take_buffer (WlBuffer *buffer)
 {
@@ -508,12 +521,14 @@
     }
   if (is_stream_cut (r))
     {
+      wl_relay_note_broken (r, now_us);
       wl_relay_record_failure (r, e, WL_FAILURE_LOST, WL_REASON_BROKEN, now_us);
       wl_relay_on_failure (r, WL_REASON_BROKEN, now_us);
       return;
     }
   if (e != NULL)
     wl_fleet_note_success (e, now_us);
+  wl_relay_note_complete (r, now_us);
   reply_and_finish (r, "whole");
 }
 
@@ -521,6 +536,7 @@
 on_ended (void *data, WlFetchEnd end)
 {
   WlRelayRequest *r = data;
+  WlRelay *relay = r->relay;
   uint64_t now_us = wl_clock_now_us ();
   r->fetch = NULL;
   switch (end)
@@ -532,11 +548,13 @@
       wl_relay_on_connect_failure (r, now_us);
       break;
     case WL_FETCH_BROKEN:
+      wl_relay_note_broken (r, now_us);
       wl_relay_record_failure (r, wl_relay_current_endpoint (r), WL_FAILURE_LOST, WL_REASON_BROKEN,
                                now_us);
       wl_relay_on_failure (r, WL_REASON_BROKEN, now_us);
       break;
     }
+  wl_relay_end_quarantined (relay, now_us); /* @r may have ended */
 }
 
 static const WlFetchHandlers fetch_handlers = {
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -7,8 +7,9 @@
 
 /*
  * Shared by the files of the relay: wl_relay.c (requests), wl_relay_answer.c
- * (attempts and their responses), wl_relay_retry.c (failed attempts) and
- * wl_relay_stop.c (the exit of the node).
+ * (attempts and their responses), wl_relay_retry.c (failed attempts),
+ * wl_relay_evidence.c and wl_relay_quarantine.c (parts that end engines) and wl_relay_stop.c
+ * (the exit of the node).
  */
 
 enum
@@ -17,6 +18,8 @@
   WL_RELAY_BUDGETS_MAX = 64,           /* services with a retry budget of their own */
   WL_RELAY_QUEUE_PAUSE_BYTES = 262144, /* queue for a caller above which reading pauses */
   WL_RELAY_BODY_MAX_BYTES = 1 << 20,   /* of a response that is kept until it is complete */
+  WL_RELAY_PART_TEXT_SIZE = 80,        /* see wl_relay_part_text() */
+  WL_RELAY_ENDS_MAX = 64,              /* latest ends of engines, and latest short responses */
 };
 
 /**
@@ -59,6 +62,10 @@
  * @retry_us: when to try the placement again
  * @is_wait_logged: whether it was logged why the request waits
  * @is_parked: waits for the first configuration; only @relay, @web and @number are set
+ * @part_use: the parts of its prompt; without parts, or for endpoints that are no engines,
+ *   @part_use.parts is NULL
+ * @quarantine_answer: the latest verdict on these parts
+ * @is_trial: the current attempt is a trial of a quarantined part
  * @fetch: the HTTP request to @target, NULL when none is in progress
  * @choice_request: the input of the placement
  * @choice: the placement of the current attempt
@@ -69,6 +76,7 @@
  * @sent_us: when the current attempt was sent
  * @expected_us: forecast, at its placement, of the time until its response is complete
  * @progress_us: when the endpoint last sent something, or reading from it went on
+ * @output_us: when the first output of the current attempt arrived, 0 for not yet
  * @first_us: when the first output was forwarded, 0 for not yet
  * @longest_pause_us: longest pause between two events so far
  * @attempts: number of attempts sent to endpoints
@@ -76,6 +84,9 @@
  * @may_have_run: an endpoint may have run the request, or a part of it
  * @is_decoding: the current attempt has delivered output
  * @is_paused: reading of the response is paused until the caller has read more
+ * @is_aborted: this node broke the current attempt's response off, which it cannot use
+ * @is_sound: the current attempt has shown that the parts of the prompt are sound
+ * @has_marked_end: the end of the response is marked, by a length or by chunks
  * @is_stall_recorded: the stall of the current attempt was recorded as a failure
  * @is_resumed: the current attempt goes on with a response that the caller has a part of
  * @forwards_events: the response is a stream whose events are forwarded as they arrive
@@ -102,6 +113,9 @@
   WlRelayPhase phase;
   uint8_t is_wait_logged;
   uint8_t is_parked;
+  WlPartUse part_use;
+  WlQuarantineAnswer quarantine_answer;
+  uint8_t is_trial;
 
   WlFetch *fetch;
   WlChoiceRequest choice_request;
@@ -114,6 +128,7 @@
   uint64_t sent_us;
   uint64_t expected_us;
   uint64_t progress_us;
+  uint64_t output_us;
   uint64_t first_us;
   uint64_t longest_pause_us;
   uint32_t attempts;
@@ -121,6 +136,9 @@
   uint8_t may_have_run;
   uint8_t is_decoding;
   uint8_t is_paused;
+  uint8_t is_aborted;
+  uint8_t is_sound;
+  uint8_t has_marked_end;
   uint8_t is_stall_recorded;
   uint8_t is_resumed;
   uint8_t forwards_events;
@@ -137,6 +155,36 @@
   struct WlRelayRequest *previous;
 } WlRelayRequest;
 
+/**
+ * struct WlRelaySuspect - an attempt under which an engine ended, or may have ended
+ * @endpoint: key of the engine, 0 for an unused entry
+ * @at_us: when the attempt ended
+ * @has_output: the engine had begun to write
+ * @parts: parts of the prompt
+ * @use: their use; @use.parts is not valid
+ * @endpoint_id: id of the engine, for the log
+ * @service: name of its service
+ * @request: id of the request
+ */
+typedef struct
+{
+  uint64_t endpoint;
+  uint64_t at_us;
+  int has_output;
+  WlPromptParts parts;
+  WlPartUse use;
+  char endpoint_id[WL_LABEL_SIZE];
+  char service[WL_LABEL_SIZE];
+  char request[WL_LABEL_SIZE];
+} WlRelaySuspect;
+
+/** struct WlRelayEnd - end of an engine; @endpoint: its key */
+typedef struct
+{
+  uint64_t endpoint;
+  uint64_t at_us;
+} WlRelayEnd;
+
 struct WlRelay
 {
   WlRelayOptions options;
@@ -152,6 +200,14 @@
   uint32_t n_budgets;
   WlMetrics metrics;
   WlReservations *reservations;
+  WlQuarantine *quarantine;
+  uint64_t quarantine_generation; /* whose quarantined parts have ended their requests */
+  WlQuarantinedPart logged_parts[WL_QUARANTINE_ENTRIES_MAX]; /* as last logged */
+  uint32_t n_logged_parts;
+  WlRelayEnd ends[WL_RELAY_ENDS_MAX]; /* a ring, as the next one */
+  uint32_t n_ends;
+  WlRelaySuspect short_responses[WL_RELAY_ENDS_MAX]; /* that may have ended with their engine */
+  uint32_t n_short_responses;
   WlRelayStop stop;  /* @close_us is 0 until the node begins to stop */
   uint8_t is_closed; /* wl_relay_close() was called */
 };
@@ -193,6 +249,73 @@
 void wl_relay_record_failure (WlRelayRequest *r, WlEndpoint *e, WlFailure failure, WlReason reason,
                               uint64_t now_us);
 
+/** wl_relay_begin_parts() - records the parts of a new request; its service must be set */
+void wl_relay_begin_parts (WlRelayRequest *r, uint64_t now_us);
+
+/**
+ * wl_relay_note_broken() - records that the connection of the current attempt broke
+ * @r: the request; still with the state of the attempt
+ * @now_us: monotonic time
+ *
+ * May quarantine a part. wl_relay_end_quarantined() must follow once @r has been handled.
+ */
+void wl_relay_note_broken (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_note_refused() - records that the endpoint of the current attempt refused to connect */
+void wl_relay_note_refused (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_note_reported_ends() - records that engines ended under requests of another node */
+void wl_relay_note_reported_ends (WlRelay *relay, const WlPartReport *report, uint64_t now_us);
+
+/** wl_relay_hash_name() - hash that stands for the name of a service, route or customer */
+uint64_t wl_relay_hash_name (const char *name);
+
+/** wl_relay_note_output() - records that the endpoint has sent a part of the response's body */
+void wl_relay_note_output (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_note_complete() - records that the response is complete */
+void wl_relay_note_complete (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_is_quarantined() - whether a part of the request's prompt is quarantined */
+int wl_relay_is_quarantined (WlRelayRequest *r, uint64_t now_us);
+
+/**
+ * wl_relay_refuse_quarantined() - ends a request with a quarantined part, unless a trial is due
+ * @r: the request; without an attempt in progress
+ * @now_us: monotonic time
+ *
+ * Return: 1 when the request has ended. Else it may be sent, after wl_relay_refuse_trial().
+ */
+int wl_relay_refuse_quarantined (WlRelayRequest *r, uint64_t now_us);
+
+/**
+ * wl_relay_refuse_trial() - ends a request that may be a trial, if it cannot begin now
+ * @r: the request, whose choice was just made
+ * @now_us: monotonic time
+ *
+ * A trial runs at an endpoint without other work, unless it is overdue.
+ *
+ * Return: 1 when the request has ended.
+ */
+int wl_relay_refuse_trial (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_begin_trial() - records that a request is sent as a trial, if it is one */
+void wl_relay_begin_trial (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_end_quarantined() - ends the requests whose parts are newly quarantined */
+void wl_relay_end_quarantined (WlRelay *relay, uint64_t now_us);
+
+/**
+ * wl_relay_log_parts() - logs which parts were quarantined, widened or released since the last call
+ * @relay: the relay
+ * @cause: by what, as key=value fields
+ * @now_us: monotonic time
+ */
+void wl_relay_log_parts (WlRelay *relay, const char *cause, uint64_t now_us);
+
+/** wl_relay_part_text() - the quarantined part, for log lines of requests; empty without one */
+const char *wl_relay_part_text (const WlRelayRequest *r, char *out, size_t size);
+
 /** wl_relay_on_failure() - retries or fails a request after an attempt that may have run */
 void wl_relay_on_failure (WlRelayRequest *r, WlReason reason, uint64_t now_us);
 
--- a/testkit/wl_relay_fixture.c
+++ b/testkit/wl_relay_fixture.c
@@ -21,6 +21,10 @@
   out->has_last_event = wl_http_head_field (head, "X-Last") != NULL;
   const char *prompt = wl_http_head_field (head, "X-Prompt");
   out->prompt = prompt != NULL ? (uint32_t)strtoul (prompt, NULL, 10) : 0;
+  const char *parts = wl_http_head_field (head, "X-Parts");
+  for (char *end; parts != NULL && *parts != '\0' && out->parts.n < WL_QUARANTINE_PARTS_MAX;
+       parts = *end == ',' ? end + 1 : NULL)
+    out->parts.ids[out->parts.n++] = strtoull (parts, &end, 16);
 }
 
 static int
@@ -86,6 +90,14 @@
   f->n_ended += note->phase == WL_WORK_ENDED;
 }
 
+static int
+may_try_part (void *data, uint64_t part)
+{
+  const RelayFixture *f = data;
+  (void)part;
+  return f->may_try;
+}
+
 /* ---- fixture ---- */
 
 WlRoutes *
@@ -174,6 +186,7 @@
     .retry_slack = 100,
     .retry_window_us = 10000000,
     .report_work = tell,
+    .may_try_part = may_try_part,
     .data = &f,
   };
   f.relay = wl_relay_create (&options);
