--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = $(shell grep -v '^\#' packages.txt)
 SOURCES = $(filter-out scripts/cppcheck-macros.h,$(shell git ls-files --cached --others --exclude-standard '*.c' '*.h'))
 
-.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short
+.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short soak-parts
 
 all: build
 
@@ -44,6 +44,11 @@
 soak-short: build
 	@BUILD=$(BUILD) scripts/known-red.sh soak-short scripts/soak.sh --seed 1 --seconds 45
 
+# The same with a part of prompts on which engines end.
+soak-parts: build
+	@BUILD=$(BUILD) scripts/known-red.sh soak-parts scripts/soak.sh --seed 1 --seconds 26 --callers 36 \
+	  --engines 6 --plain 2 --series 0 --traits 0 --prompt-max 4000 --bad 1
+
 asan: setup
 	@cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=Debug -DWL_SANITIZE=ON >/dev/null
 	@cmake --build build-asan -j $(JOBS) -- --no-print-directory
@@ -55,7 +60,7 @@
 mutants: setup
 	@tests/mutants.sh
 
-check: build format-check lint unit soak-short asan model mutants
+check: build format-check lint unit soak-short soak-parts asan model mutants
 	@scripts/check-symbols.sh $(BUILD)
 	@echo "make check: all parts passed"
 
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -11,6 +11,7 @@
 #include "wl_soak_endpoint.h"
 #include "wl_soak_judge.h"
 #include "wl_soak_nodes.h"
+#include "wl_soak_parts.h"
 #include "wl_soak_request.h"
 
 enum
@@ -31,6 +32,8 @@
   WlSoakCaller *callers[WL_SOAK_CALLERS_MAX];
   WlSoakEndpoint *endpoints[WL_SOAK_ENDPOINTS_MAX];
   uint32_t n_endpoints;
+  uint64_t chance;    /* state of random numbers of the ends by chance */
+  uint64_t end_us;    /* the next of them */
   uint64_t version;   /* of the configuration */
   uint64_t submitted; /* latest version that was sent */
   uint32_t operator_node;
@@ -143,6 +146,26 @@
   submit (run);
 }
 
+/* Ends an engine now and then that no request has ended. */
+static void
+end_by_chance (Run *run, uint64_t now_us)
+{
+  const WlSoakOptions *o = &run->soak.options;
+  if (o->ends_every_ms == 0 || now_us < run->end_us)
+    return;
+  uint32_t first = wl_soak_between (&run->chance, 0, o->n_engines - 1);
+  uint64_t away_us = wl_soak_between (&run->chance, 3000, 5000) * UINT64_C (1000);
+  int is_reset = (int)wl_soak_between (&run->chance, 0, 1);
+  uint32_t i = 0;
+  while (i < o->n_engines
+         && !wl_soak_endpoint_crash (run->endpoints[(first + i) % o->n_engines], NULL, is_reset,
+                                     away_us, now_us))
+    i++;
+  run->end_us = now_us
+                + wl_soak_between (&run->chance, o->ends_every_ms / 2, o->ends_every_ms * 3 / 2)
+                      * UINT64_C (1000);
+}
+
 static int
 are_endpoints_known (const Run *run)
 {
@@ -194,6 +217,9 @@
 open_callers (Run *run, uint64_t now_us)
 {
   uint64_t random = run->soak.options.seed;
+  wl_soak_parts_open (&run->soak, now_us);
+  run->chance = random;
+  run->end_us = now_us + WL_SOAK_BAD_FROM_US;
   for (uint32_t i = 0; i < run->soak.options.n_callers; i++)
     run->callers[i] = wl_soak_caller_create (&run->soak, i, wl_soak_random (&random));
   wl_soak_nodes_plan (wl_soak_random (&random), now_us, change_config, run);
@@ -211,6 +237,8 @@
     {
       tick (run);
       now_us = wl_clock_now_us ();
+      if (now_us < end_us)
+        end_by_chance (run, now_us);
       n_open = 0;
       for (uint32_t i = 0; i < run->soak.options.n_callers; i++)
         n_open += (uint32_t)wl_soak_caller_tick (run->callers[i], now_us, now_us >= end_us);
@@ -241,6 +269,7 @@
             (double)(stop->term_us - start_us) / 1e6,
             ((double)stop->exited_us - (double)stop->term_us) / 1e6);
   wl_soak_judge (start_us);
+  wl_soak_parts_judge ();
   printf ("seed=%llu nodes=%u callers=%u seconds=%u stops=%u configs=%u broken=%u\n",
           (unsigned long long)o->seed, o->n_nodes, o->n_callers, o->seconds, n_stops,
           run->n_acknowledged, wl_soak_n_broken ());
@@ -251,21 +280,18 @@
 read_options (int argc, char **argv, WlSoakOptions *o)
 {
   static const struct option names[] = {
-    { "seed", required_argument, NULL, 0 },
-    { "seconds", required_argument, NULL, 1 },
-    { "nodes", required_argument, NULL, 2 },
-    { "callers", required_argument, NULL, 3 },
-    { "engines", required_argument, NULL, 4 },
-    { "plain", required_argument, NULL, 5 },
-    { "traits", required_argument, NULL, 6 },
-    { "series", required_argument, NULL, 7 },
-    { "share", required_argument, NULL, 8 },
-    { "sound", no_argument, NULL, 's' },
-    { "net", required_argument, NULL, 'n' },
-    { "folder", required_argument, NULL, 'f' },
-    { NULL, 0, NULL, 0 },
+    { "seed", required_argument, NULL, 0 },        { "seconds", required_argument, NULL, 1 },
+    { "nodes", required_argument, NULL, 2 },       { "callers", required_argument, NULL, 3 },
+    { "engines", required_argument, NULL, 4 },     { "plain", required_argument, NULL, 5 },
+    { "traits", required_argument, NULL, 6 },      { "series", required_argument, NULL, 7 },
+    { "share", required_argument, NULL, 8 },       { "bad", required_argument, NULL, 9 },
+    { "bad-one-in", required_argument, NULL, 10 }, { "bad-customers", required_argument, NULL, 11 },
+    { "ends-every", required_argument, NULL, 12 }, { "prompt-max", required_argument, NULL, 13 },
+    { "sound", no_argument, NULL, 's' },           { "net", required_argument, NULL, 'n' },
+    { "folder", required_argument, NULL, 'f' },    { NULL, 0, NULL, 0 },
   };
-  uint32_t numbers[] = { 1, 60, 3, 48, 8, 3, WL_SOAK_ALL_TRAITS, WL_SOAK_ALL_SERIES, 25 };
+  uint32_t numbers[]
+      = { 1, 60, 3, 48, 8, 3, WL_SOAK_ALL_TRAITS, WL_SOAK_ALL_SERIES, 25, 0, 9, 2, 0, 0 };
   unsigned x = 0;
   unsigned y = 0;
   int c;
@@ -296,10 +322,15 @@
   o->n_plain = numbers[5];
   o->traits = numbers[6];
   o->share = numbers[8];
+  o->n_bad = numbers[9];
+  o->bad_one_in = numbers[10];
+  o->n_bad_customers = numbers[11];
+  o->ends_every_ms = numbers[12];
+  o->prompt_max = numbers[13];
   o->series = numbers[7] & WL_SOAK_ALL_SERIES;
-  return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->series != 0
-         && o->n_nodes <= WL_SOAK_NODES_MAX && o->n_callers <= WL_SOAK_CALLERS_MAX
-         && o->n_engines > 0 && o->n_plain > 0
+  return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->n_bad <= WL_SOAK_BAD_MAX
+         && o->bad_one_in > 0 && o->n_nodes <= WL_SOAK_NODES_MAX
+         && o->n_callers <= WL_SOAK_CALLERS_MAX && o->n_engines > 0 && o->n_plain > 0
          && o->n_engines + o->n_plain <= WL_SOAK_ENDPOINTS_MAX;
 }
 
@@ -313,7 +344,8 @@
     {
       fprintf (stderr, "usage: scripts/soak.sh [--seed N] [--seconds S] [--nodes N] [--callers N]"
                        " [--traits BITS] [--series BITS] [--share PERCENT] [--sound] [--engines N] "
-                       "[--plain N]\n");
+                       "[--plain N] [--bad PARTS] [--bad-one-in N] [--bad-customers N] "
+                       "[--ends-every MS] [--prompt-max TOKENS]\n");
       return EXIT_NOT_RUN;
     }
   setvbuf (stdout, NULL, _IOLBF, 0);
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -59,6 +59,11 @@
  * @n_engines, @n_plain: endpoints of the two services
  * @traits, @series: those that may occur
  * @share: per cent of the callers that have a trait
+ * @prompt_max: most tokens of a prompt, 0 for those of its kind
+ * @n_bad: bad parts of prompts, see wl_soak_parts.h
+ * @bad_one_in: one request in so many has one
+ * @n_bad_customers: of the two, whose requests have them
+ * @ends_every_ms: mean time between engines that end by chance, 0 for never
  * @is_sound: endpoints meet no fault
  * @net: first address of the run, host byte order, its last number 0
  * @folder: files of the nodes, see wl_soak_nodes.h
@@ -74,6 +79,11 @@
   uint32_t traits;
   uint32_t series;
   uint32_t share;
+  uint32_t prompt_max;
+  uint32_t n_bad;
+  uint32_t bad_one_in;
+  uint32_t n_bad_customers;
+  uint32_t ends_every_ms;
   uint8_t is_sound;
   uint32_t net;
   const char *folder;
--- a/soak/wl_soak_caller.c
+++ b/soak/wl_soak_caller.c
@@ -7,6 +7,7 @@
 #include "wl_soak_caller.h"
 #include "wl_soak_conn.h"
 #include "wl_soak_message.h"
+#include "wl_soak_parts.h"
 #include "wl_soak_request.h"
 
 enum
@@ -262,6 +263,7 @@
 write_request (WlSoakCaller *c, const WlSoakRequest *r)
 {
   char line[512];
+  char parts[WL_SOAK_PARTS_SIZE];
   const WlSoakKindInfo *kind = &wl_soak_kinds[r->kind];
   uint32_t size = c->traits & WL_SOAK_BIG ? wl_soak_between (&c->random, 0, BIG_BODY_MAX_BYTES)
                                           : wl_soak_between (&c->random, 0, 2000);
@@ -277,9 +279,9 @@
   add_text (c, line);
   if (kind->service == 0)
     {
-      snprintf (line, sizeof line,
-                "X-Model: m\r\nX-Token-Count: %u,%u\r\nX-Prompt-Prefix: %s:%u\r\n",
-                r->prompt_tokens, r->n_events, r->id, r->prompt_tokens);
+      wl_soak_parts_write (r, parts);
+      snprintf (line, sizeof line, "X-Model: m\r\nX-Token-Count: %u,%u\r\nX-Prompt-Prefix: %s\r\n",
+                r->prompt_tokens, r->n_events, parts);
       add_text (c, line);
     }
   if (r->has_chunked_body && size > 1)
@@ -315,6 +317,7 @@
   r->connected_us = c->connected_us;
   r->started_us = now_us;
   r->traits = c->traits;
+  wl_soak_parts_plan (r, now_us);
   r->turn_us = now_us;
   if (c->current == NULL)
     c->current = r;
--- a/soak/wl_soak_endpoint.c
+++ b/soak/wl_soak_endpoint.c
@@ -5,6 +5,7 @@
 #include "wl_soak_conn.h"
 #include "wl_soak_endpoint.h"
 #include "wl_soak_message.h"
+#include "wl_soak_parts.h"
 #include "wl_soak_request.h"
 
 enum
@@ -38,6 +39,7 @@
   WlSoakRequest *request;
   uint64_t deadline_us;
   uint64_t next_us;
+  uint32_t begin_event; /* the first that it writes */
   uint32_t next_event;
   uint8_t is_first_arrival;
   uint8_t closes_after;
@@ -47,6 +49,9 @@
 struct WlSoakEndpoint
 {
   const WlSoak *soak;
+  uint32_t number;
+  uint32_t n_starts;
+  uint64_t back_us; /* while it is away, when it starts again */
   uint32_t service;
   char address[FIELD_SIZE];
   char id[FIELD_SIZE];
@@ -171,6 +176,49 @@
   return 1;
 }
 
+static void
+start_anew (WlSoakEndpoint *e)
+{
+  uint32_t ip = e->soak->options.net + WL_SOAK_ENDPOINT_HOST + e->number;
+  if (!wl_soak_conn_listen (&e->listener, e->soak, ip, WL_SOAK_ENDPOINT_PORT))
+    return;
+  snprintf (e->id, sizeof e->id, "i-%08x", 0x50a00000 + e->n_starts++ * 0x100 + e->number);
+  e->started_ms = wl_clock_wall_us () / 1000;
+  e->sequence = 0;
+  e->beat_us = 0;
+  e->back_us = 0;
+}
+
+int
+wl_soak_endpoint_crash (WlSoakEndpoint *e, const WlSoakRequest *cause, int is_reset,
+                        uint64_t away_us, uint64_t now_us)
+{
+  if (e->back_us != 0)
+    return 0;
+  wl_soak_parts_note_end (cause, e->id, now_us);
+  e->back_us = now_us + away_us;
+  e->prefill_free_us = 0;
+  wl_soak_conn_close (&e->listener, 0);
+  for (Serve *s = e->first; s != NULL; s = s->next)
+    if (s->request != NULL)
+      break_off (s, is_reset ? WL_SOAK_RESETS : WL_SOAK_CLOSES, now_us);
+    else
+      wl_soak_conn_close (&s->conn, is_reset);
+  return 1;
+}
+
+/* Returns 1 when the request has ended the endpoint. */
+static int
+meet_end (Serve *s, uint64_t now_us)
+{
+  const WlSoakRequest *r = s->request;
+  uint64_t random = r->index;
+  if (!wl_soak_parts_is_end (r, s->next_event - s->begin_event))
+    return 0;
+  return wl_soak_endpoint_crash (s->endpoint, r, r->index % 4 < 2,
+                                 wl_soak_between (&random, 3000, 5000) * UINT64_C (1000), now_us);
+}
+
 /* ---- work ---- */
 
 static void
@@ -212,7 +260,7 @@
   while (s->phase == PHASE_WRITING && now_us >= s->next_us
          && wl_buffer_left (&s->conn.out) < UNSENT_MAX_BYTES)
     {
-      if (s->next_event < r->n_events && meet_fault (s, now_us))
+      if (s->next_event < r->n_events && (meet_fault (s, now_us) || meet_end (s, now_us)))
         return;
       if (s->next_event < r->n_events)
         write_event (s);
@@ -252,7 +300,7 @@
         r->n_runs++;
       if (s->is_first_arrival && r->fault == WL_SOAK_FAILS)
         s->next_event = r->fault_event;
-      if (meet_fault (s, now_us))
+      if (meet_fault (s, now_us) || meet_end (s, now_us))
         return;
       begin_answer (s);
       r->endpoint_status = 200;
@@ -291,6 +339,7 @@
       refuse (s, "400 Bad Request", now_us);
       return;
     }
+  wl_soak_parts_note_arrival (s->request, now_us);
   s->is_first_arrival = s->request->n_arrivals++ == 0;
   if (s->request->arrived_us == 0)
     s->request->arrived_us = now_us;
@@ -302,6 +351,7 @@
   s->deadline_us = deadline_ms[0] != '\0' ? now_us + (uint64_t)(strtod (deadline_ms, NULL) * 1000.0)
                                           : UINT64_MAX;
   s->next_event = (uint32_t)strtoul (s->message.values[WL_SOAK_FIELD_LAST_EVENT], NULL, 10);
+  s->begin_event = s->next_event;
   s->phase = PHASE_WAITING;
   e->n_waiting++;
 }
@@ -401,13 +451,13 @@
     abort ();
   e->soak = soak;
   e->service = number >= soak->options.n_engines;
+  e->number = number;
   e->node = number % soak->options.n_nodes;
-  e->started_ms = wl_clock_wall_us () / 1000;
   snprintf (e->address, sizeof e->address, "127.%u.%u.%u:%d", ip >> 16 & 255, ip >> 8 & 255,
             ip & 255, WL_SOAK_ENDPOINT_PORT);
-  snprintf (e->id, sizeof e->id, "i-%08x", number + 0x50a00000);
   e->listener = (WlSoakConn){ .fd = -1, .readable = on_connection, .data = e };
-  if (wl_soak_conn_listen (&e->listener, soak, ip, WL_SOAK_ENDPOINT_PORT))
+  start_anew (e);
+  if (e->listener.fd >= 0)
     return e;
   free (e);
   return NULL;
@@ -416,7 +466,9 @@
 void
 wl_soak_endpoint_tick (WlSoakEndpoint *e, uint64_t now_us)
 {
-  if (now_us >= e->beat_us)
+  if (e->back_us != 0 && now_us >= e->back_us)
+    start_anew (e);
+  if (e->back_us == 0 && now_us >= e->beat_us)
     {
       e->beat_us = now_us + HEARTBEAT_INTERVAL_US;
       send_heartbeat (e);
--- a/soak/wl_soak_nodes.c
+++ b/soak/wl_soak_nodes.c
@@ -175,7 +175,7 @@
   uint32_t node = 0;
   change_config = on_config;
   config_data = data;
-  while (at_us < end_us)
+  while (at_us < end_us && options->series != 0)
     {
       uint32_t series = 1u << wl_soak_between (&random, 0, 6);
       if ((series & options->series) == 0)
@@ -221,6 +221,13 @@
     }
 }
 
+int
+wl_soak_nodes_is_calm (uint32_t node, uint64_t now_us, uint64_t calm_us)
+{
+  const Node *n = &nodes[node];
+  return n->pid != 0 && n->stop == NULL && now_us >= n->started_us + calm_us;
+}
+
 int
 wl_soak_nodes_is_stopping (void)
 {
--- a/soak/wl_soak_nodes.h
+++ b/soak/wl_soak_nodes.h
@@ -35,6 +35,9 @@
  */
 void wl_soak_nodes_tick (uint64_t now_us);
 
+/** wl_soak_nodes_is_calm() - whether a node runs since @calm_us or longer and is not stopped */
+int wl_soak_nodes_is_calm (uint32_t node, uint64_t now_us, uint64_t calm_us);
+
 /** wl_soak_nodes_is_stopping() - whether any node is */
 int wl_soak_nodes_is_stopping (void);
 
--- a/soak/wl_soak_request.h
+++ b/soak/wl_soak_request.h
@@ -74,6 +74,10 @@
  * @service_ms: of a plain service
  * @n_events, @event_bytes, @event_gap_ms: the answer; its body is the events one after the other
  * @fault_event: event before which the fault happens
+ * @bad: number of the bad part that it has, 0 for none, see wl_soak_parts.h
+ * @second_part: of its prompt
+ * @is_at_calm_node: its node was neither stopped nor just started when it began
+ * @is_quarantined: a node has logged that it refused the request for its part
  * @node: index of the node that it was sent to
  * @connected_us: when its connection was opened
  * @sent_us: when the kernel had taken its last byte, 0 if it was not sent whole
@@ -105,6 +109,10 @@
   uint32_t event_bytes;
   uint32_t event_gap_ms;
   uint32_t fault_event;
+  uint8_t bad;
+  uint8_t is_at_calm_node;
+  uint8_t is_quarantined;
+  uint64_t second_part;
 
   uint32_t node;
   uint64_t connected_us;
