--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -78,11 +78,13 @@
   struct arg_int *load_ms = arg_int0 (NULL, "load-ms", "N", "time to load a model (2000)");
   struct arg_str *loaded = arg_str0 (NULL, "loaded", "MODEL:VERSION", "model loaded at start");
   struct arg_lit *no_fence = arg_lit0 (NULL, "ignore-fence", "take orders with old numbers");
+  struct arg_str *ends_on
+      = arg_strn (NULL, "ends-on", "TEXT", 0, 8, "ends when it writes on a prompt with TEXT");
   struct arg_str *log = arg_str0 (NULL, "witness", "FILE", "log of what ran");
   struct arg_end *end = arg_end (20);
   void *table[]
-      = { service, entries, key,    domains,    address, port,   count,    plain, speed, kv,
-          slots,   tps,     decode, service_ms, load_ms, loaded, no_fence, log,   end };
+      = { service, entries, key,    domains,    address, port,   count,    plain,   speed, kv,
+          slots,   tps,     decode, service_ms, load_ms, loaded, no_fence, ends_on, log,   end };
   EngineOptions options = { .speed = 1,
                             .prefill_tps = 20000,
                             .decode_us = 12000,
@@ -110,6 +112,8 @@
   curl_global_init (CURL_GLOBAL_DEFAULT);
   options.service = service->sval[0];
   options.endpoint_key = key->sval[0];
+  options.ends_on = ends_on->sval;
+  options.n_ends_on = (uint32_t)ends_on->count;
   options.is_plain = plain->count > 0;
   options.checks_fence = no_fence->count == 0;
   if (speed->count > 0)
--- a/emulator/wl_engine.c
+++ b/emulator/wl_engine.c
@@ -136,6 +136,19 @@
     finish_sequence (e, s);
 }
 
+/* Returns 1 when the engine ends before the first token. */
+static int
+meet_end (Engine *e, const Sequence *s)
+{
+  char detail[64];
+  if (!s->ends_engine)
+    return 0;
+  snprintf (detail, sizeof detail, "request=%016lx", (unsigned long)s->request);
+  witness (e, "END", detail);
+  e->is_ending = 1;
+  return 1;
+}
+
 static int
 is_generating (const Engine *e)
 {
@@ -179,6 +192,8 @@
       if (s->prefill_left > 0 || s->rank > 0)
         continue;
       any = 1;
+      if (meet_end (e, s))
+        return;
       emit_token (e, s);
     }
   double us = (double)e->options->decode_us + spent * 1e6 / e->options->prefill_tps;
@@ -225,8 +240,17 @@
                      (WlBytes){ (const uint8_t *)text, (uint32_t)n });
 }
 
+static int
+is_end (const EngineOptions *o, const char *message)
+{
+  for (uint32_t i = 0; i < o->n_ends_on; i++)
+    if (strstr (message, o->ends_on[i]) != NULL)
+      return 1;
+  return 0;
+}
+
 static void
-read_prompt (Sequence *s, const json_t *root)
+read_prompt (const Engine *e, Sequence *s, const json_t *root)
 {
   const json_t *messages = json_object_get (root, "messages");
   size_t i;
@@ -241,7 +265,10 @@
   {
     const json_t *c = json_object_get (m, "content");
     if (json_string_length (c) > 0)
-      memcpy (text + size, json_string_value (c), json_string_length (c));
+      {
+        memcpy (text + size, json_string_value (c), json_string_length (c));
+        s->ends_engine |= (uint8_t)is_end (e->options, json_string_value (c));
+      }
     size += json_string_length (c);
   }
   s->prompt_hash = wl_hash_bytes (text, size, 0);
@@ -251,7 +278,7 @@
 }
 
 static Sequence *
-read_sequence (WlExchange *x, uint64_t now_us)
+read_sequence (const Engine *e, WlExchange *x, uint64_t now_us)
 {
   const char *header = wl_exchange_header (x, "Wisterialoft-Attempt");
   WlBytes body = wl_exchange_body (x);
@@ -262,7 +289,7 @@
   if (s == NULL)
     abort ();
   const json_t *max = json_object_get (root, "max_tokens");
-  read_prompt (s, root);
+  read_prompt (e, s, root);
   s->request = field_number (header, "request=", 16);
   s->attempt = (uint32_t)field_number (header, "attempt=", 10);
   s->rank = (uint32_t)field_number (header, "rank=", 10);
@@ -292,7 +319,7 @@
 {
   char detail[96];
   uint64_t now_us = wl_clock_now_us ();
-  Sequence *s = read_sequence (x, now_us);
+  Sequence *s = read_sequence (e, x, now_us);
   if (s == NULL)
     {
       refuse (x, 400, "bad body");
@@ -465,6 +492,51 @@
 
 /* ---- life ---- */
 
+static int
+listen_anew (Engine *e)
+{
+  WlHttpOptions http
+      = { .address = e->address, .port = e->port, .handle = handle, .gone = gone, .data = e };
+  randombytes_buf (&e->incarnation, sizeof e->incarnation);
+  return wl_http_server_create (e->reactor, &http, &e->server) == WL_OK;
+}
+
+/* Closes all connections, then goes; what it had computed is gone, too. */
+static void
+leave_at_once (Engine *e, uint64_t now_us)
+{
+  e->is_ending = 0;
+  e->back_us = now_us + scaled (e, ENGINE_AWAY_US);
+  wl_http_server_destroy (e->server);
+  e->server = NULL;
+  while (e->sequences != NULL)
+    free_sequence (e, e->sequences);
+  while (e->calls != NULL)
+    {
+      Call *c = e->calls;
+      e->calls = c->next;
+      free (c);
+    }
+  e->iteration_end_us = 0;
+  memset (e->cache, 0, sizeof e->cache);
+  e->n_news = 0;
+  json_decref (e->lagged);
+  e->lagged = NULL;
+}
+
+/* Returns 0 while it is away. */
+static int
+come_back (Engine *e, uint64_t now_us)
+{
+  if (e->back_us == 0)
+    return 1;
+  if (now_us < e->back_us || !listen_anew (e))
+    return 0;
+  e->back_us = 0;
+  e->announce_us = 0;
+  return 1;
+}
+
 Engine *
 engine_create (const EngineOptions *options, WlReactor *reactor, WlHttpClient *client,
                const char *name, const char *domain, const char *address, uint32_t port)
@@ -478,22 +550,20 @@
   snprintf (e->name, sizeof e->name, "%s", name);
   snprintf (e->domain, sizeof e->domain, "%s", domain);
   snprintf (e->address, sizeof e->address, "%s", address);
-  randombytes_buf (&e->incarnation, sizeof e->incarnation);
-  e->next_entry = (uint32_t)e->incarnation;
   if (options->preloaded)
     {
       snprintf (e->loaded[0].name, sizeof e->loaded[0].name, "%s", options->model);
       snprintf (e->loaded[0].version, sizeof e->loaded[0].version, "%s", options->version);
       e->n_loaded = 1;
     }
-  WlHttpOptions http
-      = { .address = address, .port = port, .handle = handle, .gone = gone, .data = e };
-  if (wl_http_server_create (reactor, &http, &e->server) != WL_OK)
+  e->port = port;
+  if (!listen_anew (e))
     {
       free (e);
       return NULL;
     }
   e->port = wl_http_server_port (e->server);
+  e->next_entry = (uint32_t)e->incarnation;
   return e;
 }
 
@@ -546,6 +616,10 @@
 void
 engine_tick (Engine *engine, uint64_t now_us)
 {
+  if (engine->is_ending)
+    leave_at_once (engine, now_us);
+  if (!come_back (engine, now_us))
+    return;
   if (!engine->is_dead && now_us >= engine->announce_us && engine->n_entries > 0)
     {
       engine->announce_us = now_us + ANNOUNCE_US;
@@ -556,7 +630,8 @@
       finish_loading (engine, now_us);
       finish_calls (engine, now_us);
       /* Catch up with iterations that ended between two ticks. */
-      for (int i = 0; i < 64 && engine->iteration_end_us != 0 && now_us >= engine->iteration_end_us;
+      for (int i = 0; i < 64 && engine->iteration_end_us != 0 && now_us >= engine->iteration_end_us
+                      && !engine->is_ending;
            i++)
         iterate (engine, engine->iteration_end_us);
       send_alive (engine, now_us);
--- a/emulator/wl_engine.h
+++ b/emulator/wl_engine.h
@@ -20,6 +20,7 @@
   ENGINE_CHUNK_SHARED_TOKENS = 256, /* prompt chunk while other requests generate */
   ENGINE_CHUNK_ALONE_TOKENS = 2048, /* prompt chunk while nobody waits for tokens */
   ENGINE_ALIVE_US = 300000,
+  ENGINE_AWAY_US = 4000000, /* from its end until it starts again */
   ENGINE_CACHE_MARKS = 512,
   ENGINE_LABELS = 4,
 };
@@ -36,6 +37,9 @@
  * @checks_fence: whether orders with an old fencing number are refused
  * @service_ms: time of a plain call
  * @latency_us: one-way delay added before an answer's first byte
+ * @ends_on: texts; an engine ends when it begins to write on a prompt with a message that contains
+ *           one: all connections close, and it starts again after ENGINE_AWAY_US
+ * @n_ends_on: number of them
  * @witness: file descriptor of the log of what ran, -1 for none
  */
 typedef struct
@@ -52,6 +56,8 @@
   uint8_t checks_fence;
   uint64_t service_ms;
   uint64_t latency_us;
+  const char *const *ends_on;
+  uint32_t n_ends_on;
   int witness;
   const char *model;
   const char *version;
--- a/emulator/wl_engine_internal.h
+++ b/emulator/wl_engine_internal.h
@@ -34,6 +34,7 @@
   WlPrefixHash marks[WL_PREFIX_HASHES_MAX];
   uint32_t n_marks;
   WlExchange *exchange;
+  uint8_t ends_engine;
   uint8_t is_silent; /* the connection takes no more bytes */
   uint64_t cut_at;   /* break the stream at this token, 0 for never */
   struct Sequence *next;
@@ -86,6 +87,8 @@
   uint8_t is_leaving;
   uint8_t is_hung;
   uint8_t is_dead;
+  uint8_t is_ending; /* closes its connections at the next tick */
+  uint64_t back_us;  /* while it is away, when it starts again */
   uint64_t cut_next;
   uint64_t late_until_us;
 };
