Soak: bad parts can become sound again

--bad-until S: from second S on engines no longer end by bad parts. The summary prints when the first answer with the part began after that, so that a run shows how a quarantined part comes back.

--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -280,18 +280,28 @@
 read_options (int argc, char **argv, WlSoakOptions *o)
 {
   static const struct option names[] = {
-    { "seed", required_argument, NULL, 0 },        { "seconds", required_argument, NULL, 1 },
-    { "nodes", required_argument, NULL, 2 },       { "callers", required_argument, NULL, 3 },
-    { "engines", required_argument, NULL, 4 },     { "plain", required_argument, NULL, 5 },
-    { "traits", required_argument, NULL, 6 },      { "series", required_argument, NULL, 7 },
-    { "share", required_argument, NULL, 8 },       { "bad", required_argument, NULL, 9 },
-    { "bad-one-in", required_argument, NULL, 10 }, { "bad-customers", required_argument, NULL, 11 },
-    { "ends-every", required_argument, NULL, 12 }, { "prompt-max", required_argument, NULL, 13 },
-    { "sound", no_argument, NULL, 's' },           { "net", required_argument, NULL, 'n' },
-    { "folder", required_argument, NULL, 'f' },    { NULL, 0, NULL, 0 },
+    { "seed", required_argument, NULL, 0 },
+    { "seconds", required_argument, NULL, 1 },
+    { "nodes", required_argument, NULL, 2 },
+    { "callers", required_argument, NULL, 3 },
+    { "engines", required_argument, NULL, 4 },
+    { "plain", required_argument, NULL, 5 },
+    { "traits", required_argument, NULL, 6 },
+    { "series", required_argument, NULL, 7 },
+    { "share", required_argument, NULL, 8 },
+    { "bad", required_argument, NULL, 9 },
+    { "bad-one-in", required_argument, NULL, 10 },
+    { "bad-customers", required_argument, NULL, 11 },
+    { "ends-every", required_argument, NULL, 12 },
+    { "prompt-max", required_argument, NULL, 13 },
+    { "bad-until", required_argument, NULL, 14 },
+    { "sound", no_argument, NULL, 's' },
+    { "net", required_argument, NULL, 'n' },
+    { "folder", required_argument, NULL, 'f' },
+    { NULL, 0, NULL, 0 },
   };
   uint32_t numbers[]
-      = { 1, 60, 3, 48, 8, 3, WL_SOAK_ALL_TRAITS, WL_SOAK_ALL_SERIES, 25, 0, 9, 2, 0, 0 };
+      = { 1, 60, 3, 48, 8, 3, WL_SOAK_ALL_TRAITS, WL_SOAK_ALL_SERIES, 25, 0, 9, 2, 0, 0, 0 };
   unsigned x = 0;
   unsigned y = 0;
   int c;
@@ -327,6 +337,7 @@
   o->n_bad_customers = numbers[11];
   o->ends_every_ms = numbers[12];
   o->prompt_max = numbers[13];
+  o->bad_until_s = numbers[14];
   o->series = numbers[7] & WL_SOAK_ALL_SERIES;
   return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->n_bad <= WL_SOAK_BAD_MAX
          && o->bad_one_in > 0 && o->n_nodes <= WL_SOAK_NODES_MAX
@@ -342,10 +353,11 @@
   int status = EXIT_NOT_RUN;
   if (!read_options (argc, argv, &run.soak.options))
     {
-      fprintf (stderr, "usage: scripts/soak.sh [--seed N] [--seconds S] [--nodes N] [--callers N]"
-                       " [--traits BITS] [--series BITS] [--share PERCENT] [--sound] [--engines N] "
-                       "[--plain N] [--bad PARTS] [--bad-one-in N] [--bad-customers N] "
-                       "[--ends-every MS] [--prompt-max TOKENS]\n");
+      fprintf (stderr,
+               "usage: scripts/soak.sh [--seed N] [--seconds S] [--nodes N] [--callers N]"
+               " [--traits BITS] [--series BITS] [--share PERCENT] [--sound] [--engines N] "
+               "[--plain N] [--bad PARTS] [--bad-one-in N] [--bad-until S] [--bad-customers N] "
+               "[--ends-every MS] [--prompt-max TOKENS]\n");
       return EXIT_NOT_RUN;
     }
   setvbuf (stdout, NULL, _IOLBF, 0);
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -62,6 +62,7 @@
  * @prompt_max: most tokens of a prompt, 0 for those of its kind
  * @n_bad: bad parts of prompts, see wl_soak_parts.h
  * @bad_one_in: one request in so many has one
+ * @bad_until_s: the second of the run from which engines no longer end by them, 0 for never
  * @n_bad_customers: of the two, whose requests have them
  * @ends_every_ms: mean time between engines that end by chance, 0 for never
  * @is_sound: endpoints meet no fault
@@ -82,6 +83,7 @@
   uint32_t prompt_max;
   uint32_t n_bad;
   uint32_t bad_one_in;
+  uint32_t bad_until_s;
   uint32_t n_bad_customers;
   uint32_t ends_every_ms;
   uint8_t is_sound;
--- a/soak/wl_soak_endpoint.c
+++ b/soak/wl_soak_endpoint.c
@@ -213,7 +213,7 @@
 {
   const WlSoakRequest *r = s->request;
   uint64_t random = r->index;
-  if (!wl_soak_parts_is_end (r, s->next_event - s->begin_event))
+  if (!wl_soak_parts_is_end (r, s->next_event - s->begin_event, now_us))
     return 0;
   return wl_soak_endpoint_crash (s->endpoint, r, r->index % 4 < 2,
                                  wl_soak_between (&random, 3000, 5000) * UINT64_C (1000), now_us);
--- a/soak/wl_soak_parts.c
+++ b/soak/wl_soak_parts.c
@@ -25,7 +25,8 @@
 static const uint64_t sound_part = 0x50000000; /* and customer and session */
 static const uint64_t bad_part = 0xbad00000;   /* and its number from 1 */
 
-/* What has come of a bad part; @n_late: arrivals that rule BUDGET counts. */
+/* What has come of a bad part; @n_late: arrivals that rule BUDGET counts; @again_us: the first
+   answer that began after it was mended. */
 typedef struct
 {
   uint32_t n_requests;
@@ -34,6 +35,7 @@
   uint32_t n_ends;
   uint64_t known_us; /* the fifth end, or the last if there are fewer */
   uint64_t last_sent_us;
+  uint64_t again_us;
   uint8_t by_customer[CUSTOMERS];
 } Bad;
 
@@ -57,6 +59,13 @@
   random_state = soak->options.seed ^ bad_part;
 }
 
+static int
+is_mended (uint64_t now_us)
+{
+  const WlSoakOptions *o = &run->options;
+  return o->bad_until_s != 0 && now_us >= run_begin_us + (uint64_t)o->bad_until_s * 1000000;
+}
+
 /* ---- requests ---- */
 
 void
@@ -99,7 +108,7 @@
     return;
   Bad *bad = &bad_parts[r->bad - 1];
   bad->n_arrivals++;
-  if (bad->n_ends < ENDS_KNOWN || now_us <= bad->known_us + STABLE_US
+  if (is_mended (now_us) || bad->n_ends < ENDS_KNOWN || now_us <= bad->known_us + STABLE_US
       || !wl_soak_nodes_is_calm (r->node, now_us, STABLE_US))
     return;
   bad->n_late++;
@@ -108,9 +117,16 @@
 }
 
 int
-wl_soak_parts_is_end (const WlSoakRequest *r, uint32_t n_written)
+wl_soak_parts_is_end (const WlSoakRequest *r, uint32_t n_written, uint64_t now_us)
 {
-  return r->bad != 0 && n_written >= r->index % 2;
+  if (r->bad == 0 || n_written < r->index % 2)
+    return 0;
+  if (!is_mended (now_us))
+    return 1;
+  Bad *bad = &bad_parts[r->bad - 1];
+  if (bad->again_us == 0)
+    bad->again_us = now_us;
+  return 0;
 }
 
 void
@@ -197,6 +213,8 @@
   double known_s = bad->n_ends > 0 ? (double)(bad->known_us - run_begin_us) / 1e6 : 0;
   printf ("part %" PRIx64 ": requests=%u arrivals=%u ends=%u known_at=%.3f late_arrivals=%u\n",
           part, bad->n_requests, bad->n_arrivals, bad->n_ends, known_s, bad->n_late);
+  if (bad->again_us != 0)
+    printf ("  served again at %.3f\n", (double)(bad->again_us - run_begin_us) / 1e6);
   if (bad->n_late > LATE_ARRIVALS_MAX)
     wl_soak_broken ("%u requests with part %" PRIx64 " reached endpoints later than 3 s after the "
                     "fifth end",
--- a/soak/wl_soak_parts.h
+++ b/soak/wl_soak_parts.h
@@ -35,7 +35,7 @@
  * wl_soak_parts_is_end() - whether an engine ends now by a request
  * @n_written: events that it has written since it began; some ends come after the first
  */
-int wl_soak_parts_is_end (const WlSoakRequest *r, uint32_t n_written);
+int wl_soak_parts_is_end (const WlSoakRequest *r, uint32_t n_written, uint64_t now_us);
 
 /**
  * wl_soak_parts_note_end() - an engine has ended
