Replay: parts of prompts, and engines that end on one of them

The simulation of the users' load knew no parts, and its engines went down by plan only. Prompts now have a part of their kind and one of a session; a plan may give some of one kind a bad part, on which an engine ends as it begins to write and is back after 3 to 5 s, and may end engines by chance. Each node can have a quarantine, and tells the others with the delay of a hop. Random numbers of parts do not change those of the load.

--- a/testkit/wl_replay.c
+++ b/testkit/wl_replay.c
@@ -8,7 +8,6 @@
 
 enum
 {
-  HOP_US = 1500, /* one way between nodes, and to an engine */
   PATIENCE_TICK_US = 50000,
   RETRY_SHARE = 3,       /* a caller waits for at most this part of the time it has left */
   REJECTED_US = 100000,  /* return time of the baselines' refusals */
@@ -17,8 +16,8 @@
   EPOCHS_TOLD = 16,      /* attempts of one caller that notes tell apart */
 };
 
-static void
-push_event (WlReplay *r, const WlReplayEvent *e)
+void
+wl_replay_push (WlReplay *r, const WlReplayEvent *e)
 {
   wl_time_queue_add (r->events, e->at_us, e);
 }
@@ -27,7 +26,7 @@
 push (WlReplay *r, WlReplayEventKind kind, uint64_t in_us, uint32_t index, uint64_t epoch)
 {
   WlReplayEvent e = { .at_us = r->now_us + in_us, .kind = kind, .index = index, .epoch = epoch };
-  push_event (r, &e);
+  wl_replay_push (r, &e);
 }
 
 static void
@@ -54,8 +53,9 @@
     .predicted_ms = target == 0 ? (uint32_t)(c->formula_us / 1000) : 0,
   };
   wl_load_apply_and_learn (r->loads[c->node], r->fleets[c->node], c->node, 1, &note, r->now_us);
-  WlReplayEvent e = { r->now_us + HOP_US, WL_REPLAY_AT_NOTE, .node = c->node, .note = note };
-  push_event (r, &e);
+  WlReplayEvent e
+      = { r->now_us + WL_REPLAY_HOP_US, WL_REPLAY_AT_NOTE, .node = c->node, .note = note };
+  wl_replay_push (r, &e);
 }
 
 static void
@@ -144,8 +144,10 @@
   c->progress_us = c->first_us > 0 ? c->progress_us : c->arrived_us;
   c->state = WL_REPLAY_CALLER_SENT;
   c->attempts++;
+  c->begun_us = 0;
+  c->is_sound = 0;
   tell_all (r, c, WL_WORK_SENT);
-  push_for (r, WL_REPLAY_AT_REACH, HOP_US, c);
+  push_for (r, WL_REPLAY_AT_REACH, WL_REPLAY_HOP_US, c);
 }
 
 static WlChoice
@@ -188,6 +190,11 @@
     .last_output_us = c->first_us > 0 ? c->progress_us : c->arrived_us,
   };
   WlChoice choice;
+  if (wl_replay_parts_refuses (r, c))
+    {
+      finish (r, c, WL_REPLAY_ENDED_REFUSED);
+      return;
+    }
   wl_choice_set_times (&c->wanted, &k->route, &times, r->now_us);
   r->result.n_choices++;
   if (r->plan->policy == WL_REPLAY_CHOICE)
@@ -232,6 +239,7 @@
     .gap_us = k->route.gap_us,
   };
   push_for (r, WL_REPLAY_AT_PATIENCE, PATIENCE_TICK_US, c);
+  wl_replay_parts_ask (r, c);
   try_caller (r, c);
 }
 
@@ -275,6 +283,7 @@
         break_attempt (r, c);
         return;
       }
+  wl_replay_parts_note_arrival (r, c);
   for (uint32_t i = 0; i < c->n_targets; i++)
     {
       WlReplayWork work = {
@@ -313,7 +322,7 @@
 static void
 take_event (WlReplay *r, WlReplayCaller *c, int is_last)
 {
-  uint64_t at_us = r->now_us + HOP_US;
+  uint64_t at_us = r->now_us + WL_REPLAY_HOP_US;
   if (c->first_us == 0)
     {
       c->first_us = at_us;
@@ -323,10 +332,49 @@
   else if (at_us - c->progress_us > c->longest_pause_us)
     c->longest_pause_us = at_us - c->progress_us;
   c->progress_us = at_us;
+  wl_replay_parts_note_event (r, c, is_last);
   if (is_last)
     finish (r, c, is_in_time (c) ? WL_REPLAY_ENDED_IN_TIME : WL_REPLAY_ENDED_LATE);
 }
 
+static void
+crash (WlReplay *r, uint32_t i)
+{
+  WlReplayEngine *e = &r->engines[i];
+  wl_replay_parts_note_end (r, i);
+  e->is_down = 1;
+  e->is_busy = 0;
+  while (e->n_works > 0)
+    {
+      WlReplayCaller *c = &r->callers[e->works[0].request];
+      if (c->n_targets > 0)
+        break_attempt (r, c);
+      else
+        wl_replay_engine_remove (e, e->works[0].request);
+    }
+}
+
+/* An engine ends, and is back after 3 to 5 s. */
+static void
+end_engine (WlReplay *r, uint32_t i)
+{
+  uint64_t away_us = 3000000 + (uint64_t)wl_replay_chance (r, 2000) * 1000;
+  if (r->engines[i].is_down)
+    return;
+  crash (r, i);
+  push (r, WL_REPLAY_AT_BACK, away_us, i, 0);
+}
+
+static void
+end_by_chance (WlReplay *r)
+{
+  uint32_t mean_ms = (uint32_t)(r->plan->parts->chance_us / 1000);
+  end_engine (r, wl_replay_chance (r, r->plan->n_engines));
+  uint64_t next_us = (mean_ms / 2 + (uint64_t)wl_replay_chance (r, mean_ms)) * 1000;
+  if (r->now_us + next_us < r->plan->length_us)
+    push (r, WL_REPLAY_AT_CHANCE, next_us, 0, 0);
+}
+
 static void
 end_pass (WlReplay *r, uint32_t i, uint64_t pass)
 {
@@ -340,6 +388,11 @@
       WlReplayCaller *c = &r->callers[outcomes[j].request];
       if (c->n_targets == 0)
         continue;
+      if (c->is_bad && outcomes[j].result != WL_REPLAY_PART_READ)
+        {
+          end_engine (r, i);
+          return;
+        }
       switch (outcomes[j].result)
         {
         case WL_REPLAY_PART_READ:
@@ -373,22 +426,6 @@
 
 /* ---- faults ---- */
 
-static void
-crash (WlReplay *r, uint32_t i)
-{
-  WlReplayEngine *e = &r->engines[i];
-  e->is_down = 1;
-  e->is_busy = 0;
-  while (e->n_works > 0)
-    {
-      WlReplayCaller *c = &r->callers[e->works[0].request];
-      if (c->n_targets > 0)
-        break_attempt (r, c);
-      else
-        wl_replay_engine_remove (e, e->works[0].request);
-    }
-}
-
 /* Index of the event: two for each fault, its begin and its end. */
 static void
 apply_fault (WlReplay *r, uint32_t index)
@@ -447,6 +484,9 @@
     }
   push (r, WL_REPLAY_AT_REGISTER, 0, 0, 0);
   wl_replay_make_callers (r);
+  wl_replay_parts_create (r);
+  if (plan->parts != NULL && plan->parts->chance_us > 0)
+    push (r, WL_REPLAY_AT_CHANCE, plan->parts->from_us, 0, 0);
   for (uint32_t i = 0; i < r->n_callers; i++)
     push (r, WL_REPLAY_AT_ASK, r->callers[i].asked_us, i, 0);
 }
@@ -494,6 +534,15 @@
     case WL_REPLAY_AT_REGISTER:
       register_again (r);
       return;
+    case WL_REPLAY_AT_REPORT:
+      wl_replay_parts_take_report (r, e);
+      return;
+    case WL_REPLAY_AT_CHANCE:
+      end_by_chance (r);
+      return;
+    case WL_REPLAY_AT_BACK:
+      r->engines[e->index].is_down = 0;
+      return;
     }
 }
 
@@ -505,6 +554,7 @@
       wl_load_destroy (r->loads[node]);
       wl_fleet_destroy (r->fleets[node]);
     }
+  wl_replay_parts_destroy (r);
   gsl_rng_free (r->rng);
   free (r->engines);
   wl_time_queue_destroy (r->events);
@@ -520,6 +570,7 @@
   for (WlReplayEvent e; wl_time_queue_take (r.events, UINT64_MAX, &e);)
     handle (&r, &e);
   wl_replay_sum_up (&r);
+  wl_replay_parts_sum_up (&r);
   WlReplayResult result = r.result;
   destroy (&r);
   return result;
--- a/testkit/wl_replay.h
+++ b/testkit/wl_replay.h
@@ -52,6 +52,23 @@
   double pace;
 } WlReplayFault;
 
+/**
+ * struct WlReplayParts - parts of prompts, and engines that end
+ * @kind: of the requests that may have the bad part; an engine ends as it begins to write on it
+ * @from_us: the bad part, and ends by chance, from then on
+ * @bad_one_in: one request in so many has it, 0 for none
+ * @chance_us: mean time between engines that end by chance, 0 for never
+ * @has_quarantine: nodes have one
+ */
+typedef struct
+{
+  uint32_t kind;
+  uint64_t from_us;
+  uint32_t bad_one_in;
+  uint64_t chance_us;
+  uint8_t has_quarantine;
+} WlReplayParts;
+
 /**
  * struct WlReplayPlan - what is replayed
  * @policy: who decides
@@ -62,6 +79,7 @@
  * @length_us: time in which requests arrive
  * @bursts: @n_bursts of them
  * @faults: @n_faults of them
+ * @parts: NULL for none
  */
 typedef struct
 {
@@ -75,8 +93,28 @@
   uint32_t n_bursts;
   const WlReplayFault *faults;
   uint32_t n_faults;
+  const WlReplayParts *parts;
 } WlReplayPlan;
 
+/**
+ * struct WlReplayPartCounts - what has come of the parts
+ * @n_ends: engines that ended
+ * @n_arrivals: requests with the bad part that reached engines
+ * @n_late: of which later than 3 s after the fifth end
+ * @n_sound_refused: requests without it that were refused for a part
+ * @before, @after: share of the others of its kind that began at the caller's first try, before
+ *                  @from_us, and from 6 s after the fifth end on (or @from_us, without five)
+ */
+typedef struct
+{
+  uint32_t n_ends;
+  uint32_t n_arrivals;
+  uint32_t n_late;
+  uint32_t n_sound_refused;
+  double before;
+  double after;
+} WlReplayPartCounts;
+
 /**
  * struct WlReplayCounts - outcome of some requests
  * @asked: requests of callers, their second tries not counted
@@ -106,6 +144,7 @@
  * @tenths: long requests by size of the prompt, smallest first
  * @late_p50, @late_p95: actual over predicted time to the first output
  * @n_choices: decisions made
+ * @parts: if the plan has them
  */
 typedef struct
 {
@@ -114,6 +153,7 @@
   double late_p50;
   double late_p95;
   uint64_t n_choices;
+  WlReplayPartCounts parts;
 } WlReplayResult;
 
 /** wl_replay_run() - replays a plan */
--- a/testkit/wl_replay_internal.h
+++ b/testkit/wl_replay_internal.h
@@ -3,15 +3,18 @@
 
 #include <gsl/gsl_rng.h>
 #include "wl_choice.h"
+#include "wl_quarantine.h"
 #include "wl_replay.h"
 #include "wl_replay_engine.h"
 #include "wl_time_queue.h"
 
-/* What the files of the replay share: wl_replay.c (the run) and wl_replay_traffic.c (who asks). */
+/* What the files of the replay share: wl_replay.c (the run), wl_replay_traffic.c (who asks) and
+   wl_replay_parts.c (parts of prompts). */
 
 enum
 {
   WL_REPLAY_TARGETS_MAX = WL_CHOICE_HELPERS_MAX + 1,
+  WL_REPLAY_HOP_US = 1500, /* one way between nodes, and to an engine */
 };
 
 /**
@@ -62,6 +65,10 @@
  * @hint: its estimate of @output
  * @is_held: refused when most of its time was gone
  * @asked_us, @arrived_us: its first and its current try
+ * @is_bad: has the bad part
+ * @customer, @second_part: see wl_replay_parts.c
+ * @begun_us: first output of the current attempt, 0 before
+ * @is_sound: this attempt has shown that its parts are sound
  * @epoch: events for an earlier attempt are void
  * @targets, @memory: engines of the current attempt, the one that answers first, and tokens there
  */
@@ -75,6 +82,11 @@
   WlReplayCallerState state;
   WlReplayEnding outcome;
   uint8_t is_held;
+  uint8_t is_bad;
+  uint8_t is_sound;
+  uint32_t customer;
+  uint64_t second_part;
+  uint64_t begun_us;
   uint32_t node;
   uint64_t asked_us;
   uint64_t limit_us;
@@ -107,6 +119,9 @@
   WL_REPLAY_AT_PATIENCE,
   WL_REPLAY_AT_FAULT,
   WL_REPLAY_AT_REGISTER,
+  WL_REPLAY_AT_REPORT,
+  WL_REPLAY_AT_CHANCE,
+  WL_REPLAY_AT_BACK,
 } WlReplayEventKind;
 
 /** struct WlReplayEvent - @index is a caller, an engine or a fault, by kind */
@@ -118,6 +133,7 @@
   uint64_t epoch;
   uint32_t node;
   WlWorkItem note;
+  WlPartReport *report;
 } WlReplayEvent;
 
 typedef struct
@@ -138,6 +154,9 @@
   double *ratios;
   size_t n_ratios;
   WlReplayResult result;
+  WlQuarantine *quarantines[WL_REPLAY_NODES_MAX]; /* NULL if nodes have none */
+  uint64_t chance;                                /* state of random numbers of parts and ends */
+  uint64_t known_us;                              /* the fifth end, 0 before */
 } WlReplay;
 
 /** wl_replay_kinds - the kinds of request of the users' sheets: short, middle, long */
@@ -149,4 +168,35 @@
 /** wl_replay_sum_up() - counts what became of the callers, in r->result */
 void wl_replay_sum_up (WlReplay *r);
 
+/** wl_replay_push() - an event of a replay */
+void wl_replay_push (WlReplay *r, const WlReplayEvent *event);
+
+/** wl_replay_chance() - a number from 0 to @n - 1; other random numbers do not depend on it */
+uint32_t wl_replay_chance (WlReplay *r, uint32_t n);
+
+/** wl_replay_parts_create() - gives callers their parts, and nodes their quarantines */
+void wl_replay_parts_create (WlReplay *r);
+void wl_replay_parts_destroy (WlReplay *r);
+
+/** wl_replay_parts_ask() - a request has come to its node */
+void wl_replay_parts_ask (WlReplay *r, const WlReplayCaller *c);
+
+/** wl_replay_parts_refuses() - whether the node refuses a request for one of its parts */
+int wl_replay_parts_refuses (WlReplay *r, const WlReplayCaller *c);
+
+/** wl_replay_parts_note_arrival() - a request has reached an engine */
+void wl_replay_parts_note_arrival (WlReplay *r, const WlReplayCaller *c);
+
+/** wl_replay_parts_note_event() - an engine has written for a request */
+void wl_replay_parts_note_event (WlReplay *r, WlReplayCaller *c, int is_last);
+
+/** wl_replay_parts_note_end() - an engine ends with all its work */
+void wl_replay_parts_note_end (WlReplay *r, uint32_t engine);
+
+/** wl_replay_parts_take_report() - a report reaches all nodes but @event's */
+void wl_replay_parts_take_report (WlReplay *r, const WlReplayEvent *event);
+
+/** wl_replay_parts_sum_up() - counts, in r->result.parts */
+void wl_replay_parts_sum_up (WlReplay *r);
+
 #endif
