--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,6 +1,9 @@
 #include <getopt.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdarg.h>
+#include <stdatomic.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -43,6 +46,7 @@
 } Run;
 
 static volatile sig_atomic_t is_interrupted;
+static atomic_int is_over; /* the callers have ended */
 
 static void
 on_signal (int number)
@@ -85,12 +89,12 @@
        "],\"services\":[{\"name\":\"service0\",\"health_path\":\"/health\","
        "\"max_connections\":294,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":%d,"
        "\"kv_tokens\":232000,\"kv_bytes\":327680,\"link_mbps\":400000.0,\"stride\":4,"
-       "\"models\":[{\"name\":\"m\"}],\"step_ms\":5.0,\"per_seq_ms\":0.02,"
+       "\"models\":[{\"name\":\"m\"}],\"step_ms\":%d.0,\"per_seq_ms\":0.02,"
        "\"context_per_k\":0.004,\"read_per_s\":%d.0,\"pairs_per_m\":0.001,\"chunk\":2048,"
        "\"report_lag_ms\":200.0,\"usual\":{\"prompt\":25000,\"answer\":30},\"hop_ms\":0.075}},"
        "{\"name\":\"service1\",\"health_path\":\"/health\",\"max_connections\":56,"
        "\"protocol\":\"h1\",\"tls\":false}],",
-       WL_SOAK_SLOTS, WL_SOAK_PREFILL_PER_S);
+       WL_SOAK_SLOTS, WL_SOAK_STEP_MS, WL_SOAK_PREFILL_PER_S);
   add (out, "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
             "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
             "\"tenants\":[{\"name\":\"tenant0\",\"api_keys\":[\"key-0\"],\"priority\":1},"
@@ -146,24 +150,31 @@
   submit (run);
 }
 
-/* Ends an engine now and then that no request has ended. */
+/* Ends an endpoint now and then. */
 static void
 end_by_chance (Run *run, uint64_t now_us)
 {
   const WlSoakOptions *o = &run->soak.options;
-  if (o->ends_every_ms == 0 || now_us < run->end_us)
+  int is_stopping = o->stop_ends_ms > 0 && wl_soak_nodes_is_stopping ();
+  uint32_t every_ms = is_stopping ? o->stop_ends_ms : o->ends_every_ms;
+  uint32_t n = is_stopping ? run->n_endpoints : o->n_engines;
+  uint64_t next_us
+      = now_us + wl_soak_between (&run->chance, every_ms / 2, every_ms * 3 / 2) * UINT64_C (1000);
+  if (every_ms == 0)
     return;
-  uint32_t first = wl_soak_between (&run->chance, 0, o->n_engines - 1);
+  if (run->end_us == 0 || run->end_us > now_us + every_ms * UINT64_C (1500))
+    run->end_us = next_us;
+  if (now_us < run->end_us)
+    return;
+  uint32_t first = wl_soak_between (&run->chance, 0, n - 1);
   uint64_t away_us = wl_soak_between (&run->chance, 3000, 5000) * UINT64_C (1000);
   int is_reset = (int)wl_soak_between (&run->chance, 0, 1);
   uint32_t i = 0;
-  while (i < o->n_engines
-         && !wl_soak_endpoint_crash (run->endpoints[(first + i) % o->n_engines], NULL, is_reset,
-                                     away_us, now_us))
+  while (
+      i < n
+      && !wl_soak_endpoint_crash (run->endpoints[(first + i) % n], NULL, is_reset, away_us, now_us))
     i++;
-  run->end_us = now_us
-                + wl_soak_between (&run->chance, o->ends_every_ms / 2, o->ends_every_ms * 3 / 2)
-                      * UINT64_C (1000);
+  run->end_us = next_us;
 }
 
 static int
@@ -217,9 +228,8 @@
 open_callers (Run *run, uint64_t now_us)
 {
   uint64_t random = run->soak.options.seed;
-  wl_soak_parts_open (&run->soak, now_us);
+  wl_soak_parts_open (&run->soak);
   run->chance = random;
-  run->end_us = now_us + WL_SOAK_BAD_FROM_US;
   for (uint32_t i = 0; i < run->soak.options.n_callers; i++)
     run->callers[i] = wl_soak_caller_create (&run->soak, i, wl_soak_random (&random));
   wl_soak_nodes_plan (wl_soak_random (&random), now_us, change_config, run);
@@ -245,6 +255,34 @@
     }
 }
 
+static void *
+use_processor (void *data)
+{
+  (void)data;
+  while (!atomic_load_explicit (&is_over, memory_order_relaxed))
+    ;
+  return NULL;
+}
+
+static int
+run_beside_load (Run *run)
+{
+  pthread_t threads[WL_SOAK_BUSY_MAX];
+  uint32_t n = 0;
+  while (n < run->soak.options.n_busy
+         && pthread_create (&threads[n], NULL, use_processor, NULL) == 0)
+    n++;
+  int is_whole = n == run->soak.options.n_busy;
+  if (is_whole)
+    drive (run);
+  else
+    fprintf (stderr, "wl-soak: no thread\n");
+  atomic_store (&is_over, 1);
+  while (n > 0)
+    pthread_join (threads[--n], NULL);
+  return is_whole && !is_interrupted;
+}
+
 static void
 close_run (Run *run)
 {
@@ -264,47 +302,82 @@
   const WlSoakOptions *o = &run->soak.options;
   const WlSoakStop *stop;
   uint32_t n_stops = 0;
+  uint32_t n_ends = 0;
   for (; (stop = wl_soak_nodes_at (n_stops)) != NULL; n_stops++)
     printf ("stop: node=%u at=%.3f exit=%+.3f\n", stop->node,
             (double)(stop->term_us - start_us) / 1e6,
             ((double)stop->exited_us - (double)stop->term_us) / 1e6);
   wl_soak_judge (start_us);
   wl_soak_parts_judge ();
-  printf ("seed=%llu nodes=%u callers=%u seconds=%u stops=%u configs=%u broken=%u\n",
-          (unsigned long long)o->seed, o->n_nodes, o->n_callers, o->seconds, n_stops,
-          run->n_acknowledged, wl_soak_n_broken ());
+  for (uint32_t i = 0; i < run->n_endpoints; i++)
+    n_ends += wl_soak_endpoint_n_ends (run->endpoints[i]);
+  printf ("seed=%u nodes=%u callers=%u seconds=%u stops=%u configs=%u ends=%u broken=%u\n", o->seed,
+          o->n_nodes, o->n_callers, o->seconds, n_stops, run->n_acknowledged, n_ends,
+          wl_soak_n_broken ());
   return wl_soak_n_broken () > 0 ? EXIT_BROKEN : EXIT_KEPT;
 }
 
+/* Options with a number, and their value when they are not given. */
+static const struct
+{
+  const char *name;
+  size_t offset;
+  uint32_t usual;
+} numbers[] = {
+  { "seed", offsetof (WlSoakOptions, seed), 1 },
+  { "seconds", offsetof (WlSoakOptions, seconds), 60 },
+  { "nodes", offsetof (WlSoakOptions, n_nodes), 3 },
+  { "callers", offsetof (WlSoakOptions, n_callers), 48 },
+  { "engines", offsetof (WlSoakOptions, n_engines), 8 },
+  { "plain", offsetof (WlSoakOptions, n_plain), 3 },
+  { "traits", offsetof (WlSoakOptions, traits), WL_SOAK_ALL_TRAITS },
+  { "share", offsetof (WlSoakOptions, share), 25 },
+  { "stays", offsetof (WlSoakOptions, stays), 0 },
+  { "prompt-max", offsetof (WlSoakOptions, prompt_max), 0 },
+  { "bad", offsetof (WlSoakOptions, n_bad), 0 },
+  { "bad-one-in", offsetof (WlSoakOptions, bad_one_in), 9 },
+  { "bad-until", offsetof (WlSoakOptions, bad_until_s), 0 },
+  { "bad-customers", offsetof (WlSoakOptions, n_bad_customers), 2 },
+  { "series", offsetof (WlSoakOptions, series), WL_SOAK_ALL_SERIES },
+  { "beside", offsetof (WlSoakOptions, beside), 0 },
+  { "slow", offsetof (WlSoakOptions, slow), 1 },
+  { "slow-share", offsetof (WlSoakOptions, slow_share), 100 },
+  { "slow-from", offsetof (WlSoakOptions, slow_from_s), 0 },
+  { "resumes", offsetof (WlSoakOptions, resumes), 0 },
+  { "unframed", offsetof (WlSoakOptions, unframed), 0 },
+  { "hurried", offsetof (WlSoakOptions, hurried), 0 },
+  { "busy", offsetof (WlSoakOptions, n_busy), 0 },
+  { "ends-every", offsetof (WlSoakOptions, ends_every_ms), 0 },
+  { "stop-ends", offsetof (WlSoakOptions, stop_ends_ms), 0 },
+};
+
+enum
+{
+  N_NUMBERS = sizeof numbers / sizeof numbers[0],
+};
+
+static uint32_t *
+number_at (WlSoakOptions *o, int i)
+{
+  return (uint32_t *)(void *)((char *)o + numbers[i].offset);
+}
+
 static int
 read_options (int argc, char **argv, WlSoakOptions *o)
 {
-  static const struct option names[] = {
-    { "seed", required_argument, NULL, 0 },
-    { "seconds", required_argument, NULL, 1 },
-    { "nodes", required_argument, NULL, 2 },
-    { "callers", required_argument, NULL, 3 },
-    { "engines", required_argument, NULL, 4 },
-    { "plain", required_argument, NULL, 5 },
-    { "traits", required_argument, NULL, 6 },
-    { "series", required_argument, NULL, 7 },
-    { "share", required_argument, NULL, 8 },
-    { "bad", required_argument, NULL, 9 },
-    { "bad-one-in", required_argument, NULL, 10 },
-    { "bad-customers", required_argument, NULL, 11 },
-    { "ends-every", required_argument, NULL, 12 },
-    { "prompt-max", required_argument, NULL, 13 },
-    { "bad-until", required_argument, NULL, 14 },
-    { "sound", no_argument, NULL, 's' },
+  struct option names[N_NUMBERS + 4] = {
+    [N_NUMBERS] = { "sound", no_argument, NULL, 's' },
     { "net", required_argument, NULL, 'n' },
     { "folder", required_argument, NULL, 'f' },
-    { NULL, 0, NULL, 0 },
   };
-  uint32_t numbers[]
-      = { 1, 60, 3, 48, 8, 3, WL_SOAK_ALL_TRAITS, WL_SOAK_ALL_SERIES, 25, 0, 9, 2, 0, 0, 0 };
   unsigned x = 0;
   unsigned y = 0;
   int c;
+  for (int i = 0; i < N_NUMBERS; i++)
+    {
+      names[i] = (struct option){ numbers[i].name, required_argument, NULL, i };
+      *number_at (o, i) = numbers[i].usual;
+    }
   while ((c = getopt_long (argc, argv, "", names, NULL)) != -1)
     switch (c)
       {
@@ -321,28 +394,14 @@
       case '?':
         return 0;
       default:
-        numbers[c] = (uint32_t)strtoul (optarg, NULL, 10);
+        *number_at (o, c) = (uint32_t)strtoul (optarg, NULL, 10);
         break;
       }
-  o->seed = numbers[0];
-  o->seconds = numbers[1];
-  o->n_nodes = numbers[2];
-  o->n_callers = numbers[3];
-  o->n_engines = numbers[4];
-  o->n_plain = numbers[5];
-  o->traits = numbers[6];
-  o->share = numbers[8];
-  o->n_bad = numbers[9];
-  o->bad_one_in = numbers[10];
-  o->n_bad_customers = numbers[11];
-  o->ends_every_ms = numbers[12];
-  o->prompt_max = numbers[13];
-  o->bad_until_s = numbers[14];
-  o->series = numbers[7] & WL_SOAK_ALL_SERIES;
-  return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->n_bad <= WL_SOAK_BAD_MAX
-         && o->bad_one_in > 0 && o->n_nodes <= WL_SOAK_NODES_MAX
-         && o->n_callers <= WL_SOAK_CALLERS_MAX && o->n_engines > 0 && o->n_plain > 0
-         && o->n_engines + o->n_plain <= WL_SOAK_ENDPOINTS_MAX;
+  o->series &= WL_SOAK_ALL_SERIES;
+  return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->slow > 0
+         && o->n_bad <= WL_SOAK_BAD_MAX && o->bad_one_in > 0 && o->n_nodes <= WL_SOAK_NODES_MAX
+         && o->n_callers <= WL_SOAK_CALLERS_MAX && o->n_busy <= WL_SOAK_BUSY_MAX && o->n_engines > 0
+         && o->n_plain > 0 && o->n_engines + o->n_plain <= WL_SOAK_ENDPOINTS_MAX;
 }
 
 int
@@ -353,11 +412,10 @@
   int status = EXIT_NOT_RUN;
   if (!read_options (argc, argv, &run.soak.options))
     {
-      fprintf (stderr,
-               "usage: scripts/soak.sh [--seed N] [--seconds S] [--nodes N] [--callers N]"
-               " [--traits BITS] [--series BITS] [--share PERCENT] [--sound] [--engines N] "
-               "[--plain N] [--bad PARTS] [--bad-one-in N] [--bad-until S] [--bad-customers N] "
-               "[--ends-every MS] [--prompt-max TOKENS]\n");
+      fprintf (stderr, "usage: scripts/soak.sh [--sound]");
+      for (int i = 0; i < N_NUMBERS; i++)
+        fprintf (stderr, " [--%s N]", numbers[i].name);
+      fprintf (stderr, "\n");
       return EXIT_NOT_RUN;
     }
   setvbuf (stdout, NULL, _IOLBF, 0);
@@ -371,10 +429,10 @@
   wl_soak_nodes_open (&run.soak);
   if (start (&run))
     {
-      uint64_t start_us = wl_clock_now_us ();
-      open_callers (&run, start_us);
-      drive (&run);
-      status = is_interrupted ? EXIT_NOT_RUN : report (&run, start_us);
+      run.soak.begin_us = wl_clock_now_us ();
+      open_callers (&run, run.soak.begin_us);
+      if (run_beside_load (&run))
+        status = report (&run, run.soak.begin_us);
     }
   close_run (&run);
   curl_global_cleanup ();
--- a/soak/wl_soak_caller.c
+++ b/soak/wl_soak_caller.c
@@ -24,6 +24,7 @@
   = 500000, /* a node answers by the deadline; a caller waits a little longer */
   BIG_BODY_MAX_BYTES = 1000000,
   REFUSED_PAUSE_MS = 20,
+  STAYS_PAUSE_MS = 5, /* of a caller that stays */
 };
 
 struct WlSoakCaller
@@ -37,6 +38,7 @@
   uint64_t connected_us;
   uint64_t connect_us; /* earliest time to connect */
   uint32_t node;
+  uint8_t is_staying; /* with @node */
 
   uint32_t addresses[WL_SOAK_NODES_MAX]; /* nodes */
   uint32_t n_addresses;
@@ -47,6 +49,7 @@
   WlSoakRequest *current; /* whose answer is due */
   WlSoakRequest *next;    /* pipelined behind it */
   WlSoakRequest *sending; /* one of them, until all is sent */
+  WlSoakRequest *broken;  /* to be resumed */
   uint64_t next_us;       /* earliest time of the next request */
   uint64_t leave_us;
   uint64_t read_us;
@@ -68,10 +71,22 @@
     c->sending = NULL;
 }
 
+/* Only whole events count as received, and there must be one that was not. */
+static int
+may_resume (const WlSoakCaller *c, WlSoakEnd end)
+{
+  const WlSoakRequest *r = c->current;
+  return c->traits & WL_SOAK_RESUMES && r != NULL && wl_soak_kinds[r->kind].may_resume
+         && (end == WL_SOAK_CLOSED || end == WL_SOAK_BROKEN) && r->status == 200
+         && r->body_bytes >= r->event_bytes && r->body_bytes < wl_soak_request_body_bytes (r);
+}
+
 static void
 close_connection (WlSoakCaller *c, WlSoakEnd end)
 {
   uint64_t now_us = wl_clock_now_us ();
+  if (may_resume (c, end))
+    c->broken = c->current;
   if (c->current != NULL)
     end_request (c, c->current, end, now_us);
   if (c->next != NULL)
@@ -81,7 +96,11 @@
   c->current = c->next = c->sending = NULL;
   wl_buffer_clear (&c->text);
   wl_soak_conn_close (&c->conn, 0);
-  c->connect_us = now_us + (c->traits & WL_SOAK_PRESSES && c->has_answer ? 0 : RETRY_PAUSE_US);
+  c->connect_us = now_us;
+  if (c->is_staying)
+    c->connect_us += STAYS_PAUSE_MS * 1000;
+  else if ((c->traits & WL_SOAK_PRESSES) == 0 || !c->has_answer)
+    c->connect_us += RETRY_PAUSE_US;
 }
 
 /* ---- reading ---- */
@@ -116,7 +135,8 @@
   char expected[READ_BYTES];
   if (r->status == 200 && r->body_bytes + size <= wl_soak_request_body_bytes (r))
     {
-      wl_soak_request_body (r, r->body_bytes, expected, size);
+      wl_soak_request_body (r, (uint64_t)r->first_event * r->event_bytes + r->body_bytes, expected,
+                            size);
       r->has_other_bytes |= memcmp (expected, bytes, size) != 0;
     }
   r->body_bytes += size;
@@ -130,7 +150,9 @@
   WlSoakRequest *r = c->current;
   uint64_t now_us = wl_clock_now_us ();
   uint32_t pause_ms = c->traits & WL_SOAK_PRESSES ? 0 : wl_soak_between (&c->random, 0, 500);
-  if (r->status >= 400 && pause_ms < REFUSED_PAUSE_MS)
+  if (r->status >= 400 && c->is_staying)
+    pause_ms = STAYS_PAUSE_MS;
+  else if (r->status >= 400 && pause_ms < REFUSED_PAUSE_MS)
     pause_ms = REFUSED_PAUSE_MS;
   end_request (c, r, WL_SOAK_ANSWERED, now_us);
   c->current = c->next;
@@ -163,6 +185,8 @@
     {
       if (n > 0 && c->current == NULL)
         wl_soak_broken ("caller %u got bytes without a request from node %u", c->number, c->node);
+      if (n == WL_SOAK_RESET && c->current == NULL && !c->has_answer)
+        c->is_staying = 0; /* the node is gone */
       close_connection (c, n == 0 ? WL_SOAK_CLOSED : WL_SOAK_BROKEN);
       return;
     }
@@ -225,13 +249,15 @@
 static void
 connect_to_node (WlSoakCaller *c, uint64_t now_us)
 {
-  if (now_us >= c->addresses_end_us)
+  if (!c->is_staying && now_us >= c->addresses_end_us)
     {
       if (!c->is_resolving)
         resolve (c);
       return;
     }
-  c->node = c->addresses[wl_soak_between (&c->random, 0, c->n_addresses - 1)];
+  if (!c->is_staying)
+    c->node = c->addresses[wl_soak_between (&c->random, 0, c->n_addresses - 1)];
+  c->is_staying = (c->traits & WL_SOAK_STAYS) != 0;
   c->connected_us = now_us;
   c->has_answer = 0;
   wl_soak_message_reset (&c->message, HTTP_RESPONSE);
@@ -275,7 +301,7 @@
   snprintf (line, sizeof line,
             "POST /%s/item HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: %s\r\n"
             "X-Deadline-Ms: %u\r\nX-Api-Key: key-%u\r\n",
-            kind->name, r->id, kind->timeout_ms, c->number % 2);
+            kind->name, r->id, r->deadline_ms, c->number % 2);
   add_text (c, line);
   if (kind->service == 0)
     {
@@ -284,6 +310,11 @@
                 r->prompt_tokens, r->n_events, parts);
       add_text (c, line);
     }
+  if (r->origin != NULL)
+    {
+      snprintf (line, sizeof line, "Last-Event-Id: %u\r\n", r->first_event);
+      add_text (c, line);
+    }
   if (r->has_chunked_body && size > 1)
     {
       int first = (int)wl_soak_between (&c->random, 1, size - 1);
@@ -307,11 +338,22 @@
 static void
 begin_request (WlSoakCaller *c, uint64_t now_us)
 {
-  WlSoakRequest *r = wl_soak_request_add (choose_kind (&c->random), c->number, &c->random);
-  if (c->soak->options.is_sound)
+  const WlSoakOptions *o = &c->soak->options;
+  const WlSoakRequest *broken = c->current == NULL ? c->broken : NULL;
+  WlSoakKind kind = broken != NULL ? (WlSoakKind)broken->kind : choose_kind (&c->random);
+  WlSoakRequest *r = wl_soak_request_add (kind, c->number, &c->random);
+  if (o->is_sound)
     r->fault = WL_SOAK_SOUND;
+  if (o->unframed > 0 && wl_soak_between (&c->random, 0, 99) < o->unframed)
+    r->framing = WL_SOAK_UNTIL_CLOSE;
+  if (o->hurried > 0 && wl_soak_between (&c->random, 0, 99) < o->hurried)
+    r->deadline_ms = wl_soak_between (&c->random, 400, 4000);
+  if (broken != NULL)
+    wl_soak_request_resume (r, broken);
   r->is_slow_reader = (c->traits & WL_SOAK_SLOW) != 0;
-  if (r->is_slow_reader && wl_soak_request_body_bytes (r) > SLOW_ANSWER_MAX_BYTES)
+  if (broken != NULL)
+    c->broken = NULL;
+  else if (r->is_slow_reader && wl_soak_request_body_bytes (r) > SLOW_ANSWER_MAX_BYTES)
     r->event_bytes = SLOW_ANSWER_MAX_BYTES / r->n_events;
   r->node = c->node;
   r->connected_us = c->connected_us;
@@ -371,6 +413,10 @@
   for (uint32_t bit = 1; bit < WL_SOAK_ALL_TRAITS; bit *= 2)
     if (wl_soak_between (&c->random, 0, 99) < soak->options.share)
       c->traits |= bit & soak->options.traits;
+  if (soak->options.stays > 0 && wl_soak_between (&c->random, 0, 99) < soak->options.stays)
+    c->traits = (c->traits | WL_SOAK_STAYS | WL_SOAK_PRESSES) & ~(uint32_t)WL_SOAK_HALF;
+  if (soak->options.resumes > 0 && wl_soak_between (&c->random, 0, 99) < soak->options.resumes)
+    c->traits |= WL_SOAK_RESUMES;
   if (c->traits & (WL_SOAK_ANEW | WL_SOAK_HALF))
     c->traits &= ~(uint32_t)WL_SOAK_PIPELINES;
   return c;
@@ -394,7 +440,10 @@
   if (c->conn.fd < 0)
     return !is_ending;
   if (c->conn.is_connecting && now_us > c->connected_us + CONNECT_TIMEOUT_US)
-    close_connection (c, WL_SOAK_LEFT);
+    {
+      c->is_staying = 0;
+      close_connection (c, WL_SOAK_LEFT);
+    }
   else if (!is_ending && may_begin (c, now_us))
     begin_request (c, now_us);
   if (c->conn.fd >= 0 && c->sending != NULL)
@@ -403,7 +452,7 @@
     wl_soak_conn_pause (&c->conn, 0);
   if (c->current == NULL)
     return !is_ending;
-  uint64_t limit_us = (uint64_t)wl_soak_kinds[c->current->kind].timeout_ms * 1000;
+  uint64_t limit_us = (uint64_t)c->current->deadline_ms * 1000;
   if (now_us > c->leave_us || now_us > c->current->started_us + limit_us + GRACE_PAST_DEADLINE_US)
     close_connection (c, WL_SOAK_LEFT);
   return 1;
--- a/soak/wl_soak_endpoint.h
+++ b/soak/wl_soak_endpoint.h
@@ -30,6 +30,9 @@
 int wl_soak_endpoint_crash (WlSoakEndpoint *endpoint, const WlSoakRequest *cause, int is_reset,
                             uint64_t away_us, uint64_t now_us);
 
+/** wl_soak_endpoint_n_ends() - how often it has ended */
+uint32_t wl_soak_endpoint_n_ends (const WlSoakEndpoint *endpoint);
+
 /** wl_soak_endpoint_is_known() - whether a node has acknowledged a registration */
 int wl_soak_endpoint_is_known (const WlSoakEndpoint *endpoint);
 
--- a/soak/wl_soak_parts.c
+++ b/soak/wl_soak_parts.c
@@ -46,16 +46,14 @@
 } Share;
 
 static const WlSoak *run;
-static uint64_t run_begin_us;
 static uint64_t random_state;
 static Bad bad_parts[WL_SOAK_BAD_MAX];
 static uint32_t n_ends;
 
 void
-wl_soak_parts_open (const WlSoak *soak, uint64_t begin_us)
+wl_soak_parts_open (const WlSoak *soak)
 {
   run = soak;
-  run_begin_us = begin_us;
   random_state = soak->options.seed ^ bad_part;
 }
 
@@ -63,7 +61,7 @@
 is_mended (uint64_t now_us)
 {
   const WlSoakOptions *o = &run->options;
-  return o->bad_until_s != 0 && now_us >= run_begin_us + (uint64_t)o->bad_until_s * 1000000;
+  return o->bad_until_s != 0 && now_us >= run->begin_us + (uint64_t)o->bad_until_s * 1000000;
 }
 
 /* ---- requests ---- */
@@ -74,13 +72,19 @@
   const WlSoakOptions *o = &run->options;
   uint32_t customer = r->caller % CUSTOMERS;
   r->is_at_calm_node = (uint8_t)wl_soak_nodes_is_calm (r->node, now_us, STABLE_US);
+  if (r->origin != NULL)
+    {
+      r->bad = r->origin->bad;
+      r->second_part = r->origin->second_part;
+      return;
+    }
   r->second_part = sound_part + customer * 0x100 + wl_soak_between (&random_state, 1, SESSIONS);
   if (wl_soak_kinds[r->kind].service != 0)
     return;
   if (o->prompt_max != 0 && r->prompt_tokens > o->prompt_max)
     r->prompt_tokens = wl_soak_between (&random_state, PROMPT_MIN_TOKENS, o->prompt_max);
-  if (o->n_bad == 0 || now_us < run_begin_us + WL_SOAK_BAD_FROM_US || customer >= o->n_bad_customers
-      || wl_soak_between (&random_state, 1, o->bad_one_in) != 1)
+  if (o->n_bad == 0 || now_us < run->begin_us + WL_SOAK_BAD_FROM_US
+      || customer >= o->n_bad_customers || wl_soak_between (&random_state, 1, o->bad_one_in) != 1)
     return;
   r->bad = (uint8_t)wl_soak_between (&random_state, 1, o->n_bad);
   r->second_part = bad_part + r->bad;
@@ -113,7 +117,7 @@
     return;
   bad->n_late++;
   printf ("late arrival: part=%" PRIx64 " request=%s at=%.3f node=%u\n", r->second_part, r->id,
-          (double)(now_us - run_begin_us) / 1e6, r->node);
+          (double)(now_us - run->begin_us) / 1e6, r->node);
 }
 
 int
@@ -134,7 +138,7 @@
 {
   n_ends++;
   printf ("end: endpoint=%s at=%.3f part=%" PRIx64 " request=%s node=%u\n", endpoint,
-          (double)(now_us - run_begin_us) / 1e6, r != NULL ? r->second_part : 0,
+          (double)(now_us - run->begin_us) / 1e6, r != NULL ? r->second_part : 0,
           r != NULL ? r->id : "-", r != NULL ? r->node : 0);
   if (r == NULL)
     return;
@@ -153,8 +157,7 @@
   if (wl_soak_kinds[r->kind].service != 0 || r->bad != 0 || !r->is_at_calm_node || r->sent_us == 0)
     return 0;
   if (r->traits & WL_SOAK_HALF
-      || (r->end == WL_SOAK_LEFT
-          && r->ended_us < r->started_us + wl_soak_kinds[r->kind].timeout_ms * UINT64_C (1000)))
+      || (r->end == WL_SOAK_LEFT && r->ended_us < r->started_us + r->deadline_ms * UINT64_C (1000)))
     return 0;
   return wl_soak_nodes_find_stop (r->node, r->connected_us, r->ended_us) == NULL;
 }
@@ -180,7 +183,7 @@
 static int
 compare_shares (int kind, uint32_t customer, uint64_t after_us, uint64_t until_us)
 {
-  Share before = count_share (kind, customer, run_begin_us, run_begin_us + WL_SOAK_BAD_FROM_US);
+  Share before = count_share (kind, customer, run->begin_us, run->begin_us + WL_SOAK_BAD_FROM_US);
   Share after = count_share (kind, customer, after_us, until_us);
   printf ("  begun: kind=%s customer=%s before=%u/%u after=%u/%u\n", wl_soak_kinds[kind].name,
           customer == CUSTOMERS ? "all"
@@ -210,11 +213,11 @@
 static void
 judge_part (const Bad *bad, uint64_t part)
 {
-  double known_s = bad->n_ends > 0 ? (double)(bad->known_us - run_begin_us) / 1e6 : 0;
+  double known_s = bad->n_ends > 0 ? (double)(bad->known_us - run->begin_us) / 1e6 : 0;
   printf ("part %" PRIx64 ": requests=%u arrivals=%u ends=%u known_at=%.3f late_arrivals=%u\n",
           part, bad->n_requests, bad->n_arrivals, bad->n_ends, known_s, bad->n_late);
   if (bad->again_us != 0)
-    printf ("  served again at %.3f\n", (double)(bad->again_us - run_begin_us) / 1e6);
+    printf ("  served again at %.3f\n", (double)(bad->again_us - run->begin_us) / 1e6);
   if (bad->n_late > LATE_ARRIVALS_MAX)
     wl_soak_broken ("%u requests with part %" PRIx64 " reached endpoints later than 3 s after the "
                     "fifth end",
@@ -278,13 +281,13 @@
 void
 wl_soak_parts_judge (void)
 {
-  uint64_t end_us = run_begin_us + (uint64_t)run->options.seconds * 1000000;
-  printf ("engines ended: %u\n", n_ends);
+  uint64_t end_us = run->begin_us + (uint64_t)run->options.seconds * 1000000;
+  printf ("endpoints ended: %u\n", n_ends);
   for (uint32_t i = 0; i < run->options.n_bad; i++)
     judge_part (&bad_parts[i], bad_part + i + 1);
   if (run->options.n_bad == 0 && run->options.ends_every_ms != 0)
     for (int kind = 0; kind < WL_SOAK_KINDS; kind++)
       if (wl_soak_kinds[kind].service == 0)
-        compare_shares (kind, CUSTOMERS, run_begin_us + WL_SOAK_BAD_FROM_US, end_us);
+        compare_shares (kind, CUSTOMERS, run->begin_us + WL_SOAK_BAD_FROM_US, end_us);
   judge_logs ();
 }
--- a/soak/wl_soak_parts.h
+++ b/soak/wl_soak_parts.h
@@ -18,8 +18,7 @@
   WL_SOAK_PARTS_SIZE = 96,
 };
 
-/** wl_soak_parts_open() - @begin_us: begin of the run */
-void wl_soak_parts_open (const WlSoak *soak, uint64_t begin_us);
+void wl_soak_parts_open (const WlSoak *soak);
 
 /** wl_soak_parts_plan() - gives a request that begins its second part, bad or not, and limits
     its prompt */
--- a/soak/wl_soak_request.c
+++ b/soak/wl_soak_request.c
@@ -31,6 +31,7 @@
   r->prompt_tokens = r->kind == WL_SOAK_LONG ? wl_soak_between (random, 40000, 120000)
                      : is_engine             ? wl_soak_between (random, 500, 8000)
                                              : 0;
+  r->deadline_ms = wl_soak_kinds[r->kind].timeout_ms;
   r->service_ms = wl_soak_between (random, 5, 800);
   r->n_events = is_engine ? wl_soak_between (random, 5, 60) : 1;
   r->event_bytes = wl_soak_between (random, EVENT_BYTES_MIN, 600);
@@ -62,6 +63,18 @@
   return r;
 }
 
+void
+wl_soak_request_resume (WlSoakRequest *r, const WlSoakRequest *broken)
+{
+  r->origin = broken->origin != NULL ? broken->origin : broken;
+  r->first_event = broken->first_event + (uint32_t)(broken->body_bytes / broken->event_bytes);
+  r->prompt_tokens = broken->prompt_tokens;
+  r->n_events = broken->n_events;
+  r->event_bytes = broken->event_bytes;
+  r->event_gap_ms = broken->event_gap_ms;
+  r->fault_event = r->n_events - 1;
+}
+
 WlSoakRequest *
 wl_soak_request_find (const char *id)
 {
@@ -85,15 +98,38 @@
   n_requests = 0;
 }
 
+static uint64_t
+prefill_ms (const WlSoakRequest *r)
+{
+  return r->prompt_tokens * UINT64_C (1000) / WL_SOAK_PREFILL_PER_S;
+}
+
+uint64_t
+wl_soak_request_stated_ms (const WlSoakRequest *r)
+{
+  const WlSoakKindInfo *kind = &wl_soak_kinds[r->kind];
+  return kind->service == 0 ? prefill_ms (r) + (uint64_t)r->n_events * WL_SOAK_STEP_MS
+                            : kind->objective_ms;
+}
+
+uint64_t
+wl_soak_request_taken_ms (const WlSoakRequest *r)
+{
+  if (wl_soak_kinds[r->kind].service != 0)
+    return (uint64_t)r->service_ms * r->slowness;
+  return prefill_ms (r) + (uint64_t)(r->n_events - r->first_event) * r->event_gap_ms * r->slowness;
+}
+
 uint64_t
 wl_soak_request_body_bytes (const WlSoakRequest *r)
 {
-  return (uint64_t)r->n_events * r->event_bytes;
+  return (uint64_t)(r->n_events - r->first_event) * r->event_bytes;
 }
 
 void
 wl_soak_request_body (const WlSoakRequest *r, uint64_t offset, char *out, size_t size)
 {
+  const WlSoakRequest *source = r->origin != NULL ? r->origin : r;
   char head[EVENT_HEAD_SIZE];
   size_t done = 0;
   while (done < size)
@@ -101,11 +137,11 @@
       uint32_t event = (uint32_t)(offset / r->event_bytes);
       uint32_t at = (uint32_t)(offset % r->event_bytes);
       uint32_t head_size
-          = (uint32_t)snprintf (head, sizeof head, "id: %u\ndata: %s-", event + 1, r->id);
+          = (uint32_t)snprintf (head, sizeof head, "id: %u\ndata: %s-", event + 1, source->id);
       uint32_t n = r->event_bytes - at;
       if (n > size - done)
         n = (uint32_t)(size - done);
-      memset (out + done, 'a' + (int)((event + r->index) % 26), n);
+      memset (out + done, 'a' + (int)((event + source->index) % 26), n);
       for (uint32_t i = at; i < at + n && i < head_size; i++)
         out[done + i - at] = head[i];
       for (uint32_t i = r->event_bytes - 2 > at ? r->event_bytes - 2 : at; i < at + n; i++)
