--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -116,6 +116,13 @@
 start quarantine-not-applied-to-sent test_relay_quarantine relay/forwarding/wl_relay_quarantine.c 's/if \(generation == relay->quarantine_generation\)/if (1)/'
 start unmarked-end-is-sound test_relay_trial relay/forwarding/wl_relay_quarantine.c 's/r->status < 300 && r->has_marked_end/r->status < 300/'
 start ends-not-told test_host_parts relay/wl_host.c 's/  wl_host_flush_parts \(host, now_us\);\n//'
+start shared-part-quarantined test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/\s*&& wl_quarantine_commonality \(quarantine, v.part, now_us\) == WL_COMMON_TO_NONE//'
+start sound-part-quarantined test_quarantine relay/forwarding/wl_quarantine_evidence.c 's/return record != NULL && at_us < [^;]*;/return 0;/'
+start ends-at-once-counted test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/if \(n_counted > 0 && end->at_us < [^\n]*\n    return 0;//'
+start few-of-many-ends-counted test_quarantine_fleet relay/forwarding/wl_quarantine_verdict.c 's/v.n_ends >= SURE_ENDS/v.n_ends >= 1/; s/v.n_ends < WL_QUARANTINE_ENDPOINTS/v.n_ends < 2/'
+start other-customers-refused test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/.customer = single_customer \(&strongest\)/.customer = 0/'
+start released-part-comes-back test_quarantine_trials relay/forwarding/wl_quarantine_report.c 's/if \(s != NULL && entry.at_us < [^\n]*\n/if (0)\n/'
+start trial-repeated test_quarantine_trials relay/forwarding/wl_quarantine_report.c 's/\.trial_after_us = age_us \+ min_u64 [^\n]*\n/.trial_after_us = age_us,\n/'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
 echo "$found passed, $((total - found)) failed"
