--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -8,8 +8,7 @@
 /*
  * Shared by the files of the relay: wl_relay.c (requests), wl_relay_answer.c
  * (attempts and their responses), wl_relay_retry.c (failed attempts),
- * wl_relay_quarantine.c and
- * wl_relay_unmarked.c (parts that end engines) and wl_relay_stop.c (the exit of the node).
+ * wl_relay_quarantine.c (parts that end engines) and wl_relay_stop.c (the exit of the node).
  */
 
 enum
@@ -150,37 +149,6 @@
   struct WlRelayRequest *previous;
 } WlRelayRequest;
 
-enum
-{
-  WL_RELAY_UNMARKED_MAX = 16, /* responses without a marked end, and breaks, that are remembered */
-  WL_RELAY_REQUEST_ID_SIZE = 65,
-};
-
-/**
- * struct WlRelaySuspect - a request that may have ended its endpoint; outlives the request
- * @target: the endpoint
- * @at_us: when its response ended, 0 for none
- * @use, @parts: its parts; the pointer of @use is not set
- * @is_begun: it had output
- * @request: its id
- */
-typedef struct
-{
-  WlRelayTarget target;
-  uint64_t at_us;
-  WlPartUse use;
-  WlPromptParts parts;
-  uint8_t is_begun;
-  char request[WL_RELAY_REQUEST_ID_SIZE];
-} WlRelaySuspect;
-
-/** struct WlRelayBreak - a connection to an endpoint broke or was refused */
-typedef struct
-{
-  uint64_t endpoint;
-  uint64_t at_us;
-} WlRelayBreak;
-
 struct WlRelay
 {
   WlRelayOptions options;
@@ -200,9 +168,6 @@
   uint64_t quarantine_generation; /* whose quarantined parts have ended their requests */
   WlQuarantinedPart logged_parts[WL_QUARANTINE_ENTRIES_MAX]; /* as last logged */
   uint32_t n_logged_parts;
-  WlRelaySuspect unmarked_ends[WL_RELAY_UNMARKED_MAX];
-  WlRelayBreak breaks[WL_RELAY_UNMARKED_MAX];
-  uint32_t n_breaks;
   WlRelayStop stop;  /* @close_us is 0 until the node begins to stop */
   uint8_t is_closed; /* wl_relay_close() was called */
 };
@@ -256,23 +221,6 @@
  */
 void wl_relay_note_broken (WlRelayRequest *r, uint64_t now_us);
 
-/** wl_relay_suspect_of() - a copy of what evidence against a request's parts needs */
-WlRelaySuspect wl_relay_suspect_of (const WlRelayRequest *r, uint64_t now_us);
-
-/** wl_relay_note_suspect() - logs and records a request under which an endpoint ended */
-void wl_relay_note_suspect (WlRelay *relay, const WlRelaySuspect *suspect, uint64_t now_us);
-
-/**
- * wl_relay_note_unmarked_end() - records that a response without a marked end ended soon after its
- * first output
- *
- * Its request is a suspect if another connection to the endpoint breaks at the same time.
- */
-void wl_relay_note_unmarked_end (WlRelayRequest *r, uint64_t now_us);
-
-/** wl_relay_note_break() - records that a connection to an endpoint broke or was refused */
-void wl_relay_note_break (WlRelay *relay, uint64_t endpoint, uint64_t now_us);
-
 /** wl_relay_note_output() - records that the endpoint has sent a part of the response's body */
 void wl_relay_note_output (WlRelayRequest *r, uint64_t now_us);
 
--- a/relay/forwarding/wl_relay_quarantine.c
+++ b/relay/forwarding/wl_relay_quarantine.c
@@ -185,46 +185,18 @@
                               parts->ids[i]);
 }
 
-WlRelaySuspect
-wl_relay_suspect_of (const WlRelayRequest *r, uint64_t now_us)
-{
-  WlRelaySuspect out = { .target = r->target,
-                         .at_us = now_us,
-                         .use = r->part_use,
-                         .parts = r->info.parts,
-                         .is_begun = r->output_us > 0 };
-  out.use.parts = NULL;
-  snprintf (out.request, sizeof out.request, "%s", r->info.id != NULL ? r->info.id : "-");
-  return out;
-}
-
-void
-wl_relay_note_suspect (WlRelay *relay, const WlRelaySuspect *suspect, uint64_t now_us)
-{
-  char parts[PARTS_TEXT_SIZE];
-  char service[NAME_SIZE];
-  char cause[CAUSE_SIZE];
-  WlPartUse use = suspect->use;
-  use.parts = &suspect->parts;
-  write_parts (&suspect->parts, parts, sizeof parts);
-  wl_log_eventf (WL4013_REQUEST_SUSPECTED, "endpoint=%s request=%s service=%s begun=%d parts=%s",
-                 suspect->target.id, suspect->request, service_name (relay, use.service, service),
-                 suspect->is_begun, parts);
-  wl_quarantine_note_end (relay->quarantine, suspect->target.key, &use, now_us);
-  snprintf (cause, sizeof cause, "request=%s endpoint=%s", suspect->request, suspect->target.id);
-  log_changes (relay, cause, now_us);
-}
-
 void
 wl_relay_note_broken (WlRelayRequest *r, uint64_t now_us)
 {
-  if (r->is_aborted || has_announced_end (wl_relay_current_endpoint (r)))
-    return;
-  wl_relay_note_break (r->relay, r->target.key, now_us);
+  char parts[PARTS_TEXT_SIZE];
   if (!is_suspect (r, now_us))
     return;
-  WlRelaySuspect suspect = wl_relay_suspect_of (r, now_us);
-  wl_relay_note_suspect (r->relay, &suspect, now_us);
+  write_parts (&r->info.parts, parts, sizeof parts);
+  wl_log_eventf (WL4013_REQUEST_SUSPECTED, "endpoint=%s request=%s service=%s begun=%d parts=%s",
+                 r->target.id, r->info.id != NULL ? r->info.id : "-", r->service->name,
+                 r->output_us > 0, parts);
+  wl_quarantine_note_end (r->relay->quarantine, r->target.key, &r->part_use, now_us);
+  log_changes_by_request (r, now_us);
 }
 
 static void
@@ -251,8 +223,6 @@
 {
   if (r->status < 300 && r->has_marked_end)
     note_sound (r, now_us);
-  else if (!r->has_marked_end && is_suspect (r, now_us))
-    wl_relay_note_unmarked_end (r, now_us);
 }
 
 /* ---- refusals ---- */
--- a/relay/forwarding/wl_relay_retry.c
+++ b/relay/forwarding/wl_relay_retry.c
@@ -184,8 +184,6 @@
 {
   /* A refused connection fails at once. Later it is a timeout, which one lost packet can cause. */
   int is_connection_refused = now_us < r->sent_us + WL_FETCH_CONNECT_US / 2;
-  if (is_connection_refused)
-    wl_relay_note_break (r->relay, r->target.key, now_us);
   wl_relay_record_failure (r, wl_relay_current_endpoint (r),
                            is_connection_refused ? WL_FAILURE_REFUSED : WL_FAILURE_LOST,
                            WL_REASON_UNREACHABLE, now_us);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -115,7 +115,6 @@
 start quarantine-not-checked test_relay_quarantine relay/forwarding/wl_relay.c 's/if \(wl_relay_refuse_quarantined \(r, now_us\)\)\n    return;/;/'
 start quarantine-not-applied-to-sent test_relay_quarantine relay/forwarding/wl_relay_quarantine.c 's/if \(generation == relay->quarantine_generation\)/if (1)/'
 start unmarked-end-is-sound test_relay_trial relay/forwarding/wl_relay_quarantine.c 's/r->status < 300 && r->has_marked_end/r->status < 300/'
-start unmarked-end-not-suspected test_relay_unmarked relay/forwarding/wl_relay_unmarked.c 's/relay->breaks\[relay->n_breaks\+\+[^\n]*\n/return;\n/'
 start ends-not-told test_host_parts relay/wl_host.c 's/  wl_host_flush_parts \(host, now_us\);\n//'
 start shared-part-quarantined test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/\s*&& wl_quarantine_commonality \(quarantine, v.part, now_us\) == WL_COMMON_TO_NONE//'
 start sound-part-quarantined test_quarantine relay/forwarding/wl_quarantine_evidence.c 's/return record != NULL && at_us < [^;]*;/return 0;/'
