Soak: a stream with a bad part may end with its second attempt

The judge counted an answer cut short. It is the end of the first engine that the caller saw; a request with a bad part that no engine had ended on is judged as before.

--- a/soak/wl_soak_judge.c
+++ b/soak/wl_soak_judge.c
@@ -155,6 +155,9 @@
     return VERDICT_BEHIND;
   if (r->broken_off != WL_SOAK_SOUND)
     return VERDICT_BROKEN_OFF;
+  /* An engine ended on it, and it must not go on at another one. */
+  if (r->bad != 0 && r->n_broken_off > 0)
+    return VERDICT_BROKEN_OFF;
   if (r->ended_us >= expiry_us (r))
     return judge_expiry (r);
   /* Nothing tells this from a close of the whole connection. */
