--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = $(shell grep -v '^\#' packages.txt)
 SOURCES = $(filter-out scripts/cppcheck-macros.h,$(shell git ls-files --cached --others --exclude-standard '*.c' '*.h'))
 
-.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short soak-press
+.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short soak-parts soak-press
 
 all: build
 
@@ -44,6 +44,11 @@
 soak-short: build
 	@BUILD=$(BUILD) scripts/known-red.sh soak-short scripts/soak.sh --seed 1 --seconds 45
 
+# The same with a part of prompts on which engines end.
+soak-parts: build
+	@BUILD=$(BUILD) scripts/known-red.sh soak-parts scripts/soak.sh --seed 1 --seconds 26 --callers 36 \
+	  --engines 6 --plain 2 --series 0 --traits 0 --prompt-max 4000 --bad 1
+
 # The same under callers that stay with a stopping node, with endpoints slower than their figures.
 soak-press: build
 	@BUILD=$(BUILD) scripts/known-red.sh soak-press scripts/soak.sh --seed 1 --seconds 30 --callers 36 \
@@ -60,7 +65,7 @@
 mutants: setup
 	@tests/mutants.sh
 
-check: build format-check lint unit soak-short soak-press asan model mutants
+check: build format-check lint unit soak-short soak-press soak-parts asan model mutants
 	@scripts/check-symbols.sh $(BUILD)
 	@echo "make check: all parts passed"
 
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -14,6 +14,7 @@
 #include "wl_soak_endpoint.h"
 #include "wl_soak_judge.h"
 #include "wl_soak_nodes.h"
+#include "wl_soak_parts.h"
 #include "wl_soak_request.h"
 
 enum
@@ -169,8 +170,9 @@
   uint64_t away_us = wl_soak_between (&run->chance, 3000, 5000) * UINT64_C (1000);
   int is_reset = (int)wl_soak_between (&run->chance, 0, 1);
   uint32_t i = 0;
-  while (i < n
-         && !wl_soak_endpoint_crash (run->endpoints[(first + i) % n], is_reset, away_us, now_us))
+  while (
+      i < n
+      && !wl_soak_endpoint_crash (run->endpoints[(first + i) % n], NULL, is_reset, away_us, now_us))
     i++;
   run->end_us = next_us;
 }
@@ -226,6 +228,7 @@
 open_callers (Run *run, uint64_t now_us)
 {
   uint64_t random = run->soak.options.seed;
+  wl_soak_parts_open (&run->soak);
   run->chance = random;
   for (uint32_t i = 0; i < run->soak.options.n_callers; i++)
     run->callers[i] = wl_soak_caller_create (&run->soak, i, wl_soak_random (&random));
@@ -305,6 +308,7 @@
             (double)(stop->term_us - start_us) / 1e6,
             ((double)stop->exited_us - (double)stop->term_us) / 1e6);
   wl_soak_judge (start_us);
+  wl_soak_parts_judge ();
   for (uint32_t i = 0; i < run->n_endpoints; i++)
     n_ends += wl_soak_endpoint_n_ends (run->endpoints[i]);
   printf ("seed=%u nodes=%u callers=%u seconds=%u stops=%u configs=%u ends=%u broken=%u\n", o->seed,
@@ -329,6 +333,11 @@
   { "traits", offsetof (WlSoakOptions, traits), WL_SOAK_ALL_TRAITS },
   { "share", offsetof (WlSoakOptions, share), 25 },
   { "stays", offsetof (WlSoakOptions, stays), 0 },
+  { "prompt-max", offsetof (WlSoakOptions, prompt_max), 0 },
+  { "bad", offsetof (WlSoakOptions, n_bad), 0 },
+  { "bad-one-in", offsetof (WlSoakOptions, bad_one_in), 9 },
+  { "bad-until", offsetof (WlSoakOptions, bad_until_s), 0 },
+  { "bad-customers", offsetof (WlSoakOptions, n_bad_customers), 2 },
   { "series", offsetof (WlSoakOptions, series), WL_SOAK_ALL_SERIES },
   { "beside", offsetof (WlSoakOptions, beside), 0 },
   { "slow", offsetof (WlSoakOptions, slow), 1 },
@@ -389,10 +398,10 @@
         break;
       }
   o->series &= WL_SOAK_ALL_SERIES;
-  return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->series != 0 && o->slow > 0
-         && o->n_nodes <= WL_SOAK_NODES_MAX && o->n_callers <= WL_SOAK_CALLERS_MAX
-         && o->n_busy <= WL_SOAK_BUSY_MAX && o->n_engines > 0 && o->n_plain > 0
-         && o->n_engines + o->n_plain <= WL_SOAK_ENDPOINTS_MAX;
+  return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->slow > 0
+         && o->n_bad <= WL_SOAK_BAD_MAX && o->bad_one_in > 0 && o->n_nodes <= WL_SOAK_NODES_MAX
+         && o->n_callers <= WL_SOAK_CALLERS_MAX && o->n_busy <= WL_SOAK_BUSY_MAX && o->n_engines > 0
+         && o->n_plain > 0 && o->n_engines + o->n_plain <= WL_SOAK_ENDPOINTS_MAX;
 }
 
 int
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -65,6 +65,11 @@
  * @traits, @series: those that may occur
  * @beside: per cent of the steps of the signals' plan that do each of the other @series, too
  * @share: per cent of the callers that have a trait
+ * @prompt_max: most tokens of a prompt, 0 for those of its kind
+ * @n_bad: bad parts of prompts, see wl_soak_parts.h
+ * @bad_one_in: one request in so many has one
+ * @bad_until_s: the second of the run from which engines no longer end by them, 0 for never
+ * @n_bad_customers: of the two, whose requests have them
  * @stays: per cent of the callers that press and stay (WL_SOAK_PRESSES, WL_SOAK_STAYS)
  * @slow: endpoints take so many times as long to write, and plain ones to answer, as planned
  * @slow_share: per cent of the endpoints that are slow
@@ -91,6 +96,11 @@
   uint32_t series;
   uint32_t beside;
   uint32_t share;
+  uint32_t prompt_max;
+  uint32_t n_bad;
+  uint32_t bad_one_in;
+  uint32_t bad_until_s;
+  uint32_t n_bad_customers;
   uint32_t stays;
   uint32_t slow;
   uint32_t slow_share;
--- a/soak/wl_soak_endpoint.c
+++ b/soak/wl_soak_endpoint.c
@@ -5,6 +5,7 @@
 #include "wl_soak_conn.h"
 #include "wl_soak_endpoint.h"
 #include "wl_soak_message.h"
+#include "wl_soak_parts.h"
 #include "wl_soak_request.h"
 
 enum
@@ -38,6 +39,7 @@
   WlSoakRequest *request;
   uint64_t deadline_us;
   uint64_t next_us;
+  uint32_t begin_event; /* the first that it writes */
   uint32_t next_event;
   uint8_t is_first_arrival;
   uint8_t closes_after;
@@ -190,10 +192,12 @@
 }
 
 int
-wl_soak_endpoint_crash (WlSoakEndpoint *e, int is_reset, uint64_t away_us, uint64_t now_us)
+wl_soak_endpoint_crash (WlSoakEndpoint *e, const WlSoakRequest *cause, int is_reset,
+                        uint64_t away_us, uint64_t now_us)
 {
   if (e->back_us != 0)
     return 0;
+  wl_soak_parts_note_end (cause, e->id, now_us);
   e->back_us = now_us + away_us;
   e->prefill_free_us = 0;
   wl_soak_conn_close (&e->listener, 0);
@@ -205,6 +209,18 @@
   return 1;
 }
 
+/* Returns 1 when the request has ended the endpoint. */
+static int
+meet_end (Serve *s, uint64_t now_us)
+{
+  const WlSoakRequest *r = s->request;
+  uint64_t random = r->index;
+  if (!wl_soak_parts_is_end (r, s->next_event - s->begin_event, now_us))
+    return 0;
+  return wl_soak_endpoint_crash (s->endpoint, r, r->index % 4 < 2,
+                                 wl_soak_between (&random, 3000, 5000) * UINT64_C (1000), now_us);
+}
+
 uint32_t
 wl_soak_endpoint_n_ends (const WlSoakEndpoint *e)
 {
@@ -266,7 +282,7 @@
   while (s->phase == PHASE_WRITING && now_us >= s->next_us
          && wl_buffer_left (&s->conn.out) < UNSENT_MAX_BYTES)
     {
-      if (s->next_event < r->n_events && meet_fault (s, now_us))
+      if (s->next_event < r->n_events && (meet_fault (s, now_us) || meet_end (s, now_us)))
         return;
       if (s->next_event < r->n_events)
         write_event (s);
@@ -306,7 +322,7 @@
         r->n_runs++;
       if (s->is_first_arrival && r->fault == WL_SOAK_FAILS)
         s->next_event = r->fault_event;
-      if (meet_fault (s, now_us))
+      if (meet_fault (s, now_us) || meet_end (s, now_us))
         return;
       begin_answer (s);
       r->endpoint_status = 200;
@@ -345,6 +361,7 @@
       refuse (s, "400 Bad Request", now_us);
       return;
     }
+  wl_soak_parts_note_arrival (s->request, now_us);
   s->is_first_arrival = s->request->n_arrivals++ == 0;
   if (s->request->arrived_us == 0)
     s->request->arrived_us = now_us;
@@ -356,6 +373,7 @@
   s->deadline_us = deadline_ms[0] != '\0' ? now_us + (uint64_t)(strtod (deadline_ms, NULL) * 1000.0)
                                           : UINT64_MAX;
   s->next_event = (uint32_t)strtoul (s->message.values[WL_SOAK_FIELD_LAST_EVENT], NULL, 10);
+  s->begin_event = s->next_event;
   s->phase = PHASE_WAITING;
   e->n_waiting++;
 }
--- a/soak/wl_soak_request.h
+++ b/soak/wl_soak_request.h
@@ -75,6 +75,10 @@
  * @deadline_ms: of its caller, the timeout of its route at most
  * @n_events, @event_bytes, @event_gap_ms: the answer; its body is the events one after the other
  * @fault_event: event before which the fault happens
+ * @bad: number of the bad part that it has, 0 for none, see wl_soak_parts.h
+ * @second_part: of its prompt
+ * @is_at_calm_node: its node was neither stopped nor just started when it began
+ * @is_quarantined: a node has logged that it refused the request for its part
  * @origin: the stream that it resumes, whose answer it continues, or NULL
  * @first_event: the first that its caller has not got, 0 without @origin
  * @node: index of the node that it was sent to
@@ -111,6 +115,10 @@
   uint32_t event_bytes;
   uint32_t event_gap_ms;
   uint32_t fault_event;
+  uint8_t bad;
+  uint8_t is_at_calm_node;
+  uint8_t is_quarantined;
+  uint64_t second_part;
   const struct WlSoakRequest *origin;
   uint32_t first_event;
 
