A stopping node tries requests again that it cannot refuse

A request that may have run cannot be refused as not run, so what was meant as a refusal was a failure.

Such a request arrived before the stop: later ones with a limit behind the exit are refused before they are sent. So another attempt takes nothing late; if it is cut at the exit its endpoint was at work until then.

A mutant goes with them. The test of reserved memory shares its listening socket with them and is otherwise unchanged.

--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -201,7 +201,8 @@
  *
  * From now on a request is sent to an endpoint only if its own limit, the caller's time
  * and the route's timeout, ends before @stop->close_us. Others are refused at once, as not
- * run; so is one that still waits at @stop->moved_us.
+ * run; so is one that still waits at @stop->moved_us. One that an endpoint may have run is
+ * tried again as at other times.
  */
 void wl_relay_stop (WlRelay *relay, const WlRelayStop *stop);
 
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -222,7 +222,13 @@
 /** wl_relay_expected_duration_us() - forecast of a request's response, sent now as in its choice */
 uint64_t wl_relay_expected_duration_us (const WlRelayRequest *r, uint64_t now_us);
 
-/** wl_relay_may_outlast_node() - whether a request's limit is behind the exit of a stopping node */
+/**
+ * wl_relay_may_outlast_node() - whether a stopping node has to refuse a request, for its limit
+ * @r: a request
+ *
+ * Return: 1 for a request whose limit is behind the exit. 0 for one that cannot be refused,
+ * since an endpoint may have run it or its response has begun: it is tried as long as possible.
+ */
 int wl_relay_may_outlast_node (const WlRelayRequest *r);
 
 /**
@@ -231,8 +237,7 @@
  * @now_us: monotonic time
  *
  * Return: 1 for a request that may outlast the node, and for one that waits although its
- * caller can use another node. 0 for a response that has begun, which goes on as long as
- * possible.
+ * caller can use another node. 0 for one that cannot be refused.
  */
 int wl_relay_must_move (const WlRelayRequest *r, uint64_t now_us);
 
--- a/relay/forwarding/wl_relay_stop.c
+++ b/relay/forwarding/wl_relay_stop.c
@@ -26,18 +26,25 @@
   return r->choice.predicted_us + (uint64_t)((double)decode_us * wl_fleet_slowdown (e, now_us));
 }
 
+/* One that may have run arrived before the stop; no other node can be told to take it. */
+static int
+can_be_refused (const WlRelayRequest *r)
+{
+  return r->phase != WL_RELAY_ANSWERING && !r->may_have_run;
+}
+
 int
 wl_relay_may_outlast_node (const WlRelayRequest *r)
 {
   uint64_t close_us = r->relay->stop.close_us;
-  return close_us != 0 && r->phase != WL_RELAY_ANSWERING && r->limit_us > close_us;
+  return close_us != 0 && can_be_refused (r) && r->limit_us > close_us;
 }
 
 int
 wl_relay_must_move (const WlRelayRequest *r, uint64_t now_us)
 {
   const WlRelayStop *stop = &r->relay->stop;
-  if (stop->close_us == 0 || r->phase == WL_RELAY_ANSWERING)
+  if (stop->close_us == 0 || !can_be_refused (r))
     return 0;
   switch (r->choice.result)
     {
--- a/relay/tests/test_relay_stop.c
+++ b/relay/tests/test_relay_stop.c
@@ -142,21 +142,31 @@
 }
 END_TEST
 
-/* Guards against prompts that wait for reserved memory meanwhile, and are sent late without a
- * check. */
-START_TEST (a_request_whose_memory_is_reserved_after_a_stop_began_is_refused)
+/* A listening socket at an endpoint's place, for responses that are sent or ended by hand. */
+static int
+listen_as_endpoint (uint16_t *port)
 {
-  static const char held[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
   struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
   socklen_t size = sizeof sa;
-  RelayFixture *f = create ();
   int listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
   ck_assert_int_eq (bind (listener, (struct sockaddr *)&sa, sizeof sa), 0);
   ck_assert_int_eq (listen (listener, 8), 0);
   getsockname (listener, (struct sockaddr *)&sa, &size);
+  *port = ntohs (sa.sin_port);
+  return listener;
+}
+
+/* Guards against prompts that wait for reserved memory meanwhile, and are sent late without a
+ * check. */
+START_TEST (a_request_whose_memory_is_reserved_after_a_stop_began_is_refused)
+{
+  static const char held[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  uint16_t port;
+  RelayFixture *f = create ();
+  int listener = listen_as_endpoint (&port);
   relay_fixture_register_engine (f, 0);
   relay_fixture_register_engine (f, 1);
-  wl_fleet_find (f->fleet, "engine-1")->record.port = ntohs (sa.sin_port);
+  wl_fleet_find (f->fleet, "engine-1")->record.port = port;
   relay_fixture_occupy (f, "engine-1"); /* so that engine-0 answers */
   raw_client_send (&f->caller, "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\n"
                                "X-Prompt: 60000\r\nContent-Length: 0\r\n\r\n");
@@ -175,6 +185,66 @@
 }
 END_TEST
 
+/* Guards against failing a request that another endpoint can answer, since it cannot be refused. */
+START_TEST (a_request_that_may_have_run_is_tried_again_although_it_may_outlast_the_node)
+{
+  uint16_t port;
+  RelayFixture *f = create ();
+  int listener = listen_as_endpoint (&port);
+  relay_fixture_register (f, 0, port);
+  raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
+  relay_fixture_settle (f);
+  int fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  script_server_add (&f->endpoints[1], RELAY_WHOLE, SCRIPT_KEEP);
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  stop (f, 1500000); /* the route allows 2 s */
+  close (fd);
+  advance (f, 0);
+  ck_assert_ptr_null (strstr (f->caller.answer, " 502 "));
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "200 OK"));
+  close (listener);
+  destroy (f);
+}
+END_TEST
+
+/* Guards against failing such a request because its caller could use another node. */
+START_TEST (a_request_that_may_have_run_waits_for_an_endpoint_while_the_node_stops)
+{
+  uint16_t port;
+  WlWorkItem items[8]; /* twice the slots of the other endpoint */
+  RelayFixture *f = create ();
+  int listener = listen_as_endpoint (&port);
+  relay_fixture_register (f, 0, port);
+  raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
+  relay_fixture_settle (f);
+  int fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  script_server_add (&f->endpoints[1], RELAY_WHOLE, SCRIPT_KEEP);
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      items[i]
+          = (WlWorkItem){ .id = i + 1, .endpoint = wl_fleet_key ("e1"), .phase = WL_WORK_SENT };
+      wl_load_apply (f->load, 2, 1, &items[i], wl_clock_now_us ());
+    }
+  stop (f, GRACE_US);
+  close (fd);
+  advance (f, MOVE_US + 100000); /* of the 2 s that the route allows */
+  ck_assert_uint_eq (f->caller.size, 0);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      items[i].phase = WL_WORK_ENDED;
+      wl_load_apply (f->load, 2, 1, &items[i], wl_clock_now_us ());
+    }
+  advance (f, 20000); /* the interval in which placement is tried again */
+  advance (f, 0);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, "200 OK"));
+  close (listener);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against refusals of requests that end by their own limit while the node is there. */
 START_TEST (a_request_whose_limit_is_before_the_exit_is_taken)
 {
@@ -294,6 +364,8 @@
     WL_TEST (a_request_that_would_outlast_the_node_is_refused_on_arrival),
     WL_TEST (a_request_that_may_outlast_the_node_is_refused_although_its_forecast_fits),
     WL_TEST (a_request_whose_memory_is_reserved_after_a_stop_began_is_refused),
+    WL_TEST (a_request_that_may_have_run_is_tried_again_although_it_may_outlast_the_node),
+    WL_TEST (a_request_that_may_have_run_waits_for_an_endpoint_while_the_node_stops),
     WL_TEST (a_request_whose_limit_is_before_the_exit_is_taken),
     WL_TEST (a_stopping_node_serves_what_it_can_answer_before_its_exit),
     WL_TEST (a_request_at_an_endpoint_fails_with_504_at_the_exit),
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -110,6 +110,7 @@
 start notes-out-of-order test_load_report_batch relay/placement/wl_load_report_batch.c 's/last->node == node && last->boot == report->boot && //'
 start waits-until-the-exit test_relay_stop relay/forwarding/wl_relay_stop.c 's/return now_us >= stop->moved_us \|\| /return /'
 start sent-before-the-exit test_relay_stop relay/forwarding/wl_relay_stop.c 's/ && r->limit_us > close_us;/ \&\& 0;/'
+start failed-for-the-exit test_relay_stop relay/forwarding/wl_relay_stop.c 's/ && !r->may_have_run;/;/'
 start sent-with-late-memory test_relay_stop relay/forwarding/wl_relay_answer.c 's/if \(wl_relay_may_outlast_node \(r\)\)/if (0)/'
 start dropped-at-the-exit test_relay_stop relay/forwarding/wl_relay_stop.c 's/while \(relay->requests != NULL\)\n    end_request/if (0)\n    end_request/'
 start partial-request-forgotten test_host_stop relay/transport/wl_web.c 's/else if \(with_partial && /else if (0 \&\& /'
