No request is sent after its limit once its memory is reserved

A prompt larger than one engine's memory, whose reservations were granted after the request's limit and before the next tick (a loop that was held up), was sent all the same. The caller got 504 at that tick instead of "not run", and the engine a request with a time limit of 2^64 us: limit_us - now_us is below 0.

Cause: on_reservation () is the one way to an endpoint that did not look at the limit, which the tick, retries and replacements do.

The limit is checked before the request is sent; the next tick refuses it. Test before: a_request_whose_memory_is_reserved_after_its_limit_is_not_sent: Assertion 'relay_fixture_n_seen (f, "POST /large/") == 0' failed: 1. A mutant goes with it.

--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -262,7 +262,8 @@
       wl_relay_refuse (r, 0, WL_REASON_STOPPING);
       return;
     }
-  if (!r->is_reservation_refused)
+  /* After its limit the next tick ends the request. */
+  if (!r->is_reservation_refused && now_us < r->limit_us)
     {
       send_attempt (r, now_us);
       return;
--- a/relay/tests/test_relay_stop.c
+++ b/relay/tests/test_relay_stop.c
@@ -245,6 +245,35 @@
 }
 END_TEST
 
+/* Guards against an engine that gets a request after its limit, with a time limit without end. */
+START_TEST (a_request_whose_memory_is_reserved_after_its_limit_is_not_sent)
+{
+  static const char held[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  uint16_t port;
+  RelayFixture *f = create ();
+  int listener = listen_as_endpoint (&port);
+  relay_fixture_register_engine (f, 0);
+  relay_fixture_register_engine (f, 1);
+  wl_fleet_find (f->fleet, "engine-1")->record.port = port;
+  relay_fixture_occupy (f, "engine-1"); /* so that engine-0 answers */
+  stop (f, 2 * GRACE_US);
+  raw_client_send (&f->caller, "POST /large/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\n"
+                               "X-Left: 9000\r\nX-Prompt: 60000\r\nContent-Length: 0\r\n\r\n");
+  relay_fixture_settle (f);
+  int fd = accept (listener, NULL, NULL);
+  ck_assert_int_ge (fd, 0);
+  wl_clock_set (wl_clock_now_us () + 9001000); /* the loop was held up: no tick until then */
+  ck_assert_int_eq (send (fd, held, sizeof held - 1, MSG_NOSIGNAL), sizeof held - 1);
+  relay_fixture_settle (f);
+  relay_fixture_settle (f);
+  ck_assert_uint_eq (relay_fixture_n_seen (f, "POST /large/"), 0);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  close (fd);
+  close (listener);
+  destroy (f);
+}
+END_TEST
+
 /* Guards against refusals of requests that end by their own limit while the node is there. */
 START_TEST (a_request_whose_limit_is_before_the_exit_is_taken)
 {
@@ -366,6 +395,7 @@
     WL_TEST (a_request_whose_memory_is_reserved_after_a_stop_began_is_refused),
     WL_TEST (a_request_that_may_have_run_is_tried_again_although_it_may_outlast_the_node),
     WL_TEST (a_request_that_may_have_run_waits_for_an_endpoint_while_the_node_stops),
+    WL_TEST (a_request_whose_memory_is_reserved_after_its_limit_is_not_sent),
     WL_TEST (a_request_whose_limit_is_before_the_exit_is_taken),
     WL_TEST (a_stopping_node_serves_what_it_can_answer_before_its_exit),
     WL_TEST (a_request_at_an_endpoint_fails_with_504_at_the_exit),
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -112,6 +112,7 @@
 start sent-before-the-exit test_relay_stop relay/forwarding/wl_relay_stop.c 's/ && r->limit_us > close_us;/ \&\& 0;/'
 start failed-for-the-exit test_relay_stop relay/forwarding/wl_relay_stop.c 's/ && !r->may_have_run;/;/'
 start sent-with-late-memory test_relay_stop relay/forwarding/wl_relay_answer.c 's/if \(wl_relay_may_outlast_node \(r\)\)/if (0)/'
+start sent-after-its-limit test_relay_stop relay/forwarding/wl_relay_answer.c 's/ && now_us < r->limit_us\)/)/'
 start dropped-at-the-exit test_relay_stop relay/forwarding/wl_relay_stop.c 's/while \(relay->requests != NULL\)\n    end_request/if (0)\n    end_request/'
 start partial-request-forgotten test_host_stop relay/transport/wl_web.c 's/else if \(with_partial && /else if (0 \&\& /'
 wait
