A stopping node leaves a silent stream where it is

What callers would see: a stream whose endpoint pauses for 0.9 s is cancelled there for another endpoint; when that one rejects it and no attempt is left, the stream is broken off. Around a planned stop rule LOST counts that: a silence is no reason to end a response sooner.

While a node stops, a response that has begun is moved only when its endpoint is overdue with its registration, too.

The test on the code before: a_silent_stream_stays_at_its_endpoint_while_the_node_ stops: Assertion 'f->endpoints[1].n_requests == 0' failed.

--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -356,6 +356,17 @@
  */
 int wl_relay_may_outlast_node (const WlRelayRequest *r);
 
+/**
+ * wl_relay_must_stay() - whether a silent response must not be moved, since the node stops
+ * @r: a request at an endpoint that is silent
+ * @now_us: monotonic time
+ *
+ * Another endpoint may reject it, which would break it off.
+ *
+ * Return: 1 for a response that has begun, while its endpoint renews its registration.
+ */
+int wl_relay_must_stay (const WlRelayRequest *r, uint64_t now_us);
+
 /**
  * wl_relay_must_move() - whether another node has to answer a request, since this one stops
  * @r: a request for which a choice was just made
--- a/relay/forwarding/wl_relay_retry.c
+++ b/relay/forwarding/wl_relay_retry.c
@@ -115,6 +115,8 @@
     wl_relay_record_failure (r, wl_relay_current_endpoint (r), WL_FAILURE_LOST, WL_REASON_SILENT,
                              now_us);
   r->is_stall_recorded = 1;
+  if (wl_relay_must_stay (r, now_us))
+    return;
   wl_relay_replace_attempt (r, WL_REASON_SILENT, now_us);
 }
 
--- a/relay/forwarding/wl_relay_stop.c
+++ b/relay/forwarding/wl_relay_stop.c
@@ -40,6 +40,15 @@
   return close_us != 0 && can_be_refused (r) && r->limit_us > close_us;
 }
 
+int
+wl_relay_must_stay (const WlRelayRequest *r, uint64_t now_us)
+{
+  if (r->relay->stop.close_us == 0 || r->phase != WL_RELAY_ANSWERING)
+    return 0;
+  const WlEndpoint *e = wl_relay_current_endpoint (r);
+  return e != NULL && !wl_fleet_is_overdue (e, now_us);
+}
+
 int
 wl_relay_must_move (const WlRelayRequest *r, uint64_t now_us)
 {
--- a/relay/tests/test_relay_stop.c
+++ b/relay/tests/test_relay_stop.c
@@ -384,6 +384,23 @@
 }
 END_TEST
 
+/* Guards against a stop that breaks off a stream whose endpoint pauses, for one that rejects it. */
+START_TEST (a_silent_stream_stays_at_its_endpoint_while_the_node_stops)
+{
+  RelayFixture *f = create ();
+  script_server_add (&f->endpoints[0], EVENT_STREAM, SCRIPT_KEEP);
+  relay_fixture_register (f, 0, f->endpoints[0].port);
+  raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
+  relay_fixture_settle (f);
+  stop (f, GRACE_US);
+  relay_fixture_register (f, 1, f->endpoints[1].port);
+  advance (f, 1000000);
+  ck_assert_uint_eq (f->endpoints[1].n_requests, 0);
+  ck_assert_int_eq (f->caller.is_closed, 0);
+  destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -403,6 +420,7 @@
     WL_TEST (a_stream_in_progress_is_broken_off_after_its_events_at_the_exit),
     WL_TEST (a_request_that_is_read_after_the_others_have_ended_is_refused),
     WL_TEST (a_request_that_waits_for_a_configuration_is_refused_at_the_exit),
+    WL_TEST (a_silent_stream_stays_at_its_endpoint_while_the_node_stops),
   };
   apr_initialize ();
   return wl_test_run ("relay_stop", tests, sizeof tests / sizeof tests[0]);
