Soak: streams left without an end after their endpoint broke off are printed

"Endpoint broke off" excuses any later end of a request, also one that the node left without an end for seconds. The verdict stays as rule LOST says; such requests around a stop are printed if the end came more than 0.5 s after the endpoint's.

--- a/soak/wl_soak_judge.c
+++ b/soak/wl_soak_judge.c
@@ -232,6 +232,24 @@
     printf ("apart: %s\n", line);
 }
 
+/* Whether a request is printed although its end is allowed. */
+static int
+is_apart (const WlSoakRequest *r, Verdict verdict, const WlSoakStop *stop)
+{
+  switch (verdict)
+    {
+    case VERDICT_SLOW_READER:
+    case VERDICT_AT_WORK:
+      return 1;
+    case VERDICT_BROKEN_OFF:
+      /* The endpoint excuses the end, but the node had left the caller without one for long. */
+      return stop != NULL && r->end != WL_SOAK_ANSWERED
+             && r->ended_us > r->work_ended_us + HELD_MIN_US;
+    default:
+      return 0;
+    }
+}
+
 void
 wl_soak_judge (uint64_t start_us)
 {
@@ -246,7 +264,7 @@
       counts[verdict][stop != NULL]++;
       n_resumed += r->origin != NULL;
       n_resumed_whole += r->origin != NULL && verdict == VERDICT_WHOLE;
-      if (verdict >= FIRST_BROKEN || verdict == VERDICT_SLOW_READER || verdict == VERDICT_AT_WORK)
+      if (verdict >= FIRST_BROKEN || is_apart (r, verdict, stop))
         print_request (r, verdict, stop, start_us);
     }
   printf ("%-36s %8s %8s\n", "requests", "at stops", "others");
