--- a/relay/tests/test_quarantine_trials.c
+++ b/relay/tests/test_quarantine_trials.c
@@ -226,7 +226,10 @@
   uint64_t now_us = start_us;
   for (uint64_t i = 0; i < WL_QUARANTINE_ENTRIES_MAX + 2; i++, now_us += 1000)
     {
-      WlQuarantinedPart part = { .part = BAD + i, .service = SERVICE, .n_ends = 3 };
+      WlQuarantinedPart part = { 0 };
+      part.part = BAD + i;
+      part.service = SERVICE;
+      part.n_ends = 3;
       WlPartReport report = { .quarantined = &part, .n_quarantined = 1 };
       wl_quarantine_apply (q, &report, now_us);
       if (i == 10)
