Soak: a caller that stays leaves no ports waiting

Callers that stay made some 17,000 refused requests in 30 s, each with a connection of its own. The connection is reset once the refusal has been read.

--- a/soak/wl_soak_caller.c
+++ b/soak/wl_soak_caller.c
@@ -165,6 +165,10 @@
     return 0;
   if (c->current != NULL)
     c->current->behind = r;
+  /* A caller that stays uses up the ports of the machine unless its connections leave none waiting.
+   */
+  if (r->status >= 400 && c->is_staying)
+    wl_soak_conn_close (&c->conn, 1);
   close_connection (c, WL_SOAK_CLOSED);
   return 1;
 }
