--- a/relay/forwarding/wl_relay_evidence.c
+++ b/relay/forwarding/wl_relay_evidence.c
@@ -6,8 +6,7 @@
 #include "wl_log.h"
 #include "wl_relay_internal.h"
 
-/* Evidence for and against parts of prompts, from the attempts of this node: see wl_quarantine.h.
- */
+/* Evidence for and against parts of prompts, from attempts of this node: see wl_quarantine.h. */
 
 enum
 {
--- a/relay/tests/test_relay_stop.c
+++ b/relay/tests/test_relay_stop.c
@@ -156,8 +156,7 @@
   return listener;
 }
 
-/* Guards against prompts that wait for reserved memory meanwhile, and are sent late without a
- * check. */
+/* Guards against prompts that wait for memory when a stop begins, and are sent without a check. */
 START_TEST (a_request_whose_memory_is_reserved_after_a_stop_began_is_refused)
 {
   static const char held[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
