--- a/runtime/tests/test_storage.c
+++ b/runtime/tests/test_storage.c
@@ -341,6 +341,44 @@
 }
 END_TEST
 
+/* Writes or syncs until there is room again, as the journal does. */
+static void
+keep_trying (WlStorage *s, const WlEffect *e, uint32_t from, uint32_t until)
+{
+  for (int i = 0; i < 100; i++)
+    {
+      WlError error = e != NULL ? wl_storage_write (s, e) : wl_storage_sync (s);
+      if (error == WL_OK)
+        return;
+      ck_assert_msg (error == WL_ERROR_NO_SPACE, "operations %u to %u: %s", from, until,
+                     wl_strerror (error));
+    }
+  ck_abort_msg ("operations %u to %u: never written", from, until);
+}
+
+/* Guards against a write that never succeeds since the disk had room again in the middle of it. */
+START_TEST (a_disk_with_room_again_at_any_operation_is_written_to)
+{
+  for (uint32_t from = 1; from < 30; from++)
+    for (uint32_t until = from + 1; until < from + 25; until++)
+      {
+        MemoryFolder folder = { .fail_at = from, .fail_until = until };
+        WlStorage *s = NULL;
+        folder.fail_with = WL_ERROR_NO_SPACE;
+        WlError error = wl_storage_open (memory_disk_open (&folder), 7, &s);
+        for (uint32_t term = 1; error == WL_OK && term < 8; term++)
+          {
+            WlEffect e = { .kind = WL_EFFECT_STORE_TERM };
+            e.u.term.term = term;
+            keep_trying (s, &e, from, until);
+            keep_trying (s, NULL, from, until);
+          }
+        wl_storage_close (s);
+        memory_folder_clear (&folder);
+      }
+}
+END_TEST
+
 static MemoryFile *
 find_segment (MemoryFolder *folder)
 {
@@ -503,6 +541,7 @@
     WL_TEST (what_failed_on_a_full_disk_can_be_stored_again),
     WL_TEST (a_crash_after_a_sync_that_found_no_room_loses_nothing),
     WL_TEST (a_crash_as_a_snapshot_follows_unsynced_entries_loses_nothing),
+    WL_TEST (a_disk_with_room_again_at_any_operation_is_written_to),
     WL_TEST (a_snapshot_that_found_no_room_at_first_leaves_no_older_one),
     WL_TEST (damage_before_the_tail_stops_the_replica),
     WL_TEST (a_folder_without_its_identity_is_refused),
--- a/testkit/wl_memory_disk.h
+++ b/testkit/wl_memory_disk.h
@@ -36,6 +36,7 @@
  * struct MemoryFolder - what outlives the process
  * @operations: write, sync, rename and remove operations so far
  * @fail_at: operation that fails, together with all later ones; 0 for none
+ * @fail_until: operation from which on none fails again; 0 for never
  * @fail_kinds: kinds of operations that fail then, 0 for all
  * @fail_with: error of the failing operations
  * @keep_unsynced: a crash keeps unsynced bytes up to this many of each file
@@ -46,6 +47,7 @@
   MemoryFile shadow[MEMORY_FILES]; /* names as of the latest sync of the folder */
   uint32_t operations;
   uint32_t fail_at;
+  uint32_t fail_until;
   uint32_t fail_kinds;
   WlError fail_with;
   uint32_t keep_unsynced;
