--- a/runtime/tests/test_storage.c
+++ b/runtime/tests/test_storage.c
@@ -365,7 +365,10 @@
         MemoryFolder folder = { .fail_at = from, .fail_until = until };
         WlStorage *s = NULL;
         folder.fail_with = WL_ERROR_NO_SPACE;
-        WlError error = wl_storage_open (memory_disk_open (&folder), 7, &s);
+        WlDisk *disk = memory_disk_open (&folder);
+        WlError error = wl_storage_open (disk, 7, &s);
+        if (error != WL_OK)
+          disk->destroy (disk);
         for (uint32_t term = 1; error == WL_OK && term < 8; term++)
           {
             WlEffect e = { .kind = WL_EFFECT_STORE_TERM };
