Tests: the control group is founded although a seed is away, late or lost

Callers of a fleet one of whose seeds did not start saw no configuration on any node, however long: founding waits for every seed.

--- /dev/null
+++ b/relay/tests/test_host_founding.c
@@ -0,0 +1,177 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <apr_general.h>
+#include <sodium.h>
+#include "wl_clock.h"
+#include "wl_host_internal.h"
+#include "wl_test.h"
+#include "wl_test_host.h"
+
+/* The first start of a fleet one of whose seeds is away. Only the tests advance the clock. */
+
+enum
+{
+  NODES = 6,
+  SEEDS = 3,
+  DOMAINS = 3,
+  TURN_US = 2 * WL_HOST_TICK_US, /* of the clock per turn */
+  NOW_US = 50000000,
+  CONFIRMED_US = 6000000, /* from the start of a fleet until a change is confirmed */
+  JOINED_US = 4000000,    /* a late seed has the configuration by then */
+};
+
+typedef struct
+{
+  char folder[64];
+  uint16_t ports[2]; /* for other nodes, for callers */
+  WlHost *nodes[NODES];
+} Fixture;
+
+static void
+setup (Fixture *f)
+{
+  memset (f, 0, sizeof *f);
+  strcpy (f->folder, "/tmp/wl-host-XXXXXX");
+  ck_assert_ptr_nonnull (mkdtemp (f->folder));
+  wl_clock_set (NOW_US);
+  wl_test_free_ports (f->ports, 2);
+}
+
+/* Starts a node of the first start; the lowest addresses are the seeds. */
+static void
+start (Fixture *f, uint32_t i, int has_disk)
+{
+  WlHostOptions options = {
+    .node = wl_test_loopback (i + 1),
+    .key = "key",
+    .peer_port = f->ports[0],
+    .client_port = f->ports[1],
+    .n_seeds = SEEDS,
+    .is_first_start = 1,
+    .tolerated_faults = 1,
+    .parse = wl_test_parse_any,
+  };
+  for (uint32_t k = 0; k < SEEDS; k++)
+    options.seeds[k] = wl_test_loopback (k + 1);
+  snprintf (options.domain, sizeof options.domain, "z%u", i % DOMAINS);
+  if (has_disk)
+    snprintf (options.data_folder, sizeof options.data_folder, "%s/%u", f->folder, i);
+  ck_assert_int_eq (wl_host_create (&options, &f->nodes[i]), WL_OK);
+}
+
+static void
+teardown (Fixture *f)
+{
+  char command[128];
+  for (int i = 0; i < NODES; i++)
+    wl_host_destroy (f->nodes[i]);
+  snprintf (command, sizeof command, "rm -rf %s", f->folder);
+  ck_assert_int_eq (system (command), 0);
+  wl_clock_set (0);
+}
+
+static void
+on_submitted (void *data, WlHostOutcome outcome, WlBytes config)
+{
+  (void)config;
+  *(WlHostOutcome *)data = outcome;
+}
+
+static void
+run_turn (Fixture *f)
+{
+  wl_clock_set (wl_clock_now_us () + TURN_US);
+  for (int i = 0; i < NODES; i++)
+    if (f->nodes[i] != NULL)
+      {
+        f->nodes[i]->next_tick_us = wl_clock_now_us (); /* so that no loop waits */
+        wl_host_run_once (f->nodes[i]);
+      }
+}
+
+static void
+run (Fixture *f, uint64_t duration_us)
+{
+  for (uint64_t end_us = wl_clock_now_us () + duration_us; wl_clock_now_us () < end_us;)
+    run_turn (f);
+}
+
+/* Submits at the highest running node, as an operator who repeats it. */
+static int
+is_confirmed (Fixture *f, uint64_t version, uint64_t limit_us)
+{
+  static WlHostOutcome outcome;
+  for (uint64_t end_us = wl_clock_now_us () + limit_us; wl_clock_now_us () < end_us;)
+    {
+      outcome = (WlHostOutcome)-1;
+      wl_host_submit_config (f->nodes[NODES - 1], version, (WlBytes){ (const uint8_t *)"text", 4 },
+                             on_submitted, &outcome);
+      while (outcome == (WlHostOutcome)-1 && wl_clock_now_us () < end_us)
+        run_turn (f);
+      if (outcome == WL_HOST_DONE)
+        return 1;
+    }
+  return 0;
+}
+
+/* Guards against a fleet without a configuration because one of its seeds never starts. */
+START_TEST (a_change_is_confirmed_without_one_of_the_seeds)
+{
+  for (uint32_t absent = 0; absent < SEEDS; absent++)
+    {
+      Fixture f;
+      setup (&f);
+      for (uint32_t i = 0; i < NODES; i++)
+        if (i != absent)
+          start (&f, i, i < 4);
+      ck_assert_msg (is_confirmed (&f, 1, CONFIRMED_US), "not confirmed without seed %u", absent);
+      teardown (&f);
+    }
+}
+END_TEST
+
+/* Guards against a seed that comes late and does not get the configuration, or founds another
+ * group. */
+START_TEST (a_late_seed_gets_the_configuration)
+{
+  Fixture f;
+  setup (&f);
+  for (uint32_t i = 1; i < NODES; i++)
+    start (&f, i, i < 4);
+  ck_assert (is_confirmed (&f, 1, CONFIRMED_US));
+  start (&f, 0, 1);
+  run (&f, JOINED_US);
+  ck_assert_uint_eq (f.nodes[0]->config_number, 1);
+  ck_assert_uint_eq (wl_host_leader (f.nodes[0], wl_clock_now_us ()),
+                     wl_host_leader (f.nodes[NODES - 1], wl_clock_now_us ()));
+  ck_assert (is_confirmed (&f, 2, CONFIRMED_US));
+  teardown (&f);
+}
+END_TEST
+
+/* Guards against a seed without a disk that counts against the majority. */
+START_TEST (seeds_without_a_disk_found_nothing_and_block_nothing)
+{
+  Fixture f;
+  setup (&f);
+  for (uint32_t i = 0; i < NODES; i++)
+    start (&f, i, i == 1 || i > 3);
+  ck_assert (is_confirmed (&f, 1, CONFIRMED_US));
+  teardown (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  const WlTest tests[] = {
+    WL_TEST (a_change_is_confirmed_without_one_of_the_seeds),
+    WL_TEST (a_late_seed_gets_the_configuration),
+    WL_TEST (seeds_without_a_disk_found_nothing_and_block_nothing),
+  };
+  apr_initialize ();
+  if (sodium_init () < 0)
+    return 1;
+  return wl_test_run ("host founding", tests, sizeof tests / sizeof tests[0]);
+}
