Test of founding in a fleet: the clock stands while a disk is written

Journals write on threads that do not know the clock of the test, so seconds of it could pass before one write.

--- a/relay/tests/test_host_founding.c
+++ b/relay/tests/test_host_founding.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <apr_general.h>
 #include <sodium.h>
 #include "wl_clock.h"
@@ -17,6 +18,8 @@
   DOMAINS = 3,
   TURN_US = 2 * WL_HOST_TICK_US, /* of the clock per turn */
   NOW_US = 50000000,
+  ROUND_US = 100, /* of real time */
+  ROUNDS_MAX = 10000,
   CONFIRMED_US = 6000000, /* from the start of a fleet until a change is confirmed */
   JOINED_US = 4000000,    /* a late seed has the configuration by then */
 };
@@ -78,16 +81,32 @@
   *(WlHostOutcome *)data = outcome;
 }
 
+static int
+is_storing (const Fixture *f)
+{
+  for (int i = 0; i < NODES; i++)
+    if (f->nodes[i] != NULL && f->nodes[i]->journal != NULL
+        && wl_journal_queued_bytes (f->nodes[i]->journal) > 0)
+      return 1;
+  return 0;
+}
+
+/* The clock stands while a disk is written: its thread does not know the clock of the test. */
 static void
 run_turn (Fixture *f)
 {
   wl_clock_set (wl_clock_now_us () + TURN_US);
-  for (int i = 0; i < NODES; i++)
-    if (f->nodes[i] != NULL)
-      {
-        f->nodes[i]->next_tick_us = wl_clock_now_us (); /* so that no loop waits */
-        wl_host_run_once (f->nodes[i]);
-      }
+  for (int round = 0; round == 0 || (is_storing (f) && round < ROUNDS_MAX); round++)
+    {
+      if (round > 0)
+        usleep (ROUND_US);
+      for (int i = 0; i < NODES; i++)
+        if (f->nodes[i] != NULL)
+          {
+            f->nodes[i]->next_tick_us = wl_clock_now_us (); /* so that no loop waits */
+            wl_host_run_once (f->nodes[i]);
+          }
+    }
 }
 
 static void
