Founding of the control group needs a majority of the seeds only

The lowest seed alone founded the group, after every other seed had been heard and had reported an empty disk, so that one machine of three was waited for although two may be lost.

Now the seeds with a disk are the voters before the first log entry, and the group is founded by an ordinary election among them: votes by term, synced before they are sent, the winner appends the entry that sets the voters, and the group exists once a majority of the seeds has it. A founder that dies between its election and that entry is followed by one of a later term; a seed of the other side of a cut has no majority; a wiped disk has lost the mark of the first start, and with it its vote. A seed that was not heard counts as one with a disk, so the lists of two founders differ only in nodes that never vote and their majorities meet. With all seeds present the lowest stands at once, as before; otherwise after 2 s. An absent founder is a voter whose disk is not known yet; changes are taken once f + 1 disks are known, as before.

Five mutants are found out: a seed that founds alone, an emptied disk that votes, a vote without sync, two votes a term, a commit with one disk.

Failed before: two_seeds_of_three_found_the_group ('version 1 is not confirmed in 5000 ms'), a_late_seed_joins_the_group (300 ms), a_seed_that_is_lost_while_it_founds_does_not_block_the_others ('founder == 0'), a_change_is_confirmed_without_one_of_the_seeds ('not confirmed without seed 0'), a_late_seed_gets_the_configuration.

--- a/core/agreement/wl_config_store.c
+++ b/core/agreement/wl_config_store.c
@@ -118,11 +118,10 @@
 }
 
 void
-wl_config_store_allow_bootstrap (WlConfigStore *store, const uint32_t *peers, uint32_t n_peers)
+wl_config_store_set_founders (WlConfigStore *store, const uint32_t *nodes, uint32_t n_nodes,
+                              uint64_t now_us)
 {
-  for (uint32_t i = 0; i < n_peers; i++)
-    wl_raft_add_peer (&store->raft, peers[i]);
-  store->raft.may_bootstrap = 1;
+  wl_raft_set_founders (&store->raft, nodes, n_nodes, now_us);
 }
 
 void
--- a/core/agreement/wl_config_store.h
+++ b/core/agreement/wl_config_store.h
@@ -37,7 +37,7 @@
  * @out: receives the replica
  *
  * A replica with an empty disk waits to be added to an existing group, unless
- * wl_config_store_allow_bootstrap() lets it bootstrap one.
+ * wl_config_store_set_founders() lets it take part in founding one.
  *
  * Return: WL_OK, WL_ERROR_NO_MEMORY, or WL_ERROR_CORRUPT when the stored
  * snapshot cannot be decoded.
@@ -59,16 +59,18 @@
 void wl_config_store_set_tolerated_faults (WlConfigStore *store, uint32_t tolerated_faults);
 
 /**
- * wl_config_store_allow_bootstrap() - lets the replica bootstrap the group
- * @store: the replica
- * @peers: node ids that all start with empty disks, including this one
- * @n_peers: number of ids
+ * wl_config_store_set_founders() - lets the replica take part in founding the group
+ * @store: the replica; its disk was set up at the first start of the system
+ * @nodes: ids of the founders, with this one
+ * @n_nodes: number of ids
+ * @now_us: monotonic time
  *
- * The node with the lowest id bootstraps the group, after all others have
- * reported an empty disk.
+ * A majority of the founders founds the group, as soon as all are present, or else after
+ * WL_RAFT_FOUNDING_WAIT_US. See wl_raft_set_founders(); without effect once the replica
+ * belongs to a group.
  */
-void wl_config_store_allow_bootstrap (WlConfigStore *store, const uint32_t *peers,
-                                      uint32_t n_peers);
+void wl_config_store_set_founders (WlConfigStore *store, const uint32_t *nodes, uint32_t n_nodes,
+                                   uint64_t now_us);
 
 /** wl_config_store_add_peer() - adds another node that has a disk, see wl_raft_add_peer() */
 void wl_config_store_add_peer (WlConfigStore *store, uint32_t node);
--- a/core/agreement/wl_raft.c
+++ b/core/agreement/wl_raft.c
@@ -300,7 +300,11 @@
   if (raft->role == WL_RAFT_PRE_CANDIDATE)
     become_candidate (raft, now_us, fx);
   else if (raft->role == WL_RAFT_CANDIDATE)
-    wl_raft_become_leader (raft, now_us, fx);
+    {
+      if (wl_raft_last_index (raft) == 0)
+        wl_raft_found_group (raft, fx);
+      wl_raft_become_leader (raft, now_us, fx);
+    }
 }
 
 static void
@@ -315,8 +319,10 @@
       = raft->role == WL_RAFT_LEADER
         || (raft->leader != 0 && now_us < raft->leader_contact_us + WL_RAFT_ELECTION_MIN_US);
   int granted = 0;
-  if (wl_raft_is_empty (raft))
-    return; /* a disk without state may have lost an earlier vote, so it must not vote */
+  /* A disk without state may have lost an earlier vote, so it must not vote; a founder's disk was
+     not emptied. */
+  if (wl_raft_is_empty (raft) && !is_self_voter (raft))
+    return;
   if (v->is_pre_vote)
     granted = v->term > raft->term && up_to_date && !has_leader;
   else if (!has_leader)
@@ -483,16 +489,27 @@
     broadcast (raft, now_us, fx);
 }
 
+/* The first founder need not wait for its timer when all are present; the others wait for it. */
+static int
+is_election_due (const WlRaft *raft, uint64_t now_us)
+{
+  int is_waiting = wl_raft_last_index (raft) == 0 && now_us < raft->founding_us;
+  if (is_waiting && raft->role == WL_RAFT_FOLLOWER)
+    return wl_raft_may_found_at_once (raft, now_us);
+  return now_us >= raft->next_election_us;
+}
+
 void
 wl_raft_tick (WlRaft *raft, uint64_t now_us, WlEffects *fx)
 {
-  if (now_us >= raft->next_hello_us && raft->role != WL_RAFT_FOLLOWER)
+  if (now_us >= raft->next_hello_us
+      && (raft->role != WL_RAFT_FOLLOWER || wl_raft_last_index (raft) == 0))
     {
       raft->next_hello_us = now_us + WL_RAFT_HELLO_INTERVAL_US;
       for (uint32_t i = 0; i < raft->n_peers; i++)
         wl_raft_send_hello (raft, raft->peers[i].node, 0, fx);
     }
-  if (wl_raft_is_empty (raft))
+  if (wl_raft_is_empty (raft) && !is_self_voter (raft))
     {
       if (raft->may_bootstrap && wl_raft_all_peers_are_empty (raft, now_us))
         wl_raft_bootstrap_group (raft, now_us, fx);
@@ -500,7 +517,7 @@
     }
   if (raft->role == WL_RAFT_LEADER)
     tick_leader (raft, now_us, fx);
-  else if (now_us >= raft->next_election_us && is_self_voter (raft))
+  else if (is_self_voter (raft) && is_election_due (raft, now_us))
     start_pre_vote (raft, now_us, fx);
 }
 
@@ -555,6 +572,9 @@
 int
 wl_raft_is_ready (const WlRaft *raft)
 {
+  uint32_t n_known = 0;
+  for (uint32_t i = 0; i < raft->n_voters; i++)
+    n_known += raft->voters[i].incarnation != 0;
   return raft->role == WL_RAFT_LEADER && raft->commit >= raft->term_start
-         && raft->n_voters >= raft->min_voters;
+         && n_known >= raft->min_voters;
 }
--- a/core/agreement/wl_raft.h
+++ b/core/agreement/wl_raft.h
@@ -14,8 +14,12 @@
  *  - A replica is identified by its node id and the incarnation of its data
  *    folder, so that a replica whose disk was emptied cannot vote under its old
  *    identity.
- *  - The replica with the lowest id bootstraps the group as its only voter, after
- *    every configured peer has reported an empty disk.
+ *  - The group is created at the first start of the system, in one of two ways. Either
+ *    the replica with the lowest id bootstraps it as its only voter, after every configured
+ *    peer has reported an empty disk. Or its founders are known, wl_raft_set_founders():
+ *    they are the voters before the first log entry. A founder's disk may be unknown then;
+ *    its incarnation is 0 among the voters, which stands for the one disk of that node that
+ *    was set up at the first start (WL_RAFT_FIRST_START).
  */
 
 enum
@@ -31,6 +35,8 @@
   WL_RAFT_COMPACT_ENTRIES = 2048, /* log size from which on a snapshot is taken */
   WL_RAFT_COMPACT_BYTES = 4194304,
   WL_RAFT_VOTER_TIMEOUT_US = 1500000, /* a voter without contact for this long may be replaced */
+  WL_RAFT_FOUNDING_WAIT_US = 2000000, /* for all founders, before a majority founds the group */
+  WL_RAFT_FIRST_START = 1, /* bit of an incarnation: the disk was set up at the first start */
 };
 
 typedef enum
@@ -88,7 +94,8 @@
  * The log holds the entries after @snapshot_index; the snapshot covers those up
  * to it. Proposals are accepted from @min_voters voters on; the leader aims at
  * @max_voters. @may_bootstrap allows a replica with an empty disk to bootstrap
- * the group. Indexes are log indexes, times are monotonic.
+ * the group. Until @founding_us the group is founded only with all founders present.
+ * Indexes are log indexes, times are monotonic.
  */
 typedef struct
 {
@@ -122,6 +129,7 @@
   uint32_t min_voters;
   uint32_t max_voters;
   uint8_t may_bootstrap;
+  uint64_t founding_us;
 
   uint64_t round;
   uint64_t next_election_us;
@@ -161,6 +169,19 @@
  */
 void wl_raft_add_peer (WlRaft *raft, uint32_t node);
 
+/**
+ * wl_raft_set_founders() - sets the voters before the first log entry
+ * @raft: the replica; its disk was set up at the first start
+ * @nodes: ids of the founders, with this replica
+ * @n_nodes: number of ids
+ * @now_us: monotonic time
+ *
+ * The lists of all founders may differ only in nodes without a disk: these never vote, so
+ * that every two majorities have a founder in common. Repeated calls replace the list. It
+ * counts while the log is empty.
+ */
+void wl_raft_set_founders (WlRaft *raft, const uint32_t *nodes, uint32_t n_nodes, uint64_t now_us);
+
 /**
  * wl_raft_clear() - frees the memory owned by a replica
  * @raft: the replica
@@ -254,7 +275,7 @@
  * @raft: the replica
  *
  * A leader is ready once it has committed an entry of its own term and there
- * are at least min_voters voters.
+ * are at least min_voters voters whose disks are known.
  *
  * Return: 1 or 0.
  */
--- a/core/agreement/wl_raft_group.c
+++ b/core/agreement/wl_raft_group.c
@@ -59,6 +59,79 @@
   return 1;
 }
 
+static int
+has_voter_at (const WlRaft *raft, uint32_t node)
+{
+  for (uint32_t i = 0; i < raft->n_voters; i++)
+    if (raft->voters[i].node == node)
+      return 1;
+  return 0;
+}
+
+void
+wl_raft_set_founders (WlRaft *raft, const uint32_t *nodes, uint32_t n_nodes, uint64_t now_us)
+{
+  WlReplica founders[WL_MAX_REPLICAS];
+  uint32_t n = 0;
+  if (raft->snapshot_index > 0 || raft->commit > 0)
+    return;
+  if (raft->founding_us == 0)
+    raft->founding_us = now_us + WL_RAFT_FOUNDING_WAIT_US;
+  for (uint32_t i = 0; i < n_nodes && n < WL_MAX_REPLICAS; i++)
+    {
+      uint32_t known = 0;
+      while (known < n && founders[known].node != nodes[i])
+        known++;
+      if (known < n)
+        continue; /* listed twice */
+      wl_raft_add_peer (raft, nodes[i]);
+      founders[n++] = (WlReplica){ nodes[i], nodes[i] == raft->self ? raft->incarnation : 0 };
+    }
+  wl_raft_set_first_voters (raft, founders, n);
+  if (raft->role == WL_RAFT_LEARNER)
+    raft->role = wl_raft_idle_role (raft);
+}
+
+int
+wl_raft_may_found_at_once (const WlRaft *raft, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < raft->n_voters; i++)
+    if (raft->voters[i].node < raft->self)
+      return 0;
+  for (uint32_t i = 0; i < raft->n_peers; i++)
+    {
+      const WlRaftPeer *p = &raft->peers[i];
+      int is_empty = p->empty_us != 0 && now_us <= p->empty_us + EMPTY_REPORT_LIFETIME_US;
+      if (has_voter_at (raft, p->node) && !is_empty)
+        return 0;
+    }
+  return 1;
+}
+
+/* A voter whose disk is known by now, if it is a founder's. */
+static WlReplica
+identify (const WlRaft *raft, const WlReplica *voter)
+{
+  for (uint32_t i = 0; i < raft->n_peers; i++)
+    if (wl_raft_is_replica (voter, raft->peers[i].node, raft->peers[i].incarnation))
+      return (WlReplica){ voter->node, raft->peers[i].incarnation };
+  return *voter;
+}
+
+void
+wl_raft_found_group (WlRaft *raft, WlEffects *fx)
+{
+  WlReplica voters[WL_MAX_REPLICAS];
+  WlCommand c = { .kind = WL_COMMAND_GROUP };
+  c.u.group.voters = voters;
+  c.u.group.n_voters = raft->n_voters;
+  for (uint32_t i = 0; i < raft->n_voters; i++)
+    voters[i] = identify (raft, &raft->voters[i]);
+  wl_raft_append (raft, raft->term, wl_command_encode (&c, fx->pool), fx);
+  wl_effects_log (fx, WL2004_GROUP_FOUNDED, "node=%u term=%lu voters=%u", raft->self,
+                  (unsigned long)raft->term, raft->n_voters);
+}
+
 void
 wl_raft_bootstrap_group (WlRaft *raft, uint64_t now_us, WlEffects *fx)
 {
@@ -82,13 +155,16 @@
   uint32_t n = 0;
   for (uint32_t i = 0; i < raft->n_voters; i++)
     if (raft->voters[i].node != without)
-      voters[n++] = raft->voters[i];
+      voters[n++] = identify (raft, &raft->voters[i]);
   if (with != NULL)
     voters[n++] = *with;
   c.u.group.voters = voters;
   c.u.group.n_voters = n;
-  wl_effects_log (fx, WL2005_GROUP_CHANGED, "voters=%u %s=%u", n, with ? "added" : "removed",
-                  with ? with->node : without);
+  if (with != NULL || without != 0)
+    wl_effects_log (fx, WL2005_GROUP_CHANGED, "voters=%u %s=%u", n, with ? "added" : "removed",
+                    with ? with->node : without);
+  else
+    wl_effects_log (fx, WL2005_GROUP_CHANGED, "voters=%u identified", n);
   wl_raft_propose_command (raft, &c, fx);
 }
 
@@ -118,12 +194,15 @@
   return NULL;
 }
 
+/* Whether a voter whose disk was unknown has caught up. */
 static int
-has_voter_at (const WlRaft *raft, uint32_t node)
+has_new_identity (const WlRaft *raft, uint64_t now_us)
 {
   for (uint32_t i = 0; i < raft->n_voters; i++)
-    if (raft->voters[i].node == node)
-      return 1;
+    for (uint32_t j = 0; raft->voters[i].incarnation == 0 && j < raft->n_peers; j++)
+      if (wl_raft_is_replica (&raft->voters[i], raft->peers[j].node, raft->peers[j].incarnation)
+          && is_caught_up (raft, &raft->peers[j], now_us))
+        return 1;
   return 0;
 }
 
@@ -145,6 +224,11 @@
       propose_group (raft, unresponsive->node, NULL, fx);
       return;
     }
+  if (has_new_identity (raft, now_us))
+    {
+      propose_group (raft, 0, NULL, fx);
+      return;
+    }
   for (uint32_t i = 0; i < raft->n_peers; i++)
     {
       const WlRaftPeer *p = &raft->peers[i];
--- a/core/agreement/wl_raft_internal.h
+++ b/core/agreement/wl_raft_internal.h
@@ -80,6 +80,16 @@
  */
 int wl_raft_all_peers_are_empty (const WlRaft *raft, uint64_t now_us);
 
+/**
+ * wl_raft_may_found_at_once() - whether nobody is left to wait for
+ *
+ * True for the lowest of the founders, once all others have lately reported an empty disk.
+ */
+int wl_raft_may_found_at_once (const WlRaft *raft, uint64_t now_us);
+
+/** wl_raft_found_group() - as elected founder, appends the entry that sets the voters */
+void wl_raft_found_group (WlRaft *raft, WlEffects *fx);
+
 /** wl_raft_bootstrap_group() - creates the group, with this replica as its only voter */
 void wl_raft_bootstrap_group (WlRaft *raft, uint64_t now_us, WlEffects *fx);
 
--- a/core/agreement/wl_raft_log.c
+++ b/core/agreement/wl_raft_log.c
@@ -58,6 +58,14 @@
     apply_group_entry (raft, &raft->log[i]);
 }
 
+void
+wl_raft_set_first_voters (WlRaft *raft, const WlReplica *voters, uint32_t n_voters)
+{
+  memcpy (raft->snapshot_voters, voters, n_voters * sizeof *voters);
+  raft->n_snapshot_voters = n_voters;
+  recompute_group (raft);
+}
+
 void
 wl_raft_append (WlRaft *raft, uint64_t term, WlBytes command, WlEffects *fx)
 {
@@ -138,11 +146,20 @@
   return error;
 }
 
+int
+wl_raft_is_replica (const WlReplica *replica, uint32_t node, uint64_t incarnation)
+{
+  if (replica->node != node || incarnation == 0)
+    return 0;
+  return replica->incarnation == incarnation
+         || (replica->incarnation == 0 && (incarnation & WL_RAFT_FIRST_START));
+}
+
 int
 wl_raft_is_voter (const WlRaft *raft, uint32_t node, uint64_t incarnation)
 {
   for (uint32_t i = 0; i < raft->n_voters; i++)
-    if (raft->voters[i].node == node && raft->voters[i].incarnation == incarnation)
+    if (wl_raft_is_replica (&raft->voters[i], node, incarnation))
       return 1;
   return 0;
 }
--- a/core/agreement/wl_raft_log.h
+++ b/core/agreement/wl_raft_log.h
@@ -32,6 +32,14 @@
  */
 void wl_raft_append (WlRaft *raft, uint64_t term, WlBytes command, WlEffects *fx);
 
+/**
+ * wl_raft_set_first_voters() - sets the voters before the first log entry
+ * @raft: the replica, without a snapshot
+ * @voters: the voters
+ * @n_voters: their number, at most WL_MAX_REPLICAS
+ */
+void wl_raft_set_first_voters (WlRaft *raft, const WlReplica *voters, uint32_t n_voters);
+
 /**
  * wl_raft_truncate() - removes all entries from an index on
  * @raft: the replica
@@ -58,6 +66,16 @@
  */
 WlError wl_raft_set_snapshot (WlRaft *raft, uint64_t index, uint64_t index_term, WlBytes image);
 
+/**
+ * wl_raft_is_replica() - whether a voter is the replica of a node with a disk
+ * @replica: the voter
+ * @node: node id
+ * @incarnation: incarnation of its data folder, 0 when unknown
+ *
+ * Return: 1 or 0, also 0 while the incarnation is unknown.
+ */
+int wl_raft_is_replica (const WlReplica *replica, uint32_t node, uint64_t incarnation);
+
 /**
  * wl_raft_is_voter() - whether a replica may vote
  * @raft: the replica whose view is used
--- a/core/agreement/wl_raft_quorum.c
+++ b/core/agreement/wl_raft_quorum.c
@@ -52,10 +52,10 @@
   for (uint32_t i = 0; i < raft->n_voters; i++)
     {
       const WlReplica *v = &raft->voters[i];
-      if (v->node == raft->self && v->incarnation == raft->incarnation)
+      if (wl_raft_is_replica (v, raft->self, raft->incarnation))
         values[i] = self_value (raft, which);
       for (uint32_t j = 0; j < raft->n_peers; j++)
-        if (raft->peers[j].node == v->node && raft->peers[j].incarnation == v->incarnation)
+        if (wl_raft_is_replica (v, raft->peers[j].node, raft->peers[j].incarnation))
           values[i] = peer_value (&raft->peers[j], which);
     }
   return majority_value (values, raft->n_voters);
--- a/models/check.sh
+++ b/models/check.sh
@@ -48,10 +48,13 @@
 start hold agreement-reads agreement "$safety" -E -DCRASHES=0 -DWIPES=0 -DMAX_TERM=3 -DREADS=1
 start fail mutant-read-unconfirmed agreement "$safety" -E -DCRASHES=0 -DMAX_TERM=3 -DREADS=1 -DMUTANT_READ_UNCONFIRMED
 start fail mutant-read-before-own-entry agreement "$safety" -E -DCRASHES=0 -DMAX_TERM=3 -DREADS=1 -DMUTANT_READ_BEFORE_OWN_ENTRY
-start hold founding founding "$safety" -E
-start fail mutant-any-disk-founds founding "$safety" -E -DMUTANT_ANY_DISK_FOUNDS
-start fail mutant-lowest-heard-founds founding "$safety" -E -DMUTANT_LOWEST_HEARD
-start fail mutant-one-voter-acknowledges founding "$safety" -E -DMUTANT_ONE_VOTER_ACKNOWLEDGES
+start hold founding founding "$safety" -E -DKILLS=1 -DLOSSES=1
+start hold founding-lost-disks founding "$safety" -E -DKILLS=0 -DLOSSES=3
+start fail mutant-seed-founds-alone founding "$safety" -E -DMUTANT_FOUNDS_ALONE
+start fail mutant-emptied-disk-votes founding "$safety" -E -DMUTANT_ANY_DISK_VOTES
+start fail mutant-founding-vote-without-sync founding "$safety" -E -DMUTANT_VOTE_UNSYNCED
+start fail mutant-two-votes-a-term founding "$safety" -E -DMUTANT_TWO_VOTES_A_TERM
+start fail mutant-one-disk-commits founding "$safety" -E -DMUTANT_ONE_DISK_COMMITS
 start hold replacement replacement "$safety" -E -DLOSSES=0
 start hold replacement-lost-disk replacement "$safety" -E -DLOSSES=1
 start fail mutant-change-while-one-is-uncommitted replacement "$safety" -E -DLOSSES=0 -DMUTANT_CHANGE_UNCOMMITTED
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -14,7 +14,6 @@
 {
   SLOW_TICK_US = 100000,       /* interval of timeouts, expiry and gossip */
   BODIES_MAX_BYTES = 32 << 20, /* of callers' requests: a fifth of the smallest VM's 160 MB */
-  FIRST_START_BIT = 1,         /* of replica incarnations: the disk was set up at the first start */
   /*
    * The last parts of the grace time of a stop: in the one the remaining requests end, in the
    * other the process has exited. Both are at least so long, or twice and once the grace time /
@@ -190,9 +189,9 @@
   if (error != WL_OK)
     return error;
   randombytes_buf (&incarnation, sizeof incarnation);
-  incarnation = (incarnation & ~(uint64_t)FIRST_START_BIT) | 2;
+  incarnation = (incarnation & ~(uint64_t)WL_RAFT_FIRST_START) | 2;
   if (host->options.is_first_start)
-    incarnation |= FIRST_START_BIT;
+    incarnation |= WL_RAFT_FIRST_START;
   error = wl_storage_open (disk, incarnation, &storage);
   if (error != WL_OK)
     {
@@ -204,7 +203,7 @@
     .replica_incarnation = wl_storage_incarnation (storage),
     .seed = host->boot_id,
   };
-  host->may_bootstrap = (uint8_t)(settings.replica_incarnation & FIRST_START_BIT);
+  host->may_bootstrap = (uint8_t)(settings.replica_incarnation & WL_RAFT_FIRST_START);
   error = wl_config_store_create (&settings, wl_storage_state (storage), host->started_us,
                                   &host->config_store);
   if (error == WL_OK)
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -386,36 +386,35 @@
 
 /* ---- timers ---- */
 
+static int
+is_heard (const WlHost *host, uint32_t seed)
+{
+  const WlRosterNode *node = wl_roster_find (host->roster, seed);
+  return seed == host->options.node || (node != NULL && node->last_contact_us != 0);
+}
+
 /*
- * The seeds that have a disk bootstrap the group of config store replicas. Waits
- * until every other seed has been heard: only then is it known which have one.
+ * A majority of the seeds with a disk founds the group of config store replicas. Until a seed is
+ * heard it counts as one with a disk.
  */
 static void
-settle_bootstrap_nodes (WlHost *host)
+update_founders (WlHost *host, uint64_t now_us)
 {
-  uint32_t bootstrap_nodes[WL_HOST_SEEDS_MAX];
+  uint32_t founders[WL_HOST_SEEDS_MAX];
   uint32_t n = 0;
   int has_self = 0;
-  if (host->is_bootstrap_settled || !host->may_bootstrap || !wl_host_is_replica (host))
+  if (!host->may_bootstrap || host->config_number != 0 || !wl_host_is_replica (host))
     return;
   for (uint32_t i = 0; i < host->options.n_seeds; i++)
     {
       uint32_t seed = host->options.seeds[i];
-      const WlRosterNode *node = wl_roster_find (host->roster, seed);
-      if (seed == host->options.node)
-        {
-          has_self = 1;
-          bootstrap_nodes[n++] = seed;
-          continue;
-        }
-      if (node == NULL || node->last_contact_us == 0)
-        return;
-      if (node->status.has_disk)
-        bootstrap_nodes[n++] = seed;
+      int is_self = seed == host->options.node;
+      if (is_self || !is_heard (host, seed) || wl_roster_find (host->roster, seed)->status.has_disk)
+        founders[n++] = seed;
+      has_self |= is_self;
     }
-  host->is_bootstrap_settled = 1;
   if (has_self)
-    wl_config_store_allow_bootstrap (host->config_store, bootstrap_nodes, n);
+    wl_config_store_set_founders (host->config_store, founders, n, now_us);
 }
 
 void
@@ -423,7 +422,7 @@
 {
   wl_membership_tick (host->membership, host->options.seeds, host->options.n_seeds, now_us);
   wl_relay_set_nodes (host->relay, host->membership->n_alive);
-  settle_bootstrap_nodes (host);
+  update_founders (host, now_us);
   resend_full_report (host, now_us);
   wl_host_save_files (host, now_us);
 }
--- a/testkit/wl_config_sim.c
+++ b/testkit/wl_config_sim.c
@@ -103,15 +103,17 @@
   ConfigSimNode *n = &config_sim.nodes[node];
   WlSettings settings = { .self.node = node, .seed = wl_random_next (&config_sim.random) };
   WlDisk *disk = memory_disk_open (&n->folder);
-  ck_assert_int_eq (wl_storage_open (disk, wl_random_next (&config_sim.random) | 1, &n->storage),
-                    WL_OK);
+  uint64_t incarnation = (wl_random_next (&config_sim.random) | 3) ^ WL_RAFT_FIRST_START;
+  if (bootstrap_peers != NULL)
+    incarnation |= WL_RAFT_FIRST_START;
+  ck_assert_int_eq (wl_storage_open (disk, incarnation, &n->storage), WL_OK);
   settings.replica_incarnation = wl_storage_incarnation (n->storage);
   ck_assert_int_eq (wl_config_store_create (&settings, wl_storage_state (n->storage),
                                             config_sim.now_us, &n->store),
                     WL_OK);
   wl_config_store_set_tolerated_faults (n->store, config_sim.tolerated_faults);
   if (bootstrap_peers != NULL)
-    wl_config_store_allow_bootstrap (n->store, bootstrap_peers, n_bootstrap_peers);
+    wl_config_store_set_founders (n->store, bootstrap_peers, n_bootstrap_peers, config_sim.now_us);
   for (uint32_t i = 1; i <= CONFIG_SIM_NODES; i++)
     if (config_sim.nodes[i].has_started)
       {
