A node without a configuration logs which seeds it waits for

A node that has neither a configuration nor a control leader logs WL2112 every 4 s, one line for each seed that it has never heard, or that no leader is known.

Test: a_node_without_a_configuration_names_the_seeds_that_it_waits_for; before, it found no line ('n == 0').

--- a/relay/tests/test_host_founding.c
+++ b/relay/tests/test_host_founding.c
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -6,6 +7,7 @@
 #include <sodium.h>
 #include "wl_clock.h"
 #include "wl_host_internal.h"
+#include "wl_log.h"
 #include "wl_test.h"
 #include "wl_test_host.h"
 
@@ -18,7 +20,8 @@
   DOMAINS = 3,
   TURN_US = 2 * WL_HOST_TICK_US, /* of the clock per turn */
   NOW_US = 50000000,
-  ROUND_US = 100, /* of real time */
+  AWAITED_US = 12000000, /* for two to four lines on each seed */
+  ROUND_US = 100,        /* of real time */
   ROUNDS_MAX = 10000,
   CONFIRMED_US = 6000000, /* from the start of a fleet until a change is confirmed */
   JOINED_US = 4000000,    /* a late seed has the configuration by then */
@@ -181,6 +184,49 @@
 }
 END_TEST
 
+/* Lines of the log, which is closed, that name a seed as never heard. */
+static int
+count_lines (const char *path, uint32_t seed)
+{
+  char line[1024];
+  char text[64];
+  int n = 0;
+  FILE *file = fopen (path, "r");
+  ck_assert_ptr_nonnull (file);
+  snprintf (text, sizeof text, "WL2112 reason=seed_unheard seed=%u ", seed);
+  while (fgets (line, sizeof line, file) != NULL)
+    n += strstr (line, text) != NULL;
+  fclose (file);
+  return n;
+}
+
+/* Guards against a fleet without a configuration whose logs do not say what it waits for. */
+START_TEST (a_node_without_a_configuration_names_the_seeds_that_it_waits_for)
+{
+  Fixture f;
+  char path[96];
+  setup (&f);
+  snprintf (path, sizeof path, "%s/log", f.folder);
+  int saved_stdout = fcntl (STDOUT_FILENO, F_DUPFD_CLOEXEC, 0);
+  int file = open (path, O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+  ck_assert_int_eq (dup2 (file, STDOUT_FILENO), STDOUT_FILENO);
+  close (file);
+  wl_log_open (1);
+  start (&f, 1, 1);
+  run (&f, AWAITED_US);
+  wl_log_close (WL_LOG_CLOSE_MS);
+  ck_assert_int_eq (dup2 (saved_stdout, STDOUT_FILENO), STDOUT_FILENO);
+  close (saved_stdout);
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      int n = count_lines (path, wl_test_loopback (seed));
+      ck_assert_int_ge (n, seed == 2 ? 0 : 2);
+      ck_assert_int_le (n, seed == 2 ? 0 : 4);
+    }
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -188,6 +234,7 @@
     WL_TEST (a_change_is_confirmed_without_one_of_the_seeds),
     WL_TEST (a_late_seed_gets_the_configuration),
     WL_TEST (seeds_without_a_disk_found_nothing_and_block_nothing),
+    WL_TEST (a_node_without_a_configuration_names_the_seeds_that_it_waits_for),
   };
   apr_initialize ();
   if (sodium_init () < 0)
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -10,6 +10,7 @@
 enum
 {
   FULL_REPORT_ITEMS_MAX = 4096, /* receivers compare each item with those that they hold */
+  AWAIT_LOG_US = 4000000,       /* shortest interval of the lines on a missing configuration */
 };
 
 /* ---- load reports ---- */
@@ -417,12 +418,35 @@
     wl_config_store_set_founders (host->config_store, founders, n, now_us);
 }
 
+/* Logs what a node waits for that has neither a configuration nor a control leader. */
+static void
+log_awaited (WlHost *host, uint64_t now_us)
+{
+  uint64_t waited_us = now_us - host->started_us;
+  uint32_t n_unheard = 0;
+  if (host->config_number != 0 || host->stopping_us != 0 || wl_host_leader (host, now_us) != 0
+      || waited_us < AWAIT_LOG_US || now_us < host->await_logged_us + AWAIT_LOG_US)
+    return;
+  host->await_logged_us = now_us;
+  for (uint32_t i = 0; i < host->options.n_seeds; i++)
+    if (!is_heard (host, host->options.seeds[i]))
+      {
+        n_unheard++;
+        wl_log_eventf (WL2112_CONFIG_AWAITED, "reason=seed_unheard seed=%u waited_ms=%" PRIu64,
+                       host->options.seeds[i], waited_us / 1000);
+      }
+  if (n_unheard == 0)
+    wl_log_eventf (WL2112_CONFIG_AWAITED, "reason=no_control_leader waited_ms=%" PRIu64,
+                   waited_us / 1000);
+}
+
 void
 wl_host_gossip_tick (WlHost *host, uint64_t now_us)
 {
   wl_membership_tick (host->membership, host->options.seeds, host->options.n_seeds, now_us);
   wl_relay_set_nodes (host->relay, host->membership->n_alive);
   update_founders (host, now_us);
+  log_awaited (host, now_us);
   resend_full_report (host, now_us);
   wl_host_save_files (host, now_us);
 }
