Shares of the retry budget follow from the largest fleet that a node knew

Every repeat loads endpoints that are failing already.

A node divided the slack by the nodes alive in its view. That is one, itself, for a node that has just started or is cut off, and each start of a process filled the bucket anew. Nodes that start together, are cut off or are added each had the whole slack, or much of it, at once.

A node now takes the slack to be divided among the largest number of nodes that it has known in the last 5 to 10 minutes, alive or not. It has no part until 2 s after its first contact to another node, and its bucket is empty when the process starts. Any window then sees a full bucket and a refill at most, whatever restarts in it. What requests earn is as before.

Simulation with a paused clock, retries wanted without end, most of them in any 10 s, 12 nodes (slack 112) and 75 (slack 226). The tests on the code before: retries_of_a_fleet_that_starts_stay_within_the_slack: 588 of 112; retries_of_nodes_that_restart_stay_within_the_slack: 1680 of 112; retries_of_nodes_that_are_cut_off_stay_within_the_slack: 1068 of 112; retries_of_a_fleet_that_grows_stay_within_the_slack: 6018 of 226. With the change all stay within the slack.

test_relay_retry keeps its count of nodes and gives it to the budget as well, since the two numbers are now apart. The tests of the bucket itself take the nodes by the new structure, with the same bounds.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -92,6 +92,12 @@
   relay->n_nodes = n_nodes;
 }
 
+void
+wl_relay_share_budgets (WlRelay *relay, uint32_t n_nodes, uint64_t now_us)
+{
+  wl_budget_nodes_note (&relay->budget_nodes, n_nodes, now_us);
+}
+
 uint32_t
 wl_relay_active (const WlRelay *relay)
 {
@@ -215,7 +221,7 @@
 spend_budget (WlRelayRequest *r, uint64_t now_us)
 {
   WlBudget *budget = find_budget (r->relay, r->service->name);
-  if (wl_budget_spend (budget, r->relay->n_nodes, now_us))
+  if (wl_budget_spend (budget, &r->relay->budget_nodes, now_us))
     return 1;
   wl_log_eventf (WL4004_RETRY_BUDGET_EMPTY, "request=%s service=%s",
                  r->info.id != NULL ? r->info.id : "-", r->service->name);
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -177,9 +177,15 @@
 /** wl_relay_routes() - the current configuration, NULL for none */
 const WlRoutes *wl_relay_routes (const WlRelay *relay);
 
-/** wl_relay_set_nodes() - sets the number of nodes that share the retry budgets */
+/** wl_relay_set_nodes() - sets the number of nodes that are alive, this one included */
 void wl_relay_set_nodes (WlRelay *relay, uint32_t n_nodes);
 
+/**
+ * wl_relay_share_budgets() - notes the nodes that share the retry budgets, see
+ * wl_budget_nodes_note(); until the first call this node has no part of the slack
+ */
+void wl_relay_share_budgets (WlRelay *relay, uint32_t n_nodes, uint64_t now_us);
+
 /** wl_relay_handle() - handles a caller's request; callback of the web server */
 void wl_relay_handle (void *relay, WlWebRequest *web);
 
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -192,7 +192,8 @@
   WlRoutes *routes;
   WlRelayRequest *requests;
   uint32_t n_active;
-  uint32_t n_nodes; /* that share the retry budgets */
+  uint32_t n_nodes; /* that are alive */
+  WlBudgetNodes budget_nodes;
   uint64_t next_number;
   uint64_t random;
   WlBudget budgets[WL_RELAY_BUDGETS_MAX];
--- a/relay/tests/test_relay_retry.c
+++ b/relay/tests/test_relay_retry.c
@@ -430,7 +430,8 @@
   ck_assert_int_eq (listen (listener, 8), 0);
   getsockname (listener, (struct sockaddr *)&sa, &size);
   wl_clock_set (now_us);
-  wl_relay_set_nodes (f->relay, 1000); /* the share of one node is less than one retry */
+  wl_relay_set_nodes (f->relay, 1000);
+  wl_relay_share_budgets (f->relay, 1000, now_us); /* this node's part is less than one retry */
   relay_fixture_register (f, 0, ntohs (sa.sin_port));
   raw_client_send (&f->caller, RELAY_STREAM_REQUEST);
   relay_fixture_settle (f);
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -10,6 +10,7 @@
 enum
 {
   FULL_REPORT_ITEMS_MAX = 4096, /* receivers compare each item with those that they hold */
+  FLEET_HEARD_US = 2000000,     /* from the first contact until a node has heard of its fleet */
 };
 
 /* ---- load reports ---- */
@@ -418,11 +419,24 @@
     wl_config_store_allow_bootstrap (host->config_store, bootstrap_nodes, n);
 }
 
+/* Whether this node has had time to hear of its fleet. One that is its only seed is a fleet. */
+static int
+knows_fleet (WlHost *host, uint64_t now_us)
+{
+  if (host->roster->n_nodes == 0)
+    return 1;
+  if (host->first_contact_us == 0 && host->membership->n_alive > 1)
+    host->first_contact_us = now_us;
+  return host->first_contact_us != 0 && now_us >= host->first_contact_us + FLEET_HEARD_US;
+}
+
 void
 wl_host_gossip_tick (WlHost *host, uint64_t now_us)
 {
   wl_membership_tick (host->membership, host->options.seeds, host->options.n_seeds, now_us);
   wl_relay_set_nodes (host->relay, host->membership->n_alive);
+  if (knows_fleet (host, now_us))
+    wl_relay_share_budgets (host->relay, host->roster->n_nodes + 1, now_us);
   settle_bootstrap_nodes (host);
   resend_full_report (host, now_us);
   wl_host_save_files (host, now_us);
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -98,6 +98,7 @@
   uint64_t next_tick_us;
   uint64_t next_slow_tick_us;
   uint64_t stopping_us;         /* 0 while running */
+  uint64_t first_contact_us;    /* to another node, 0 before */
   uint8_t is_bootstrap_settled; /* it is known which nodes bootstrap the control group */
   uint8_t may_bootstrap;        /* the disk was set up at the system's first start */
   uint8_t has_failed;           /* the disk: the node is no replica any more, and stops */
--- a/testkit/wl_relay_fixture.c
+++ b/testkit/wl_relay_fixture.c
@@ -8,6 +8,11 @@
 #include "wl_sample_engine.h"
 #include "wl_test.h"
 
+enum
+{
+  IDLE_US = 30000000, /* the nodes are known for so long: retry budgets are full */
+};
+
 /* ---- a protocol of the test's own ---- */
 
 static void
@@ -190,6 +195,8 @@
     .data = &f,
   };
   f.relay = wl_relay_create (&options);
+  uint64_t now_us = wl_clock_now_us ();
+  wl_relay_share_budgets (f.relay, 1, now_us > IDLE_US ? now_us - IDLE_US : 1);
   wl_relay_set_routes (f.relay, relay_fixture_routes ());
   WlWebOptions web = {
     .address = htonl (INADDR_LOOPBACK),
