Soak: verdict on the retry budget, rule BUDGET

Counts arrivals at the endpoints of a service beyond the first of each request, those that are refused included, in any 10 s against 0.2 x requests + 112, and prints the worst window of each service.

--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -10,6 +10,7 @@
 #include <apr_general.h>
 #include <curl/curl.h>
 #include "wl_clock.h"
+#include "wl_soak_budget.h"
 #include "wl_soak_caller.h"
 #include "wl_soak_endpoint.h"
 #include "wl_soak_judge.h"
@@ -291,6 +292,7 @@
   for (uint32_t i = 0; i < run->n_endpoints; i++)
     wl_soak_endpoint_destroy (run->endpoints[i]);
   wl_soak_nodes_close ();
+  wl_soak_budget_clear ();
   wl_soak_request_clear ();
   wl_http_client_destroy (run->soak.client);
   wl_reactor_destroy (run->soak.reactor);
@@ -309,6 +311,7 @@
             ((double)stop->exited_us - (double)stop->term_us) / 1e6);
   wl_soak_judge (start_us);
   wl_soak_parts_judge ();
+  wl_soak_budget_judge (start_us);
   for (uint32_t i = 0; i < run->n_endpoints; i++)
     n_ends += wl_soak_endpoint_n_ends (run->endpoints[i]);
   printf ("seed=%u nodes=%u callers=%u seconds=%u stops=%u configs=%u ends=%u broken=%u\n", o->seed,
--- a/soak/wl_soak_endpoint.c
+++ b/soak/wl_soak_endpoint.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "wl_clock.h"
+#include "wl_soak_budget.h"
 #include "wl_soak_conn.h"
 #include "wl_soak_endpoint.h"
 #include "wl_soak_message.h"
@@ -349,6 +350,8 @@
   const char *expected = s->message.values[WL_SOAK_FIELD_EXPECTED];
   const char *deadline_ms = s->message.values[WL_SOAK_FIELD_DEADLINE];
   s->request = wl_soak_request_find (id);
+  if (s->request != NULL)
+    wl_soak_budget_note_arrival (s->request, now_us);
   if (strcmp (expected, e->id) != 0 && expected[0] != '\0')
     {
       refuse (s, "421 Misdirected Request", now_us);
