Soak: a fleet of the grown site's size, its changes and its limits

The operator changes a configuration with more routes and asks nodes what is in force. FAULT, SHORT, STARVED, CONFIG and BUDGET are judged, and the highest resident memory.

--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -1,7 +1,6 @@
 #include <getopt.h>
 #include <pthread.h>
 #include <signal.h>
-#include <stdarg.h>
 #include <stdatomic.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -10,10 +9,12 @@
 #include <apr_general.h>
 #include <curl/curl.h>
 #include "wl_clock.h"
+#include "wl_soak_budget.h"
 #include "wl_soak_caller.h"
 #include "wl_soak_endpoint.h"
 #include "wl_soak_judge.h"
 #include "wl_soak_nodes.h"
+#include "wl_soak_operator.h"
 #include "wl_soak_parts.h"
 #include "wl_soak_request.h"
 
@@ -22,7 +23,6 @@
   EXIT_KEPT = 0,
   EXIT_BROKEN = 1,
   EXIT_NOT_RUN = 2,
-  CONFIG_SIZE = 16384,
   TICK_US = 2000,
   START_TIMEOUT_US = 20000000,
   SETTLE_US = 1500000,       /* nodes hear of the endpoints */
@@ -35,14 +35,8 @@
   WlSoakCaller *callers[WL_SOAK_CALLERS_MAX];
   WlSoakEndpoint *endpoints[WL_SOAK_ENDPOINTS_MAX];
   uint32_t n_endpoints;
-  uint64_t chance;    /* state of random numbers of the ends by chance */
-  uint64_t end_us;    /* the next of them */
-  uint64_t version;   /* of the configuration */
-  uint64_t submitted; /* latest version that was sent */
-  uint32_t operator_node;
-  uint32_t n_acknowledged;
-  uint8_t is_submitting;
-  uint8_t is_configured;
+  uint64_t chance; /* state of random numbers of the ends by chance */
+  uint64_t end_us; /* the next of them */
 } Run;
 
 static volatile sig_atomic_t is_interrupted;
@@ -55,87 +49,6 @@
   is_interrupted = 1;
 }
 
-/* ---- operator ---- */
-
-static void
-add (char *out, const char *format, ...)
-{
-  va_list arguments;
-  size_t used = strlen (out);
-  va_start (arguments, format);
-  vsnprintf (out + used, CONFIG_SIZE - used, format, arguments);
-  va_end (arguments);
-}
-
-static void
-write_config (const Run *run, char *out)
-{
-  out[0] = '\0';
-  add (out, "{\"version\":%llu,\"routes\":[", (unsigned long long)run->version);
-  for (int i = 0; i < WL_SOAK_KINDS; i++)
-    {
-      const WlSoakKindInfo *k = &wl_soak_kinds[i];
-      /* Versions differ in the priority of routes, which changes no answer. */
-      add (out,
-           "%s{\"name\":\"r-%s\",\"hostname\":\"soak.example\",\"path_prefix\":\"/%s/\","
-           "\"kind\":\"%s\",\"timeout_ms\":%u,\"slo_ms\":%u,\"priority\":%u,"
-           "\"service\":\"service%u\",\"attempts\":2,\"auth_exempt\":false,"
-           "\"session_affinity\":%s,\"stream_resume\":%s,\"gap_slo_ms\":%u}",
-           i > 0 ? "," : "", k->name, k->name, k->route_kind, k->timeout_ms, k->objective_ms,
-           (unsigned)(run->version % 3), k->service, k->service == 0 ? "true" : "false",
-           k->may_resume ? "true" : "false", k->service == 0 ? 600 : 0);
-    }
-  add (out,
-       "],\"services\":[{\"name\":\"service0\",\"health_path\":\"/health\","
-       "\"max_connections\":294,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":%d,"
-       "\"kv_tokens\":232000,\"kv_bytes\":327680,\"link_mbps\":400000.0,\"stride\":4,"
-       "\"models\":[{\"name\":\"m\"}],\"step_ms\":%d.0,\"per_seq_ms\":0.02,"
-       "\"context_per_k\":0.004,\"read_per_s\":%d.0,\"pairs_per_m\":0.001,\"chunk\":2048,"
-       "\"report_lag_ms\":200.0,\"usual\":{\"prompt\":25000,\"answer\":30},\"hop_ms\":0.075}},"
-       "{\"name\":\"service1\",\"health_path\":\"/health\",\"max_connections\":56,"
-       "\"protocol\":\"h1\",\"tls\":false}],",
-       WL_SOAK_SLOTS, WL_SOAK_STEP_MS, WL_SOAK_PREFILL_PER_S);
-  add (out, "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
-            "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-            "\"tenants\":[{\"name\":\"tenant0\",\"api_keys\":[\"key-0\"],\"priority\":1},"
-            "{\"name\":\"tenant1\",\"api_keys\":[\"key-1\"],\"priority\":1}]}");
-}
-
-static void
-on_submitted (void *data, WlHttpCall *call, const WlHttpResult *result)
-{
-  Run *run = data;
-  (void)call;
-  run->is_submitting = 0;
-  run->is_configured |= result->status == 200 && run->submitted == run->version;
-  run->n_acknowledged += result->status == 200;
-  if (result->status / 100 == 4)
-    wl_soak_broken ("the configuration was refused: %u", result->status);
-  run->operator_node = (run->operator_node + 1) % run->soak.options.n_nodes;
-}
-
-/* Sends the configuration again and again, node by node, until one has acknowledged it. */
-static void
-submit (Run *run)
-{
-  char config[CONFIG_SIZE];
-  if (run->is_configured || run->is_submitting)
-    return;
-  run->is_submitting = 1;
-  run->submitted = run->version;
-  write_config (run, config);
-  wl_soak_call (&run->soak, run->operator_node, WL_SOAK_CONTROL_PORT, "/api/Config.Replace", config,
-                NULL, on_submitted, run);
-}
-
-static void
-change_config (void *data)
-{
-  Run *run = data;
-  run->version += 1 + run->version % 3;
-  run->is_configured = 0;
-}
-
 /* ---- run ---- */
 
 static void
@@ -147,7 +60,7 @@
   wl_soak_nodes_tick (now_us);
   for (uint32_t i = 0; i < run->n_endpoints; i++)
     wl_soak_endpoint_tick (run->endpoints[i], now_us);
-  submit (run);
+  wl_soak_operator_tick (now_us);
 }
 
 /* Ends an endpoint now and then. */
@@ -213,17 +126,36 @@
   while (!is_interrupted && wl_clock_now_us () < end_us)
     {
       tick (run);
-      if (!run->is_configured || !are_endpoints_known (run))
+      if (!wl_soak_operator_is_done () || !are_endpoints_known (run))
         continue;
       if (settled_us == 0)
         settled_us = wl_clock_now_us () + SETTLE_US;
       if (wl_clock_now_us () >= settled_us)
         return 1;
     }
-  fprintf (stderr, "wl-soak: the nodes did not take the configuration and the endpoints\n");
+  wl_soak_broken ("the nodes did not take the configuration and the endpoints within %d s",
+                  START_TIMEOUT_US / 1000000);
   return 0;
 }
 
+static void
+change_config (void *data)
+{
+  (void)data;
+  wl_soak_operator_change ();
+}
+
+/* Ends a share of the endpoints at once. */
+static void
+end_endpoints (void *data)
+{
+  Run *run = data;
+  uint64_t now_us = wl_clock_now_us ();
+  for (uint32_t i = 0; i < run->n_endpoints; i++)
+    if (wl_soak_between (&run->chance, 0, 99) < run->soak.options.ends_with)
+      wl_soak_endpoint_crash (run->endpoints[i], NULL, 1, UINT64_C (3000000), now_us);
+}
+
 static void
 open_callers (Run *run, uint64_t now_us)
 {
@@ -232,7 +164,7 @@
   run->chance = random;
   for (uint32_t i = 0; i < run->soak.options.n_callers; i++)
     run->callers[i] = wl_soak_caller_create (&run->soak, i, wl_soak_random (&random));
-  wl_soak_nodes_plan (wl_soak_random (&random), now_us, change_config, run);
+  wl_soak_nodes_plan (wl_soak_random (&random), now_us, change_config, end_endpoints, run);
 }
 
 /* Runs the callers for the time of the run, and on until none waits. */
@@ -307,12 +239,15 @@
     printf ("stop: node=%u at=%.3f exit=%+.3f\n", stop->node,
             (double)(stop->term_us - start_us) / 1e6,
             ((double)stop->exited_us - (double)stop->term_us) / 1e6);
-  wl_soak_judge (start_us);
+  wl_soak_judge (&run->soak);
   wl_soak_parts_judge ();
+  wl_soak_budget_judge (&run->soak);
+  wl_soak_nodes_report ();
+  uint32_t n_acknowledged = wl_soak_operator_report ();
   for (uint32_t i = 0; i < run->n_endpoints; i++)
     n_ends += wl_soak_endpoint_n_ends (run->endpoints[i]);
   printf ("seed=%u nodes=%u callers=%u seconds=%u stops=%u configs=%u ends=%u broken=%u\n", o->seed,
-          o->n_nodes, o->n_callers, o->seconds, n_stops, run->n_acknowledged, n_ends,
+          o->n_nodes, o->n_callers, o->seconds, n_stops, n_acknowledged, n_ends,
           wl_soak_n_broken ());
   return wl_soak_n_broken () > 0 ? EXIT_BROKEN : EXIT_KEPT;
 }
@@ -346,6 +281,18 @@
   { "resumes", offsetof (WlSoakOptions, resumes), 0 },
   { "unframed", offsetof (WlSoakOptions, unframed), 0 },
   { "hurried", offsetof (WlSoakOptions, hurried), 0 },
+  { "disks", offsetof (WlSoakOptions, n_disks), 3 },
+  { "zones", offsetof (WlSoakOptions, n_zones), 1 },
+  { "replace", offsetof (WlSoakOptions, replace_every_ms), 0 },
+  { "add", offsetof (WlSoakOptions, add_every_ms), 0 },
+  { "wipe", offsetof (WlSoakOptions, wipe_every_ms), 0 },
+  { "ends-with", offsetof (WlSoakOptions, ends_with), 0 },
+  { "routes", offsetof (WlSoakOptions, n_routes), 0 },
+  { "config-every", offsetof (WlSoakOptions, config_every_ms), 0 },
+  { "routes-step", offsetof (WlSoakOptions, routes_step), 1 },
+  { "resident-mb", offsetof (WlSoakOptions, resident_mb), 0 },
+  { "served-min", offsetof (WlSoakOptions, served_min), 0 },
+  { "slack", offsetof (WlSoakOptions, slack), 112 },
   { "busy", offsetof (WlSoakOptions, n_busy), 0 },
   { "ends-every", offsetof (WlSoakOptions, ends_every_ms), 0 },
   { "stop-ends", offsetof (WlSoakOptions, stop_ends_ms), 0 },
@@ -397,17 +344,18 @@
         *number_at (o, c) = (uint32_t)strtoul (optarg, NULL, 10);
         break;
       }
-  o->series &= WL_SOAK_ALL_SERIES;
+  o->series &= WL_SOAK_ALL_SERIES | WL_SOAK_ALL_KILLS;
   return o->folder != NULL && o->net != 0 && o->n_nodes > 0 && o->slow > 0
          && o->n_bad <= WL_SOAK_BAD_MAX && o->bad_one_in > 0 && o->n_nodes <= WL_SOAK_NODES_MAX
          && o->n_callers <= WL_SOAK_CALLERS_MAX && o->n_busy <= WL_SOAK_BUSY_MAX && o->n_engines > 0
-         && o->n_plain > 0 && o->n_engines + o->n_plain <= WL_SOAK_ENDPOINTS_MAX;
+         && o->n_zones > 0 && o->n_zones <= WL_SOAK_ZONES_MAX && o->n_plain > 0
+         && o->n_engines + o->n_plain <= WL_SOAK_ENDPOINTS_MAX;
 }
 
 int
 main (int argc, char **argv)
 {
-  Run run = { .version = 1 };
+  Run run = { 0 };
   struct sigaction stop = { .sa_handler = on_signal };
   int status = EXIT_NOT_RUN;
   if (!read_options (argc, argv, &run.soak.options))
@@ -427,6 +375,7 @@
       || wl_http_client_create (run.soak.reactor, &run.soak.client) != WL_OK)
     return EXIT_NOT_RUN;
   wl_soak_nodes_open (&run.soak);
+  wl_soak_operator_open (&run.soak);
   if (start (&run))
     {
       run.soak.begin_us = wl_clock_now_us ();
@@ -434,6 +383,11 @@
       if (run_beside_load (&run))
         status = report (&run, run.soak.begin_us);
     }
+  else if (wl_soak_n_broken () > 0)
+    {
+      wl_soak_nodes_report ();
+      status = EXIT_BROKEN;
+    }
   close_run (&run);
   curl_global_cleanup ();
   apr_terminate ();
--- a/soak/wl_soak.c
+++ b/soak/wl_soak.c
@@ -10,16 +10,24 @@
 
 static uint32_t n_broken;
 
+void
+wl_soak_call_with (const WlSoak *soak, uint32_t node, const WlHttpParams *params)
+{
+  char address[32];
+  uint32_t ip = soak->options.net + node + 1;
+  WlHttpParams call = *params;
+  snprintf (address, sizeof address, "127.%u.%u.%u", ip >> 16 & 255, ip >> 8 & 255, ip & 255);
+  call.address = address;
+  wl_http_client_call (soak->client, &call);
+}
+
 void
 wl_soak_call (const WlSoak *soak, uint32_t node, uint16_t port, const char *path, const char *body,
               void (*received) (void *data, WlHttpCall *call, uint32_t status, WlBytes bytes),
               void (*done) (void *data, WlHttpCall *call, const WlHttpResult *result), void *data)
 {
-  char address[32];
-  uint32_t ip = soak->options.net + node + 1;
   WlHttpParams params = {
     .method = body[0] != '\0' ? "POST" : "GET",
-    .address = address,
     .port = port,
     .path = path,
     .type = "application/json",
@@ -29,8 +37,7 @@
     .done = done,
     .data = data,
   };
-  snprintf (address, sizeof address, "127.%u.%u.%u", ip >> 16 & 255, ip >> 8 & 255, ip & 255);
-  wl_http_client_call (soak->client, &params);
+  wl_soak_call_with (soak, node, &params);
 }
 
 void
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -15,15 +15,18 @@
   WL_SOAK_CONTROL_PORT = 8229,
   WL_SOAK_DIRECTORY_PORT = 8224,
   WL_SOAK_ENDPOINT_PORT = 8080,
-  WL_SOAK_ENDPOINT_HOST = 101, /* last number of the first endpoint's address; nodes are from 1 */
-  WL_SOAK_NODES_MAX = 16,
-  WL_SOAK_ENDPOINTS_MAX = 64,
+  WL_SOAK_READY_PORT = 8220,
+  WL_SOAK_ENDPOINT_HOST = 161, /* last number of the first endpoint's address; nodes are from 1 */
+  WL_SOAK_NODES_MAX = 160,     /* in a run, with those that were added */
+  WL_SOAK_ENDPOINTS_MAX = 90,
+  WL_SOAK_ZONES_MAX = 3,
   WL_SOAK_CALLERS_MAX = 512,
   WL_SOAK_BUSY_MAX = 16,
   WL_SOAK_SLOTS = 4,             /* of an endpoint */
   WL_SOAK_PREFILL_PER_S = 20000, /* prompt tokens of an engine, by the configuration */
   WL_SOAK_STEP_MS = 5,           /* of an output token, by the configuration */
   WL_SOAK_GRACE_US = 8000000,    /* grace_s of the settings */
+  WL_SOAK_STABLE_US = 4000000,   /* stable_window_ms of the grown sheet */
 };
 
 /** enum WlSoakTrait - what a caller does besides; bits */
@@ -56,6 +59,10 @@
   WL_SOAK_SETTINGS = 32, /* the same with a changed settings file */
   WL_SOAK_CONFIG = 64,   /* a new configuration shortly before or after SIGTERM */
   WL_SOAK_ALL_SERIES = 127,
+  WL_SOAK_KILL = 128,      /* SIGKILL to a node */
+  WL_SOAK_KILL_CORE = 256, /* to all nodes with a disk at once */
+  WL_SOAK_KILL_ALL = 512,  /* to all nodes at once */
+  WL_SOAK_ALL_KILLS = 896,
 } WlSoakSeries;
 
 /**
@@ -79,6 +86,17 @@
  * @hurried: per cent of the requests whose deadline is 0.4 to 4 s
  * @ends_every_ms: mean time between engines that end by chance, 0 for never
  * @stop_ends_ms: the same, of any endpoints, while a node is stopping
+ * @n_disks: the first so many nodes have a disk
+ * @n_zones: failure domains; node and endpoint N are in zone N mod @n_zones
+ * @replace_every_ms: a node with a disk is removed for good, and a new one started, 0 for never
+ * @add_every_ms: a node without a disk is added, 0 for never
+ * @wipe_every_ms: a node with a disk is killed and starts again with an empty one, 0 for never
+ * @ends_with: per cent of the endpoints that end when all nodes are killed
+ * @n_routes: routes of the configuration besides those of the kinds of request
+ * @config_every_ms: a new configuration with @routes_step more routes, 0 for never
+ * @resident_mb: most resident memory that a node may have had, 0 for any
+ * @served_min: per cent of the requests that have to be served, 0 for no judgement
+ * @slack: retry_budget_slack of the settings
  * @n_busy: threads that only use processor time while the callers run
  * @is_sound: endpoints meet no fault
  * @net: first address of the run, host byte order, its last number 0
@@ -110,6 +128,18 @@
   uint32_t hurried;
   uint32_t ends_every_ms;
   uint32_t stop_ends_ms;
+  uint32_t n_disks;
+  uint32_t n_zones;
+  uint32_t replace_every_ms;
+  uint32_t add_every_ms;
+  uint32_t wipe_every_ms;
+  uint32_t ends_with;
+  uint32_t n_routes;
+  uint32_t config_every_ms;
+  uint32_t routes_step;
+  uint32_t resident_mb;
+  uint32_t served_min;
+  uint32_t slack;
   uint32_t n_busy;
   uint8_t is_sound;
   uint32_t net;
@@ -119,6 +149,7 @@
 /**
  * struct WlSoak - a run
  * @client: makes the calls to directory and control
+ * @options: @n_nodes grows when nodes are added
  * @begin_us: when the callers began, 0 before
  */
 typedef struct
@@ -140,6 +171,9 @@
                    void (*done) (void *data, WlHttpCall *call, const WlHttpResult *result),
                    void *data);
 
+/** wl_soak_call_with() - calls a node; the address of @params is set here */
+void wl_soak_call_with (const WlSoak *soak, uint32_t node, const WlHttpParams *params);
+
 /** wl_soak_broken() - prints and counts a broken promise */
 void wl_soak_broken (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
 
--- a/soak/wl_soak_caller.c
+++ b/soak/wl_soak_caller.c
@@ -244,10 +244,10 @@
 resolve (WlSoakCaller *c)
 {
   uint32_t node = wl_soak_between (&c->random, 0, c->soak->options.n_nodes - 1);
+  char path[] = "/api/resolve?name=soak.example&region=region&zone=zone-a";
+  path[sizeof path - 2] += (char)(c->number % c->soak->options.n_zones);
   c->is_resolving = 1;
-  wl_soak_call (c->soak, node, WL_SOAK_DIRECTORY_PORT,
-                "/api/resolve?name=soak.example&region=region&zone=zone-a", "", on_addresses,
-                on_resolved, c);
+  wl_soak_call (c->soak, node, WL_SOAK_DIRECTORY_PORT, path, "", on_addresses, on_resolved, c);
 }
 
 static void
--- a/soak/wl_soak_endpoint.c
+++ b/soak/wl_soak_endpoint.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "wl_clock.h"
+#include "wl_soak_budget.h"
 #include "wl_soak_conn.h"
 #include "wl_soak_endpoint.h"
 #include "wl_soak_message.h"
@@ -349,6 +350,8 @@
   const char *expected = s->message.values[WL_SOAK_FIELD_EXPECTED];
   const char *deadline_ms = s->message.values[WL_SOAK_FIELD_DEADLINE];
   s->request = wl_soak_request_find (id);
+  if (s->request != NULL)
+    wl_soak_budget_note_arrival (s->request, now_us);
   if (strcmp (expected, e->id) != 0 && expected[0] != '\0')
     {
       refuse (s, "421 Misdirected Request", now_us);
@@ -378,6 +381,22 @@
   e->n_waiting++;
 }
 
+/* A request of the operator's on a route of no kind. */
+static void
+reply_to_probe (Serve *s)
+{
+  const char *expected = s->message.values[WL_SOAK_FIELD_EXPECTED];
+  const char *id = s->message.values[WL_SOAK_FIELD_ID];
+  char fields[HEAD_SIZE];
+  if (expected[0] != '\0' && strcmp (expected, s->endpoint->id) != 0)
+    {
+      refuse (s, "421 Misdirected Request", wl_clock_now_us ());
+      return;
+    }
+  snprintf (fields, sizeof fields, "X-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\n", id, id);
+  reply (s, "200 OK", fields, "");
+}
+
 static int
 on_complete (void *data)
 {
@@ -389,6 +408,8 @@
     reply (s, "200 OK", fields, "");
   else if (strcmp (target, "/api/order") == 0)
     reply (s, "200 OK", "Content-Type: application/json\r\n", "{\"free_slots\":100000}");
+  else if (strncmp (target, "/x-", 3) == 0)
+    reply_to_probe (s);
   else
     take_request (s, wl_clock_now_us ());
   return 0;
@@ -456,11 +477,11 @@
   char body[HEAD_SIZE];
   snprintf (path, sizeof path, "/api/Instances.Heartbeat/%s", e->id);
   snprintf (body, sizeof body,
-            "{\"service\":\"service%u\",\"address\":\"%s\",\"zone\":\"zone-a\",\"version\":\"v1\","
+            "{\"service\":\"service%u\",\"address\":\"%s\",\"zone\":\"zone-%c\",\"version\":\"v1\","
             "\"slots\":%d,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"both\",\"models\":"
             "[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"born\":%llu,\"seq\":%u}",
-            e->service, e->address, WL_SOAK_SLOTS, (unsigned long long)e->started_ms,
-            ++e->sequence);
+            e->service, e->address, (char)('a' + e->number % e->soak->options.n_zones),
+            WL_SOAK_SLOTS, (unsigned long long)e->started_ms, ++e->sequence);
   wl_soak_call (e->soak, e->node, WL_SOAK_CONTROL_PORT, path, body, NULL, on_acknowledged, e);
 }
 
--- a/soak/wl_soak_request.h
+++ b/soak/wl_soak_request.h
@@ -88,6 +88,7 @@
  * @body_bytes: received of the answer
  * @behind: the request whose answer was the last that its connection could carry, or NULL
  * @n_arrivals: at endpoints
+ * @n_seen: the same with those that named another endpoint
  * @n_runs: of which began to run, with the first output of an engine
  * @arrived_us: first arrival at an endpoint
  * @work_us, @work_ended_us: begin and end of the latest work on it
@@ -138,6 +139,7 @@
   const struct WlSoakRequest *behind;
 
   uint16_t n_arrivals;
+  uint16_t n_seen;
   uint16_t n_runs;
   uint64_t arrived_us;
   uint64_t work_us;
