--- a/soak/wl_soak_budget.c
+++ b/soak/wl_soak_budget.c
@@ -1,11 +1,8 @@
 #include <stdio.h>
 #include <stdlib.h>
-#include "wl_soak.h"
 #include "wl_soak_budget.h"
 
-/* As in the settings that scripts/soak.sh writes. */
-static const double RATIO = 0.2;
-static const double SLACK = 112;
+static const double RATIO = 0.2; /* as in the settings that scripts/soak.sh writes */
 
 enum
 {
@@ -83,26 +80,26 @@
 }
 
 static double
-allowed (const Times *requests, uint64_t from_us)
+allowed (const WlSoak *soak, const Times *requests, uint64_t from_us)
 {
   uint32_t most = count_window (requests, from_us);
   uint32_t before = count_window (requests, from_us - WINDOW_US);
   uint32_t half = count_window (requests, from_us - WINDOW_US / 2);
   most = before > most ? before : most;
   most = half > most ? half : most;
-  return RATIO * most + SLACK;
+  return RATIO * most + soak->options.slack;
 }
 
 static void
-judge_service (uint32_t service, const Times *requests, const Times *repeats, uint64_t start_us)
+judge_service (const WlSoak *soak, uint32_t service, const Times *requests, const Times *repeats)
 {
   double worst = 0;
-  uint64_t worst_us = start_us;
+  uint64_t worst_us = soak->begin_us;
   uint32_t n_worst = 0;
   for (uint32_t i = 0; i < repeats->n; i++)
     {
       uint32_t n = count_window (repeats, repeats->at_us[i]);
-      double share = n / allowed (requests, repeats->at_us[i]);
+      double share = n / allowed (soak, requests, repeats->at_us[i]);
       if (share <= worst)
         continue;
       worst = share;
@@ -110,13 +107,14 @@
       n_worst = n;
     }
   printf ("budget: service%u repeats=%u most=%u of %.1f in 10 s from %.3f\n", service, repeats->n,
-          n_worst, allowed (requests, worst_us), ((double)worst_us - (double)start_us) / 1e6);
+          n_worst, allowed (soak, requests, worst_us),
+          ((double)worst_us - (double)soak->begin_us) / 1e6);
   if (worst > 1)
     wl_soak_broken ("more repeats at service%u than its budget allows", service);
 }
 
 void
-wl_soak_budget_judge (uint64_t start_us)
+wl_soak_budget_judge (const WlSoak *soak)
 {
   uint32_t n_requests = 0;
   while (wl_soak_request_at (n_requests) != NULL)
@@ -141,7 +139,7 @@
           has_arrived[a->index] = 1;
         }
       qsort (requests.at_us, requests.n, sizeof *requests.at_us, compare_times);
-      judge_service (service, &requests, &repeats, start_us);
+      judge_service (soak, service, &requests, &repeats);
       free (requests.at_us);
       free (repeats.at_us);
     }
