Test: 40 replicas are replaced one after another

The simulated nodes hear of each other every 400 ms as the nodes of a fleet do, and a node that starts hears of those that run and of the voters on its disk, no longer of all that ever ran.

--- a/core/tests/test_config_store.c
+++ b/core/tests/test_config_store.c
@@ -149,6 +149,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a group that stops because the places of replaced replicas are never given
+ * back: one after the other is replaced by one at a new address, and the first stays.
+ */
+START_TEST (replicas_are_replaced_one_after_another_without_end)
+{
+  enum
+  {
+    REPLACEMENTS = 40,
+    CAUGHT_UP_US = 4300000, /* a little more than the time in which a successor takes part */
+    ACKNOWLEDGE_US = 4000000,
+  };
+  char config[32];
+  config_sim_create (37);
+  config_sim_start_three ();
+  for (uint32_t i = 0; i < REPLACEMENTS; i++)
+    {
+      config_sim_start (i + 4, NULL, 0);
+      config_sim_run (CAUGHT_UP_US);
+      config_sim_wipe (i + 2);
+      snprintf (config, sizeof config, "text %u", i + 1);
+      ck_assert_msg (config_sim_request (WL_MESSAGE_SUBMIT, i + 1, config, ACKNOWLEDGE_US) != NULL,
+                     "not confirmed after %u replacements", i + 1);
+    }
+  config_sim_assert_config (REPLACEMENTS, config);
+  config_sim_destroy ();
+}
+END_TEST
+
 /* Guards against answers from a leader that has been replaced without its knowledge. */
 START_TEST (an_isolated_leader_answers_neither_reads_nor_submissions)
 {
@@ -380,6 +409,7 @@
     WL_TEST (acknowledged_configurations_survive_a_power_loss_of_all_replicas),
     WL_TEST (a_wiped_replica_rejoins_and_then_another_may_be_lost),
     WL_TEST (an_empty_replica_at_a_new_address_replaces_a_lost_one),
+    WL_TEST (replicas_are_replaced_one_after_another_without_end),
     WL_TEST (an_isolated_leader_answers_neither_reads_nor_submissions),
     WL_TEST (hundreds_of_changes_are_compacted_and_survive_a_wipe),
     WL_TEST (a_small_change_to_a_large_configuration_sends_few_bytes),
--- a/testkit/wl_config_sim.c
+++ b/testkit/wl_config_sim.c
@@ -8,7 +8,7 @@
 #include "wl_random.h"
 
 ConfigSim config_sim;
-const uint32_t config_sim_initial[CONFIG_SIM_NODES] = { 1, 2, 3, 4, 5 };
+const uint32_t config_sim_initial[5] = { 1, 2, 3, 4, 5 };
 
 static void
 send_packet (uint32_t from, uint32_t to, WlBytes bytes)
@@ -114,16 +114,18 @@
   wl_config_store_set_tolerated_faults (n->store, config_sim.tolerated_faults);
   if (bootstrap_peers != NULL)
     wl_config_store_set_founders (n->store, bootstrap_peers, n_bootstrap_peers, config_sim.now_us);
+  uint32_t voters[WL_MAX_REPLICAS];
+  uint32_t n_voters = wl_config_store_voters (n->store, voters);
+  for (uint32_t i = 0; i < n_voters; i++)
+    wl_config_store_add_peer (n->store, voters[i]);
   for (uint32_t i = 1; i <= CONFIG_SIM_NODES; i++)
-    if (config_sim.nodes[i].has_started)
+    if (config_sim.nodes[i].is_up)
       {
         wl_config_store_add_peer (n->store, i);
-        if (config_sim.nodes[i].is_up)
-          wl_config_store_add_peer (config_sim.nodes[i].store, node);
+        wl_config_store_add_peer (config_sim.nodes[i].store, node);
       }
   wl_storage_forget (n->storage);
   n->is_up = 1;
-  n->has_started = 1;
 }
 
 void
@@ -209,12 +211,30 @@
   wl_bytes_release (&p.bytes);
 }
 
+/* What the statuses of nodes with a disk tell each other. */
+static void
+hear_of_nodes (void)
+{
+  if (config_sim.now_us < config_sim.status_us + CONFIG_SIM_STATUS_US)
+    return;
+  config_sim.status_us = config_sim.now_us;
+  for (uint32_t i = 1; i <= CONFIG_SIM_NODES; i++)
+    for (uint32_t j = 1; j <= CONFIG_SIM_NODES; j++)
+      {
+        const ConfigSimNode *a = &config_sim.nodes[i];
+        const ConfigSimNode *b = &config_sim.nodes[j];
+        if (a->is_up && b->is_up && !a->is_isolated && !b->is_isolated)
+          wl_config_store_add_peer (a->store, j);
+      }
+}
+
 void
 config_sim_run (uint64_t duration_us)
 {
   for (uint64_t until_us = config_sim.now_us + duration_us; config_sim.now_us < until_us;
        config_sim.now_us += CONFIG_SIM_STEP_US)
     {
+      hear_of_nodes ();
       for (uint32_t i = 0; i < config_sim.n_queue;)
         {
           ConfigSimPacket p = config_sim.queue[i];
--- a/testkit/wl_config_sim.h
+++ b/testkit/wl_config_sim.h
@@ -15,7 +15,8 @@
 
 enum
 {
-  CONFIG_SIM_NODES = 5,
+  CONFIG_SIM_NODES = 48,
+  CONFIG_SIM_STATUS_US = 400000, /* nodes hear of each other so often */
   CONFIG_SIM_PACKETS_MAX = 4096,
   CONFIG_SIM_STEP_US = 5000,
   CONFIG_SIM_ANSWERS_MAX = 256,
@@ -40,7 +41,6 @@
   uint32_t n_retries;
   int is_up;
   int is_isolated;
-  int has_started;
 } ConfigSimNode;
 
 typedef struct
@@ -67,6 +67,7 @@
  * @queue: messages on their way
  * @answers: the latest answers to submissions and reads
  * @tolerated_faults: of replicas, for nodes that start
+ * @status_us: when nodes last heard of each other
  * @loss_percent: share of messages that are lost
  * @sent_bytes: bytes sent between nodes
  */
@@ -78,6 +79,7 @@
   ConfigSimAnswer answers[CONFIG_SIM_ANSWERS_MAX];
   uint32_t n_answers;
   uint64_t now_us;
+  uint64_t status_us;
   uint64_t random;
   uint64_t next_id;
   uint32_t tolerated_faults;
@@ -88,8 +90,8 @@
 /** config_sim - the only simulation */
 extern ConfigSim config_sim;
 
-/** config_sim_initial - nodes that bootstrap the group; the first three or all */
-extern const uint32_t config_sim_initial[CONFIG_SIM_NODES];
+/** config_sim_initial - nodes that found the group: the first three, or all five */
+extern const uint32_t config_sim_initial[5];
 
 /** config_sim_create() - begins a simulation without nodes */
 void config_sim_create (uint64_t seed);
