A replica that is gone gives its place back

A replica kept a place for each replica that it had ever heard of, 16 in all; as leader it could not replicate to the next one, so that it never became a voter.

With all places taken, a replica that is added takes the place of the one that was silent for the longest time, if that is no voter and has been silent for 5 s; a voter takes the place of any that is no voter, so that every replica can reach all voters however many disks the fleet has. Statuses add a node again and again while it is alive, so one that lost its place gets it back.

--- a/core/agreement/wl_config_store.c
+++ b/core/agreement/wl_config_store.c
@@ -125,9 +125,9 @@
 }
 
 void
-wl_config_store_add_peer (WlConfigStore *store, uint32_t node)
+wl_config_store_add_peer (WlConfigStore *store, uint32_t node, uint64_t now_us)
 {
-  wl_raft_add_peer (&store->raft, node);
+  wl_raft_add_peer (&store->raft, node, now_us);
 }
 
 uint32_t
--- a/core/agreement/wl_config_store.h
+++ b/core/agreement/wl_config_store.h
@@ -72,8 +72,15 @@
 void wl_config_store_set_founders (WlConfigStore *store, const uint32_t *nodes, uint32_t n_nodes,
                                    uint64_t now_us);
 
-/** wl_config_store_add_peer() - adds another node that has a disk, see wl_raft_add_peer() */
-void wl_config_store_add_peer (WlConfigStore *store, uint32_t node);
+/**
+ * wl_config_store_add_peer() - adds another node that has a disk, or notes that it is alive
+ * @store: the replica
+ * @node: node id
+ * @now_us: monotonic time
+ *
+ * See wl_raft_add_peer(); to be repeated while the node is alive.
+ */
+void wl_config_store_add_peer (WlConfigStore *store, uint32_t node, uint64_t now_us);
 
 /**
  * wl_config_store_receive() - processes a message
--- a/core/agreement/wl_raft.c
+++ b/core/agreement/wl_raft.c
@@ -77,19 +77,6 @@
   reset_election_timer (raft, now_us);
 }
 
-void
-wl_raft_add_peer (WlRaft *raft, uint32_t node)
-{
-  if (node == raft->self || wl_raft_find_peer (raft, node) != NULL)
-    return;
-  if (raft->n_peers == WL_MAX_REPLICAS)
-    return;
-  WlRaftPeer *peer = &raft->peers[raft->n_peers++];
-  memset (peer, 0, sizeof *peer);
-  peer->node = node;
-  peer->next = wl_raft_last_index (raft) + 1;
-}
-
 void
 wl_raft_clear (WlRaft *raft)
 {
@@ -532,6 +519,9 @@
 wl_raft_receive (WlRaft *raft, uint32_t from, const WlMessage *message, uint64_t now_us,
                  WlEffects *fx)
 {
+  WlRaftPeer *peer = wl_raft_find_peer (raft, from);
+  if (peer != NULL)
+    peer->heard_us = now_us;
   switch (message->kind)
     {
     case WL_MESSAGE_VOTE_REQUEST:
--- a/core/agreement/wl_raft.h
+++ b/core/agreement/wl_raft.h
@@ -35,6 +35,7 @@
   WL_RAFT_COMPACT_ENTRIES = 2048, /* log size from which on a snapshot is taken */
   WL_RAFT_COMPACT_BYTES = 4194304,
   WL_RAFT_VOTER_TIMEOUT_US = 1500000, /* a voter without contact for this long may be replaced */
+  WL_RAFT_PEER_EXPIRY_US = 5000000,   /* a silent replica that is no voter may lose its place */
   WL_RAFT_FOUNDING_WAIT_US = 2000000, /* for all founders, before a majority founds the group */
   WL_RAFT_FIRST_START = 1, /* bit of an incarnation: the disk was set up at the first start */
 };
@@ -59,6 +60,7 @@
  * @snapshot_offset: bytes of the current snapshot that it has received
  * @empty_us: time at which it reported an empty disk, 0 for never
  * @sent_us: time of the latest append
+ * @heard_us: time of its latest message, or when it was last added
  * @granted: it granted the current (pre-)vote
  */
 typedef struct
@@ -72,6 +74,7 @@
   uint32_t snapshot_offset;
   uint64_t empty_us;
   uint64_t sent_us;
+  uint64_t heard_us;
   uint8_t granted;
 } WlRaftPeer;
 
@@ -158,16 +161,19 @@
                    uint64_t now_us);
 
 /**
- * wl_raft_add_peer() - adds another replica
+ * wl_raft_add_peer() - adds another replica, or notes that it is alive
  * @raft: the replica
  * @node: node id
+ * @now_us: monotonic time
  *
- * Ignored beyond WL_MAX_REPLICAS. A leader replicates to peers that have reported
- * the incarnation of their data folder. It makes those that have caught up voters
- * while there are fewer than max_voters, and after that only in place of a voter
- * without contact for WL_RAFT_VOTER_TIMEOUT_US.
+ * There are WL_MAX_REPLICAS places. When all are taken, the replica takes that of one which is
+ * no voter and was not heard for WL_RAFT_PEER_EXPIRY_US, or of any which is no voter if it is
+ * one itself. Without such a place the call is ignored, to be repeated while the node is alive. A
+ * leader replicates to peers that have reported the incarnation of their data folder. It makes
+ * those that have caught up voters while there are fewer than max_voters, and after that only in
+ * place of a voter without contact for WL_RAFT_VOTER_TIMEOUT_US.
  */
-void wl_raft_add_peer (WlRaft *raft, uint32_t node);
+void wl_raft_add_peer (WlRaft *raft, uint32_t node, uint64_t now_us);
 
 /**
  * wl_raft_set_founders() - sets the voters before the first log entry
--- a/core/agreement/wl_raft_group.c
+++ b/core/agreement/wl_raft_group.c
@@ -68,6 +68,45 @@
   return 0;
 }
 
+/*
+ * The place of the replica that was not heard for the longest time, of those that are no voters;
+ * NULL when it is needed still. A voter takes the place of any of them.
+ */
+static WlRaftPeer *
+find_unused_place (WlRaft *raft, uint32_t node, uint64_t now_us)
+{
+  WlRaftPeer *oldest = NULL;
+  if (raft->n_peers < WL_MAX_REPLICAS)
+    return &raft->peers[raft->n_peers++];
+  for (uint32_t i = 0; i < raft->n_peers; i++)
+    {
+      WlRaftPeer *p = &raft->peers[i];
+      if (!has_voter_at (raft, p->node) && (oldest == NULL || p->heard_us < oldest->heard_us))
+        oldest = p;
+    }
+  if (oldest == NULL
+      || (!has_voter_at (raft, node) && now_us < oldest->heard_us + WL_RAFT_PEER_EXPIRY_US))
+    return NULL;
+  return oldest;
+}
+
+void
+wl_raft_add_peer (WlRaft *raft, uint32_t node, uint64_t now_us)
+{
+  WlRaftPeer *peer = wl_raft_find_peer (raft, node);
+  if (peer != NULL)
+    peer->heard_us = now_us;
+  if (peer != NULL || node == raft->self)
+    return;
+  peer = find_unused_place (raft, node, now_us);
+  if (peer == NULL)
+    return;
+  memset (peer, 0, sizeof *peer);
+  peer->node = node;
+  peer->next = wl_raft_last_index (raft) + 1;
+  peer->heard_us = now_us;
+}
+
 void
 wl_raft_set_founders (WlRaft *raft, const uint32_t *nodes, uint32_t n_nodes, uint64_t now_us)
 {
@@ -84,7 +123,7 @@
         known++;
       if (known < n)
         continue; /* listed twice */
-      wl_raft_add_peer (raft, nodes[i]);
+      wl_raft_add_peer (raft, nodes[i], now_us);
       founders[n++] = (WlReplica){ nodes[i], nodes[i] == raft->self ? raft->incarnation : 0 };
     }
   wl_raft_set_first_voters (raft, founders, n);
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -175,7 +175,7 @@
   for (uint32_t i = 0; i < n; i++)
     {
       wl_roster_add (host->roster, voters[i], host->started_us);
-      wl_config_store_add_peer (host->config_store, voters[i]);
+      wl_config_store_add_peer (host->config_store, voters[i], host->started_us);
     }
 }
 
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -203,7 +203,7 @@
     wl_log_eventf (WL2203_NODE_HEARD, "node=%u boot=%" PRIx64 " zone=%s disk=%u config=%" PRIu64,
                    s->node, s->boot, s->domain, s->has_disk, s->config_number);
   if (s->has_disk && wl_host_is_replica (host))
-    wl_config_store_add_peer (host->config_store, s->node);
+    wl_config_store_add_peer (host->config_store, s->node, now_us);
   wl_load_drop_node (host->load, s->node, s->boot, now_us);
   if (wl_membership_is_load_peer (host->membership, node))
     {
@@ -221,7 +221,7 @@
       && wl_membership_is_load_peer (host->membership, node))
     wl_log_eventf (WL2205_NODE_DRAINING, "node=%u", s->node);
   if (s->has_disk && wl_host_is_replica (host))
-    wl_config_store_add_peer (host->config_store, s->node);
+    wl_config_store_add_peer (host->config_store, s->node, now_us);
   wl_host_pull_config (host, s->node, s->config_number, now_us);
 }
 
--- a/testkit/wl_config_sim.c
+++ b/testkit/wl_config_sim.c
@@ -117,12 +117,12 @@
   uint32_t voters[WL_MAX_REPLICAS];
   uint32_t n_voters = wl_config_store_voters (n->store, voters);
   for (uint32_t i = 0; i < n_voters; i++)
-    wl_config_store_add_peer (n->store, voters[i]);
+    wl_config_store_add_peer (n->store, voters[i], config_sim.now_us);
   for (uint32_t i = 1; i <= CONFIG_SIM_NODES; i++)
     if (config_sim.nodes[i].is_up)
       {
-        wl_config_store_add_peer (n->store, i);
-        wl_config_store_add_peer (config_sim.nodes[i].store, node);
+        wl_config_store_add_peer (n->store, i, config_sim.now_us);
+        wl_config_store_add_peer (config_sim.nodes[i].store, node, config_sim.now_us);
       }
   wl_storage_forget (n->storage);
   n->is_up = 1;
@@ -224,7 +224,7 @@
         const ConfigSimNode *a = &config_sim.nodes[i];
         const ConfigSimNode *b = &config_sim.nodes[j];
         if (a->is_up && b->is_up && !a->is_isolated && !b->is_isolated)
-          wl_config_store_add_peer (a->store, j);
+          wl_config_store_add_peer (a->store, j, config_sim.now_us);
       }
 }
 
