A reload of the seeds changes no founders

A seed that is cut off before the control group is founded, and is told of other seeds by SIGHUP, could have founded a second group with these: the majority was one of the latest list. It is one of the list of the start now, which is the same on all seeds. a_reload_of_the_seeds_changes_no_founders failed before: the seed led a group alone. A restart with another list before any group was founded is not covered.

--- a/relay/tests/test_host_founding.c
+++ b/relay/tests/test_host_founding.c
@@ -184,6 +184,21 @@
 }
 END_TEST
 
+/* Guards against a second group: a seed that is cut off is told of other seeds before the founding.
+ */
+START_TEST (a_reload_of_the_seeds_changes_no_founders)
+{
+  Fixture f;
+  setup (&f);
+  start (&f, 1, 1);
+  run (&f, JOINED_US);
+  wl_host_set_seeds (f.nodes[1], &f.nodes[1]->options.node, 1);
+  run (&f, CONFIRMED_US);
+  ck_assert_uint_eq (wl_host_leader (f.nodes[1], wl_clock_now_us ()), 0);
+  teardown (&f);
+}
+END_TEST
+
 /* Lines of the log, which is closed, that name a seed as never heard. */
 static int
 count_lines (const char *path, uint32_t seed)
@@ -234,6 +249,7 @@
     WL_TEST (a_change_is_confirmed_without_one_of_the_seeds),
     WL_TEST (a_late_seed_gets_the_configuration),
     WL_TEST (seeds_without_a_disk_found_nothing_and_block_nothing),
+    WL_TEST (a_reload_of_the_seeds_changes_no_founders),
     WL_TEST (a_node_without_a_configuration_names_the_seeds_that_it_waits_for),
   };
   apr_initialize ();
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -281,6 +281,8 @@
   if (host == NULL)
     return WL_ERROR_NO_MEMORY;
   host->options = *options;
+  memcpy (host->first_seeds, options->seeds, sizeof host->first_seeds);
+  host->n_first_seeds = options->n_seeds;
   host->started_us = wl_clock_now_us ();
   randombytes_buf (&host->boot_id, sizeof host->boot_id);
   format_address (options->node, host->address);
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -396,7 +396,8 @@
 
 /*
  * A majority of the seeds with a disk founds the group of config store replicas. Until a seed is
- * heard it counts as one with a disk.
+ * heard it counts as one with a disk. The list is that of the start, as at the other seeds: a later
+ * one may have another majority.
  */
 static void
 update_founders (WlHost *host, uint64_t now_us)
@@ -406,9 +407,9 @@
   int has_self = 0;
   if (!host->may_bootstrap || host->config_number != 0 || !wl_host_is_replica (host))
     return;
-  for (uint32_t i = 0; i < host->options.n_seeds; i++)
+  for (uint32_t i = 0; i < host->n_first_seeds; i++)
     {
-      uint32_t seed = host->options.seeds[i];
+      uint32_t seed = host->first_seeds[i];
       int is_self = seed == host->options.node;
       if (is_self || !is_heard (host, seed) || wl_roster_find (host->roster, seed)->status.has_disk)
         founders[n++] = seed;
