A leader that contradicts what was committed ends no process

A node that was sent entries other than those that it holds as committed ended by itself (abort in wl_raft_truncate): a second group, or a replica whose disk was put back to an earlier state, takes down each replica that it reaches. The message is refused before its term is taken, with WL2008; the abort stays as a check of the program itself.

entries_that_contradict_committed_ones_are_refused failed before with signal 6.

--- a/core/agreement/wl_raft.c
+++ b/core/agreement/wl_raft.c
@@ -402,11 +402,29 @@
     }
 }
 
+static int
+contradicts_commit (const WlRaft *raft, const WlAppendRequest *a)
+{
+  for (uint32_t i = 0; i < a->n_entries && a->prev_index + 1 + i <= raft->commit; i++)
+    {
+      const WlLogEntry *e = wl_raft_entry (raft, a->prev_index + 1 + i);
+      if (e != NULL && e->term != a->entries[i].term)
+        return 1;
+    }
+  return 0;
+}
+
 static void
 on_append (WlRaft *raft, const WlAppendRequest *a, uint64_t now_us, WlEffects *fx)
 {
   if (a->to_incarnation != raft->incarnation)
     return;
+  if (contradicts_commit (raft, a))
+    {
+      wl_effects_log (fx, WL2008_MESSAGE_REFUSED, "peer=%u term=%lu reason=committed_entry",
+                      a->leader, (unsigned long)a->term);
+      return;
+    }
   if (!wl_raft_accept_leader (raft, a->term, a->leader, now_us, fx))
     {
       reply_append (raft, a, 0, wl_raft_last_index (raft), fx);
