--- a/core/agreement/wl_raft.h
+++ b/core/agreement/wl_raft.h
@@ -30,9 +30,10 @@
   WL_RAFT_PRE_VOTE_MIN_US = 100000, /* interval of pre-votes while no leader is known */
   WL_RAFT_PRE_VOTE_MAX_US = 300000,
   WL_RAFT_HELLO_INTERVAL_US = 200000,
-  WL_RAFT_CHUNK_BYTES = 65536,    /* snapshot bytes in one message */
-  WL_RAFT_APPEND_BYTES = 262144,  /* command bytes in one message */
-  WL_RAFT_COMPACT_ENTRIES = 2048, /* log size from which on a snapshot is taken */
+  WL_RAFT_CHUNK_BYTES = 65536,        /* snapshot bytes in one message */
+  WL_RAFT_SNAPSHOT_BYTES = 256 << 20, /* larger snapshots of other replicas are refused */
+  WL_RAFT_APPEND_BYTES = 262144,      /* command bytes in one message */
+  WL_RAFT_COMPACT_ENTRIES = 2048,     /* log size from which on a snapshot is taken */
   WL_RAFT_COMPACT_BYTES = 4194304,
   WL_RAFT_VOTER_TIMEOUT_US = 1500000, /* a voter without contact for this long may be replaced */
   WL_RAFT_PEER_EXPIRY_US = 5000000,   /* a silent replica that is no voter may lose its place */
--- a/core/agreement/wl_raft_log.c
+++ b/core/agreement/wl_raft_log.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "wl_raft_log.h"
+#include "wl_state.h"
 
 uint64_t
 wl_raft_last_index (const WlRaft *raft)
@@ -120,13 +121,32 @@
     memmove (raft->log, raft->log + n, raft->n_log * sizeof *raft->log);
 }
 
+static WlError
+decode_image (WlBytes image, WlStateSnapshot *state, apr_pool_t *pool)
+{
+  memset (state, 0, sizeof *state);
+  WlError error = wl_decode_bytes (image, wl_state_snapshot_fields, state, pool);
+  return error == WL_OK ? wl_state_check (state) : error;
+}
+
+WlError
+wl_raft_check_snapshot (WlBytes image)
+{
+  apr_pool_t *pool;
+  WlStateSnapshot state;
+  apr_pool_create (&pool, NULL);
+  WlError error = decode_image (image, &state, pool);
+  apr_pool_destroy (pool);
+  return error;
+}
+
 WlError
 wl_raft_set_snapshot (WlRaft *raft, uint64_t index, uint64_t index_term, WlBytes image)
 {
   apr_pool_t *pool;
-  WlStateSnapshot state = { 0 };
+  WlStateSnapshot state;
   apr_pool_create (&pool, NULL);
-  WlError error = wl_decode_bytes (image, wl_state_snapshot_fields, &state, pool);
+  WlError error = decode_image (image, &state, pool);
   if (error == WL_OK)
     {
       uint32_t n = state.n_voters < WL_MAX_REPLICAS ? state.n_voters : WL_MAX_REPLICAS;
--- a/core/agreement/wl_raft_log.h
+++ b/core/agreement/wl_raft_log.h
@@ -55,6 +55,14 @@
  */
 void wl_raft_drop_prefix (WlRaft *raft, uint64_t index);
 
+/**
+ * wl_raft_check_snapshot() - whether a snapshot can be used
+ * @image: encoded state
+ *
+ * Return: as wl_raft_set_snapshot().
+ */
+WlError wl_raft_check_snapshot (WlBytes image);
+
 /**
  * wl_raft_set_snapshot() - replaces the snapshot in memory
  * @raft: the replica
@@ -62,7 +70,8 @@
  * @index_term: its term
  * @image: encoded state
  *
- * Return: WL_OK, or WL_ERROR_INVALID when the image cannot be decoded.
+ * Return: WL_OK, WL_ERROR_INVALID when the image cannot be decoded, or WL_ERROR_CORRUPT when it
+ * holds more than wl_state_load() takes.
  */
 WlError wl_raft_set_snapshot (WlRaft *raft, uint64_t index, uint64_t index_term, WlBytes image);
 
--- a/core/agreement/wl_raft_snapshot.c
+++ b/core/agreement/wl_raft_snapshot.c
@@ -26,6 +26,23 @@
   wl_effects_send (fx, peer->node, &m);
 }
 
+static void
+drop_incoming (WlRaft *raft)
+{
+  free (raft->incoming);
+  raft->incoming = NULL;
+  raft->incoming_size = 0;
+  raft->incoming_offset = 0;
+  raft->incoming_index = 0;
+}
+
+static void
+refuse (const WlSnapshotChunk *c, const char *reason, WlEffects *fx)
+{
+  wl_effects_log (fx, WL2008_MESSAGE_REFUSED, "peer=%u term=%lu index=%lu bytes=%u reason=%s",
+                  c->leader, (unsigned long)c->term, (unsigned long)c->index, c->total, reason);
+}
+
 static void
 install_snapshot (WlRaft *raft, const WlSnapshotChunk *c, WlEffects *fx)
 {
@@ -49,30 +66,41 @@
                   image.size);
 }
 
-static void
+/* Returns 0 for a snapshot that is refused; it is not answered, so that its leader waits. */
+static int
 receive_chunk (WlRaft *raft, const WlSnapshotChunk *c, WlEffects *fx)
 {
   if (c->offset == 0 && (raft->incoming_index != c->index || raft->incoming == NULL))
     {
-      free (raft->incoming);
-      raft->incoming = malloc (c->total > 0 ? c->total : 1);
+      drop_incoming (raft);
+      if (c->total <= WL_RAFT_SNAPSHOT_BYTES)
+        raft->incoming = malloc (c->total > 0 ? c->total : 1);
       if (raft->incoming == NULL)
-        abort ();
+        {
+          refuse (c, "snapshot_too_large", fx);
+          return 0;
+        }
       raft->incoming_size = c->total;
-      raft->incoming_offset = 0;
       raft->incoming_index = c->index;
     }
   if (c->index != raft->incoming_index || c->offset != raft->incoming_offset)
-    return;
+    return 1;
   if (c->total != raft->incoming_size || c->data.size > c->total - c->offset)
-    return;
+    return 1;
   memcpy (raft->incoming + c->offset, c->data.data, c->data.size);
   raft->incoming_offset += c->data.size;
   if (raft->incoming_offset < raft->incoming_size)
-    return;
+    return 1;
+  if (wl_raft_check_snapshot ((WlBytes){ raft->incoming, raft->incoming_size }) != WL_OK)
+    {
+      refuse (c, "snapshot_unreadable", fx);
+      drop_incoming (raft);
+      return 0;
+    }
   install_snapshot (raft, c, fx);
   free (raft->incoming);
   raft->incoming = NULL;
+  return 1;
 }
 
 void
@@ -82,8 +110,8 @@
   if (c->to_incarnation != raft->incarnation)
     return;
   int accepted = wl_raft_accept_leader (raft, c->term, c->leader, now_us, fx);
-  if (accepted && c->index > raft->commit)
-    receive_chunk (raft, c, fx);
+  if (accepted && c->index > raft->commit && !receive_chunk (raft, c, fx))
+    return;
   m.u.snapshot_reply = (WlSnapshotReply){
     .term = raft->term,
     .follower = raft->self,
--- a/core/agreement/wl_state.c
+++ b/core/agreement/wl_state.c
@@ -269,6 +269,15 @@
   state->directory_version = image->directory_version;
 }
 
+WlError
+wl_state_check (const WlStateSnapshot *image)
+{
+  return image->n_members > WL_MEMBERS_MAX || image->n_cells > WL_CELLS_MAX
+                 || image->n_roots > WL_MEMBERS_MAX
+             ? WL_ERROR_CORRUPT
+             : WL_OK;
+}
+
 WlError
 wl_state_load (WlState *state, WlBytes image_bytes)
 {
@@ -276,8 +285,7 @@
   WlStateSnapshot image = { 0 };
   apr_pool_create (&pool, NULL);
   WlError error = wl_decode_bytes (image_bytes, wl_state_snapshot_fields, &image, pool);
-  if (error != WL_OK || image.n_members > WL_MEMBERS_MAX || image.n_cells > WL_CELLS_MAX
-      || image.n_roots > WL_MEMBERS_MAX)
+  if (error != WL_OK || wl_state_check (&image) != WL_OK)
     error = WL_ERROR_CORRUPT;
   else
     load_image (state, &image);
--- a/core/agreement/wl_state.h
+++ b/core/agreement/wl_state.h
@@ -110,6 +110,9 @@
 WlBytes wl_state_save (const WlState *state, const WlReplica *voters, uint32_t n_voters,
                        apr_pool_t *pool);
 
+/** wl_state_check() - WL_OK, or WL_ERROR_CORRUPT when an image holds more than there may be */
+WlError wl_state_check (const WlStateSnapshot *image);
+
 /**
  * wl_state_load() - replaces the state by a snapshot
  * @state: the state; unchanged on error
