--- a/core/agreement/wl_config_store.c
+++ b/core/agreement/wl_config_store.c
@@ -75,7 +75,8 @@
   cs->state = wl_state_create ();
   wl_raft_init (&cs->raft, settings, stored, now_us);
   cs->raft.may_bootstrap = 0;
-  if (cs->raft.restored && load_snapshot (cs) != WL_OK)
+  int is_read = stored == NULL || stored->snapshot_index == cs->raft.snapshot_index;
+  if (!is_read || (cs->raft.restored && load_snapshot (cs) != WL_OK))
     {
       wl_config_store_destroy (cs);
       return WL_ERROR_CORRUPT;
--- a/core/agreement/wl_control.c
+++ b/core/agreement/wl_control.c
@@ -49,6 +49,8 @@
   control->state->is_revertible = 1;
   wl_raft_init (&control->raft, settings, stored, now_us);
   *out = control;
+  if (stored != NULL && stored->snapshot_index != control->raft.snapshot_index)
+    return WL_ERROR_CORRUPT;
   return control->raft.restored ? load_snapshot (control) : WL_OK;
 }
 
--- a/core/tests/test_raft_input.c
+++ b/core/tests/test_raft_input.c
@@ -136,6 +136,19 @@
 }
 END_TEST
 
+/* Guards against a replica that starts empty over a snapshot on its disk that it cannot read. */
+START_TEST (a_stored_snapshot_that_cannot_be_read_is_an_error)
+{
+  static const uint8_t bytes[IMAGE_BYTES] = { 0xc1 };
+  WlSettings settings = { .self.node = 1, .replica_incarnation = INCARNATION };
+  WlStoredState stored = { .term = TERM, .snapshot_index = INDEX, .snapshot_term = TERM };
+  WlConfigStore *store = NULL;
+  stored.snapshot = (WlBytes){ bytes, sizeof bytes };
+  ck_assert_int_eq (wl_config_store_create (&settings, &stored, 0, &store), WL_ERROR_CORRUPT);
+  ck_assert_ptr_null (store);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -144,6 +157,7 @@
     WL_TEST (a_snapshot_that_cannot_be_read_is_refused),
     WL_TEST (a_snapshot_with_too_many_nodes_is_refused),
     WL_TEST (a_snapshot_that_is_too_large_is_refused),
+    WL_TEST (a_stored_snapshot_that_cannot_be_read_is_an_error),
   };
   apr_initialize ();
   return wl_test_run ("raft input", tests, sizeof tests / sizeof tests[0]);
