An endpoint without work takes no memory for its load

A node kept a queue of 9,240 bytes for each endpoint that it ever heard work of, also of endpoints long gone and of ones named only by the end of a request: 160 MB after 17,000 of them. Queues without items are given back with the expiry of items, and the end of an unknown request makes none.

an_endpoint_without_work_takes_no_memory failed before: the queue was there.

--- a/relay/placement/wl_load.c
+++ b/relay/placement/wl_load.c
@@ -37,12 +37,9 @@
 }
 
 static WlLoadQueue *
-get_queue (WlLoad *load, uint64_t endpoint)
+add_queue (WlLoad *load, uint64_t endpoint)
 {
-  WlLoadQueue *queue = find_queue (load, endpoint);
-  if (queue != NULL)
-    return queue;
-  queue = calloc (1, sizeof *queue);
+  WlLoadQueue *queue = calloc (1, sizeof *queue);
   if (queue == NULL)
     abort ();
   queue->endpoint = endpoint;
@@ -80,9 +77,13 @@
 double
 wl_load_apply (WlLoad *load, uint32_t node, uint64_t boot, const WlWorkItem *work, uint64_t now_us)
 {
-  WlLoadQueue *queue = get_queue (load, work->endpoint);
+  WlLoadQueue *queue = find_queue (load, work->endpoint);
   double ratio = 0.0;
   uint32_t i = 0;
+  if (queue == NULL && work->phase == WL_WORK_ENDED)
+    return 0.0;
+  if (queue == NULL)
+    queue = add_queue (load, work->endpoint);
   while (i < queue->n_items
          && (queue->items[i].node != node || queue->items[i].boot != boot
              || queue->items[i].work.id != work->id))
@@ -234,5 +235,9 @@
       for (uint32_t i = queue->n_items; i-- > 0;)
         if (now_us > queue->items[i].phase_since_us + WL_LOAD_EXPIRY_US)
           remove_item (queue, i, now_us);
+      if (queue->n_items > 0)
+        continue;
+      apr_hash_set (load->queues, &queue->endpoint, sizeof queue->endpoint, NULL);
+      free (queue);
     }
 }
--- a/relay/placement/wl_load.h
+++ b/relay/placement/wl_load.h
@@ -139,7 +139,7 @@
 /** wl_load_sum() - totals at an endpoint */
 WlLoadSum wl_load_sum (const WlLoad *load, uint64_t endpoint, uint64_t now_us);
 
-/** wl_load_expire() - drops items whose phase is older than WL_LOAD_EXPIRY_US */
+/** wl_load_expire() - drops items whose phase is older than WL_LOAD_EXPIRY_US, and empty queues */
 void wl_load_expire (WlLoad *load, uint64_t now_us);
 
 #endif
--- a/relay/tests/test_load.c
+++ b/relay/tests/test_load.c
@@ -129,6 +129,22 @@
 }
 END_TEST
 
+/* Guards against memory that grows with each endpoint that there ever was. */
+START_TEST (an_endpoint_without_work_takes_no_memory)
+{
+  WlLoad *l = wl_load_create ();
+  apply_item (l, 1, 1, 1, WL_WORK_SENT, 1000);
+  wl_load_expire (l, 1000);
+  ck_assert_ptr_nonnull (wl_load_queue (l, 7));
+  apply_item (l, 1, 1, 1, WL_WORK_ENDED, 2000);
+  wl_load_expire (l, 2000);
+  ck_assert_ptr_null (wl_load_queue (l, 7));
+  apply_item (l, 1, 1, 2, WL_WORK_ENDED, 3000); /* of a request that this node never heard of */
+  ck_assert_ptr_null (wl_load_queue (l, 7));
+  wl_load_destroy (l);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -138,6 +154,7 @@
     WL_TEST (the_backlog_shrinks_by_the_prefill_done),
     WL_TEST (a_full_report_ends_the_items_that_it_does_not_list),
     WL_TEST (parts_of_split_prompts_are_counted_separately),
+    WL_TEST (an_endpoint_without_work_takes_no_memory),
     WL_TEST (the_items_of_a_lost_or_restarted_node_are_dropped),
   };
   apr_initialize ();
