Dials of nodes that are gone are forgotten

A node remembered when it had last dialled each node that there ever was, and went through all of them before each dial.

--- a/runtime/tests/test_peers.c
+++ b/runtime/tests/test_peers.c
@@ -259,6 +259,32 @@
 }
 END_TEST
 
+/* Guards against memory, and time for each dial, that grow with all nodes that there ever were. */
+START_TEST (dials_of_nodes_that_are_gone_are_forgotten)
+{
+  enum
+  {
+    NODES = 200,
+  };
+  WlReactor *reactor;
+  End a = { 0 };
+  uint64_t now_us = wl_clock_now_us ();
+  ck_assert_int_eq (wl_reactor_create (&reactor), WL_OK);
+  WlPeers *peers = open_end (reactor, 1, "k", &a);
+  uint16_t unused;
+  wl_test_free_ports (&unused, 1);
+  a.peer_port = unused;
+  for (uint32_t node = 2; node < NODES; node++)
+    {
+      now_us += WL_PEER_REDIAL_US;
+      wl_peers_send (peers, node, (WlBytes){ (const uint8_t *)"x", 1 }, now_us);
+    }
+  ck_assert_uint_le (wl_peers_traffic (peers).dials, 2);
+  wl_peers_destroy (peers);
+  wl_reactor_destroy (reactor);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -269,6 +295,7 @@
     WL_TEST (a_silent_connection_is_replaced),
     WL_TEST (a_lost_opening_packet_is_not_waited_for),
     WL_TEST (queues_to_all_peers_together_are_bounded),
+    WL_TEST (dials_of_nodes_that_are_gone_are_forgotten),
     WL_TEST (random_bytes_close_the_connection_and_nothing_else),
   };
   return wl_test_run ("peers", tests, sizeof tests / sizeof tests[0]);
--- a/runtime/wl_peers.c
+++ b/runtime/wl_peers.c
@@ -385,17 +385,17 @@
   return best;
 }
 
+/* Also forgets the dials that no longer matter. */
 static int
 may_dial (WlPeers *peers, uint32_t node, uint64_t now_us)
 {
-  for (uint32_t i = 0; i < peers->n_dials; i++)
-    if (peers->dials[i].node == node)
-      {
-        if (now_us < peers->dials[i].dialled_us + WL_PEER_REDIAL_US)
-          return 0;
-        peers->dials[i].dialled_us = now_us;
-        return 1;
-      }
+  for (uint32_t i = 0; i < peers->n_dials;)
+    if (now_us >= peers->dials[i].dialled_us + WL_PEER_REDIAL_US)
+      peers->dials[i] = peers->dials[--peers->n_dials];
+    else if (peers->dials[i].node == node)
+      return 0;
+    else
+      i++;
   peers->dials = realloc (peers->dials, (peers->n_dials + 1) * sizeof *peers->dials);
   if (peers->dials == NULL)
     abort ();
@@ -456,6 +456,7 @@
     .queued_bytes = peers->queued_bytes,
     .sent_bytes = peers->sent_bytes,
     .dropped_frames = peers->dropped_frames,
+    .dials = peers->n_dials,
   };
 }
 
--- a/runtime/wl_peers.h
+++ b/runtime/wl_peers.h
@@ -78,12 +78,14 @@
  * @queued_bytes: bytes not yet written, over all connections
  * @sent_bytes: bytes queued since the start
  * @dropped_frames: messages given up since the start because a queue was full
+ * @dials: times of dials that are kept, until WL_PEER_REDIAL_US after each
  */
 typedef struct
 {
   uint64_t queued_bytes;
   uint64_t sent_bytes;
   uint64_t dropped_frames;
+  uint32_t dials;
 } WlPeersTraffic;
 
 /** wl_peers_traffic() - what the connections carry */
