Tests: an emptied disk founds no second group; mutants of founding and places

The mutants identity-ignored and empty-disk-votes name the code as it is now: both break the same rule as before and are found out by the same test.

--- a/core/tests/test_founding.c
+++ b/core/tests/test_founding.c
@@ -133,6 +133,34 @@
 }
 END_TEST
 
+/*
+ * Guards against an empty system that stands in for one whose disks are away: a seed that was
+ * absent at the founding meets one whose disk was emptied after it.
+ */
+START_TEST (an_emptied_disk_founds_no_second_group)
+{
+  for (uint64_t run = 0; run < RUNS; run++)
+    {
+      uint32_t late = (uint32_t)(run % SEEDS) + 1;
+      uint32_t emptied = late % SEEDS + 1;
+      uint32_t kept = emptied % SEEDS + 1;
+      config_sim_create (run + 1);
+      start_seed (emptied);
+      start_seed (kept);
+      assert_submitted_within (1, "one", FOUNDED_US);
+      config_sim_crash (kept);
+      config_sim_wipe (emptied);
+      config_sim_start (emptied, NULL, 0);
+      start_seed (late);
+      ck_assert_ptr_null (config_sim_request (WL_MESSAGE_SUBMIT, 2, "two", LATE_US));
+      start_seed (kept);
+      config_sim_run (REPLACED_US);
+      config_sim_assert_config (1, "one");
+      config_sim_destroy ();
+    }
+}
+END_TEST
+
 /*
  * Guards against two groups: seeds that start late, are killed and cut off in any order while
  * messages are lost. What was confirmed under one leader is read back under every later one.
@@ -198,6 +226,7 @@
     WL_TEST (a_late_seed_joins_the_group),
     WL_TEST (one_seed_of_three_founds_no_group),
     WL_TEST (a_seed_that_is_lost_while_it_founds_does_not_block_the_others),
+    WL_TEST (an_emptied_disk_founds_no_second_group),
     WL_TEST (one_group_is_founded_under_crashes_losses_and_cuts),
   };
   apr_initialize ();
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -37,8 +37,11 @@
   mutant "$@" &
 }
 
-start identity-ignored test_raft core/agreement/wl_raft_log.c 's/ && raft->voters\[i\]\.incarnation == incarnation//'
-start empty-disk-votes test_raft core/agreement/wl_raft.c 's/raft->incarnation = settings->replica_incarnation;/raft->incarnation = 1;/; s/if \(wl_raft_is_empty \(raft\)\)\n    return; \/\* a disk/if (0)\n    return; \/\* a disk/'
+start identity-ignored test_raft core/agreement/wl_raft_log.c 's/(if \(replica->node != node) \|\| incarnation == 0(\)\s*return 0;\s*)return [^;]*;/$1$2return 1;/'
+start empty-disk-votes test_raft core/agreement/wl_raft.c 's/raft->incarnation = settings->replica_incarnation;/raft->incarnation = 1;/; s/if \(wl_raft_is_empty \(raft\) && !is_self_voter \(raft\)\)\n    return;/if (0)\n    return;/'
+start seed-founds-alone test_founding core/agreement/wl_raft.c 's/if \(votes <= raft->n_voters \/ 2\)/if (votes < 1)/'
+start founding-waits-for-all test_founding core/agreement/wl_raft.c 's/now_us < raft->founding_us;/1;/'
+start places-not-given-back test_config_store core/agreement/wl_raft_group.c 's/return oldest;/return NULL;/'
 start lease-bound-ignored test_control core/agreement/wl_assign.c 's/return now_us >= wl_control_lease_bound \(control, cell->owner\);/return 1;/'
 start answer-while-assigning test_control core/agreement/wl_control.c 's/if \(control->assign_index > control->raft\.applied\)\n    return;/if (0)\n    return;/'
 start paused-owner-acts test_control core/wl_core.c 's/if \(!wl_core_has_lease \(core, event->now_us\)\)\n    close_cells \(core, 1, effects\);//'
