Simulated store: a read of no configuration copies nothing

With the sanitizers test_founding ended in one_group_is_founded_under_crashes_losses_and_cuts: 'null pointer passed as argument 2' of memcpy, when no change had been confirmed yet.

--- a/testkit/wl_config_sim.c
+++ b/testkit/wl_config_sim.c
@@ -175,8 +175,9 @@
   apr_pool_create (&pool, NULL);
   ck_assert_int_eq (wl_config_decompress (m->u.query_reply.config, pool, &config), WL_OK);
   config = wl_config_split_version (config, &a->version);
-  memcpy (a->config, config.data,
-          config.size < sizeof a->config ? config.size : sizeof a->config - 1);
+  if (config.size > 0)
+    memcpy (a->config, config.data,
+            config.size < sizeof a->config ? config.size : sizeof a->config - 1);
   apr_pool_destroy (pool);
 }
 
