A leader that waits for more disks says so

With fault_tolerance 2 and two of three replicas up a group was founded and changes stayed unanswered without a line that says why (seen with 9 real processes, 3 with a disk, one of them absent): a leader takes changes once f + 1 voters have known disks. It logs WL2112 too_few_disks with both numbers every 4 s. a_leader_without_enough_disks_says_so failed before: no line.

--- a/core/agreement/wl_config_store.c
+++ b/core/agreement/wl_config_store.c
@@ -137,6 +137,14 @@
   return store->raft.leader;
 }
 
+int
+wl_config_store_lacks_disks (const WlConfigStore *store, uint32_t *disks, uint32_t *needed)
+{
+  *disks = wl_raft_count_disks (&store->raft);
+  *needed = store->raft.min_voters;
+  return *disks < *needed;
+}
+
 uint32_t
 wl_config_store_voters (const WlConfigStore *store, uint32_t *out)
 {
--- a/core/agreement/wl_config_store.h
+++ b/core/agreement/wl_config_store.h
@@ -104,6 +104,16 @@
 /** wl_config_store_leader() - node id of the leader as far as this replica knows, 0 for none */
 uint32_t wl_config_store_leader (const WlConfigStore *store);
 
+/**
+ * wl_config_store_lacks_disks() - whether changes wait for more replicas
+ * @store: the replica
+ * @disks: receives the number of voters whose disks are known
+ * @needed: receives how many there must be before changes are taken
+ *
+ * Return: 1 when there are too few, otherwise 0.
+ */
+int wl_config_store_lacks_disks (const WlConfigStore *store, uint32_t *disks, uint32_t *needed);
+
 /**
  * wl_config_store_voters() - the voters of the group
  * @store: the replica
--- a/core/agreement/wl_raft.c
+++ b/core/agreement/wl_raft.c
@@ -577,12 +577,18 @@
   return wl_raft_entry (raft, raft->applied);
 }
 
+uint32_t
+wl_raft_count_disks (const WlRaft *raft)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < raft->n_voters; i++)
+    n += raft->voters[i].incarnation != 0;
+  return n;
+}
+
 int
 wl_raft_is_ready (const WlRaft *raft)
 {
-  uint32_t n_known = 0;
-  for (uint32_t i = 0; i < raft->n_voters; i++)
-    n_known += raft->voters[i].incarnation != 0;
   return raft->role == WL_RAFT_LEADER && raft->commit >= raft->term_start
-         && n_known >= raft->min_voters;
+         && wl_raft_count_disks (raft) >= raft->min_voters;
 }
--- a/core/agreement/wl_raft.h
+++ b/core/agreement/wl_raft.h
@@ -277,6 +277,9 @@
  */
 uint64_t wl_raft_request_round (WlRaft *raft);
 
+/** wl_raft_count_disks() - number of voters whose disks are known */
+uint32_t wl_raft_count_disks (const WlRaft *raft);
+
 /**
  * wl_raft_is_ready() - whether the leader may accept proposals
  * @raft: the replica
--- a/relay/tests/test_host_founding.c
+++ b/relay/tests/test_host_founding.c
@@ -20,7 +20,7 @@
   DOMAINS = 3,
   TURN_US = 2 * WL_HOST_TICK_US, /* of the clock per turn */
   NOW_US = 50000000,
-  AWAITED_US = 12000000, /* for two to four lines on each seed */
+  AWAITED_US = 12000000, /* for two to four lines of a kind */
   ROUND_US = 100,        /* of real time */
   ROUNDS_MAX = 10000,
   CONFIRMED_US = 6000000, /* from the start of a fleet until a change is confirmed */
@@ -199,16 +199,34 @@
 }
 END_TEST
 
-/* Lines of the log, which is closed, that name a seed as never heard. */
+/* Standard output goes to a file, which receives the log; returns the former one. */
 static int
-count_lines (const char *path, uint32_t seed)
+open_log (const char *path)
+{
+  int saved_stdout = fcntl (STDOUT_FILENO, F_DUPFD_CLOEXEC, 0);
+  int file = open (path, O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+  ck_assert_int_eq (dup2 (file, STDOUT_FILENO), STDOUT_FILENO);
+  close (file);
+  wl_log_open (1);
+  return saved_stdout;
+}
+
+static void
+close_log (int saved_stdout)
+{
+  wl_log_close (WL_LOG_CLOSE_MS);
+  ck_assert_int_eq (dup2 (saved_stdout, STDOUT_FILENO), STDOUT_FILENO);
+  close (saved_stdout);
+}
+
+/* Lines of the log, which is closed, with a text. */
+static int
+count_lines (const char *path, const char *text)
 {
   char line[1024];
-  char text[64];
   int n = 0;
   FILE *file = fopen (path, "r");
   ck_assert_ptr_nonnull (file);
-  snprintf (text, sizeof text, "WL2112 reason=seed_unheard seed=%u ", seed);
   while (fgets (line, sizeof line, file) != NULL)
     n += strstr (line, text) != NULL;
   fclose (file);
@@ -220,21 +238,17 @@
 {
   Fixture f;
   char path[96];
+  char text[64];
   setup (&f);
   snprintf (path, sizeof path, "%s/log", f.folder);
-  int saved_stdout = fcntl (STDOUT_FILENO, F_DUPFD_CLOEXEC, 0);
-  int file = open (path, O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
-  ck_assert_int_eq (dup2 (file, STDOUT_FILENO), STDOUT_FILENO);
-  close (file);
-  wl_log_open (1);
+  int saved_stdout = open_log (path);
   start (&f, 1, 1);
   run (&f, AWAITED_US);
-  wl_log_close (WL_LOG_CLOSE_MS);
-  ck_assert_int_eq (dup2 (saved_stdout, STDOUT_FILENO), STDOUT_FILENO);
-  close (saved_stdout);
+  close_log (saved_stdout);
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
     {
-      int n = count_lines (path, wl_test_loopback (seed));
+      snprintf (text, sizeof text, "WL2112 reason=seed_unheard seed=%u ", wl_test_loopback (seed));
+      int n = count_lines (path, text);
       ck_assert_int_ge (n, seed == 2 ? 0 : 2);
       ck_assert_int_le (n, seed == 2 ? 0 : 4);
     }
@@ -242,6 +256,25 @@
 }
 END_TEST
 
+/* Guards against changes that are not confirmed for want of disks, without a line that says so. */
+START_TEST (a_leader_without_enough_disks_says_so)
+{
+  Fixture f;
+  char path[96];
+  setup (&f);
+  snprintf (path, sizeof path, "%s/log", f.folder);
+  int saved_stdout = open_log (path);
+  for (uint32_t i = 0; i < SEEDS; i++)
+    start (&f, i, i == 0);
+  run (&f, AWAITED_US);
+  close_log (saved_stdout);
+  int n = count_lines (path, "WL2112 reason=too_few_disks disks=1 needed=2 ");
+  ck_assert_int_ge (n, 2);
+  ck_assert_int_le (n, 4);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -251,6 +284,7 @@
     WL_TEST (seeds_without_a_disk_found_nothing_and_block_nothing),
     WL_TEST (a_reload_of_the_seeds_changes_no_founders),
     WL_TEST (a_node_without_a_configuration_names_the_seeds_that_it_waits_for),
+    WL_TEST (a_leader_without_enough_disks_says_so),
   };
   apr_initialize ();
   if (sodium_init () < 0)
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -419,16 +419,10 @@
     wl_config_store_set_founders (host->config_store, founders, n, now_us);
 }
 
-/* Logs what a node waits for that has neither a configuration nor a control leader. */
 static void
-log_awaited (WlHost *host, uint64_t now_us)
+log_unheard_seeds (const WlHost *host, uint64_t waited_us)
 {
-  uint64_t waited_us = now_us - host->started_us;
   uint32_t n_unheard = 0;
-  if (host->config_number != 0 || host->stopping_us != 0 || wl_host_leader (host, now_us) != 0
-      || waited_us < AWAIT_LOG_US || now_us < host->await_logged_us + AWAIT_LOG_US)
-    return;
-  host->await_logged_us = now_us;
   for (uint32_t i = 0; i < host->options.n_seeds; i++)
     if (!is_heard (host, host->options.seeds[i]))
       {
@@ -441,6 +435,32 @@
                    waited_us / 1000);
 }
 
+/*
+ * Logs what a node waits for that has neither a configuration nor a control leader, or a leader
+ * that may not take changes yet.
+ */
+static void
+log_awaited (WlHost *host, uint64_t now_us)
+{
+  uint32_t disks;
+  uint32_t needed;
+  uint32_t leader = wl_host_leader (host, now_us);
+  uint64_t waited_us = now_us - host->started_us;
+  if (host->stopping_us != 0 || waited_us < AWAIT_LOG_US
+      || now_us < host->await_logged_us + AWAIT_LOG_US)
+    return;
+  if (leader == host->options.node && wl_host_is_replica (host)
+      && wl_config_store_lacks_disks (host->config_store, &disks, &needed))
+    wl_log_eventf (WL2112_CONFIG_AWAITED,
+                   "reason=too_few_disks disks=%u needed=%u waited_ms=%" PRIu64, disks, needed,
+                   waited_us / 1000);
+  else if (leader == 0 && host->config_number == 0)
+    log_unheard_seeds (host, waited_us);
+  else
+    return;
+  host->await_logged_us = now_us;
+}
+
 void
 wl_host_gossip_tick (WlHost *host, uint64_t now_us)
 {
