--- a/core/agreement/wl_raft.c
+++ b/core/agreement/wl_raft.c
@@ -77,19 +77,6 @@
   reset_election_timer (raft, now_us);
 }
 
-void
-wl_raft_add_peer (WlRaft *raft, uint32_t node)
-{
-  if (node == raft->self || wl_raft_find_peer (raft, node) != NULL)
-    return;
-  if (raft->n_peers == WL_MAX_REPLICAS)
-    return;
-  WlRaftPeer *peer = &raft->peers[raft->n_peers++];
-  memset (peer, 0, sizeof *peer);
-  peer->node = node;
-  peer->next = wl_raft_last_index (raft) + 1;
-}
-
 void
 wl_raft_clear (WlRaft *raft)
 {
@@ -415,11 +402,29 @@
     }
 }
 
+static int
+contradicts_commit (const WlRaft *raft, const WlAppendRequest *a)
+{
+  for (uint32_t i = 0; i < a->n_entries && a->prev_index + 1 + i <= raft->commit; i++)
+    {
+      const WlLogEntry *e = wl_raft_entry (raft, a->prev_index + 1 + i);
+      if (e != NULL && e->term != a->entries[i].term)
+        return 1;
+    }
+  return 0;
+}
+
 static void
 on_append (WlRaft *raft, const WlAppendRequest *a, uint64_t now_us, WlEffects *fx)
 {
   if (a->to_incarnation != raft->incarnation)
     return;
+  if (contradicts_commit (raft, a))
+    {
+      wl_effects_log (fx, WL2008_MESSAGE_REFUSED, "peer=%u term=%lu reason=committed_entry",
+                      a->leader, (unsigned long)a->term);
+      return;
+    }
   if (!wl_raft_accept_leader (raft, a->term, a->leader, now_us, fx))
     {
       reply_append (raft, a, 0, wl_raft_last_index (raft), fx);
@@ -532,6 +537,9 @@
 wl_raft_receive (WlRaft *raft, uint32_t from, const WlMessage *message, uint64_t now_us,
                  WlEffects *fx)
 {
+  WlRaftPeer *peer = wl_raft_find_peer (raft, from);
+  if (peer != NULL)
+    peer->heard_us = now_us;
   switch (message->kind)
     {
     case WL_MESSAGE_VOTE_REQUEST:
@@ -569,12 +577,18 @@
   return wl_raft_entry (raft, raft->applied);
 }
 
+uint32_t
+wl_raft_count_disks (const WlRaft *raft)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < raft->n_voters; i++)
+    n += raft->voters[i].incarnation != 0;
+  return n;
+}
+
 int
 wl_raft_is_ready (const WlRaft *raft)
 {
-  uint32_t n_known = 0;
-  for (uint32_t i = 0; i < raft->n_voters; i++)
-    n_known += raft->voters[i].incarnation != 0;
   return raft->role == WL_RAFT_LEADER && raft->commit >= raft->term_start
-         && n_known >= raft->min_voters;
+         && wl_raft_count_disks (raft) >= raft->min_voters;
 }
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -204,7 +204,7 @@
     wl_log_eventf (WL2203_NODE_HEARD, "node=%u boot=%" PRIx64 " zone=%s disk=%u config=%" PRIu64,
                    s->node, s->boot, s->domain, s->has_disk, s->config_number);
   if (s->has_disk && wl_host_is_replica (host))
-    wl_config_store_add_peer (host->config_store, s->node);
+    wl_config_store_add_peer (host->config_store, s->node, now_us);
   wl_load_drop_node (host->load, s->node, s->boot, now_us);
   if (wl_membership_is_load_peer (host->membership, node))
     {
@@ -222,7 +222,7 @@
       && wl_membership_is_load_peer (host->membership, node))
     wl_log_eventf (WL2205_NODE_DRAINING, "node=%u", s->node);
   if (s->has_disk && wl_host_is_replica (host))
-    wl_config_store_add_peer (host->config_store, s->node);
+    wl_config_store_add_peer (host->config_store, s->node, now_us);
   wl_host_pull_config (host, s->node, s->config_number, now_us);
 }
 
@@ -397,7 +397,8 @@
 
 /*
  * A majority of the seeds with a disk founds the group of config store replicas. Until a seed is
- * heard it counts as one with a disk.
+ * heard it counts as one with a disk. The list is that of the start, as at the other seeds: a later
+ * one may have another majority.
  */
 static void
 update_founders (WlHost *host, uint64_t now_us)
@@ -407,9 +408,9 @@
   int has_self = 0;
   if (!host->may_bootstrap || host->config_number != 0 || !wl_host_is_replica (host))
     return;
-  for (uint32_t i = 0; i < host->options.n_seeds; i++)
+  for (uint32_t i = 0; i < host->n_first_seeds; i++)
     {
-      uint32_t seed = host->options.seeds[i];
+      uint32_t seed = host->first_seeds[i];
       int is_self = seed == host->options.node;
       if (is_self || !is_heard (host, seed) || wl_roster_find (host->roster, seed)->status.has_disk)
         founders[n++] = seed;
@@ -419,16 +420,10 @@
     wl_config_store_set_founders (host->config_store, founders, n, now_us);
 }
 
-/* Logs what a node waits for that has neither a configuration nor a control leader. */
 static void
-log_awaited (WlHost *host, uint64_t now_us)
+log_unheard_seeds (const WlHost *host, uint64_t waited_us)
 {
-  uint64_t waited_us = now_us - host->started_us;
   uint32_t n_unheard = 0;
-  if (host->config_number != 0 || host->stopping_us != 0 || wl_host_leader (host, now_us) != 0
-      || waited_us < AWAIT_LOG_US || now_us < host->await_logged_us + AWAIT_LOG_US)
-    return;
-  host->await_logged_us = now_us;
   for (uint32_t i = 0; i < host->options.n_seeds; i++)
     if (!is_heard (host, host->options.seeds[i]))
       {
@@ -452,6 +447,32 @@
   return host->first_contact_us != 0 && now_us >= host->first_contact_us + FLEET_HEARD_US;
 }
 
+/*
+ * Logs what a node waits for that has neither a configuration nor a control leader, or a leader
+ * that may not take changes yet.
+ */
+static void
+log_awaited (WlHost *host, uint64_t now_us)
+{
+  uint32_t disks;
+  uint32_t needed;
+  uint32_t leader = wl_host_leader (host, now_us);
+  uint64_t waited_us = now_us - host->started_us;
+  if (host->stopping_us != 0 || waited_us < AWAIT_LOG_US
+      || now_us < host->await_logged_us + AWAIT_LOG_US)
+    return;
+  if (leader == host->options.node && wl_host_is_replica (host)
+      && wl_config_store_lacks_disks (host->config_store, &disks, &needed))
+    wl_log_eventf (WL2112_CONFIG_AWAITED,
+                   "reason=too_few_disks disks=%u needed=%u waited_ms=%" PRIu64, disks, needed,
+                   waited_us / 1000);
+  else if (leader == 0 && host->config_number == 0)
+    log_unheard_seeds (host, waited_us);
+  else
+    return;
+  host->await_logged_us = now_us;
+}
+
 void
 wl_host_gossip_tick (WlHost *host, uint64_t now_us)
 {
