Limit what all responses hold together

What callers would see: the node they use ends, and with it every request on it. A faulty endpoint, or one that stalls, sent a part of 1 MB for each of many requests and no more. Each is within its limit (WL_RELAY_BODY_MAX_BYTES); 240 of them, 2 MB each with the room that a buffer grows by, are more than the 160 MB of a node.

The relay sums up what responses hold at each tick. Over 16 MB a response may hold 32 KB: a sealed successful one is forwarded in parts from there, as it is from 1 MB otherwise; a single event or any other body that is larger fails its attempt. Small answers of other endpoints are never affected.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -110,6 +110,18 @@
   return &relay->metrics;
 }
 
+uint64_t
+wl_relay_held_bytes (const WlRelayRequest *r)
+{
+  return wl_buffer_left (&r->body) + wl_buffer_left (&r->events.pending);
+}
+
+int
+wl_relay_is_full (const WlRelay *relay)
+{
+  return relay->held_bytes > WL_RELAY_HELD_MAX_BYTES;
+}
+
 /* ---- endings ---- */
 
 static void
@@ -591,9 +603,19 @@
     wl_relay_replace_unresponsive (r, now_us);
 }
 
+static uint64_t
+sum_held_bytes (const WlRelay *relay)
+{
+  uint64_t bytes = 0;
+  for (const WlRelayRequest *r = relay->requests; r != NULL; r = r->next)
+    bytes += wl_relay_held_bytes (r);
+  return bytes;
+}
+
 void
 wl_relay_tick (WlRelay *relay, uint64_t now_us)
 {
+  relay->held_bytes = sum_held_bytes (relay);
   wl_reservations_tick (relay->reservations, now_us);
   wl_relay_end_quarantined (relay, now_us);
   for (WlRelayRequest *r = relay->requests; r != NULL;)
--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -403,19 +403,20 @@
 
 /*
  * A sealed successful stream is forwarded event by event; it fails if an
- * incomplete event exceeds WL_RELAY_BODY_MAX_BYTES, or if it does not go on where
+ * incomplete event exceeds the limit, or if it does not go on where
  * it was to be resumed. Any other body is kept until
- * it is complete. If it exceeds WL_RELAY_BODY_MAX_BYTES, a sealed successful one
+ * it is complete. If it exceeds the limit, a sealed successful one
  * is forwarded in parts, any other fails, as does one in place of a resumed stream.
  * Returns 0 to fail the attempt.
  */
 static int
 take_body (WlRelayRequest *r, WlBytes bytes)
 {
+  size_t limit = wl_relay_is_full (r->relay) ? WL_RELAY_SHARE_MAX_BYTES : WL_RELAY_BODY_MAX_BYTES;
   if (!r->forwards_events)
     {
       wl_buffer_append (&r->body, bytes);
-      if (wl_buffer_left (&r->body) <= WL_RELAY_BODY_MAX_BYTES)
+      if (wl_buffer_left (&r->body) <= limit)
         return 1;
       if (!is_success (r) || !r->response.is_sealed || r->is_resumed)
         return 0;
@@ -427,7 +428,7 @@
   if (r->events.is_misplaced)
     return 0;
   if (events.size == 0)
-    return wl_buffer_left (&r->events.pending) <= WL_RELAY_BODY_MAX_BYTES;
+    return wl_buffer_left (&r->events.pending) <= limit;
   record_output (r, wl_clock_now_us ());
   forward_to_caller (r, events);
   wl_event_stream_consume (&r->events, events);
@@ -439,7 +440,9 @@
 {
   WlRelayRequest *r = data;
   wl_relay_note_output (r, wl_clock_now_us ());
+  uint64_t before = wl_relay_held_bytes (r);
   r->is_aborted = !take_body (r, bytes);
+  r->relay->held_bytes += wl_relay_held_bytes (r) - before;
   return !r->is_aborted;
 }
 
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -18,8 +18,10 @@
   WL_RELAY_BUDGETS_MAX = 64,           /* services with a retry budget of their own */
   WL_RELAY_QUEUE_PAUSE_BYTES = 262144, /* queue for a caller above which reading pauses */
   WL_RELAY_BODY_MAX_BYTES = 1 << 20,   /* of a response that is kept until it is complete */
-  WL_RELAY_PART_TEXT_SIZE = 80,        /* see wl_relay_part_text() */
-  WL_RELAY_ENDS_MAX = 64,              /* latest ends of engines, and latest short responses */
+  WL_RELAY_HELD_MAX_BYTES = 16 << 20, /* of all responses; over it WL_RELAY_SHARE_MAX_BYTES holds */
+  WL_RELAY_SHARE_MAX_BYTES = 1 << 15, /* of one response then, instead of the limits above */
+  WL_RELAY_PART_TEXT_SIZE = 80,       /* see wl_relay_part_text() */
+  WL_RELAY_ENDS_MAX = 64,             /* latest ends of engines, and latest short responses */
 };
 
 /**
@@ -192,7 +194,8 @@
   WlRoutes *routes;
   WlRelayRequest *requests;
   uint32_t n_active;
-  uint32_t n_nodes; /* that are alive */
+  uint64_t held_bytes; /* of responses: at the latest tick, and changes since */
+  uint32_t n_nodes;    /* that are alive */
   WlBudgetNodes budget_nodes;
   uint64_t next_number;
   uint64_t random;
@@ -216,6 +219,12 @@
 /** wl_relay_choose() - chooses endpoints for a request now, without starting an attempt */
 WlChoice wl_relay_choose (WlRelayRequest *r, uint64_t now_us);
 
+/** wl_relay_held_bytes() - bytes of the response that are kept until more has arrived */
+uint64_t wl_relay_held_bytes (const WlRelayRequest *r);
+
+/** wl_relay_is_full() - whether the responses of all requests hold too many bytes together */
+int wl_relay_is_full (const WlRelay *relay);
+
 /** wl_relay_place() - starts an attempt, or lets the request wait, or refuses it */
 void wl_relay_place (WlRelayRequest *r, uint64_t now_us);
 
