Responses that callers do not read count in what all hold together

What callers would see: the node they use ends. An endpoint sends without end, and its callers do not read: up to 256 KB, and 1 MB where a body was kept first, wait for each, and for each connection that has been ended and not read. 320 of them are more than the 160 MB of a node.

The sum of what responses hold includes what is queued for callers, on connections that end as well. Over the limit reading from an endpoint pauses at 32 KB for a caller. The limit is 8 MB instead of 16 MB: a buffer takes up to twice its bytes, and with 16 MB the test measured 98984 kB, more than the 96 MB that it allows a node.

answers_that_are_not_read_do_not_fill_the_memory before: "the node ended, status 6". After, two runs: VmHWM 83532 and 87056 kB, the answers that are kept 62672 and 58020 kB; callers of the sound endpoint served within 336 ms.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -606,7 +606,7 @@
 static uint64_t
 sum_held_bytes (const WlRelay *relay)
 {
-  uint64_t bytes = 0;
+  uint64_t bytes = relay->requests != NULL ? wl_web_queued_all (relay->requests->web) : 0;
   for (const WlRelayRequest *r = relay->requests; r != NULL; r = r->next)
     bytes += wl_relay_held_bytes (r);
   return bytes;
--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -394,7 +394,9 @@
       r->first_us = wl_clock_now_us ();
     }
   wl_web_write (r->web, bytes);
-  if (wl_web_queued (r->web) > WL_RELAY_QUEUE_PAUSE_BYTES && !r->is_paused && r->fetch != NULL)
+  size_t limit
+      = wl_relay_is_full (r->relay) ? WL_RELAY_SHARE_MAX_BYTES : WL_RELAY_QUEUE_PAUSE_BYTES;
+  if (wl_web_queued (r->web) > limit && !r->is_paused && r->fetch != NULL)
     {
       r->is_paused = 1;
       wl_fetch_pause (r->fetch, 1);
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -18,7 +18,7 @@
   WL_RELAY_BUDGETS_MAX = 64,           /* services with a retry budget of their own */
   WL_RELAY_QUEUE_PAUSE_BYTES = 262144, /* queue for a caller above which reading pauses */
   WL_RELAY_BODY_MAX_BYTES = 1 << 20,   /* of a response that is kept until it is complete */
-  WL_RELAY_HELD_MAX_BYTES = 16 << 20, /* of all responses; over it WL_RELAY_SHARE_MAX_BYTES holds */
+  WL_RELAY_HELD_MAX_BYTES = 8 << 20,  /* of all responses; over it WL_RELAY_SHARE_MAX_BYTES holds */
   WL_RELAY_SHARE_MAX_BYTES = 1 << 15, /* of one response then, instead of the limits above */
   WL_RELAY_PART_TEXT_SIZE = 80,       /* see wl_relay_part_text() */
   WL_RELAY_ENDS_MAX = 64,             /* latest ends of engines, and latest short responses */
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -578,6 +578,15 @@
   return n;
 }
 
+uint64_t
+wl_tcp_finishing_queued (const WlTcpLoop *loop)
+{
+  uint64_t bytes = 0;
+  for (const WlTcp *tcp = loop->open; tcp != NULL; tcp = tcp->next)
+    bytes += tcp->is_finishing ? wl_tcp_queued (tcp) : 0;
+  return bytes;
+}
+
 void
 wl_tcp_flush (WlTcpLoop *loop)
 {
--- a/relay/transport/wl_tcp.h
+++ b/relay/transport/wl_tcp.h
@@ -148,6 +148,9 @@
 /** wl_tcp_finishing() - number of connections after wl_tcp_finish() that are still open */
 uint32_t wl_tcp_finishing (const WlTcpLoop *loop);
 
+/** wl_tcp_finishing_queued() - bytes that those connections have not passed to the kernel */
+uint64_t wl_tcp_finishing_queued (const WlTcpLoop *loop);
+
 /** wl_tcp_flush() - writes the bytes queued in this iteration, frees closed connections */
 void wl_tcp_flush (WlTcpLoop *loop);
 
--- a/relay/transport/wl_web.c
+++ b/relay/transport/wl_web.c
@@ -474,6 +474,15 @@
   return wl_tcp_queued (request->tcp);
 }
 
+uint64_t
+wl_web_queued_all (const WlWebRequest *request)
+{
+  uint64_t bytes = wl_tcp_finishing_queued (request->web->loop);
+  for (const WlWebRequest *c = request->web->connections; c != NULL; c = c->next)
+    bytes += wl_tcp_queued (c->tcp);
+  return bytes;
+}
+
 void
 wl_web_end (WlWebRequest *request, int is_complete)
 {
--- a/relay/transport/wl_web.h
+++ b/relay/transport/wl_web.h
@@ -151,6 +151,9 @@
 /** wl_web_queued() - bytes of the response not yet passed to the kernel */
 size_t wl_web_queued (const WlWebRequest *request);
 
+/** wl_web_queued_all() - the same of all responses of the server, ended ones included */
+uint64_t wl_web_queued_all (const WlWebRequest *request);
+
 /**
  * wl_web_end() - ends a streamed response
  * @request: the request; must not be used afterwards
