--- a/wire/wl_message.c
+++ b/wire/wl_message.c
@@ -358,6 +358,10 @@
   [WL_MESSAGE_NODE_REPORT] = { "node_report", wl_membership_report_fields },
   [WL_MESSAGE_LOAD_REPORTS] = { "works", wl_load_reports_fields },
   [WL_MESSAGE_PART_REPORT] = { "part_report", wl_part_report_fields },
+  [WL_MESSAGE_LIMIT_REPORT] = { "limit_report", wl_limit_report_fields },
+  [WL_MESSAGE_PERMIT_ASK] = { "permit_ask", wl_permit_ask_fields },
+  [WL_MESSAGE_PERMIT_ANSWER] = { "permit_answer", wl_permit_answer_fields },
+  [WL_MESSAGE_PERMIT_RETURN] = { "permit_return", wl_permit_return_fields },
 };
 
 typedef struct
--- a/wire/wl_message.h
+++ b/wire/wl_message.h
@@ -509,6 +509,10 @@
   WL_MESSAGE_NODE_REPORT = 33,
   WL_MESSAGE_LOAD_REPORTS = 34,
   WL_MESSAGE_PART_REPORT = 35,
+  WL_MESSAGE_LIMIT_REPORT = 36,
+  WL_MESSAGE_PERMIT_ASK = 37,
+  WL_MESSAGE_PERMIT_ANSWER = 38,
+  WL_MESSAGE_PERMIT_RETURN = 39,
   WL_MESSAGE_KINDS,
 } WlMessageKind;
 
@@ -557,6 +561,10 @@
     WlMembershipReport node_report;
     WlLoadReports load_reports;
     WlPartReport part_report;
+    WlLimitReport limit_report;
+    WlPermitAsk permit_ask;
+    WlPermitAnswer permit_answer;
+    WlPermitReturn permit_return;
   } u;
 } WlMessage;
 
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -114,6 +114,44 @@
   WL_END,
 };
 
+static const WlField limit_word_fields[] = {
+  WL_U64 (WlLimitWord, endpoint),
+  WL_U64 (WlLimitWord, started_ms),
+  WL_U8 (WlLimitWord, has_ended),
+  WL_U64 (WlLimitWord, rate),
+  WL_U64 (WlLimitWord, sent_age_us),
+  WL_U64 (WlLimitWord, heard_age_us),
+  WL_END,
+};
+
+const WlField wl_limit_report_fields[] = {
+  WL_ARRAY (WlLimitReport, words, n_words, limit_word_fields),
+  WL_END,
+};
+
+const WlField wl_permit_ask_fields[] = {
+  WL_U64 (WlPermitAsk, id),
+  WL_U64 (WlPermitAsk, service),
+  WL_U64 (WlPermitAsk, customer),
+  WL_U64 (WlPermitAsk, max_wait_us),
+  WL_ARRAY (WlPermitAsk, excluded, n_excluded, endpoint_key_fields),
+  WL_END,
+};
+
+const WlField wl_permit_answer_fields[] = {
+  WL_U64 (WlPermitAnswer, id),
+  WL_U64 (WlPermitAnswer, endpoint),
+  WL_U64 (WlPermitAnswer, retry_after_us),
+  WL_END,
+};
+
+const WlField wl_permit_return_fields[] = {
+  WL_U64 (WlPermitReturn, service),
+  WL_U64 (WlPermitReturn, customer),
+  WL_U64 (WlPermitReturn, endpoint),
+  WL_END,
+};
+
 const WlField wl_membership_report_fields[] = {
   WL_STRUCT (WlMembershipReport, sender, wl_node_status_fields),
   WL_U8 (WlMembershipReport, scope),
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -258,6 +258,81 @@
   uint64_t key;
 } WlEndpointKey;
 
+/**
+ * struct WlLimitWord - what a response of an endpoint says of its limit
+ * @endpoint: key of the endpoint
+ * @started_ms: start of the endpoint
+ * @has_ended: the response names no limit
+ * @rate: requests that it accepts from all nodes in 1,000 s
+ * @sent_age_us: time since the request was sent
+ * @heard_age_us: time since the response arrived
+ */
+typedef struct
+{
+  uint64_t endpoint;
+  uint64_t started_ms;
+  uint8_t has_ended;
+  uint64_t rate;
+  uint64_t sent_age_us;
+  uint64_t heard_age_us;
+} WlLimitWord;
+
+/** struct WlLimitReport - words on limits, see wl_limits.h */
+typedef struct
+{
+  WlLimitWord *words;
+  uint32_t n_words;
+} WlLimitReport;
+
+enum
+{
+  WL_PERMIT_EXCLUDED_MAX = 8, /* endpoints that an ask excludes */
+};
+
+/**
+ * struct WlPermitAsk - asks for a permit to send a request to an endpoint with a limit
+ * @id: id of the ask at its node
+ * @service: hash of the service's name
+ * @customer: hash of the customer's name, 0 for none
+ * @max_wait_us: how long the request can wait; 0 for an answer at once
+ * @excluded: keys of endpoints that were already tried, @n_excluded of them
+ */
+typedef struct
+{
+  uint64_t id;
+  uint64_t service;
+  uint64_t customer;
+  uint64_t max_wait_us;
+  WlEndpointKey *excluded;
+  uint32_t n_excluded;
+} WlPermitAsk;
+
+/**
+ * struct WlPermitAnswer - answers an ask
+ * @id: id of the ask
+ * @endpoint: key of the endpoint that one request may be sent to, 0 when denied
+ * @retry_after_us: time until a permit is to be expected, when denied
+ */
+typedef struct
+{
+  uint64_t id;
+  uint64_t endpoint;
+  uint64_t retry_after_us;
+} WlPermitAnswer;
+
+/**
+ * struct WlPermitReturn - returns a permit that was not used
+ * @service: hash of the service's name
+ * @customer: hash of the customer's name, 0 for none
+ * @endpoint: key of the endpoint
+ */
+typedef struct
+{
+  uint64_t service;
+  uint64_t customer;
+  uint64_t endpoint;
+} WlPermitReturn;
+
 /**
  * enum WlReportScope - what a report covers
  * @WL_REPORT_ALL: what the relay has direct evidence of and what relays of other
@@ -332,6 +407,10 @@
 extern const WlField wl_suspicion_fields[];
 extern const WlField wl_membership_report_fields[];
 extern const WlField wl_part_report_fields[];
+extern const WlField wl_limit_report_fields[];
+extern const WlField wl_permit_ask_fields[];
+extern const WlField wl_permit_answer_fields[];
+extern const WlField wl_permit_return_fields[];
 extern const WlField wl_config_pull_fields[];
 extern const WlField wl_config_push_fields[];
 
