Interface: time that an ask waited in its answer; refresh and version of limits

A permit's lifetime is to be kept without a common clock: the asking node knows when it asked, and the issuer says how long the ask waited, so the issue was not before the sum. wl_permits_service (), wl_limits_version () and wl_limits_take_refresh () are new.

--- a/relay/placement/wl_limits.h
+++ b/relay/placement/wl_limits.h
@@ -95,12 +95,35 @@
 /** wl_limits_full_report() - reports all limits, for a node that joins and for anti-entropy */
 int wl_limits_full_report (WlLimits *limits, uint64_t now_us, WlLimitReport *out);
 
-/** wl_limits_find() - limit in force of an endpoint, owned by the table; NULL for none */
+/**
+ * wl_limits_find() - limit in force of an endpoint, NULL for none
+ *
+ * Owned by the table, valid until the table changes.
+ */
 const WlLimit *wl_limits_find (const WlLimits *limits, const WlEndpoint *endpoint);
 
 /** wl_limits_count() - number of limits in force */
 uint32_t wl_limits_count (const WlLimits *limits);
 
+/** wl_limits_version() - a number that grows with each change of a limit in force */
+uint64_t wl_limits_version (const WlLimits *limits);
+
+/**
+ * wl_limits_take_refresh() - whether a request of a service should renew a word on a limit
+ * @limits: the table
+ * @fleet: the endpoints
+ * @service: name of the service
+ * @now_us: monotonic time
+ *
+ * The request then asks for a permit, with a max_wait_us of 0, although other
+ * endpoints would do. Due when an endpoint of the service can be used and no
+ * response has named its limit for WL_PERMIT_REFRESH_US, or for the time between
+ * two requests that its limit allows. At most once a second for all services.
+ *
+ * Return: 1 when it should.
+ */
+int wl_limits_take_refresh (WlLimits *limits, WlFleet *fleet, const char *service, uint64_t now_us);
+
 /** wl_limits_expire() - drops limits of endpoints that are gone or have started again */
 void wl_limits_expire (WlLimits *limits, WlFleet *fleet, uint64_t now_us);
 
--- a/relay/placement/wl_permits.h
+++ b/relay/placement/wl_permits.h
@@ -16,7 +16,7 @@
 
 enum
 {
-  WL_PERMIT_LIFETIME_US = 1000000, /* from the ask, by the clock of the node that asks */
+  WL_PERMIT_LIFETIME_US = 1000000, /* from its issue at the latest, see wl_permits_state() */
   WL_PERMIT_ANSWER_US = 300000,    /* beyond max_wait; without an answer an ask is denied */
   WL_PERMIT_ASKS_MAX = 64,         /* in progress at one node */
   WL_PERMIT_ASK_RATE = 20,         /* asks of one node a second */
@@ -53,6 +53,9 @@
   uint64_t retry_after_us;
 } WlPermit;
 
+/** wl_permits_service() - hash of a service's name that stands for it in asks */
+uint64_t wl_permits_service (const char *name);
+
 typedef struct WlPermits WlPermits;
 
 /** wl_permits_create() - @seed makes the ids of asks differ between starts of a node */
@@ -77,7 +80,15 @@
 /** wl_permits_answer() - applies an issuer's answer; a permit that comes too late is returned */
 void wl_permits_answer (WlPermits *permits, const WlPermitAnswer *answer, uint64_t now_us);
 
-/** wl_permits_state() - state of an ask; without an answer in time it is denied */
+/**
+ * wl_permits_state() - state of an ask; without an answer in time it is denied
+ *
+ * A permit is valid for WL_PERMIT_LIFETIME_US from the time of the ask plus the time
+ * that the ask waited at the issuer, which is not after its issue. So neither a slow
+ * message nor a freeze of the node makes it last longer. One that is no longer valid is
+ * denied. A request is sent only when this has returned WL_PERMIT_GRANTED for the same
+ * @now_us. The ask is then ended by wl_permits_use(), and a denied one by wl_permits_drop().
+ */
 WlPermit wl_permits_state (WlPermits *permits, uint64_t id, uint64_t now_us);
 
 /** wl_permits_use() - ends an ask whose permit was used for a request that is sent now */
@@ -130,7 +141,11 @@
  */
 void wl_issuer_set_own (WlIssuer *issuer, uint64_t service, int is_own, uint64_t now_us);
 
-/** wl_issuer_tick() - answers asks that can be answered now */
+/**
+ * wl_issuer_tick() - answers asks that can be answered now
+ *
+ * Called at least every 200 ms: a longer gap between calls counts as a pause of the node.
+ */
 void wl_issuer_tick (WlIssuer *issuer, uint64_t now_us);
 
 /** wl_issuer_take_answer() - takes the next answer and the node to send it to; 0 for none */
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -142,6 +142,7 @@
   WL_U64 (WlPermitAnswer, id),
   WL_U64 (WlPermitAnswer, endpoint),
   WL_U64 (WlPermitAnswer, retry_after_us),
+  WL_U64 (WlPermitAnswer, waited_us),
   WL_END,
 };
 
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -312,12 +312,14 @@
  * @id: id of the ask
  * @endpoint: key of the endpoint that one request may be sent to, 0 when denied
  * @retry_after_us: time until a permit is to be expected, when denied
+ * @waited_us: time from the arrival of the ask at the issuer until its permit was issued
  */
 typedef struct
 {
   uint64_t id;
   uint64_t endpoint;
   uint64_t retry_after_us;
+  uint64_t waited_us;
 } WlPermitAnswer;
 
 /**
