--- a/relay/placement/wl_limits.h
+++ b/relay/placement/wl_limits.h
@@ -20,7 +20,8 @@
   WL_LIMITS_REPORT_MAX = 256,             /* words in one report */
   WL_LIMIT_RATE_MAX = 1000000000,         /* requests in 1,000 s; more counts as this */
   WL_LIMIT_ORDER_MARGIN_US = 500000,      /* delay of a report that may reorder words */
-  WL_LIMIT_ENDED_KEPT_US = 30000000,      /* how long the end of a limit is remembered */
+  WL_PERMIT_REFRESH_US = 2000000,    /* word of a limit older than this is renewed by a request */
+  WL_LIMIT_ENDED_KEPT_US = 30000000, /* how long the end of a limit is remembered */
 };
 
 /**
@@ -76,23 +77,33 @@
  * @now_us: monotonic time
  *
  * Words are ordered as those of responses, with WL_LIMIT_ORDER_MARGIN_US for
- * the delay of the report. A word on an older start of an endpoint is ignored.
+ * the delay of the report. After a pause of this node, seen as a gap between calls,
+ * reports may have waited for longer: for a second their words can only lower limits.
+ * A word on an older start of an endpoint is ignored, and one older than
+ * WL_LIMIT_ENDED_KEPT_US on an endpoint without a known limit.
  *
  * Return: the number of endpoints whose limit has changed.
  */
 uint32_t wl_limits_apply_report (WlLimits *limits, const WlLimitReport *report, uint64_t now_us);
 
 /**
- * wl_limits_take_report() - takes what other nodes have to be told
+ * wl_limits_take_report() - takes what other nodes have to be told, as seen by this one
  * @limits: the table
  * @now_us: monotonic time
  * @out: receives the report; its words are the table's, valid until the next call
  *
+ * Called at least every 200 ms. What the reports of others say is not repeated; that a limit
+ * is still named is reported at most once a second for each endpoint.
+ *
  * Return: 1, or 0 when nothing is new.
  */
 int wl_limits_take_report (WlLimits *limits, uint64_t now_us, WlLimitReport *out);
 
-/** wl_limits_full_report() - reports all limits, for a node that joins and for anti-entropy */
+/**
+ * wl_limits_full_report() - reports all that is known, for a node that joins and for anti-entropy
+ *
+ * Of more than WL_LIMITS_REPORT_MAX the next ones each time. Return: 1, or 0 when nothing is known.
+ */
 int wl_limits_full_report (WlLimits *limits, uint64_t now_us, WlLimitReport *out);
 
 /**
--- a/relay/placement/wl_permits.h
+++ b/relay/placement/wl_permits.h
@@ -20,7 +20,6 @@
   WL_PERMIT_ANSWER_US = 300000,    /* beyond max_wait; without an answer an ask is denied */
   WL_PERMIT_ASKS_MAX = 64,         /* in progress at one node */
   WL_PERMIT_ASK_RATE = 20,         /* asks of one node a second */
-  WL_PERMIT_REFRESH_US = 2000000,  /* word of a limit older than this is renewed by a request */
   WL_ISSUER_QUEUE_MAX = 256,       /* asks that wait at an issuer, of all its services */
   WL_ISSUER_CUSTOMERS_MAX = 64,    /* customers whose share is remembered, of all its services */
   WL_ISSUER_QUIET_US = 1500000,    /* a new issuer issues nothing for so long */
