--- a/relay/placement/wl_permits.c
+++ b/relay/placement/wl_permits.c
@@ -47,6 +47,7 @@
 struct WlPermits
 {
   Ask asks[RECORDS_MAX];
+  uint32_t n_unsent;
   Denial denials[DENIALS_MAX];
   WlPermitReturn returns[RETURNS_MAX];
   uint32_t n_returns;
@@ -84,6 +85,13 @@
   return at_us > now_us ? at_us - now_us : 0;
 }
 
+static void
+set_state (WlPermits *permits, Ask *ask, AskState state)
+{
+  permits->n_unsent = permits->n_unsent - (ask->state == ASK_UNSENT) + (state == ASK_UNSENT);
+  ask->state = state;
+}
+
 static Denial *
 find_denial (WlPermits *permits, uint64_t service, uint64_t customer, uint64_t now_us)
 {
@@ -129,7 +137,7 @@
 static void
 deny (WlPermits *permits, Ask *ask, uint64_t retry_after_us, uint64_t now_us)
 {
-  ask->state = ASK_DENIED;
+  set_state (permits, ask, ASK_DENIED);
   ask->retry_us = now_us + retry_after_us;
   note_denial (permits, ask, retry_after_us, now_us);
 }
@@ -151,17 +159,17 @@
     {
       note_denial (permits, ask, BUSY_RETRY_US, now_us);
       ask->retry_us = now_us + BUSY_RETRY_US;
-      ask->state = ASK_ENDED;
+      set_state (permits, ask, ASK_ENDED);
     }
   else if (ask->state == ASK_GRANTED && now_us >= ask->valid_until_us)
     {
       add_return (permits, ask, ask->endpoint);
-      ask->state = ASK_DENIED;
+      set_state (permits, ask, ASK_DENIED);
       ask->retry_us = now_us;
     }
   else if ((ask->state == ASK_ENDED || ask->state == ASK_DENIED)
            && now_us >= answer_deadline_us (ask) + WL_PERMIT_LIFETIME_US)
-    ask->state = ASK_FREE;
+    set_state (permits, ask, ASK_FREE);
 }
 
 static Ask *
@@ -228,14 +236,14 @@
     return 0;
   if (++permits->next_id == 0)
     permits->next_id = 1;
-  *a = (Ask){ .state = ASK_UNSENT,
-              .id = permits->next_id,
+  *a = (Ask){ .id = permits->next_id,
               .service = ask->service,
               .customer = ask->customer,
               .max_wait_us = ask->max_wait_us,
               .asked_us = now_us };
   for (uint32_t i = 0; i < ask->n_excluded && i < WL_PERMIT_EXCLUDED_MAX; i++)
     a->excluded[a->n_excluded++] = ask->excluded[i];
+  set_state (permits, a, ASK_UNSENT);
   *out = (WlPermit){ .state = WL_PERMIT_PENDING };
   return a->id;
 }
@@ -257,11 +265,11 @@
   a->endpoint = answer->endpoint;
   if (a->state == ASK_SENT && now_us < a->valid_until_us)
     {
-      a->state = ASK_GRANTED;
+      set_state (permits, a, ASK_GRANTED);
       return;
     }
   add_return (permits, a, a->endpoint);
-  a->state = ASK_DENIED;
+  set_state (permits, a, ASK_DENIED);
   a->retry_us = now_us;
 }
 
@@ -286,7 +294,7 @@
 {
   Ask *a = find_ask (permits, id);
   if (a != NULL)
-    a->state = ASK_FREE;
+    set_state (permits, a, ASK_FREE);
 }
 
 void
@@ -298,13 +306,15 @@
   update (permits, a, now_us);
   if (a->state == ASK_GRANTED)
     add_return (permits, a, a->endpoint);
-  a->state = a->state == ASK_SENT || a->state == ASK_ENDED ? ASK_ENDED : ASK_FREE;
+  set_state (permits, a, a->state == ASK_SENT || a->state == ASK_ENDED ? ASK_ENDED : ASK_FREE);
 }
 
 int
 wl_permits_take_ask (WlPermits *permits, WlPermitAsk *out)
 {
   Ask *first = NULL;
+  if (permits->n_unsent == 0)
+    return 0;
   for (uint32_t i = 0; i < RECORDS_MAX; i++)
     {
       Ask *a = &permits->asks[i];
@@ -313,7 +323,7 @@
     }
   if (first == NULL)
     return 0;
-  first->state = ASK_SENT;
+  set_state (permits, first, ASK_SENT);
   *out = (WlPermitAsk){ first->id,          first->service,  first->customer,
                         first->max_wait_us, first->excluded, first->n_excluded };
   return 1;
--- a/relay/placement/wl_permits.h
+++ b/relay/placement/wl_permits.h
@@ -136,7 +136,8 @@
  *
  * Called before asks of the service are taken, and at each slow tick. From the first time, and
  * from a pause of this node that other nodes may have noticed, nothing is issued for
- * WL_ISSUER_QUIET_US: the previous issuer's permits may still be used.
+ * WL_ISSUER_QUIET_US: the previous issuer's permits may still be used. A node that was
+ * without contact to all others tells 0 before it tells 1 again when it has met one.
  */
 void wl_issuer_set_own (WlIssuer *issuer, uint64_t service, int is_own, uint64_t now_us);
 
