Mutants: limits, permits and issuer

Nine mutants; each is found out by its test. returned-token-counts-whole was missed at first, hence the new test a_returned_token_does_not_count_beside_its_refill.

--- a/relay/tests/test_issuer.c
+++ b/relay/tests/test_issuer.c
@@ -434,6 +434,24 @@
 }
 END_TEST
 
+/* Guards against a token that counts twice: refilled, and returned. */
+START_TEST (a_returned_token_does_not_count_beside_its_refill)
+{
+  Fixture f = make_issuing (1000);
+  run (&f, 3 * (uint64_t)SECOND_US);
+  WlPermitReturn r = { f.service, 1, key (&f, 0), ask_now (&f, 1, 0).id };
+  run (&f, 500000);
+  ck_assert_uint_eq (ask_now (&f, 1, 0).endpoint, key (&f, 0));
+  wl_issuer_return (f.issuer, &r, f.now_us);
+  ck_assert_uint_eq (take_all (&f, 1), 1);
+  run (&f, 900000);
+  ck_assert_uint_eq (take_all (&f, 1), 0);
+  run (&f, 200000);
+  ck_assert_uint_eq (take_all (&f, 1), 1);
+  free_fixture (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -454,6 +472,7 @@
     WL_TEST (any_number_of_customers_is_served),
     WL_TEST (an_ask_to_a_node_that_is_not_the_issuer_is_denied_with_a_short_retry),
     WL_TEST (a_permit_that_is_returned_soon_counts_again),
+    WL_TEST (a_returned_token_does_not_count_beside_its_refill),
   };
   return wl_test_run ("issuer", tests, sizeof tests / sizeof tests[0]);
 }
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -132,6 +132,15 @@
 start other-customers-refused test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/.customer = single_customer \(&strongest\)/.customer = 0/'
 start released-part-comes-back test_quarantine_trials relay/forwarding/wl_quarantine_report.c 's/if \(s != NULL && entry.at_us < [^\n]*\n/if (0)\n/'
 start trial-repeated test_quarantine_trials relay/forwarding/wl_quarantine_report.c 's/\.trial_after_us = age_us \+ min_u64 [^\n]*\n/.trial_after_us = age_us,\n/'
+start limit-order-ignored test_limits relay/placement/wl_limits.c 's/if \(!is_later && !may_lower \(known, word\)\)/if (0)/'
+start ended-limit-comes-back test_limits relay/placement/wl_limits.c 's/if \(word->heard_us <= known->sent_us\)\n    return 0;//'
+start limit-words-repeated test_limits relay/placement/wl_limits.c 's/  if \(e->limit.heard_us <= e->told_us \+ RENEWAL_US\)\n    set_news \(limits, e, 0\);\n//'
+start issuer-without-quiet-time test_issuer relay/placement/wl_issuer.c 's/service, now_us \+ WL_ISSUER_QUIET_US\)/service, now_us)/'
+start issuer-does-not-notice-its-freeze test_issuer relay/placement/wl_issuer.c 's/now_us > issuer->called_us \+ PAUSE_US/0/'
+start bucket-without-bottom test_issuer relay/placement/wl_buckets.c 's/CAPACITY_US = 500000,/CAPACITY_US = 5000000,/'
+start returned-token-counts-whole test_issuer relay/placement/wl_buckets.c 's/b->level \+= TOKEN - refilled;/b->level += TOKEN;/; s/refilled < TOKEN && //'
+start customers-in-order-of-arrival test_issuer relay/placement/wl_issuer.c 's/best == issuer->n_queue \|\| w->customer->share < issuer->queue\[best\]\.customer->share/best == issuer->n_queue/'
+start permit-lifetime-ignored test_permits relay/placement/wl_permits.c 's/ask->state == ASK_GRANTED && now_us >= ask->valid_until_us/0/'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
 echo "$found passed, $((total - found)) failed"
