Soak: endpoints that name limits, judged by rule LIMIT

Callers of 12 nodes make the code as it is send an endpoint 20 requests in 4 s where 9 are allowed, and another 19 where 14 are: nobody reads the field.

--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -13,6 +13,7 @@
 #include "wl_soak_caller.h"
 #include "wl_soak_endpoint.h"
 #include "wl_soak_judge.h"
+#include "wl_soak_limits.h"
 #include "wl_soak_nodes.h"
 #include "wl_soak_parts.h"
 #include "wl_soak_request.h"
@@ -291,6 +292,7 @@
   for (uint32_t i = 0; i < run->n_endpoints; i++)
     wl_soak_endpoint_destroy (run->endpoints[i]);
   wl_soak_nodes_close ();
+  wl_soak_limits_close ();
   wl_soak_request_clear ();
   wl_http_client_destroy (run->soak.client);
   wl_reactor_destroy (run->soak.reactor);
@@ -309,6 +311,7 @@
             ((double)stop->exited_us - (double)stop->term_us) / 1e6);
   wl_soak_judge (start_us);
   wl_soak_parts_judge ();
+  wl_soak_limits_judge ();
   for (uint32_t i = 0; i < run->n_endpoints; i++)
     n_ends += wl_soak_endpoint_n_ends (run->endpoints[i]);
   printf ("seed=%u nodes=%u callers=%u seconds=%u stops=%u configs=%u ends=%u broken=%u\n", o->seed,
@@ -348,6 +351,9 @@
   { "hurried", offsetof (WlSoakOptions, hurried), 0 },
   { "busy", offsetof (WlSoakOptions, n_busy), 0 },
   { "ends-every", offsetof (WlSoakOptions, ends_every_ms), 0 },
+  { "limits", offsetof (WlSoakOptions, limits), 0 },
+  { "limits-from", offsetof (WlSoakOptions, limits_from_s), 8 },
+  { "limits-until", offsetof (WlSoakOptions, limits_until_s), 0 },
   { "stop-ends", offsetof (WlSoakOptions, stop_ends_ms), 0 },
 };
 
@@ -427,6 +433,7 @@
       || wl_http_client_create (run.soak.reactor, &run.soak.client) != WL_OK)
     return EXIT_NOT_RUN;
   wl_soak_nodes_open (&run.soak);
+  wl_soak_limits_open (&run.soak);
   if (start (&run))
     {
       run.soak.begin_us = wl_clock_now_us ();
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -79,6 +79,8 @@
  * @hurried: per cent of the requests whose deadline is 0.4 to 4 s
  * @ends_every_ms: mean time between engines that end by chance, 0 for never
  * @stop_ends_ms: the same, of any endpoints, while a node is stopping
+ * @limits: per cent of the endpoints that name a limit, see wl_soak_limits.h
+ * @limits_from_s, @limits_until_s: the seconds of the run in between they do, 0 for its end
  * @n_busy: threads that only use processor time while the callers run
  * @is_sound: endpoints meet no fault
  * @net: first address of the run, host byte order, its last number 0
@@ -110,6 +112,9 @@
   uint32_t hurried;
   uint32_t ends_every_ms;
   uint32_t stop_ends_ms;
+  uint32_t limits;
+  uint32_t limits_from_s;
+  uint32_t limits_until_s;
   uint32_t n_busy;
   uint8_t is_sound;
   uint32_t net;
--- a/soak/wl_soak_endpoint.c
+++ b/soak/wl_soak_endpoint.c
@@ -4,6 +4,7 @@
 #include "wl_clock.h"
 #include "wl_soak_conn.h"
 #include "wl_soak_endpoint.h"
+#include "wl_soak_limits.h"
 #include "wl_soak_message.h"
 #include "wl_soak_parts.h"
 #include "wl_soak_request.h"
@@ -87,9 +88,11 @@
 static void
 reply (Serve *s, const char *status, const char *fields, const char *body)
 {
-  char text[HEAD_SIZE];
-  int n = snprintf (text, sizeof text, "HTTP/1.1 %s\r\n%sContent-Length: %zu\r\n\r\n%s", status,
-                    fields, strlen (body), body);
+  char text[HEAD_SIZE * 2];
+  char limit[WL_SOAK_LIMIT_SIZE];
+  wl_soak_limits_field (s->endpoint->number, wl_clock_now_us (), limit, sizeof limit);
+  int n = snprintf (text, sizeof text, "HTTP/1.1 %s\r\n%s%sContent-Length: %zu\r\n\r\n%s", status,
+                    fields, limit, strlen (body), body);
   wl_soak_conn_send (&s->conn, text, (size_t)n);
 }
 
@@ -111,6 +114,7 @@
   snprintf (fields, sizeof fields, "X-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\n", s->request->id,
             s->request->id);
   s->request->endpoint_status = (uint16_t)strtoul (status, NULL, 10);
+  wl_soak_limits_note_answer (s->request, s->endpoint->number, now_us);
   reply (s, status, fields, "failed");
   end_work (s, now_us);
 }
@@ -125,10 +129,11 @@
 }
 
 static void
-begin_answer (Serve *s)
+begin_answer (Serve *s, uint64_t now_us)
 {
-  const WlSoakRequest *r = s->request;
+  WlSoakRequest *r = s->request;
   char head[HEAD_SIZE];
+  char limit[WL_SOAK_LIMIT_SIZE];
   char framing[FIELD_SIZE] = "Transfer-Encoding: chunked\r\n";
   uint64_t left = (uint64_t)(r->n_events - s->next_event) * r->event_bytes;
   if (r->framing == WL_SOAK_LENGTH)
@@ -136,12 +141,15 @@
   else if (r->framing == WL_SOAK_UNTIL_CLOSE)
     snprintf (framing, sizeof framing, "Connection: close\r\n");
   s->closes_after = r->framing == WL_SOAK_UNTIL_CLOSE;
+  wl_soak_limits_field (s->endpoint->number, now_us, limit, sizeof limit);
+  if (r->body_bytes == 0)
+    wl_soak_limits_note_answer (r, s->endpoint->number, now_us);
   int n = snprintf (head, sizeof head,
                     "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nX-Attempt-Id: %s\r\n"
-                    "X-Server-Seal: seal-%s\r\nX-Weight-Versions: 1\r\n%s\r\n",
+                    "X-Server-Seal: seal-%s\r\nX-Weight-Versions: 1\r\n%s%s\r\n",
                     wl_soak_kinds[r->kind].service == 0 ? "text/event-stream"
                                                         : "application/octet-stream",
-                    r->id, r->id, framing);
+                    r->id, r->id, limit, framing);
   wl_soak_conn_send (&s->conn, head, (size_t)n);
 }
 
@@ -185,6 +193,7 @@
   if (!wl_soak_conn_listen (&e->listener, e->soak, ip, WL_SOAK_ENDPOINT_PORT))
     return;
   snprintf (e->id, sizeof e->id, "i-%08x", 0x50a00000 + e->n_starts++ * 0x100 + e->number);
+  wl_soak_limits_restart (e->number, wl_clock_now_us ());
   e->started_ms = wl_clock_wall_us () / 1000;
   e->sequence = 0;
   e->beat_us = 0;
@@ -324,7 +333,7 @@
         s->next_event = r->fault_event;
       if (meet_fault (s, now_us) || meet_end (s, now_us))
         return;
-      begin_answer (s);
+      begin_answer (s, now_us);
       r->endpoint_status = 200;
       s->phase = PHASE_WRITING;
     }
@@ -362,6 +371,7 @@
       return;
     }
   wl_soak_parts_note_arrival (s->request, now_us);
+  wl_soak_limits_note_arrival (s->request, e->number, now_us);
   s->is_first_arrival = s->request->n_arrivals++ == 0;
   if (s->request->arrived_us == 0)
     s->request->arrived_us = now_us;
--- a/soak/wl_soak_request.h
+++ b/soak/wl_soak_request.h
@@ -95,6 +95,7 @@
  * @endpoint_status: of the latest work
  * @broken_off: WlSoakFault by which an endpoint ended the latest work early
  * @n_broken_off: how often endpoints have done so
+ * @limited_start: what its latest answer came from, if it named a limit, see wl_soak_limits.c
  * @slowness: of the endpoint at its latest work, see WlSoakOptions
  */
 typedef struct WlSoakRequest
@@ -146,6 +147,7 @@
   uint16_t endpoint_status;
   uint8_t broken_off;
   uint16_t n_broken_off;
+  uint32_t limited_start;
   uint32_t slowness;
 } WlSoakRequest;
 
