Header Server-Limit is read once, in the platform's protocol

A decimal number of requests a second becomes requests in 1,000 s; anything else is unreadable and neither sets nor ends a limit. Nothing uses it yet.

--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -4,6 +4,7 @@
 #include "wl_fetch.h"
 #include "wl_metrics.h"
 #include "wl_choice.h"
+#include "wl_permits.h"
 #include "wl_quarantine.h"
 #include "wl_reservation.h"
 
@@ -46,6 +47,19 @@
   WlPromptParts parts;
 } WlRelayRequestInfo;
 
+/**
+ * enum WlRelayLimitKind - what a response says of the endpoint's limit
+ * @WL_RELAY_LIMIT_NONE: nothing: the endpoint has none
+ * @WL_RELAY_LIMIT_NAMED: it names one
+ * @WL_RELAY_LIMIT_UNREADABLE: something that is no rate; what is known remains
+ */
+typedef enum
+{
+  WL_RELAY_LIMIT_NONE,
+  WL_RELAY_LIMIT_NAMED,
+  WL_RELAY_LIMIT_UNREADABLE,
+} WlRelayLimitKind;
+
 /**
  * struct WlRelayResponseInfo - values of a response's header fields
  * @id: id of the attempt that the response belongs to, NULL when missing
@@ -55,6 +69,9 @@
  * @fault_address: IPv4 address, network byte order, of the endpoint that caused
  *   a rejection, for instance a helper; 0 when not named
  * @fault_port: its port, 0 when not named
+ * @limit_kind: what it says of the endpoint's limit
+ * @limit_rate: the limit in requests in 1,000 s from all nodes, WL_LIMIT_RATE_MAX at most, when
+ *   named
  */
 typedef struct
 {
@@ -63,6 +80,8 @@
   uint8_t is_sealed;
   uint32_t fault_address;
   uint16_t fault_port;
+  WlRelayLimitKind limit_kind;
+  uint64_t limit_rate;
 } WlRelayResponseInfo;
 
 /**
