Endpoints that name a limit get requests with permits only

Cause: nobody read the field.

The relay notes the word of each response head, also of rejections and of a stream at once; nodes report it to each other. A request that no other endpoint serves in time asks the issuer of its service for a permit and is sent with it; refused at once (reason=limit) when none is to be had in time and nothing else is left. Every attempt passes wl_relay_use_permit () when it is sent, so that retries, resumed streams, trials and requests whose reservations came late hold one, too.

The tests of the relay and the host need the new interface.

--- a/relay/forwarding/wl_metrics.c
+++ b/relay/forwarding/wl_metrics.c
@@ -12,14 +12,23 @@
 wl_reason_name (WlReason reason)
 {
   static const char *const names[WL_REASONS] = {
-    [WL_REASON_NO_CONFIG] = "no_config",     [WL_REASON_NO_ROUTE] = "no_route",
-    [WL_REASON_UNKNOWN_KEY] = "unknown_key", [WL_REASON_DEADLINE] = "deadline",
-    [WL_REASON_TIMEOUT] = "timeout",         [WL_REASON_NO_ENDPOINT] = "no_endpoint",
-    [WL_REASON_TOO_LARGE] = "too_large",     [WL_REASON_REJECTED] = "rejected",
-    [WL_REASON_UNREACHABLE] = "unreachable", [WL_REASON_NO_SOCKET] = "no_socket",
-    [WL_REASON_BROKEN] = "broken",           [WL_REASON_SILENT] = "silent",
-    [WL_REASON_NO_SEAL] = "no_seal",         [WL_REASON_ERROR] = "error",
-    [WL_REASON_STOPPING] = "stopping",       [WL_REASON_QUARANTINED] = "quarantined",
+    [WL_REASON_NO_CONFIG] = "no_config",
+    [WL_REASON_NO_ROUTE] = "no_route",
+    [WL_REASON_UNKNOWN_KEY] = "unknown_key",
+    [WL_REASON_DEADLINE] = "deadline",
+    [WL_REASON_TIMEOUT] = "timeout",
+    [WL_REASON_NO_ENDPOINT] = "no_endpoint",
+    [WL_REASON_TOO_LARGE] = "too_large",
+    [WL_REASON_REJECTED] = "rejected",
+    [WL_REASON_UNREACHABLE] = "unreachable",
+    [WL_REASON_NO_SOCKET] = "no_socket",
+    [WL_REASON_BROKEN] = "broken",
+    [WL_REASON_SILENT] = "silent",
+    [WL_REASON_NO_SEAL] = "no_seal",
+    [WL_REASON_ERROR] = "error",
+    [WL_REASON_LIMIT] = "limit",
+    [WL_REASON_STOPPING] = "stopping",
+    [WL_REASON_QUARANTINED] = "quarantined",
   };
   return (unsigned)reason < WL_REASONS ? names[reason] : "?";
 }
@@ -95,6 +104,10 @@
   wl_metrics_write_gauge (out, "streams_resumed_total", metrics->resumed);
   wl_metrics_write_gauge (out, "callers_gone_total", metrics->callers_disconnected);
   wl_metrics_write_gauge (out, "cut_total", metrics->cut);
+  wl_metrics_write_gauge (out, "permits_used_total", metrics->permits_used);
+  wl_metrics_write_gauge (out, "permits_denied_total", metrics->permits_denied);
+  wl_metrics_write_gauge (out, "permits_returned_total", metrics->permits_returned);
+  wl_metrics_write_gauge (out, "permits_answered_total", metrics->permits_answered);
   write_reasons (out, "refused", metrics->refused);
   write_reasons (out, "failed", metrics->failed);
   write_reasons (out, "repeated", metrics->repeated);
--- a/relay/forwarding/wl_metrics.h
+++ b/relay/forwarding/wl_metrics.h
@@ -30,6 +30,7 @@
   WL_REASON_NO_SEAL,     /* a response without the endpoint's seal, see WlRelayResponseInfo */
   WL_REASON_ERROR,       /* the endpoint responded with status 5xx */
   WL_REASON_STOPPING,    /* the response cannot be complete before this node exits */
+  WL_REASON_LIMIT,       /* endpoints with a limit could serve it, but not in time */
   WL_REASON_QUARANTINED, /* a part of the prompt is quarantined, see wl_quarantine.h */
   WL_REASONS,
 } WlReason;
@@ -72,6 +73,10 @@
  * @repeated: retried attempts, by the reason why the previous one failed
  * @resumed: streams continued at another endpoint
  * @cut: requests that were dropped without a whole answer when the node exited
+ * @permits_used: requests sent to an endpoint with a limit
+ * @permits_denied: asks for a permit that were denied, or not answered in time
+ * @permits_returned: permits that came to no use
+ * @permits_answered: asks that this node has answered
  * @callers_disconnected: callers that disconnected before their response ended
  * @first_output: time to first output, by prompt size
  * @waiting: time from arrival to the first attempt
@@ -87,6 +92,10 @@
   uint64_t repeated[WL_REASONS];
   uint64_t resumed;
   uint64_t cut;
+  uint64_t permits_used;
+  uint64_t permits_denied;
+  uint64_t permits_returned;
+  uint64_t permits_answered;
   uint64_t callers_disconnected;
   WlHistogram first_output[WL_PROMPT_CLASSES];
   WlHistogram waiting;
--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -37,6 +37,8 @@
   relay->reservations = wl_reservations_create (
       options->client, options->protocol.write_reservation, options->boot_id);
   relay->quarantine = wl_quarantine_create ();
+  relay->limits = wl_limits_create ();
+  relay->permits = wl_permits_create (options->boot_id);
   return relay;
 }
 
@@ -46,6 +48,7 @@
   WlRelay *relay = r->relay;
   wl_fetch_cancel (r->fetch);
   wl_relay_release_endpoints (r);
+  wl_relay_drop_permit (r, wl_clock_now_us ());
   if (r->previous != NULL)
     r->previous->next = r->next;
   else
@@ -69,6 +72,8 @@
     wl_relay_free_request (relay->requests);
   wl_reservations_destroy (relay->reservations);
   wl_quarantine_destroy (relay->quarantine);
+  wl_permits_destroy (relay->permits);
+  wl_limits_destroy (relay->limits);
   wl_routes_release (relay->routes);
   free (relay);
 }
@@ -149,6 +154,7 @@
 {
   WlRelay *relay = r->relay;
   char part[WL_RELAY_PART_TEXT_SIZE];
+  char limits[WL_RELAY_LIMIT_TEXT_SIZE];
   if (r->may_have_run)
     {
       wl_relay_fail (r, 502, reason);
@@ -159,12 +165,13 @@
   wl_log_eventf (WL4008_REQUEST_REFUSED,
                  "request=%s route=%s reason=%s held_ms=%" PRIu64 " retry_after_ms=%" PRIu64
                  " attempts=%u prompt=%u deadline_ms=%" PRIu64 " hold=%s reading_ms=%" PRIu64
-                 " config=%" PRIu64 "%s",
+                 " config=%" PRIu64 "%s%s",
                  r->info.id != NULL ? r->info.id : "-", r->route->name, wl_reason_name (reason),
                  (wl_clock_now_us () - r->arrived_us) / 1000, retry_after_us / 1000, r->attempts,
                  r->choice_request.prompt, r->choice_request.deadline_us / 1000,
                  wl_choice_hold_name (r->choice.hold), r->choice.mean_backlog_us / 1000,
-                 r->routes->number, wl_relay_part_text (r, part, sizeof part));
+                 r->routes->number, wl_relay_part_text (r, part, sizeof part),
+                 wl_relay_limit_text (r, limits, sizeof limits));
   WlWebRequest *web = r->web;
   wl_relay_free_request (r);
   reply_unavailable (web, retry_after_us);
@@ -284,25 +291,27 @@
 static void
 log_wait (WlRelayRequest *r)
 {
+  char limits[WL_RELAY_LIMIT_TEXT_SIZE];
   if (r->is_wait_logged)
     return;
   r->is_wait_logged = 1;
   wl_log_eventf (WL4011_REQUEST_WAITS,
                  "request=%s route=%s hold=%s prompt=%u reading_ms=%" PRIu64
-                 " objective_ms=%" PRIu64 " deadline_ms=%" PRIu64 " config=%" PRIu64,
+                 " objective_ms=%" PRIu64 " deadline_ms=%" PRIu64 " config=%" PRIu64 "%s",
                  r->info.id != NULL ? r->info.id : "-", r->route->name,
                  wl_choice_hold_name (r->choice.hold), r->choice_request.prompt,
                  r->choice.mean_backlog_us / 1000, r->choice_request.objective_us / 1000,
-                 r->choice_request.deadline_us / 1000, r->routes->number);
+                 r->choice_request.deadline_us / 1000, r->routes->number,
+                 wl_relay_limit_text (r, limits, sizeof limits));
 }
 
 void
 wl_relay_place (WlRelayRequest *r, uint64_t now_us)
 {
-  if (wl_relay_refuse_quarantined (r, now_us))
+  if (wl_relay_refuse_quarantined (r, now_us) || wl_relay_is_asking (r, now_us))
     return;
   r->choice = wl_relay_choose (r, now_us);
-  if (wl_relay_refuse_trial (r, now_us))
+  if (wl_relay_seek_permit (r, now_us) || wl_relay_refuse_trial (r, now_us))
     return;
   if (r->phase == WL_RELAY_ANSWERING && r->choice.result != WL_CHOICE_PLACED)
     {
@@ -329,6 +338,8 @@
       wl_relay_refuse (r, r->choice.wait_us, WL_REASON_DEADLINE);
       return;
     case WL_CHOICE_NO_ENDPOINT:
+      if (wl_relay_refuse_limited (r, now_us))
+        return;
       if (r->attempts + r->n_connect_failures == 0
           && now_us < r->relay->started_us + REGISTRATION_WAIT_US)
         {
@@ -401,6 +412,7 @@
     .prompt = r->info.prompt,
     .output = r->service->has_engine ? expected_output (&r->info, r->service) : 0,
     .gap_us = r->route->gap_us,
+    .limits = relay->limits,
   };
   relay->metrics.requests++;
   wl_budget_earn (find_budget (relay, r->service->name));
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -260,6 +260,16 @@
 void wl_relay_apply_part_report (WlRelay *relay, uint32_t node, const WlPartReport *report,
                                  uint64_t now_us);
 
+/** wl_relay_limits() - limits of endpoints, owned by the relay; for reports and the issuer */
+WlLimits *wl_relay_limits (WlRelay *relay);
+
+/** wl_relay_permits() - asks for permits, owned by the relay; for their messages */
+WlPermits *wl_relay_permits (WlRelay *relay);
+
+/** wl_relay_apply_limit_report() - applies what another node, for the log @node, says of limits */
+void wl_relay_apply_limit_report (WlRelay *relay, uint32_t node, const WlLimitReport *report,
+                                  uint64_t now_us);
+
 /** wl_relay_expire_parts() - releases quarantined parts that have been unused for long */
 void wl_relay_expire_parts (WlRelay *relay, uint64_t now_us);
 
--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -208,6 +208,12 @@
   WlRelay *relay = r->relay;
   WlRelayForward forward;
   WlBuffer head = { 0 };
+  if (!wl_relay_use_permit (r, now_us))
+    {
+      wl_relay_release_endpoints (r);
+      r->retry_us = now_us;
+      return;
+    }
   wl_relay_exclude (r, r->target.key);
   fill_forward_fields (r, now_us, &forward);
   write_request_head (r, &forward, &head);
@@ -355,6 +361,7 @@
   WlRelayRequest *r = data;
   r->relay->options.protocol.read_response (head, &r->response);
   WlFetchVerdict verdict = attribute_response (r);
+  wl_relay_note_limit (r, head->status, verdict == WL_FETCH_TAKE, wl_clock_now_us ());
   r->is_aborted = verdict == WL_FETCH_ABORT;
   if (verdict != WL_FETCH_TAKE)
     return verdict;
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -8,7 +8,8 @@
 /*
  * Shared by the files of the relay: wl_relay.c (requests), wl_relay_answer.c
  * (attempts and their responses), wl_relay_retry.c (failed attempts),
- * wl_relay_evidence.c and wl_relay_quarantine.c (parts that end engines) and wl_relay_stop.c
+ * wl_relay_evidence.c and wl_relay_quarantine.c (parts that end engines), wl_relay_limits.c
+ * (endpoints that name a limit) and wl_relay_stop.c
  * (the exit of the node).
  */
 
@@ -19,6 +20,7 @@
   WL_RELAY_QUEUE_PAUSE_BYTES = 262144, /* queue for a caller above which reading pauses */
   WL_RELAY_BODY_MAX_BYTES = 1 << 20,   /* of a response that is kept until it is complete */
   WL_RELAY_PART_TEXT_SIZE = 80,        /* see wl_relay_part_text() */
+  WL_RELAY_LIMIT_TEXT_SIZE = 256,      /* see wl_relay_limit_text() */
   WL_RELAY_ENDS_MAX = 64,              /* latest ends of engines, and latest short responses */
 };
 
@@ -66,6 +68,13 @@
  *   @part_use.parts is NULL
  * @quarantine_answer: the latest verdict on these parts
  * @is_trial: the current attempt is a trial of a quarantined part
+ * @permit_ask: the ask for a permit that is in progress, 0 for none
+ * @permitted: key of the endpoint that the current choice has a permit for, 0 for none
+ * @is_refresh: the ask only renews the word on a limit: other endpoints would do
+ * @is_denied: an ask was denied
+ * @denied_until_us: when a permit is to be expected, if @is_denied
+ * @ask_us: no other ask before
+ * @choose_us: when to try other endpoints again while an ask is in progress
  * @fetch: the HTTP request to @target, NULL when none is in progress
  * @choice_request: the input of the placement
  * @choice: the placement of the current attempt
@@ -116,6 +125,13 @@
   WlPartUse part_use;
   WlQuarantineAnswer quarantine_answer;
   uint8_t is_trial;
+  uint64_t permit_ask;
+  uint64_t permitted;
+  uint8_t is_refresh;
+  uint8_t is_denied;
+  uint64_t denied_until_us;
+  uint64_t ask_us;
+  uint64_t choose_us;
 
   WlFetch *fetch;
   WlChoiceRequest choice_request;
@@ -201,6 +217,9 @@
   WlMetrics metrics;
   WlReservations *reservations;
   WlQuarantine *quarantine;
+  WlLimits *limits;
+  WlPermits *permits;
+  uint64_t unreadable_limit_us;   /* an unreadable limit is logged again from then on */
   uint64_t quarantine_generation; /* whose quarantined parts have ended their requests */
   WlQuarantinedPart logged_parts[WL_QUARANTINE_ENTRIES_MAX]; /* as last logged */
   uint32_t n_logged_parts;
@@ -316,6 +335,47 @@
 /** wl_relay_part_text() - the quarantined part, for log lines of requests; empty without one */
 const char *wl_relay_part_text (const WlRelayRequest *r, char *out, size_t size);
 
+/**
+ * wl_relay_note_limit() - records what the head of a response says of its endpoint's limit
+ * @r: the request, with the response
+ * @status: of the response
+ * @is_current: it is the response to the current attempt; else to an earlier request
+ * @now_us: monotonic time
+ */
+void wl_relay_note_limit (WlRelayRequest *r, uint32_t status, int is_current, uint64_t now_us);
+
+/** wl_relay_limit_text() - limited endpoints, for log lines of requests; empty without one */
+const char *wl_relay_limit_text (const WlRelayRequest *r, char *out, size_t size);
+
+/** wl_relay_is_asking() - whether a request waits for the answer to its ask, and no choice is due
+ */
+int wl_relay_is_asking (WlRelayRequest *r, uint64_t now_us);
+
+/**
+ * wl_relay_seek_permit() - asks for a permit when the choice among other endpoints is not enough
+ * @r: the request, whose choice was just made
+ * @now_us: monotonic time
+ *
+ * With a permit the request's choice becomes the endpoint of the permit.
+ *
+ * Return: 1 when the request has to wait for the answer.
+ */
+int wl_relay_seek_permit (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_refuse_limited() - refuses a request that only endpoints with a limit could serve */
+int wl_relay_refuse_limited (WlRelayRequest *r, uint64_t now_us);
+
+/**
+ * wl_relay_use_permit() - uses the permit for an attempt that is sent now
+ *
+ * Return: 0 when the attempt must not be sent: an endpoint has a limit, and there is no valid
+ * permit for it.
+ */
+int wl_relay_use_permit (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_drop_permit() - ends the ask of a request that needs no permit any more */
+void wl_relay_drop_permit (WlRelayRequest *r, uint64_t now_us);
+
 /** wl_relay_on_failure() - retries or fails a request after an attempt that may have run */
 void wl_relay_on_failure (WlRelayRequest *r, WlReason reason, uint64_t now_us);
 
--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -34,6 +34,15 @@
   return 0;
 }
 
+/* Whether limits of endpoints allow one: without a permit, only if it has none. */
+static int
+may_use (const WlChoiceRequest *q, const WlEndpoint *e)
+{
+  if (q->permitted != 0)
+    return e->key == q->permitted;
+  return q->limits == NULL || wl_limits_find (q->limits, e) == NULL;
+}
+
 static double
 clamp (double x)
 {
@@ -201,7 +210,7 @@
     {
       WlEndpoint *e = &fleet->endpoints[i];
       if (strcmp (e->record.service, q->service->name) != 0 || !wl_fleet_is_usable (e, now_us)
-          || is_excluded (q, e->key))
+          || is_excluded (q, e->key) || !may_use (q, e))
         continue;
       out[n] = (WlCandidate){ .endpoint = e, .slowdown = wl_fleet_slowdown (e, now_us) };
       out[n++].sum = wl_load_sum (load, e->key, now_us);
--- a/relay/placement/wl_choice.h
+++ b/relay/placement/wl_choice.h
@@ -2,6 +2,7 @@
 #define WL_CHOICE_H
 
 #include "wl_fleet.h"
+#include "wl_limits.h"
 #include "wl_load.h"
 #include "wl_routes.h"
 
@@ -46,6 +47,8 @@
  * @deadline_us: time left until the latest acceptable first output
  * @visibility: how much of other nodes' load is seen
  * @excluded: keys of endpoints that were already tried, @n_excluded of them
+ * @limits: endpoints with a limit, which are not considered; NULL for none
+ * @permitted: key of the only endpoint that is considered, with or without a limit, 0 for all
  */
 typedef struct
 {
@@ -59,6 +62,8 @@
   WlChoiceVisibility visibility;
   uint64_t excluded[8];
   uint32_t n_excluded;
+  const WlLimits *limits;
+  uint64_t permitted;
 } WlChoiceRequest;
 
 /**
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -293,6 +293,7 @@
   wl_host_create_membership (host);
   host->load = wl_load_create ();
   create_relay (host);
+  host->issuer = wl_issuer_create (wl_relay_limits (host->relay), host->fleet);
   if (options->data_folder[0] != '\0')
     error = open_config_store (host);
   if (error != WL_OK)
@@ -322,6 +323,7 @@
     return;
   wl_host_drop_leader_requests (host);
   wl_web_destroy (host->client_server);
+  wl_issuer_destroy (host->issuer);
   wl_relay_destroy (host->relay);
   wl_fetch_client_destroy (host->client);
   wl_peers_destroy (host->peers);
@@ -369,6 +371,7 @@
   wl_fleet_expire (host->fleet, now_us);
   wl_load_expire (host->load, now_us);
   wl_relay_expire_parts (host->relay, now_us);
+  wl_host_limits_tick (host, now_us);
   wl_host_gossip_tick (host, now_us);
 }
 
@@ -483,6 +486,7 @@
   if (is_busy (host) && host->next_tick_us > now_us + WL_HOST_TICK_US)
     host->next_tick_us = now_us + WL_HOST_TICK_US;
   run_config_store (host, now_us);
+  wl_host_flush_limits (host, now_us);
   receive_local (host);
   wl_membership_flush (host->membership, now_us);
   wl_host_flush_work (host);
@@ -527,6 +531,7 @@
     .close_us = host->stopping_us + close_delay_us (host),
   };
   wl_relay_stop (host->relay, &stop);
+  wl_host_limits_tick (host, host->stopping_us); /* another node is the issuer from now on */
   wl_membership_announce (host->membership, host->stopping_us);
 }
 
@@ -604,6 +609,7 @@
   wl_metrics_write_gauge (out, "requests_active", wl_relay_active (host->relay));
   wl_metrics_write_gauge (out, "quarantined_parts",
                           wl_quarantine_n_entries (wl_relay_quarantine (host->relay)));
+  wl_metrics_write_gauge (out, "limits_in_force", wl_limits_count (wl_relay_limits (host->relay)));
   wl_metrics_write_gauge (out, "nodes_alive", wl_roster_count_alive (host->roster, now_us));
   wl_metrics_write_gauge (out, "endpoints_known", host->fleet->n_endpoints);
   wl_metrics_write_gauge (out, "endpoints_usable", n_usable);
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -169,6 +169,7 @@
   host->full_report_us = now_us;
   send_full_report (host, 0);
   wl_host_send_quarantined (host, 0, now_us);
+  wl_host_send_limits (host, 0, now_us);
 }
 
 /* ---- membership ---- */
@@ -208,6 +209,7 @@
     {
       send_full_report (host, s->node);
       wl_host_send_quarantined (host, s->node, now_us);
+      wl_host_send_limits (host, s->node, now_us);
     }
 }
 
@@ -380,7 +382,7 @@
       wl_host_receive_parts (host, from, message, now_us);
       return 1;
     default:
-      return 0;
+      return wl_host_receive_limits (host, from, message, now_us);
     }
 }
 
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -4,6 +4,7 @@
 #include "wl_host.h"
 #include "wl_recent_changes.h"
 #include "wl_load_report_batch.h"
+#include "wl_permits.h"
 
 /*
  * Shared by the files of the host: event loop, load reports and membership,
@@ -65,6 +66,7 @@
   WlFleet *fleet;   /* owned by membership */
   WlLoad *load;
   WlRelay *relay;
+  WlIssuer *issuer;
   WlWeb *client_server;
   WlConfigStore *config_store; /* NULL without a disk */
   WlJournal *journal;
@@ -168,6 +170,18 @@
  */
 int wl_host_may_try_part (void *host, uint64_t part);
 
+/** wl_host_flush_limits() - sends what is known of limits, asks for permits, and answers to asks */
+void wl_host_flush_limits (WlHost *host, uint64_t now_us);
+
+/** wl_host_send_limits() - tells a node, or all for 0, of all limits */
+void wl_host_send_limits (WlHost *host, uint32_t node, uint64_t now_us);
+
+/** wl_host_receive_limits() - processes a message on limits or permits; 0 for others */
+int wl_host_receive_limits (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
+
+/** wl_host_limits_tick() - drops limits that are over; finds the issuers of all services anew */
+void wl_host_limits_tick (WlHost *host, uint64_t now_us);
+
 /** wl_host_config_receive() - processes a message on the configuration; 0 for others */
 int wl_host_config_receive (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
 
--- a/testkit/wl_relay_fixture.c
+++ b/testkit/wl_relay_fixture.c
@@ -66,6 +66,12 @@
   out->id = wl_http_head_field (head, "X-Id");
   out->was_not_run = wl_http_head_field (head, "X-Not-Run") != NULL;
   out->is_sealed = wl_http_head_field (head, "X-Seal") != NULL;
+  const char *limit = wl_http_head_field (head, "X-Limit");
+  if (limit != NULL)
+    {
+      out->limit_kind = limit[0] == '?' ? WL_RELAY_LIMIT_UNREADABLE : WL_RELAY_LIMIT_NAMED;
+      out->limit_rate = strtoull (limit, NULL, 10);
+    }
   const char *port = wl_http_head_field (head, "X-Fault");
   if (port != NULL)
     {
