explain names the limits for which a request was refused

A refusal with reason=limit, or a line on a waiting request, lists the limited endpoints; the story now has the latest word on each of them up to then. The test failed before: the story had the refusal only (1 line of 3).

--- a/cli/tests/test_explain.c
+++ b/cli/tests/test_explain.c
@@ -110,6 +110,36 @@
 }
 END_TEST
 
+/* Guards against a refusal for limits of which nobody knows who named them, and when. */
+START_TEST (a_refusal_for_limits_has_the_latest_word_on_each)
+{
+  static const char log[]
+      = "2026-12-06T05:00:00.000Z INFO node=3 WL3013 endpoint=i-1 service=s limit=3.000 is_new=1 "
+        "peer=4\n"
+        "2026-12-06T05:00:01.000Z INFO node=3 WL3013 endpoint=i-1 service=s limit=0.400 is_new=0 "
+        "request=aa\n"
+        "2026-12-06T05:00:02.000Z INFO node=3 WL3013 endpoint=i-12 service=s limit=7.000 is_new=1 "
+        "peer=4\n"
+        "2026-12-06T05:00:03.000Z INFO node=3 WL3013 endpoint=i-2 service=s limit=1.000 is_new=1 "
+        "peer=4\n"
+        "2026-12-06T06:00:00.000Z INFO node=3 WL4008 request=dd route=r reason=limit held_ms=2 "
+        "config=1 limited=i-1:0.400,i-2:1.000\n"
+        "2026-12-06T06:00:01.000Z INFO node=3 WL3014 endpoint=i-1 service=s request=ee\n";
+  static const char *const events[] = { "endpoint=i-1 service=s limit=0.400",
+                                        "endpoint=i-2 service=s limit=1.000", "WL4008 request=dd" };
+  WlStory s = { 0 };
+  wl_explain_add (&s, "dd", "c", log);
+  wl_explain_sort (&s);
+  ck_assert_uint_eq (s.n_lines, sizeof events / sizeof *events);
+  for (size_t i = 0; i < s.n_lines; i++)
+    {
+      ck_assert_ptr_nonnull (strstr (s.lines[i].text, events[i]));
+      ck_assert_int_eq (s.lines[i].is_context, i != 2);
+    }
+  wl_explain_clear (&s);
+}
+END_TEST
+
 /* Guards against a story of all ends under a part that all requests share. */
 START_TEST (a_suspected_request_has_the_verdicts_on_its_parts_but_not_all_ends)
 {
@@ -132,6 +162,7 @@
     WL_TEST (a_refusal_stands_alone),
     WL_TEST (an_id_is_not_taken_for_the_beginning_of_another),
     WL_TEST (a_refusal_for_a_part_has_the_events_of_the_part_at_all_nodes),
+    WL_TEST (a_refusal_for_limits_has_the_latest_word_on_each),
     WL_TEST (a_suspected_request_has_the_verdicts_on_its_parts_but_not_all_ends),
   };
   return wl_test_run ("explain", tests, sizeof tests / sizeof tests[0]);
--- a/cli/wl_explain.c
+++ b/cli/wl_explain.c
@@ -61,17 +61,46 @@
   story->n_lines++;
 }
 
+/* Index of an endpoint, @endpoints->n when it is not there. */
+static size_t
+find_endpoint (const Endpoints *endpoints, const char *name)
+{
+  size_t i = 0;
+  while (i < endpoints->n && strcmp (endpoints->names[i], name) != 0)
+    i++;
+  return i;
+}
+
+static void
+add_endpoint (Endpoints *endpoints, const char *name)
+{
+  if (name[0] != '\0' && find_endpoint (endpoints, name) == endpoints->n
+      && endpoints->n < ENDPOINTS_MAX)
+    snprintf (endpoints->names[endpoints->n++], NAME_SIZE, "%s", name);
+}
+
 static void
 note_endpoint (Endpoints *endpoints, const char *line)
 {
   char name[NAME_SIZE];
-  if (!field (line, "endpoint", name, sizeof name) || name[0] == '\0')
+  if (field (line, "endpoint", name, sizeof name))
+    add_endpoint (endpoints, name);
+}
+
+/* Records the endpoints that were left out for their limits: NAME:LIMIT,NAME:LIMIT,... */
+static void
+note_limited (Endpoints *limited, const char *line)
+{
+  char text[PARTS_SIZE];
+  char name[NAME_SIZE];
+  if (!field (line, "limited", text, sizeof text))
     return;
-  for (size_t i = 0; i < endpoints->n; i++)
-    if (strcmp (endpoints->names[i], name) == 0)
-      return;
-  if (endpoints->n < ENDPOINTS_MAX)
-    snprintf (endpoints->names[endpoints->n++], NAME_SIZE, "%s", name);
+  for (const char *p = text; *p != '\0'; p += *p == ',')
+    {
+      snprintf (name, sizeof name, "%.*s", (int)strcspn (p, ":,"), p);
+      add_endpoint (limited, name);
+      p += strcspn (p, ",");
+    }
 }
 
 /* ---- parts of prompts ---- */
@@ -149,10 +178,7 @@
     return 1;
   if (strstr (line, " WL300") == NULL || !field (line, "endpoint", name, sizeof name))
     return 0;
-  for (size_t i = 0; i < endpoints->n; i++)
-    if (strcmp (endpoints->names[i], name) == 0)
-      return 1;
-  return 0;
+  return find_endpoint (endpoints, name) < endpoints->n;
 }
 
 static char *
@@ -168,10 +194,35 @@
   return line;
 }
 
+/* The latest lines up to a time that name or end the limits of endpoints. Ends the lines of @log.
+ */
+static void
+add_limits (WlStory *story, const Endpoints *limited, const char *source, char *log,
+            const char *until)
+{
+  const char *latest[ENDPOINTS_MAX] = { NULL };
+  char name[NAME_SIZE];
+  char time[32];
+  for (char *line; limited->n > 0 && (line = next_line (&log)) != NULL;)
+    {
+      if ((strstr (line, " WL3013 ") == NULL && strstr (line, " WL3014 ") == NULL)
+          || !field (line, "endpoint", name, sizeof name) || !time_of (line, time, sizeof time)
+          || strcmp (time, until) > 0)
+        continue;
+      size_t i = find_endpoint (limited, name);
+      if (i < limited->n)
+        latest[i] = line;
+    }
+  for (size_t i = 0; i < limited->n; i++)
+    if (latest[i] != NULL)
+      add_line (story, source, latest[i], 1);
+}
+
 void
 wl_explain_add (WlStory *story, const char *request, const char *source, const char *log)
 {
   Endpoints endpoints = { .n = 0 };
+  Endpoints limited = { .n = 0 };
   char id[NAME_SIZE];
   char first[32] = "";
   char last[32] = "";
@@ -189,6 +240,7 @@
       strcpy (last, time);
       note_endpoint (&endpoints, line);
       note_parts (story, line);
+      note_limited (&limited, line);
       add_line (story, source, line, 0);
     }
   free (copy);
@@ -199,6 +251,9 @@
         && is_context (&endpoints, line))
       add_line (story, source, line, 1);
   free (copy);
+  copy = strdup (log);
+  add_limits (story, &limited, source, copy, last);
+  free (copy);
 }
 
 void
