--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -80,11 +80,13 @@
   struct arg_lit *no_fence = arg_lit0 (NULL, "ignore-fence", "take orders with old numbers");
   struct arg_str *ends_on
       = arg_strn (NULL, "ends-on", "TEXT", 0, 8, "ends when it writes on a prompt with TEXT");
+  struct arg_str *limit
+      = arg_str0 (NULL, "limit", "RATE", "names a limit of RATE requests a second");
   struct arg_str *log = arg_str0 (NULL, "witness", "FILE", "log of what ran");
   struct arg_end *end = arg_end (20);
-  void *table[]
-      = { service, entries, key,    domains,    address, port,   count,    plain,   speed, kv,
-          slots,   tps,     decode, service_ms, load_ms, loaded, no_fence, ends_on, log,   end };
+  void *table[] = { service, entries, key,      domains, address, port,   count,
+                    plain,   speed,   kv,       slots,   tps,     decode, service_ms,
+                    load_ms, loaded,  no_fence, ends_on, limit,   log,    end };
   EngineOptions options = { .speed = 1,
                             .prefill_tps = 20000,
                             .decode_us = 12000,
@@ -114,6 +116,7 @@
   options.endpoint_key = key->sval[0];
   options.ends_on = ends_on->sval;
   options.n_ends_on = (uint32_t)ends_on->count;
+  options.limit = limit->count > 0 ? limit->sval[0] : NULL;
   options.is_plain = plain->count > 0;
   options.checks_fence = no_fence->count == 0;
   if (speed->count > 0)
--- a/emulator/tests/test_engine.c
+++ b/emulator/tests/test_engine.c
@@ -6,6 +6,7 @@
 #include "wl_clock.h"
 #include "wl_engine.h"
 #include "wl_http_client.h"
+#include "wl_raw_client.h"
 #include "wl_test.h"
 #include "wl_test_loopback.h"
 
@@ -28,6 +29,7 @@
   .slots = 32,
   .ends_on = harmful,
   .n_ends_on = 1,
+  .limit = "0.4",
   .witness = -1,
 };
 
@@ -131,6 +133,30 @@
 }
 END_TEST
 
+/* Guards against a stand-in that names its limit in some of its responses only. */
+START_TEST (an_engine_names_its_limit_in_each_response)
+{
+  static const char *const requests[] = {
+    "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}",
+    "GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n",
+  };
+  open_fixture ();
+  for (size_t i = 0; i < sizeof requests / sizeof requests[0]; i++)
+    {
+      RawClient client;
+      raw_client_connect_to (&client, wl_test_loopback (1), port);
+      raw_client_send (&client, requests[i]);
+      for (int turn = 0; turn < 2000 && strstr (client.answer, "\r\n\r\n") == NULL; turn++)
+        {
+          poll_once ();
+          raw_client_receive (&client);
+        }
+      ck_assert_ptr_nonnull (strstr (client.answer, "Server-Limit: 0.4\r\n"));
+      raw_client_close (&client);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -138,6 +164,7 @@
   curl_global_init (CURL_GLOBAL_DEFAULT);
   if (sodium_init () < 0)
     return EXIT_FAILURE;
-  const WlTest tests[] = { WL_TEST (an_engine_ends_before_its_first_token_and_comes_back) };
+  const WlTest tests[] = { WL_TEST (an_engine_ends_before_its_first_token_and_comes_back),
+                           WL_TEST (an_engine_names_its_limit_in_each_response) };
   return wl_test_run ("engine", tests, sizeof tests / sizeof tests[0]);
 }
--- a/emulator/wl_engine.c
+++ b/emulator/wl_engine.c
@@ -461,6 +461,8 @@
 {
   Engine *e = data;
   const char *path = wl_exchange_path (x);
+  if (e->options->limit != NULL)
+    wl_exchange_add_header (x, "Server-Limit", e->options->limit);
   if (strncmp (path, "/fault/", 7) == 0)
     handle_fault (e, x, path + 7);
   else if (e->is_dead || e->is_hung)
--- a/emulator/wl_engine.h
+++ b/emulator/wl_engine.h
@@ -40,6 +40,7 @@
  * @ends_on: texts; an engine ends when it begins to write on a prompt with a message that contains
  *           one: all connections close, and it starts again after ENGINE_AWAY_US
  * @n_ends_on: number of them
+ * @limit: requests a second that its responses name as its limit, NULL for none
  * @witness: file descriptor of the log of what ran, -1 for none
  */
 typedef struct
@@ -58,6 +59,7 @@
   uint64_t latency_us;
   const char *const *ends_on;
   uint32_t n_ends_on;
+  const char *limit;
   int witness;
   const char *model;
   const char *version;
