--- a/testkit/bench_relay_main.c
+++ b/testkit/bench_relay_main.c
@@ -1,15 +1,18 @@
+#include <malloc.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 #include <apr_general.h>
 #include "wl_choice.h"
+#include "wl_permits.h"
 #include "wl_roster.h"
 #include "wl_sample_engine.h"
 
 /*
  * Benchmarks of the forwarding nodes' decisions: time of a choice by number of
- * endpoints, and size of the messages between nodes, as slopes for
- * docs/CAPACITY.md. Processor time of this process only; no network.
+ * endpoints and of limits, time of an ask for a permit, size of the messages
+ * between nodes and of the state on limits, as slopes for docs/CAPACITY.md.
+ * Processor time of this process only; no network.
  */
 
 enum
@@ -38,10 +41,20 @@
   return r;
 }
 
+/* Has the last endpoints of a fleet name a limit. */
+static void
+name_limits (WlLimits *limits, WlFleet *fleet, uint32_t n_limited, uint64_t rate)
+{
+  for (uint32_t i = fleet->n_endpoints - n_limited; i < fleet->n_endpoints; i++)
+    wl_limits_note_response (limits, &fleet->endpoints[i], 1, rate, now_us - 1, now_us);
+}
+
+/* Time of a choice among endpoints of which @n_limited, and no others, are not considered. */
 static double
-time_choice (uint32_t n_endpoints, uint32_t prompt)
+time_choice (uint32_t n_endpoints, uint32_t n_limited, uint32_t prompt)
 {
   WlFleet *fleet = wl_fleet_create ();
+  WlLimits *limits = wl_limits_create ();
   WlLoad *load = wl_load_create ();
   for (uint32_t i = 0; i < n_endpoints; i++)
     {
@@ -57,22 +70,105 @@
           wl_load_apply (load, 1, 1, &note, now_us);
         }
     }
+  name_limits (limits, fleet, n_limited, 1000);
   WlChoiceRequest q = { .service = &wl_sample_engines,
                         .domain = "attiki-a",
                         .prompt = prompt,
                         .output = 700,
                         .objective_us = 2500000,
                         .gap_us = 1000000,
-                        .deadline_us = 9000000 };
+                        .deadline_us = 9000000,
+                        .limits = limits };
   double began = seconds ();
   for (uint32_t i = 0; i < ROUNDS; i++)
     wl_choice_make (fleet, load, &q, now_us, i);
   double us = (seconds () - began) / ROUNDS * 1e6;
   wl_load_destroy (load);
+  wl_limits_destroy (limits);
   wl_fleet_destroy (fleet);
   return us;
 }
 
+/* Time of an ask and its answer at a node that is the issuer as well; all are granted or none. */
+static double
+time_permit (uint32_t n_endpoints, uint32_t n_limited, int is_granted)
+{
+  WlFleet *fleet = wl_fleet_create ();
+  WlLimits *limits = wl_limits_create ();
+  WlPermits *permits = wl_permits_create (1);
+  uint64_t at_us = now_us;
+  for (uint32_t i = 0; i < n_endpoints; i++)
+    {
+      WlEndpointRecord r = make_record (i);
+      wl_fleet_apply (fleet, &r, now_us);
+      fleet->endpoints[i].last_contact_us = UINT64_MAX / 2;
+    }
+  name_limits (limits, fleet, n_limited, is_granted ? WL_LIMIT_RATE_MAX : 0);
+  WlIssuer *issuer = wl_issuer_create (limits, fleet);
+  uint64_t service = wl_permits_service ("llm");
+  uint32_t n = 0;
+  uint64_t issuer_us = now_us;
+  wl_issuer_set_own (issuer, service, 1, issuer_us);
+  for (; issuer_us < now_us + WL_ISSUER_QUIET_US; issuer_us += 100000)
+    wl_issuer_tick (issuer, issuer_us);
+  double began = seconds ();
+  for (uint32_t i = 0; i < ROUNDS; i++)
+    {
+      WlPermitAsk ask = { .service = service, .customer = i };
+      WlPermitAnswer answer;
+      WlPermit permit;
+      uint32_t node;
+      at_us += 1000000 / WL_PERMIT_ASK_RATE;
+      issuer_us += 1000; /* short of the first token of a limit of 0 in most rounds */
+      uint64_t id = wl_permits_ask (permits, &ask, at_us, &permit);
+      if (wl_permits_take_ask (permits, &ask))
+        wl_issuer_ask (issuer, 1, &ask, 1, issuer_us);
+      if (wl_issuer_take_answer (issuer, &node, &answer))
+        wl_permits_answer (permits, &answer, at_us);
+      n += wl_permits_state (permits, id, at_us).state == WL_PERMIT_GRANTED;
+      wl_permits_use (permits, id);
+    }
+  double us = (seconds () - began) / ROUNDS * 1e6;
+  if ((n > ROUNDS / 2) != is_granted)
+    printf ("unexpected: %u of %u granted\n", n, ROUNDS);
+  wl_issuer_destroy (issuer);
+  wl_permits_destroy (permits);
+  wl_limits_destroy (limits);
+  wl_fleet_destroy (fleet);
+  return us;
+}
+
+static size_t
+bytes_in_use (void)
+{
+  return mallinfo2 ().uordblks;
+}
+
+static void
+print_state (uint32_t n_limited)
+{
+  WlFleet *fleet = wl_fleet_create ();
+  for (uint32_t i = 0; i < n_limited; i++)
+    {
+      WlEndpointRecord r = make_record (i);
+      wl_fleet_apply (fleet, &r, now_us);
+    }
+  size_t before = bytes_in_use ();
+  WlLimits *limits = wl_limits_create ();
+  name_limits (limits, fleet, n_limited, 1000);
+  size_t with_limits = bytes_in_use ();
+  WlPermits *permits = wl_permits_create (1);
+  size_t with_permits = bytes_in_use ();
+  WlIssuer *issuer = wl_issuer_create (limits, fleet);
+  wl_issuer_set_own (issuer, wl_permits_service ("llm"), 1, now_us);
+  printf ("%u limits: table %zu B, asks %zu B, issuer %zu B\n", n_limited, with_limits - before,
+          with_permits - with_limits, bytes_in_use () - with_permits);
+  wl_issuer_destroy (issuer);
+  wl_permits_destroy (permits);
+  wl_limits_destroy (limits);
+  wl_fleet_destroy (fleet);
+}
+
 static uint32_t
 size_of (const WlMessage *m)
 {
@@ -113,8 +209,22 @@
   static const uint32_t sizes[] = { 18, 60, 250, 1000 };
   apr_initialize ();
   for (size_t i = 0; i < sizeof sizes / sizeof *sizes; i++)
-    printf ("%u endpoints: choice of a short %.1f us, of a long prompt %.1f us\n", sizes[i],
-            time_choice (sizes[i], 3000), time_choice (sizes[i], 133000));
+    {
+      uint32_t n = sizes[i];
+      printf ("%u endpoints: choice of a short %.1f us, of a long prompt %.1f us; with %u limits"
+              " %.1f us, %.1f us\n",
+              n, time_choice (n, 0, 3000), time_choice (n, 0, 133000), n / 10,
+              time_choice (n, n / 10, 3000), time_choice (n, n / 10, 133000));
+    }
+  for (size_t i = 0; i < sizeof sizes / sizeof *sizes; i++)
+    {
+      uint32_t n = sizes[i];
+      printf ("%u endpoints, %u limits: permit granted %.1f us, denied %.1f us\n", n, n / 10 + 1,
+              time_permit (n, n / 10 + 1, 1), time_permit (n, n / 10 + 1, 0));
+    }
+  print_state (1);
+  print_state (30);
+  print_state (1000);
   print_sizes (12);
   print_sizes (75);
   print_sizes (350);
