--- a/relay/tests/test_issuer.c
+++ b/relay/tests/test_issuer.c
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <stdio.h>
 #include <string.h>
 #include <apr_general.h>
@@ -452,6 +453,55 @@
 }
 END_TEST
 
+static size_t
+bytes_in_use (void)
+{
+  return mallinfo2 ().uordblks;
+}
+
+/* Guards against memory that grows with nodes or requests; sanitizers report no sizes. */
+START_TEST (state_grows_with_limits_only)
+{
+  enum
+  {
+    LIMITS = 1000
+  };
+  WlFleet *fleet = wl_fleet_create ();
+  for (uint32_t i = 0; i < LIMITS; i++)
+    {
+      WlEndpointRecord r = { .address = i + 1, .port = 80, .slots = 4, .started_ms = 1 };
+      snprintf (r.id, sizeof r.id, "i-%u", i);
+      strcpy (r.service, "llm");
+      wl_fleet_apply (fleet, &r, start_us);
+      fleet->endpoints[i].last_contact_us = UINT64_MAX / 2;
+    }
+  size_t before = bytes_in_use ();
+  WlLimits *limits = wl_limits_create ();
+  WlPermits *permits = wl_permits_create (1);
+  WlIssuer *issuer = wl_issuer_create (limits, fleet);
+  size_t fixed = bytes_in_use () - before;
+  ck_assert_uint_le (fixed, 160000);
+  for (uint32_t i = 0; i < LIMITS; i++)
+    wl_limits_note_response (limits, &fleet->endpoints[i], 1, 1000, start_us, start_us);
+  wl_issuer_set_own (issuer, wl_permits_service ("llm"), 1, start_us);
+  size_t with_limits = bytes_in_use () - before - fixed;
+  ck_assert_uint_le (with_limits, 250 * LIMITS);
+  for (uint32_t i = 0; i < 5000; i++)
+    {
+      WlPermitAsk a = { i + 1, wl_permits_service ("llm"), i, i % 2 * 50 * SECOND_US, NULL, 0 };
+      WlPermitAnswer answered;
+      uint32_t node;
+      wl_issuer_ask (issuer, i, &a, 1, start_us + i * 1000);
+      wl_issuer_take_answer (issuer, &node, &answered);
+    }
+  ck_assert_uint_le (bytes_in_use () - before - fixed, with_limits + 1000);
+  wl_issuer_destroy (issuer);
+  wl_permits_destroy (permits);
+  wl_limits_destroy (limits);
+  wl_fleet_destroy (fleet);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -470,6 +520,7 @@
     WL_TEST (an_ask_that_was_overtaken_is_denied_early),
     WL_TEST (a_full_queue_drops_the_latest_ask_of_the_customer_with_the_most),
     WL_TEST (any_number_of_customers_is_served),
+    WL_TEST (state_grows_with_limits_only),
     WL_TEST (an_ask_to_a_node_that_is_not_the_issuer_is_denied_with_a_short_retry),
     WL_TEST (a_permit_that_is_returned_soon_counts_again),
     WL_TEST (a_returned_token_does_not_count_beside_its_refill),
