--- a/testkit/bench_relay_main.c
+++ b/testkit/bench_relay_main.c
@@ -235,6 +235,23 @@
           size_of (&one), size_of (&endpoints));
 }
 
+static void
+print_permit_sizes (void)
+{
+  WlEndpointKey excluded = { UINT64_MAX };
+  WlLimitWord word = { UINT64_MAX, 1800000000000, 0, 2700, 200000, 1000 };
+  WlMessage ask = { .kind = WL_MESSAGE_PERMIT_ASK };
+  WlMessage answer = { .kind = WL_MESSAGE_PERMIT_ANSWER };
+  WlMessage returned = { .kind = WL_MESSAGE_PERMIT_RETURN };
+  WlMessage report = { .kind = WL_MESSAGE_LIMIT_REPORT };
+  ask.u.permit_ask = (WlPermitAsk){ UINT64_MAX, UINT64_MAX, UINT64_MAX, 1000000, &excluded, 1 };
+  answer.u.permit_answer = (WlPermitAnswer){ UINT64_MAX, UINT64_MAX, 0, 500000 };
+  returned.u.permit_return = (WlPermitReturn){ UINT64_MAX, UINT64_MAX, UINT64_MAX, UINT64_MAX };
+  report.u.limit_report = (WlLimitReport){ &word, 1 };
+  printf ("permits: ask %u B, answer %u B, return %u B, report of one limit %u B\n", size_of (&ask),
+          size_of (&answer), size_of (&returned), size_of (&report));
+}
+
 int
 main (void)
 {
@@ -262,5 +279,6 @@
   print_sizes (12);
   print_sizes (75);
   print_sizes (350);
+  print_permit_sizes ();
   return 0;
 }
