--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = $(shell grep -v '^\#' packages.txt)
 SOURCES = $(filter-out scripts/cppcheck-macros.h,$(shell git ls-files --cached --others --exclude-standard '*.c' '*.h'))
 
-.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short soak-parts soak-press
+.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short soak-parts soak-press soak-limits
 
 all: build
 
@@ -54,6 +54,12 @@
 	@BUILD=$(BUILD) scripts/known-red.sh soak-press scripts/soak.sh --seed 1 --seconds 30 --callers 36 \
 	  --engines 12 --stays 66 --slow 6
 
+# The same with endpoints that name limits.
+soak-limits: build
+	@BUILD=$(BUILD) scripts/known-red.sh soak-limits scripts/soak.sh --seed 1 --seconds 13 --nodes 6 \
+	  --callers 60 --engines 10 --plain 3 --series 0 --traits 0 --prompt-max 4000 --sound --limits 60 \
+	  --limits-from 4
+
 asan: setup
 	@cmake -S . -B build-asan -DCMAKE_BUILD_TYPE=Debug -DWL_SANITIZE=ON >/dev/null
 	@cmake --build build-asan -j $(JOBS) -- --no-print-directory
@@ -65,7 +71,7 @@
 mutants: setup
 	@tests/mutants.sh
 
-check: build format-check lint unit soak-short soak-press soak-parts asan model mutants
+check: build format-check lint unit soak-short soak-press soak-parts soak-limits asan model mutants
 	@scripts/check-symbols.sh $(BUILD)
 	@echo "make check: all parts passed"
 
