A forwarded load report ends in the failure domain that it was forwarded to

Callers saw nothing at first; nodes passed their memory limit and lost their connections to each other.

Cause: a node that gets forwarded load reports from another failure domain passes them on to its load peers. While its view is a mesh (16 nodes or fewer known, as after a start), these are nodes of all failure domains, and each of them takes the reports as coming from another domain and passes them on again. The batches merge and grow. It needs nodes that know more than 16 others beside nodes that don't, so it cannot occur in a fleet of 12.

Fix: they are passed on to the own failure domain only, whatever the view, and only when the sender's domain is known. A node of the own domain does not pass them on, so each report travels two hops.

The new test failed before: 'n_sent_back == 10, 0 == 0'.

--- a/relay/tests/test_host_gossip.c
+++ b/relay/tests/test_host_gossip.c
@@ -14,7 +14,8 @@
 enum
 {
   NODES = 4,
-  TURNS = 60, /* of every node's loop; the limit only ends a test that has failed */
+  TURNS = 60,           /* of every node's loop; the limit only ends a test that has failed */
+  PASSED_ON_TURNS = 10, /* enough for a message to travel there and back several times */
   NOW_US = 50000000,
   TICK_US = 100000, /* of gossip */
 };
@@ -152,6 +153,33 @@
 }
 END_TEST
 
+/* Guards against load reports that mesh nodes pass on between failure domains for ever, growing. */
+START_TEST (a_forwarded_load_report_is_not_passed_on_between_domains)
+{
+  Fixture f;
+  WlWorkItem item = { .endpoint = 7, .id = 1, .phase = WL_WORK_DECODING };
+  WlLoadReport report = { .boot = 5, .items = &item, .n_items = 1, .node = 99 };
+  WlMessage m = { .kind = WL_MESSAGE_LOAD_REPORTS,
+                  .u.load_reports = { .reports = &report, .n_reports = 1 } };
+  uint32_t n_sent_back = 0;
+  setup (&f);
+  for (uint32_t i = 0; i < 2; i++)
+    f.nodes[i] = wl_test_start_node (i, f.ports, i == 0 ? "z" : "y");
+  for (int i = 0; i < TURNS && count_discovered (f.nodes[0]) == 0; i++)
+    run_turn (&f);
+  ck_assert_uint_eq (count_discovered (f.nodes[0]), 1);
+  wl_host_gossip_receive (f.nodes[0], f.nodes[1]->options.node, &m, NOW_US);
+  wl_clock_set (NOW_US + WL_HOST_INBOUND_DELAY_US);
+  for (int i = 0; i < PASSED_ON_TURNS; i++)
+    {
+      run_turn (&f);
+      n_sent_back += f.nodes[1]->inbound_reports.n_reports;
+    }
+  ck_assert_uint_eq (n_sent_back, 0);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -160,6 +188,7 @@
     WL_TEST (a_seed_that_starts_later_discovers_the_node_at_the_next_tick),
     WL_TEST (a_new_node_receives_a_full_load_report),
     WL_TEST (a_node_with_much_work_sends_full_load_reports),
+    WL_TEST (a_forwarded_load_report_is_not_passed_on_between_domains),
   };
   if (sodium_init () < 0)
     return 1;
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -100,6 +100,21 @@
   wl_load_report_batch_clear (batch);
 }
 
+/* Lists the nodes of the own failure domain, also while the view is a mesh: what they get ends
+   there. */
+static uint32_t
+list_domain_peers (const WlHost *host, uint64_t now_us, uint32_t *out)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < host->roster->n_nodes; i++)
+    {
+      const WlRosterNode *r = &host->roster->nodes[i];
+      if (wl_roster_is_alive (r, now_us) && wl_view_in_own_domain (host->membership->view, r))
+        out[n++] = r->status.node;
+    }
+  return n;
+}
+
 /* Sends the batches whose delay has passed. */
 static void
 forward_due_reports (WlHost *host, uint64_t now_us)
@@ -113,7 +128,7 @@
     }
   if (!wl_load_report_batch_is_due (&host->inbound_reports, WL_HOST_INBOUND_DELAY_US, now_us))
     return;
-  n = wl_membership_load_peers (host->membership, now_us, nodes);
+  n = list_domain_peers (host, now_us, nodes);
   send_batch (host, &host->inbound_reports, nodes, n);
 }
 
@@ -348,7 +363,8 @@
 on_forwarded_reports (WlHost *host, uint32_t from, const WlLoadReports *reports, uint64_t now_us)
 {
   const WlRosterNode *sender = wl_roster_find (host->roster, from);
-  int is_remote = sender != NULL && !wl_view_in_own_domain (host->membership->view, sender);
+  int is_remote = sender != NULL && sender->last_contact_us != 0
+                  && !wl_view_in_own_domain (host->membership->view, sender);
   for (uint32_t i = 0; i < reports->n_reports; i++)
     {
       const WlLoadReport *report = &reports->reports[i];
