--- a/wire/tests/test_codec.c
+++ b/wire/tests/test_codec.c
@@ -99,6 +99,46 @@
 }
 END_TEST
 
+/* Guards against a field of a limit or permit that is not sent, and against large messages. */
+START_TEST (limits_and_permits_round_trip_in_few_bytes)
+{
+  WlLimitWord word = { UINT64_MAX, 1800000000000, 1, 2700, 200000, 1000 };
+  WlEndpointKey excluded[] = { { UINT64_MAX }, { 3 } };
+  WlPermitAsk ask = { UINT64_MAX - 1, UINT64_MAX - 2, UINT64_MAX - 3, 2500000, excluded, 2 };
+  WlPermitAnswer answer = { UINT64_MAX - 4, UINT64_MAX - 5, 1500000, 700000 };
+  WlPermitReturn returned = { UINT64_MAX - 6, UINT64_MAX - 7, UINT64_MAX - 8, UINT64_MAX - 9 };
+  WlMessage m = { .kind = WL_MESSAGE_LIMIT_REPORT }, out;
+  m.u.limit_report = (WlLimitReport){ &word, 1 };
+  ck_assert_uint_le (wl_message_encode (&m, pool).size, 60);
+  ck_assert_int_eq (wl_message_decode (wl_message_encode (&m, pool), &out, pool), WL_OK);
+  ck_assert_uint_eq (out.u.limit_report.n_words, 1);
+  ck_assert_uint_eq (out.u.limit_report.words->endpoint, word.endpoint);
+  ck_assert_uint_eq (out.u.limit_report.words->started_ms, word.started_ms);
+  ck_assert_uint_eq (out.u.limit_report.words->has_ended, 1);
+  ck_assert_uint_eq (out.u.limit_report.words->rate, word.rate);
+  ck_assert_uint_eq (out.u.limit_report.words->sent_age_us, word.sent_age_us);
+  ck_assert_uint_eq (out.u.limit_report.words->heard_age_us, word.heard_age_us);
+  m = (WlMessage){ .kind = WL_MESSAGE_PERMIT_ASK };
+  m.u.permit_ask = ask;
+  ck_assert_uint_le (wl_message_encode (&m, pool).size, 60);
+  ck_assert_int_eq (wl_message_decode (wl_message_encode (&m, pool), &out, pool), WL_OK);
+  ck_assert_uint_eq (out.u.permit_ask.id, ask.id);
+  ck_assert_uint_eq (out.u.permit_ask.service, ask.service);
+  ck_assert_uint_eq (out.u.permit_ask.customer, ask.customer);
+  ck_assert_uint_eq (out.u.permit_ask.max_wait_us, ask.max_wait_us);
+  ck_assert_uint_eq (out.u.permit_ask.n_excluded, 2);
+  ck_assert_mem_eq (out.u.permit_ask.excluded, excluded, sizeof excluded);
+  m = (WlMessage){ .kind = WL_MESSAGE_PERMIT_ANSWER };
+  m.u.permit_answer = answer;
+  ck_assert_int_eq (wl_message_decode (wl_message_encode (&m, pool), &out, pool), WL_OK);
+  ck_assert_mem_eq (&out.u.permit_answer, &answer, sizeof answer);
+  m = (WlMessage){ .kind = WL_MESSAGE_PERMIT_RETURN };
+  m.u.permit_return = returned;
+  ck_assert_int_eq (wl_message_decode (wl_message_encode (&m, pool), &out, pool), WL_OK);
+  ck_assert_mem_eq (&out.u.permit_return, &returned, sizeof returned);
+}
+END_TEST
+
 /*
  * Guards against a decoder that crashes on a damaged message: every turn changes a
  * random byte, and every other turn also truncates the message.
@@ -145,6 +185,7 @@
     WL_TEST (embedded_struct_round_trips),
     WL_TEST (part_report_round_trips),
     WL_TEST (an_end_of_an_endpoint_is_told_in_few_bytes),
+    WL_TEST (limits_and_permits_round_trip_in_few_bytes),
     WL_TEST (damaged_bytes_do_not_crash_the_decoder),
     WL_TEST (unknown_kinds_are_rejected),
   };
