An empty buffer gives large memory back

What callers would see: the node they use ends. A connection keeps the memory of the largest answer that was ever queued on it, up to 2 MB, as long as its caller keeps it; the same holds for what callers have sent. 200 callers who fetched 1 MB each, one after the other, and kept their connections were more than the 160 MB of a node.

wl_buffer_take () frees an empty buffer of more than 16 KB. No user of a buffer keeps a pointer to its bytes over it.

--- a/runtime/wl_buffer.c
+++ b/runtime/wl_buffer.c
@@ -50,8 +50,11 @@
 wl_buffer_take (WlBuffer *buffer, size_t n)
 {
   buffer->start += n;
-  if (buffer->start == buffer->size)
-    buffer->start = buffer->size = 0;
+  if (buffer->start < buffer->size)
+    return;
+  buffer->start = buffer->size = 0;
+  if (buffer->capacity > WL_BUFFER_KEPT_BYTES)
+    wl_buffer_clear (buffer);
 }
 
 size_t
--- a/runtime/wl_buffer.h
+++ b/runtime/wl_buffer.h
@@ -4,6 +4,11 @@
 #include <stddef.h>
 #include "wl_codec.h"
 
+enum
+{
+  WL_BUFFER_KEPT_BYTES = 16384, /* an empty buffer keeps no more memory */
+};
+
 /**
  * struct WlBuffer - growing run of bytes, taken from the front
  * @data: memory, NULL while nothing was ever appended
@@ -30,7 +35,7 @@
  * wl_buffer_bytes() - bytes held
  * @buffer: the buffer
  *
- * Return: the bytes, valid until the next append.
+ * Return: the bytes, valid until the next append or take.
  */
 WlBytes wl_buffer_bytes (const WlBuffer *buffer);
 
@@ -38,6 +43,8 @@
  * wl_buffer_take() - removes bytes from the front
  * @buffer: the buffer
  * @n: number of bytes, at most those held
+ *
+ * Frees the memory of an empty buffer that has more than WL_BUFFER_KEPT_BYTES.
  */
 void wl_buffer_take (WlBuffer *buffer, size_t n);
 
