What is queued for callers counts at once, not at the next tick

A tick comes every 10 ms or later; until then each of many endpoints that send without end could fill the queue of its caller up to 256 KB.

Bytes that are queued for a caller now count from then on until the next tick sums up.

--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -394,6 +394,7 @@
       r->first_us = wl_clock_now_us ();
     }
   wl_web_write (r->web, bytes);
+  r->relay->held_bytes += bytes.size; /* until the next tick, although some may be sent by then */
   size_t limit
       = wl_relay_is_full (r->relay) ? WL_RELAY_SHARE_MAX_BYTES : WL_RELAY_QUEUE_PAUSE_BYTES;
   if (wl_web_queued (r->web) > limit && !r->is_paused && r->fetch != NULL)
