--- a/core/tests/test_founding.c
+++ b/core/tests/test_founding.c
@@ -12,8 +12,10 @@
 enum
 {
   SEEDS = 3,
+  FIVE = 5,
   RUNS = 20,
   FOUNDED_US = 5000000,  /* the group is founded and confirms changes by then */
+  ELECTED_US = 100000,   /* a group is founded by then with all seeds present */
   PRESENT_US = 300000,   /* with all seeds present */
   LATE_US = 10000000,    /* a seed starts so late */
   REPLACED_US = 4000000, /* a started replica is a voter by then */
@@ -54,6 +56,30 @@
 }
 END_TEST
 
+/* Guards against a majority that is counted of three: two of five must not found a group. */
+START_TEST (three_seeds_of_five_found_the_group_and_two_do_not)
+{
+  for (uint64_t run = 0; run < RUNS; run++)
+    {
+      uint32_t first = (uint32_t)(run % FIVE);
+      config_sim_create (run + 1);
+      config_sim_start (first + 1, config_sim_initial, FIVE);
+      config_sim_start ((first + 2) % FIVE + 1, config_sim_initial, FIVE);
+      config_sim_run (FOUNDED_US);
+      ck_assert_uint_eq (config_sim_leader (), 0);
+      config_sim_start ((first + 3) % FIVE + 1, config_sim_initial, FIVE);
+      assert_submitted_within (1, "one", FOUNDED_US);
+      config_sim_run (REPLACED_US);
+      config_sim_start ((first + 1) % FIVE + 1, config_sim_initial, FIVE);
+      config_sim_start ((first + 4) % FIVE + 1, config_sim_initial, FIVE);
+      config_sim_run (REPLACED_US);
+      config_sim_wipe (first + 1);
+      config_sim_assert_config (1, "one");
+      config_sim_destroy ();
+    }
+}
+END_TEST
+
 /* Guards against a usual start that waits for seeds that are all there. */
 START_TEST (three_seeds_found_the_group_at_once)
 {
@@ -62,6 +88,8 @@
       config_sim_create (run + 1);
       for (uint32_t i = 1; i <= SEEDS; i++)
         start_seed (i);
+      config_sim_run (ELECTED_US);
+      ck_assert_uint_ne (config_sim_leader (), 0);
       assert_submitted_within (1, "one", PRESENT_US);
       config_sim_destroy ();
     }
@@ -222,6 +250,7 @@
 {
   const WlTest tests[] = {
     WL_TEST (two_seeds_of_three_found_the_group),
+    WL_TEST (three_seeds_of_five_found_the_group_and_two_do_not),
     WL_TEST (three_seeds_found_the_group_at_once),
     WL_TEST (a_late_seed_joins_the_group),
     WL_TEST (one_seed_of_three_founds_no_group),
