A voter has a place among more replicas than are kept

A replica that heard of 16 others with a disk before it knew the founders would not have kept places for them, and could not have asked them for votes. The voters are set first, and take the places of others. It was found by reading; no run of a fleet has shown it. a_voter_has_a_place_among_many_replicas failed before (no founder had a place).

--- a/core/agreement/wl_raft_group.c
+++ b/core/agreement/wl_raft_group.c
@@ -110,7 +110,7 @@
 void
 wl_raft_set_founders (WlRaft *raft, const uint32_t *nodes, uint32_t n_nodes, uint64_t now_us)
 {
-  WlReplica founders[WL_MAX_REPLICAS];
+  WlReplica founders[WL_MAX_REPLICAS] = { 0 };
   uint32_t n = 0;
   if (raft->snapshot_index > 0 || raft->commit > 0)
     return;
@@ -123,10 +123,11 @@
         known++;
       if (known < n)
         continue; /* listed twice */
-      wl_raft_add_peer (raft, nodes[i], now_us);
       founders[n++] = (WlReplica){ nodes[i], nodes[i] == raft->self ? raft->incarnation : 0 };
     }
   wl_raft_set_first_voters (raft, founders, n);
+  for (uint32_t i = 0; i < n; i++)
+    wl_raft_add_peer (raft, founders[i].node, now_us);
   if (raft->role == WL_RAFT_LEARNER)
     raft->role = wl_raft_idle_role (raft);
 }
--- a/core/tests/test_founding.c
+++ b/core/tests/test_founding.c
@@ -245,6 +245,25 @@
 }
 END_TEST
 
+/* Guards against voters that cannot reach each other among more replicas than each of them keeps.
+ */
+START_TEST (a_voter_has_a_place_among_many_replicas)
+{
+  WlRaft raft = { 0 };
+  WlSettings settings = { .self.node = 1, .replica_incarnation = WL_RAFT_FIRST_START };
+  int n_founders = 0;
+  wl_raft_init (&raft, &settings, NULL, 0);
+  for (uint32_t i = 0; i < 2 * WL_MAX_REPLICAS; i++)
+    wl_raft_add_peer (&raft, 100 + i, 0);
+  ck_assert_uint_eq (raft.n_peers, WL_MAX_REPLICAS);
+  wl_raft_set_founders (&raft, config_sim_initial, SEEDS, 0);
+  for (uint32_t i = 0; i < raft.n_peers; i++)
+    n_founders += raft.peers[i].node <= SEEDS;
+  ck_assert_int_eq (n_founders, SEEDS - 1);
+  wl_raft_clear (&raft);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -255,6 +274,7 @@
     WL_TEST (a_late_seed_joins_the_group),
     WL_TEST (one_seed_of_three_founds_no_group),
     WL_TEST (a_seed_that_is_lost_while_it_founds_does_not_block_the_others),
+    WL_TEST (a_voter_has_a_place_among_many_replicas),
     WL_TEST (an_emptied_disk_founds_no_second_group),
     WL_TEST (one_group_is_founded_under_crashes_losses_and_cuts),
   };
