A limit in the response to a reservation counts

Such a word can only lower a limit, since the order of these responses is not known. The test of a silent stream is stricter: the stream stays open, and moves when the limit has ended.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -36,6 +36,7 @@
   relay->started_us = wl_clock_now_us ();
   relay->reservations = wl_reservations_create (
       options->client, options->protocol.write_reservation, options->boot_id);
+  wl_reservations_watch (relay->reservations, wl_relay_note_engine_limit, relay);
   relay->quarantine = wl_quarantine_create ();
   relay->limits = wl_limits_create ();
   relay->permits = wl_permits_create (options->boot_id);
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -344,6 +344,14 @@
  */
 void wl_relay_note_limit (WlRelayRequest *r, uint32_t status, int is_current, uint64_t now_us);
 
+/**
+ * wl_relay_note_engine_limit() - records the limit that a response to a reservation command names
+ * @relay: the relay
+ * @endpoint: id of the engine
+ * @head: head of its response; one without a limit says nothing
+ */
+void wl_relay_note_engine_limit (void *relay, const char *endpoint, const WlHttpHead *head);
+
 /** wl_relay_limit_text() - limited endpoints, for log lines of requests; empty without one */
 const char *wl_relay_limit_text (const WlRelayRequest *r, char *out, size_t size);
 
--- a/relay/forwarding/wl_relay_limits.c
+++ b/relay/forwarding/wl_relay_limits.c
@@ -86,6 +86,21 @@
     log_change (relay, e, before, cause);
 }
 
+/* The order of these responses is not known: such a word can only lower a limit. */
+void
+wl_relay_note_engine_limit (void *relay_data, const char *endpoint, const WlHttpHead *head)
+{
+  WlRelay *relay = relay_data;
+  const WlEndpoint *e = wl_fleet_find (relay->options.fleet, endpoint);
+  WlRelayResponseInfo response;
+  relay->options.protocol.read_response (head, &response);
+  if (e == NULL || head->status == 421 || response.limit_kind != WL_RELAY_LIMIT_NAMED)
+    return;
+  uint64_t before = rate_in_force (relay, e);
+  if (wl_limits_note_response (relay->limits, e, 1, response.limit_rate, 0, wl_clock_now_us ()))
+    log_change (relay, e, before, "reason=reservation");
+}
+
 void
 wl_relay_apply_limit_report (WlRelay *relay, uint32_t node, const WlLimitReport *report,
                              uint64_t now_us)
--- a/relay/forwarding/wl_reservation.c
+++ b/relay/forwarding/wl_reservation.c
@@ -33,6 +33,8 @@
   WlReservationCommandWriter write_command;
   uint64_t boot_id;
   uint64_t next_number;
+  void (*on_head) (void *data, const char *endpoint, const WlHttpHead *head);
+  void *data; /* of on_head */
   WlReservation *first;
 };
 
@@ -51,6 +53,15 @@
   return set;
 }
 
+void
+wl_reservations_watch (WlReservations *set,
+                       void (*on_head) (void *data, const char *endpoint, const WlHttpHead *head),
+                       void *data)
+{
+  set->on_head = on_head;
+  set->data = data;
+}
+
 void
 wl_reservations_destroy (WlReservations *set)
 {
@@ -107,6 +118,8 @@
 {
   WlReservation *r = data;
   r->status = head->status;
+  if (r->set->on_head != NULL)
+    r->set->on_head (r->set->data, r->endpoint, head);
   return WL_FETCH_TAKE;
 }
 
--- a/relay/forwarding/wl_reservation.h
+++ b/relay/forwarding/wl_reservation.h
@@ -68,6 +68,17 @@
 WlReservations *wl_reservations_create (WlFetchClient *client,
                                         WlReservationCommandWriter write_command, uint64_t boot_id);
 
+/**
+ * wl_reservations_watch() - has the head of each response to a command looked at
+ * @set: the set
+ * @on_head: called with @data, the id of the engine, and the head of its response
+ * @data: passed to @on_head
+ */
+void wl_reservations_watch (WlReservations *set,
+                            void (*on_head) (void *data, const char *endpoint,
+                                             const WlHttpHead *head),
+                            void *data);
+
 /** wl_reservations_destroy() - frees the set without releasing the memory; accepts NULL */
 void wl_reservations_destroy (WlReservations *set);
 
--- a/relay/tests/test_relay_limits.c
+++ b/relay/tests/test_relay_limits.c
@@ -277,8 +277,11 @@
   advance (&f, 200000);
   ck_assert_uint_eq (f.relay->endpoints[0].n_requests, 1);
   ck_assert_uint_eq (f.relay->endpoints[1].n_requests, 0);
+  ck_assert_uint_eq (f.relay->endpoints[0].n_closed, 0);
   ck_assert_uint_eq (wl_relay_active (f.relay->relay), 1);
   report (&f, "e1", RATE, 1);
+  advance (&f, 200000);
+  ck_assert_uint_eq (f.relay->endpoints[1].n_requests, 1);
   destroy (&f);
 }
 END_TEST
@@ -348,6 +351,24 @@
 }
 END_TEST
 
+/* Guards against a prompt that is sent to a helper which has just named a limit. */
+START_TEST (a_limit_in_the_response_to_a_reservation_counts)
+{
+  Fixture f = create ();
+  relay_fixture_register_engine (f.relay, 0);
+  relay_fixture_register_engine (f.relay, 1);
+  script_server_add (&f.relay->endpoints[1],
+                     "HTTP/1.1 200 OK\r\nX-Limit: 400\r\nContent-Length: 2\r\n\r\n{}", SCRIPT_KEEP);
+  relay_fixture_occupy (f.relay, "engine-1");
+  send_larger_than_an_engine (&f);
+  advance (&f, 10000);
+  ck_assert_uint_eq (limit_of (&f, "engine-1"), RATE);
+  ck_assert_uint_eq (relay_fixture_n_seen (f.relay, "POST /large/"), 0);
+  ck_assert_uint_eq (relay_fixture_n_seen (f.relay, "POST /release"), 1);
+  destroy (&f);
+}
+END_TEST
+
 /* ---- what endpoints say ---- */
 
 /* Guards against a limit that is known only when a long stream has ended. */
@@ -538,6 +559,7 @@
     WL_TEST (a_trial_needs_a_permit),
     WL_TEST (a_limited_engine_does_not_prefill_for_others),
     WL_TEST (a_limit_that_is_named_while_memory_is_reserved_counts),
+    WL_TEST (a_limit_in_the_response_to_a_reservation_counts),
     WL_TEST (a_limit_counts_as_soon_as_the_head_of_a_stream_has_arrived),
     WL_TEST (a_limit_in_a_rejection_counts),
     WL_TEST (a_limit_changes_and_ends_with_later_responses),
