A process that ends by abort () or a fault says so in its log

A handler writes the lines that wait and WL1012 with the signal and errno, without blocking and only with functions that a signal handler may call; the process ends with the same status. The test failed before: 'Assertion started != NULL failed'.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -37,6 +37,7 @@
   sigaction (SIGHUP, &stop, NULL);
   sigaction (SIGPIPE, &ignore, NULL);
   sigaction (SIGXFSZ, &ignore, NULL); /* the write fails, and is tried again */
+  wl_log_catch_faults ();
 }
 
 static int
--- a/runtime/tests/test_log.c
+++ b/runtime/tests/test_log.c
@@ -1,8 +1,12 @@
+#include <errno.h>
 #include <fcntl.h>
 #include <limits.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 #include <apr_general.h>
 #include "wl_clock.h"
@@ -93,6 +97,31 @@
 }
 END_TEST
 
+/* Guards against an end by abort () that the log does not mention, and that takes its last lines.
+ */
+START_TEST (an_abort_is_logged_after_the_lines_that_wait)
+{
+  static Fixture f;
+  int status = 0;
+  open_log (&f);
+  fflush (NULL);
+  pid_t child = fork ();
+  if (child == 0)
+    {
+      wl_log_catch_faults ();
+      wl_log_eventf (WL1001_NODE_STARTED, "address=a");
+      errno = ENOMEM;
+      abort ();
+    }
+  ck_assert_int_eq (waitpid (child, &status, 0), child);
+  const char *text = close_log (&f);
+  ck_assert_int_eq (WIFSIGNALED (status) ? WTERMSIG (status) : 0, SIGABRT);
+  const char *started = strstr (text, "WL1001 address=a\n");
+  ck_assert_ptr_nonnull (started);
+  ck_assert_ptr_nonnull (strstr (started, "INFO node=1 WL1012 signal=6 errno=12\n"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -100,6 +129,7 @@
   const WlTest tests[] = {
     WL_TEST (the_last_lines_are_written_at_exit_for_a_slow_reader),
     WL_TEST (lines_left_out_before_the_exit_are_counted),
+    WL_TEST (an_abort_is_logged_after_the_lines_that_wait),
   };
   return wl_test_run ("log", tests, sizeof tests / sizeof tests[0]);
 }
--- a/runtime/wl_log.c
+++ b/runtime/wl_log.c
@@ -1,6 +1,10 @@
+#include <errno.h>
 #include <inttypes.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
+#include <time.h>
 #include <apr_time.h>
 #include <log4c.h>
 #include <unistd.h>
@@ -12,6 +16,8 @@
 enum
 {
   REPORT_US = 1000000, /* between two reports of lines that were left out */
+  FAULT_LINE_SIZE = 128,
+  DAY_S = 86400,
 };
 
 static log4c_category_t *category;
@@ -113,6 +119,86 @@
   wl_log_event (number, fields);
 }
 
+/* ---- faults: only what may be called in a signal handler ---- */
+
+static char *
+put_text (char *out, const char *text)
+{
+  while (*text != '\0')
+    *out++ = *text++;
+  return out;
+}
+
+/* Writes at least @digits digits. */
+static char *
+put_number (char *out, uint64_t value, int digits)
+{
+  char reversed[20];
+  int n = 0;
+  for (; value > 0 || n < digits; value /= 10)
+    reversed[n++] = (char)('0' + value % 10);
+  while (n > 0)
+    *out++ = reversed[--n];
+  return out;
+}
+
+/* The Gregorian date of a day after 1970-01-01, counted in years that begin in March. */
+static char *
+put_date (char *out, uint64_t day)
+{
+  uint64_t shifted = day + 719468;
+  uint64_t era = shifted / 146097;
+  uint64_t of_era = shifted % 146097;
+  uint64_t year = (of_era - of_era / 1460 + of_era / 36524 - of_era / 146096) / 365;
+  uint64_t of_year = of_era - (365 * year + year / 4 - year / 100);
+  uint64_t month = (5 * of_year + 2) / 153;
+  uint64_t is_late = month >= 10;
+  out = put_number (out, era * 400 + year + is_late, 4);
+  out = put_text (out, "-");
+  out = put_number (out, is_late ? month - 9 : month + 3, 2);
+  out = put_text (out, "-");
+  return put_number (out, of_year - (153 * month + 2) / 5 + 1, 2);
+}
+
+static char *
+put_time (char *out)
+{
+  struct timespec now = { 0, 0 };
+  clock_gettime (CLOCK_REALTIME, &now);
+  uint64_t of_day = (uint64_t)now.tv_sec % DAY_S;
+  out = put_date (out, (uint64_t)now.tv_sec / DAY_S);
+  out = put_number (put_text (out, "T"), of_day / 3600, 2);
+  out = put_number (put_text (out, ":"), of_day / 60 % 60, 2);
+  out = put_number (put_text (out, ":"), of_day % 60, 2);
+  out = put_number (put_text (out, "."), (uint64_t)now.tv_nsec / 1000000, 3);
+  return put_text (out, "Z");
+}
+
+/* errno is that of the allocation that failed when memory is the cause. */
+static void
+on_fault (int number)
+{
+  char line[FAULT_LINE_SIZE];
+  uint64_t error = (uint64_t)errno;
+  if (sink == NULL)
+    return;
+  char *out = put_number (put_text (put_time (line), " INFO node="), node_id, 1);
+  out = put_number (put_text (out, " WL"), WL1012_FAULT, 4);
+  out = put_number (put_text (out, " signal="), (uint64_t)number, 1);
+  out = put_number (put_text (out, " errno="), error, 1);
+  out = put_text (out, "\n");
+  wl_log_sink_abandon (sink, line, (size_t)(out - line));
+}
+
+void
+wl_log_catch_faults (void)
+{
+  static const int faults[] = { SIGABRT, SIGBUS, SIGFPE, SIGILL, SIGSEGV };
+  struct sigaction action = { .sa_handler = on_fault, .sa_flags = (int)SA_RESETHAND };
+  for (size_t i = 0; i < sizeof faults / sizeof *faults; i++)
+    sigaction (faults[i], &action, NULL);
+}
+
 void
 wl_log_close (int timeout_ms)
 {
--- a/runtime/wl_log.h
+++ b/runtime/wl_log.h
@@ -37,6 +37,14 @@
  */
 void wl_log_flush (void);
 
+/**
+ * wl_log_catch_faults() - logs WL1012 when the process ends by abort () or a fault, after the
+ * lines that wait
+ *
+ * The process ends with the same status as without it.
+ */
+void wl_log_catch_faults (void);
+
 enum
 {
   WL_LOG_CLOSE_MS = 50, /* wait for a slow reader at the end; a stop has little time left then */
--- a/runtime/wl_log_sink.c
+++ b/runtime/wl_log_sink.c
@@ -140,6 +140,26 @@
   return error;
 }
 
+void
+wl_log_sink_abandon (WlLogSink *sink, const char *line, size_t size)
+{
+  size_t done = 0;
+  struct pollfd p = { .fd = sink->fd, .events = POLLOUT };
+  if (size <= WL_LOG_SINK_BYTES - sink->size)
+    {
+      memcpy (sink->bytes + sink->size, line, size);
+      sink->size += size;
+    }
+  while (done < sink->size && poll (&p, 1, 0) > 0)
+    {
+      size_t left = sink->size - done;
+      ssize_t n = write (sink->fd, sink->bytes + done, left < PIPE_BUF ? left : PIPE_BUF);
+      if (n <= 0)
+        return;
+      done += (size_t)n;
+    }
+}
+
 int
 wl_log_sink_drain (WlLogSink *sink, int timeout_ms)
 {
--- a/runtime/wl_log_sink.h
+++ b/runtime/wl_log_sink.h
@@ -69,6 +69,16 @@
  */
 int wl_log_sink_flush (WlLogSink *sink, uint64_t now_us);
 
+/**
+ * wl_log_sink_abandon() - writes what waits and a last line, as far as the reader takes it at once
+ * @sink: the sink, not used any more
+ * @line: the line
+ * @size: its size
+ *
+ * May be called in a signal handler.
+ */
+void wl_log_sink_abandon (WlLogSink *sink, const char *line, size_t size);
+
 /**
  * wl_log_sink_drain() - writes all lines, for the end of the process
  * @sink: the sink
