--- a/core/agreement/wl_raft_log.h
+++ b/core/agreement/wl_raft_log.h
@@ -32,6 +32,14 @@
  */
 void wl_raft_append (WlRaft *raft, uint64_t term, WlBytes command, WlEffects *fx);
 
+/**
+ * wl_raft_set_first_voters() - sets the voters before the first log entry
+ * @raft: the replica, without a snapshot
+ * @voters: the voters
+ * @n_voters: their number, at most WL_MAX_REPLICAS
+ */
+void wl_raft_set_first_voters (WlRaft *raft, const WlReplica *voters, uint32_t n_voters);
+
 /**
  * wl_raft_truncate() - removes all entries from an index on
  * @raft: the replica
@@ -47,6 +55,14 @@
  */
 void wl_raft_drop_prefix (WlRaft *raft, uint64_t index);
 
+/**
+ * wl_raft_check_snapshot() - whether a snapshot can be used
+ * @image: encoded state
+ *
+ * Return: as wl_raft_set_snapshot().
+ */
+WlError wl_raft_check_snapshot (WlBytes image);
+
 /**
  * wl_raft_set_snapshot() - replaces the snapshot in memory
  * @raft: the replica
@@ -54,10 +70,21 @@
  * @index_term: its term
  * @image: encoded state
  *
- * Return: WL_OK, or WL_ERROR_INVALID when the image cannot be decoded.
+ * Return: WL_OK, WL_ERROR_INVALID when the image cannot be decoded, or WL_ERROR_CORRUPT when it
+ * holds more than wl_state_load() takes.
  */
 WlError wl_raft_set_snapshot (WlRaft *raft, uint64_t index, uint64_t index_term, WlBytes image);
 
+/**
+ * wl_raft_is_replica() - whether a voter is the replica of a node with a disk
+ * @replica: the voter
+ * @node: node id
+ * @incarnation: incarnation of its data folder, 0 when unknown
+ *
+ * Return: 1 or 0, also 0 while the incarnation is unknown.
+ */
+int wl_raft_is_replica (const WlReplica *replica, uint32_t node, uint64_t incarnation);
+
 /**
  * wl_raft_is_voter() - whether a replica may vote
  * @raft: the replica whose view is used
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -224,6 +224,7 @@
   for (uint32_t i = 0; i < run->n_endpoints; i++)
     wl_soak_endpoint_destroy (run->endpoints[i]);
   wl_soak_nodes_close ();
+  wl_soak_budget_clear ();
   wl_soak_limits_close ();
   wl_soak_request_clear ();
   wl_http_client_destroy (run->soak.client);
