A node without descriptors pauses after an accept that failed

The listener for other nodes did so without a line in the log.

Both now stop watching for 50 ms and log WL1105. The tests failed before: test_tcp 'strstr (first + 1, "WL1105") == NULL', test_peers 'y.received == 0'.

--- a/relay/tests/test_tcp.c
+++ b/relay/tests/test_tcp.c
@@ -5,6 +5,7 @@
 #include <apr_general.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include "wl_clock.h"
 #include "wl_log.h"
@@ -472,6 +473,33 @@
 }
 END_TEST
 
+/* Guards against a node without descriptors that does nothing but try to accept. */
+START_TEST (an_accept_that_fails_is_tried_again_after_a_pause)
+{
+  struct rlimit limit;
+  struct rlimit none;
+  RawClient waiting;
+  Fixture *f = create (0);
+  int log = open_log ();
+  raw_client_connect (&waiting, f->port);
+  ck_assert_int_eq (getrlimit (RLIMIT_NOFILE, &limit), 0);
+  none = limit;
+  none.rlim_cur = 0;
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &none), 0);
+  settle (f);
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  ck_assert_int_eq (f->n_accepted, 1);
+  advance (f, 100000);
+  settle (f);
+  ck_assert_int_eq (f->n_accepted, 2);
+  const char *first = strstr (close_log (log), "WL1105 errno=24\n");
+  ck_assert_ptr_nonnull (first);
+  ck_assert_ptr_null (strstr (first + 1, "WL1105"));
+  raw_client_close (&waiting);
+  destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -491,6 +519,7 @@
     WL_TEST (bytes_lost_in_the_kernel_are_logged),
     WL_TEST (unread_input_at_the_exit_does_not_drop_the_response),
     WL_TEST (bytes_lost_at_the_exit_are_logged),
+    WL_TEST (an_accept_that_fails_is_tried_again_after_a_pause),
   };
   apr_initialize ();
   return wl_test_run ("tcp", tests, sizeof tests / sizeof tests[0]);
--- a/relay/transport/wl_tcp.c
+++ b/relay/transport/wl_tcp.c
@@ -17,10 +17,11 @@
 enum
 {
   READ_BYTES = 65536,
-  BACKLOG = 512,     /* connections that wait to be accepted */
-  ACCEPTS_MAX = 64,  /* connections accepted in one iteration of the event loop */
-  DISCARDS_MAX = 16, /* reads of input that is discarded before a close */
-  PROBES_MAX = 2,    /* unanswered keep-alive probes before the connection ends */
+  BACKLOG = 512,           /* connections that wait to be accepted */
+  ACCEPTS_MAX = 64,        /* connections accepted in one iteration of the event loop */
+  ACCEPT_PAUSE_US = 50000, /* after an accept that failed: the connection goes on waiting */
+  DISCARDS_MAX = 16,       /* reads of input that is discarded before a close */
+  PROBES_MAX = 2,          /* unanswered keep-alive probes before the connection ends */
 };
 
 typedef struct Listener
@@ -29,6 +30,7 @@
   int fd;
   uint16_t port;
   WlWatch *watch;
+  uint64_t resume_us; /* end of a pause, 0 for none */
   void (*accepted) (void *data, WlTcp *tcp);
   void *data;
   struct Listener *next;
@@ -381,7 +383,11 @@
       if (fd < 0 && (errno == ECONNABORTED || errno == EINTR))
         continue; /* concerns one connection, or none */
       if (fd < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
-        wl_log_eventf (WL1105_ACCEPT_FAILED, "errno=%d", errno);
+        {
+          wl_log_eventf (WL1105_ACCEPT_FAILED, "errno=%d", errno);
+          wl_reactor_modify (l->watch, 0);
+          l->resume_us = wl_clock_now_us () + ACCEPT_PAUSE_US;
+        }
       if (fd < 0)
         return 0;
       set_socket_options (fd, WL_TCP_CALLER_TIMEOUT_MS);
@@ -620,6 +626,12 @@
 void
 wl_tcp_tick (WlTcpLoop *loop, uint64_t now_us)
 {
+  for (Listener *l = loop->listeners; l != NULL; l = l->next)
+    if (l->resume_us != 0 && now_us >= l->resume_us)
+      {
+        l->resume_us = 0;
+        wl_reactor_modify (l->watch, WL_READABLE);
+      }
   for (WlTcp *tcp = loop->open; tcp != NULL;)
     {
       WlTcp *next = tcp->next;
--- a/runtime/tests/test_peers.c
+++ b/runtime/tests/test_peers.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <netinet/in.h>
 #include <arpa/inet.h>
@@ -127,6 +128,40 @@
 }
 END_TEST
 
+/* Guards against a node without descriptors that does nothing but try to accept. */
+START_TEST (an_accept_that_fails_is_tried_again_after_a_pause)
+{
+  struct rlimit limit;
+  struct rlimit none;
+  WlReactor *reactor = NULL;
+  End x = { 0 };
+  End y = { 0 };
+  wl_reactor_create (&reactor);
+  uint64_t now_us = 1000000000;
+  wl_clock_set (now_us);
+  WlPeers *a = open_end (reactor, 1, "key", &x);
+  WlPeers *b = open_end (reactor, 2, "key", &y);
+  x.peer_port = y.port;
+  wl_peers_send (a, 2, hello, now_us);
+  ck_assert_int_eq (getrlimit (RLIMIT_NOFILE, &limit), 0);
+  none = limit;
+  none.rlim_cur = 0;
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &none), 0);
+  run (reactor, a, b, 50);
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  run (reactor, a, b, 50);
+  ck_assert_int_eq (y.received, 0);
+  wl_clock_set (now_us += 100000);
+  wl_peers_tick (b, now_us);
+  run (reactor, a, b, 50);
+  ck_assert_int_eq (y.received, 1);
+  wl_peers_destroy (a);
+  wl_peers_destroy (b);
+  wl_reactor_destroy (reactor);
+  wl_clock_set (0);
+}
+END_TEST
+
 START_TEST (a_silent_connection_is_replaced)
 {
   WlReactor *reactor = NULL;
@@ -266,6 +301,7 @@
   const WlTest tests[] = {
     WL_TEST (messages_go_both_ways_on_one_connection),
     WL_TEST (a_wrong_key_is_rejected),
+    WL_TEST (an_accept_that_fails_is_tried_again_after_a_pause),
     WL_TEST (a_silent_connection_is_replaced),
     WL_TEST (a_lost_opening_packet_is_not_waited_for),
     WL_TEST (queues_to_all_peers_together_are_bounded),
--- a/runtime/wl_peers.c
+++ b/runtime/wl_peers.c
@@ -16,6 +16,7 @@
   HEADER_SIZE = LENGTH_SIZE + DIGEST_SIZE,
   READ_SIZE = 65536,
   BACKLOG = 256,
+  ACCEPT_PAUSE_US = 50000, /* after an accept that failed: the connection goes on waiting */
 };
 
 typedef struct Connection
@@ -49,6 +50,7 @@
   apr_pool_t *pool;
   apr_socket_t *listener;
   WlWatch *watch;
+  uint64_t resume_us; /* end of a pause of the listener, 0 for none */
   Connection *connections;
   Dial *dials;
   uint32_t n_dials;
@@ -317,10 +319,19 @@
   apr_socket_t *socket;
   (void)ready;
   apr_pool_create (&pool, peers->pool);
-  if (apr_socket_accept (&socket, peers->listener, pool) != APR_SUCCESS)
-    apr_pool_destroy (pool);
-  else
-    add_connection (peers, socket, pool, 0);
+  apr_status_t status = apr_socket_accept (&socket, peers->listener, pool);
+  if (status == APR_SUCCESS)
+    {
+      add_connection (peers, socket, pool, 0);
+      return;
+    }
+  apr_pool_destroy (pool);
+  if (APR_STATUS_IS_EAGAIN (status) || APR_STATUS_IS_ECONNABORTED (status)
+      || APR_STATUS_IS_EINTR (status))
+    return;
+  wl_log_eventf (WL1105_ACCEPT_FAILED, "errno=%d", (int)status);
+  wl_reactor_modify (peers->watch, 0);
+  peers->resume_us = wl_clock_now_us () + ACCEPT_PAUSE_US;
 }
 
 WlError
@@ -471,6 +482,11 @@
 wl_peers_tick (WlPeers *peers, uint64_t now_us)
 {
   static const uint8_t probe[1] = { 0 };
+  if (peers->resume_us != 0 && now_us >= peers->resume_us)
+    {
+      peers->resume_us = 0;
+      wl_reactor_modify (peers->watch, WL_READABLE);
+    }
   for (Connection *c = peers->connections; c != NULL; c = c->next)
     {
       if (c->is_dead)
