--- a/core/agreement/wl_config_store.c
+++ b/core/agreement/wl_config_store.c
@@ -75,7 +75,8 @@
   cs->state = wl_state_create ();
   wl_raft_init (&cs->raft, settings, stored, now_us);
   cs->raft.may_bootstrap = 0;
-  if (cs->raft.restored && load_snapshot (cs) != WL_OK)
+  int is_read = stored == NULL || stored->snapshot_index == cs->raft.snapshot_index;
+  if (!is_read || (cs->raft.restored && load_snapshot (cs) != WL_OK))
     {
       wl_config_store_destroy (cs);
       return WL_ERROR_CORRUPT;
@@ -118,17 +119,16 @@
 }
 
 void
-wl_config_store_allow_bootstrap (WlConfigStore *store, const uint32_t *peers, uint32_t n_peers)
+wl_config_store_set_founders (WlConfigStore *store, const uint32_t *nodes, uint32_t n_nodes,
+                              uint64_t now_us)
 {
-  for (uint32_t i = 0; i < n_peers; i++)
-    wl_raft_add_peer (&store->raft, peers[i]);
-  store->raft.may_bootstrap = 1;
+  wl_raft_set_founders (&store->raft, nodes, n_nodes, now_us);
 }
 
 void
-wl_config_store_add_peer (WlConfigStore *store, uint32_t node)
+wl_config_store_add_peer (WlConfigStore *store, uint32_t node, uint64_t now_us)
 {
-  wl_raft_add_peer (&store->raft, node);
+  wl_raft_add_peer (&store->raft, node, now_us);
 }
 
 uint32_t
@@ -137,6 +137,14 @@
   return store->raft.leader;
 }
 
+int
+wl_config_store_lacks_disks (const WlConfigStore *store, uint32_t *disks, uint32_t *needed)
+{
+  *disks = wl_raft_count_disks (&store->raft);
+  *needed = store->raft.min_voters;
+  return *disks < *needed;
+}
+
 uint32_t
 wl_config_store_voters (const WlConfigStore *store, uint32_t *out)
 {
--- a/core/agreement/wl_raft_log.c
+++ b/core/agreement/wl_raft_log.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "wl_raft_log.h"
+#include "wl_state.h"
 
 uint64_t
 wl_raft_last_index (const WlRaft *raft)
@@ -58,6 +59,14 @@
     apply_group_entry (raft, &raft->log[i]);
 }
 
+void
+wl_raft_set_first_voters (WlRaft *raft, const WlReplica *voters, uint32_t n_voters)
+{
+  memcpy (raft->snapshot_voters, voters, n_voters * sizeof *voters);
+  raft->n_snapshot_voters = n_voters;
+  recompute_group (raft);
+}
+
 void
 wl_raft_append (WlRaft *raft, uint64_t term, WlBytes command, WlEffects *fx)
 {
@@ -112,13 +121,32 @@
     memmove (raft->log, raft->log + n, raft->n_log * sizeof *raft->log);
 }
 
+static WlError
+decode_image (WlBytes image, WlStateSnapshot *state, apr_pool_t *pool)
+{
+  memset (state, 0, sizeof *state);
+  WlError error = wl_decode_bytes (image, wl_state_snapshot_fields, state, pool);
+  return error == WL_OK ? wl_state_check (state) : error;
+}
+
+WlError
+wl_raft_check_snapshot (WlBytes image)
+{
+  apr_pool_t *pool;
+  WlStateSnapshot state;
+  apr_pool_create (&pool, NULL);
+  WlError error = decode_image (image, &state, pool);
+  apr_pool_destroy (pool);
+  return error;
+}
+
 WlError
 wl_raft_set_snapshot (WlRaft *raft, uint64_t index, uint64_t index_term, WlBytes image)
 {
   apr_pool_t *pool;
-  WlStateSnapshot state = { 0 };
+  WlStateSnapshot state;
   apr_pool_create (&pool, NULL);
-  WlError error = wl_decode_bytes (image, wl_state_snapshot_fields, &state, pool);
+  WlError error = decode_image (image, &state, pool);
   if (error == WL_OK)
     {
       uint32_t n = state.n_voters < WL_MAX_REPLICAS ? state.n_voters : WL_MAX_REPLICAS;
@@ -138,11 +166,20 @@
   return error;
 }
 
+int
+wl_raft_is_replica (const WlReplica *replica, uint32_t node, uint64_t incarnation)
+{
+  if (replica->node != node || incarnation == 0)
+    return 0;
+  return replica->incarnation == incarnation
+         || (replica->incarnation == 0 && (incarnation & WL_RAFT_FIRST_START));
+}
+
 int
 wl_raft_is_voter (const WlRaft *raft, uint32_t node, uint64_t incarnation)
 {
   for (uint32_t i = 0; i < raft->n_voters; i++)
-    if (raft->voters[i].node == node && raft->voters[i].incarnation == incarnation)
+    if (wl_raft_is_replica (&raft->voters[i], node, incarnation))
       return 1;
   return 0;
 }
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -14,7 +14,6 @@
 {
   SLOW_TICK_US = 100000,       /* interval of timeouts, expiry and gossip */
   BODIES_MAX_BYTES = 32 << 20, /* of callers' requests: a fifth of the smallest VM's 160 MB */
-  FIRST_START_BIT = 1,         /* of replica incarnations: the disk was set up at the first start */
   /*
    * The last parts of the grace time of a stop: in the one the remaining requests end, in the
    * other the process has exited. Both are at least so long, or twice and once the grace time /
@@ -176,7 +175,7 @@
   for (uint32_t i = 0; i < n; i++)
     {
       wl_roster_add (host->roster, voters[i], host->started_us);
-      wl_config_store_add_peer (host->config_store, voters[i]);
+      wl_config_store_add_peer (host->config_store, voters[i], host->started_us);
     }
 }
 
@@ -190,9 +189,9 @@
   if (error != WL_OK)
     return error;
   randombytes_buf (&incarnation, sizeof incarnation);
-  incarnation = (incarnation & ~(uint64_t)FIRST_START_BIT) | 2;
+  incarnation = (incarnation & ~(uint64_t)WL_RAFT_FIRST_START) | 2;
   if (host->options.is_first_start)
-    incarnation |= FIRST_START_BIT;
+    incarnation |= WL_RAFT_FIRST_START;
   error = wl_storage_open (disk, incarnation, &storage);
   if (error != WL_OK)
     {
@@ -204,7 +203,7 @@
     .replica_incarnation = wl_storage_incarnation (storage),
     .seed = host->boot_id,
   };
-  host->may_bootstrap = (uint8_t)(settings.replica_incarnation & FIRST_START_BIT);
+  host->may_bootstrap = (uint8_t)(settings.replica_incarnation & WL_RAFT_FIRST_START);
   error = wl_config_store_create (&settings, wl_storage_state (storage), host->started_us,
                                   &host->config_store);
   if (error == WL_OK)
@@ -282,6 +281,8 @@
   if (host == NULL)
     return WL_ERROR_NO_MEMORY;
   host->options = *options;
+  memcpy (host->first_seeds, options->seeds, sizeof host->first_seeds);
+  host->n_first_seeds = options->n_seeds;
   host->started_us = wl_clock_now_us ();
   randombytes_buf (&host->boot_id, sizeof host->boot_id);
   format_address (options->node, host->address);
@@ -293,6 +294,7 @@
   wl_host_create_membership (host);
   host->load = wl_load_create ();
   create_relay (host);
+  host->issuer = wl_issuer_create (wl_relay_limits (host->relay), host->fleet);
   if (options->data_folder[0] != '\0')
     error = open_config_store (host);
   if (error != WL_OK)
@@ -322,6 +324,7 @@
     return;
   wl_host_drop_leader_requests (host);
   wl_web_destroy (host->client_server);
+  wl_issuer_destroy (host->issuer);
   wl_relay_destroy (host->relay);
   wl_fetch_client_destroy (host->client);
   wl_peers_destroy (host->peers);
@@ -369,6 +372,7 @@
   wl_fleet_expire (host->fleet, now_us);
   wl_load_expire (host->load, now_us);
   wl_relay_expire_parts (host->relay, now_us);
+  wl_host_limits_tick (host, now_us);
   wl_host_gossip_tick (host, now_us);
 }
 
@@ -483,6 +487,7 @@
   if (is_busy (host) && host->next_tick_us > now_us + WL_HOST_TICK_US)
     host->next_tick_us = now_us + WL_HOST_TICK_US;
   run_config_store (host, now_us);
+  wl_host_flush_limits (host, now_us);
   receive_local (host);
   wl_membership_flush (host->membership, now_us);
   wl_host_flush_work (host);
@@ -527,6 +532,7 @@
     .close_us = host->stopping_us + close_delay_us (host),
   };
   wl_relay_stop (host->relay, &stop);
+  wl_host_limits_tick (host, host->stopping_us); /* another node is the issuer from now on */
   wl_membership_announce (host->membership, host->stopping_us);
 }
 
@@ -604,6 +610,7 @@
   wl_metrics_write_gauge (out, "requests_active", wl_relay_active (host->relay));
   wl_metrics_write_gauge (out, "quarantined_parts",
                           wl_quarantine_n_entries (wl_relay_quarantine (host->relay)));
+  wl_metrics_write_gauge (out, "limits_in_force", wl_limits_count (wl_relay_limits (host->relay)));
   wl_metrics_write_gauge (out, "nodes_alive", wl_roster_count_alive (host->roster, now_us));
   wl_metrics_write_gauge (out, "endpoints_known", host->fleet->n_endpoints);
   wl_metrics_write_gauge (out, "endpoints_usable", n_usable);
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -10,6 +10,8 @@
 enum
 {
   FULL_REPORT_ITEMS_MAX = 4096, /* receivers compare each item with those that they hold */
+  AWAIT_LOG_US = 4000000,       /* shortest interval of the lines on a missing configuration */
+  FLEET_HEARD_US = 2000000,     /* from the first contact until a node has heard of its fleet */
 };
 
 /* ---- load reports ---- */
@@ -184,6 +186,7 @@
   host->full_report_us = now_us;
   send_full_report (host, 0);
   wl_host_send_quarantined (host, 0, now_us);
+  wl_host_send_limits (host, 0, now_us);
 }
 
 /* ---- membership ---- */
@@ -217,12 +220,13 @@
     wl_log_eventf (WL2203_NODE_HEARD, "node=%u boot=%" PRIx64 " zone=%s disk=%u config=%" PRIu64,
                    s->node, s->boot, s->domain, s->has_disk, s->config_number);
   if (s->has_disk && wl_host_is_replica (host))
-    wl_config_store_add_peer (host->config_store, s->node);
+    wl_config_store_add_peer (host->config_store, s->node, now_us);
   wl_load_drop_node (host->load, s->node, s->boot, now_us);
   if (wl_membership_is_load_peer (host->membership, node))
     {
       send_full_report (host, s->node);
       wl_host_send_quarantined (host, s->node, now_us);
+      wl_host_send_limits (host, s->node, now_us);
     }
 }
 
@@ -235,7 +239,7 @@
       && wl_membership_is_load_peer (host->membership, node))
     wl_log_eventf (WL2205_NODE_DRAINING, "node=%u", s->node);
   if (s->has_disk && wl_host_is_replica (host))
-    wl_config_store_add_peer (host->config_store, s->node);
+    wl_config_store_add_peer (host->config_store, s->node, now_us);
   wl_host_pull_config (host, s->node, s->config_number, now_us);
 }
 
@@ -396,42 +400,95 @@
       wl_host_receive_parts (host, from, message, now_us);
       return 1;
     default:
-      return 0;
+      return wl_host_receive_limits (host, from, message, now_us);
     }
 }
 
 /* ---- timers ---- */
 
+static int
+is_heard (const WlHost *host, uint32_t seed)
+{
+  const WlRosterNode *node = wl_roster_find (host->roster, seed);
+  return seed == host->options.node || (node != NULL && node->last_contact_us != 0);
+}
+
 /*
- * The seeds that have a disk bootstrap the group of config store replicas. Waits
- * until every other seed has been heard: only then is it known which have one.
+ * A majority of the seeds with a disk founds the group of config store replicas. Until a seed is
+ * heard it counts as one with a disk. The list is that of the start, as at the other seeds: a later
+ * one may have another majority.
  */
 static void
-settle_bootstrap_nodes (WlHost *host)
+update_founders (WlHost *host, uint64_t now_us)
 {
-  uint32_t bootstrap_nodes[WL_HOST_SEEDS_MAX];
+  uint32_t founders[WL_HOST_SEEDS_MAX];
   uint32_t n = 0;
   int has_self = 0;
-  if (host->is_bootstrap_settled || !host->may_bootstrap || !wl_host_is_replica (host))
+  if (!host->may_bootstrap || host->config_number != 0 || !wl_host_is_replica (host))
     return;
-  for (uint32_t i = 0; i < host->options.n_seeds; i++)
+  for (uint32_t i = 0; i < host->n_first_seeds; i++)
     {
-      uint32_t seed = host->options.seeds[i];
-      const WlRosterNode *node = wl_roster_find (host->roster, seed);
-      if (seed == host->options.node)
-        {
-          has_self = 1;
-          bootstrap_nodes[n++] = seed;
-          continue;
-        }
-      if (node == NULL || node->last_contact_us == 0)
-        return;
-      if (node->status.has_disk)
-        bootstrap_nodes[n++] = seed;
+      uint32_t seed = host->first_seeds[i];
+      int is_self = seed == host->options.node;
+      if (is_self || !is_heard (host, seed) || wl_roster_find (host->roster, seed)->status.has_disk)
+        founders[n++] = seed;
+      has_self |= is_self;
     }
-  host->is_bootstrap_settled = 1;
   if (has_self)
-    wl_config_store_allow_bootstrap (host->config_store, bootstrap_nodes, n);
+    wl_config_store_set_founders (host->config_store, founders, n, now_us);
+}
+
+static void
+log_unheard_seeds (const WlHost *host, uint64_t waited_us)
+{
+  uint32_t n_unheard = 0;
+  for (uint32_t i = 0; i < host->options.n_seeds; i++)
+    if (!is_heard (host, host->options.seeds[i]))
+      {
+        n_unheard++;
+        wl_log_eventf (WL2112_CONFIG_AWAITED, "reason=seed_unheard seed=%u waited_ms=%" PRIu64,
+                       host->options.seeds[i], waited_us / 1000);
+      }
+  if (n_unheard == 0)
+    wl_log_eventf (WL2112_CONFIG_AWAITED, "reason=no_control_leader waited_ms=%" PRIu64,
+                   waited_us / 1000);
+}
+
+/* Whether this node has had time to hear of its fleet. One that is its only seed is a fleet. */
+static int
+knows_fleet (WlHost *host, uint64_t now_us)
+{
+  if (host->roster->n_nodes == 0)
+    return 1;
+  if (host->first_contact_us == 0 && host->membership->n_alive > 1)
+    host->first_contact_us = now_us;
+  return host->first_contact_us != 0 && now_us >= host->first_contact_us + FLEET_HEARD_US;
+}
+
+/*
+ * Logs what a node waits for that has neither a configuration nor a control leader, or a leader
+ * that may not take changes yet.
+ */
+static void
+log_awaited (WlHost *host, uint64_t now_us)
+{
+  uint32_t disks;
+  uint32_t needed;
+  uint32_t leader = wl_host_leader (host, now_us);
+  uint64_t waited_us = now_us - host->started_us;
+  if (host->stopping_us != 0 || waited_us < AWAIT_LOG_US
+      || now_us < host->await_logged_us + AWAIT_LOG_US)
+    return;
+  if (leader == host->options.node && wl_host_is_replica (host)
+      && wl_config_store_lacks_disks (host->config_store, &disks, &needed))
+    wl_log_eventf (WL2112_CONFIG_AWAITED,
+                   "reason=too_few_disks disks=%u needed=%u waited_ms=%" PRIu64, disks, needed,
+                   waited_us / 1000);
+  else if (leader == 0 && host->config_number == 0)
+    log_unheard_seeds (host, waited_us);
+  else
+    return;
+  host->await_logged_us = now_us;
 }
 
 void
@@ -439,7 +496,10 @@
 {
   wl_membership_tick (host->membership, host->options.seeds, host->options.n_seeds, now_us);
   wl_relay_set_nodes (host->relay, host->membership->n_alive);
-  settle_bootstrap_nodes (host);
+  update_founders (host, now_us);
+  log_awaited (host, now_us);
+  if (knows_fleet (host, now_us))
+    wl_relay_share_budgets (host->relay, host->roster->n_nodes + 1, now_us);
   resend_full_report (host, now_us);
   wl_host_save_files (host, now_us);
 }
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -4,6 +4,7 @@
 #include "wl_host.h"
 #include "wl_recent_changes.h"
 #include "wl_load_report_batch.h"
+#include "wl_permits.h"
 
 /*
  * Shared by the files of the host: event loop, load reports and membership,
@@ -65,6 +66,7 @@
   WlFleet *fleet;   /* owned by membership */
   WlLoad *load;
   WlRelay *relay;
+  WlIssuer *issuer;
   WlWeb *client_server;
   WlConfigStore *config_store; /* NULL without a disk */
   WlJournal *journal;
@@ -97,11 +99,14 @@
   uint8_t has_new_endpoints;          /* since then */
   uint64_t next_tick_us;
   uint64_t next_slow_tick_us;
-  uint64_t stopping_us;         /* 0 while running */
-  uint8_t is_bootstrap_settled; /* it is known which nodes bootstrap the control group */
-  uint8_t may_bootstrap;        /* the disk was set up at the system's first start */
-  uint8_t has_failed;           /* the disk: the node is no replica any more, and stops */
-  uint8_t is_closing;           /* no more requests are taken; the process exits soon */
+  uint64_t stopping_us;      /* 0 while running */
+  uint64_t first_contact_us; /* to another node, 0 before */
+  uint64_t await_logged_us;  /* when it was last logged why there is no configuration */
+  uint32_t first_seeds[WL_HOST_SEEDS_MAX]; /* those of the start, for founding the control group */
+  uint32_t n_first_seeds;
+  uint8_t may_bootstrap; /* the disk was set up at the system's first start */
+  uint8_t has_failed;    /* the disk: the node is no replica any more, and stops */
+  uint8_t is_closing;    /* no more requests are taken; the process exits soon */
   char address[WL_ADDRESS_SIZE];
 };
 
@@ -168,6 +173,18 @@
  */
 int wl_host_may_try_part (void *host, uint64_t part);
 
+/** wl_host_flush_limits() - sends what is known of limits, asks for permits, and answers to asks */
+void wl_host_flush_limits (WlHost *host, uint64_t now_us);
+
+/** wl_host_send_limits() - tells a node, or all for 0, of all limits */
+void wl_host_send_limits (WlHost *host, uint32_t node, uint64_t now_us);
+
+/** wl_host_receive_limits() - processes a message on limits or permits; 0 for others */
+int wl_host_receive_limits (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
+
+/** wl_host_limits_tick() - drops limits that are over; finds the issuers of all services anew */
+void wl_host_limits_tick (WlHost *host, uint64_t now_us);
+
 /** wl_host_config_receive() - processes a message on the configuration; 0 for others */
 int wl_host_config_receive (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
 
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -13,6 +13,7 @@
 #include "wl_soak_caller.h"
 #include "wl_soak_endpoint.h"
 #include "wl_soak_judge.h"
+#include "wl_soak_limits.h"
 #include "wl_soak_nodes.h"
 #include "wl_soak_operator.h"
 #include "wl_soak_parts.h"
@@ -223,6 +224,8 @@
   for (uint32_t i = 0; i < run->n_endpoints; i++)
     wl_soak_endpoint_destroy (run->endpoints[i]);
   wl_soak_nodes_close ();
+  wl_soak_budget_clear ();
+  wl_soak_limits_close ();
   wl_soak_request_clear ();
   wl_http_client_destroy (run->soak.client);
   wl_reactor_destroy (run->soak.reactor);
@@ -241,6 +244,7 @@
             ((double)stop->exited_us - (double)stop->term_us) / 1e6);
   wl_soak_judge (&run->soak);
   wl_soak_parts_judge ();
+  wl_soak_limits_judge ();
   wl_soak_budget_judge (&run->soak);
   wl_soak_nodes_report ();
   uint32_t n_acknowledged = wl_soak_operator_report ();
@@ -295,6 +299,9 @@
   { "slack", offsetof (WlSoakOptions, slack), 112 },
   { "busy", offsetof (WlSoakOptions, n_busy), 0 },
   { "ends-every", offsetof (WlSoakOptions, ends_every_ms), 0 },
+  { "limits", offsetof (WlSoakOptions, limits), 0 },
+  { "limits-from", offsetof (WlSoakOptions, limits_from_s), 8 },
+  { "limits-until", offsetof (WlSoakOptions, limits_until_s), 0 },
   { "stop-ends", offsetof (WlSoakOptions, stop_ends_ms), 0 },
 };
 
@@ -375,6 +382,7 @@
       || wl_http_client_create (run.soak.reactor, &run.soak.client) != WL_OK)
     return EXIT_NOT_RUN;
   wl_soak_nodes_open (&run.soak);
+  wl_soak_limits_open (&run.soak);
   wl_soak_operator_open (&run.soak);
   if (start (&run))
     {
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -86,6 +86,8 @@
  * @hurried: per cent of the requests whose deadline is 0.4 to 4 s
  * @ends_every_ms: mean time between engines that end by chance, 0 for never
  * @stop_ends_ms: the same, of any endpoints, while a node is stopping
+ * @limits: per cent of the endpoints that name a limit, see wl_soak_limits.h
+ * @limits_from_s, @limits_until_s: the seconds of the run in between they do, 0 for its end
  * @n_disks: the first so many nodes have a disk
  * @n_zones: failure domains; node and endpoint N are in zone N mod @n_zones
  * @replace_every_ms: a node with a disk is removed for good, and a new one started, 0 for never
@@ -128,6 +130,9 @@
   uint32_t hurried;
   uint32_t ends_every_ms;
   uint32_t stop_ends_ms;
+  uint32_t limits;
+  uint32_t limits_from_s;
+  uint32_t limits_until_s;
   uint32_t n_disks;
   uint32_t n_zones;
   uint32_t replace_every_ms;
--- a/soak/wl_soak_request.h
+++ b/soak/wl_soak_request.h
@@ -88,7 +88,6 @@
  * @body_bytes: received of the answer
  * @behind: the request whose answer was the last that its connection could carry, or NULL
  * @n_arrivals: at endpoints
- * @n_seen: the same with those that named another endpoint
  * @n_runs: of which began to run, with the first output of an engine
  * @arrived_us: first arrival at an endpoint
  * @work_us, @work_ended_us: begin and end of the latest work on it
@@ -96,6 +95,7 @@
  * @endpoint_status: of the latest work
  * @broken_off: WlSoakFault by which an endpoint ended the latest work early
  * @n_broken_off: how often endpoints have done so
+ * @limited_start: what its latest answer came from, if it named a limit, see wl_soak_limits.c
  * @slowness: of the endpoint at its latest work, see WlSoakOptions
  */
 typedef struct WlSoakRequest
@@ -139,7 +139,6 @@
   const struct WlSoakRequest *behind;
 
   uint16_t n_arrivals;
-  uint16_t n_seen;
   uint16_t n_runs;
   uint64_t arrived_us;
   uint64_t work_us;
@@ -148,6 +147,7 @@
   uint16_t endpoint_status;
   uint8_t broken_off;
   uint16_t n_broken_off;
+  uint32_t limited_start;
   uint32_t slowness;
 } WlSoakRequest;
 
--- a/testkit/wl_relay_fixture.c
+++ b/testkit/wl_relay_fixture.c
@@ -8,6 +8,11 @@
 #include "wl_sample_engine.h"
 #include "wl_test.h"
 
+enum
+{
+  IDLE_US = 30000000, /* the nodes are known for so long: retry budgets are full */
+};
+
 /* ---- a protocol of the test's own ---- */
 
 static void
@@ -66,6 +71,12 @@
   out->id = wl_http_head_field (head, "X-Id");
   out->was_not_run = wl_http_head_field (head, "X-Not-Run") != NULL;
   out->is_sealed = wl_http_head_field (head, "X-Seal") != NULL;
+  const char *limit = wl_http_head_field (head, "X-Limit");
+  if (limit != NULL)
+    {
+      out->limit_kind = limit[0] == '?' ? WL_RELAY_LIMIT_UNREADABLE : WL_RELAY_LIMIT_NAMED;
+      out->limit_rate = strtoull (limit, NULL, 10);
+    }
   const char *port = wl_http_head_field (head, "X-Fault");
   if (port != NULL)
     {
@@ -190,6 +201,8 @@
     .data = &f,
   };
   f.relay = wl_relay_create (&options);
+  uint64_t now_us = wl_clock_now_us ();
+  wl_relay_share_budgets (f.relay, 1, now_us > IDLE_US ? now_us - IDLE_US : 1);
   wl_relay_set_routes (f.relay, relay_fixture_routes ());
   WlWebOptions web = {
     .address = htonl (INADDR_LOOPBACK),
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -37,8 +37,11 @@
   mutant "$@" &
 }
 
-start identity-ignored test_raft core/agreement/wl_raft_log.c 's/ && raft->voters\[i\]\.incarnation == incarnation//'
-start empty-disk-votes test_raft core/agreement/wl_raft.c 's/raft->incarnation = settings->replica_incarnation;/raft->incarnation = 1;/; s/if \(wl_raft_is_empty \(raft\)\)\n    return; \/\* a disk/if (0)\n    return; \/\* a disk/'
+start identity-ignored test_raft core/agreement/wl_raft_log.c 's/(if \(replica->node != node) \|\| incarnation == 0(\)\s*return 0;\s*)return [^;]*;/$1$2return 1;/'
+start empty-disk-votes test_raft core/agreement/wl_raft.c 's/raft->incarnation = settings->replica_incarnation;/raft->incarnation = 1;/; s/if \(wl_raft_is_empty \(raft\) && !is_self_voter \(raft\)\)\n    return;/if (0)\n    return;/'
+start seed-founds-alone test_founding core/agreement/wl_raft.c 's/if \(votes <= raft->n_voters \/ 2\)/if (votes < 1)/'
+start founding-waits-for-all test_founding core/agreement/wl_raft.c 's/now_us < raft->founding_us;/1;/'
+start places-not-given-back test_config_store core/agreement/wl_raft_group.c 's/return oldest;/return NULL;/'
 start lease-bound-ignored test_control core/agreement/wl_assign.c 's/return now_us >= wl_control_lease_bound \(control, cell->owner\);/return 1;/'
 start answer-while-assigning test_control core/agreement/wl_control.c 's/if \(control->assign_index > control->raft\.applied\)\n    return;/if (0)\n    return;/'
 start paused-owner-acts test_control core/wl_core.c 's/if \(!wl_core_has_lease \(core, event->now_us\)\)\n    close_cells \(core, 1, effects\);//'
@@ -132,6 +135,15 @@
 start other-customers-refused test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/.customer = single_customer \(&strongest\)/.customer = 0/'
 start released-part-comes-back test_quarantine_trials relay/forwarding/wl_quarantine_report.c 's/if \(s != NULL && entry.at_us < [^\n]*\n/if (0)\n/'
 start trial-repeated test_quarantine_trials relay/forwarding/wl_quarantine_report.c 's/\.trial_after_us = age_us \+ min_u64 [^\n]*\n/.trial_after_us = age_us,\n/'
+start limit-order-ignored test_limits relay/placement/wl_limits.c 's/if \(!is_later && !may_lower \(known, word\)\)/if (0)/'
+start ended-limit-comes-back test_limits relay/placement/wl_limits.c 's/if \(word->heard_us <= known->sent_us\)\n    return 0;//'
+start limit-words-repeated test_limits relay/placement/wl_limits.c 's/  if \(e->limit.heard_us <= e->told_us \+ RENEWAL_US\)\n    set_news \(limits, e, 0\);\n//'
+start issuer-without-quiet-time test_issuer relay/placement/wl_issuer.c 's/service, now_us \+ WL_ISSUER_QUIET_US\)/service, now_us)/'
+start issuer-does-not-notice-its-freeze test_issuer relay/placement/wl_issuer.c 's/now_us > issuer->called_us \+ PAUSE_US/0/'
+start bucket-without-bottom test_issuer relay/placement/wl_buckets.c 's/CAPACITY_US = 500000,/CAPACITY_US = 5000000,/'
+start returned-token-counts-whole test_issuer relay/placement/wl_buckets.c 's/b->level \+= TOKEN - refilled;/b->level += TOKEN;/; s/refilled < TOKEN && //'
+start customers-in-order-of-arrival test_issuer relay/placement/wl_issuer.c 's/best == issuer->n_queue \|\| w->customer->share < issuer->queue\[best\]\.customer->share/best == issuer->n_queue/'
+start permit-lifetime-ignored test_permits relay/placement/wl_permits.c 's/ask->state == ASK_GRANTED && now_us >= ask->valid_until_us/0/'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
 echo "$found passed, $((total - found)) failed"
