Reports on parts and limits are passed on once, whatever the views of nodes

No caller saw it: found in review of the same cause for load reports. A node passed a report of a sender from another failure domain on to its own domain; a sender known by name only counted as one of another domain, and receivers whose views differ passed it on again, without end.

A report that was passed on carries a mark and ends at its receivers, and a sender has to be known. Tests that filled the reports by position name their members now.

--- a/relay/forwarding/wl_relay_limits.c
+++ b/relay/forwarding/wl_relay_limits.c
@@ -109,7 +109,7 @@
   snprintf (cause, sizeof cause, "peer=%u", node);
   for (uint32_t i = 0; i < report->n_words; i++)
     {
-      WlLimitReport word = { &report->words[i], 1 };
+      WlLimitReport word = { .words = &report->words[i], .n_words = 1 };
       const WlEndpoint *e = wl_fleet_find_key (relay->options.fleet, word.words->endpoint);
       uint64_t before = e != NULL ? rate_in_force (relay, e) : UINT64_MAX;
       if (wl_limits_apply_report (relay->limits, &word, now_us) && e != NULL)
--- a/relay/tests/test_host_gossip.c
+++ b/relay/tests/test_host_gossip.c
@@ -180,6 +180,69 @@
 }
 END_TEST
 
+static uint64_t
+sent_bytes (const Fixture *f)
+{
+  uint64_t n = 0;
+  for (uint32_t i = 0; i < NODES; i++)
+    n += wl_peers_traffic (f->nodes[i]->peers).sent_bytes;
+  return n;
+}
+
+/* Each node takes the one before it for a node of another domain, as views may differ in a start.
+ */
+static void
+set_views_of_a_ring (Fixture *f)
+{
+  for (uint32_t i = 0; i < NODES; i++)
+    {
+      WlView *view = f->nodes[i]->membership->view;
+      uint32_t before = f->nodes[(i + NODES - 1) % NODES]->options.node;
+      view->is_large = 1;
+      view->large_reported_us = NOW_US;
+      strcpy (wl_roster_find (f->nodes[i]->roster, before)->status.domain, "y");
+    }
+}
+
+static void
+run_without_waiting (Fixture *f)
+{
+  for (int i = 0; i < TURNS; i++)
+    for (int k = 0; k < NODES; k++)
+      {
+        set_views_of_a_ring (f);
+        f->nodes[k]->next_tick_us = NOW_US;
+        wl_host_run_once (f->nodes[k]);
+      }
+}
+
+/* Guards against reports that are passed on in a circle without end when views differ. */
+START_TEST (a_report_on_parts_or_limits_is_passed_on_once)
+{
+  const WlMessage reports[]
+      = { { .kind = WL_MESSAGE_PART_REPORT }, { .kind = WL_MESSAGE_LIMIT_REPORT } };
+  Fixture f;
+  setup (&f);
+  for (uint32_t i = 0; i < NODES; i++)
+    start (&f, i);
+  for (int i = 0; i < TURNS && !have_all_discovered (&f); i++)
+    run_turn (&f);
+  ck_assert_int_eq (have_all_discovered (&f), 1);
+  set_views_of_a_ring (&f);
+  for (int k = 0; k < 2; k++)
+    {
+      uint64_t at_first = sent_bytes (&f);
+      wl_host_gossip_receive (f.nodes[0], f.nodes[NODES - 1]->options.node, &reports[k], NOW_US);
+      run_without_waiting (&f);
+      uint64_t before = sent_bytes (&f);
+      ck_assert_uint_gt (before, at_first);
+      run_without_waiting (&f);
+      ck_assert_uint_eq (sent_bytes (&f), before);
+    }
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -189,6 +252,7 @@
     WL_TEST (a_new_node_receives_a_full_load_report),
     WL_TEST (a_node_with_much_work_sends_full_load_reports),
     WL_TEST (a_forwarded_load_report_is_not_passed_on_between_domains),
+    WL_TEST (a_report_on_parts_or_limits_is_passed_on_once),
   };
   if (sodium_init () < 0)
     return 1;
--- a/relay/tests/test_host_limits.c
+++ b/relay/tests/test_host_limits.c
@@ -124,7 +124,7 @@
 hear_limit (Fixture *f, uint32_t i)
 {
   WlLimitWord word = { .endpoint = wl_fleet_key ("e0"), .started_ms = 1, .rate = RATE };
-  WlLimitReport report = { &word, 1 };
+  WlLimitReport report = { .words = &word, .n_words = 1 };
   wl_relay_apply_limit_report (f->nodes[i]->relay, 99, &report, f->now_us);
 }
 
--- a/relay/tests/test_limits.c
+++ b/relay/tests/test_limits.c
@@ -291,7 +291,7 @@
     { e.key, 1, 0, UINT64_MAX, UINT64_MAX, 0 },
     { e.key, 1, 77, 5, 0, UINT64_MAX },
   };
-  WlLimitReport report = { words, 4 };
+  WlLimitReport report = { .words = words, .n_words = 4 };
   wl_limits_note_response (l, &e, 1, 0, start_us, start_us);
   ck_assert_uint_eq (rate_of (l, &e), 0);
   wl_limits_note_response (l, &e, 1, UINT64_MAX, UINT64_MAX, start_us + 1);
--- a/relay/tests/test_quarantine_reports.c
+++ b/relay/tests/test_quarantine_reports.c
@@ -278,7 +278,7 @@
       WlPartEnd ends[2];
       WlSoundPart sound[2];
       WlQuarantinedPart parts[2];
-      WlPartReport report = { ends, 2, sound, 2, parts, 2 };
+      WlPartReport report = { ends, 2, sound, 2, parts, 2, 0 };
       for (uint32_t k = 0; k < ODD_SUSPECTS; k++)
         suspects[k] = (WlPartSuspect){ odd_number (&random), SERVICE, odd_number (&random) };
       for (uint32_t k = 0; k < 2; k++)
--- a/relay/tests/test_relay_limits.c
+++ b/relay/tests/test_relay_limits.c
@@ -29,7 +29,7 @@
 report (Fixture *f, const char *id, uint64_t rate)
 {
   WlLimitWord word = { .endpoint = wl_fleet_key (id), .started_ms = 1, .rate = rate };
-  WlLimitReport words = { &word, 1 };
+  WlLimitReport words = { .words = &word, .n_words = 1 };
   wl_relay_apply_limit_report (f->relay->relay, 2, &words, wl_clock_now_us ());
 }
 
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -157,6 +157,23 @@
   wl_host_broadcast (host_data, &m);
 }
 
+void
+wl_host_send_to_other_domains (WlHost *host, const WlMessage *message, uint64_t now_us)
+{
+  uint32_t relays[WL_VIEW_CONTACTS_MAX];
+  uint32_t n = wl_view_remote_relays (host->membership->view, now_us, relays, WL_VIEW_CONTACTS_MAX);
+  wl_host_send_many (host, relays, n, message);
+}
+
+int
+wl_host_must_pass_on (const WlHost *host, uint32_t from, int is_passed_on)
+{
+  const WlView *view = host->membership->view;
+  const WlRosterNode *sender = wl_roster_find (host->roster, from);
+  return !is_passed_on && sender != NULL && sender->last_contact_us != 0 && !wl_view_is_mesh (view)
+         && !wl_view_in_own_domain (view, sender);
+}
+
 /* Reports all work of this node to one node, or to all for 0. */
 static void
 send_full_report (WlHost *host, uint32_t node)
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -125,6 +125,19 @@
  */
 void wl_host_broadcast (WlHost *host, const WlMessage *message);
 
+/** wl_host_send_to_other_domains() - sends a message to one relay of each other failure domain */
+void wl_host_send_to_other_domains (WlHost *host, const WlMessage *message, uint64_t now_us);
+
+/**
+ * wl_host_must_pass_on() - whether a report is passed on within the own failure domain
+ * @host: the host
+ * @from: its sender
+ * @is_passed_on: it was passed on before, and ends here whatever the views of the nodes are
+ *
+ * Return: 1 for a report of a node that is known to be in another failure domain.
+ */
+int wl_host_must_pass_on (const WlHost *host, uint32_t from, int is_passed_on);
+
 /** wl_host_create_membership() - creates the membership, the roster and the fleet */
 void wl_host_create_membership (WlHost *host);
 
--- a/relay/wl_host_limits.c
+++ b/relay/wl_host_limits.c
@@ -6,14 +6,6 @@
 
 /* ---- what endpoints say ---- */
 
-static void
-send_to_other_domains (WlHost *host, const WlMessage *message, uint64_t now_us)
-{
-  uint32_t relays[WL_VIEW_CONTACTS_MAX];
-  uint32_t n = wl_view_remote_relays (host->membership->view, now_us, relays, WL_VIEW_CONTACTS_MAX);
-  wl_host_send_many (host, relays, n, message);
-}
-
 static void
 flush_report (WlHost *host, uint64_t now_us)
 {
@@ -22,7 +14,7 @@
     return;
   wl_host_broadcast (host, &m);
   if (!wl_view_is_mesh (host->membership->view))
-    send_to_other_domains (host, &m, now_us);
+    wl_host_send_to_other_domains (host, &m, now_us);
 }
 
 void
@@ -42,16 +34,18 @@
   /* One node of each failure domain is enough for the others: each report is passed on there. */
   if (!wl_view_is_mesh (view) && wl_view_relays (view, host->options.domain, now_us, &first, 1) == 1
       && first == host->options.node)
-    send_to_other_domains (host, &m, now_us);
+    wl_host_send_to_other_domains (host, &m, now_us);
 }
 
 static void
 receive_report (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us)
 {
-  const WlView *view = host->membership->view;
-  const WlRosterNode *sender = wl_roster_find (host->roster, from);
-  if (sender != NULL && !wl_view_is_mesh (view) && !wl_view_in_own_domain (view, sender))
-    wl_host_broadcast (host, message); /* to the own failure domain, where it ends */
+  if (wl_host_must_pass_on (host, from, message->u.limit_report.is_passed_on))
+    {
+      WlMessage passed_on = *message;
+      passed_on.u.limit_report.is_passed_on = 1;
+      wl_host_broadcast (host, &passed_on);
+    }
   wl_relay_apply_limit_report (host->relay, from, &message->u.limit_report, now_us);
 }
 
--- a/relay/wl_host_parts.c
+++ b/relay/wl_host_parts.c
@@ -11,14 +11,6 @@
   return wl_view_is_mesh (host->membership->view);
 }
 
-static void
-send_to_other_domains (WlHost *host, const WlMessage *message, uint64_t now_us)
-{
-  uint32_t relays[WL_VIEW_CONTACTS_MAX];
-  uint32_t n = wl_view_remote_relays (host->membership->view, now_us, relays, WL_VIEW_CONTACTS_MAX);
-  wl_host_send_many (host, relays, n, message);
-}
-
 void
 wl_host_flush_parts (WlHost *host, uint64_t now_us)
 {
@@ -27,7 +19,7 @@
     return;
   wl_host_broadcast (host, &m);
   if (!is_mesh (host))
-    send_to_other_domains (host, &m, now_us);
+    wl_host_send_to_other_domains (host, &m, now_us);
 }
 
 void
@@ -47,15 +39,18 @@
   if (!is_mesh (host)
       && wl_view_relays (host->membership->view, host->options.domain, now_us, &first, 1) == 1
       && first == host->options.node)
-    send_to_other_domains (host, &m, now_us);
+    wl_host_send_to_other_domains (host, &m, now_us);
 }
 
 void
 wl_host_receive_parts (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us)
 {
-  const WlRosterNode *sender = wl_roster_find (host->roster, from);
-  if (sender != NULL && !is_mesh (host) && !wl_view_in_own_domain (host->membership->view, sender))
-    wl_host_broadcast (host, message); /* to the own failure domain, where it ends */
+  if (wl_host_must_pass_on (host, from, message->u.part_report.is_passed_on))
+    {
+      WlMessage passed_on = *message;
+      passed_on.u.part_report.is_passed_on = 1;
+      wl_host_broadcast (host, &passed_on);
+    }
   wl_relay_apply_part_report (host->relay, from, &message->u.part_report, now_us);
 }
 
--- a/testkit/bench_relay_main.c
+++ b/testkit/bench_relay_main.c
@@ -247,7 +247,7 @@
   ask.u.permit_ask = (WlPermitAsk){ UINT64_MAX, UINT64_MAX, UINT64_MAX, 1000000, &excluded, 1 };
   answer.u.permit_answer = (WlPermitAnswer){ UINT64_MAX, UINT64_MAX, 0, 500000 };
   returned.u.permit_return = (WlPermitReturn){ UINT64_MAX, UINT64_MAX, UINT64_MAX, UINT64_MAX };
-  report.u.limit_report = (WlLimitReport){ &word, 1 };
+  report.u.limit_report = (WlLimitReport){ .words = &word, .n_words = 1 };
   printf ("permits: ask %u B, answer %u B, return %u B, report of one limit %u B\n", size_of (&ask),
           size_of (&answer), size_of (&returned), size_of (&report));
 }
--- a/wire/tests/test_codec.c
+++ b/wire/tests/test_codec.c
@@ -108,7 +108,7 @@
   WlPermitAnswer answer = { UINT64_MAX - 4, UINT64_MAX - 5, 1500000, 700000 };
   WlPermitReturn returned = { UINT64_MAX - 6, UINT64_MAX - 7, UINT64_MAX - 8, UINT64_MAX - 9 };
   WlMessage m = { .kind = WL_MESSAGE_LIMIT_REPORT }, out;
-  m.u.limit_report = (WlLimitReport){ &word, 1 };
+  m.u.limit_report = (WlLimitReport){ .words = &word, .n_words = 1 };
   ck_assert_uint_le (wl_message_encode (&m, pool).size, 60);
   ck_assert_int_eq (wl_message_decode (wl_message_encode (&m, pool), &out, pool), WL_OK);
   ck_assert_uint_eq (out.u.limit_report.n_words, 1);
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -106,6 +106,7 @@
   WL_ARRAY (WlPartReport, ends, n_ends, part_end_fields),
   WL_ARRAY (WlPartReport, sound, n_sound, sound_part_fields),
   WL_ARRAY (WlPartReport, quarantined, n_quarantined, quarantined_part_fields),
+  WL_U8 (WlPartReport, is_passed_on),
   WL_END,
 };
 
@@ -126,6 +127,7 @@
 
 const WlField wl_limit_report_fields[] = {
   WL_ARRAY (WlLimitReport, words, n_words, limit_word_fields),
+  WL_U8 (WlLimitReport, is_passed_on),
   WL_END,
 };
 
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -241,7 +241,10 @@
   uint64_t unused_us;
 } WlQuarantinedPart;
 
-/** struct WlPartReport - evidence on parts of prompts, see wl_quarantine.h */
+/**
+ * struct WlPartReport - evidence on parts of prompts, see wl_quarantine.h
+ * @is_passed_on: a node has passed it on within its failure domain, where it ends
+ */
 typedef struct
 {
   WlPartEnd *ends;
@@ -250,6 +253,7 @@
   uint32_t n_sound;
   WlQuarantinedPart *quarantined;
   uint32_t n_quarantined;
+  uint8_t is_passed_on;
 } WlPartReport;
 
 /** struct WlEndpointKey - key of an endpoint; a struct because WL_FIELD_ARRAY holds structs */
@@ -277,11 +281,15 @@
   uint64_t heard_age_us;
 } WlLimitWord;
 
-/** struct WlLimitReport - words on limits, see wl_limits.h */
+/**
+ * struct WlLimitReport - words on limits, see wl_limits.h
+ * @is_passed_on: as in WlPartReport
+ */
 typedef struct
 {
   WlLimitWord *words;
   uint32_t n_words;
+  uint8_t is_passed_on;
 } WlLimitReport;
 
 enum
