--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = $(shell grep -v '^\#' packages.txt)
 SOURCES = $(filter-out scripts/cppcheck-macros.h,$(shell git ls-files --cached --others --exclude-standard '*.c' '*.h'))
 
-.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short soak-parts soak-press soak-limits
+.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short soak-parts soak-press soak-limits soak-fleet
 
 all: build
 
@@ -54,6 +54,13 @@
 	@BUILD=$(BUILD) scripts/known-red.sh soak-press scripts/soak.sh --seed 1 --seconds 30 --callers 36 \
 	  --engines 12 --stays 66 --slow 6
 
+# A fleet larger than a mesh, with a late seed, killed as a whole, with nodes replaced and added.
+soak-fleet: build
+	@BUILD=$(BUILD) scripts/known-red.sh soak-fleet scripts/soak.sh --seed 3 --seconds 15 --grown \
+	  --nodes 18 --callers 30 --engines 10 --plain 3 --traits 0 --prompt-max 4000 --series 513 \
+	  --late-seed 2:4 --replace 10000 --add 5000 --routes 20 --config-every 1500 --resident-mb 60 \
+	  --served-min 40
+
 # The same with endpoints that name limits.
 soak-limits: build
 	@BUILD=$(BUILD) scripts/known-red.sh soak-limits scripts/soak.sh --seed 1 --seconds 13 --nodes 6 \
@@ -71,7 +78,7 @@
 mutants: setup
 	@tests/mutants.sh
 
-check: build format-check lint unit soak-short soak-press soak-parts soak-limits asan model mutants
+check: build format-check lint unit soak-short soak-press soak-parts soak-limits soak-fleet asan model mutants
 	@scripts/check-symbols.sh $(BUILD)
 	@echo "make check: all parts passed"
 
