A node that cannot start logs the errno

A port in use, an address that is not there and used up descriptors were all WL1006 without a cause, and an absent data folder, a file in its place and used up descriptors all WL1004 "system call failed". A node whose event loop could not be created ended with status 1 and no line at all (by reading; not shown by a run).

The lines carry errno now.

--- a/relay/tests/test_host.c
+++ b/relay/tests/test_host.c
@@ -1,4 +1,5 @@
 #include <dirent.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,6 +10,7 @@
 #include <sodium.h>
 #include "wl_clock.h"
 #include "wl_host_internal.h"
+#include "wl_log.h"
 #include "wl_raw_client.h"
 #include "wl_test.h"
 #include "wl_test_host.h"
@@ -295,6 +297,63 @@
 }
 END_TEST
 
+/* Starts a node that cannot start. Returns its log. */
+static const char *
+log_of_start (const WlHostOptions *options)
+{
+  static char text[4096];
+  int fds[2];
+  int saved = fcntl (STDOUT_FILENO, F_DUPFD_CLOEXEC, 0);
+  WlHost *host = NULL;
+  ck_assert_int_eq (pipe2 (fds, O_NONBLOCK), 0);
+  dup2 (fds[1], STDOUT_FILENO);
+  wl_log_open (1);
+  WlError error = wl_host_create (options, &host);
+  wl_log_close (WL_LOG_CLOSE_MS);
+  dup2 (saved, STDOUT_FILENO);
+  ssize_t n = read (fds[0], text, sizeof text - 1);
+  text[n > 0 ? n : 0] = '\0';
+  close (saved);
+  close (fds[0]);
+  close (fds[1]);
+  ck_assert_int_ne (error, WL_OK);
+  return text;
+}
+
+/* Guards against a node that does not start because its port is in use and does not say so. */
+START_TEST (a_node_whose_port_is_in_use_logs_the_cause)
+{
+  char expected[64];
+  uint16_t ports[2];
+  wl_test_free_ports (ports, 2);
+  WlHost *first = wl_test_start_node (0, ports, "z");
+  WlHostOptions options = { .node = wl_test_loopback (1),
+                            .key = "key",
+                            .peer_port = ports[0],
+                            .client_port = ports[1],
+                            .parse = wl_test_parse_any };
+  const char *text = log_of_start (&options);
+  snprintf (expected, sizeof expected, "front_port=%u errno=%d\n", ports[1], EADDRINUSE);
+  ck_assert_msg (strstr (text, expected) != NULL, "%s", text);
+  wl_host_destroy (first);
+}
+END_TEST
+
+/* Guards against a node that does not start for its data folder and does not say why. */
+START_TEST (a_node_without_a_data_folder_logs_the_cause)
+{
+  char expected[64];
+  WlHostOptions options = { .node = wl_test_loopback (1),
+                            .key = "key",
+                            .data_folder = "/dev/null/data",
+                            .parse = wl_test_parse_any };
+  const char *text = log_of_start (&options);
+  snprintf (expected, sizeof expected, "errno=%d\n", ENOTDIR);
+  ck_assert_msg (strstr (text, "WL1004 folder=/dev/null/data") != NULL, "%s", text);
+  ck_assert_msg (strstr (text, expected) != NULL, "%s", text);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -304,6 +363,8 @@
     WL_TEST (a_node_starts_with_a_damaged_file_of_endpoints),
     WL_TEST (a_request_is_answered_although_the_disk_fails),
     WL_TEST (a_node_whose_disk_has_failed_is_no_replica),
+    WL_TEST (a_node_whose_port_is_in_use_logs_the_cause),
+    WL_TEST (a_node_without_a_data_folder_logs_the_cause),
   };
   if (sodium_init () < 0)
     return 1;
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -245,8 +246,8 @@
   if (error == WL_OK)
     error = wl_web_create (host->loop, &web, &host->client_server);
   if (error != WL_OK)
-    wl_log_eventf (WL1006_LISTEN_FAILED, "address=%s peer_port=%u front_port=%u", host->address,
-                   host->options.peer_port, host->options.client_port);
+    wl_log_eventf (WL1006_LISTEN_FAILED, "address=%s peer_port=%u front_port=%u errno=%d",
+                   host->address, host->options.peer_port, host->options.client_port, errno);
   return error;
 }
 
@@ -288,7 +289,10 @@
   format_address (options->node, host->address);
   error = wl_reactor_create (&host->reactor);
   if (error != WL_OK)
-    goto fail;
+    {
+      wl_log_eventf (WL1006_LISTEN_FAILED, "address=%s errno=%d", host->address, errno);
+      goto fail;
+    }
   host->loop = wl_tcp_loop_create (host->reactor);
   host->client = wl_fetch_client_create (host->loop);
   wl_host_create_membership (host);
@@ -299,8 +303,8 @@
     error = open_config_store (host);
   if (error != WL_OK)
     {
-      wl_log_eventf (WL1004_STORAGE_FAILED, "folder=%s error=\"%s\"", options->data_folder,
-                     wl_strerror (error));
+      wl_log_eventf (WL1004_STORAGE_FAILED, "folder=%s error=\"%s\" errno=%d", options->data_folder,
+                     wl_strerror (error), errno);
       goto fail;
     }
   error = open_connections (host);
