An issuer that was cut off issues nothing when it meets the others again

A node without contact to all others takes itself for the issuer, as the others take another node; when they meet again both may have issued within the lifetime of a permit.

The node gives the role up once when it meets another one, and so begins with the quiet time of a new issuer. The new test failed before: 'n_granted (&f, 1000000) == 3, 0 == 0'.

--- a/relay/tests/test_host_limits.c
+++ b/relay/tests/test_host_limits.c
@@ -24,7 +24,8 @@
 {
   uint16_t ports[2]; /* for other nodes, for callers */
   uint64_t now_us;
-  int is_large; /* the nodes take the fleet for one that is no mesh */
+  int is_large;  /* the nodes take the fleet for one that is no mesh */
+  uint32_t only; /* the node of this number, from 1, runs alone; 0 for all */
   WlHost *nodes[NODES];
 } Fixture;
 
@@ -71,8 +72,8 @@
 run_turns (Fixture *f)
 {
   for (int turn = 0; turn < TURNS; turn++)
-    for (int i = 0; i < NODES; i++)
-      if (f->nodes[i] != NULL)
+    for (uint32_t i = 0; i < NODES; i++)
+      if (f->nodes[i] != NULL && (f->only == 0 || f->only == i + 1))
         {
           WlView *view = f->nodes[i]->membership->view;
           view->is_large = (uint8_t)f->is_large;
@@ -327,6 +328,24 @@
 }
 END_TEST
 
+/* Guards against an issuer that goes on beside the one of the nodes that it had no contact to. */
+START_TEST (an_issuer_that_was_cut_off_issues_nothing_at_first)
+{
+  Fixture f;
+  setup_issuer (&f);
+  uint32_t issuer = find_issuer (&f);
+  f.only = issuer + 1;
+  advance (&f, LOST_US);
+  ck_assert_uint_eq (f.nodes[issuer]->membership->n_alive, 1);
+  f.only = 0;
+  for (int i = 0; i < 50 && f.nodes[issuer]->membership->n_alive == 1; i++)
+    advance (&f, STEP_US);
+  ck_assert_uint_gt (f.nodes[issuer]->membership->n_alive, 1);
+  ck_assert_uint_eq (n_granted (&f, 1000000), 0);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -338,6 +357,7 @@
     WL_TEST (all_nodes_together_get_what_the_limit_allows),
     WL_TEST (another_node_is_the_issuer_after_a_stop),
     WL_TEST (another_node_is_the_issuer_after_one_is_lost),
+    WL_TEST (an_issuer_that_was_cut_off_issues_nothing_at_first),
   };
   if (sodium_init () < 0)
     return 1;
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -104,6 +104,7 @@
   uint64_t await_logged_us;  /* when it was last logged why there is no configuration */
   uint32_t first_seeds[WL_HOST_SEEDS_MAX]; /* those of the start, for founding the control group */
   uint32_t n_first_seeds;
+  uint8_t is_alone;      /* no contact to any other node at the last slow tick */
   uint8_t may_bootstrap; /* the disk was set up at the system's first start */
   uint8_t has_failed;    /* the disk: the node is no replica any more, and stops */
   uint8_t is_closing;    /* no more requests are taken; the process exits soon */
--- a/relay/wl_host_limits.c
+++ b/relay/wl_host_limits.c
@@ -154,10 +154,14 @@
 wl_host_limits_tick (WlHost *host, uint64_t now_us)
 {
   const WlRoutes *routes = wl_relay_routes (host->relay);
+  int was_alone = host->is_alone;
+  host->is_alone = host->membership->n_alive <= 1;
   wl_limits_expire (wl_relay_limits (host->relay), host->fleet, now_us);
   for (uint32_t i = 0; routes != NULL && i < routes->n_services; i++)
     {
       uint64_t service = wl_permits_service (routes->services[i].name);
+      if (was_alone && !host->is_alone)
+        wl_issuer_set_own (host->issuer, service, 0, now_us); /* the others may have had one */
       wl_issuer_set_own (host->issuer, service, is_own_service (host, service, now_us), now_us);
     }
 }
