A seed founds the control group with the seeds of its first start

What operators would see: a change that was confirmed is read back as empty, and an older one is taken. A seed was killed before its disk had a log, and restarted with a list of itself and two nodes without a disk: it founded a second group alone, beside that of the two other seeds. The other way round, three seeds killed 0.15 s after their first start and restarted with a list that does not name them founded nothing.

The mark of the first start is durable (a bit of the replica's incarnation), but the list of founders was that of the settings of this start. Every two majorities have a founder in common only within one list.

The list is now kept on the disk: "founders", synced with its name before the identity with that mark is written, and only at the first start of a folder without an identity. A crash between the two leaves a folder without an identity, which has not voted. Later starts take the founders from there only. A folder with the mark and without a readable list (WL1010) founds nothing; a replica without a log that is no voter by its list grants no vote, also when it knows a term. WL2112 names the seeds of the first start that are awaited (first_seed_unheard), or says that they are unknown.

--- a/core/agreement/wl_raft.c
+++ b/core/agreement/wl_raft.c
@@ -306,9 +306,9 @@
       = raft->role == WL_RAFT_LEADER
         || (raft->leader != 0 && now_us < raft->leader_contact_us + WL_RAFT_ELECTION_MIN_US);
   int granted = 0;
-  /* A disk without state may have lost an earlier vote, so it must not vote; a founder's disk was
+  /* A disk without a log may have lost an earlier vote, so it must not vote; a founder's disk was
      not emptied. */
-  if (wl_raft_is_empty (raft) && !is_self_voter (raft))
+  if (last == 0 && !is_self_voter (raft))
     return;
   if (v->is_pre_vote)
     granted = v->term > raft->term && up_to_date && !has_leader;
--- a/relay/tests/test_host_founding.c
+++ b/relay/tests/test_host_founding.c
@@ -25,6 +25,7 @@
   ROUNDS_MAX = 10000,
   CONFIRMED_US = 6000000, /* from the start of a fleet until a change is confirmed */
   JOINED_US = 4000000,    /* a late seed has the configuration by then */
+  KILLED_US = 150000,     /* a seed is killed so long after its start */
 };
 
 typedef struct
@@ -44,9 +45,9 @@
   wl_test_free_ports (f->ports, 2);
 }
 
-/* Starts a node of the first start; the lowest addresses are the seeds. */
+/* Starts a node with a list of seeds, the system's first time or a later one. */
 static void
-start (Fixture *f, uint32_t i, int has_disk)
+start_with_seeds (Fixture *f, uint32_t i, int has_disk, int is_first_start, const uint32_t *seeds)
 {
   WlHostOptions options = {
     .node = wl_test_loopback (i + 1),
@@ -54,18 +55,33 @@
     .peer_port = f->ports[0],
     .client_port = f->ports[1],
     .n_seeds = SEEDS,
-    .is_first_start = 1,
+    .is_first_start = (uint8_t)is_first_start,
     .tolerated_faults = 1,
     .parse = wl_test_parse_any,
   };
   for (uint32_t k = 0; k < SEEDS; k++)
-    options.seeds[k] = wl_test_loopback (k + 1);
+    options.seeds[k] = wl_test_loopback (seeds[k] + 1);
   snprintf (options.domain, sizeof options.domain, "z%u", i % DOMAINS);
   if (has_disk)
     snprintf (options.data_folder, sizeof options.data_folder, "%s/%u", f->folder, i);
   ck_assert_int_eq (wl_host_create (&options, &f->nodes[i]), WL_OK);
 }
 
+/* Starts a node of the first start; the lowest addresses are the seeds. */
+static void
+start (Fixture *f, uint32_t i, int has_disk)
+{
+  static const uint32_t seeds[SEEDS] = { 0, 1, 2 };
+  start_with_seeds (f, i, has_disk, 1, seeds);
+}
+
+static void
+kill_node (Fixture *f, uint32_t i)
+{
+  wl_host_destroy (f->nodes[i]);
+  f->nodes[i] = NULL;
+}
+
 static void
 teardown (Fixture *f)
 {
@@ -199,6 +215,92 @@
 }
 END_TEST
 
+static void
+on_read (void *data, WlHostOutcome outcome, WlBytes config)
+{
+  int *is_read = data;
+  *is_read = outcome == WL_HOST_DONE && config.size == 4 && memcmp (config.data, "text", 4) == 0;
+}
+
+/*
+ * Guards against a second group, under which a confirmed change is read back as empty: a seed whose
+ * disk has no log restarts with a list of itself and two nodes without a disk.
+ */
+START_TEST (a_seed_that_restarts_with_other_seeds_founds_no_second_group)
+{
+  static const uint32_t later[SEEDS] = { 2, 4, 5 };
+  static int is_read;
+  Fixture f;
+  setup (&f);
+  start (&f, 2, 1);
+  run (&f, KILLED_US);
+  kill_node (&f, 2);
+  for (uint32_t i = 0; i < NODES; i++)
+    if (i != 2 && i != 3)
+      start (&f, i, i < 2);
+  ck_assert (is_confirmed (&f, 7, CONFIRMED_US));
+  for (uint32_t i = 0; i < NODES; i++)
+    kill_node (&f, i);
+  for (uint32_t i = 2; i < NODES; i++)
+    if (i != 3)
+      start_with_seeds (&f, i, i == 2, 0, later);
+  run (&f, JOINED_US);
+  ck_assert_msg (wl_host_leader (f.nodes[2], wl_clock_now_us ()) == 0, "a second group is founded");
+  start_with_seeds (&f, 0, 1, 0, later);
+  run (&f, JOINED_US);
+  is_read = 0;
+  wl_host_read_config (f.nodes[5], on_read, &is_read);
+  run (&f, JOINED_US);
+  ck_assert_msg (is_read, "the confirmed change is not read back");
+  ck_assert (is_confirmed (&f, 8, CONFIRMED_US));
+  teardown (&f);
+}
+END_TEST
+
+/* Guards against a fleet without a configuration because its seeds restart, before the founding,
+ * with a list that does not name them. */
+START_TEST (seeds_that_restart_with_a_list_without_them_found_the_group)
+{
+  static const uint32_t later[SEEDS] = { 3, 4, 5 };
+  Fixture f;
+  setup (&f);
+  for (uint32_t i = 0; i < SEEDS; i++)
+    {
+      start (&f, i, 1);
+      run (&f, KILLED_US);
+      kill_node (&f, i);
+    }
+  for (uint32_t i = 0; i < NODES; i++)
+    start_with_seeds (&f, i, i < SEEDS, i >= SEEDS, later);
+  ck_assert_msg (is_confirmed (&f, 1, CONFIRMED_US), "nobody founds the group");
+  teardown (&f);
+}
+END_TEST
+
+/* Guards against a group that is founded by a seed which does not know the seeds of its first
+ * start. */
+START_TEST (a_seed_without_the_list_of_its_first_start_founds_nothing)
+{
+  static const uint32_t later[SEEDS] = { 0, 0, 0 };
+  Fixture f;
+  char path[96];
+  setup (&f);
+  start (&f, 0, 1);
+  run (&f, KILLED_US);
+  kill_node (&f, 0);
+  snprintf (path, sizeof path, "%s/0/founders", f.folder);
+  (void)unlink (path);
+  for (int is_first_start = 0; is_first_start < 2; is_first_start++)
+    {
+      start_with_seeds (&f, 0, 1, is_first_start, later);
+      run (&f, JOINED_US);
+      ck_assert_msg (wl_host_leader (f.nodes[0], wl_clock_now_us ()) == 0, "a group is founded");
+      kill_node (&f, 0);
+    }
+  teardown (&f);
+}
+END_TEST
+
 /* Standard output goes to a file, which receives the log; returns the former one. */
 static int
 open_log (const char *path)
@@ -256,6 +358,35 @@
 }
 END_TEST
 
+/* Guards against a log that names the seeds of today when those of the first start are awaited. */
+START_TEST (a_restarted_seed_names_the_first_seeds_that_it_waits_for)
+{
+  static const uint32_t later[SEEDS] = { 2, 2, 2 };
+  Fixture f;
+  char path[96];
+  char text[80];
+  setup (&f);
+  snprintf (path, sizeof path, "%s/log", f.folder);
+  start (&f, 2, 1);
+  run (&f, KILLED_US);
+  kill_node (&f, 2);
+  int saved_stdout = open_log (path);
+  start_with_seeds (&f, 2, 1, 0, later);
+  run (&f, AWAITED_US);
+  kill_node (&f, 2);
+  close_log (saved_stdout);
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      snprintf (text, sizeof text, "WL2112 reason=first_seed_unheard seed=%u ",
+                wl_test_loopback (seed));
+      int n = count_lines (path, text);
+      ck_assert_int_ge (n, seed == SEEDS ? 0 : 2);
+      ck_assert_int_le (n, seed == SEEDS ? 0 : 4);
+    }
+  teardown (&f);
+}
+END_TEST
+
 /* Guards against changes that are not confirmed for want of disks, without a line that says so. */
 START_TEST (a_leader_without_enough_disks_says_so)
 {
@@ -283,6 +414,10 @@
     WL_TEST (a_late_seed_gets_the_configuration),
     WL_TEST (seeds_without_a_disk_found_nothing_and_block_nothing),
     WL_TEST (a_reload_of_the_seeds_changes_no_founders),
+    WL_TEST (a_seed_that_restarts_with_other_seeds_founds_no_second_group),
+    WL_TEST (seeds_that_restart_with_a_list_without_them_found_the_group),
+    WL_TEST (a_seed_without_the_list_of_its_first_start_founds_nothing),
+    WL_TEST (a_restarted_seed_names_the_first_seeds_that_it_waits_for),
     WL_TEST (a_node_without_a_configuration_names_the_seeds_that_it_waits_for),
     WL_TEST (a_leader_without_enough_disks_says_so),
   };
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -192,7 +192,10 @@
   incarnation = (incarnation & ~(uint64_t)WL_RAFT_FIRST_START) | 2;
   if (host->options.is_first_start)
     incarnation |= WL_RAFT_FIRST_START;
-  error = wl_storage_open (disk, incarnation, &storage);
+  if (host->options.is_first_start && wl_storage_is_new (disk))
+    error = wl_host_save_founders (host, disk);
+  if (error == WL_OK)
+    error = wl_storage_open (disk, incarnation, &storage);
   if (error != WL_OK)
     {
       disk->destroy (disk);
@@ -203,7 +206,8 @@
     .replica_incarnation = wl_storage_incarnation (storage),
     .seed = host->boot_id,
   };
-  host->may_bootstrap = (uint8_t)(settings.replica_incarnation & WL_RAFT_FIRST_START);
+  if (settings.replica_incarnation & WL_RAFT_FIRST_START)
+    wl_host_load_founders (host, disk);
   error = wl_config_store_create (&settings, wl_storage_state (storage), host->started_us,
                                   &host->config_store);
   if (error == WL_OK)
@@ -281,8 +285,6 @@
   if (host == NULL)
     return WL_ERROR_NO_MEMORY;
   host->options = *options;
-  memcpy (host->first_seeds, options->seeds, sizeof host->first_seeds);
-  host->n_first_seeds = options->n_seeds;
   host->started_us = wl_clock_now_us ();
   randombytes_buf (&host->boot_id, sizeof host->boot_id);
   format_address (options->node, host->address);
--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -7,8 +7,9 @@
 
 /*
  * Files that a node with a disk keeps in addition to the replicated log. After
- * a power loss of all nodes no other node has this information. Without these
- * files the restart only takes longer.
+ * a power loss of all nodes no other node has this information. Without the
+ * endpoints and the configuration the restart only takes longer; without the
+ * founders the node cannot found the control group.
  */
 
 enum
@@ -17,9 +18,70 @@
   RESTORED_AGE_US = WL_FLEET_TIMEOUT_US - 2500000,
 };
 
+typedef struct
+{
+  uint32_t node;
+} Founder;
+
+typedef struct
+{
+  Founder *founders;
+  uint32_t n_founders;
+} FoundersFile;
+
+static const WlField founder_fields[] = { WL_U32 (Founder, node), WL_END };
+static const WlField founders_file_fields[] = {
+  WL_ARRAY (FoundersFile, founders, n_founders, founder_fields),
+  WL_END,
+};
+
+static const char founders_file[] = "founders";
 static const char endpoints_file[] = "endpoints";
 static const char config_file[] = "text";
 
+/* ---- founders of the control group ---- */
+
+WlError
+wl_host_save_founders (const WlHost *host, WlDisk *disk)
+{
+  Founder founders[WL_HOST_SEEDS_MAX];
+  FoundersFile file = { founders, host->options.n_seeds };
+  apr_pool_t *pool;
+  for (uint32_t i = 0; i < host->options.n_seeds; i++)
+    founders[i].node = host->options.seeds[i];
+  apr_pool_create (&pool, NULL);
+  WlError error
+      = wl_disk_save (disk, founders_file, wl_encode_bytes (founders_file_fields, &file, pool));
+  apr_pool_destroy (pool);
+  return error;
+}
+
+void
+wl_host_load_founders (WlHost *host, WlDisk *disk)
+{
+  FoundersFile file = { 0 };
+  WlBytes bytes;
+  apr_pool_t *pool;
+  int has_self = 0;
+  apr_pool_create (&pool, NULL);
+  WlError error = wl_disk_load (disk, founders_file, pool, &bytes);
+  if (error == WL_OK)
+    error = wl_decode_bytes (bytes, founders_file_fields, &file, pool);
+  if (error == WL_OK && file.n_founders > WL_HOST_SEEDS_MAX)
+    error = WL_ERROR_CORRUPT;
+  host->lacks_founders = error != WL_OK;
+  if (error != WL_OK)
+    wl_log_eventf (WL1010_SAVED_FILE_UNUSABLE, "file=%s error=\"%s\"", founders_file,
+                   wl_strerror (error));
+  for (uint32_t i = 0; error == WL_OK && i < file.n_founders; i++)
+    {
+      host->founders[i] = file.founders[i].node;
+      has_self |= host->founders[i] == host->options.node;
+    }
+  host->n_founders = has_self ? file.n_founders : 0;
+  apr_pool_destroy (pool);
+}
+
 /* ---- endpoints ---- */
 
 static void
@@ -93,7 +155,7 @@
   return error;
 }
 
-/* ---- both ---- */
+/* ---- endpoints and configuration ---- */
 
 static void
 load_file (WlHost *host, WlDisk *disk, const char *name,
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -414,28 +414,34 @@
 }
 
 /*
- * A majority of the seeds with a disk founds the group of config store replicas. Until a seed is
- * heard it counts as one with a disk. The list is that of the start, as at the other seeds: a later
- * one may have another majority.
+ * A majority of the first start's seeds with a disk founds the group of config store replicas.
+ * Until a seed is heard it counts as one with a disk. It may be no seed of today.
  */
 static void
 update_founders (WlHost *host, uint64_t now_us)
 {
   uint32_t founders[WL_HOST_SEEDS_MAX];
   uint32_t n = 0;
-  int has_self = 0;
-  if (!host->may_bootstrap || host->config_number != 0 || !wl_host_is_replica (host))
+  if (host->n_founders == 0 || host->config_number != 0 || !wl_host_is_replica (host))
     return;
-  for (uint32_t i = 0; i < host->n_first_seeds; i++)
+  for (uint32_t i = 0; i < host->n_founders; i++)
     {
-      uint32_t seed = host->first_seeds[i];
-      int is_self = seed == host->options.node;
-      if (is_self || !is_heard (host, seed) || wl_roster_find (host->roster, seed)->status.has_disk)
+      uint32_t seed = host->founders[i];
+      wl_roster_add (host->roster, seed, now_us);
+      if (!is_heard (host, seed) || seed == host->options.node
+          || wl_roster_find (host->roster, seed)->status.has_disk)
         founders[n++] = seed;
-      has_self |= is_self;
     }
-  if (has_self)
-    wl_config_store_set_founders (host->config_store, founders, n, now_us);
+  wl_config_store_set_founders (host->config_store, founders, n, now_us);
+}
+
+static int
+is_seed (const WlHost *host, uint32_t node)
+{
+  for (uint32_t i = 0; i < host->options.n_seeds; i++)
+    if (host->options.seeds[i] == node)
+      return 1;
+  return 0;
 }
 
 static void
@@ -449,7 +455,18 @@
         wl_log_eventf (WL2112_CONFIG_AWAITED, "reason=seed_unheard seed=%u waited_ms=%" PRIu64,
                        host->options.seeds[i], waited_us / 1000);
       }
-  if (n_unheard == 0)
+  for (uint32_t i = 0; i < host->n_founders; i++)
+    if (!is_heard (host, host->founders[i]) && !is_seed (host, host->founders[i]))
+      {
+        n_unheard++;
+        wl_log_eventf (WL2112_CONFIG_AWAITED,
+                       "reason=first_seed_unheard seed=%u waited_ms=%" PRIu64, host->founders[i],
+                       waited_us / 1000);
+      }
+  if (host->lacks_founders)
+    wl_log_eventf (WL2112_CONFIG_AWAITED, "reason=first_seeds_unknown waited_ms=%" PRIu64,
+                   waited_us / 1000);
+  else if (n_unheard == 0)
     wl_log_eventf (WL2112_CONFIG_AWAITED, "reason=no_control_leader waited_ms=%" PRIu64,
                    waited_us / 1000);
 }
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -99,14 +99,14 @@
   uint8_t has_new_endpoints;          /* since then */
   uint64_t next_tick_us;
   uint64_t next_slow_tick_us;
-  uint64_t stopping_us;      /* 0 while running */
-  uint64_t first_contact_us; /* to another node, 0 before */
-  uint64_t await_logged_us;  /* when it was last logged why there is no configuration */
-  uint32_t first_seeds[WL_HOST_SEEDS_MAX]; /* those of the start, for founding the control group */
-  uint32_t n_first_seeds;
-  uint8_t may_bootstrap; /* the disk was set up at the system's first start */
-  uint8_t has_failed;    /* the disk: the node is no replica any more, and stops */
-  uint8_t is_closing;    /* no more requests are taken; the process exits soon */
+  uint64_t stopping_us;                 /* 0 while running */
+  uint64_t first_contact_us;            /* to another node, 0 before */
+  uint64_t await_logged_us;             /* when it was last logged why there is no configuration */
+  uint32_t founders[WL_HOST_SEEDS_MAX]; /* the seeds of the first start, if this node is one */
+  uint32_t n_founders;                  /* 0 for a node that may not found the control group */
+  uint8_t lacks_founders; /* set up at the first start, but its seeds cannot be read */
+  uint8_t has_failed;     /* the disk: the node is no replica any more, and stops */
+  uint8_t is_closing;     /* no more requests are taken; the process exits soon */
   char address[WL_ADDRESS_SIZE];
 };
 
@@ -145,6 +145,25 @@
  */
 void wl_host_load_files (WlHost *host, WlDisk *disk);
 
+/**
+ * wl_host_save_founders() - keeps the seeds of the system's first start
+ * @host: the host
+ * @disk: its disk, without an identity yet
+ *
+ * Later starts may have other seeds, but every seed must found the control group with the same
+ * ones. They are durable before the identity says that the disk may take part.
+ *
+ * Return: WL_OK or the error of the disk.
+ */
+WlError wl_host_save_founders (const WlHost *host, WlDisk *disk);
+
+/**
+ * wl_host_load_founders() - reads what wl_host_save_founders() kept
+ * @host: the host; receives the founders if it is one of them
+ * @disk: its disk, which was set up at the first start
+ */
+void wl_host_load_founders (WlHost *host, WlDisk *disk);
+
 /** wl_host_save_files() - saves what has changed, at most every WL_HOST_SAVE_INTERVAL_US */
 void wl_host_save_files (WlHost *host, uint64_t now_us);
 
--- a/runtime/wl_storage.h
+++ b/runtime/wl_storage.h
@@ -18,6 +18,14 @@
 
 typedef struct WlStorage WlStorage;
 
+/**
+ * wl_storage_is_new() - whether the folder has no identity yet
+ * @disk: the data folder
+ *
+ * Return: 1, or 0 also when the folder cannot be read.
+ */
+int wl_storage_is_new (WlDisk *disk);
+
 /**
  * wl_storage_open() - reads the durable state
  * @disk: the data folder; owned by the storage on success
--- a/runtime/wl_storage_read.c
+++ b/runtime/wl_storage_read.c
@@ -7,6 +7,8 @@
 
 /* Reads what a replica has stored, at its start. */
 
+static const char identity_file[] = "identity";
+
 static void
 apply_record (WlStorage *s, const WlRecord *r)
 {
@@ -134,12 +136,23 @@
     wl_storage_insert_sorted (s->snapshots, &s->n_snapshots, number);
 }
 
+int
+wl_storage_is_new (WlDisk *disk)
+{
+  WlBytes file;
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  WlError error = disk->read (disk, identity_file, pool, &file);
+  apr_pool_destroy (pool);
+  return error == WL_ERROR_NOT_FOUND;
+}
+
 static WlError
 read_identity (WlStorage *s, uint64_t incarnation)
 {
   WlBytes file;
   char text[32];
-  WlError error = s->disk->read (s->disk, "identity", s->pool, &file);
+  WlError error = s->disk->read (s->disk, identity_file, s->pool, &file);
   if (error == WL_OK)
     {
       if (file.size != 17)
@@ -156,7 +169,7 @@
     return WL_ERROR_CORRUPT;
   s->incarnation = incarnation;
   snprintf (text, sizeof text, "%016" PRIx64 "\n", incarnation);
-  return wl_disk_replace (s->disk, "identity", (WlBytes){ (const uint8_t *)text, 17 });
+  return wl_disk_replace (s->disk, identity_file, (WlBytes){ (const uint8_t *)text, 17 });
 }
 
 static void
