A replica refuses the entries of a second leader of its term

What operators would see: two groups that both began at term 1 mix their logs, and what was confirmed in one is read back from the other.

A replica compared terms only, and took a message of the other group's leader for one of its own: same term, same index of the entry before. What is left: a leader of a later term whose entries begin behind the committed ones cannot be told from the group's own without a change of the messages.

--- a/core/agreement/wl_raft.c
+++ b/core/agreement/wl_raft.c
@@ -408,7 +408,7 @@
   for (uint32_t i = 0; i < a->n_entries && a->prev_index + 1 + i <= raft->commit; i++)
     {
       const WlLogEntry *e = wl_raft_entry (raft, a->prev_index + 1 + i);
-      if (e != NULL && e->term != a->entries[i].term)
+      if (e != NULL && !wl_raft_is_same_entry (e, &a->entries[i]))
         return 1;
     }
   return 0;
@@ -425,6 +425,12 @@
                       a->leader, (unsigned long)a->term);
       return;
     }
+  if (wl_raft_is_second_leader (raft, a->term, a->leader))
+    {
+      wl_effects_log (fx, WL2008_MESSAGE_REFUSED, "peer=%u term=%lu reason=second_leader",
+                      a->leader, (unsigned long)a->term);
+      return;
+    }
   if (!wl_raft_accept_leader (raft, a->term, a->leader, now_us, fx))
     {
       reply_append (raft, a, 0, wl_raft_last_index (raft), fx);
--- a/core/agreement/wl_raft_group.c
+++ b/core/agreement/wl_raft_group.c
@@ -187,6 +187,13 @@
   wl_raft_become_leader (raft, now_us, fx);
 }
 
+/* A term has one leader, so a second one leads another group. */
+int
+wl_raft_is_second_leader (const WlRaft *raft, uint64_t term, uint32_t leader)
+{
+  return term == raft->term && raft->leader != 0 && raft->leader != leader;
+}
+
 static void
 propose_group (WlRaft *raft, uint32_t without, const WlReplica *with, WlEffects *fx)
 {
--- a/core/agreement/wl_raft_internal.h
+++ b/core/agreement/wl_raft_internal.h
@@ -45,6 +45,10 @@
 /** wl_raft_become_leader() - becomes leader and proposes an empty entry of the new term */
 void wl_raft_become_leader (WlRaft *raft, uint64_t now_us, WlEffects *fx);
 
+/** wl_raft_is_second_leader() - whether another node than the leader known claims to lead its term
+ */
+int wl_raft_is_second_leader (const WlRaft *raft, uint64_t term, uint32_t leader);
+
 /** wl_raft_accept_leader() - accepts the leader of a term; 0 when the term is old */
 int wl_raft_accept_leader (WlRaft *raft, uint64_t term, uint32_t leader, uint64_t now_us,
                            WlEffects *fx);
--- a/core/agreement/wl_raft_log.c
+++ b/core/agreement/wl_raft_log.c
@@ -26,6 +26,14 @@
   return e != NULL ? e->term : 0;
 }
 
+int
+wl_raft_is_same_entry (const WlLogEntry *a, const WlLogEntry *b)
+{
+  return a->term == b->term && a->command.size == b->command.size
+         && (a->command.size == 0
+             || memcmp (a->command.data, b->command.data, a->command.size) == 0);
+}
+
 static void
 set_voters (WlRaft *raft, const WlReplica *voters, uint32_t n)
 {
--- a/core/agreement/wl_raft_log.h
+++ b/core/agreement/wl_raft_log.h
@@ -23,6 +23,17 @@
  */
 uint64_t wl_raft_term_at (const WlRaft *raft, uint64_t index);
 
+/**
+ * wl_raft_is_same_entry() - whether two entries of one index are the same
+ * @a: one
+ * @b: the other
+ *
+ * Two groups may both have begun at one term; then the commands differ.
+ *
+ * Return: 1 or 0.
+ */
+int wl_raft_is_same_entry (const WlLogEntry *a, const WlLogEntry *b);
+
 /**
  * wl_raft_append() - appends an entry
  * @raft: the replica
--- a/core/agreement/wl_raft_snapshot.c
+++ b/core/agreement/wl_raft_snapshot.c
@@ -109,6 +109,11 @@
   WlMessage m = { .kind = WL_MESSAGE_SNAPSHOT_REPLY };
   if (c->to_incarnation != raft->incarnation)
     return;
+  if (wl_raft_is_second_leader (raft, c->term, c->leader))
+    {
+      refuse (c, "second_leader", fx);
+      return;
+    }
   int accepted = wl_raft_accept_leader (raft, c->term, c->leader, now_us, fx);
   if (accepted && c->index > raft->commit && !receive_chunk (raft, c, fx))
     return;
--- a/core/tests/test_raft_input.c
+++ b/core/tests/test_raft_input.c
@@ -67,6 +67,71 @@
 }
 END_TEST
 
+/* A leader sends one entry, which is committed; the one before is of term 1. */
+static void
+append (WlRaft *raft, uint32_t leader, uint64_t term, uint64_t index, const char *command)
+{
+  WlEffects *fx = wl_effects_create ();
+  WlLogEntry entry = { .term = 1, .index = index };
+  WlMessage m = { .kind = WL_MESSAGE_APPEND_REQUEST };
+  entry.command = (WlBytes){ (const uint8_t *)command, (uint32_t)strlen (command) };
+  m.u.append = (WlAppendRequest){
+    .term = term,
+    .leader = leader,
+    .to_incarnation = INCARNATION,
+    .prev_index = index - 1,
+    .prev_term = index > 1,
+    .commit = index,
+    .entries = &entry,
+    .n_entries = 1,
+  };
+  ck_assert_int_eq (wl_raft_receive (raft, leader, &m, 0, fx), 1);
+  wl_effects_destroy (fx);
+}
+
+/* Guards against a replica that mixes the logs of two groups which both began at term 1. */
+START_TEST (entries_of_another_group_are_refused)
+{
+  WlRaft raft = { 0 };
+  WlSettings settings = { .self.node = 1, .replica_incarnation = INCARNATION };
+  wl_raft_init (&raft, &settings, NULL, 0);
+  append (&raft, 2, 1, 1, "first");
+  ck_assert_uint_eq (raft.commit, 1);
+  append (&raft, 3, 1, 2, "second");
+  ck_assert_msg (raft.commit == 1 && raft.leader == 2, "a second leader of the same term counts");
+  append (&raft, 3, 2, 1, "other");
+  ck_assert_msg (raft.term == 1 && raft.leader == 2, "another committed entry counts");
+  append (&raft, 2, 1, 2, "second");
+  ck_assert_uint_eq (raft.commit, 2);
+  wl_raft_clear (&raft);
+}
+END_TEST
+
+/* Guards against a replica that takes the snapshot of another group of the same term. */
+START_TEST (a_snapshot_of_a_second_leader_of_the_term_is_refused)
+{
+  WlRaft raft = { 0 };
+  WlSettings settings = { .self.node = 1, .replica_incarnation = INCARNATION };
+  WlEffects *fx = wl_effects_create ();
+  WlMessage m = { .kind = WL_MESSAGE_SNAPSHOT_CHUNK };
+  wl_raft_init (&raft, &settings, NULL, 0);
+  append (&raft, 2, 1, 1, "first");
+  m.u.snapshot = (WlSnapshotChunk){
+    .term = 1,
+    .leader = 3,
+    .to_incarnation = INCARNATION,
+    .index = INDEX,
+    .index_term = 1,
+    .total = IMAGE_BYTES,
+  };
+  ck_assert_int_eq (wl_raft_receive (&raft, 3, &m, 0, fx), 1);
+  ck_assert_uint_eq (raft.leader, 2);
+  ck_assert_uint_eq (raft.incoming_size, 0);
+  wl_effects_destroy (fx);
+  wl_raft_clear (&raft);
+}
+END_TEST
+
 static WlMessage
 snapshot_chunk (uint32_t node, WlBytes data, uint32_t total)
 {
@@ -154,6 +219,8 @@
 {
   const WlTest tests[] = {
     WL_TEST (entries_that_contradict_committed_ones_are_refused),
+    WL_TEST (entries_of_another_group_are_refused),
+    WL_TEST (a_snapshot_of_a_second_leader_of_the_term_is_refused),
     WL_TEST (a_snapshot_that_cannot_be_read_is_refused),
     WL_TEST (a_snapshot_with_too_many_nodes_is_refused),
     WL_TEST (a_snapshot_that_is_too_large_is_refused),
