--- a/core/agreement/wl_raft.c
+++ b/core/agreement/wl_raft.c
@@ -306,9 +306,9 @@
       = raft->role == WL_RAFT_LEADER
         || (raft->leader != 0 && now_us < raft->leader_contact_us + WL_RAFT_ELECTION_MIN_US);
   int granted = 0;
-  /* A disk without state may have lost an earlier vote, so it must not vote; a founder's disk was
+  /* A disk without a log may have lost an earlier vote, so it must not vote; a founder's disk was
      not emptied. */
-  if (wl_raft_is_empty (raft) && !is_self_voter (raft))
+  if (last == 0 && !is_self_voter (raft))
     return;
   if (v->is_pre_vote)
     granted = v->term > raft->term && up_to_date && !has_leader;
@@ -408,7 +408,7 @@
   for (uint32_t i = 0; i < a->n_entries && a->prev_index + 1 + i <= raft->commit; i++)
     {
       const WlLogEntry *e = wl_raft_entry (raft, a->prev_index + 1 + i);
-      if (e != NULL && e->term != a->entries[i].term)
+      if (e != NULL && !wl_raft_is_same_entry (e, &a->entries[i]))
         return 1;
     }
   return 0;
@@ -425,6 +425,12 @@
                       a->leader, (unsigned long)a->term);
       return;
     }
+  if (wl_raft_is_second_leader (raft, a->term, a->leader))
+    {
+      wl_effects_log (fx, WL2008_MESSAGE_REFUSED, "peer=%u term=%lu reason=second_leader",
+                      a->leader, (unsigned long)a->term);
+      return;
+    }
   if (!wl_raft_accept_leader (raft, a->term, a->leader, now_us, fx))
     {
       reply_append (raft, a, 0, wl_raft_last_index (raft), fx);
