Buffers take less memory beyond their bytes

The bytes held were within the limit. A read of 64 KB and the chunk's frame took a buffer of 128 KB for each of 320 callers, and the heap kept holes of buffers that had grown, in an address space of which about 100 MB are in use before.

A buffer from 64 KB on grows by a quarter instead of doubling, and the daemon maps memory of 128 KB and more one by one.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,6 +14,8 @@
   EXIT_OK = 0,
   EXIT_STORAGE = 1,
   EXIT_SETTINGS = 2,
+  MAPPED_MIN_BYTES
+  = 131072, /* larger buffers are mapped one by one, and leave no holes in the heap */
 };
 
 static volatile sig_atomic_t stop_requested;
@@ -65,6 +68,7 @@
 {
   WlOptions options;
   int status = EXIT_SETTINGS;
+  mallopt (M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
   if (apr_initialize () != APR_SUCCESS || sodium_init () < 0)
     return EXIT_STORAGE;
   curl_global_init (CURL_GLOBAL_DEFAULT);
--- a/runtime/wl_buffer.c
+++ b/runtime/wl_buffer.c
@@ -5,6 +5,7 @@
 enum
 {
   CAPACITY_MIN = 1024,
+  CAPACITY_DOUBLED_BYTES = 65536, /* a larger one grows by a quarter */
 };
 
 static void
@@ -18,7 +19,7 @@
     }
   size_t capacity = b->capacity > 0 ? b->capacity : CAPACITY_MIN;
   while (b->size + n > capacity)
-    capacity *= 2;
+    capacity += capacity < CAPACITY_DOUBLED_BYTES ? capacity : capacity / 4;
   if (capacity == b->capacity)
     return;
   b->data = realloc (b->data, capacity);
