A change awaits the disks of all voters while the group forms

What operators would see, with fault_tolerance 2 and three seeds: a change is confirmed during the first start, two disks are lost right after it, and the group is gone. It was confirmed while the group had three or four voters of five, so that two replicas had to keep it, and the majority of three voters was lost with two.

A leader took changes from f + 1 voters with known disks on. Now it needs 2f + 1, or f + 1 once it has known the group for 2 s since its own start, so that a fleet with fewer disks still serves. Followers count these 2 s, too: after an election in a running group nobody waits. A voter stays known when it is lost, so a formed group does not wait after a restart either. A group of fewer known disks waits 2 s once when its leader has just started.

--- a/core/agreement/wl_config_store.c
+++ b/core/agreement/wl_config_store.c
@@ -400,7 +400,7 @@
     }
   while ((entry = wl_raft_next_committed (&cs->raft)) != NULL)
     apply_entry (cs, entry, fx);
-  if (wl_raft_is_ready (&cs->raft))
+  if (wl_raft_is_ready (&cs->raft, now_us))
     serve_queue (cs, now_us, fx);
   if (wl_raft_wants_snapshot (&cs->raft))
     take_snapshot (cs, fx);
@@ -418,7 +418,7 @@
     }
   if (message->kind != WL_MESSAGE_SUBMIT && message->kind != WL_MESSAGE_QUERY)
     return 0;
-  if (!wl_raft_is_ready (&cs->raft))
+  if (!wl_raft_is_ready (&cs->raft, now_us))
     {
       WlMessage m = { .kind = WL_MESSAGE_NOT_LEADER };
       m.u.not_leader.leader = cs->raft.role == WL_RAFT_LEADER ? 0 : cs->raft.leader;
--- a/core/agreement/wl_config_store.h
+++ b/core/agreement/wl_config_store.h
@@ -54,7 +54,7 @@
  * @tolerated_faults: number of lost voters to tolerate
  *
  * The leader aims at 2 * @tolerated_faults + 1 voters and accepts submissions
- * while the group has at least @tolerated_faults + 1.
+ * once it has them, or WL_RAFT_FORMING_WAIT_US later with @tolerated_faults + 1.
  */
 void wl_config_store_set_tolerated_faults (WlConfigStore *store, uint32_t tolerated_faults);
 
--- a/core/agreement/wl_control.c
+++ b/core/agreement/wl_control.c
@@ -252,7 +252,7 @@
 answer_renewals (WlControl *control, uint64_t now_us, WlEffects *fx)
 {
   uint64_t confirmed = wl_raft_confirmed_round (&control->raft);
-  if (!wl_raft_is_ready (&control->raft))
+  if (!wl_raft_is_ready (&control->raft, now_us))
     return;
   /* An owner whose cell is being reassigned must not get a lease with the old directory. */
   if (control->assign_index > control->raft.applied)
@@ -469,7 +469,7 @@
     return 0;
   if (control->raft.role != WL_RAFT_LEADER)
     send_not_leader (control, from, fx);
-  else if (wl_raft_is_ready (&control->raft))
+  else if (wl_raft_is_ready (&control->raft, event->now_us))
     receive_as_leader (control, from, message, event, fx);
   return 1;
 }
@@ -490,7 +490,7 @@
   if (event->now_us < control->next_tick_us)
     return;
   control->next_tick_us = event->now_us + WL_CONTROL_TICK_US;
-  if (!wl_raft_is_ready (&control->raft))
+  if (!wl_raft_is_ready (&control->raft, event->now_us))
     return;
   wl_assign_cells (control, event, fx);
   wl_assign_remove_unresponsive (control, event, fx);
--- a/core/agreement/wl_raft.c
+++ b/core/agreement/wl_raft.c
@@ -520,6 +520,8 @@
       for (uint32_t i = 0; i < raft->n_peers; i++)
         wl_raft_send_hello (raft, raft->peers[i].node, 0, fx);
     }
+  if (raft->joined_us == 0 && raft->commit > 0)
+    raft->joined_us = now_us;
   if (wl_raft_is_empty (raft) && !is_self_voter (raft))
     {
       if (raft->may_bootstrap && wl_raft_all_peers_are_empty (raft, now_us))
@@ -593,8 +595,9 @@
 }
 
 int
-wl_raft_is_ready (const WlRaft *raft)
+wl_raft_is_ready (const WlRaft *raft, uint64_t now_us)
 {
+  int is_forming = raft->joined_us == 0 || now_us < raft->joined_us + WL_RAFT_FORMING_WAIT_US;
   return raft->role == WL_RAFT_LEADER && raft->commit >= raft->term_start
-         && wl_raft_count_disks (raft) >= raft->min_voters;
+         && wl_raft_count_disks (raft) >= (is_forming ? raft->max_voters : raft->min_voters);
 }
--- a/core/agreement/wl_raft.h
+++ b/core/agreement/wl_raft.h
@@ -38,6 +38,7 @@
   WL_RAFT_VOTER_TIMEOUT_US = 1500000, /* a voter without contact for this long may be replaced */
   WL_RAFT_PEER_EXPIRY_US = 5000000,   /* a silent replica that is no voter may lose its place */
   WL_RAFT_FOUNDING_WAIT_US = 2000000, /* for all founders, before a majority founds the group */
+  WL_RAFT_FORMING_WAIT_US = 2000000,  /* for all voters' disks, before fewer are enough */
   WL_RAFT_FIRST_START = 1, /* bit of an incarnation: the disk was set up at the first start */
 };
 
@@ -96,10 +97,10 @@
  * @incoming_index: log index of that snapshot
  *
  * The log holds the entries after @snapshot_index; the snapshot covers those up
- * to it. Proposals are accepted from @min_voters voters on; the leader aims at
- * @max_voters. @may_bootstrap allows a replica with an empty disk to bootstrap
- * the group. Until @founding_us the group is founded only with all founders present.
- * Indexes are log indexes, times are monotonic.
+ * to it. The leader aims at @max_voters voters with known disks; WL_RAFT_FORMING_WAIT_US after
+ * @joined_us, when this replica first knew of the group, it accepts proposals with @min_voters.
+ * @may_bootstrap allows a replica with an empty disk to bootstrap the group. Until @founding_us the
+ * group is founded only with all founders present. Indexes are log indexes, times are monotonic.
  */
 typedef struct
 {
@@ -134,6 +135,7 @@
   uint32_t max_voters;
   uint8_t may_bootstrap;
   uint64_t founding_us;
+  uint64_t joined_us; /* 0 before */
 
   uint64_t round;
   uint64_t next_election_us;
@@ -283,13 +285,16 @@
 /**
  * wl_raft_is_ready() - whether the leader may accept proposals
  * @raft: the replica
+ * @now_us: monotonic time
  *
- * A leader is ready once it has committed an entry of its own term and there
- * are at least min_voters voters whose disks are known.
+ * A leader is ready once it has committed an entry of its own term and the disks of
+ * max_voters voters are known: while a group forms, fewer would have to keep what is
+ * proposed, and could not lose as many disks. Those of min_voters are enough once the
+ * replica has known the group for WL_RAFT_FORMING_WAIT_US since its start.
  *
  * Return: 1 or 0.
  */
-int wl_raft_is_ready (const WlRaft *raft);
+int wl_raft_is_ready (const WlRaft *raft, uint64_t now_us);
 
 /**
  * wl_raft_last_index() - index of the last log entry
--- a/core/tests/test_founding.c
+++ b/core/tests/test_founding.c
@@ -13,12 +13,17 @@
 {
   SEEDS = 3,
   FIVE = 5,
+  SIX = 6,
   RUNS = 20,
   FOUNDED_US = 5000000,  /* the group is founded and confirms changes by then */
   ELECTED_US = 100000,   /* a group is founded by then with all seeds present */
   PRESENT_US = 300000,   /* with all seeds present */
   LATE_US = 10000000,    /* a seed starts so late */
   REPLACED_US = 4000000, /* a started replica is a voter by then */
+  SPREAD_US = 300000,    /* all replicas of a start begin within */
+  FORMED_US = 2000000,   /* six replicas confirm a change by then */
+  FEWER_US = 4000000,    /* three of five do */
+  REPEATED_US = 700000,  /* for a request that is sent again once */
   MANY_RUNS = 150,
   TROUBLE_STEPS = 12,
   TROUBLE_STEP_US = 600000,
@@ -245,6 +250,111 @@
 }
 END_TEST
 
+static void
+start_replica (uint32_t node)
+{
+  if (node <= SEEDS)
+    start_seed (node);
+  else
+    config_sim_start (node, NULL, 0);
+}
+
+/*
+ * Starts replicas of a group of five within SPREAD_US, the seeds first, and submits a change all
+ * the time; returns once it is confirmed.
+ */
+static void
+start_and_submit (uint32_t n_replicas, uint64_t limit_us)
+{
+  uint32_t n_started = 0;
+  uint64_t next_us = 0;
+  uint64_t until_us = config_sim.now_us + limit_us;
+  config_sim.tolerated_faults = 2;
+  while (config_sim.n_answers == 0 && config_sim.now_us < until_us)
+    {
+      if (n_started < n_replicas && config_sim.now_us >= next_us)
+        {
+          start_replica (++n_started);
+          next_us = config_sim.now_us + wl_random_next (&config_sim.random) % (SPREAD_US / SIX);
+        }
+      if (config_sim_leader () != 0)
+        config_sim_send (config_sim_leader (), config_sim_leader (), WL_MESSAGE_SUBMIT, 1, "one");
+      config_sim_run (CONFIG_SIM_STEP_US);
+    }
+  ck_assert_msg (config_sim.n_answers > 0, "not confirmed in %lu ms",
+                 (unsigned long)(limit_us / 1000));
+}
+
+/*
+ * Guards against a change that is confirmed by two of three voters while the others start, so
+ * that it and the group are lost with the two disks that may be lost.
+ */
+START_TEST (a_change_awaits_all_voters_while_their_disks_start)
+{
+  for (uint64_t run = 0; run < RUNS; run++)
+    {
+      config_sim_create (run + 1);
+      start_and_submit (SIX, FORMED_US);
+      uint32_t leader = config_sim_leader ();
+      uint32_t voters[WL_MAX_REPLICAS];
+      uint32_t n = wl_config_store_voters (config_sim.nodes[leader].store, voters);
+      ck_assert_msg (n == FIVE, "confirmed with %u voters", n);
+      /* Power is lost, and two disks with it, the leader's among them. */
+      uint32_t other = leader % SEEDS + 1;
+      config_sim_wipe (leader);
+      config_sim_wipe (other);
+      for (uint32_t i = 1; i <= SIX; i++)
+        config_sim_crash (i);
+      for (uint32_t i = 1; i <= SIX; i++)
+        if (i == leader || i == other)
+          config_sim_start (i, NULL, 0);
+        else
+          start_replica (i);
+      config_sim_assert_config (1, "one");
+      config_sim_destroy ();
+    }
+}
+END_TEST
+
+/* Guards against a fleet that waits for ever for disks that it does not have, or waits for them
+ * again when its leader is lost. */
+START_TEST (fewer_disks_than_voters_are_awaited_once)
+{
+  for (uint64_t run = 0; run < RUNS; run++)
+    {
+      config_sim_create (run + 1);
+      start_and_submit (SEEDS, FEWER_US);
+      config_sim_run (FEWER_US);
+      config_sim_crash (config_sim_leader ());
+      config_sim_run (WL_RAFT_ELECTION_MAX_US + ELECTED_US);
+      while (config_sim_leader () == 0)
+        config_sim_run (CONFIG_SIM_STEP_US);
+      assert_submitted_within (2, "two", REPEATED_US);
+      config_sim_destroy ();
+    }
+}
+END_TEST
+
+/* Guards against a group with all its voters that waits when it starts again with one away. */
+START_TEST (a_formed_group_awaits_no_disks_after_an_election)
+{
+  for (uint64_t run = 0; run < RUNS; run++)
+    {
+      config_sim_create (run + 1);
+      start_and_submit (SIX, FORMED_US);
+      config_sim_run (FORMED_US);
+      for (uint32_t i = 1; i <= SIX; i++)
+        config_sim_crash (i);
+      for (uint32_t i = 2; i <= SIX; i++)
+        start_replica (i);
+      while (config_sim_leader () == 0)
+        config_sim_run (CONFIG_SIM_STEP_US);
+      assert_submitted_within (2, "two", REPEATED_US);
+      config_sim_destroy ();
+    }
+}
+END_TEST
+
 /* Guards against voters that cannot reach each other among more replicas than each of them keeps.
  */
 START_TEST (a_voter_has_a_place_among_many_replicas)
@@ -274,6 +384,9 @@
     WL_TEST (a_late_seed_joins_the_group),
     WL_TEST (one_seed_of_three_founds_no_group),
     WL_TEST (a_seed_that_is_lost_while_it_founds_does_not_block_the_others),
+    WL_TEST (a_change_awaits_all_voters_while_their_disks_start),
+    WL_TEST (fewer_disks_than_voters_are_awaited_once),
+    WL_TEST (a_formed_group_awaits_no_disks_after_an_election),
     WL_TEST (a_voter_has_a_place_among_many_replicas),
     WL_TEST (an_emptied_disk_founds_no_second_group),
     WL_TEST (one_group_is_founded_under_crashes_losses_and_cuts),
--- a/testkit/wl_sim.c
+++ b/testkit/wl_sim.c
@@ -163,7 +163,7 @@
   for (uint32_t i = 1; i <= sim->n_control; i++)
     {
       const SimNode *n = &sim->nodes[i];
-      if (!n->is_up || n->is_frozen || !wl_raft_is_ready (&n->core->control->raft))
+      if (!n->is_up || n->is_frozen || !wl_raft_is_ready (&n->core->control->raft, sim->now_us))
         continue;
       if (n->core->control->raft.term <= term)
         continue;
