A node that knows no control leader says so, also with a configuration

WL2112 was logged only while there was no configuration at all. It is now logged by each node that has known no leader for 4 s. The new test failed before: 'count_lines (...) == 0, NODES - 2 == 4'.

--- a/relay/tests/test_host_founding.c
+++ b/relay/tests/test_host_founding.c
@@ -406,6 +406,26 @@
 }
 END_TEST
 
+/* Guards against a fleet that has lost its control leader for good, without a line that says so. */
+START_TEST (a_node_with_a_configuration_says_that_it_knows_no_leader)
+{
+  Fixture f;
+  char path[96];
+  setup (&f);
+  snprintf (path, sizeof path, "%s/log", f.folder);
+  for (uint32_t i = 0; i < NODES; i++)
+    start (&f, i, i < SEEDS);
+  ck_assert_int_eq (is_confirmed (&f, 1, CONFIRMED_US), 1);
+  kill_node (&f, 0);
+  kill_node (&f, 1);
+  int saved_stdout = open_log (path);
+  run (&f, AWAITED_US);
+  close_log (saved_stdout);
+  ck_assert_int_ge (count_lines (path, "WL2112 reason=no_control_leader waited_ms="), NODES - 2);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -420,6 +440,7 @@
     WL_TEST (a_restarted_seed_names_the_first_seeds_that_it_waits_for),
     WL_TEST (a_node_without_a_configuration_names_the_seeds_that_it_waits_for),
     WL_TEST (a_leader_without_enough_disks_says_so),
+    WL_TEST (a_node_with_a_configuration_says_that_it_knows_no_leader),
   };
   apr_initialize ();
   if (sodium_init () < 0)
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -499,10 +499,7 @@
   return host->first_contact_us != 0 && now_us >= host->first_contact_us + FLEET_HEARD_US;
 }
 
-/*
- * Logs what a node waits for that has neither a configuration nor a control leader, or a leader
- * that may not take changes yet.
- */
+/* Logs what a node waits for that knows no control leader, or is one that takes no changes yet. */
 static void
 log_awaited (WlHost *host, uint64_t now_us)
 {
@@ -510,6 +507,9 @@
   uint32_t needed;
   uint32_t leader = wl_host_leader (host, now_us);
   uint64_t waited_us = now_us - host->started_us;
+  uint64_t leaderless_us = host->leader_seen_us != 0 ? now_us - host->leader_seen_us : waited_us;
+  if (leader != 0)
+    host->leader_seen_us = now_us;
   if (host->stopping_us != 0 || waited_us < AWAIT_LOG_US
       || now_us < host->await_logged_us + AWAIT_LOG_US)
     return;
@@ -520,6 +520,9 @@
                    waited_us / 1000);
   else if (leader == 0 && host->config_number == 0)
     log_unheard_seeds (host, waited_us);
+  else if (leader == 0 && leaderless_us >= AWAIT_LOG_US)
+    wl_log_eventf (WL2112_CONFIG_AWAITED, "reason=no_control_leader waited_ms=%" PRIu64,
+                   leaderless_us / 1000);
   else
     return;
   host->await_logged_us = now_us;
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -101,6 +101,7 @@
   uint64_t next_slow_tick_us;
   uint64_t stopping_us;                 /* 0 while running */
   uint64_t first_contact_us;            /* to another node, 0 before */
+  uint64_t leader_seen_us;              /* when a control leader was last known, 0 for never */
   uint64_t await_logged_us;             /* when it was last logged why there is no configuration */
   uint32_t founders[WL_HOST_SEEDS_MAX]; /* the seeds of the first start, if this node is one */
   uint32_t n_founders;                  /* 0 for a node that may not found the control group */
