--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -151,6 +151,8 @@
  * @retry_ratio: retry budget of a service as a share of its requests
  * @retry_slack: retries allowed beyond that in @retry_window_us, over all nodes
  * @retry_window_us: window of the retry budget
+ * @cold_over: factor on the requests a second that a cold endpoint accepts from all nodes
+ * @cold_slack: requests a second that it accepts beyond that
  * @report_work: reports a change of work to the other nodes
  * @report_ejection: reports to the other nodes that this one has ejected an endpoint; may be NULL
  * @may_try_part: whether this node runs the trials of a quarantined part, see wl_quarantine.h;
@@ -172,6 +174,8 @@
   double retry_ratio;
   double retry_slack;
   uint64_t retry_window_us;
+  double cold_over;
+  double cold_slack;
   void (*report_work) (void *data, const WlWorkItem *item);
   void (*report_ejection) (void *data, const WlEndpoint *endpoint);
   int (*may_try_part) (void *data, uint64_t part);
@@ -276,6 +280,16 @@
 void wl_relay_apply_limit_report (WlRelay *relay, uint32_t node, const WlLimitReport *report,
                                   uint64_t now_us);
 
+/**
+ * wl_relay_domain_returned() - notes that the evacuation of a failure domain has ended
+ * @relay: the relay
+ * @domain: the failure domain
+ * @now_us: monotonic time
+ *
+ * Its endpoints may have become cold shortly before.
+ */
+void wl_relay_domain_returned (WlRelay *relay, const char *domain, uint64_t now_us);
+
 /** wl_relay_expire_parts() - releases quarantined parts that have been unused for long */
 void wl_relay_expire_parts (WlRelay *relay, uint64_t now_us);
 
--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -208,7 +208,7 @@
   WlRelay *relay = r->relay;
   WlRelayForward forward;
   WlBuffer head = { 0 };
-  if (!wl_relay_use_permit (r, now_us))
+  if (!wl_relay_admit_attempt (r, now_us))
     {
       wl_relay_release_endpoints (r);
       r->retry_us = now_us;
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -391,6 +391,18 @@
  */
 int wl_relay_use_permit (WlRelayRequest *r, uint64_t now_us);
 
+/**
+ * wl_relay_admit_attempt() - whether an attempt may be sent now
+ * @r: the request, with the endpoint and the helpers of its choice
+ * @now_us: monotonic time
+ *
+ * Every attempt passes here right before it is sent: the choice may be older, since reservations
+ * are made after it.
+ *
+ * Return: 0 when it must not be sent; the request is then to be placed anew.
+ */
+int wl_relay_admit_attempt (WlRelayRequest *r, uint64_t now_us);
+
 /** wl_relay_drop_permit() - ends the ask of a request that needs no permit any more */
 void wl_relay_drop_permit (WlRelayRequest *r, uint64_t now_us);
 
--- a/relay/placement/wl_routes.h
+++ b/relay/placement/wl_routes.h
@@ -71,6 +71,9 @@
  * struct WlRouteService - a group of interchangeable endpoints
  * @name: name that endpoints register under
  * @max_connections: connections that one endpoint accepts, 0 for unknown
+ * @cold_start_us: time for which an endpoint is cold after its start, 0 for never
+ * @cold_rate: requests in 1,000 s that a cold endpoint tolerates, 0 for endpoints that are never
+ * cold
  * @has_engine: its endpoints are model engines
  * @engine: performance model of these engines
  */
@@ -78,6 +81,8 @@
 {
   const char *name;
   uint32_t max_connections;
+  uint64_t cold_start_us;
+  uint64_t cold_rate;
   uint8_t has_engine;
   WlEngineModel engine;
 } WlRouteService;
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -270,6 +270,8 @@
     .retry_ratio = host->options.retry_ratio,
     .retry_slack = host->options.retry_slack,
     .retry_window_us = host->options.retry_window_us,
+    .cold_over = host->options.cold_over,
+    .cold_slack = host->options.cold_slack,
     .report_work = wl_host_report_work,
     .report_ejection = wl_host_report_ejection,
     .may_try_part = wl_host_may_try_part,
--- a/relay/wl_host.h
+++ b/relay/wl_host.h
@@ -28,12 +28,22 @@
   WL_HOST_SUBMISSIONS_BYTES = WL_SERVICES_TEXT_MAX, /* of submissions in progress, compressed */
   WL_HOST_ADDRESSES_MAX = 64,                       /* addresses in one list for callers */
   WL_HOST_READY_TIMEOUT_US = 2500000, /* a node without registrations is ready after this */
+  WL_HOST_DOMAINS_MAX = 64,           /* failure domains of a deployment */
 };
 
+/** struct WlHostDomain - a failure domain of the deployment, and the region in which it lies */
+typedef struct
+{
+  char name[WL_LABEL_SIZE];
+  char region[WL_LABEL_SIZE];
+} WlHostDomain;
+
 /**
  * struct WlHostOptions - validated settings of a node
  * @node: node id: its IPv4 address, host byte order
  * @domain: failure domain
+ * @region: region of the failure domain, empty when the settings do not name it
+ * @domains: all failure domains, @n_domains of them; 0 when the settings do not list them
  * @peer_port: port for other nodes
  * @client_port: port for callers
  * @key: secret shared by all nodes
@@ -49,6 +59,8 @@
  * @retry_ratio: see WlRelayOptions
  * @retry_slack: see WlRelayOptions
  * @retry_window_us: see WlRelayOptions
+ * @cold_over: see WlRelayOptions
+ * @cold_slack: see WlRelayOptions
  * @protocol: reads and writes header fields
  * @parse: parses a configuration; returns NULL and adds findings when it is invalid
  */
@@ -56,6 +68,9 @@
 {
   uint32_t node;
   char domain[WL_LABEL_SIZE];
+  char region[WL_LABEL_SIZE];
+  WlHostDomain domains[WL_HOST_DOMAINS_MAX];
+  uint32_t n_domains;
   uint16_t peer_port;
   uint16_t client_port;
   char key[WL_LABEL_SIZE];
@@ -70,6 +85,8 @@
   double retry_ratio;
   double retry_slack;
   uint64_t retry_window_us;
+  double cold_over;
+  double cold_slack;
   WlRelayProtocol protocol;
   WlRoutes *(*parse) (WlBytes config, WlFindings *findings);
 } WlHostOptions;
