--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -75,6 +75,7 @@
   wl_quarantine_destroy (relay->quarantine);
   wl_permits_destroy (relay->permits);
   wl_limits_destroy (relay->limits);
+  wl_warmup_destroy (relay->warmup);
   wl_routes_release (relay->routes);
   free (relay);
 }
@@ -84,6 +85,7 @@
 {
   wl_routes_release (relay->routes);
   relay->routes = routes;
+  wl_relay_adopt_cold (relay, wl_clock_now_us ());
 }
 
 const WlRoutes *
@@ -343,6 +345,8 @@
       wl_relay_refuse (r, 0, WL_REASON_STOPPING); /* other nodes can take it at once */
       return;
     }
+  if (r->choice_request.warmup != NULL && wl_relay_await_token (r, now_us))
+    return;
   switch (r->choice.result)
     {
     case WL_CHOICE_PLACED:
@@ -432,6 +436,7 @@
     .output = r->service->has_engine ? expected_output (&r->info, r->service) : 0,
     .gap_us = r->route->gap_us,
     .limits = relay->limits,
+    .warmup = r->service->cold_rate > 0 ? relay->warmup : NULL,
   };
   relay->metrics.requests++;
   wl_budget_earn (find_budget (relay, r->service->name));
@@ -631,6 +636,7 @@
   relay->held_bytes = sum_held_bytes (relay);
   wl_reservations_tick (relay->reservations, now_us);
   wl_relay_end_quarantined (relay, now_us);
+  wl_relay_tick_cold (relay, now_us);
   for (WlRelayRequest *r = relay->requests; r != NULL;)
     {
       WlRelayRequest *next = r->next; /* a tick frees at most its own request */
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -72,6 +72,7 @@
  * @limit_kind: what it says of the endpoint's limit
  * @limit_rate: the limit in requests in 1,000 s from all nodes, WL_LIMIT_RATE_MAX at most, when
  *   named
+ * @cold_left_us: how long the endpoint is still cold, 0 when it is warm or does not say
  */
 typedef struct
 {
@@ -82,6 +83,7 @@
   uint16_t fault_port;
   WlRelayLimitKind limit_kind;
   uint64_t limit_rate;
+  uint64_t cold_left_us;
 } WlRelayResponseInfo;
 
 /**
@@ -290,6 +292,22 @@
  */
 void wl_relay_domain_returned (WlRelay *relay, const char *domain, uint64_t now_us);
 
+/**
+ * wl_relay_note_nodes() - notes the other nodes, which share what may be sent to cold endpoints
+ * @relay: the relay
+ * @roster: the other nodes
+ * @seeds: ids of nodes named by the settings, @n_seeds of them; they count until they are heard
+ * @now_us: monotonic time
+ */
+void wl_relay_note_nodes (WlRelay *relay, const WlRoster *roster, const uint32_t *seeds,
+                          uint32_t n_seeds, uint64_t now_us);
+
+/** wl_relay_n_cold() - number of endpoints that are cold */
+uint32_t wl_relay_n_cold (const WlRelay *relay);
+
+/** wl_relay_n_known() - nodes that count for cold endpoints, 0 while no service has them */
+uint32_t wl_relay_n_known (const WlRelay *relay);
+
 /** wl_relay_expire_parts() - releases quarantined parts that have been unused for long */
 void wl_relay_expire_parts (WlRelay *relay, uint64_t now_us);
 
--- a/relay/forwarding/wl_relay_answer.c
+++ b/relay/forwarding/wl_relay_answer.c
@@ -362,6 +362,7 @@
   r->relay->options.protocol.read_response (head, &r->response);
   WlFetchVerdict verdict = attribute_response (r);
   wl_relay_note_limit (r, head->status, verdict == WL_FETCH_TAKE, wl_clock_now_us ());
+  wl_relay_note_cold (r, head->status, wl_clock_now_us ());
   r->is_aborted = verdict == WL_FETCH_ABORT;
   if (verdict != WL_FETCH_TAKE)
     return verdict;
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -65,6 +65,7 @@
  * @limit_us: when the request fails with a timeout
  * @retry_us: when to try the placement again
  * @is_wait_logged: whether it was logged why the request waits
+ * @waits_for_token: it was counted that it waits for a cold endpoint
  * @is_parked: waits for the first configuration; only @relay, @web and @number are set
  * @part_use: the parts of its prompt; without parts, or for endpoints that are no engines,
  *   @part_use.parts is NULL
@@ -122,6 +123,7 @@
   uint64_t limit_us;
   uint64_t retry_us;
   WlRelayPhase phase;
+  uint8_t waits_for_token;
   uint8_t is_wait_logged;
   uint8_t is_parked;
   WlPartUse part_use;
@@ -223,6 +225,9 @@
   WlQuarantine *quarantine;
   WlLimits *limits;
   WlPermits *permits;
+  WlWarmup *warmup;               /* NULL until a service has endpoints that can be cold */
+  uint32_t n_cold;                /* endpoints that are cold, as of the latest tick */
+  uint64_t cold_counted_us;       /* when they were last counted */
   uint64_t unreadable_limit_us;   /* an unreadable limit is logged again from then on */
   uint64_t quarantine_generation; /* whose quarantined parts have ended their requests */
   WlQuarantinedPart logged_parts[WL_QUARANTINE_ENTRIES_MAX]; /* as last logged */
@@ -403,6 +408,24 @@
  */
 int wl_relay_admit_attempt (WlRelayRequest *r, uint64_t now_us);
 
+/** wl_relay_note_cold() - records what the head of a response says of its endpoint's warm-up */
+void wl_relay_note_cold (WlRelayRequest *r, uint32_t status, uint64_t now_us);
+
+/**
+ * wl_relay_await_token() - lets a request wait for a cold endpoint, or refuses it
+ * @r: the request, whose choice was just made: no other endpoint serves it
+ * @now_us: monotonic time
+ *
+ * Return: 1 when it waits or has ended, 0 when cold endpoints make no difference.
+ */
+int wl_relay_await_token (WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_adopt_cold() - begins or ends to follow cold endpoints, as the configuration says */
+void wl_relay_adopt_cold (WlRelay *relay, uint64_t now_us);
+
+/** wl_relay_tick_cold() - counts the cold endpoints and logs which became cold or warm */
+void wl_relay_tick_cold (WlRelay *relay, uint64_t now_us);
+
 /** wl_relay_drop_permit() - ends the ask of a request that needs no permit any more */
 void wl_relay_drop_permit (WlRelayRequest *r, uint64_t now_us);
 
--- a/relay/membership/wl_fleet.c
+++ b/relay/membership/wl_fleet.c
@@ -130,6 +130,36 @@
          || strcmp (a->domain, b->domain) != 0;
 }
 
+/*
+ * Applies what a registration says of the warm-up. A repeated one can only shorten it: each copy
+ * counts from its own arrival, and copies between nodes would prolong it with every round.
+ * Returns 1 when the endpoint becomes cold.
+ */
+static int
+apply_cold (WlEndpoint *e, const WlEndpointRecord *record, int is_repeated, uint64_t now_us)
+{
+  uint64_t until_us = now_us + (uint64_t)record->cold_left_ms * 1000;
+  int was_cold = e->says_cold && now_us < e->cold_until_us;
+  if (e->first_contact_us == 0)
+    e->first_contact_us = now_us;
+  if (is_repeated && (e->returned_us != 0 || (e->says_cold && until_us >= e->cold_until_us)))
+    return 0;
+  if (record->cold_left_ms == WL_ENDPOINT_COLD_UNKNOWN)
+    {
+      if (e->returned_us != 0)
+        {
+          e->first_contact_us = e->returned_us;
+          e->says_cold = 0;
+        }
+      e->returned_us = 0;
+      return 0;
+    }
+  e->says_cold = 1;
+  e->cold_until_us = until_us;
+  e->returned_us = 0;
+  return !was_cold && until_us > now_us;
+}
+
 int
 wl_fleet_apply (WlFleet *fleet, const WlEndpointRecord *record, uint64_t now_us)
 {
@@ -143,6 +173,7 @@
     return -1;
   int is_restart = e != NULL && e->record.started_ms != record->started_ms;
   int is_change = e == NULL || is_different (record, &e->record);
+  int is_repeated = e != NULL && !is_restart && record->sequence == e->record.sequence;
   if (e == NULL)
     e = &fleet->endpoints[fleet->n_endpoints++];
   if (is_change && (is_restart || e->key == 0))
@@ -158,12 +189,14 @@
   e->key = wl_fleet_key (record->id);
   if (contact_us > e->last_contact_us)
     e->last_contact_us = contact_us;
+  int is_cold_change = apply_cold (e, record, is_repeated, now_us) && fleet->reports_cold;
+  e->became_cold |= (uint8_t)is_cold_change;
   if (is_change)
     {
       e->changed_us = now_us;
       resolve_address_conflict (fleet, &e->record);
     }
-  return is_change;
+  return is_change ? 1 : is_cold_change ? 2 : 0;
 }
 
 int
@@ -264,6 +297,39 @@
   endpoint->slowdown_us = now_us;
 }
 
+uint64_t
+wl_fleet_cold_until_us (const WlEndpoint *endpoint, uint64_t cold_start_us)
+{
+  if (endpoint->returned_us != 0)
+    return UINT64_MAX;
+  return endpoint->says_cold ? endpoint->cold_until_us : endpoint->first_contact_us + cold_start_us;
+}
+
+uint32_t
+wl_fleet_cold_left_ms (const WlEndpoint *endpoint, uint64_t now_us)
+{
+  if (!endpoint->says_cold)
+    return WL_ENDPOINT_COLD_UNKNOWN;
+  if (now_us >= endpoint->cold_until_us)
+    return 0;
+  return (uint32_t)((endpoint->cold_until_us - now_us + 999) / 1000);
+}
+
+void
+wl_fleet_note_cold (WlEndpoint *endpoint, uint64_t left_us, uint64_t now_us)
+{
+  if (endpoint->says_cold && now_us + left_us <= endpoint->cold_until_us)
+    return;
+  endpoint->says_cold = 1;
+  endpoint->cold_until_us = now_us + left_us;
+}
+
+void
+wl_fleet_note_returned (WlEndpoint *endpoint, uint64_t now_us)
+{
+  endpoint->returned_us = now_us;
+}
+
 void
 wl_fleet_note_replaced (WlEndpoint *endpoint)
 {
--- a/relay/membership/wl_fleet.h
+++ b/relay/membership/wl_fleet.h
@@ -32,6 +32,25 @@
 #define WL_FLEET_STARTED_MAX_MS UINT64_C (4102444800000)
 #define WL_FLEET_SEQUENCE_MAX (UINT64_C (1) << 53)
 
+/**
+ * struct WlColdShare - what this node may send to an endpoint while it is cold, see wl_warmup.h
+ * @next_us: when the next request may be sent, 0 before the first one
+ * @generation: generation of the nodes for which @is_sender was found
+ * @n_requests: bound for which it was found
+ * @is_sender: this node is one of its senders
+ * @is_cold: it was cold when it was last looked at, for the log
+ * @n_sent: requests sent to it since it became cold
+ */
+typedef struct
+{
+  uint64_t next_us;
+  uint64_t generation;
+  uint32_t n_requests;
+  uint8_t is_sender;
+  uint8_t is_cold;
+  uint32_t n_sent;
+} WlColdShare;
+
 /**
  * struct WlEndpoint - one registered endpoint
  * @record: latest registration
@@ -49,6 +68,12 @@
  * @attested_by: relays that report it; bits are positions in WlView.sources
  * @current_at: of them, those to which it registers in time
  * @reported: what this node's reports say of it, by scope
+ * @first_contact_us: when this node first heard of this start
+ * @cold_until_us: end of its warm-up, if @says_cold
+ * @returned_us: end of the evacuation of its failure domain, 0 once a later registration counts
+ * @says_cold: a registration of this start, or a response, says how long it is cold
+ * @became_cold: reports have to say so
+ * @cold_share: what this node may send to it while it is cold
  */
 typedef struct
 {
@@ -67,16 +92,24 @@
   uint64_t attested_by;
   uint64_t current_at;
   WlReported reported[WL_REPORT_INTRODUCTION];
+  uint64_t first_contact_us;
+  uint64_t cold_until_us;
+  uint64_t returned_us;
+  uint8_t says_cold;
+  uint8_t became_cold;
+  WlColdShare cold_share;
 } WlEndpoint;
 
 /**
  * struct WlFleet - all endpoints
  * @endpoints: the endpoints, @n_endpoints of them; a removal changes their order
+ * @reports_cold: an endpoint that becomes cold is a change; set while a service has such endpoints
  */
 typedef struct
 {
   WlEndpoint *endpoints;
   uint32_t n_endpoints;
+  uint8_t reports_cold;
 } WlFleet;
 
 /** wl_fleet_create() - creates an empty fleet */
@@ -107,7 +140,8 @@
  * @now_us: monotonic time
  *
  * Return: 1 when the endpoint is new or changed in more than its time of
- * contact; 0 when not; -1 when the registration is invalid or outdated or the fleet is full.
+ * contact; 2 when it only became cold; 0 when not; -1 when the registration is invalid or
+ * outdated or the fleet is full.
  */
 int wl_fleet_apply (WlFleet *fleet, const WlEndpointRecord *record, uint64_t now_us);
 
@@ -177,6 +211,26 @@
 /** wl_fleet_slowdown() - measured over predicted TTFT; returns to 1 without new measurements */
 double wl_fleet_slowdown (const WlEndpoint *endpoint, uint64_t now_us);
 
+/**
+ * wl_fleet_cold_until_us() - end of an endpoint's warm-up, which may be in the past
+ * @endpoint: the endpoint
+ * @cold_start_us: warm-up after a start that is assumed of an endpoint that does not say
+ */
+uint64_t wl_fleet_cold_until_us (const WlEndpoint *endpoint, uint64_t cold_start_us);
+
+/** wl_fleet_cold_left_ms() - what a record that is sent on now says of the warm-up */
+uint32_t wl_fleet_cold_left_ms (const WlEndpoint *endpoint, uint64_t now_us);
+
+/**
+ * wl_fleet_note_cold() - records that a response says how long its endpoint is still cold
+ *
+ * It can only prolong the warm-up: a response may be older than the latest registration.
+ */
+void wl_fleet_note_cold (WlEndpoint *endpoint, uint64_t left_us, uint64_t now_us);
+
+/** wl_fleet_note_returned() - the endpoint counts as cold until it registers again */
+void wl_fleet_note_returned (WlEndpoint *endpoint, uint64_t now_us);
+
 /** wl_fleet_note_replaced() - marks an endpoint as left: another one answers at its address */
 void wl_fleet_note_replaced (WlEndpoint *endpoint);
 
--- a/relay/membership/wl_membership.c
+++ b/relay/membership/wl_membership.c
@@ -258,6 +258,7 @@
       const WlEndpoint *e = &membership->fleet->endpoints[i];
       records[n] = e->record;
       records[n].age_us = now_us - e->last_contact_us;
+      records[n].cold_left_ms = wl_fleet_cold_left_ms (e, now_us);
       if (++n == RECORDS_MAX)
         {
           send_records (membership, node, records, n, now_us);
@@ -282,6 +283,7 @@
           || (e->direct_contact_us == 0 && !wl_view_is_mesh (membership->view)))
         continue;
       records[n] = e->record;
+      records[n].cold_left_ms = wl_fleet_cold_left_ms (e, now_us);
       records[n++].age_us = now_us - e->last_contact_us;
     }
   if (n > 0)
@@ -292,10 +294,12 @@
 wl_membership_apply_record (WlMembership *membership, const WlEndpointRecord *record,
                             uint64_t now_us)
 {
-  if (wl_fleet_apply (membership->fleet, record, now_us) <= 0)
+  int change = wl_fleet_apply (membership->fleet, record, now_us);
+  if (change <= 0)
     return;
   membership->has_changes = 1;
-  membership->options.endpoint_changed (membership->options.data, record);
+  if (change == 1)
+    membership->options.endpoint_changed (membership->options.data, record);
 }
 
 void
--- a/relay/membership/wl_view_report.c
+++ b/relay/membership/wl_view_report.c
@@ -91,6 +91,21 @@
   view->changed_scan = view->n_scans;
 }
 
+/*
+ * Lists an endpoint that became cold in the next report. The warm-up is not part of its hash, since
+ * it ends by the time alone and at each node at another moment.
+ */
+static void
+list_cold (WlView *view, WlEndpoint *e, int scope)
+{
+  if (e->reported[scope].hash != 0)
+    {
+      e->reported[scope].changed_scan = view->n_scans;
+      view->changed_scan = view->n_scans;
+    }
+  e->became_cold = scope + 1 < WL_REPORT_INTRODUCTION;
+}
+
 uint64_t
 wl_view_scan (WlView *view, uint64_t now_us)
 {
@@ -112,6 +127,8 @@
           WlEndpoint *e = &view->fleet->endpoints[i];
           update_reported (view, &e->reported[s],
                            scoped_endpoint_hash (e, scope, other_sources, now_us));
+          if (e->became_cold)
+            list_cold (view, e, s);
         }
     }
   return view->n_scans;
@@ -183,6 +200,7 @@
       WlEndpointRecord *record = &out->endpoints[out->n_endpoints++];
       *record = e->record;
       record->age_us = reported_age (e, scope, other_sources, now_us);
+      record->cold_left_ms = wl_fleet_cold_left_ms (e, now_us);
     }
 }
 
--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -212,7 +212,12 @@
       if (strcmp (e->record.service, q->service->name) != 0 || !wl_fleet_is_usable (e, now_us)
           || is_excluded (q, e->key) || !may_use (q, e))
         continue;
-      out[n] = (WlCandidate){ .endpoint = e, .slowdown = wl_fleet_slowdown (e, now_us) };
+      int is_cold = q->warmup != NULL && wl_warmup_is_cold (q->service, e, now_us);
+      if (is_cold && wl_warmup_wait_us (q->warmup, q->service, e, now_us) > 0)
+        continue;
+      out[n] = (WlCandidate){ .endpoint = e,
+                              .slowdown = wl_fleet_slowdown (e, now_us),
+                              .is_cold = (uint8_t)is_cold };
       out[n++].sum = wl_load_sum (load, e->key, now_us);
     }
   return limit_candidates (q, out, n);
--- a/relay/placement/wl_choice.h
+++ b/relay/placement/wl_choice.h
@@ -5,6 +5,7 @@
 #include "wl_limits.h"
 #include "wl_load.h"
 #include "wl_routes.h"
+#include "wl_warmup.h"
 
 /*
  * Chooses the endpoint of a request. Every node decides by itself, from its own
@@ -49,6 +50,7 @@
  * @excluded: keys of endpoints that were already tried, @n_excluded of them
  * @limits: endpoints with a limit, which are not considered; NULL for none
  * @permitted: key of the only endpoint that is considered, with or without a limit, 0 for all
+ * @warmup: what may be sent to cold endpoints; NULL for a service without them
  */
 typedef struct
 {
@@ -64,6 +66,7 @@
   uint32_t n_excluded;
   const WlLimits *limits;
   uint64_t permitted;
+  WlWarmup *warmup;
 } WlChoiceRequest;
 
 /**
--- a/relay/placement/wl_choice_internal.h
+++ b/relay/placement/wl_choice_internal.h
@@ -15,6 +15,7 @@
  * @model_us: TTFT by the engine model
  * @ttft_us: TTFT with the slowdown
  * @has_room: it has a free slot and enough KV cache
+ * @is_cold: it is cold: it may answer, but not help
  */
 typedef struct
 {
@@ -26,6 +27,7 @@
   uint64_t model_us;
   uint64_t ttft_us;
   uint8_t has_room;
+  uint8_t is_cold;
 } WlCandidate;
 
 /** wl_choice_value() - value of a request by its prompt tokens; 1 for an empty prompt */
--- a/relay/placement/wl_choice_judge.c
+++ b/relay/placement/wl_choice_judge.c
@@ -53,18 +53,34 @@
   return LATE_SHARE * (1.0 - (t - objective) / ((double)q->deadline_us - objective));
 }
 
+/*
+ * Factor on the iterations of a slow endpoint, as on its TTFT. Only services whose endpoints can be
+ * cold have it: an endpoint is slow during its warm-up.
+ */
+static double
+iteration_slowdown (const WlChoiceRequest *q, const WlCandidate *c)
+{
+  return q->service->cold_rate > 0 && c->slowdown > 1.0 ? c->slowdown : 1.0;
+}
+
 /* Value lost by the requests of an endpoint whose next gap becomes too long by added prefill. */
 static double
-gap_penalty (const WlLoad *load, const WlCandidate *c, const WlEngineModel *m,
+gap_penalty (const WlLoad *load, const WlChoiceRequest *q, const WlCandidate *c,
              uint64_t prefill_tokens, uint64_t prefill_us)
 {
+  const WlEngineModel *m = &q->service->engine;
   const WlLoadQueue *queue = wl_load_queue (load, c->endpoint->key);
   const WlLoadSum *s = &c->sum;
-  uint64_t before_us = wl_forecast_iteration_us (m, s->decodes, s->decode_context,
-                                                 s->backlog_tokens, s->backlog_us);
+  double speed = iteration_slowdown (q, c);
+  uint64_t before_us
+      = (uint64_t)(speed
+                   * (double)wl_forecast_iteration_us (m, s->decodes, s->decode_context,
+                                                       s->backlog_tokens, s->backlog_us));
   uint64_t after_us
-      = wl_forecast_iteration_us (m, s->decodes, s->decode_context,
-                                  s->backlog_tokens + prefill_tokens, s->backlog_us + prefill_us);
+      = (uint64_t)(speed
+                   * (double)wl_forecast_iteration_us (
+                       m, s->decodes, s->decode_context, s->backlog_tokens + prefill_tokens,
+                       s->backlog_us + (uint64_t)((double)prefill_us / speed)));
   double penalty = 0.0;
   for (uint32_t i = 0; queue != NULL && i < queue->n_items; i++)
     {
@@ -136,7 +152,7 @@
   c->ttft_us = (uint64_t)((double)c->model_us * c->slowdown);
   c->score = value * wl_choice_timeliness (q, c->ttft_us);
   c->score
-      -= gap_penalty (load, c, m, prefill_tokens, (uint64_t)((double)prefill_us * c->slowdown));
+      -= gap_penalty (load, q, c, prefill_tokens, (uint64_t)((double)prefill_us * c->slowdown));
   if (wl_choice_is_short (q) && (c->sum.min_gap_us == 0 || c->sum.min_gap_us > q->gap_us))
     c->score -= FIRST_SHORT_COST_SHARE * value;
   c->score += FILL_BONUS_SHARE * value * (wl_choice_is_short (q) ? fill : -fill);
@@ -169,7 +185,8 @@
 cost_as_helper (const WlLoad *load, const WlChoiceRequest *q, const WlCandidate *c,
                 uint64_t part_tokens, uint64_t part_us)
 {
-  double cost = HELPER_COST + gap_penalty (load, c, &q->service->engine, part_tokens, part_us);
+  uint64_t slow_us = (uint64_t)((double)part_us * iteration_slowdown (q, c));
+  double cost = HELPER_COST + gap_penalty (load, q, c, part_tokens, slow_us);
   cost += PREFILL_DELAY_COST * c->sum.prefills * (double)part_us / (double)(q->objective_us + 1);
   cost += c->endpoint->failure_rate * wl_choice_value (q->prompt);
   return cost;
@@ -260,16 +277,17 @@
       = first->score - wl_choice_value (q->prompt) * wl_choice_timeliness (q, first->ttft_us);
   for (uint32_t i = 0; i < n_all && out->n_helpers < n_helpers; i++)
     {
-      if (&all[i] == first)
+      if (&all[i] == first || all[i].is_cold)
         continue;
-      uint64_t t = ttft_as_helper_us (m, &all[i], part_tokens, part_us);
+      uint64_t t = (uint64_t)((double)ttft_as_helper_us (m, &all[i], part_tokens, part_us)
+                              * iteration_slowdown (q, &all[i]));
       if (t > out->predicted_us)
         out->predicted_us = t;
       score -= all[i].helper_cost;
       helpers[out->n_helpers] = &all[i];
       out->helpers[out->n_helpers++] = all[i].endpoint;
     }
-  if (out->predicted_us >= q->deadline_us
+  if (out->n_helpers < n_helpers || out->predicted_us >= q->deadline_us
       || !divide_kv_tokens (q, helpers, free_kv_tokens (m, &first->sum), out))
     return 0.0;
   out->endpoint = first->endpoint;
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -622,6 +622,7 @@
   wl_metrics_write_gauge (out, "nodes_alive", wl_roster_count_alive (host->roster, now_us));
   wl_metrics_write_gauge (out, "endpoints_known", host->fleet->n_endpoints);
   wl_metrics_write_gauge (out, "endpoints_usable", n_usable);
+  wl_metrics_write_gauge (out, "cold_endpoints", wl_relay_n_cold (host->relay));
   WlPeersTraffic traffic = wl_peers_traffic (host->peers);
   wl_metrics_write_gauge (out, "peer_queued_bytes", traffic.queued_bytes);
   wl_metrics_write_gauge (out, "peer_sent_bytes", traffic.sent_bytes);
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -221,6 +221,7 @@
   s->is_ready = (uint8_t)wl_host_is_ready (host);
   s->is_draining = host->stopping_us != 0;
   s->config_number = host->config_number;
+  s->n_known = wl_relay_n_known (host->relay);
   s->leader = 0;
   if (wl_host_is_replica (host))
     s->leader = wl_config_store_leader (host->config_store);
@@ -533,6 +534,8 @@
 {
   wl_membership_tick (host->membership, host->options.seeds, host->options.n_seeds, now_us);
   wl_relay_set_nodes (host->relay, host->membership->n_alive);
+  wl_relay_note_nodes (host->relay, host->roster, host->options.seeds, host->options.n_seeds,
+                       now_us);
   update_founders (host, now_us);
   log_awaited (host, now_us);
   if (knows_fleet (host, now_us))
--- a/testkit/wl_fleet_sim.c
+++ b/testkit/wl_fleet_sim.c
@@ -7,7 +7,6 @@
 
 enum
 {
-  SEEDS = 3,
   START_US = 50 * FLEET_SIM_SECOND,
   START_SPREAD_US = 300 * FLEET_SIM_MS, /* nodes start within this time of each other */
   FRAME_OVERHEAD = 20,                  /* bytes of length and digest around a message */
@@ -72,6 +71,7 @@
 {
   const FleetSimNode *n = data;
   s->is_ready = n->is_ready;
+  s->n_known = n->n_known;
 }
 
 static void
@@ -143,14 +143,23 @@
   sim->nodes[i].m = NULL;
 }
 
+void
+fleet_sim_seeds (const FleetSim *sim, uint32_t *out)
+{
+  /* In a large fleet no seed is a relay by rank. */
+  out[0] = 1 + sim->n_nodes / 3;
+  out[1] = 2 + sim->n_nodes / 2;
+  out[2] = 3 + sim->n_nodes * 2 / 3;
+}
+
 static void
 handle (FleetSim *sim, Item *item)
 {
-  /* In a large fleet no seed is a relay by rank. */
-  uint32_t seeds[SEEDS] = { 1 + sim->n_nodes / 3, 2 + sim->n_nodes / 2, 3 + sim->n_nodes * 2 / 3 };
+  uint32_t seeds[FLEET_SIM_SEEDS];
   FleetSimNode *n = &sim->nodes[item->to];
   apr_pool_t *pool;
   WlMessage message;
+  fleet_sim_seeds (sim, seeds);
   if (!n->is_up || n->boot != item->boot)
     return;
   if (n->is_frozen)
@@ -163,7 +172,7 @@
     }
   if (item->bytes.size == 0)
     {
-      wl_membership_tick (n->m, seeds, SEEDS, sim->now_us);
+      wl_membership_tick (n->m, seeds, FLEET_SIM_SEEDS, sim->now_us);
       wl_roster_expire (n->m->roster, sim->now_us);
       Item tick = *item;
       add (sim, &tick, sim->now_us + WL_MEMBERSHIP_TICK_US);
--- a/testkit/wl_fleet_sim.h
+++ b/testkit/wl_fleet_sim.h
@@ -13,6 +13,7 @@
 enum
 {
   FLEET_SIM_NODES_MAX = 300,
+  FLEET_SIM_SEEDS = 3,
   FLEET_SIM_MS = 1000,
   FLEET_SIM_SECOND = 1000000,
 };
@@ -26,6 +27,7 @@
  * @id: node id: its position and 1
  * @boot: drawn at each start
  * @is_up, @is_frozen, @is_ready: its state
+ * @n_known: of its status
  * @sent, @received: bytes of messages with their frames
  * @neighbours: 1 for each node that it has sent a message to
  */
@@ -38,6 +40,7 @@
   uint8_t is_up;
   uint8_t is_frozen;
   uint8_t is_ready;
+  uint32_t n_known;
   uint64_t sent;
   uint64_t received;
   uint8_t neighbours[FLEET_SIM_NODES_MAX];
@@ -76,6 +79,9 @@
 /** fleet_sim_stop() - kills a node */
 void fleet_sim_stop (FleetSim *sim, uint32_t i);
 
+/** fleet_sim_seeds() - ids of the FLEET_SIM_SEEDS nodes that all nodes know from the start */
+void fleet_sim_seeds (const FleetSim *sim, uint32_t *out);
+
 /** fleet_sim_run() - lets time pass */
 void fleet_sim_run (FleetSim *sim, uint64_t duration_us);
 
--- a/testkit/wl_relay_fixture.c
+++ b/testkit/wl_relay_fixture.c
@@ -77,6 +77,8 @@
       out->limit_kind = limit[0] == '?' ? WL_RELAY_LIMIT_UNREADABLE : WL_RELAY_LIMIT_NAMED;
       out->limit_rate = strtoull (limit, NULL, 10);
     }
+  const char *cold = wl_http_head_field (head, "X-Cold");
+  out->cold_left_us = cold != NULL ? strtoull (cold, NULL, 10) * 1000 : 0;
   const char *port = wl_http_head_field (head, "X-Fault");
   if (port != NULL)
     {
@@ -196,6 +198,7 @@
     .retry_ratio = 0.2,
     .retry_slack = 100,
     .retry_window_us = 10000000,
+    .cold_over = 1.0,
     .report_work = tell,
     .may_try_part = may_try_part,
     .data = &f,
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -45,6 +45,7 @@
  * @peers: nodes that it believes alive, @n_peers of them; empty in a large fleet
  * @subscription: a WlSubscription
  * @age_us: in reports: time since the reporting relay received the status
+ * @n_known: nodes that it counts, lost ones included, see wl_warmup.h; 0 if it does not count
  */
 typedef struct
 {
@@ -62,6 +63,7 @@
   uint32_t n_peers;
   uint8_t subscription;
   uint64_t age_us;
+  uint32_t n_known;
 } WlNodeStatus;
 
 /**
@@ -79,6 +81,8 @@
  *   membership reports also 0 or WL_FLEET_OVERDUE_US, see reported_age()
  * @is_draining: accepts no new requests
  * @has_left: has deregistered
+ * @cold_left_ms: how long it stays cold after the message was sent, 0 for warm,
+ *   WL_ENDPOINT_COLD_UNKNOWN when it does not say
  */
 typedef struct
 {
@@ -93,8 +97,11 @@
   uint64_t age_us;
   uint8_t is_draining;
   uint8_t has_left;
+  uint32_t cold_left_ms;
 } WlEndpointRecord;
 
+#define WL_ENDPOINT_COLD_UNKNOWN UINT32_MAX
+
 /** struct WlEndpoints - registrations forwarded to other nodes */
 typedef struct
 {
