--- a/relay/placement/wl_choice_judge.c
+++ b/relay/placement/wl_choice_judge.c
@@ -188,6 +188,7 @@
   uint64_t slow_us = (uint64_t)((double)part_us * iteration_slowdown (q, c));
   double cost = HELPER_COST + gap_penalty (load, q, c, part_tokens, slow_us);
   cost += PREFILL_DELAY_COST * c->sum.prefills * (double)part_us / (double)(q->objective_us + 1);
+  cost += PREFILL_DELAY_COST * (double)(slow_us - part_us) / (double)(q->objective_us + 1);
   cost += c->endpoint->failure_rate * wl_choice_value (q->prompt);
   return cost;
 }
--- a/relay/tests/test_choice.c
+++ b/relay/tests/test_choice.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <apr_general.h>
-#include "wl_choice.h"
+#include "wl_choice_internal.h"
 #include "wl_sample_engine.h"
 #include "wl_test.h"
 
@@ -437,6 +437,118 @@
 }
 END_TEST
 
+/* ---- cold and slow endpoints ---- */
+
+/* A service whose endpoints can be cold, at a node that knows no other and may send to them. */
+typedef struct
+{
+  WlRouteService service;
+  WlWarmup *warmup;
+} Cold;
+
+static Cold
+create_cold (uint64_t rate)
+{
+  WlWarmupOptions options = { .node = 1, .domain = "z0", .over = 1.0 };
+  Cold c = { wl_sample_engines, NULL };
+  c.service.cold_rate = rate;
+  c.warmup = wl_warmup_create (&options, now_us - WL_WARMUP_HOLD_US);
+  wl_warmup_tick (c.warmup, now_us - WL_WARMUP_HOLD_US / 2);
+  wl_warmup_tick (c.warmup, now_us);
+  return c;
+}
+
+static void
+make_cold (Fixture *f, uint32_t first, uint32_t n)
+{
+  for (uint32_t i = first; i < first + n; i++)
+    wl_fleet_note_cold (&f->fleet->endpoints[i], 60000000, now_us);
+}
+
+/* Guards against requests that cold engines get without a token. */
+START_TEST (cold_engines_without_a_token_are_no_candidates)
+{
+  Fixture f = create ();
+  Cold cold = create_cold (500);
+  WlChoiceRequest q = short_request ();
+  q.service = &cold.service;
+  q.warmup = cold.warmup;
+  make_cold (&f, 1, ENGINES - 1);
+  WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+  ck_assert_ptr_eq (c.endpoint, &f.fleet->endpoints[0]);
+  make_cold (&f, 0, 1);
+  c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_NO_ENDPOINT);
+  wl_warmup_destroy (cold.warmup);
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against cold engines that prefill or hold memory for others. */
+START_TEST (cold_engines_answer_with_a_token_but_never_help)
+{
+  static const uint32_t prompts[] = { LONG_PROMPT, OVERSIZED_PROMPT };
+  for (size_t k = 0; k < 2; k++)
+    {
+      Fixture f = create ();
+      Cold cold = create_cold (1000000);
+      WlChoiceRequest q = long_request (prompts[k]);
+      q.service = &cold.service;
+      q.warmup = cold.warmup;
+      make_cold (&f, 0, ENGINES - 4);
+      wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+      wl_warmup_tick (cold.warmup, now_us + 500000);
+      WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us + 500000, 0);
+      ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+      for (uint32_t i = 0; i < c.n_helpers; i++)
+        ck_assert (c.helpers[i] >= &f.fleet->endpoints[ENGINES - 4]);
+      for (uint32_t i = 0; i < ENGINES - 4; i++)
+        ck_assert_uint_eq (
+            wl_warmup_wait_us (cold.warmup, &cold.service, &f.fleet->endpoints[i], now_us + 500000),
+            0);
+      wl_warmup_destroy (cold.warmup);
+      destroy (&f);
+    }
+}
+END_TEST
+
+static void
+make_slow (Fixture *f, uint32_t i)
+{
+  for (int k = 0; k < 50; k++)
+    wl_fleet_note_slowdown (&f->fleet->endpoints[i], 4.0, now_us);
+}
+
+/* Guards against a slow engine that counts as idle because its slots are free. */
+START_TEST (a_slow_engine_costs_by_its_speed)
+{
+  Fixture f = create ();
+  Cold cold = create_cold (23000);
+  WlChoiceRequest q = long_request (LONG_PROMPT);
+  WlCandidate c = { .endpoint = &f.fleet->endpoints[0], .slowdown = 3.0 };
+  for (uint32_t i = 0; i < 4; i++)
+    make_slow (&f, i);
+  q.service = &cold.service;
+  WlChoice split = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  ck_assert_uint_ge (split.n_helpers, 3);
+  for (uint32_t i = 0; i < split.n_helpers; i++)
+    ck_assert (split.helpers[i] >= &f.fleet->endpoints[4]);
+  /* Its iterations take three times as long: a prompt breaks the gaps of the requests there. */
+  q = short_request ();
+  for (int i = 0; i < 4; i++)
+    add_work (&f, c.endpoint->key, decoding_short ());
+  c.sum = wl_load_sum (f.load, c.endpoint->key, now_us);
+  wl_choice_score (f.load, &q, &c, SHORT_PROMPT, 24000);
+  double before = c.score;
+  q.service = &cold.service;
+  wl_choice_score (f.load, &q, &c, SHORT_PROMPT, 24000);
+  ck_assert (c.score < before - 1.0);
+  wl_warmup_destroy (cold.warmup);
+  destroy (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -459,6 +571,9 @@
     WL_TEST (a_request_stays_in_its_domain_while_that_answers_in_time),
     WL_TEST (a_domain_without_usable_engines_uses_the_others),
     WL_TEST (a_full_domain_sends_plain_requests_to_the_others),
+    WL_TEST (cold_engines_without_a_token_are_no_candidates),
+    WL_TEST (cold_engines_answer_with_a_token_but_never_help),
+    WL_TEST (a_slow_engine_costs_by_its_speed),
   };
   apr_initialize ();
   return wl_test_run ("choice", tests, sizeof tests / sizeof tests[0]);
--- a/relay/tests/test_fleet.c
+++ b/relay/tests/test_fleet.c
@@ -280,6 +280,72 @@
 }
 END_TEST
 
+/* ---- cold endpoints ---- */
+
+/* Guards against a node that holds back an endpoint which is warm, or the other way round. */
+START_TEST (the_latest_registration_says_how_long_an_endpoint_is_cold)
+{
+  WlFleet *f = wl_fleet_create ();
+  WlEndpointRecord r = record ("a", 1, 1, 1);
+  f->reports_cold = 1;
+  r.cold_left_ms = 3000;
+  ck_assert_int_eq (wl_fleet_apply (f, &r, now_us), 1);
+  const WlEndpoint *e = wl_fleet_find (f, "a");
+  ck_assert_uint_eq (wl_fleet_cold_until_us (e, 0), now_us + 3000000);
+  ck_assert_uint_eq (wl_fleet_cold_left_ms (e, now_us + 1000001), 2000);
+  ck_assert_uint_eq (wl_fleet_cold_left_ms (e, now_us + 3000000), 0);
+  r.sequence = 2;
+  r.cold_left_ms = 1500;
+  ck_assert_int_eq (wl_fleet_apply (f, &r, now_us + 1000000), 0);
+  ck_assert_uint_eq (wl_fleet_cold_until_us (e, 0), now_us + 2500000);
+  r.sequence = 3;
+  r.cold_left_ms = 0;
+  ck_assert_int_eq (wl_fleet_apply (f, &r, now_us + 2000000), 0);
+  r.sequence = 4;
+  r.cold_left_ms = 800;
+  ck_assert_int_eq (wl_fleet_apply (f, &r, now_us + 3000000), 2);
+  wl_fleet_destroy (f);
+}
+END_TEST
+
+/* Guards against copies of a registration that prolong a warm-up with every round. */
+START_TEST (a_repeated_registration_only_shortens_the_warm_up)
+{
+  WlFleet *f = wl_fleet_create ();
+  WlEndpointRecord r = record ("a", 1, 1, 1);
+  f->reports_cold = 1;
+  r.cold_left_ms = 100;
+  wl_fleet_apply (f, &r, now_us);
+  ck_assert_int_eq (wl_fleet_apply (f, &r, now_us + 50000), 0);
+  ck_assert_int_eq (wl_fleet_apply (f, &r, now_us + 150000), 0);
+  const WlEndpoint *e = wl_fleet_find (f, "a");
+  ck_assert_uint_eq (wl_fleet_cold_until_us (e, 0), now_us + 100000);
+  r.cold_left_ms = 20;
+  wl_fleet_apply (f, &r, now_us + 50000);
+  ck_assert_uint_eq (wl_fleet_cold_until_us (e, 0), now_us + 70000);
+  wl_fleet_destroy (f);
+}
+END_TEST
+
+/* Guards against an endpoint without the member that is never cold, or always. */
+START_TEST (an_endpoint_that_does_not_say_is_cold_from_the_first_contact_of_its_start)
+{
+  WlFleet *f = wl_fleet_create ();
+  WlEndpointRecord r = record ("a", 1, 1, 1);
+  r.cold_left_ms = WL_ENDPOINT_COLD_UNKNOWN;
+  wl_fleet_apply (f, &r, now_us);
+  r.sequence = 2;
+  wl_fleet_apply (f, &r, now_us + 1000000);
+  const WlEndpoint *e = wl_fleet_find (f, "a");
+  ck_assert_uint_eq (wl_fleet_cold_until_us (e, 3000000), now_us + 3000000);
+  ck_assert_uint_eq (wl_fleet_cold_left_ms (e, now_us), WL_ENDPOINT_COLD_UNKNOWN);
+  r.started_ms = 2;
+  wl_fleet_apply (f, &r, now_us + 9000000);
+  ck_assert_uint_eq (wl_fleet_cold_until_us (e, 3000000), now_us + 12000000);
+  wl_fleet_destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -296,6 +362,9 @@
     WL_TEST (damaged_records_leave_only_valid_endpoints),
     WL_TEST (an_odd_registration_changes_nothing),
     WL_TEST (an_endpoint_that_is_heard_again_with_a_lower_sequence_is_usable),
+    WL_TEST (the_latest_registration_says_how_long_an_endpoint_is_cold),
+    WL_TEST (a_repeated_registration_only_shortens_the_warm_up),
+    WL_TEST (an_endpoint_that_does_not_say_is_cold_from_the_first_contact_of_its_start),
   };
   apr_initialize ();
   return wl_test_run ("fleet", tests, sizeof tests / sizeof tests[0]);
--- a/relay/tests/test_relay_cold.c
+++ b/relay/tests/test_relay_cold.c
@@ -101,6 +101,12 @@
   ck_assert_uint_eq (metrics (&f)->cold_sent, 1);
   ck_assert_uint_eq (wl_relay_n_cold (f.relay->relay), 1);
   ck_assert_uint_eq (wl_fleet_find (f.relay->fleet, "e0")->cold_share.n_sent, 1);
+  script_server_add (&f.relay->endpoints[0], RELAY_WHOLE, SCRIPT_KEEP);
+  send_text (&f, RELAY_SAFE_REQUEST);
+  pass (&f, 400000);
+  ck_assert_uint_eq (relay_fixture_n_runs (f.relay), 1);
+  pass (&f, 200000);
+  ck_assert_uint_eq (relay_fixture_n_runs (f.relay), 2);
   destroy (&f);
 }
 END_TEST
--- a/relay/tests/test_view.c
+++ b/relay/tests/test_view.c
@@ -210,6 +210,42 @@
 }
 END_TEST
 
+/* Guards against nodes that hear only with the next change that an endpoint is cold. */
+START_TEST (an_endpoint_that_becomes_cold_is_reported_at_once)
+{
+  for (int reports_cold = 0; reports_cold < 2; reports_cold++)
+    {
+      Fixture f = create ();
+      apr_pool_t *pool;
+      WlMembershipReport out;
+      WlEndpointRecord e = { .address = 1, .port = 2, .slots = 4, .started_ms = 1, .sequence = 1 };
+      strcpy (e.id, "e-1");
+      strcpy (e.service, "llm");
+      strcpy (e.domain, "a");
+      f.fleet->reports_cold = (uint8_t)reports_cold;
+      wl_fleet_apply (f.fleet, &e, start_us);
+      wl_view_note_registration (f.view, &e, start_us);
+      uint64_t since = wl_view_scan (f.view, start_us);
+      e.sequence = 2;
+      e.cold_left_ms = 3000;
+      wl_fleet_apply (f.fleet, &e, start_us + 1000);
+      uint64_t digest = f.fleet->endpoints[0].reported[WL_REPORT_ALL].hash;
+      wl_view_scan (f.view, start_us + 2000);
+      ck_assert_int_eq (f.view->changed_scan > since, reports_cold);
+      apr_pool_create (&pool, NULL);
+      wl_view_report (f.view, WL_REPORT_ALL, since, start_us + 2000, pool, &out);
+      ck_assert_uint_eq (out.n_endpoints, (uint32_t)reports_cold);
+      ck_assert_uint_eq (out.endpoint_digest, digest);
+      if (reports_cold)
+        ck_assert_uint_eq (out.endpoints[0].cold_left_ms, 2999);
+      since = wl_view_scan (f.view, start_us + 3000);
+      ck_assert_uint_lt (f.view->changed_scan, since);
+      apr_pool_destroy (pool);
+      destroy (&f);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -221,6 +257,7 @@
     WL_TEST (nodes_with_a_disk_are_relays_first_and_draining_ones_never),
     WL_TEST (an_endpoint_that_missed_registrations_is_reported_with_its_true_age),
     WL_TEST (an_endpoint_dropped_by_one_relay_and_overdue_at_the_other_is_overdue),
+    WL_TEST (an_endpoint_that_becomes_cold_is_reported_at_once),
   };
   apr_initialize ();
   return wl_test_run ("view", tests, sizeof tests / sizeof tests[0]);
