Endpoints that have become warm are saved as warm

Cause: the file of endpoints keeps each record as it was at the first registration, when the endpoint was cold; after a restart of all nodes it would count as cold until its next registration.

Change: records are saved with what is left of the warm-up, and the file is written again when the number of cold endpoints changes.

Result: test_host restores the endpoint as warm; without the second write the test fails with 400 ms left.

--- a/relay/tests/test_host.c
+++ b/relay/tests/test_host.c
@@ -141,6 +141,46 @@
 }
 END_TEST
 
+static void
+set_cold_service (Fixture *f)
+{
+  WlRoutes *routes = wl_routes_create ();
+  routes->services = apr_pcalloc (routes->pool, sizeof *routes->services);
+  routes->services[0].name = "llm";
+  routes->services[0].cold_rate = 1000;
+  routes->n_services = 1;
+  wl_relay_set_routes (f->host->relay, routes);
+}
+
+/*
+ * Guards against a restarted node that takes endpoints for cold because they were saved right
+ * after their start. The restarts end when one finds the endpoint warm.
+ */
+START_TEST (an_endpoint_that_has_become_warm_is_restored_as_warm)
+{
+  static Fixture f;
+  WlEndpointRecord r = make_record ("e-1", 8081);
+  uint32_t left_ms = UINT32_MAX;
+  create (&f);
+  start (&f);
+  set_cold_service (&f);
+  r.cold_left_ms = 400;
+  wl_host_register (f.host, &r);
+  ck_assert_int_eq (run_until_file (&f, "endpoints"), 1);
+  f.options.is_first_start = 0;
+  for (int i = 0; i < 10 && left_ms > 0; i++)
+    {
+      run (&f, 2 * WL_HOST_SAVE_INTERVAL_US);
+      wl_host_destroy (f.host);
+      start (&f);
+      set_cold_service (&f);
+      left_ms = wl_fleet_cold_left_ms (wl_fleet_find (f.host->fleet, "e-1"), wl_clock_now_us ());
+    }
+  ck_assert_uint_eq (left_ms, 0);
+  destroy (&f);
+}
+END_TEST
+
 static void
 on_submitted (void *data, WlHostOutcome outcome, WlBytes config)
 {
@@ -359,6 +399,7 @@
 {
   const WlTest tests[] = {
     WL_TEST (endpoints_are_restored_after_a_restart),
+    WL_TEST (an_endpoint_that_has_become_warm_is_restored_as_warm),
     WL_TEST (the_committed_configuration_is_restored_without_a_quorum),
     WL_TEST (a_node_starts_with_a_damaged_file_of_endpoints),
     WL_TEST (a_request_is_answered_although_the_disk_fails),
--- a/relay/tests/test_relay_cold.c
+++ b/relay/tests/test_relay_cold.c
@@ -237,27 +237,37 @@
                       wl_clock_now_us ());
 }
 
-/* Guards against an attempt whose endpoint, or helper, became cold after the choice. */
-START_TEST (an_attempt_is_not_sent_when_an_endpoint_of_it_became_cold)
+/* An engine becomes cold while the memory for a request is being reserved. */
+static void
+check_not_sent (const char *id)
 {
-  static const char *const ids[] = { "engine-0", "engine-1" };
-  for (int i = 0; i < 2; i++)
-    {
-      Fixture f = create_cold (TOO_LOW_RATE);
-      relay_fixture_register_engine (f.relay, 0);
-      relay_fixture_register_engine (f.relay, 1);
-      script_server_add (&f.relay->endpoints[1], NULL, SCRIPT_KEEP);
-      relay_fixture_occupy (f.relay, "engine-1"); /* so that the other one answers */
-      send_larger_than_an_engine (&f);
-      ck_assert_uint_eq (relay_fixture_n_seen (f.relay, "POST /reserve"), 1);
-      become_cold (&f, ids[i]);
-      script_server_send (&f.relay->endpoints[1], "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
-      advance (&f, 0);
-      advance (&f, 10000);
-      ck_assert_uint_eq (relay_fixture_n_seen (f.relay, "POST /large/"), 0);
-      ck_assert_uint_eq (relay_fixture_n_seen (f.relay, "POST /release"), 1);
-      destroy (&f);
-    }
+  Fixture f = create_cold (TOO_LOW_RATE);
+  relay_fixture_register_engine (f.relay, 0);
+  relay_fixture_register_engine (f.relay, 1);
+  script_server_add (&f.relay->endpoints[1], NULL, SCRIPT_KEEP);
+  relay_fixture_occupy (f.relay, "engine-1"); /* so that the other one answers */
+  send_larger_than_an_engine (&f);
+  ck_assert_uint_eq (relay_fixture_n_seen (f.relay, "POST /reserve"), 1);
+  become_cold (&f, id);
+  script_server_send (&f.relay->endpoints[1], "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  advance (&f, 0);
+  advance (&f, 10000);
+  ck_assert_uint_eq (relay_fixture_n_seen (f.relay, "POST /large/"), 0);
+  ck_assert_uint_eq (relay_fixture_n_seen (f.relay, "POST /release"), 1);
+  destroy (&f);
+}
+
+/* Guards against an attempt whose endpoint became cold after the choice. */
+START_TEST (an_attempt_is_not_sent_when_its_endpoint_became_cold)
+{
+  check_not_sent ("engine-0");
+}
+END_TEST
+
+/* Guards against an attempt one of whose helpers did. */
+START_TEST (an_attempt_is_not_sent_when_its_helper_became_cold)
+{
+  check_not_sent ("engine-1");
 }
 END_TEST
 
@@ -309,7 +319,8 @@
     WL_TEST (the_endpoints_of_a_returned_domain_are_cold_until_they_register),
     WL_TEST (a_response_says_that_its_endpoint_is_cold),
     WL_TEST (a_response_of_another_endpoint_says_nothing),
-    WL_TEST (an_attempt_is_not_sent_when_an_endpoint_of_it_became_cold),
+    WL_TEST (an_attempt_is_not_sent_when_its_endpoint_became_cold),
+    WL_TEST (an_attempt_is_not_sent_when_its_helper_became_cold),
     WL_TEST (endpoints_of_a_service_without_a_rate_are_never_cold),
     WL_TEST (the_log_names_cold_endpoints),
   };
--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -98,7 +98,11 @@
   m.u.endpoints.records = apr_palloc (pool, (n + 1) * sizeof *m.u.endpoints.records);
   m.u.endpoints.n_records = n;
   for (uint32_t i = 0; i < n; i++)
-    m.u.endpoints.records[i] = host->fleet->endpoints[i].record;
+    {
+      const WlEndpoint *e = &host->fleet->endpoints[i];
+      m.u.endpoints.records[i] = e->record;
+      m.u.endpoints.records[i].cold_left_ms = wl_fleet_cold_left_ms (e, now_us);
+    }
   wl_journal_save (host->journal, endpoints_file, wl_message_encode (&m, pool));
   apr_pool_destroy (pool);
 }
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -529,6 +529,18 @@
   host->await_logged_us = now_us;
 }
 
+/*
+ * Saves endpoints again when one has become warm: a restarted node would take what was saved right
+ * after its start for cold.
+ */
+static void
+follow_cold (WlHost *host)
+{
+  uint32_t n_cold = wl_relay_n_cold (host->relay);
+  host->has_new_endpoints |= n_cold != host->n_cold;
+  host->n_cold = n_cold;
+}
+
 void
 wl_host_gossip_tick (WlHost *host, uint64_t now_us)
 {
@@ -536,6 +548,7 @@
   wl_relay_set_nodes (host->relay, host->membership->n_alive);
   wl_relay_note_nodes (host->relay, host->roster, host->options.seeds, host->options.n_seeds,
                        now_us);
+  follow_cold (host);
   update_founders (host, now_us);
   log_awaited (host, now_us);
   if (knows_fleet (host, now_us))
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -97,6 +97,7 @@
   uint64_t full_report_us;            /* when the last full load report was sent */
   uint64_t endpoints_saved_us;        /* when the endpoints were last saved */
   uint8_t has_new_endpoints;          /* since then */
+  uint32_t n_cold;                    /* cold endpoints at the last tick */
   uint64_t next_tick_us;
   uint64_t next_slow_tick_us;
   uint64_t stopping_us;                 /* 0 while running */
