--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -8,6 +8,11 @@
   /* A deadline is near within US + FACTOR * the shortest prefill time. */
   NEAR_DEADLINE_US = 1000000,
   NEAR_DEADLINE_FACTOR = 2,
+  /* In large fleets: memory for a large prompt is rarely free at a given moment. */
+  NEAR_DEADLINE_LARGE_FLEET_US = 3000000,
+  /* An objective is near within US + FACTOR * the shortest prefill time. */
+  NEAR_OBJECTIVE_US = 1000000,
+  NEAR_OBJECTIVE_FACTOR = 3,
   ROOM_WAIT_FACTOR = 2,         /* expected wait / time to a free slot; others wait for it too */
   ABANDON_MARGIN_US = 150000,   /* a rejection must reach the caller before it disconnects */
   RETRY_INTERVAL_US = 20000,    /* next try of a queued request */
@@ -24,6 +29,8 @@
     = 10.0; /* unit of wl_choice_value(); about that of a usual prompt */
 static const double NEAR_DEADLINE_DISCOUNT_SHARE
     = 0.5; /* of the value: discount near the deadline, so that large prompts don't starve */
+static const double NEAR_OBJECTIVE_DISCOUNT_SHARE
+    = 1.0; /* of the value: those that waited go before newer ones, and before late ones */
 
 static int
 is_excluded (const WlChoiceRequest *q, uint64_t key)
@@ -81,7 +88,30 @@
 static int
 is_near_deadline (const WlChoiceRequest *q, uint32_t n_all)
 {
-  return q->deadline_us < NEAR_DEADLINE_FACTOR * min_prefill_us (q, n_all) + NEAR_DEADLINE_US;
+  uint64_t margin_us = q->visibility == WL_CHOICE_SEES_OTHERS_DELAYED ? NEAR_DEADLINE_LARGE_FLEET_US
+                                                                      : NEAR_DEADLINE_US;
+  return q->deadline_us < NEAR_DEADLINE_FACTOR * min_prefill_us (q, n_all) + margin_us;
+}
+
+/*
+ * Whether a request misses its objective if it waits much longer. Only in large fleets, where
+ * nodes do not see which requests wait at others: by this, all let the same ones go first.
+ */
+static int
+is_near_objective (const WlChoiceRequest *q, uint32_t n_all)
+{
+  uint64_t prefill_us = min_prefill_us (q, n_all);
+  return q->visibility == WL_CHOICE_SEES_OTHERS_DELAYED && q->objective_us > prefill_us
+         && q->objective_us < NEAR_OBJECTIVE_FACTOR * prefill_us + NEAR_OBJECTIVE_US;
+}
+
+static double
+waiting_discount (const WlChoiceRequest *q, uint32_t n_all)
+{
+  double share = is_near_objective (q, n_all)  ? NEAR_OBJECTIVE_DISCOUNT_SHARE
+                 : is_near_deadline (q, n_all) ? NEAR_DEADLINE_DISCOUNT_SHARE
+                                               : 0.0;
+  return share * wl_choice_value (q->prompt);
 }
 
 /* Value earned by waiting for a slot of an engine that is full now. */
@@ -114,8 +144,7 @@
   double best_score = -1e9;
   uint64_t prefill_us = wl_forecast_prefill_us (&q->service->engine, q->prompt);
   double price = prefill_price (q, all, n_all) * (double)prefill_us / 1e6;
-  if (is_near_deadline (q, n_all))
-    price -= NEAR_DEADLINE_DISCOUNT_SHARE * wl_choice_value (q->prompt);
+  price -= waiting_discount (q, n_all);
   for (size_t i = 0; i < sizeof helper_counts / sizeof *helper_counts; i++)
     {
       if (helper_counts[i] >= n_all || (helper_counts[i] > 0 && prefill_us < SPLIT_MIN_PREFILL_US))
@@ -281,17 +310,38 @@
   request->deadline_us = left_us < abandon_us ? left_us : abandon_us;
 }
 
+/*
+ * Draws the engine of a short request: nodes that all took the best by the same view would take
+ * the same one. Without an engine to draw, for instance in a burst, the best of all is taken.
+ */
+static WlChoice
+choose_for_short (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *all, uint32_t n,
+                  uint64_t random)
+{
+  const WlCandidate *c = wl_choice_draw (load, q, all, n, random);
+  if (c == NULL)
+    return choose_split (load, q, all, n);
+  return (WlChoice){
+    .result = WL_CHOICE_PLACED,
+    .endpoint = c->endpoint,
+    .kv_tokens = wl_choice_needed_kv_tokens (q),
+    .part_tokens = q->prompt,
+    .part_us = wl_forecast_prefill_us (&q->service->engine, q->prompt),
+    .predicted_us = c->ttft_us,
+    .model_us = c->model_us,
+    .score = c->score,
+  };
+}
+
 /*
  * A prompt that may be split stays on engines of the own failure domain unless
  * others score higher by a margin. Two nodes that choose the same engine for a
  * long prefill delay each other much; within a domain they learn of it sooner.
  */
 static WlChoice
-choose_engines (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *all, uint32_t n)
+choose_for_long (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *all, uint32_t n)
 {
   WlChoice own = { .result = WL_CHOICE_WAIT };
-  if (q->visibility != WL_CHOICE_SEES_OTHERS_DELAYED || wl_choice_is_short (q))
-    return choose_split (load, q, all, n);
   uint32_t n_own = move_own_domain_to_front (q, all, n);
   if (n_own > 0)
     own = choose_split (load, q, all, n_own);
@@ -303,6 +353,25 @@
   return any;
 }
 
+static WlChoice
+choose_engines (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *all, uint32_t n,
+                uint64_t random)
+{
+  if (q->visibility != WL_CHOICE_SEES_OTHERS_DELAYED)
+    return choose_split (load, q, all, n);
+  wl_choice_mark_pools (q, all, n);
+  if (wl_choice_is_short (q))
+    return choose_for_short (load, q, all, n, random);
+  WlChoice out = choose_for_long (load, q, all, n);
+  if (out.result == WL_CHOICE_PLACED || out.hold != WL_CHOICE_HELD_FULL)
+    return out;
+  /* No engine has the memory that it needs; several together may have it. */
+  WlChoiceRequest spread = *q;
+  spread.spreads_kv = 1;
+  WlChoice other = choose_for_long (load, &spread, all, n);
+  return other.result == WL_CHOICE_PLACED ? other : out;
+}
+
 static WlChoice
 choose_or_refuse (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *all, uint32_t n,
                   uint64_t random)
@@ -316,7 +385,7 @@
       out.result = WL_CHOICE_TOO_LARGE;
       return out;
     }
-  out = s->has_engine ? choose_engines (load, q, all, n)
+  out = s->has_engine ? choose_engines (load, q, all, n, random)
                       : choose_without_engine_model (load, q, all, n, random);
   if (out.result != WL_CHOICE_PLACED)
     out = wait_or_refuse (q, all, n, out.hold);
--- a/relay/placement/wl_choice_internal.h
+++ b/relay/placement/wl_choice_internal.h
@@ -3,7 +3,10 @@
 
 #include "wl_choice.h"
 
-/* Shared by wl_choice.c, which decides, and wl_choice_judge.c, which scores endpoints. */
+/*
+ * Shared by wl_choice.c, which decides, wl_choice_judge.c, which scores endpoints, and
+ * wl_choice_pool.c, which divides the engines of large fleets between short and long prompts.
+ */
 
 /**
  * struct WlCandidate - an endpoint that is considered for a request
@@ -11,10 +14,14 @@
  * @sum: its load
  * @slowdown: measured over predicted TTFT
  * @score: value earned when it answers, less the value that other requests lose
+ * @gap_loss: part of that loss: by gaps that become too long
  * @helper_cost: value lost when it prefills a part
+ * @unseen_loss: value that short requests of other nodes, which are not reported yet, would lose
+ *   here by a long prefill
  * @model_us: TTFT by the engine model
  * @ttft_us: TTFT with the slowdown
  * @has_room: it has a free slot and enough KV cache
+ * @is_pooled: it is in the short pool of its failure domain, see wl_choice_mark_pools()
  */
 typedef struct
 {
@@ -22,10 +29,13 @@
   WlLoadSum sum;
   double slowdown;
   double score;
+  double gap_loss;
   double helper_cost;
+  double unseen_loss;
   uint64_t model_us;
   uint64_t ttft_us;
   uint8_t has_room;
+  uint8_t is_pooled;
 } WlCandidate;
 
 /** wl_choice_value() - value of a request by its prompt tokens; 1 for an empty prompt */
@@ -54,6 +64,35 @@
 void wl_choice_score (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *c,
                       uint64_t prefill_tokens, uint64_t prefill_us);
 
+/**
+ * wl_choice_mark_pools() - marks the short pool of each failure domain
+ * @q: the request
+ * @all: candidates, @n_all of them; their order changes
+ * @n_all: number of candidates
+ *
+ * The pool is the first engines of the domain in the order of their keys, as many as its short
+ * requests fill to a half. Every node computes nearly the same pool from nearly the same load, so
+ * that short requests and long prompts of different nodes meet on few engines.
+ */
+void wl_choice_mark_pools (const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all);
+
+/**
+ * wl_choice_draw() - draws an engine for a short request from the pool of the own failure domain
+ * @load: load of the endpoints
+ * @q: the request
+ * @all: candidates whose pools are marked, @n_all of them
+ * @n_all: number of candidates
+ * @random: random number
+ *
+ * Of two engines drawn at random the one with the shorter predicted TTFT. Engines without room,
+ * with a predicted TTFT near the objective or beyond, or where gaps would become too long are not
+ * drawn.
+ *
+ * Return: the candidate, NULL when none may be drawn.
+ */
+WlCandidate *wl_choice_draw (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *all,
+                             uint32_t n_all, uint64_t random);
+
 /**
  * wl_choice_score_split() - scores a prefill split over several engines
  * @load: load of the endpoints
--- a/relay/placement/wl_choice_judge.c
+++ b/relay/placement/wl_choice_judge.c
@@ -101,18 +101,19 @@
   return (uint64_t)q->prompt + q->output;
 }
 
-/* Whether a request needs the KV cache of several engines. */
+/* Whether a request takes the KV cache of several engines. */
 static int
-is_oversized (const WlChoiceRequest *q)
+is_spread (const WlChoiceRequest *q)
 {
-  return wl_choice_needed_kv_tokens (q)
-         > (uint64_t)q->service->engine.kv_tokens * OVERSIZED_PERCENT / 100;
+  return q->spreads_kv
+         || wl_choice_needed_kv_tokens (q)
+                > (uint64_t)q->service->engine.kv_tokens * OVERSIZED_PERCENT / 100;
 }
 
 static int
 engine_has_room (const WlEngineModel *m, const WlChoiceRequest *q, const WlLoadSum *sum)
 {
-  uint64_t needed = is_oversized (q) ? SPREAD_MIN_TOKENS : wl_choice_needed_kv_tokens (q);
+  uint64_t needed = is_spread (q) ? SPREAD_MIN_TOKENS : wl_choice_needed_kv_tokens (q);
   return sum->n_items < m->slots && free_kv_tokens (m, sum) >= needed;
 }
 
@@ -135,8 +136,9 @@
                                      c->sum.backlog_us + prefill_us);
   c->ttft_us = (uint64_t)((double)c->model_us * c->slowdown);
   c->score = value * wl_choice_timeliness (q, c->ttft_us);
-  c->score
-      -= gap_penalty (load, c, m, prefill_tokens, (uint64_t)((double)prefill_us * c->slowdown));
+  c->gap_loss
+      = gap_penalty (load, c, m, prefill_tokens, (uint64_t)((double)prefill_us * c->slowdown));
+  c->score -= c->gap_loss + c->unseen_loss;
   if (wl_choice_is_short (q) && (c->sum.min_gap_us == 0 || c->sum.min_gap_us > q->gap_us))
     c->score -= FIRST_SHORT_COST_SHARE * value;
   c->score += FILL_BONUS_SHARE * value * (wl_choice_is_short (q) ? fill : -fill);
@@ -169,7 +171,8 @@
 cost_as_helper (const WlLoad *load, const WlChoiceRequest *q, const WlCandidate *c,
                 uint64_t part_tokens, uint64_t part_us)
 {
-  double cost = HELPER_COST + gap_penalty (load, c, &q->service->engine, part_tokens, part_us);
+  double cost = HELPER_COST + c->unseen_loss
+                + gap_penalty (load, c, &q->service->engine, part_tokens, part_us);
   cost += PREFILL_DELAY_COST * c->sum.prefills * (double)part_us / (double)(q->objective_us + 1);
   cost += c->endpoint->failure_rate * wl_choice_value (q->prompt);
   return cost;
@@ -198,7 +201,7 @@
 }
 
 /*
- * Spreads the KV cache of an oversized request: what does not fit on the
+ * Spreads the KV cache of a request: what does not fit on the
  * answering engine is reserved at the helpers. Returns 0 when it does not fit
  * there either.
  */
@@ -210,7 +213,7 @@
   uint64_t needed = wl_choice_needed_kv_tokens (q);
   uint64_t at_first = free_at_first * SPREAD_FIRST_PERCENT / 100;
   out->kv_tokens = needed;
-  if (!is_oversized (q))
+  if (!is_spread (q))
     return 1;
   out->kv_tokens = needed < at_first ? needed : at_first;
   uint64_t left = needed - out->kv_tokens;
@@ -241,7 +244,7 @@
       if (n_helpers == 0)
         continue;
       all[i].helper_cost = cost_as_helper (load, q, &all[i], part_tokens, part_us);
-      if (is_oversized (q))
+      if (is_spread (q))
         all[i].helper_cost
             -= SPREAD_FREE_KV_BONUS * (double)free_kv_tokens (m, &all[i].sum) / m->kv_tokens;
     }
--- a/relay/placement/wl_load.c
+++ b/relay/placement/wl_load.c
@@ -157,7 +157,12 @@
       sum.kv_tokens += item->kv_tokens;
       uint64_t gap_us = item->kv_tokens > 0 ? (uint64_t)item->gap_ms * 1000 : 0;
       if (gap_us > 0 && (sum.min_gap_us == 0 || gap_us < sum.min_gap_us))
-        sum.min_gap_us = gap_us;
+        {
+          sum.min_gap_us = gap_us;
+          sum.min_gap_items = 0;
+        }
+      if (gap_us > 0 && gap_us == sum.min_gap_us)
+        sum.min_gap_items++;
       if (item->phase == WL_WORK_DECODING)
         {
           sum.decodes++;
--- a/relay/placement/wl_load.h
+++ b/relay/placement/wl_load.h
@@ -58,6 +58,7 @@
  * @part_tokens: their tokens
  * @prefill_us: prefill time of all items in prefill, including what is done
  * @min_gap_us: shortest tolerated gap of all items, 0 when none has one
+ * @min_gap_items: items that tolerate no longer gap than @min_gap_us
  */
 typedef struct
 {
@@ -72,6 +73,7 @@
   uint64_t part_tokens;
   uint64_t prefill_us;
   uint64_t min_gap_us;
+  uint32_t min_gap_items;
 } WlLoadSum;
 
 typedef struct WlLoad WlLoad;
