--- a/relay/placement/wl_choice_internal.h
+++ b/relay/placement/wl_choice_internal.h
@@ -71,8 +71,9 @@
  * @n_all: number of candidates
  *
  * The pool is the first engines of the domain in the order of their keys, as many as its short
- * requests fill to a half. Every node computes nearly the same pool from nearly the same load, so
- * that short requests and long prompts of different nodes meet on few engines.
+ * requests fill to a half, and at least a quarter. Every node computes nearly the same pool from
+ * nearly the same load, so that short requests and long prompts of different nodes meet on few
+ * engines.
  */
 void wl_choice_mark_pools (const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all);
 
--- a/relay/placement/wl_choice_pool.c
+++ b/relay/placement/wl_choice_pool.c
@@ -16,6 +16,7 @@
 };
 
 static const double POOL_FILL_SHARE = 0.5; /* of the slots; the rest is for bursts */
+static const double POOL_MIN_SHARE = 0.25; /* of the engines, also without short requests */
 static const double SHORT_LOSS = 1.1;      /* unit of wl_choice_value(): a usual one that is late */
 
 static int
@@ -61,7 +62,10 @@
   uint32_t n_short = 0;
   for (uint32_t i = 0; i < n; i++)
     n_short += count_short (q, &all[i]);
-  uint32_t n_pool = (uint32_t)(n_short / (POOL_FILL_SHARE * q->service->engine.slots)) + 2;
+  uint32_t n_pool = (uint32_t)(n_short / (POOL_FILL_SHARE * q->service->engine.slots)) + 1;
+  uint32_t n_min = (uint32_t)(POOL_MIN_SHARE * n) + 1;
+  if (n_pool < n_min)
+    n_pool = n_min;
   if (n_pool > n)
     n_pool = n;
   for (uint32_t i = 0; i < n_pool; i++)
