--- a/core/agreement/wl_config_store.c
+++ b/core/agreement/wl_config_store.c
@@ -8,9 +8,10 @@
 {
   REQUEST_SUBMIT,
   REQUEST_READ,
+  REQUEST_EVACUATE,
 } RequestKind;
 
-/* A submission or read that the leader has not answered yet. */
+/* A request that the leader has not answered yet. */
 typedef struct
 {
   RequestKind kind;
@@ -20,43 +21,23 @@
   uint64_t version; /* of a submission */
   WlBytes config;   /* of a submission, as received; on the heap */
   uint8_t is_compressed;
-  uint64_t has_number; /* configuration number that the sender of a read has */
-  uint64_t round;      /* heartbeat round that must be confirmed before a read is answered */
+  uint64_t has_number;        /* configuration number that the sender of a read has */
+  uint64_t round;             /* heartbeat round that must be confirmed before a read is answered */
+  char domain[WL_LABEL_SIZE]; /* of an evacuation */
+  uint64_t sequence;          /* of the domain, as its sender has read it */
+  uint8_t is_finish;
 } QueuedRequest;
 
 struct WlConfigStore
 {
   WlRaft raft;
   WlState *state;
-  QueuedRequest queue[WL_CONFIG_STORE_QUEUE_MAX];
+  QueuedRequest queue[WL_CONFIG_STORE_QUEUE_MAX + WL_CONFIG_STORE_EVACUATIONS_MAX];
   uint32_t n_queued;
   uint64_t proposed_index; /* log index of the uncommitted change, 0 for none */
   uint64_t leader_term;    /* term in which this replica leads, 0 for none */
 };
 
-WlBytes
-wl_config_add_version (uint64_t version, WlBytes config, apr_pool_t *pool)
-{
-  uint8_t *out = apr_palloc (pool, WL_CONFIG_STORE_VERSION_BYTES + config.size);
-  for (int i = 0; i < WL_CONFIG_STORE_VERSION_BYTES; i++)
-    out[i] = (uint8_t)(version >> (8 * (WL_CONFIG_STORE_VERSION_BYTES - 1 - i)));
-  if (config.size > 0)
-    memcpy (out + WL_CONFIG_STORE_VERSION_BYTES, config.data, config.size);
-  return (WlBytes){ out, WL_CONFIG_STORE_VERSION_BYTES + config.size };
-}
-
-WlBytes
-wl_config_split_version (WlBytes versioned, uint64_t *version)
-{
-  *version = 0;
-  if (versioned.size < WL_CONFIG_STORE_VERSION_BYTES)
-    return (WlBytes){ NULL, 0 };
-  for (int i = 0; i < WL_CONFIG_STORE_VERSION_BYTES; i++)
-    *version = *version << 8 | versioned.data[i];
-  return (WlBytes){ versioned.data + WL_CONFIG_STORE_VERSION_BYTES,
-                    versioned.size - WL_CONFIG_STORE_VERSION_BYTES };
-}
-
 static WlError
 load_snapshot (WlConfigStore *cs)
 {
@@ -226,11 +207,37 @@
   return version;
 }
 
+static void
+propose_document (WlConfigStore *cs, WlBytes document, WlEffects *fx)
+{
+  WlCommand c = { .kind = WL_COMMAND_CONFIG };
+  wl_delta_make (cs->state->config, document, fx->pool, &c.u.config);
+  c.u.config.replaces = cs->state->config_number;
+  c.u.config.number = cs->state->config_number + 1;
+  cs->proposed_index = wl_raft_propose (&cs->raft, wl_command_encode (&c, fx->pool), fx);
+}
+
+/* Proposes an evacuation or its end. Returns 0 when the list of evacuations is full. */
+static int
+propose_evacuation (WlConfigStore *cs, const QueuedRequest *r, WlConfigDocument *document,
+                    WlEffects *fx)
+{
+  if (!wl_config_document_evacuate (document, r->domain, r->is_finish, fx->pool))
+    {
+      wl_effects_log (fx, WL2111_SUBMISSION_REFUSED, "zone=\"%s\" peer=%u reason=full", r->domain,
+                      r->node);
+      reply_submit (cs, r, WL_SUBMIT_UNAVAILABLE, fx);
+      return 0;
+    }
+  propose_document (cs, wl_config_document_encode (document, fx->pool), fx);
+  return 1;
+}
+
 /* Proposes a submission. Returns 0 when its configuration cannot be decompressed. */
 static int
-propose_config (WlConfigStore *cs, const QueuedRequest *r, WlEffects *fx)
+propose_config (WlConfigStore *cs, const QueuedRequest *r, WlConfigDocument *document,
+                WlEffects *fx)
 {
-  WlCommand c = { .kind = WL_COMMAND_CONFIG };
   WlBytes config = r->config;
   if (r->is_compressed && wl_config_decompress (r->config, fx->pool, &config) != WL_OK)
     {
@@ -238,57 +245,95 @@
                       (unsigned long)r->version, r->node);
       return 0;
     }
-  WlBytes versioned = wl_config_add_version (r->version, config, fx->pool);
-  wl_delta_make (cs->state->config, versioned, fx->pool, &c.u.config);
-  c.u.config.replaces = cs->state->config_number;
-  c.u.config.number = cs->state->config_number + 1;
-  cs->proposed_index = wl_raft_propose (&cs->raft, wl_command_encode (&c, fx->pool), fx);
+  document->version = r->version;
+  document->text = config;
+  propose_document (cs, wl_config_document_encode (document, fx->pool), fx);
   return 1;
 }
 
-/* Index of the queued submission with the highest version, n_queued when there is none. */
+/*
+ * Index of the request to propose next: the first evacuation, else the submission with the highest
+ * version; n_queued when there is none.
+ */
 static uint32_t
-find_highest_version (const WlConfigStore *cs)
+find_next_change (const WlConfigStore *cs)
 {
   uint32_t highest = cs->n_queued;
   for (uint32_t i = 0; i < cs->n_queued; i++)
-    if (cs->queue[i].kind == REQUEST_SUBMIT
-        && (highest == cs->n_queued || cs->queue[i].version > cs->queue[highest].version))
+    if (cs->queue[i].kind == REQUEST_EVACUATE)
+      return i;
+    else if (cs->queue[i].kind == REQUEST_SUBMIT
+             && (highest == cs->n_queued || cs->queue[i].version > cs->queue[highest].version))
       highest = i;
   return highest;
 }
 
+/*
+ * Whether the committed document settles an evacuation. If the sequence has advanced since its
+ * sender read it, the first change after that was the wanted one, since each change turns the
+ * state around: this request, a copy of it, or another one to the same effect. The request is then
+ * done, also if another change has followed, and must not be applied again.
+ */
+static int
+settle_evacuation (const WlConfigStore *cs, const QueuedRequest *r,
+                   const WlConfigDocument *document, WlEffects *fx)
+{
+  WlEvacuation e = wl_config_document_evacuation (document, r->domain);
+  if (e.sequence == r->sequence && e.is_active == r->is_finish)
+    return 0;
+  /* A lower sequence than was read from a quorum: the group was founded anew. */
+  reply_submit (cs, r, e.sequence < r->sequence ? WL_SUBMIT_CONFLICT : WL_SUBMIT_ACCEPTED, fx);
+  return 1;
+}
+
+/* Answers a request if the committed state settles it. */
+static int
+settle (const WlConfigStore *cs, const QueuedRequest *r, const WlConfigDocument *document,
+        WlEffects *fx)
+{
+  switch (r->kind)
+    {
+    case REQUEST_SUBMIT:
+      if (r->version > document->version)
+        return 0;
+      reply_submit (cs, r, WL_SUBMIT_ACCEPTED, fx);
+      return 1;
+    case REQUEST_READ:
+      if (r->round > wl_raft_confirmed_round (&cs->raft))
+        return 0;
+      reply_read (cs, r, fx);
+      return 1;
+    case REQUEST_EVACUATE:
+      return settle_evacuation (cs, r, document, fx);
+    }
+  return 0;
+}
+
 /* Answers the requests that the committed state settles, and proposes the next change. */
 static void
 serve_queue (WlConfigStore *cs, uint64_t now_us, WlEffects *fx)
 {
-  uint64_t confirmed = wl_raft_confirmed_round (&cs->raft);
-  uint64_t version = current_version (cs);
+  WlConfigDocument document;
+  if (cs->n_queued == 0)
+    return;
+  if (wl_config_document_decode (cs->state->config, fx->pool, &document) != WL_OK)
+    abort (); /* it was encoded by a leader, so this is a bug in the encoding */
   for (uint32_t i = 0; i < cs->n_queued;)
     {
       const QueuedRequest *r = &cs->queue[i];
-      int is_done = 0;
-      if (r->kind == REQUEST_SUBMIT && r->version <= version)
-        {
-          reply_submit (cs, r, WL_SUBMIT_ACCEPTED, fx);
-          is_done = 1;
-        }
-      else if (r->kind == REQUEST_READ && r->round <= confirmed)
-        {
-          reply_read (cs, r, fx);
-          is_done = 1;
-        }
-      else if (now_us > r->queued_us + WL_CONFIG_STORE_REQUEST_TIMEOUT_US)
-        is_done = 1; /* the sender has timed out */
-      if (is_done)
+      /* After the timeout the sender has given up. */
+      if (settle (cs, r, &document, fx)
+          || now_us > r->queued_us + WL_CONFIG_STORE_REQUEST_TIMEOUT_US)
         remove_request (cs, i);
       else
         i++;
     }
-  while (cs->proposed_index == 0 && find_highest_version (cs) < cs->n_queued)
+  while (cs->proposed_index == 0 && find_next_change (cs) < cs->n_queued)
     {
-      uint32_t next = find_highest_version (cs);
-      if (!propose_config (cs, &cs->queue[next], fx))
+      uint32_t next = find_next_change (cs);
+      const QueuedRequest *r = &cs->queue[next];
+      if (!(r->kind == REQUEST_EVACUATE ? propose_evacuation (cs, r, &document, fx)
+                                        : propose_config (cs, r, &document, fx)))
         remove_request (cs, next);
     }
 }
@@ -306,7 +351,10 @@
 static QueuedRequest *
 queue_request (WlConfigStore *cs, RequestKind kind, uint32_t node, uint64_t id, uint64_t now_us)
 {
-  if (cs->n_queued == WL_CONFIG_STORE_QUEUE_MAX)
+  uint32_t max = WL_CONFIG_STORE_QUEUE_MAX;
+  if (kind == REQUEST_EVACUATE)
+    max += WL_CONFIG_STORE_EVACUATIONS_MAX;
+  if (cs->n_queued >= max)
     return NULL; /* the sender will retry */
   QueuedRequest *r = &cs->queue[cs->n_queued++];
   memset (r, 0, sizeof *r);
@@ -323,7 +371,7 @@
   uint64_t bytes = queued_bytes (cs);
   if (is_queued (cs, s->node, s->id))
     return;
-  if (bytes + s->config.size > WL_CONFIG_STORE_QUEUE_BYTES)
+  if (bytes + s->config.size > WL_CONFIG_STORE_QUEUE_BYTES || s->replaces >= WL_CONFIG_VERSION_MAX)
     {
       QueuedRequest refused = { .node = s->node, .id = s->id };
       wl_effects_log (fx, WL2111_SUBMISSION_REFUSED,
@@ -352,6 +400,19 @@
   r->round = wl_raft_request_round (&cs->raft);
 }
 
+static void
+on_evacuate (WlConfigStore *cs, const WlEvacuate *e, uint64_t now_us)
+{
+  if (e->domain[0] == '\0' || is_queued (cs, e->node, e->id))
+    return;
+  QueuedRequest *r = queue_request (cs, REQUEST_EVACUATE, e->node, e->id, now_us);
+  if (r == NULL)
+    return;
+  memcpy (r->domain, e->domain, sizeof r->domain);
+  r->sequence = e->sequence;
+  r->is_finish = e->is_finish != 0;
+}
+
 /* ---- applying ---- */
 
 static void
@@ -416,7 +477,8 @@
       apply_committed (cs, now_us, fx);
       return 1;
     }
-  if (message->kind != WL_MESSAGE_SUBMIT && message->kind != WL_MESSAGE_QUERY)
+  if (message->kind != WL_MESSAGE_SUBMIT && message->kind != WL_MESSAGE_QUERY
+      && message->kind != WL_MESSAGE_EVACUATE)
     return 0;
   if (!wl_raft_is_ready (&cs->raft, now_us))
     {
@@ -427,6 +489,8 @@
     }
   if (message->kind == WL_MESSAGE_SUBMIT)
     on_submit (cs, &message->u.submit, now_us, fx);
+  else if (message->kind == WL_MESSAGE_EVACUATE)
+    on_evacuate (cs, &message->u.evacuate, now_us);
   else
     on_query (cs, &message->u.query, now_us);
   apply_committed (cs, now_us, fx);
--- a/core/agreement/wl_config_store.h
+++ b/core/agreement/wl_config_store.h
@@ -1,6 +1,7 @@
 #ifndef WL_CONFIG_STORE_H
 #define WL_CONFIG_STORE_H
 
+#include "wl_config_document.h"
 #include "wl_raft.h"
 #include "wl_state.h"
 
@@ -16,15 +17,20 @@
  * is committed, the lower ones change nothing and are accepted at once. A read is
  * answered once a quorum has confirmed a heartbeat round that began after the read
  * arrived.
+ *
+ * The store also replicates the evacuations of failure domains, see docs/design/evacuation.md.
+ * They are part of the same document, so that each change of them gets the next number, and go
+ * before queued configurations.
  */
 
 enum
 {
   WL_CONFIG_STORE_QUEUE_MAX = 64, /* submissions and reads queued at the leader; more are ignored */
+  /* further places in the queue, which only evacuations take */
+  WL_CONFIG_STORE_EVACUATIONS_MAX = 16,
   /* total size of queued submissions; one that would exceed it is refused */
   WL_CONFIG_STORE_QUEUE_BYTES = 4 * WL_SERVICES_TEXT_MAX,
   WL_CONFIG_STORE_REQUEST_TIMEOUT_US = 3000000, /* a queued request is dropped after this */
-  WL_CONFIG_STORE_VERSION_BYTES = 8, /* bytes of the version in front of the configuration */
 };
 
 typedef struct WlConfigStore WlConfigStore;
@@ -128,7 +134,7 @@
  * @store: the replica
  * @number: receives its number, 0 for none
  *
- * Return: the configuration with its version in front, see wl_config_split_version();
+ * Return: the document, see wl_config_document_decode();
  * valid until the next call that changes the replica.
  */
 WlBytes wl_config_store_latest (const WlConfigStore *store, uint64_t *number);
@@ -162,16 +168,4 @@
 /** wl_config_store_memory() - measures the memory used by a replica */
 void wl_config_store_memory (const WlConfigStore *store, WlConfigStoreMemory *out);
 
-/** wl_config_add_version() - puts a version in front of a configuration; @pool owns the result */
-WlBytes wl_config_add_version (uint64_t version, WlBytes config, apr_pool_t *pool);
-
-/**
- * wl_config_split_version() - undoes wl_config_add_version()
- * @versioned: a configuration with its version in front, or empty
- * @version: receives the version, 0 for an empty input
- *
- * Return: the configuration, pointing into @versioned.
- */
-WlBytes wl_config_split_version (WlBytes versioned, uint64_t *version);
-
 #endif
--- a/core/base/wl_delta.h
+++ b/core/base/wl_delta.h
@@ -15,7 +15,9 @@
 enum
 {
   WL_DELTA_UNCOMPRESSED_BYTES = 512, /* up to this size compression would gain little */
-  WL_DELTA_CONFIG_BYTES = WL_SERVICES_TEXT_MAX + 8, /* limit for a configuration with its version */
+  /* limit for a configuration with its version, and with evacuations of failure domains, which
+     need less than 12 KB */
+  WL_DELTA_CONFIG_BYTES = WL_SERVICES_TEXT_MAX + 16384,
 };
 
 /**
--- a/relay/forwarding/wl_metrics.c
+++ b/relay/forwarding/wl_metrics.c
@@ -29,6 +29,7 @@
     [WL_REASON_LIMIT] = "limit",
     [WL_REASON_STOPPING] = "stopping",
     [WL_REASON_QUARANTINED] = "quarantined",
+    [WL_REASON_EVACUATED] = "evacuated",
   };
   return (unsigned)reason < WL_REASONS ? names[reason] : "?";
 }
@@ -108,6 +109,8 @@
   wl_metrics_write_gauge (out, "permits_denied_total", metrics->permits_denied);
   wl_metrics_write_gauge (out, "permits_returned_total", metrics->permits_returned);
   wl_metrics_write_gauge (out, "permits_answered_total", metrics->permits_answered);
+  wl_metrics_write_gauge (out, "evacuations_changed_total", metrics->evacuations_changed);
+  wl_metrics_write_gauge (out, "evacuated_attempts_total", metrics->evacuated_attempts);
   write_reasons (out, "refused", metrics->refused);
   write_reasons (out, "failed", metrics->failed);
   write_reasons (out, "repeated", metrics->repeated);
--- a/relay/forwarding/wl_metrics.h
+++ b/relay/forwarding/wl_metrics.h
@@ -32,6 +32,7 @@
   WL_REASON_STOPPING,    /* the response cannot be complete before this node exits */
   WL_REASON_LIMIT,       /* endpoints with a limit could serve it, but not in time */
   WL_REASON_QUARANTINED, /* a part of the prompt is quarantined, see wl_quarantine.h */
+  WL_REASON_EVACUATED,   /* all usable endpoints are in evacuated failure domains */
   WL_REASONS,
 } WlReason;
 
@@ -77,6 +78,8 @@
  * @permits_denied: asks for a permit that were denied, or not answered in time
  * @permits_returned: permits that came to no use
  * @permits_answered: asks that this node has answered
+ * @evacuations_changed: starts and finishes of evacuations that this node has applied
+ * @evacuated_attempts: attempts not sent, since a failure domain was evacuated after their choice
  * @callers_disconnected: callers that disconnected before their response ended
  * @first_output: time to first output, by prompt size
  * @waiting: time from arrival to the first attempt
@@ -96,6 +99,8 @@
   uint64_t permits_denied;
   uint64_t permits_returned;
   uint64_t permits_answered;
+  uint64_t evacuations_changed;
+  uint64_t evacuated_attempts;
   uint64_t callers_disconnected;
   WlHistogram first_output[WL_PROMPT_CLASSES];
   WlHistogram waiting;
--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -357,7 +357,7 @@
       wl_relay_refuse (r, r->choice.wait_us, WL_REASON_DEADLINE);
       return;
     case WL_CHOICE_NO_ENDPOINT:
-      if (wl_relay_refuse_limited (r, now_us))
+      if (wl_relay_refuse_evacuated (r, now_us) || wl_relay_refuse_limited (r, now_us))
         return;
       if (r->attempts + r->n_connect_failures == 0
           && now_us < r->relay->started_us + REGISTRATION_WAIT_US)
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -403,6 +403,10 @@
  */
 int wl_relay_admit_attempt (WlRelayRequest *r, uint64_t now_us);
 
+/** wl_relay_refuse_evacuated() - refuses a request that only endpoints in evacuated failure domains
+ * could serve; returns 0 for others */
+int wl_relay_refuse_evacuated (WlRelayRequest *r, uint64_t now_us);
+
 /** wl_relay_drop_permit() - ends the ask of a request that needs no permit any more */
 void wl_relay_drop_permit (WlRelayRequest *r, uint64_t now_us);
 
--- a/relay/membership/wl_fleet.c
+++ b/relay/membership/wl_fleet.c
@@ -25,6 +25,7 @@
   if (fleet == NULL)
     return;
   free (fleet->endpoints);
+  free (fleet->evacuated);
   free (fleet);
 }
 
@@ -130,6 +131,32 @@
          || strcmp (a->domain, b->domain) != 0;
 }
 
+static int
+is_evacuated (const WlFleet *fleet, const char *domain)
+{
+  for (uint32_t i = 0; i < fleet->n_evacuated; i++)
+    if (strcmp (fleet->evacuated[i], domain) == 0)
+      return 1;
+  return 0;
+}
+
+void
+wl_fleet_set_evacuated (WlFleet *fleet, const char (*names)[WL_LABEL_SIZE], uint32_t n)
+{
+  free (fleet->evacuated);
+  fleet->evacuated = calloc (n + 1, sizeof *fleet->evacuated);
+  if (fleet->evacuated == NULL)
+    abort ();
+  if (n > 0)
+    memcpy (fleet->evacuated, names, n * sizeof *names);
+  fleet->n_evacuated = n;
+  for (uint32_t i = 0; i < fleet->n_endpoints; i++)
+    {
+      WlEndpoint *e = &fleet->endpoints[i];
+      e->is_evacuated = (uint8_t)is_evacuated (fleet, e->record.domain);
+    }
+}
+
 int
 wl_fleet_apply (WlFleet *fleet, const WlEndpointRecord *record, uint64_t now_us)
 {
@@ -156,6 +183,7 @@
   e->record.is_draining |= was_draining;
   e->record.has_left |= had_left;
   e->key = wl_fleet_key (record->id);
+  e->is_evacuated = (uint8_t)is_evacuated (fleet, record->domain);
   if (contact_us > e->last_contact_us)
     e->last_contact_us = contact_us;
   if (is_change)
@@ -166,14 +194,26 @@
   return is_change;
 }
 
-int
-wl_fleet_is_usable (const WlEndpoint *endpoint, uint64_t now_us)
+static int
+is_available (const WlEndpoint *endpoint, uint64_t now_us)
 {
   return !endpoint->record.is_draining && !endpoint->record.has_left
          && now_us >= endpoint->ejected_until_us
          && now_us < endpoint->last_contact_us + WL_FLEET_TIMEOUT_US;
 }
 
+int
+wl_fleet_is_usable (const WlEndpoint *endpoint, uint64_t now_us)
+{
+  return !endpoint->is_evacuated && is_available (endpoint, now_us);
+}
+
+int
+wl_fleet_is_withheld (const WlEndpoint *endpoint, uint64_t now_us)
+{
+  return endpoint->is_evacuated && is_available (endpoint, now_us);
+}
+
 int
 wl_fleet_is_overdue (const WlEndpoint *endpoint, uint64_t now_us)
 {
--- a/relay/membership/wl_fleet.h
+++ b/relay/membership/wl_fleet.h
@@ -49,6 +49,7 @@
  * @attested_by: relays that report it; bits are positions in WlView.sources
  * @current_at: of them, those to which it registers in time
  * @reported: what this node's reports say of it, by scope
+ * @is_evacuated: its failure domain is evacuated: it gets no requests
  */
 typedef struct
 {
@@ -67,16 +68,20 @@
   uint64_t attested_by;
   uint64_t current_at;
   WlReported reported[WL_REPORT_INTRODUCTION];
+  uint8_t is_evacuated;
 } WlEndpoint;
 
 /**
  * struct WlFleet - all endpoints
  * @endpoints: the endpoints, @n_endpoints of them; a removal changes their order
+ * @evacuated: names of evacuated failure domains, @n_evacuated of them, on the heap
  */
 typedef struct
 {
   WlEndpoint *endpoints;
   uint32_t n_endpoints;
+  char (*evacuated)[WL_LABEL_SIZE];
+  uint32_t n_evacuated;
 } WlFleet;
 
 /** wl_fleet_create() - creates an empty fleet */
@@ -123,6 +128,19 @@
 /** wl_fleet_is_usable() - whether an endpoint may get requests now */
 int wl_fleet_is_usable (const WlEndpoint *endpoint, uint64_t now_us);
 
+/** wl_fleet_is_withheld() - whether an endpoint were usable but for its domain's evacuation */
+int wl_fleet_is_withheld (const WlEndpoint *endpoint, uint64_t now_us);
+
+/**
+ * wl_fleet_set_evacuated() - replaces the list of evacuated failure domains
+ * @fleet: the fleet
+ * @names: the failure domains; copied
+ * @n: number of them
+ *
+ * Endpoints of these domains are not usable, also those that register later.
+ */
+void wl_fleet_set_evacuated (WlFleet *fleet, const char (*names)[WL_LABEL_SIZE], uint32_t n);
+
 /** wl_fleet_note_success() - records that an endpoint answered a request */
 void wl_fleet_note_success (WlEndpoint *endpoint, uint64_t now_us);
 
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -352,6 +352,7 @@
   wl_recent_changes_clear (&host->recent_changes);
   wl_bytes_release (&host->full_config);
   wl_bytes_release (&host->config);
+  free (host->evacuations);
   wl_bytes_release (&host->saved_config);
   wl_tcp_loop_destroy (host->loop);
   wl_reactor_destroy (host->reactor);
@@ -622,6 +623,7 @@
   wl_metrics_write_gauge (out, "nodes_alive", wl_roster_count_alive (host->roster, now_us));
   wl_metrics_write_gauge (out, "endpoints_known", host->fleet->n_endpoints);
   wl_metrics_write_gauge (out, "endpoints_usable", n_usable);
+  wl_metrics_write_gauge (out, "evacuated_domains", host->fleet->n_evacuated);
   WlPeersTraffic traffic = wl_peers_traffic (host->peers);
   wl_metrics_write_gauge (out, "peer_queued_bytes", traffic.queued_bytes);
   wl_metrics_write_gauge (out, "peer_sent_bytes", traffic.sent_bytes);
--- a/relay/wl_host.h
+++ b/relay/wl_host.h
@@ -184,6 +184,24 @@
 /** wl_host_read_config() - reads the latest committed configuration; see wl_host_submit_config() */
 uint64_t wl_host_read_config (WlHost *host, WlHostAnswer on_answer, void *data);
 
+/** wl_host_knows_domain() - whether the settings, a node, an endpoint or an evacuation name it */
+int wl_host_knows_domain (const WlHost *host, const char *domain);
+
+/**
+ * wl_host_evacuate() - starts or ends the evacuation of a failure domain
+ * @host: the node
+ * @domain: name of the failure domain, WL_LABEL_SIZE - 1 bytes at most
+ * @is_finish: ends the evacuation instead of starting it
+ * @on_answer: called once, with WL_HOST_DONE when the change is committed or the domain was in that
+ *   state already, WL_HOST_UNKNOWN when there was no answer in time, or WL_HOST_REFUSED
+ * @data: passed to @on_answer
+ *
+ * Return: id of the request, for wl_host_cancel(), which also keeps it from being sent again; 0 as
+ * for wl_host_submit_config().
+ */
+uint64_t wl_host_evacuate (WlHost *host, const char *domain, int is_finish, WlHostAnswer on_answer,
+                           void *data);
+
 /** wl_host_cancel() - drops a request without calling back; a submission may still be committed */
 void wl_host_cancel (WlHost *host, uint64_t request);
 
--- a/relay/wl_host_config.c
+++ b/relay/wl_host_config.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include "wl_clock.h"
@@ -39,10 +40,12 @@
 {
   uint64_t version;
   WlFindings findings = { 0 };
-  WlRoutes *routes
-      = host->options.parse (wl_config_split_version (host->config, &version), &findings);
+  WlBytes text = wl_config_split_version (host->config, &version);
   host->is_config_pending = 0;
   host->config_applied_us = now_us;
+  if (text.size == 0 && host->n_evacuations > 0)
+    return; /* no configuration yet, only evacuations */
+  WlRoutes *routes = host->options.parse (text, &findings);
   if (routes == NULL)
     log_findings (host->config_number, &findings);
   wl_findings_clear (&findings);
@@ -62,9 +65,94 @@
     apply_config (host, now_us);
 }
 
+/* ---- evacuations ---- */
+
+static void
+log_evacuation (WlHost *host, const WlEvacuation *e)
+{
+  wl_relay_metrics (host->relay)->evacuations_changed++;
+  wl_log_eventf (e->is_active ? WL2113_DOMAIN_EVACUATED : WL2114_DOMAIN_RETURNED,
+                 "zone=\"%s\" sequence=%" PRIu64 " number=%" PRIu64, e->domain, e->sequence,
+                 host->config_number);
+}
+
+/* Compares the evacuations with those of the previous document, which is at the host. */
+static void
+note_changes (WlHost *host, const WlConfigDocument *document, int is_first)
+{
+  const WlConfigDocument before
+      = { .evacuations = host->evacuations, .n_evacuations = host->n_evacuations };
+  for (uint32_t i = 0; i < document->n_evacuations; i++)
+    {
+      const WlEvacuation *e = &document->evacuations[i];
+      if (wl_config_document_evacuation (&before, e->domain).sequence == e->sequence)
+        continue;
+      /* An evacuation that had ended when this node started is no change. */
+      if (is_first && !e->is_active)
+        continue;
+      log_evacuation (host, e);
+      if (!e->is_active)
+        wl_relay_domain_returned (host->relay, e->domain, wl_clock_now_us ());
+    }
+}
+
+static void
+apply_evacuations (WlHost *host, int is_first)
+{
+  char evacuated[WL_EVACUATIONS_MAX][WL_LABEL_SIZE];
+  uint32_t n = 0;
+  WlConfigDocument document;
+  apr_pool_t *pool;
+  apr_pool_create (&pool, NULL);
+  if (wl_config_document_decode (host->config, pool, &document) != WL_OK)
+    {
+      /* What is evacuated remains so. */
+      wl_log_eventf (WL2106_CONFIG_UNREADABLE, "number=%" PRIu64 " reason=evacuations",
+                     host->config_number);
+      apr_pool_destroy (pool);
+      return;
+    }
+  for (uint32_t i = 0; i < document.n_evacuations; i++)
+    if (document.evacuations[i].is_active)
+      memcpy (evacuated[n++], document.evacuations[i].domain, WL_LABEL_SIZE);
+  wl_fleet_set_evacuated (host->fleet, (const char (*)[WL_LABEL_SIZE])evacuated, n);
+  note_changes (host, &document, is_first);
+  free (host->evacuations);
+  host->evacuations = calloc (document.n_evacuations + 1, sizeof *host->evacuations);
+  if (host->evacuations == NULL)
+    abort ();
+  if (document.n_evacuations > 0)
+    memcpy (host->evacuations, document.evacuations,
+            document.n_evacuations * sizeof *host->evacuations);
+  host->n_evacuations = document.n_evacuations;
+  apr_pool_destroy (pool);
+}
+
+int
+wl_host_knows_domain (const WlHost *host, const char *domain)
+{
+  if (strcmp (host->options.domain, domain) == 0)
+    return 1;
+  for (uint32_t i = 0; i < host->options.n_domains; i++)
+    if (strcmp (host->options.domains[i].name, domain) == 0)
+      return 1;
+  for (uint32_t i = 0; i < host->n_evacuations; i++)
+    if (strcmp (host->evacuations[i].domain, domain) == 0)
+      return 1;
+  for (uint32_t i = 0; i < host->roster->n_nodes; i++)
+    if (strcmp (host->roster->nodes[i].status.domain, domain) == 0)
+      return 1;
+  for (uint32_t i = 0; i < host->fleet->n_endpoints; i++)
+    if (strcmp (host->fleet->endpoints[i].record.domain, domain) == 0)
+      return 1;
+  return 0;
+}
+
+/* ---- the latest document ---- */
+
 /*
- * Accepts a committed configuration unless its number is old. It is applied by
- * apply_when_due (), so that of several in quick succession only the last is.
+ * Accepts a committed document unless its number is old. Its evacuations are applied at once, its
+ * configuration by apply_when_due (), so that of several in quick succession only the last is.
  */
 static void
 adopt_config (WlHost *host, uint64_t number, WlBytes config)
@@ -78,6 +166,7 @@
   host->config = copy;
   host->config_number = number;
   host->is_config_pending = 1;
+  apply_evacuations (host, is_first);
   /* Other nodes may wait for a configuration. */
   if (is_first)
     wl_membership_announce (host->membership, wl_clock_now_us ());
@@ -293,6 +382,14 @@
       m.u.submit.config = r->config;
       m.u.submit.is_compressed = 1;
     }
+  else if (r->kind == WL_MESSAGE_EVACUATE)
+    {
+      m.u.evacuate.id = r->id;
+      m.u.evacuate.node = host->options.node;
+      memcpy (m.u.evacuate.domain, r->domain, sizeof m.u.evacuate.domain);
+      m.u.evacuate.sequence = r->sequence;
+      m.u.evacuate.is_finish = r->is_finish;
+    }
   else
     {
       m.u.query.id = r->id;
@@ -309,6 +406,7 @@
   if (r == NULL)
     abort ();
   r->id = host->boot_id ^ ++host->next_leader_request;
+  r->handle = r->id;
   r->kind = kind;
   r->on_answer = on_answer;
   r->data = data;
@@ -367,12 +465,38 @@
   return r->id;
 }
 
-/* Removes a request from the list; the caller frees it. NULL when there is none with this id. */
+uint64_t
+wl_host_evacuate (WlHost *host, const char *domain, int is_finish, WlHostAnswer on_answer,
+                  void *data)
+{
+  uint64_t bytes;
+  if (host->is_closing
+      || count_requests (host, &bytes) >= WL_HOST_LEADER_REQUESTS_MAX + WL_HOST_EVACUATIONS_MAX)
+    return 0;
+  WlHostLeaderRequest *r = add_request (host, WL_MESSAGE_QUERY, on_answer, data);
+  snprintf (r->domain, sizeof r->domain, "%s", domain);
+  r->is_finish = is_finish != 0;
+  send_request (host, r, r->created_us);
+  return r->handle;
+}
+
+/* The request with an id; NULL after a cancellation, or for a duplicate response. */
 static WlHostLeaderRequest *
-remove_request (WlHost *host, uint64_t id)
+find_request (const WlHost *host, uint64_t id)
+{
+  WlHostLeaderRequest *r = host->leader_requests;
+  while (r != NULL && r->id != id)
+    r = r->next;
+  return r;
+}
+
+/* Removes a request from the list; the caller frees it. NULL when there is none with this handle.
+ */
+static WlHostLeaderRequest *
+remove_request (WlHost *host, uint64_t handle)
 {
   for (WlHostLeaderRequest **slot = &host->leader_requests; *slot != NULL; slot = &(*slot)->next)
-    if ((*slot)->id == id)
+    if ((*slot)->handle == handle)
       {
         WlHostLeaderRequest *r = *slot;
         *slot = r->next;
@@ -397,11 +521,10 @@
 }
 
 static void
-finish_request (WlHost *host, uint64_t id, WlHostOutcome outcome, WlBytes config)
+finish_request (WlHost *host, const WlHostLeaderRequest *request, WlHostOutcome outcome,
+                WlBytes config)
 {
-  WlHostLeaderRequest *r = remove_request (host, id);
-  if (r == NULL)
-    return; /* a duplicate response */
+  WlHostLeaderRequest *r = remove_request (host, request->handle);
   r->on_answer (r->data, outcome, config);
   free_request (r);
 }
@@ -411,14 +534,67 @@
  * accepted by an earlier leader, so it is repeated until its timeout.
  */
 static void
-on_submit_refused (WlHost *host, uint64_t id)
+on_submit_refused (WlHost *host, const WlHostLeaderRequest *r)
 {
-  for (const WlHostLeaderRequest *r = host->leader_requests; r != NULL; r = r->next)
-    if (r->id == id && r->n_sent == 1)
-      {
-        finish_request (host, id, WL_HOST_REFUSED, (WlBytes){ NULL, 0 });
-        return;
-      }
+  if (r->n_sent == 1)
+    finish_request (host, r, WL_HOST_REFUSED, (WlBytes){ NULL, 0 });
+}
+
+/* Goes on with an evacuation in another step; a response to the last step has another id. */
+static void
+begin_step (WlHost *host, WlHostLeaderRequest *r, WlMessageKind kind, uint64_t now_us)
+{
+  r->kind = kind;
+  r->id = host->boot_id ^ ++host->next_leader_request;
+  r->n_sent = 0;
+  send_request (host, r, now_us);
+}
+
+static void
+on_submit_reply (WlHost *host, uint32_t from, const WlSubmitReply *reply, uint64_t now_us)
+{
+  WlHostLeaderRequest *r = find_request (host, reply->id);
+  if (r == NULL)
+    return;
+  switch (reply->outcome)
+    {
+    case WL_SUBMIT_ACCEPTED:
+      /* Nothing more is to be sent to the domain from here, also if the change is late. */
+      if (r->kind == WL_MESSAGE_EVACUATE)
+        wl_host_pull_config (host, from, reply->current, now_us);
+      finish_request (host, r, WL_HOST_DONE, (WlBytes){ NULL, 0 });
+      break;
+    case WL_SUBMIT_UNAVAILABLE:
+      on_submit_refused (host, r);
+      break;
+    case WL_SUBMIT_CONFLICT:
+      if (r->kind == WL_MESSAGE_EVACUATE)
+        begin_step (host, r, WL_MESSAGE_QUERY, now_us);
+      break;
+    default:
+      break;
+    }
+}
+
+/* A read is confirmed: the document at this node is at least as new as when the read began. */
+static void
+finish_read (WlHost *host, WlHostLeaderRequest *r, WlBytes text)
+{
+  if (r->domain[0] == '\0')
+    {
+      finish_request (host, r, WL_HOST_DONE, text);
+      return;
+    }
+  const WlConfigDocument document
+      = { .evacuations = host->evacuations, .n_evacuations = host->n_evacuations };
+  WlEvacuation e = wl_config_document_evacuation (&document, r->domain);
+  if (e.is_active == !r->is_finish)
+    {
+      finish_request (host, r, WL_HOST_DONE, (WlBytes){ NULL, 0 });
+      return;
+    }
+  r->sequence = e.sequence;
+  begin_step (host, r, WL_MESSAGE_EVACUATE, wl_clock_now_us ());
 }
 
 static void
@@ -427,6 +603,9 @@
   uint64_t version;
   apr_pool_t *pool;
   WlBytes config = r->config;
+  WlHostLeaderRequest *request = find_request (host, r->id);
+  if (request == NULL)
+    return;
   if (r->has_config)
     {
       apr_pool_create (&pool, NULL);
@@ -436,13 +615,12 @@
       else
         {
           adopt_config (host, r->config_number, config);
-          finish_request (host, r->id, WL_HOST_DONE, wl_config_split_version (config, &version));
+          finish_read (host, request, wl_config_split_version (config, &version));
         }
       apr_pool_destroy (pool);
     }
-  else if (r->config_number == host->config_number)
-    finish_request (host, r->id, WL_HOST_DONE, wl_config_split_version (host->config, &version));
-  /* Otherwise the configuration has changed here since the request, which is repeated. */
+  else if (r->config_number <= host->config_number)
+    finish_read (host, request, wl_config_split_version (host->config, &version));
 }
 
 int
@@ -458,10 +636,7 @@
       on_push (host, from, &message->u.config_push, now_us);
       return 1;
     case WL_MESSAGE_SUBMIT_REPLY:
-      if (message->u.submit_reply.outcome == WL_SUBMIT_ACCEPTED)
-        finish_request (host, message->u.submit_reply.id, WL_HOST_DONE, (WlBytes){ NULL, 0 });
-      else if (message->u.submit_reply.outcome == WL_SUBMIT_UNAVAILABLE)
-        on_submit_refused (host, message->u.submit_reply.id);
+      on_submit_reply (host, from, &message->u.submit_reply, now_us);
       return 1;
     case WL_MESSAGE_QUERY_REPLY:
       on_query_reply (host, &message->u.query_reply);
@@ -476,6 +651,12 @@
 static void
 log_unanswered (const WlHost *host, const WlHostLeaderRequest *r, uint64_t now_us)
 {
+  if (r->domain[0] != '\0')
+    {
+      wl_log_eventf (WL2115_EVACUATION_UNANSWERED, "zone=\"%s\" finish=%u leader=%u", r->domain,
+                     r->is_finish, wl_host_leader (host, now_us));
+      return;
+    }
   wl_log_eventf (r->kind == WL_MESSAGE_SUBMIT ? WL2108_CONFIG_UNANSWERED : WL2109_READ_UNCONFIRMED,
                  "version=%" PRIu64 " leader=%u", r->version, wl_host_leader (host, now_us));
 }
@@ -488,13 +669,17 @@
   for (WlHostLeaderRequest *r = host->leader_requests; r != NULL;)
     {
       WlHostLeaderRequest *next = r->next;
-      if (now_us > r->created_us + WL_HOST_LEADER_TIMEOUT_US)
+      int is_evacuation = r->domain[0] != '\0';
+      uint64_t timeout_us
+          = is_evacuation ? WL_HOST_EVACUATION_TIMEOUT_US : WL_HOST_LEADER_TIMEOUT_US;
+      uint64_t retry_us = is_evacuation ? WL_HOST_EVACUATION_RETRY_US : WL_HOST_LEADER_RETRY_US;
+      if (now_us > r->created_us + timeout_us)
         {
           log_unanswered (host, r, now_us);
-          finish_request (host, r->id, WL_HOST_UNKNOWN, (WlBytes){ NULL, 0 });
+          finish_request (host, r, WL_HOST_UNKNOWN, (WlBytes){ NULL, 0 });
           next = host->leader_requests; /* the callback may have dropped others */
         }
-      else if (now_us > r->sent_us + WL_HOST_LEADER_RETRY_US)
+      else if (now_us > r->sent_us + retry_us)
         send_request (host, r, now_us);
       r = next;
     }
@@ -526,7 +711,7 @@
     {
       const WlHostLeaderRequest *r = host->leader_requests;
       log_unanswered (host, r, wl_clock_now_us ());
-      finish_request (host, r->id, WL_HOST_UNKNOWN, (WlBytes){ NULL, 0 });
+      finish_request (host, r, WL_HOST_UNKNOWN, (WlBytes){ NULL, 0 });
     }
 }
 
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -20,20 +20,32 @@
   WL_HOST_SAVE_INTERVAL_US = 1000000, /* shortest time between two writes of a file */
   WL_HOST_APPLY_INTERVAL_US = 150000, /* shortest time between two changes of configuration */
   WL_HOST_REPORT_US = 40000,          /* shortest time between two reports, to batch changes */
+  /* Below the second after which an operator asks another node, so that no request goes on here
+     after that. */
+  WL_HOST_EVACUATION_TIMEOUT_US = 900000,
+  WL_HOST_EVACUATION_RETRY_US = 100000, /* several tries within that time */
+  WL_HOST_EVACUATIONS_MAX = 16,         /* evacuations beyond WL_HOST_LEADER_REQUESTS_MAX */
 };
 
 /**
  * struct WlHostLeaderRequest - a request to the control leader without a response yet
- * @kind: WL_MESSAGE_SUBMIT or WL_MESSAGE_QUERY
+ * @id: in messages
+ * @handle: for wl_host_cancel(); differs from @id once an evacuation has read its sequence
+ * @kind: WL_MESSAGE_SUBMIT, WL_MESSAGE_QUERY, or for an evacuation that has read its sequence
+ *   WL_MESSAGE_EVACUATE
  * @version: version of the submitted configuration
  * @config: submitted configuration, compressed, on the heap
  * @sent_us: when it was last sent, or should have been while no leader was known
  * @n_sent: how many times it was sent
  * @created_us: start of its timeout
+ * @domain: failure domain of an evacuation, empty for other requests
+ * @sequence: sequence of the domain
+ * @is_finish: ends the evacuation
  */
 typedef struct WlHostLeaderRequest
 {
   uint64_t id;
+  uint64_t handle;
   WlMessageKind kind;
   uint64_t version;
   WlBytes config;
@@ -42,6 +54,9 @@
   uint64_t sent_us;
   uint32_t n_sent;
   uint64_t created_us;
+  char domain[WL_LABEL_SIZE];
+  uint64_t sequence;
+  uint8_t is_finish;
   struct WlHostLeaderRequest *next;
 } WlHostLeaderRequest;
 
@@ -74,8 +89,10 @@
   WlHostLocalMessage *last_local;
 
   /* The latest configuration known here. */
-  uint64_t config_number;         /* 0 for none */
-  WlBytes config;                 /* starts with its version; on the heap */
+  uint64_t config_number;    /* 0 for none */
+  WlBytes config;            /* the document, see wl_config_document.h; on the heap */
+  WlEvacuation *evacuations; /* its evacuations, n_evacuations of them; on the heap */
+  uint32_t n_evacuations;
   WlRecentChanges recent_changes; /* the latest changes that led to it */
   WlBytes full_config;            /* config, compressed, on the heap; empty until needed */
   uint64_t config_pulled_us;      /* when a node was last asked for a newer one */
--- a/testkit/wl_config_sim.c
+++ b/testkit/wl_config_sim.c
@@ -174,10 +174,17 @@
   WlBytes config;
   apr_pool_create (&pool, NULL);
   ck_assert_int_eq (wl_config_decompress (m->u.query_reply.config, pool, &config), WL_OK);
-  config = wl_config_split_version (config, &a->version);
+  WlConfigDocument document;
+  ck_assert_int_eq (wl_config_document_decode (config, pool, &document), WL_OK);
+  a->version = document.version;
+  config = document.text;
   if (config.size > 0)
     memcpy (a->config, config.data,
             config.size < sizeof a->config ? config.size : sizeof a->config - 1);
+  ck_assert_uint_le (document.n_evacuations, CONFIG_SIM_EVACUATIONS_MAX);
+  a->n_evacuations = document.n_evacuations;
+  if (document.n_evacuations > 0)
+    memcpy (a->evacuations, document.evacuations, a->n_evacuations * sizeof *a->evacuations);
   apr_pool_destroy (pool);
 }
 
@@ -318,6 +325,64 @@
   return id;
 }
 
+uint64_t
+config_sim_send_evacuation (uint32_t from, uint32_t to, const char *domain, uint64_t sequence,
+                            int is_finish)
+{
+  apr_pool_t *pool;
+  WlMessage m = { .kind = WL_MESSAGE_EVACUATE };
+  m.u.evacuate.id = ++config_sim.next_id;
+  m.u.evacuate.node = from;
+  m.u.evacuate.sequence = sequence;
+  m.u.evacuate.is_finish = (uint8_t)is_finish;
+  snprintf (m.u.evacuate.domain, sizeof m.u.evacuate.domain, "%s", domain);
+  apr_pool_create (&pool, NULL);
+  send_packet (from, to, wl_message_encode (&m, pool));
+  apr_pool_destroy (pool);
+  return m.u.evacuate.id;
+}
+
+WlEvacuation
+config_sim_evacuation (const char *domain)
+{
+  const ConfigSimAnswer *a = config_sim_request (WL_MESSAGE_QUERY, 0, NULL, 10000000);
+  ck_assert_ptr_nonnull (a);
+  WlEvacuation list[CONFIG_SIM_EVACUATIONS_MAX];
+  memcpy (list, a->evacuations, sizeof list);
+  const WlConfigDocument document = { .evacuations = list, .n_evacuations = a->n_evacuations };
+  return wl_config_document_evacuation (&document, domain);
+}
+
+void
+config_sim_repeat_evacuation (const char *domain, uint64_t sequence, int is_finish)
+{
+  for (uint64_t until_us = config_sim.now_us + 10000000; config_sim.now_us < until_us;)
+    {
+      uint32_t to = config_sim_leader ();
+      if (to == 0)
+        {
+          config_sim_run (50000);
+          continue;
+        }
+      uint64_t id = config_sim_send_evacuation (to, to, domain, sequence, is_finish);
+      for (int i = 0; i < 10 && config_sim_answer (id) == NULL; i++)
+        config_sim_run (30000);
+      if (config_sim_answer (id) == NULL)
+        continue;
+      ck_assert_uint_eq (config_sim_answer (id)->outcome, WL_SUBMIT_ACCEPTED);
+      return;
+    }
+  ck_abort_msg ("an evacuation is not acknowledged");
+}
+
+void
+config_sim_evacuate (const char *domain, int is_finish)
+{
+  WlEvacuation e = config_sim_evacuation (domain);
+  if (e.is_active == is_finish)
+    config_sim_repeat_evacuation (domain, e.sequence, is_finish);
+}
+
 /* Sends a request to the current leader, repeatedly for up to limit_us. NULL without an answer. */
 const ConfigSimAnswer *
 config_sim_request (WlMessageKind kind, uint64_t version, const char *config, uint64_t limit_us)
--- a/testkit/wl_config_sim.h
+++ b/testkit/wl_config_sim.h
@@ -20,6 +20,7 @@
   CONFIG_SIM_PACKETS_MAX = 4096,
   CONFIG_SIM_STEP_US = 5000,
   CONFIG_SIM_ANSWERS_MAX = 256,
+  CONFIG_SIM_EVACUATIONS_MAX = 4,
 };
 
 /** struct ConfigSimBatch - effects that are not carried out yet */
@@ -59,6 +60,8 @@
   uint64_t version;
   uint8_t outcome; /* of a submission */
   char config[64];
+  WlEvacuation evacuations[CONFIG_SIM_EVACUATIONS_MAX];
+  uint32_t n_evacuations;
 } ConfigSimAnswer;
 
 /**
@@ -136,6 +139,25 @@
 uint64_t config_sim_send (uint32_t from, uint32_t to, WlMessageKind kind, uint64_t version,
                           const char *config);
 
+/** config_sim_send_evacuation() - sends a start or finish, with the sequence that was read */
+uint64_t config_sim_send_evacuation (uint32_t from, uint32_t to, const char *domain,
+                                     uint64_t sequence, int is_finish);
+
+/**
+ * config_sim_evacuate() - starts or ends an evacuation as a node does
+ * @domain: the failure domain
+ * @is_finish: ends it
+ *
+ * Reads the sequence, then repeats the change with it until a leader has answered.
+ */
+void config_sim_evacuate (const char *domain, int is_finish);
+
+/** config_sim_repeat_evacuation() - repeats a change with a sequence until a leader accepts it */
+void config_sim_repeat_evacuation (const char *domain, uint64_t sequence, int is_finish);
+
+/** config_sim_evacuation() - reads the state of a failure domain */
+WlEvacuation config_sim_evacuation (const char *domain);
+
 /** config_sim_request() - sends a request to the leader, repeatedly, up to @limit_us; or NULL */
 const ConfigSimAnswer *config_sim_request (WlMessageKind kind, uint64_t version, const char *config,
                                            uint64_t limit_us);
--- a/wire/wl_message.c
+++ b/wire/wl_message.c
@@ -114,6 +114,11 @@
   WL_BLOB (WlSubmitReply, digest), WL_U64 (WlSubmitReply, current), WL_END,
 };
 
+static const WlField evacuate_fields[] = {
+  WL_U64 (WlEvacuate, id),       WL_U32 (WlEvacuate, node),     WL_TEXT (WlEvacuate, domain),
+  WL_U64 (WlEvacuate, sequence), WL_U8 (WlEvacuate, is_finish), WL_END,
+};
+
 static const WlField query_fields[] = {
   WL_U64 (WlQuery, id),
   WL_U32 (WlQuery, node),
@@ -362,6 +367,7 @@
   [WL_MESSAGE_PERMIT_ASK] = { "permit_ask", wl_permit_ask_fields },
   [WL_MESSAGE_PERMIT_ANSWER] = { "permit_answer", wl_permit_answer_fields },
   [WL_MESSAGE_PERMIT_RETURN] = { "permit_return", wl_permit_return_fields },
+  [WL_MESSAGE_EVACUATE] = { "evacuate", evacuate_fields },
 };
 
 typedef struct
--- a/wire/wl_message.h
+++ b/wire/wl_message.h
@@ -181,6 +181,23 @@
   uint64_t current; /* number of the current configuration */
 } WlSubmitReply;
 
+/**
+ * struct WlEvacuate - starts or ends the evacuation of a failure domain; to a WlConfigStore
+ * @id: as in WlSubmit; the reply is a WlSubmitReply
+ * @node: the sender
+ * @domain: the failure domain
+ * @sequence: sequence of the domain, as a read of the sender has confirmed it
+ * @is_finish: ends the evacuation instead of starting it
+ */
+typedef struct
+{
+  uint64_t id;
+  uint32_t node;
+  char domain[WL_LABEL_SIZE];
+  uint64_t sequence;
+  uint8_t is_finish;
+} WlEvacuate;
+
 /** struct WlQuery - queries the leader for its status and a configuration */
 typedef struct
 {
@@ -513,6 +530,7 @@
   WL_MESSAGE_PERMIT_ASK = 37,
   WL_MESSAGE_PERMIT_ANSWER = 38,
   WL_MESSAGE_PERMIT_RETURN = 39,
+  WL_MESSAGE_EVACUATE = 40,
   WL_MESSAGE_KINDS,
 } WlMessageKind;
 
@@ -565,6 +583,7 @@
     WlPermitAsk permit_ask;
     WlPermitAnswer permit_answer;
     WlPermitReturn permit_return;
+    WlEvacuate evacuate;
   } u;
 } WlMessage;
 
