--- a/relay/tests/test_fleet.c
+++ b/relay/tests/test_fleet.c
@@ -280,6 +280,41 @@
 }
 END_TEST
 
+/* Guards against requests to endpoints that register, start again or move during an evacuation. */
+START_TEST (endpoints_of_an_evacuated_domain_are_not_usable)
+{
+  static const char names[2][WL_LABEL_SIZE] = { "y", "zone z" };
+  WlFleet *f = wl_fleet_create ();
+  WlEndpointRecord before = record ("a", 1, 1, 1);
+  WlEndpointRecord later = record ("b", 2, 1, 1);
+  WlEndpointRecord elsewhere = record ("c", 3, 1, 1);
+  strcpy (before.domain, "y");
+  strcpy (later.domain, "zone z");
+  strcpy (elsewhere.domain, "yy");
+  wl_fleet_apply (f, &before, now_us);
+  wl_fleet_set_evacuated (f, names, 2);
+  wl_fleet_apply (f, &later, now_us);
+  wl_fleet_apply (f, &elsewhere, now_us);
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us));
+  ck_assert (wl_fleet_is_withheld (wl_fleet_find (f, "a"), now_us));
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "b"), now_us));
+  ck_assert (wl_fleet_is_usable (wl_fleet_find (f, "c"), now_us));
+  ck_assert (!wl_fleet_is_withheld (wl_fleet_find (f, "c"), now_us));
+  before.started_ms = 2;
+  wl_fleet_apply (f, &before, now_us);
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us));
+  strcpy (elsewhere.domain, "y");
+  elsewhere.sequence = 2;
+  wl_fleet_apply (f, &elsewhere, now_us);
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "c"), now_us));
+  wl_fleet_set_evacuated (f, &names[1], 1);
+  ck_assert (wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us));
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "b"), now_us));
+  ck_assert (!wl_fleet_is_withheld (wl_fleet_find (f, "a"), now_us));
+  wl_fleet_destroy (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -296,6 +331,7 @@
     WL_TEST (damaged_records_leave_only_valid_endpoints),
     WL_TEST (an_odd_registration_changes_nothing),
     WL_TEST (an_endpoint_that_is_heard_again_with_a_lower_sequence_is_usable),
+    WL_TEST (endpoints_of_an_evacuated_domain_are_not_usable),
   };
   apr_initialize ();
   return wl_test_run ("fleet", tests, sizeof tests / sizeof tests[0]);
--- a/relay/tests/test_host_config.c
+++ b/relay/tests/test_host_config.c
@@ -188,6 +188,54 @@
 }
 END_TEST
 
+/* Node @i receives a document with an evacuation, or its end. */
+static void
+receive_evacuation (Fixture *f, uint32_t i, uint64_t number, int is_finish)
+{
+  WlMessage m = { .kind = WL_MESSAGE_CONFIG_PUSH };
+  WlConfigDocument d = { .version = 1, .text = { (const uint8_t *)"text", 4 } };
+  WlBytes old_document = { NULL, 0 };
+  ck_assert_int_eq (wl_config_document_evacuate (&d, "y", 0, f->pool), 1);
+  if (is_finish)
+    {
+      old_document = wl_config_document_encode (&d, f->pool);
+      ck_assert_int_eq (wl_config_document_evacuate (&d, "y", 1, f->pool), 1);
+    }
+  wl_delta_make (old_document, wl_config_document_encode (&d, f->pool), f->pool,
+                 &m.u.config_push.change);
+  m.u.config_push.number = number;
+  m.u.config_push.change.number = number;
+  m.u.config_push.change.replaces = number - 1;
+  wl_host_config_receive (f->nodes[i], wl_test_loopback (9), &m, wl_clock_now_us ());
+}
+
+static uint32_t
+n_evacuating (const Fixture *f)
+{
+  uint32_t n = 0;
+  for (int i = 0; i < NODES_MAX; i++)
+    n += f->nodes[i]->fleet->n_evacuated;
+  return n;
+}
+
+/* Guards against a node that goes on sending to an evacuated domain for seconds. */
+START_TEST (an_evacuation_reaches_every_node_of_a_fleet_with_relays)
+{
+  Fixture f;
+  setup (&f);
+  for (uint32_t i = 0; i < NODES_MAX; i++)
+    start (&f, i);
+  run_all (&f, DISCOVERY_US);
+  receive_evacuation (&f, 5, 1, 0);
+  run_all (&f, APPLY_US);
+  ck_assert_uint_eq (n_evacuating (&f), NODES_MAX);
+  receive_evacuation (&f, 7, 2, 1);
+  run_all (&f, APPLY_US);
+  ck_assert_uint_eq (n_evacuating (&f), 0);
+  teardown (&f);
+}
+END_TEST
+
 static void
 on_answer (void *data, WlHostOutcome outcome, WlBytes config)
 {
@@ -244,6 +292,7 @@
   const WlTest tests[] = {
     WL_TEST (a_node_that_missed_changes_is_sent_these_and_not_the_full_configuration),
     WL_TEST (ten_changes_a_second_reach_every_node_of_a_fleet_with_relays),
+    WL_TEST (an_evacuation_reaches_every_node_of_a_fleet_with_relays),
     WL_TEST (a_submission_that_was_repeated_is_not_reported_as_refused),
     WL_TEST (a_node_accepts_no_more_submissions_than_it_has_room_for),
   };
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -144,6 +144,13 @@
 start returned-token-counts-whole test_issuer relay/placement/wl_buckets.c 's/b->level \+= TOKEN - refilled;/b->level += TOKEN;/; s/refilled < TOKEN && //'
 start customers-in-order-of-arrival test_issuer relay/placement/wl_issuer.c 's/best == issuer->n_queue \|\| w->customer->share < issuer->queue\[best\]\.customer->share/best == issuer->n_queue/'
 start permit-lifetime-ignored test_permits relay/placement/wl_permits.c 's/ask->state == ASK_GRANTED && now_us >= ask->valid_until_us/0/'
+start evacuated-domain-usable test_relay_evacuation relay/membership/wl_fleet.c 's/return !endpoint->is_evacuated && /return /'
+start evacuated-after-choice-sent test_relay_evacuation relay/forwarding/wl_relay_admission.c 's/if \(evacuated != NULL\)/if (0)/'
+start evacuated-helper-used test_relay_evacuation relay/forwarding/wl_relay_admission.c 's/i <= r->n_helpers/i <= 0/'
+start late-endpoint-not-evacuated test_fleet relay/membership/wl_fleet.c 's/e->is_evacuated = \(uint8_t\)is_evacuated \(fleet, record->domain\);//'
+start overtaken-start-applied test_evacuation core/agreement/wl_config_store.c 's/e\.sequence == r->sequence && e\.is_active == r->is_finish/e.is_active == r->is_finish/'
+start configuration-drops-evacuations test_evacuation core/agreement/wl_config_store.c 's/document->version = r->version;/document->version = r->version; document->n_evacuations = 0;/'
+start late-reply-settles-next-step test_host_evacuation relay/wl_host_config.c 's/(r->kind = kind;\n)\s*r->id = [^\n]*\n/$1/'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
 echo "$found passed, $((total - found)) failed"
