Long prompts leave the short pool free after a start; a domain without engines draws elsewhere

Cause: after a start of all nodes the load is unknown and the largest prompts return at once: within 150 ms the mean backlog of an engine was 1.2 s, on all engines, and short requests were late everywhere. Nodes of an evacuated domain took the one best engine of the others.

Change: a long prompt pays for short requests that arrive during its part as well, at least for those of a quarter of the slots; a node whose own pool has no engine to draw draws from the pools of the other domains.

--- a/relay/placement/wl_choice_internal.h
+++ b/relay/placement/wl_choice_internal.h
@@ -16,8 +16,9 @@
  * @score: value earned when it answers, less the value that other requests lose
  * @gap_loss: part of that loss: by gaps that become too long
  * @helper_cost: value lost when it prefills a part
- * @unseen_loss: value that short requests of other nodes, which are not reported yet, would lose
- *   here by a long prefill
+ * @short_rate: short requests a second that are expected here, if it is in a pool; only for long
+ *   prompts
+ * @unseen_us: how long this node does not know of placements there
  * @model_us: TTFT by the engine model
  * @ttft_us: TTFT with the slowdown
  * @has_room: it has a free slot and enough KV cache
@@ -31,7 +32,8 @@
   double score;
   double gap_loss;
   double helper_cost;
-  double unseen_loss;
+  double short_rate;
+  uint64_t unseen_us;
   uint64_t model_us;
   uint64_t ttft_us;
   uint8_t has_room;
@@ -77,6 +79,9 @@
  */
 void wl_choice_mark_pools (const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all);
 
+/** wl_choice_short_loss() - value that short requests to come lose by a prefill of @part_us */
+double wl_choice_short_loss (const WlCandidate *c, uint64_t part_us);
+
 /**
  * wl_choice_draw() - draws an engine for a short request from the pool of the own failure domain
  * @load: load of the endpoints
@@ -87,7 +92,7 @@
  *
  * Of two engines drawn at random the one with the shorter predicted TTFT. Engines without room,
  * with a predicted TTFT near the objective or beyond, or where gaps would become too long are not
- * drawn.
+ * drawn. When the own pool has none to draw, those of the other domains are tried.
  *
  * Return: the candidate, NULL when none may be drawn.
  */
--- a/relay/placement/wl_choice_judge.c
+++ b/relay/placement/wl_choice_judge.c
@@ -138,7 +138,7 @@
   c->score = value * wl_choice_timeliness (q, c->ttft_us);
   c->gap_loss
       = gap_penalty (load, c, m, prefill_tokens, (uint64_t)((double)prefill_us * c->slowdown));
-  c->score -= c->gap_loss + c->unseen_loss;
+  c->score -= c->gap_loss + wl_choice_short_loss (c, prefill_us);
   if (wl_choice_is_short (q) && (c->sum.min_gap_us == 0 || c->sum.min_gap_us > q->gap_us))
     c->score -= FIRST_SHORT_COST_SHARE * value;
   c->score += FILL_BONUS_SHARE * value * (wl_choice_is_short (q) ? fill : -fill);
@@ -171,7 +171,7 @@
 cost_as_helper (const WlLoad *load, const WlChoiceRequest *q, const WlCandidate *c,
                 uint64_t part_tokens, uint64_t part_us)
 {
-  double cost = HELPER_COST + c->unseen_loss
+  double cost = HELPER_COST + wl_choice_short_loss (c, part_us)
                 + gap_penalty (load, c, &q->service->engine, part_tokens, part_us);
   cost += PREFILL_DELAY_COST * c->sum.prefills * (double)part_us / (double)(q->objective_us + 1);
   cost += c->endpoint->failure_rate * wl_choice_value (q->prompt);
--- a/relay/placement/wl_choice_pool.c
+++ b/relay/placement/wl_choice_pool.c
@@ -17,7 +17,11 @@
 
 static const double POOL_FILL_SHARE = 0.5; /* of the slots; the rest is for bursts */
 static const double POOL_MIN_SHARE = 0.25; /* of the engines, also without short requests */
-static const double SHORT_LOSS = 1.1;      /* unit of wl_choice_value(): a usual one that is late */
+static const double USUAL_FILL_SHARE
+    = 0.25; /* of the slots, where less is known of: after a start */
+/* Of the short requests that arrive during a long prefill: late, as the rest of the pool is too. */
+static const double LATE_DURING_PART_SHARE = 0.25;
+static const double SHORT_LOSS = 1.1; /* unit of wl_choice_value(): a usual one that is late */
 
 static int
 by_domain_and_key (const void *a, const void *b)
@@ -40,26 +44,30 @@
   return c->sum.min_gap_items;
 }
 
-/*
- * Value lost at an engine of the pool by short requests that others place there before they learn
- * of a long prefill. @n_short of them are on @n_pool engines.
- */
+/* Short requests a second that are expected at an engine of a pool. */
 static double
-unseen_loss (const WlChoiceRequest *q, const WlCandidate *c, uint32_t n_short, uint32_t n_pool)
+short_rate (const WlChoiceRequest *q, const WlCandidate *c, uint32_t n_short, uint32_t n_pool)
 {
   const WlEngineModel *m = &q->service->engine;
   uint64_t duration_us
       = wl_forecast_decode_us (m, c->sum.decodes, c->sum.decode_context, m->mean_output);
-  uint64_t unseen_us = strcmp (c->endpoint->record.domain, q->domain) == 0 ? UNSEEN_OWN_DOMAIN_US
-                                                                           : UNSEEN_OTHER_DOMAIN_US;
   double on_engine = (double)n_short / n_pool;
-  return SHORT_LOSS * on_engine * (double)unseen_us / (double)(duration_us + 1);
+  double usual = USUAL_FILL_SHARE * m->slots;
+  return (on_engine > usual ? on_engine : usual) * 1e6 / (double)(duration_us + 1);
+}
+
+double
+wl_choice_short_loss (const WlCandidate *c, uint64_t part_us)
+{
+  double window_us = (double)c->unseen_us + LATE_DURING_PART_SHARE * (double)part_us;
+  return SHORT_LOSS * c->short_rate * window_us / 1e6;
 }
 
 static void
 mark_pool (const WlChoiceRequest *q, WlCandidate *all, uint32_t n)
 {
   uint32_t n_short = 0;
+  int is_own = strcmp (all[0].endpoint->record.domain, q->domain) == 0;
   for (uint32_t i = 0; i < n; i++)
     n_short += count_short (q, &all[i]);
   uint32_t n_pool = (uint32_t)(n_short / (POOL_FILL_SHARE * q->service->engine.slots)) + 1;
@@ -71,8 +79,10 @@
   for (uint32_t i = 0; i < n_pool; i++)
     {
       all[i].is_pooled = 1;
-      if (!wl_choice_is_short (q))
-        all[i].unseen_loss = unseen_loss (q, &all[i], n_short, n_pool);
+      if (wl_choice_is_short (q))
+        continue;
+      all[i].short_rate = short_rate (q, &all[i], n_short, n_pool);
+      all[i].unseen_us = is_own ? UNSEEN_OWN_DOMAIN_US : UNSEEN_OTHER_DOMAIN_US;
     }
 }
 
@@ -99,37 +109,21 @@
          && c->ttft_us <= q->objective_us * DRAW_OBJECTIVE_PERCENT / 100;
 }
 
-/* Returns the pool of the own failure domain, which is contiguous after wl_choice_mark_pools(). */
+/* Of two engines drawn from a pool at random, the one with the shorter predicted TTFT. */
 static WlCandidate *
-find_own_pool (const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all, uint32_t *n_pool)
-{
-  uint32_t first = 0;
-  uint32_t n = 0;
-  while (first < n_all && strcmp (all[first].endpoint->record.domain, q->domain) != 0)
-    first++;
-  while (first + n < n_all && all[first + n].is_pooled
-         && strcmp (all[first + n].endpoint->record.domain, q->domain) == 0)
-    n++;
-  *n_pool = n;
-  return &all[first];
-}
-
-WlCandidate *
-wl_choice_draw (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all,
-                uint64_t random)
+draw_two (const WlLoad *load, const WlChoiceRequest *q, WlCandidate **pool, uint32_t n_pool,
+          uint64_t random)
 {
   uint64_t prefill_us = wl_forecast_prefill_us (&q->service->engine, q->prompt);
   WlCandidate *drawn[2] = { NULL, NULL };
-  uint32_t n_pool;
-  WlCandidate *pool = find_own_pool (q, all, n_all, &n_pool);
   for (uint32_t i = 0; i < n_pool; i++)
-    wl_choice_score (load, q, &pool[i], q->prompt, prefill_us);
+    wl_choice_score (load, q, pool[i], q->prompt, prefill_us);
   for (uint32_t k = 0; k < 2 && n_pool > 0; k++)
     {
       uint32_t start = (uint32_t)((random >> (32 * k)) & UINT32_MAX) % n_pool;
       for (uint32_t i = 0; i < n_pool && drawn[k] == NULL; i++)
         {
-          WlCandidate *c = &pool[(start + i) % n_pool];
+          WlCandidate *c = pool[(start + i) % n_pool];
           if (c != drawn[0] && may_draw (q, c))
             drawn[k] = c;
         }
@@ -138,3 +132,29 @@
     return drawn[0];
   return drawn[1];
 }
+
+/* Collects the pool of the own failure domain, or those of all others; returns its size. */
+static uint32_t
+collect_pool (const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all, int is_own,
+              WlCandidate **out)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < n_all; i++)
+    if (all[i].is_pooled && is_own == (strcmp (all[i].endpoint->record.domain, q->domain) == 0))
+      out[n++] = &all[i];
+  return n;
+}
+
+WlCandidate *
+wl_choice_draw (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all,
+                uint64_t random)
+{
+  WlCandidate **pool = calloc (n_all + 1, sizeof *pool);
+  if (pool == NULL)
+    abort ();
+  WlCandidate *drawn = draw_two (load, q, pool, collect_pool (q, all, n_all, 1, pool), random);
+  if (drawn == NULL)
+    drawn = draw_two (load, q, pool, collect_pool (q, all, n_all, 0, pool), random);
+  free (pool);
+  return drawn;
+}
