Restored endpoints reach all nodes of a large fleet at first contact

Cause: nodes with a disk read the endpoints of before from a file, but outside a mesh they told nobody: a restored endpoint has no direct contact, so it was in no report. Other nodes got it only by chance, while they took the fleet for a mesh. The first prompts after a start of all nodes were placed on the few endpoints that had registered. Nodes that took the fleet for a mesh, or whose first status had not subscribed to reports, waited up to 400 ms for the next.

Change: a record read from a file is marked is_restored. It counts as registered at its node, with its age, so it is in that node's reports and full reports, and ends there unless it registers. A registration replaces it whatever its sequence; it replaces no registration and no address of one. A node that has run for 2.5 s applies it as timed out. In its first second a node sends its status every 100 ms where no reports come back.

--- a/relay/membership/wl_fleet.c
+++ b/relay/membership/wl_fleet.c
@@ -71,7 +71,10 @@
       WlEndpointRecord *r = &fleet->endpoints[i].record;
       if (r->address != record->address || r->port != record->port || r == record)
         continue;
-      if (r->started_ms < record->started_ms)
+      /* A registration is later than anything in a file, whatever the starts are. */
+      int is_later = r->is_restored != record->is_restored ? r->is_restored
+                                                           : r->started_ms < record->started_ms;
+      if (is_later)
         r->has_left = 1;
       else if (!r->has_left)
         record->has_left = 1;
@@ -121,6 +124,21 @@
          && contact_us > e->last_contact_us + WL_FLEET_OVERDUE_US;
 }
 
+/*
+ * Whether a record is worth less than the known one. A registration counts more than what a node
+ * has read from its file, which may be old, damaged, or of another fleet.
+ */
+static int
+is_outdated (const WlEndpoint *e, const WlEndpointRecord *record, uint64_t contact_us)
+{
+  if (record->is_restored && !e->record.is_restored)
+    return 1;
+  if (!record->is_restored && e->record.is_restored && record->started_ms == e->record.started_ms
+      && record->has_left == e->record.has_left)
+    return 0; /* whatever the sequence in the file is */
+  return is_older (record, &e->record) && !is_heard_again (e, record, contact_us);
+}
+
 static int
 is_different (const WlEndpointRecord *a, const WlEndpointRecord *b)
 {
@@ -137,7 +155,7 @@
   uint64_t contact_us = now_us > record->age_us ? now_us - record->age_us : 0;
   if (!wl_fleet_is_valid (record))
     return -1;
-  if (e != NULL && is_older (record, &e->record) && !is_heard_again (e, record, contact_us))
+  if (e != NULL && is_outdated (e, record, contact_us))
     return -1;
   if (e == NULL && fleet->n_endpoints == WL_FLEET_ENDPOINTS_MAX)
     return -1;
@@ -150,6 +168,8 @@
       memset (e, 0, sizeof *e);
       e->slowdown = 1.0;
     }
+  if (e->record.is_restored && !record->is_restored)
+    e->direct_contact_us = 0; /* of the file, not of a registration */
   uint8_t was_draining = e->record.is_draining && !is_restart;
   uint8_t had_left = e->record.has_left && !is_restart;
   e->record = *record;
--- a/relay/membership/wl_membership.c
+++ b/relay/membership/wl_membership.c
@@ -4,7 +4,10 @@
 
 enum
 {
-  RECORDS_MAX = 128, /* registrations in one message */
+  RECORDS_MAX = 128,    /* registrations in one message */
+  JOINING_US = 1000000, /* a node that has just started sends its status more often for so long */
+  /* Restored endpoints expire unless they register within two of their intervals. */
+  RESTORED_AGE_US = WL_FLEET_TIMEOUT_US - WL_MEMBERSHIP_RESTORED_US,
 };
 
 WlMembership *
@@ -67,6 +70,13 @@
   return self;
 }
 
+static void
+note_start (WlMembership *membership, uint64_t now_us)
+{
+  if (membership->started_us == 0)
+    membership->started_us = now_us;
+}
+
 /* ---- statuses ---- */
 
 /* Sends the status to one node, with the list @peers of nodes that are alive. */
@@ -97,6 +107,18 @@
                  now_us);
 }
 
+/*
+ * Interval of statuses to nodes that may not know that this one has started. It may take a large
+ * fleet for a mesh until one of them answers, and its first contacts may have got a status that did
+ * not subscribe to reports.
+ */
+static uint64_t
+status_interval_us (const WlMembership *membership, uint64_t now_us)
+{
+  return now_us < membership->started_us + JOINING_US ? WL_MEMBERSHIP_TICK_US
+                                                      : WL_ROSTER_STATUS_INTERVAL_US;
+}
+
 /* Sends the status to all contacts, or to those that did not get it for an interval. */
 static void
 send_to_contacts (WlMembership *membership, int ignore_interval, uint64_t now_us)
@@ -107,7 +129,10 @@
     {
       WlRosterNode *r = wl_roster_find (membership->roster, contacts[i]);
       uint8_t subscription = wl_view_subscription (membership->view, contacts[i], now_us);
-      if (r != NULL && (ignore_interval || now_us >= r->sent_us + WL_ROSTER_STATUS_INTERVAL_US))
+      uint64_t interval_us = subscription == WL_SUBSCRIBE_WITH_FULL_REPORT
+                                 ? status_interval_us (membership, now_us)
+                                 : WL_ROSTER_STATUS_INTERVAL_US;
+      if (r != NULL && (ignore_interval || now_us >= r->sent_us + interval_us))
         send_status (membership, r, subscription, NULL, 0, now_us);
     }
 }
@@ -256,6 +281,8 @@
   for (uint32_t i = 0; i < membership->fleet->n_endpoints; i++)
     {
       const WlEndpoint *e = &membership->fleet->endpoints[i];
+      if (e->record.is_restored && e->direct_contact_us == 0)
+        continue; /* the nodes that have it in their files send it */
       records[n] = e->record;
       records[n].age_us = now_us - e->last_contact_us;
       if (++n == RECORDS_MAX)
@@ -278,7 +305,7 @@
     {
       const WlEndpoint *e = &membership->fleet->endpoints[i];
       if ((!e->record.is_draining && !e->record.has_left)
-          || now_us > e->changed_us + WL_MEMBERSHIP_LEAVE_REPEAT_US
+          || now_us > e->changed_us + WL_MEMBERSHIP_LEAVE_REPEAT_US || e->record.is_restored
           || (e->direct_contact_us == 0 && !wl_view_is_mesh (membership->view)))
         continue;
       records[n] = e->record;
@@ -292,12 +319,34 @@
 wl_membership_apply_record (WlMembership *membership, const WlEndpointRecord *record,
                             uint64_t now_us)
 {
-  if (wl_fleet_apply (membership->fleet, record, now_us) <= 0)
+  WlEndpointRecord copy = *record;
+  /*
+   * A node that has run for a while has heard the registrations of all endpoints that are there:
+   * what a node that restarts has in its file and it has not heard is gone, and is not used again.
+   */
+  if (record->is_restored && copy.age_us < WL_FLEET_TIMEOUT_US
+      && now_us >= membership->started_us + WL_MEMBERSHIP_RESTORED_US)
+    copy.age_us = WL_FLEET_TIMEOUT_US;
+  if (wl_fleet_apply (membership->fleet, &copy, now_us) <= 0)
     return;
   membership->has_changes = 1;
   membership->options.endpoint_changed (membership->options.data, record);
 }
 
+void
+wl_membership_restore (WlMembership *membership, WlEndpointRecord *records, uint32_t n_records,
+                       uint64_t now_us)
+{
+  note_start (membership, now_us);
+  for (uint32_t i = 0; i < n_records; i++)
+    {
+      records[i].age_us = RESTORED_AGE_US;
+      records[i].is_restored = 1;
+      wl_membership_apply_record (membership, &records[i], now_us);
+      wl_view_note_registration (membership->view, &records[i], now_us);
+    }
+}
+
 void
 wl_membership_register (WlMembership *membership, const WlEndpointRecord *record, uint64_t now_us)
 {
@@ -380,7 +429,7 @@
   for (uint32_t i = 0; i < endpoints->n_records; i++)
     {
       wl_membership_apply_record (membership, &endpoints->records[i], now_us);
-      if (is_direct)
+      if (is_direct && !endpoints->records[i].is_restored)
         wl_view_note_registration (membership->view, &endpoints->records[i], now_us);
     }
 }
@@ -389,6 +438,7 @@
 wl_membership_receive (WlMembership *membership, uint32_t from, const WlMessage *message,
                        uint64_t now_us)
 {
+  note_start (membership, now_us);
   switch (message->kind)
     {
     case WL_MESSAGE_NODE_STATUS:
@@ -463,6 +513,7 @@
 wl_membership_tick (WlMembership *membership, const uint32_t *seeds, uint32_t n_seeds,
                     uint64_t now_us)
 {
+  note_start (membership, now_us);
   for (uint32_t i = 0; i < n_seeds; i++)
     wl_roster_add (membership->roster, seeds[i], now_us);
   update_liveness (membership, now_us);
@@ -475,7 +526,7 @@
     }
   if (!wl_view_is_mesh (membership->view))
     tick_large (membership, seeds, n_seeds, now_us);
-  else if (now_us < membership->status_us + WL_ROSTER_STATUS_INTERVAL_US)
+  else if (now_us < membership->status_us + status_interval_us (membership, now_us))
     contact_new_nodes (membership, now_us);
   else
     {
--- a/relay/membership/wl_membership.h
+++ b/relay/membership/wl_membership.h
@@ -19,6 +19,8 @@
   /* A new node is contacted at each tick for so long: nodes that lose power together start
      within about two seconds. */
   WL_MEMBERSHIP_CONTACT_RETRY_US = 3000000,
+  /* Time for which a restored endpoint is used without a registration: two of their intervals. */
+  WL_MEMBERSHIP_RESTORED_US = 2500000,
 };
 
 /**
@@ -69,6 +71,7 @@
  * @has_changes: a report may be due before its interval has passed
  * @full_requested: a subscriber has requested a full report
  * @announced_ready: is_ready of the latest announcement
+ * @started_us: the first time passed to it
  */
 typedef struct
 {
@@ -84,6 +87,7 @@
   uint8_t has_changes;
   uint8_t full_requested;
   uint8_t announced_ready;
+  uint64_t started_us;
 } WlMembership;
 
 /** wl_membership_create() - creates a membership without other nodes; copies @options */
@@ -120,6 +124,19 @@
 void wl_membership_apply_record (WlMembership *membership, const WlEndpointRecord *record,
                                  uint64_t now_us);
 
+/**
+ * wl_membership_restore() - applies endpoints that were saved before a restart
+ * @membership: the membership
+ * @records: the endpoints, @n_records of them; their age becomes that of a restored one
+ * @n_records: their number
+ * @now_us: monotonic time
+ *
+ * They are usable at once, and time out unless they register within two of their
+ * intervals. Other nodes learn of them from this node's reports.
+ */
+void wl_membership_restore (WlMembership *membership, WlEndpointRecord *records, uint32_t n_records,
+                            uint64_t now_us);
+
 /**
  * wl_membership_load_peers() - nodes that are alive and exchange load reports with this node
  * @membership: the membership
--- a/relay/membership/wl_view_apply.c
+++ b/relay/membership/wl_view_apply.c
@@ -167,7 +167,9 @@
       if (e == NULL || e->record.started_ms != record->started_ms)
         continue;
       e->attested_by |= bit;
-      if (record->age_us < WL_FLEET_OVERDUE_US)
+      if (record->is_restored)
+        e->current_at &= ~bit; /* says nothing on its registrations */
+      else if (record->age_us < WL_FLEET_OVERDUE_US)
         e->current_at |= bit;
       else
         mark_overdue (view, e, bit, record->age_us, now_us);
--- a/relay/membership/wl_view_report.c
+++ b/relay/membership/wl_view_report.c
@@ -79,7 +79,12 @@
   uint64_t age_us = e->direct_contact_us != 0 ? now_us - e->direct_contact_us : UINT64_MAX;
   if (is_current (e, scope, other_sources, now_us))
     return age_us < WL_FLEET_OVERDUE_US ? age_us : 0;
-  return is_registered (e, now_us) ? age_us : WL_FLEET_OVERDUE_US;
+  if (is_registered (e, now_us))
+    return age_us;
+  /* Attested by another relay, which may know it from a file only: it is not newer than known here.
+   */
+  age_us = now_us - e->last_contact_us;
+  return age_us > WL_FLEET_OVERDUE_US ? age_us : WL_FLEET_OVERDUE_US;
 }
 
 static void
--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -12,12 +12,6 @@
  * founders the node cannot found the control group.
  */
 
-enum
-{
-  /* Restored endpoints expire unless they register within two of their intervals. */
-  RESTORED_AGE_US = WL_FLEET_TIMEOUT_US - 2500000,
-};
-
 typedef struct
 {
   uint32_t node;
@@ -106,14 +100,10 @@
 static WlError
 restore_endpoints (WlHost *host, const WlMessage *m)
 {
-  uint64_t now_us = wl_clock_now_us ();
   if (m->kind != WL_MESSAGE_ENDPOINTS)
     return WL_ERROR_CORRUPT;
-  for (uint32_t i = 0; i < m->u.endpoints.n_records; i++)
-    {
-      m->u.endpoints.records[i].age_us = RESTORED_AGE_US;
-      wl_membership_apply_record (host->membership, &m->u.endpoints.records[i], now_us);
-    }
+  wl_membership_restore (host->membership, m->u.endpoints.records, m->u.endpoints.n_records,
+                         wl_clock_now_us ());
   return WL_OK;
 }
 
--- a/testkit/wl_fleet_sim.c
+++ b/testkit/wl_fleet_sim.c
@@ -268,6 +268,29 @@
   return r;
 }
 
+void
+fleet_sim_restore (FleetSim *sim, uint32_t i, uint32_t n_endpoints, uint64_t sequence)
+{
+  WlEndpointRecord records[FLEET_SIM_NODES_MAX];
+  for (uint32_t k = 0; k < n_endpoints; k++)
+    records[k] = fleet_sim_endpoint (sim, k, sequence);
+  wl_membership_restore (sim->nodes[i].m, records, n_endpoints, sim->now_us);
+}
+
+uint32_t
+fleet_sim_count_usable (const FleetSim *sim, const char *id)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < sim->n_nodes; i++)
+    {
+      if (!sim->nodes[i].is_up || sim->nodes[i].is_frozen)
+        continue;
+      const WlEndpoint *e = wl_fleet_find (sim->nodes[i].m->fleet, id);
+      n += e != NULL && wl_fleet_is_usable (e, sim->now_us);
+    }
+  return n;
+}
+
 uint32_t
 fleet_sim_count_using (const FleetSim *sim, const char *id)
 {
--- a/testkit/wl_fleet_sim.h
+++ b/testkit/wl_fleet_sim.h
@@ -91,6 +91,13 @@
 /** fleet_sim_endpoint() - registration of an endpoint */
 WlEndpointRecord fleet_sim_endpoint (const FleetSim *sim, uint32_t i, uint64_t sequence);
 
+/** fleet_sim_restore() - a node that has just started has endpoints 0 to @n_endpoints - 1 in its
+ * file */
+void fleet_sim_restore (FleetSim *sim, uint32_t i, uint32_t n_endpoints, uint64_t sequence);
+
+/** fleet_sim_count_usable() - running nodes that may give work to an endpoint */
+uint32_t fleet_sim_count_usable (const FleetSim *sim, const char *id);
+
 /** fleet_sim_register_all() - endpoints register, each at some node of its failure domain */
 void fleet_sim_register_all (FleetSim *sim, uint32_t n_endpoints, uint64_t sequence);
 
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -79,6 +79,7 @@
  *   membership reports also 0 or WL_FLEET_OVERDUE_US, see reported_age()
  * @is_draining: accepts no new requests
  * @has_left: has deregistered
+ * @is_restored: read from a file that a node kept across its restart; no registration since
  */
 typedef struct
 {
@@ -93,6 +94,7 @@
   uint64_t age_us;
   uint8_t is_draining;
   uint8_t has_left;
+  uint8_t is_restored;
 } WlEndpointRecord;
 
 /** struct WlEndpoints - registrations forwarded to other nodes */
