A node that starts asks for the load of other domains and knows what it lacks

Cause: load reports carry changes. A node that starts got full reports of its own failure domain at the first contact, those of other domains only with the next periodic ones, after up to 2.5 s. Until then busy endpoints look idle to it, and nothing told the choice so.

Change: wl_load_coverage notes whose full reports have arrived. The load is partial until those of three in four live nodes have, and for 3 s at most. Meanwhile the node asks every 200 ms: the first relay of its domain for the other domains, that relay the first ones of the others. The answer holds full reports of all nodes that the relay knows (member asks_others of a load report), after the batches that wait there. In a mesh, and above 128 nodes, nothing is asked: there full reports come at the first contact. wl_relay_choose sets WlChoiceRequest.is_load_partial. WL1013 and the metrics start_config_ms, start_endpoint_ms, start_ready_ms, start_load_ms, load_partial show a start.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -98,6 +98,12 @@
   relay->n_nodes = n_nodes;
 }
 
+void
+wl_relay_set_load_partial (WlRelay *relay, int is_partial)
+{
+  relay->is_load_partial = (uint8_t)is_partial;
+}
+
 void
 wl_relay_share_budgets (WlRelay *relay, uint32_t n_nodes, uint64_t now_us)
 {
@@ -302,6 +308,7 @@
   };
   wl_choice_set_times (&r->choice_request, r->route, &times, now_us);
   r->choice_request.visibility = load_visibility (relay);
+  r->choice_request.is_load_partial = relay->is_load_partial;
   return wl_choice_make (relay->options.fleet, relay->options.load, &r->choice_request, now_us,
                          wl_random_next (&relay->random));
 }
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -203,6 +203,9 @@
 /** wl_relay_set_nodes() - sets the number of nodes that are alive, this one included */
 void wl_relay_set_nodes (WlRelay *relay, uint32_t n_nodes);
 
+/** wl_relay_set_load_partial() - sets whether the load of most nodes is unknown, after a start */
+void wl_relay_set_load_partial (WlRelay *relay, int is_partial);
+
 /**
  * wl_relay_share_budgets() - notes the nodes that share the retry budgets, see
  * wl_budget_nodes_note(); until the first call this node has no part of the slack
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -212,6 +212,7 @@
   uint32_t n_active;
   uint64_t held_bytes; /* of responses: at the latest tick, and changes since */
   uint32_t n_nodes;    /* that are alive */
+  uint8_t is_load_partial;
   WlBudgetNodes budget_nodes;
   uint64_t next_number;
   uint64_t random;
--- a/relay/placement/wl_choice.h
+++ b/relay/placement/wl_choice.h
@@ -46,6 +46,7 @@
  * @gap_us: longest tolerated gap between events of the stream
  * @deadline_us: time left until the latest acceptable first output
  * @visibility: how much of other nodes' load is seen
+ * @is_load_partial: this node has just started and does not know the load of most others yet
  * @excluded: keys of endpoints that were already tried, @n_excluded of them
  * @limits: endpoints with a limit, which are not considered; NULL for none
  * @permitted: key of the only endpoint that is considered, with or without a limit, 0 for all
@@ -60,6 +61,7 @@
   uint64_t gap_us;
   uint64_t deadline_us;
   WlChoiceVisibility visibility;
+  uint8_t is_load_partial;
   uint64_t excluded[8];
   uint32_t n_excluded;
   const WlLimits *limits;
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -300,6 +300,7 @@
   host->loop = wl_tcp_loop_create (host->reactor);
   host->client = wl_fetch_client_create (host->loop);
   wl_host_create_membership (host);
+  wl_host_start_begin (host);
   host->load = wl_load_create ();
   create_relay (host);
   host->issuer = wl_issuer_create (wl_relay_limits (host->relay), host->fleet);
@@ -500,6 +501,7 @@
   wl_membership_flush (host->membership, now_us);
   wl_host_flush_work (host);
   wl_host_flush_parts (host, now_us);
+  wl_host_start_observe (host, now_us);
   wl_peers_flush (host->peers);
   wl_tcp_flush (host->loop);
 }
@@ -627,6 +629,7 @@
   wl_metrics_write_gauge (out, "peer_sent_bytes", traffic.sent_bytes);
   wl_metrics_write_gauge (out, "peer_dropped_frames", traffic.dropped_frames);
   wl_host_write_config_metrics (host, out);
+  wl_host_write_start_metrics (host, out);
   wl_metrics_write_gauge (out, "control_leader", wl_host_leader (host, now_us));
   wl_metrics_write_gauge (out, "ready", (uint64_t)wl_host_is_ready (host));
 }
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -117,23 +117,30 @@
   return n;
 }
 
-/* Sends the batches whose delay has passed. */
+/* Sends the batches that have waited for the given times. */
 static void
-forward_due_reports (WlHost *host, uint64_t now_us)
+forward_reports (WlHost *host, uint64_t outbound_delay_us, uint64_t inbound_delay_us,
+                 uint64_t now_us)
 {
   uint32_t nodes[WL_ROSTER_MAX];
   uint32_t n = 0;
-  if (wl_load_report_batch_is_due (&host->outbound_reports, WL_HOST_OUTBOUND_DELAY_US, now_us))
+  if (wl_load_report_batch_is_due (&host->outbound_reports, outbound_delay_us, now_us))
     {
       n = wl_view_remote_relays (host->membership->view, now_us, nodes, WL_ROSTER_MAX);
       send_batch (host, &host->outbound_reports, nodes, n);
     }
-  if (!wl_load_report_batch_is_due (&host->inbound_reports, WL_HOST_INBOUND_DELAY_US, now_us))
+  if (!wl_load_report_batch_is_due (&host->inbound_reports, inbound_delay_us, now_us))
     return;
   n = list_domain_peers (host, now_us, nodes);
   send_batch (host, &host->inbound_reports, nodes, n);
 }
 
+void
+wl_host_forward_reports (WlHost *host, uint64_t now_us)
+{
+  forward_reports (host, 0, 0, now_us);
+}
+
 void
 wl_host_flush_work (WlHost *host)
 {
@@ -145,7 +152,7 @@
       host->n_work_items = 0;
       send_report (host, &report, now_us);
     }
-  forward_due_reports (host, now_us);
+  forward_reports (host, WL_HOST_OUTBOUND_DELAY_US, WL_HOST_INBOUND_DELAY_US, now_us);
 }
 
 void
@@ -364,7 +371,10 @@
 apply_report (WlHost *host, uint32_t node, const WlLoadReport *report, uint64_t now_us)
 {
   if (report->is_full)
-    wl_load_apply_full (host->load, node, report, now_us);
+    {
+      wl_load_apply_full (host->load, node, report, now_us);
+      wl_load_coverage_note (&host->load_coverage, node, report->boot);
+    }
   else
     for (uint32_t i = 0; i < report->n_items; i++)
       wl_load_apply_and_learn (host->load, host->fleet, node, report->boot, &report->items[i],
@@ -374,6 +384,11 @@
 static void
 on_report (WlHost *host, uint32_t from, const WlLoadReport *report, uint64_t now_us)
 {
+  if (report->asks_others)
+    {
+      wl_host_answer_load (host, from, now_us);
+      return;
+    }
   apply_report (host, from, report, now_us);
   if (forwards_between_domains (host, now_us))
     wl_load_report_batch_add (&host->outbound_reports, from, report, now_us);
@@ -538,5 +553,6 @@
   if (knows_fleet (host, now_us))
     wl_relay_share_budgets (host->relay, host->roster->n_nodes + 1, now_us);
   resend_full_report (host, now_us);
+  wl_host_start_tick (host, now_us);
   wl_host_save_files (host, now_us);
 }
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -2,6 +2,7 @@
 #define WL_HOST_INTERNAL_H
 
 #include "wl_host.h"
+#include "wl_load_coverage.h"
 #include "wl_recent_changes.h"
 #include "wl_load_report_batch.h"
 #include "wl_permits.h"
@@ -45,6 +46,21 @@
   struct WlHostLeaderRequest *next;
 } WlHostLeaderRequest;
 
+/**
+ * struct WlHostStart - when a node that has started reached what it needs to serve, 0 before
+ * @config_us: a configuration
+ * @endpoint_us: an endpoint
+ * @ready_us: ready for callers
+ * @is_logged: all of it, and the load of most nodes
+ */
+typedef struct
+{
+  uint64_t config_us;
+  uint64_t endpoint_us;
+  uint64_t ready_us;
+  uint8_t is_logged;
+} WlHostStart;
+
 /** struct WlHostLocalMessage - a message of this node to itself */
 typedef struct WlHostLocalMessage
 {
@@ -70,6 +86,8 @@
   WlWeb *client_server;
   WlConfigStore *config_store; /* NULL without a disk */
   WlJournal *journal;
+  WlLoadCoverage load_coverage;
+  WlHostStart start;
   WlHostLocalMessage *first_local; /* queue of messages to this node */
   WlHostLocalMessage *last_local;
 
@@ -185,6 +203,24 @@
 /** wl_host_flush_work() - sends the queued work items, and batches of load reports that are due */
 void wl_host_flush_work (WlHost *host);
 
+/** wl_host_forward_reports() - sends the batches of load reports that wait, whether due or not */
+void wl_host_forward_reports (WlHost *host, uint64_t now_us);
+
+/** wl_host_start_begin() - begins to wait for full load reports */
+void wl_host_start_begin (WlHost *host);
+
+/** wl_host_start_tick() - tells the relay whether the load is complete, and asks for what is not */
+void wl_host_start_tick (WlHost *host, uint64_t now_us);
+
+/** wl_host_start_observe() - notes what a node that has started has reached, and logs it once */
+void wl_host_start_observe (WlHost *host, uint64_t now_us);
+
+/** wl_host_answer_load() - sends a node that asks the full reports of nodes of other domains */
+void wl_host_answer_load (WlHost *host, uint32_t to, uint64_t now_us);
+
+/** wl_host_write_start_metrics() - appends the metrics of the start */
+void wl_host_write_start_metrics (const WlHost *host, WlBuffer *out);
+
 /** wl_host_report_work() - queues a work item for the other nodes; callback of the relay */
 void wl_host_report_work (void *host, const WlWorkItem *item);
 
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -62,6 +62,7 @@
   WL_U8 (WlLoadReport, is_full),
   WL_ARRAY (WlLoadReport, items, n_items, work_note_fields),
   WL_U32 (WlLoadReport, node),
+  WL_U8 (WlLoadReport, asks_others),
   WL_END,
 };
 
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -152,6 +152,8 @@
  * @is_full: a full report: requests that it does not list have ended
  * @items: the entries, @n_items of them
  * @node: node that sent the requests; 0 for the sender of the message
+ * @asks_others: the sender, which has just started, asks for full reports of nodes of failure
+ *   domains that do not report to it
  */
 typedef struct
 {
@@ -160,6 +162,7 @@
   WlWorkItem *items;
   uint32_t n_items;
   uint32_t node;
+  uint8_t asks_others;
 } WlLoadReport;
 
 /** struct WlLoadReports - load reports of several nodes, forwarded together */
