--- a/relay/tests/test_host.c
+++ b/relay/tests/test_host.c
@@ -141,6 +141,28 @@
 }
 END_TEST
 
+/* Guards against requests that try endpoints which were gone long before all nodes restarted. */
+START_TEST (a_silent_endpoint_is_not_saved)
+{
+  static Fixture f;
+  WlEndpointRecord silent = make_record ("e-1", 8081);
+  WlEndpointRecord here = make_record ("e-2", 8082);
+  create (&f);
+  start (&f);
+  silent.age_us = WL_FLEET_TIMEOUT_US;
+  wl_membership_apply_record (f.host->membership, &silent, wl_clock_now_us ());
+  wl_host_register (f.host, &here);
+  ck_assert_int_eq (run_until_file (&f, "endpoints"), 1);
+  wl_host_destroy (f.host);
+  f.options.is_first_start = 0;
+  start (&f);
+  ck_assert_uint_eq (gauge (&f, "endpoints_known"), 1);
+  ck_assert_ptr_nonnull (wl_fleet_find (f.host->fleet, "e-2"));
+  ck_assert_uint_eq (wl_fleet_find (f.host->fleet, "e-2")->record.is_restored, 1);
+  destroy (&f);
+}
+END_TEST
+
 static void
 on_submitted (void *data, WlHostOutcome outcome, WlBytes config)
 {
@@ -359,6 +381,7 @@
 {
   const WlTest tests[] = {
     WL_TEST (endpoints_are_restored_after_a_restart),
+    WL_TEST (a_silent_endpoint_is_not_saved),
     WL_TEST (the_committed_configuration_is_restored_without_a_quorum),
     WL_TEST (a_node_starts_with_a_damaged_file_of_endpoints),
     WL_TEST (a_request_is_answered_although_the_disk_fails),
--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -78,21 +78,30 @@
 
 /* ---- endpoints ---- */
 
+/* One that is silent would be tried again after a restart of all nodes; one that has left must not.
+ */
+static int
+is_worth_saving (const WlEndpoint *e, uint64_t now_us)
+{
+  return e->record.is_draining || e->record.has_left
+         || now_us < e->last_contact_us + WL_FLEET_TIMEOUT_US;
+}
+
 static void
 save_endpoints (WlHost *host, uint64_t now_us)
 {
   WlMessage m = { .kind = WL_MESSAGE_ENDPOINTS };
   apr_pool_t *pool;
-  uint32_t n = host->fleet->n_endpoints;
+  uint32_t n_endpoints = host->fleet->n_endpoints;
   if (!host->has_new_endpoints || now_us < host->endpoints_saved_us + WL_HOST_SAVE_INTERVAL_US)
     return;
   host->has_new_endpoints = 0;
   host->endpoints_saved_us = now_us;
   apr_pool_create (&pool, NULL);
-  m.u.endpoints.records = apr_palloc (pool, (n + 1) * sizeof *m.u.endpoints.records);
-  m.u.endpoints.n_records = n;
-  for (uint32_t i = 0; i < n; i++)
-    m.u.endpoints.records[i] = host->fleet->endpoints[i].record;
+  m.u.endpoints.records = apr_palloc (pool, (n_endpoints + 1) * sizeof *m.u.endpoints.records);
+  for (uint32_t i = 0; i < n_endpoints; i++)
+    if (is_worth_saving (&host->fleet->endpoints[i], now_us))
+      m.u.endpoints.records[m.u.endpoints.n_records++] = host->fleet->endpoints[i].record;
   wl_journal_save (host->journal, endpoints_file, wl_message_encode (&m, pool));
   apr_pool_destroy (pool);
 }
