Test that a choice is told whether the load is partial

Cause: only the host's side of it was tested.

Change: a test of the relay reads the member from a request that waits.

--- a/relay/tests/test_relay.c
+++ b/relay/tests/test_relay.c
@@ -4,6 +4,7 @@
 #include <apr_general.h>
 #include "wl_clock.h"
 #include "wl_relay_fixture.h"
+#include "wl_relay_internal.h"
 #include "wl_test.h"
 
 /* Requests through the relay: what is forwarded, what is refused, and how requests end. */
@@ -116,6 +117,22 @@
 }
 END_TEST
 
+/* Guards against a choice that takes endpoints for idle whose load is not known yet. */
+START_TEST (a_choice_is_told_whether_the_load_is_partial)
+{
+  RelayFixture *f = relay_fixture_create ();
+  wl_relay_set_load_partial (f->relay, 1);
+  raw_client_send (&f->caller, RELAY_SAFE_REQUEST); /* waits: no endpoint has registered */
+  relay_fixture_run (f, 60);
+  ck_assert_ptr_nonnull (f->relay->requests);
+  ck_assert_uint_eq (f->relay->requests->choice_request.is_load_partial, 1);
+  wl_relay_set_load_partial (f->relay, 0);
+  wl_relay_choose (f->relay->requests, wl_clock_now_us ());
+  ck_assert_uint_eq (f->relay->requests->choice_request.is_load_partial, 0);
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 START_TEST (unknown_routes_and_unknown_keys_have_different_statuses)
 {
   RelayFixture *f = relay_fixture_create ();
@@ -145,6 +162,7 @@
     WL_TEST (a_disconnected_caller_has_its_endpoint_connection_closed),
     WL_TEST (a_request_ends_at_its_time_limit),
     WL_TEST (a_node_that_has_just_started_parks_requests_until_it_has_a_configuration),
+    WL_TEST (a_choice_is_told_whether_the_load_is_partial),
     WL_TEST (unknown_routes_and_unknown_keys_have_different_statuses),
   };
   apr_initialize ();
