The contact of a restored endpoint does not outlast its registration

Cause: in a mesh a node that had restarted applied another node's record of an endpoint that was silent for 9 s, kept the 3.5 s that it had assumed from its file, and told that to all as the age of a registration: they used the endpoint again.

Change: a registration that replaces a restored record replaces its contacts, too.

--- a/relay/membership/wl_fleet.c
+++ b/relay/membership/wl_fleet.c
@@ -168,8 +168,9 @@
       memset (e, 0, sizeof *e);
       e->slowdown = 1.0;
     }
+  /* The contacts were assumed of an endpoint in a file; those of its registrations may be older. */
   if (e->record.is_restored && !record->is_restored)
-    e->direct_contact_us = 0; /* of the file, not of a registration */
+    e->last_contact_us = e->direct_contact_us = 0;
   uint8_t was_draining = e->record.is_draining && !is_restart;
   uint8_t had_left = e->record.has_left && !is_restart;
   e->record = *record;
--- a/relay/tests/test_fleet_start.c
+++ b/relay/tests/test_fleet_start.c
@@ -13,6 +13,7 @@
 enum
 {
   NODES = 91,
+  SMALL_NODES = 12, /* a mesh */
   DOMAINS = 3,
   ENDPOINTS = 54,
   SEEDS = 8,
@@ -66,6 +67,18 @@
 }
 END_TEST
 
+START_TEST (all_nodes_of_a_mesh_know_the_restored_endpoints)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      FleetSim *sim = start_all (seed, SMALL_NODES, DOMAINS, ENDPOINTS);
+      fleet_sim_run (sim, KNOWN_US);
+      ck_assert_uint_eq (count_pairs (sim, ENDPOINTS), SMALL_NODES * ENDPOINTS);
+      fleet_sim_destroy (sim);
+    }
+}
+END_TEST
+
 /* Guards against nodes that take the fleet for a mesh until their next heartbeat. */
 START_TEST (all_nodes_know_most_others_soon_after_they_started)
 {
@@ -166,9 +179,10 @@
   fleet_sim_restore (sim, 0, n_restored, sequence);
 }
 
-START_TEST (a_file_brings_back_no_endpoint_that_is_silent)
+static void
+check_silent (uint32_t n_nodes)
 {
-  FleetSim *sim = fleet_sim_create (6, NODES, DOMAINS);
+  FleetSim *sim = fleet_sim_create (6, n_nodes, DOMAINS);
   fleet_sim_run (sim, 2 * SECOND);
   register_for (sim, ENDPOINTS, 1, 2);
   register_for (sim, ENDPOINTS - 1, 3, 7); /* the last one is silent for more than 6 s */
@@ -181,20 +195,27 @@
       fleet_sim_run (sim, 100 * MS);
       /* Only the node that has restarted cannot know it. */
       ck_assert_uint_le (fleet_sim_count_usable (sim, "endpoint-53"), 1);
-      ck_assert_uint_ge (fleet_sim_count_usable (sim, "endpoint-52"), NODES - 1);
+      ck_assert_uint_ge (fleet_sim_count_usable (sim, "endpoint-52"), n_nodes - 1);
     }
   fleet_sim_destroy (sim);
 }
+
+START_TEST (a_file_brings_back_no_endpoint_that_is_silent)
+{
+  check_silent (NODES);
+  check_silent (SMALL_NODES);
+}
 END_TEST
 
-START_TEST (a_file_brings_back_no_endpoint_that_has_left)
+static void
+check_left (uint32_t n_nodes)
 {
-  FleetSim *sim = fleet_sim_create (7, NODES, DOMAINS);
+  FleetSim *sim = fleet_sim_create (7, n_nodes, DOMAINS);
   fleet_sim_run (sim, 2 * SECOND);
   register_for (sim, ENDPOINTS, 1, 2);
   WlEndpointRecord leaving = fleet_sim_endpoint (sim, 9, 3);
   leaving.has_left = 1;
-  wl_membership_register (sim->nodes[30].m, &leaving, sim->now_us);
+  wl_membership_register (sim->nodes[n_nodes / 3].m, &leaving, sim->now_us);
   fleet_sim_run (sim, 1000 * MS);
   ck_assert_uint_eq (fleet_sim_count_usable (sim, "endpoint-9"), 0);
   restart_with_file (sim, ENDPOINTS, 200);
@@ -206,6 +227,12 @@
     }
   fleet_sim_destroy (sim);
 }
+
+START_TEST (a_file_brings_back_no_endpoint_that_has_left)
+{
+  check_left (NODES);
+  check_left (SMALL_NODES);
+}
 END_TEST
 
 /* One node was down for long: its file has an earlier start of an endpoint, at another address. */
@@ -258,6 +285,18 @@
   ck_assert_uint_eq (e->record.sequence, 2);
   ck_assert_uint_eq (e->record.is_restored, 0);
   ck_assert (!wl_fleet_is_overdue (e, SECOND * 10 + 1));
+  /* Another node has not heard it for long, whatever the age of the file is taken for. */
+  WlEndpointRecord second = record (5, 100, 1);
+  WlEndpointRecord silent = record (5, 2, 0);
+  strcpy (second.id, "e-2");
+  strcpy (silent.id, "e-2");
+  second.address = silent.address = 9;
+  second.age_us = 3500000;
+  silent.age_us = 9000000;
+  wl_fleet_apply (fleet, &second, SECOND * 10);
+  ck_assert (wl_fleet_is_usable (wl_fleet_find (fleet, "e-2"), SECOND * 10));
+  wl_fleet_apply (fleet, &silent, SECOND * 10);
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (fleet, "e-2"), SECOND * 10));
   /* An earlier start is an endpoint that has been replaced, whoever names it. */
   WlEndpointRecord earlier = record (4, 900, 0);
   ck_assert_int_eq (wl_fleet_apply (fleet, &earlier, SECOND * 10 + 2), -1);
@@ -286,6 +325,7 @@
 {
   const WlTest tests[] = {
     WL_TEST (all_nodes_know_the_restored_endpoints_before_any_has_registered),
+    WL_TEST (all_nodes_of_a_mesh_know_the_restored_endpoints),
     WL_TEST (all_nodes_know_most_others_soon_after_they_started),
     WL_TEST (restored_endpoints_reach_a_domain_without_a_disk),
     WL_TEST (a_restored_list_is_sent_a_few_times_to_each_node),
