--- a/relay/placement/wl_choice.h
+++ b/relay/placement/wl_choice.h
@@ -48,6 +48,7 @@
  * @visibility: how much of other nodes' load is seen
  * @spreads_kv: its KV cache is spread over several engines although one could hold it, see
  *   WlChoice.kv_reserved
+ * @is_load_partial: this node has just started and does not know the load of most others yet
  * @excluded: keys of endpoints that were already tried, @n_excluded of them
  * @limits: endpoints with a limit, which are not considered; NULL for none
  * @permitted: key of the only endpoint that is considered, with or without a limit, 0 for all
@@ -63,6 +64,7 @@
   uint64_t deadline_us;
   WlChoiceVisibility visibility;
   uint8_t spreads_kv;
+  uint8_t is_load_partial;
   uint64_t excluded[8];
   uint32_t n_excluded;
   const WlLimits *limits;
