--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -9,7 +9,8 @@
  * Shared by the files of the relay: wl_relay.c (requests), wl_relay_answer.c
  * (attempts and their responses), wl_relay_retry.c (failed attempts),
  * wl_relay_evidence.c and wl_relay_quarantine.c (parts that end engines), wl_relay_limits.c
- * (endpoints that name a limit) and wl_relay_stop.c
+ * (endpoints that name a limit), wl_relay_cold.c (cold endpoints), wl_relay_admission.c (the last
+ * check of an attempt) and wl_relay_stop.c
  * (the exit of the node).
  */
 
@@ -214,6 +215,7 @@
   uint32_t n_active;
   uint64_t held_bytes; /* of responses: at the latest tick, and changes since */
   uint32_t n_nodes;    /* that are alive */
+  uint8_t is_load_partial;
   WlBudgetNodes budget_nodes;
   uint64_t next_number;
   uint64_t random;
@@ -420,12 +422,22 @@
  */
 int wl_relay_await_token (WlRelayRequest *r, uint64_t now_us);
 
+/** wl_relay_may_use_cold() - whether no helper of an attempt is cold, and no token is missing */
+int wl_relay_may_use_cold (const WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_take_token() - takes the token for an attempt that is sent now, if it needs one */
+void wl_relay_take_token (WlRelayRequest *r, uint64_t now_us);
+
 /** wl_relay_adopt_cold() - begins or ends to follow cold endpoints, as the configuration says */
 void wl_relay_adopt_cold (WlRelay *relay, uint64_t now_us);
 
 /** wl_relay_tick_cold() - counts the cold endpoints and logs which became cold or warm */
 void wl_relay_tick_cold (WlRelay *relay, uint64_t now_us);
 
+/** wl_relay_refuse_evacuated() - refuses a request that only endpoints in evacuated failure domains
+ * could serve; returns 0 for others */
+int wl_relay_refuse_evacuated (WlRelayRequest *r, uint64_t now_us);
+
 /** wl_relay_drop_permit() - ends the ask of a request that needs no permit any more */
 void wl_relay_drop_permit (WlRelayRequest *r, uint64_t now_us);
 
--- a/relay/membership/wl_fleet.c
+++ b/relay/membership/wl_fleet.c
@@ -25,6 +25,7 @@
   if (fleet == NULL)
     return;
   free (fleet->endpoints);
+  free (fleet->evacuated);
   free (fleet);
 }
 
@@ -71,7 +72,10 @@
       WlEndpointRecord *r = &fleet->endpoints[i].record;
       if (r->address != record->address || r->port != record->port || r == record)
         continue;
-      if (r->started_ms < record->started_ms)
+      /* A registration is later than anything in a file, whatever the starts are. */
+      int is_later = r->is_restored != record->is_restored ? r->is_restored
+                                                           : r->started_ms < record->started_ms;
+      if (is_later)
         r->has_left = 1;
       else if (!r->has_left)
         record->has_left = 1;
@@ -121,6 +125,21 @@
          && contact_us > e->last_contact_us + WL_FLEET_OVERDUE_US;
 }
 
+/*
+ * Whether a record is worth less than the known one. A registration counts more than what a node
+ * has read from its file, which may be old, damaged, or of another fleet.
+ */
+static int
+is_outdated (const WlEndpoint *e, const WlEndpointRecord *record, uint64_t contact_us)
+{
+  if (record->is_restored && !e->record.is_restored)
+    return 1;
+  if (!record->is_restored && e->record.is_restored && record->started_ms == e->record.started_ms
+      && record->has_left == e->record.has_left)
+    return 0; /* whatever the sequence in the file is */
+  return is_older (record, &e->record) && !is_heard_again (e, record, contact_us);
+}
+
 static int
 is_different (const WlEndpointRecord *a, const WlEndpointRecord *b)
 {
@@ -160,6 +179,32 @@
   return !was_cold && until_us > now_us;
 }
 
+static int
+is_evacuated (const WlFleet *fleet, const char *domain)
+{
+  for (uint32_t i = 0; i < fleet->n_evacuated; i++)
+    if (strcmp (fleet->evacuated[i], domain) == 0)
+      return 1;
+  return 0;
+}
+
+void
+wl_fleet_set_evacuated (WlFleet *fleet, const char (*names)[WL_LABEL_SIZE], uint32_t n)
+{
+  free (fleet->evacuated);
+  fleet->evacuated = calloc (n + 1, sizeof *fleet->evacuated);
+  if (fleet->evacuated == NULL)
+    abort ();
+  if (n > 0)
+    memcpy (fleet->evacuated, names, n * sizeof *names);
+  fleet->n_evacuated = n;
+  for (uint32_t i = 0; i < fleet->n_endpoints; i++)
+    {
+      WlEndpoint *e = &fleet->endpoints[i];
+      e->is_evacuated = (uint8_t)is_evacuated (fleet, e->record.domain);
+    }
+}
+
 int
 wl_fleet_apply (WlFleet *fleet, const WlEndpointRecord *record, uint64_t now_us)
 {
@@ -167,13 +212,14 @@
   uint64_t contact_us = now_us > record->age_us ? now_us - record->age_us : 0;
   if (!wl_fleet_is_valid (record))
     return -1;
-  if (e != NULL && is_older (record, &e->record) && !is_heard_again (e, record, contact_us))
+  if (e != NULL && is_outdated (e, record, contact_us))
     return -1;
   if (e == NULL && fleet->n_endpoints == WL_FLEET_ENDPOINTS_MAX)
     return -1;
   int is_restart = e != NULL && e->record.started_ms != record->started_ms;
   int is_change = e == NULL || is_different (record, &e->record);
-  int is_repeated = e != NULL && !is_restart && record->sequence == e->record.sequence;
+  int is_repeated = e != NULL && !is_restart && record->sequence == e->record.sequence
+                    && record->is_restored == e->record.is_restored;
   if (e == NULL)
     e = &fleet->endpoints[fleet->n_endpoints++];
   if (is_change && (is_restart || e->key == 0))
@@ -181,12 +227,16 @@
       memset (e, 0, sizeof *e);
       e->slowdown = 1.0;
     }
+  /* The contacts were assumed of an endpoint in a file; those of its registrations may be older. */
+  if (e->record.is_restored && !record->is_restored)
+    e->last_contact_us = e->direct_contact_us = 0;
   uint8_t was_draining = e->record.is_draining && !is_restart;
   uint8_t had_left = e->record.has_left && !is_restart;
   e->record = *record;
   e->record.is_draining |= was_draining;
   e->record.has_left |= had_left;
   e->key = wl_fleet_key (record->id);
+  e->is_evacuated = (uint8_t)is_evacuated (fleet, record->domain);
   if (contact_us > e->last_contact_us)
     e->last_contact_us = contact_us;
   int is_cold_change = apply_cold (e, record, is_repeated, now_us) && fleet->reports_cold;
@@ -199,14 +249,26 @@
   return is_change ? 1 : is_cold_change ? 2 : 0;
 }
 
-int
-wl_fleet_is_usable (const WlEndpoint *endpoint, uint64_t now_us)
+static int
+is_available (const WlEndpoint *endpoint, uint64_t now_us)
 {
   return !endpoint->record.is_draining && !endpoint->record.has_left
          && now_us >= endpoint->ejected_until_us
          && now_us < endpoint->last_contact_us + WL_FLEET_TIMEOUT_US;
 }
 
+int
+wl_fleet_is_usable (const WlEndpoint *endpoint, uint64_t now_us)
+{
+  return !endpoint->is_evacuated && is_available (endpoint, now_us);
+}
+
+int
+wl_fleet_is_withheld (const WlEndpoint *endpoint, uint64_t now_us)
+{
+  return endpoint->is_evacuated && is_available (endpoint, now_us);
+}
+
 int
 wl_fleet_is_overdue (const WlEndpoint *endpoint, uint64_t now_us)
 {
--- a/relay/membership/wl_fleet.h
+++ b/relay/membership/wl_fleet.h
@@ -74,6 +74,7 @@
  * @says_cold: a registration of this start, or a response, says how long it is cold
  * @became_cold: reports have to say so
  * @cold_share: what this node may send to it while it is cold
+ * @is_evacuated: its failure domain is evacuated: it gets no requests
  */
 typedef struct
 {
@@ -98,18 +99,22 @@
   uint8_t says_cold;
   uint8_t became_cold;
   WlColdShare cold_share;
+  uint8_t is_evacuated;
 } WlEndpoint;
 
 /**
  * struct WlFleet - all endpoints
  * @endpoints: the endpoints, @n_endpoints of them; a removal changes their order
  * @reports_cold: an endpoint that becomes cold is a change; set while a service has such endpoints
+ * @evacuated: names of evacuated failure domains, @n_evacuated of them, on the heap
  */
 typedef struct
 {
   WlEndpoint *endpoints;
   uint32_t n_endpoints;
   uint8_t reports_cold;
+  char (*evacuated)[WL_LABEL_SIZE];
+  uint32_t n_evacuated;
 } WlFleet;
 
 /** wl_fleet_create() - creates an empty fleet */
@@ -157,6 +162,19 @@
 /** wl_fleet_is_usable() - whether an endpoint may get requests now */
 int wl_fleet_is_usable (const WlEndpoint *endpoint, uint64_t now_us);
 
+/** wl_fleet_is_withheld() - whether an endpoint were usable but for its domain's evacuation */
+int wl_fleet_is_withheld (const WlEndpoint *endpoint, uint64_t now_us);
+
+/**
+ * wl_fleet_set_evacuated() - replaces the list of evacuated failure domains
+ * @fleet: the fleet
+ * @names: the failure domains; copied
+ * @n: number of them
+ *
+ * Endpoints of these domains are not usable, also those that register later.
+ */
+void wl_fleet_set_evacuated (WlFleet *fleet, const char (*names)[WL_LABEL_SIZE], uint32_t n);
+
 /** wl_fleet_note_success() - records that an endpoint answered a request */
 void wl_fleet_note_success (WlEndpoint *endpoint, uint64_t now_us);
 
--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -12,12 +12,6 @@
  * founders the node cannot found the control group.
  */
 
-enum
-{
-  /* Restored endpoints expire unless they register within two of their intervals. */
-  RESTORED_AGE_US = WL_FLEET_TIMEOUT_US - 2500000,
-};
-
 typedef struct
 {
   uint32_t node;
@@ -84,24 +78,35 @@
 
 /* ---- endpoints ---- */
 
+/* One that is silent would be tried again after a restart of all nodes; one that has left must not.
+ */
+static int
+is_worth_saving (const WlEndpoint *e, uint64_t now_us)
+{
+  return e->record.is_draining || e->record.has_left
+         || now_us < e->last_contact_us + WL_FLEET_TIMEOUT_US;
+}
+
 static void
 save_endpoints (WlHost *host, uint64_t now_us)
 {
   WlMessage m = { .kind = WL_MESSAGE_ENDPOINTS };
   apr_pool_t *pool;
-  uint32_t n = host->fleet->n_endpoints;
+  uint32_t n_endpoints = host->fleet->n_endpoints;
   if (!host->has_new_endpoints || now_us < host->endpoints_saved_us + WL_HOST_SAVE_INTERVAL_US)
     return;
   host->has_new_endpoints = 0;
   host->endpoints_saved_us = now_us;
   apr_pool_create (&pool, NULL);
-  m.u.endpoints.records = apr_palloc (pool, (n + 1) * sizeof *m.u.endpoints.records);
-  m.u.endpoints.n_records = n;
-  for (uint32_t i = 0; i < n; i++)
+  m.u.endpoints.records = apr_palloc (pool, (n_endpoints + 1) * sizeof *m.u.endpoints.records);
+  for (uint32_t i = 0; i < n_endpoints; i++)
     {
       const WlEndpoint *e = &host->fleet->endpoints[i];
-      m.u.endpoints.records[i] = e->record;
-      m.u.endpoints.records[i].cold_left_ms = wl_fleet_cold_left_ms (e, now_us);
+      if (!is_worth_saving (e, now_us))
+        continue;
+      WlEndpointRecord *record = &m.u.endpoints.records[m.u.endpoints.n_records++];
+      *record = e->record;
+      record->cold_left_ms = wl_fleet_cold_left_ms (e, now_us);
     }
   wl_journal_save (host->journal, endpoints_file, wl_message_encode (&m, pool));
   apr_pool_destroy (pool);
@@ -110,14 +115,10 @@
 static WlError
 restore_endpoints (WlHost *host, const WlMessage *m)
 {
-  uint64_t now_us = wl_clock_now_us ();
   if (m->kind != WL_MESSAGE_ENDPOINTS)
     return WL_ERROR_CORRUPT;
-  for (uint32_t i = 0; i < m->u.endpoints.n_records; i++)
-    {
-      m->u.endpoints.records[i].age_us = RESTORED_AGE_US;
-      wl_membership_apply_record (host->membership, &m->u.endpoints.records[i], now_us);
-    }
+  wl_membership_restore (host->membership, m->u.endpoints.records, m->u.endpoints.n_records,
+                         wl_clock_now_us ());
   return WL_OK;
 }
 
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -81,6 +81,7 @@
  *   membership reports also 0 or WL_FLEET_OVERDUE_US, see reported_age()
  * @is_draining: accepts no new requests
  * @has_left: has deregistered
+ * @is_restored: read from a file that a node kept across its restart; no registration since
  * @cold_left_ms: how long it stays cold after the message was sent, 0 for warm,
  *   WL_ENDPOINT_COLD_UNKNOWN when it does not say
  */
@@ -97,6 +98,7 @@
   uint64_t age_us;
   uint8_t is_draining;
   uint8_t has_left;
+  uint8_t is_restored;
   uint32_t cold_left_ms;
 } WlEndpointRecord;
 
@@ -157,6 +159,8 @@
  * @is_full: a full report: requests that it does not list have ended
  * @items: the entries, @n_items of them
  * @node: node that sent the requests; 0 for the sender of the message
+ * @asks_others: the sender, which has just started, asks for full reports of nodes of failure
+ *   domains that do not report to it
  */
 typedef struct
 {
@@ -165,6 +169,7 @@
   WlWorkItem *items;
   uint32_t n_items;
   uint32_t node;
+  uint8_t asks_others;
 } WlLoadReport;
 
 /** struct WlLoadReports - load reports of several nodes, forwarded together */
