--- a/relay/forwarding/wl_metrics.c
+++ b/relay/forwarding/wl_metrics.c
@@ -31,6 +31,7 @@
     [WL_REASON_STOPPING] = "stopping",
     [WL_REASON_QUARANTINED] = "quarantined",
     [WL_REASON_EVACUATED] = "evacuated",
+    [WL_REASON_COLD] = "cold",
   };
   return (unsigned)reason < WL_REASONS ? names[reason] : "?";
 }
@@ -112,6 +113,8 @@
   wl_metrics_write_gauge (out, "permits_answered_total", metrics->permits_answered);
   wl_metrics_write_gauge (out, "evacuations_changed_total", metrics->evacuations_changed);
   wl_metrics_write_gauge (out, "evacuated_attempts_total", metrics->evacuated_attempts);
+  wl_metrics_write_gauge (out, "cold_sent_total", metrics->cold_sent);
+  wl_metrics_write_gauge (out, "cold_waited_total", metrics->cold_waited);
   write_reasons (out, "refused", metrics->refused);
   write_reasons (out, "failed", metrics->failed);
   write_reasons (out, "repeated", metrics->repeated);
--- a/relay/forwarding/wl_metrics.h
+++ b/relay/forwarding/wl_metrics.h
@@ -34,6 +34,7 @@
   WL_REASON_LIMIT,       /* endpoints with a limit could serve it, but not in time */
   WL_REASON_QUARANTINED, /* a part of the prompt is quarantined, see wl_quarantine.h */
   WL_REASON_EVACUATED,   /* all usable endpoints are in evacuated failure domains */
+  WL_REASON_COLD,        /* only cold endpoints could serve it, and not in time */
   WL_REASONS,
 } WlReason;
 
@@ -81,6 +82,8 @@
  * @permits_answered: asks that this node has answered
  * @evacuations_changed: starts and finishes of evacuations that this node has applied
  * @evacuated_attempts: attempts not sent, since a failure domain was evacuated after their choice
+ * @cold_sent: requests sent to cold endpoints
+ * @cold_waited: requests that waited for a cold endpoint
  * @callers_disconnected: callers that disconnected before their response ended
  * @first_output: time to first output, by prompt size
  * @waiting: time from arrival to the first attempt
@@ -102,6 +105,8 @@
   uint64_t permits_answered;
   uint64_t evacuations_changed;
   uint64_t evacuated_attempts;
+  uint64_t cold_sent;
+  uint64_t cold_waited;
   uint64_t callers_disconnected;
   WlHistogram first_output[WL_PROMPT_CLASSES];
   WlHistogram waiting;
--- a/relay/tests/test_choice_pool.c
+++ b/relay/tests/test_choice_pool.c
@@ -164,6 +164,54 @@
 }
 END_TEST
 
+/*
+ * All nodes have just started, no load is known, and the callers return at once. Guards against
+ * a pool that is too small for them: twelve slots an engine are in use at most then.
+ */
+START_TEST (nodes_that_have_all_just_started_use_more_engines)
+{
+  Fixture f = create ();
+  uint32_t used[2] = { 0, 0 };
+  for (uint8_t is_partial = 0; is_partial < 2; is_partial++)
+    {
+      uint8_t is_used[ENGINES] = { 0 };
+      for (uint32_t node = 0; node < NODES; node++)
+        {
+          WlChoiceRequest q = short_request (node);
+          q.is_load_partial = is_partial;
+          WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, random_of (node));
+          ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+          is_used[c.endpoint - f.fleet->endpoints] = 1;
+        }
+      for (uint32_t i = 0; i < ENGINES; i++)
+        used[is_partial] += is_used[i];
+    }
+  ck_assert_uint_lt (used[0], used[1]);
+  ck_assert_uint_ge (used[1], ENGINES / 2);
+  destroy (&f);
+}
+END_TEST
+
+/* A domain without engines, as when it is evacuated. Guards against nodes there that all choose
+ * one. */
+START_TEST (nodes_of_a_domain_without_engines_draw_from_the_pools_of_the_others)
+{
+  Fixture f = create ();
+  uint32_t counts[ENGINES] = { 0 };
+  for (uint32_t i = 0; i < ENGINES; i++)
+    f.fleet->endpoints[i].record.is_draining
+        = strcmp (f.fleet->endpoints[i].record.domain, "z0") == 0;
+  for (uint32_t i = 0; i < NODES / DOMAINS; i++)
+    {
+      WlChoiceRequest q = short_request (0);
+      WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, random_of (i));
+      ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+      ck_assert_uint_le (++counts[c.endpoint - f.fleet->endpoints], NODES / DOMAINS / 3);
+    }
+  destroy (&f);
+}
+END_TEST
+
 /* Guards against short requests on so many engines that none is left to long prompts. */
 START_TEST (short_requests_leave_half_of_the_engines_to_long_prompts)
 {
@@ -248,6 +296,8 @@
   const WlTest tests[] = {
     WL_TEST (ninety_nine_nodes_that_choose_at_once_spread_their_short_requests),
     WL_TEST (nodes_of_a_small_fleet_take_the_best_engine_whatever_the_random_number),
+    WL_TEST (nodes_that_have_all_just_started_use_more_engines),
+    WL_TEST (nodes_of_a_domain_without_engines_draw_from_the_pools_of_the_others),
     WL_TEST (short_requests_leave_half_of_the_engines_to_long_prompts),
     WL_TEST (a_long_prompt_avoids_the_engines_of_the_short_pool),
     WL_TEST (a_long_prompt_that_can_just_be_in_time_goes_before_new_and_late_ones),
