Evacuation in the product's own mode: wisterialoft evacuate DOMAIN [--finish]

The product's own mode has another control group (wl_control.h), whose state now holds the evacuations beside members and cells. The owner of a cell gives no grants of endpoints in an evacuated domain and orders no model loads there; requests without a usable endpoint elsewhere are refused with "evacuated". POST /v1/evacuations is a compare-and-set on the sequence in the status, as a submission is on its number; wisterialoft status names evacuated domains.

WlEvacuation moves from wl_config_document.h to wl_command.h, where both groups see it.

--- a/cli/main.c
+++ b/cli/main.c
@@ -17,6 +17,7 @@
   { "submit", wl_cmd_submit, "submit a services text" },
   { "show", wl_cmd_show, "print a services text that was accepted" },
   { "status", wl_cmd_status, "show entries, cells and endpoints, or one request" },
+  { "evacuate", wl_cmd_evacuate, "start or finish the evacuation of a failure domain" },
   { "entries", wl_cmd_entries, "list the addresses to use" },
   { "send", wl_cmd_send, "send one request" },
   { "report", wl_cmd_report, "report burn, or export receipts" },
--- a/cli/wl_cli.h
+++ b/cli/wl_cli.h
@@ -129,6 +129,7 @@
 int wl_cmd_submit (const WlCli *cli, int argc, char **argv);
 int wl_cmd_show (const WlCli *cli, int argc, char **argv);
 int wl_cmd_status (const WlCli *cli, int argc, char **argv);
+int wl_cmd_evacuate (const WlCli *cli, int argc, char **argv);
 int wl_cmd_entries (const WlCli *cli, int argc, char **argv);
 int wl_cmd_send (const WlCli *cli, int argc, char **argv);
 int wl_cmd_report (const WlCli *cli, int argc, char **argv);
--- a/cli/wl_cmd_status.c
+++ b/cli/wl_cmd_status.c
@@ -26,6 +26,11 @@
           "  claims %" JSON_INTEGER_FORMAT "\n",
           number (g, "leader"), number (g, "term"), number (g, "config_number"),
           number (g, "in_force"), number (g, "claims"));
+  json_array_foreach (json_object_get (g, "evacuations"), i, e)
+  {
+    if (json_is_true (json_object_get (e, "active")))
+      printf ("evacuated: %s\n", text (e, "domain"));
+  }
   printf ("%-8s %10s %6s %10s %s\n", "ENTRY", "VERSION", "LAG", "HEARD", "LEASE");
   json_array_foreach (json_object_get (g, "entries"), i, e)
       printf ("%-8" JSON_INTEGER_FORMAT " %10" JSON_INTEGER_FORMAT " %6" JSON_INTEGER_FORMAT
--- a/core/agreement/wl_config_document.c
+++ b/core/agreement/wl_config_document.c
@@ -13,15 +13,8 @@
   uint32_t n_evacuations;
 } EvacuationList;
 
-static const WlField evacuation_fields[] = {
-  WL_TEXT (WlEvacuation, domain),
-  WL_U64 (WlEvacuation, sequence),
-  WL_U8 (WlEvacuation, is_active),
-  WL_END,
-};
-
 static const WlField list_fields[] = {
-  WL_ARRAY (EvacuationList, evacuations, n_evacuations, evacuation_fields),
+  WL_ARRAY (EvacuationList, evacuations, n_evacuations, wl_evacuation_fields),
   WL_END,
 };
 
--- a/core/agreement/wl_config_document.h
+++ b/core/agreement/wl_config_document.h
@@ -17,27 +17,12 @@
 
 enum
 {
-  WL_EVACUATIONS_MAX = 128, /* failure domains that were evacuated at any time */
-  /* Size of the version in front of the text. */
-  WL_CONFIG_VERSION_BYTES = 8,
+  WL_CONFIG_VERSION_BYTES = 8, /* size of the version in front of the text */
 };
 
 /* Versions of configurations are below this. */
 #define WL_CONFIG_VERSION_MAX (UINT64_C (1) << 63)
 
-/**
- * struct WlEvacuation - evacuation of a failure domain
- * @domain: the failure domain
- * @sequence: number of starts and finishes so far
- * @is_active: whether it is evacuated
- */
-typedef struct
-{
-  char domain[WL_LABEL_SIZE];
-  uint64_t sequence;
-  uint8_t is_active;
-} WlEvacuation;
-
 /**
  * struct WlConfigDocument - the replicated document
  * @version: the operators' version of the text, 0 for none
--- a/core/agreement/wl_control.c
+++ b/core/agreement/wl_control.c
@@ -242,6 +242,8 @@
       reply->n_members = state->n_members;
       reply->cells = state->cells;
       reply->n_cells = state->n_cells;
+      reply->evacuations = state->evacuations;
+      reply->n_evacuations = state->n_evacuations;
     }
   r->round = 0;
   r->lease_until_us = now_us + LEASE_EXPIRY_BOUND_US;
@@ -313,6 +315,8 @@
   q->roots = state->roots;
   q->n_roots = state->n_roots;
   q->n_claims = state->n_claims;
+  q->evacuations = state->evacuations;
+  q->n_evacuations = state->n_evacuations;
   wl_effects_send (fx, from, &m);
 }
 
@@ -347,6 +351,9 @@
     case WL_COMMAND_CLAIM_END:
       wl_control_finish_claim_end (p, fx);
       break;
+    case WL_COMMAND_EVACUATION:
+      wl_control_finish_evacuate (control, p, fx);
+      break;
     default:
       break;
     }
@@ -378,7 +385,7 @@
   if (is_new_config)
     wl_effects_log (fx, WL2101_CONFIG_COMMITTED, "number=%lu",
                     (unsigned long)control->state->config_number);
-  if (is_new_config || kind == WL_COMMAND_CELL)
+  if (is_new_config || kind == WL_COMMAND_CELL || kind == WL_COMMAND_EVACUATION)
     control->notify = 1;
   finish_pending (control, entry->index, event->now_us, fx);
 }
@@ -420,6 +427,7 @@
     case WL_MESSAGE_CLAIM:
     case WL_MESSAGE_CLAIM_END:
     case WL_MESSAGE_ROOT:
+    case WL_MESSAGE_EVACUATE:
       return 1;
     default:
       return 0;
@@ -447,6 +455,9 @@
     case WL_MESSAGE_CLAIM_END:
       wl_control_on_claim_end (control, from, &message->u.claim_end.record, event, fx);
       break;
+    case WL_MESSAGE_EVACUATE:
+      wl_control_on_evacuate (control, &message->u.evacuate, event, fx);
+      break;
     case WL_MESSAGE_ROOT:
       on_root (control, &message->u.root.root, event, fx);
       break;
--- a/core/agreement/wl_control.h
+++ b/core/agreement/wl_control.h
@@ -63,6 +63,7 @@
  * @digest: digest of a submitted configuration
  * @customer: customer of a claim
  * @key: idempotency key of a claim
+ * @evacuation: start or end of an evacuation
  */
 typedef struct WlPendingProposal
 {
@@ -74,6 +75,7 @@
   uint8_t digest[WL_DIGEST_SIZE];
   char customer[WL_LABEL_SIZE];
   char key[WL_KEY_SIZE];
+  WlEvacuation evacuation;
   struct WlPendingProposal *next;
 } WlPendingProposal;
 
@@ -90,7 +92,7 @@
   uint64_t assign_index; /* log index of the latest cell assignment, maybe not yet applied */
   uint64_t next_tick_us;
   uint64_t leader_term;
-  uint8_t notify; /* entries must be notified of a new configuration or cell owner */
+  uint8_t notify; /* entries must be notified of a new configuration, cell owner or evacuation */
 } WlControl;
 
 /**
--- a/core/agreement/wl_control_internal.h
+++ b/core/agreement/wl_control_internal.h
@@ -19,6 +19,13 @@
 /** wl_control_finish_submit() - answers a submission whose log entry was applied */
 void wl_control_finish_submit (WlControl *control, const WlPendingProposal *p, WlEffects *fx);
 
+/** wl_control_on_evacuate() - proposes the start or end of an evacuation */
+void wl_control_on_evacuate (WlControl *control, const WlEvacuate *e, const WlEvent *event,
+                             WlEffects *fx);
+
+/** wl_control_finish_evacuate() - answers one whose log entry was applied */
+void wl_control_finish_evacuate (WlControl *control, const WlPendingProposal *p, WlEffects *fx);
+
 /** wl_control_on_claim() - answers a claim from the state, or proposes it */
 void wl_control_on_claim (WlControl *control, uint32_t from, const WlClaimRecord *r,
                           const WlEvent *event, WlEffects *fx);
--- a/core/agreement/wl_control_requests.c
+++ b/core/agreement/wl_control_requests.c
@@ -4,7 +4,7 @@
 #include "wl_events.h"
 #include "wl_table.h"
 
-/* Submissions and claims: requests to the leader that need a committed log entry. */
+/* Submissions, evacuations and claims: requests to the leader that need a committed log entry. */
 
 static void
 reply_submit (WlControl *control, uint32_t node, uint64_t id, WlSubmitOutcome outcome,
@@ -97,6 +97,38 @@
                 a, fx);
 }
 
+/* ---- evacuations ---- */
+
+/* Each goes through the log, so that it is answered from a state confirmed to be current. */
+void
+wl_control_on_evacuate (WlControl *control, const WlEvacuate *e, const WlEvent *event,
+                        WlEffects *fx)
+{
+  WlCommand c = { .kind = WL_COMMAND_EVACUATION };
+  if (e->domain[0] == '\0')
+    return;
+  strcpy (c.u.evacuation.domain, e->domain);
+  c.u.evacuation.sequence = e->sequence;
+  c.u.evacuation.is_active = !e->is_finish;
+  WlPendingProposal *p = wl_control_add_pending (
+      control, wl_control_propose (control, &c, event, fx), WL_COMMAND_EVACUATION);
+  p->id = e->id;
+  p->node = e->node;
+  p->evacuation = c.u.evacuation;
+}
+
+/* Accepted if the domain is in the wanted state since the sequence of the request, or by it. */
+void
+wl_control_finish_evacuate (WlControl *control, const WlPendingProposal *p, WlEffects *fx)
+{
+  const WlEvacuation *wanted = &p->evacuation;
+  WlEvacuation e = wl_state_evacuation (control->state, wanted->domain);
+  int is_done = e.is_active == wanted->is_active
+                && (e.sequence == wanted->sequence || e.sequence == wanted->sequence + 1);
+  reply_submit (control, p->node, p->id, is_done ? WL_SUBMIT_ACCEPTED : WL_SUBMIT_CONFLICT, NULL,
+                fx);
+}
+
 /* ---- claims ---- */
 
 /* Whether the entry that holds a claim has restarted or has no valid lease any more. */
--- a/core/agreement/wl_state.c
+++ b/core/agreement/wl_state.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include "wl_claims.h"
@@ -23,6 +24,7 @@
   state->members = allocate (WL_MEMBERS_MAX, sizeof *state->members);
   state->cells = allocate (WL_CELLS_MAX, sizeof *state->cells);
   state->roots = allocate (WL_MEMBERS_MAX, sizeof *state->roots);
+  state->evacuations = allocate (WL_EVACUATIONS_MAX, sizeof *state->evacuations);
   state->claims = wl_table_create (state->pool);
   return state;
 }
@@ -47,6 +49,7 @@
   free (state->members);
   free (state->cells);
   free (state->roots);
+  free (state->evacuations);
   apr_pool_destroy (state->pool);
   free (state);
 }
@@ -160,6 +163,46 @@
   return WL_APPLIED;
 }
 
+static WlEvacuation *
+find_evacuation (const WlState *state, const char *domain)
+{
+  for (uint32_t i = 0; i < state->n_evacuations; i++)
+    if (strcmp (state->evacuations[i].domain, domain) == 0)
+      return &state->evacuations[i];
+  return NULL;
+}
+
+WlEvacuation
+wl_state_evacuation (const WlState *state, const char *domain)
+{
+  WlEvacuation out = { .sequence = 0 };
+  const WlEvacuation *found = find_evacuation (state, domain);
+  if (found != NULL)
+    return *found;
+  snprintf (out.domain, sizeof out.domain, "%s", domain);
+  return out;
+}
+
+/* A late copy of a change has an old sequence, and no effect. */
+static WlApplied
+put_evacuation (WlState *state, const WlEvacuation *change)
+{
+  WlEvacuation *e = find_evacuation (state, change->domain);
+  WlEvacuation current = wl_state_evacuation (state, change->domain);
+  if (change->sequence != current.sequence)
+    return WL_APPLIED_CONFLICT;
+  if (change->is_active == current.is_active)
+    return WL_APPLIED;
+  if (e == NULL && state->n_evacuations == WL_EVACUATIONS_MAX)
+    return WL_APPLIED_FULL;
+  if (e == NULL)
+    e = &state->evacuations[state->n_evacuations++];
+  *e = *change;
+  e->sequence++;
+  state->directory_version++;
+  return WL_APPLIED;
+}
+
 WlApplied
 wl_state_apply (WlState *state, const WlCommand *command)
 {
@@ -182,6 +225,8 @@
       return wl_claims_end (state, &command->u.claim);
     case WL_COMMAND_RECEIPT_ROOT:
       return put_root (state, &command->u.root);
+    case WL_COMMAND_EVACUATION:
+      return put_evacuation (state, &command->u.evacuation);
     case WL_COMMAND_NONE:
     case WL_COMMAND_GROUP:
     case WL_COMMAND_KINDS:
@@ -229,6 +274,8 @@
     .n_voters = n_voters,
     .group_time_us = state->group_time_us,
     .directory_version = state->directory_version,
+    .evacuations = state->evacuations,
+    .n_evacuations = state->n_evacuations,
   };
   image.history = apr_pcalloc (pool, WL_HISTORY_MAX * sizeof *image.history);
   image.recent_changes = apr_pcalloc (pool, WL_RECENT_CHANGES_MAX * sizeof *image.recent_changes);
@@ -262,6 +309,10 @@
   memcpy (state->cells, image->cells, image->n_cells * sizeof *image->cells);
   state->n_roots = image->n_roots;
   memcpy (state->roots, image->roots, image->n_roots * sizeof *image->roots);
+  state->n_evacuations = image->n_evacuations;
+  if (image->n_evacuations > 0)
+    memcpy (state->evacuations, image->evacuations,
+            image->n_evacuations * sizeof *image->evacuations);
   wl_claims_clear (state);
   for (uint32_t i = 0; i < image->n_claims; i++)
     wl_claims_load (state, &image->claims[i]);
@@ -273,7 +324,7 @@
 wl_state_check (const WlStateSnapshot *image)
 {
   return image->n_members > WL_MEMBERS_MAX || image->n_cells > WL_CELLS_MAX
-                 || image->n_roots > WL_MEMBERS_MAX
+                 || image->n_roots > WL_MEMBERS_MAX || image->n_evacuations > WL_EVACUATIONS_MAX
              ? WL_ERROR_CORRUPT
              : WL_OK;
 }
--- a/core/agreement/wl_state.h
+++ b/core/agreement/wl_state.h
@@ -39,7 +39,8 @@
  * @claims: claims by customer and key; also listed from @oldest_claim to @newest_claim
  * @roots: latest receipt root of each entry
  * @group_time_us: highest wall time of an applied command; claims expire by it
- * @directory_version: version of members and cells
+ * @directory_version: version of members, cells and evacuations
+ * @evacuations: failure domains that are or were evacuated
  */
 typedef struct
 {
@@ -62,6 +63,8 @@
   uint32_t n_roots;
   uint64_t group_time_us;
   uint64_t directory_version;
+  WlEvacuation *evacuations;
+  uint32_t n_evacuations;
 } WlState;
 
 /**
@@ -153,6 +156,9 @@
  */
 int wl_state_config_at (const WlState *state, uint64_t number, apr_pool_t *pool, WlBytes *out);
 
+/** wl_state_evacuation() - state of a failure domain; sequence 0 when never evacuated */
+WlEvacuation wl_state_evacuation (const WlState *state, const char *domain);
+
 /**
  * wl_state_find_member() - looks up a node
  * @state: the state
--- a/core/base/wisterialoft.h
+++ b/core/base/wisterialoft.h
@@ -136,6 +136,7 @@
   WL_EVENT_ENDPOINT_REPORT,     /* an endpoint reported its state */
   WL_EVENT_MODEL_LOAD_END,      /* an endpoint accepted or refused to load a model */
   WL_EVENT_SUBMIT,              /* an operator submitted a configuration */
+  WL_EVENT_EVACUATE,            /* an operator starts or ends the evacuation of a failure domain */
   WL_EVENT_QUERY,               /* an operator requests the status of the control group */
   WL_EVENT_STOP,                /* stop gracefully */
 } WlEventKind;
@@ -266,6 +267,7 @@
     WlEndpointReport report;
     WlModelLoadEndEvent model_load_end;
     WlSubmit submit;
+    WlEvacuate evacuate;
     WlQuery query;
   } u;
 } WlEvent;
--- a/core/placement/wl_cell.c
+++ b/core/placement/wl_cell.c
@@ -81,6 +81,13 @@
     }
 }
 
+void
+wl_cell_set_evacuations (WlCell *cell, const WlEvacuation *evacuations, uint32_t n)
+{
+  cell->evacuations = evacuations;
+  cell->n_evacuations = n;
+}
+
 WlHolder *
 wl_cell_get_holder (WlCell *cell, uint32_t node, uint64_t now_us)
 {
@@ -230,7 +237,8 @@
 }
 
 static WlRefusalReason
-check_admission (WlCell *cell, const WlPlacementRequest *p, uint64_t *retry_after_us)
+check_admission (WlCell *cell, const WlPlacementRequest *p, uint64_t now_us,
+                 uint64_t *retry_after_us)
 {
   const WlCellCustomer *customer = wl_accounts_customer (cell, p->customer);
   uint64_t wait_us = wl_queue_predict_wait (cell, p);
@@ -240,6 +248,8 @@
     return WL_REFUSAL_TOO_LARGE;
   if (cell->ready && apr_hash_count (cell->endpoints) == 0)
     return WL_REFUSAL_NO_ENDPOINT;
+  if (cell->ready && wl_placement_is_withheld (cell, now_us))
+    return WL_REFUSAL_EVACUATED;
   if (cell->ready && wl_placement_endpoints_needed (cell, p) == 0)
     return WL_REFUSAL_TOO_LARGE;
   if (cell->n_queued >= cell->service->queue_limit)
@@ -271,7 +281,7 @@
     return;
   if (w != NULL)
     wl_queue_remove (cell, w);
-  WlRefusalReason reason = check_admission (cell, place, &retry_after_us);
+  WlRefusalReason reason = check_admission (cell, place, now_us, &retry_after_us);
   if (reason != WL_REFUSAL_NONE)
     {
       refuse (cell, place, reason, retry_after_us, fx);
@@ -491,12 +501,14 @@
 static void
 refuse_infeasible (WlCell *cell, uint64_t now_us, WlEffects *fx)
 {
+  int is_withheld = cell->ready && wl_placement_is_withheld (cell, now_us);
   for (WlQueuedRequest *w = cell->queue, *next; w != NULL; w = next)
     {
       next = w->next;
-      if (!cannot_meet_deadline (cell, w, now_us))
+      if (!is_withheld && !cannot_meet_deadline (cell, w, now_us))
         continue;
-      refuse (cell, &w->place, WL_REFUSAL_TIME_LIMIT, now_us - w->arrived_us, fx);
+      refuse (cell, &w->place, is_withheld ? WL_REFUSAL_EVACUATED : WL_REFUSAL_TIME_LIMIT,
+              now_us - w->arrived_us, fx);
       wl_queue_remove (cell, w);
     }
 }
--- a/core/placement/wl_cell.h
+++ b/core/placement/wl_cell.h
@@ -244,6 +244,7 @@
 /**
  * struct WlCell - a cell at its owner
  * @service: the service in the current configuration
+ * @evacuations: state of failure domains, @n_evacuations of them; owned by the session
  * @ready: WL_CELL_WARMUP_US is over; requests may start
  * @dependencies_ready: the services that this one depends on have a ready cell
  * @virtual_time: start tag of the latest started request
@@ -261,6 +262,8 @@
   const WlService *service;
   const WlServices *services;
   apr_pool_t *pool;
+  const WlEvacuation *evacuations;
+  uint32_t n_evacuations;
   uint64_t opened_us;
   uint8_t ready;
   uint8_t dependencies_ready;
@@ -308,6 +311,16 @@
  */
 void wl_cell_configure (WlCell *cell, const WlServices *services);
 
+/**
+ * wl_cell_set_evacuations() - applies the current evacuations of failure domains
+ * @cell: the cell
+ * @evacuations: the evacuations; must stay valid until the next call
+ * @n: number of them
+ *
+ * Endpoints of evacuated domains get no grants and no orders to load a model.
+ */
+void wl_cell_set_evacuations (WlCell *cell, const WlEvacuation *evacuations, uint32_t n);
+
 /**
  * wl_cell_tick() - runs timers: expiry, repeated cancels, orders, scheduling
  * @cell: the cell
--- a/core/placement/wl_model_loads.c
+++ b/core/placement/wl_model_loads.c
@@ -2,6 +2,7 @@
 #include "wl_accounts.h"
 #include "wl_events.h"
 #include "wl_model_loads.h"
+#include "wl_placement.h"
 
 enum
 {
@@ -78,7 +79,8 @@
   for (apr_hash_index_t *i = apr_hash_first (NULL, cell->endpoints); i; i = apr_hash_next (i))
     {
       WlEndpoint *e = apr_hash_this_val (i);
-      if (e->ready || e->leaving || e->missing_model >= cell->service->n_models)
+      if (e->ready || e->leaving || e->missing_model >= cell->service->n_models
+          || wl_placement_is_evacuated (cell, e))
         continue;
       if (e->ordered_us != 0 && now_us < e->ordered_us + WL_CELL_ORDER_TIMEOUT_US)
         continue;
--- a/core/placement/wl_placement.c
+++ b/core/placement/wl_placement.c
@@ -35,14 +35,45 @@
   return wl_queue_is_long (place) && uncached > WL_LONG_PROMPT_TOKENS;
 }
 
-int
-wl_placement_is_usable (const WlCell *cell, const WlEndpoint *endpoint, uint64_t now_us)
+static int
+is_available (const WlEndpoint *endpoint, uint64_t now_us)
 {
-  (void)cell;
   return endpoint->ready && !endpoint->leaving && endpoint->ejected_until_us <= now_us
          && now_us < endpoint->last_contact_us + WL_ENDPOINT_EXPIRY_US;
 }
 
+int
+wl_placement_is_evacuated (const WlCell *cell, const WlEndpoint *endpoint)
+{
+  for (uint32_t i = 0; i < cell->n_evacuations; i++)
+    if (cell->evacuations[i].is_active
+        && strcmp (cell->evacuations[i].domain, endpoint->domain) == 0)
+      return 1;
+  return 0;
+}
+
+int
+wl_placement_is_usable (const WlCell *cell, const WlEndpoint *endpoint, uint64_t now_us)
+{
+  return is_available (endpoint, now_us) && !wl_placement_is_evacuated (cell, endpoint);
+}
+
+int
+wl_placement_is_withheld (const WlCell *cell, uint64_t now_us)
+{
+  uint32_t n_withheld = 0;
+  if (cell->n_evacuations == 0)
+    return 0;
+  for (apr_hash_index_t *i = apr_hash_first (NULL, cell->endpoints); i; i = apr_hash_next (i))
+    {
+      const WlEndpoint *e = apr_hash_this_val (i);
+      if (wl_placement_is_usable (cell, e, now_us))
+        return 0;
+      n_withheld += (uint32_t)is_available (e, now_us);
+    }
+  return n_withheld > 0;
+}
+
 static int
 is_excluded (const WlQueuedRequest *w, const WlEndpoint *e)
 {
--- a/core/placement/wl_placement.h
+++ b/core/placement/wl_placement.h
@@ -70,6 +70,12 @@
  */
 int wl_placement_is_usable (const WlCell *cell, const WlEndpoint *endpoint, uint64_t now_us);
 
+/** wl_placement_is_evacuated() - whether the failure domain of an endpoint is evacuated */
+int wl_placement_is_evacuated (const WlCell *cell, const WlEndpoint *endpoint);
+
+/** wl_placement_is_withheld() - whether all endpoints that would be usable are evacuated ones */
+int wl_placement_is_withheld (const WlCell *cell, uint64_t now_us);
+
 /**
  * wl_placement_add_prefixes() - records prompt prefixes that an endpoint has cached
  * @endpoint: the endpoint
--- a/core/requests/wl_session.c
+++ b/core/requests/wl_session.c
@@ -18,6 +18,7 @@
   free (session->config);
   free (session->members);
   free (session->cells);
+  free (session->evacuations);
   apr_pool_destroy (session->pool);
 }
 
@@ -172,10 +173,13 @@
     return;
   free (session->members);
   free (session->cells);
+  free (session->evacuations);
   session->members = copy_items (r->members, r->n_members, sizeof *r->members);
   session->n_members = r->n_members;
   session->cells = copy_items (r->cells, r->n_cells, sizeof *r->cells);
   session->n_cells = r->n_cells;
+  session->evacuations = copy_items (r->evacuations, r->n_evacuations, sizeof *r->evacuations);
+  session->n_evacuations = r->n_evacuations;
   session->directory_version = r->directory_version;
   session->generation++;
 }
--- a/core/requests/wl_session.h
+++ b/core/requests/wl_session.h
@@ -15,7 +15,7 @@
  * @config_number: number of the configuration that the entry applies, 0 for none
  * @config: that configuration as text, zero-terminated; @config_size without the zero
  * @services: the same, parsed
- * @directory_version: version of @members and @cells
+ * @directory_version: version of @members, @cells and @evacuations
  * @leader: control replica that is believed to lead, 0 for unknown
  * @next_control: index of the replica to try while the leader is unknown
  * @sequence: sequence of the latest renewal
@@ -41,6 +41,8 @@
   uint32_t n_members;
   WlCellLease *cells;
   uint32_t n_cells;
+  WlEvacuation *evacuations;
+  uint32_t n_evacuations;
   uint32_t leader;
   uint32_t next_control;
   uint64_t sequence;
--- a/core/wl_core.c
+++ b/core/wl_core.c
@@ -145,7 +145,10 @@
   close_cells (core, 0, fx);
   open_cells (core, now_us, fx);
   for (WlCell *c = core->cells; c != NULL; c = c->next)
-    wl_cell_configure (c, core->session.services);
+    {
+      wl_cell_configure (c, core->session.services);
+      wl_cell_set_evacuations (c, core->session.evacuations, core->session.n_evacuations);
+    }
 }
 
 /* A cell's dependencies are ready when shard 0 of each service that it depends on is ready. */
@@ -236,6 +239,8 @@
   q->entries = apr_pmemdup (fx->pool, q->entries, q->n_entries * sizeof *q->entries);
   q->voters = apr_pmemdup (fx->pool, q->voters, q->n_voters * sizeof *q->voters);
   q->roots = apr_pmemdup (fx->pool, q->roots, q->n_roots * sizeof *q->roots);
+  q->evacuations
+      = apr_pmemdup (fx->pool, q->evacuations, q->n_evacuations * sizeof *q->evacuations);
   return 1;
 }
 
@@ -282,6 +287,15 @@
   wl_effects_send (fx, wl_session_control_node (&core->session), &m);
 }
 
+static void
+forward_evacuate (const WlCore *core, const WlEvacuate *evacuate, WlEffects *fx)
+{
+  WlMessage m = { .kind = WL_MESSAGE_EVACUATE };
+  m.u.evacuate = *evacuate;
+  m.u.evacuate.node = core->settings.self.node;
+  wl_effects_send (fx, wl_session_control_node (&core->session), &m);
+}
+
 static void
 forward_query (const WlCore *core, const WlQuery *query, WlEffects *fx)
 {
@@ -408,6 +422,9 @@
     case WL_EVENT_SUBMIT:
       forward_submit (core, &event->u.submit, effects);
       break;
+    case WL_EVENT_EVACUATE:
+      forward_evacuate (core, &event->u.evacuate, effects);
+      break;
     case WL_EVENT_QUERY:
       forward_query (core, &event->u.query, effects);
       break;
--- a/daemon/wl_node.h
+++ b/daemon/wl_node.h
@@ -63,8 +63,10 @@
   uint64_t id;
   WlExchange *exchange;
   uint8_t is_submit;
+  uint8_t is_evacuate;
   uint8_t wants_text;
   WlSubmit submit;
+  WlEvacuate evacuate;
   uint8_t *text;
   WlQuery query;
   uint64_t started_us;
--- a/daemon/wl_operators.c
+++ b/daemon/wl_operators.c
@@ -44,10 +44,14 @@
 static void
 ask (WlNode *node, WlWaitingOperator *w)
 {
-  WlEvent event = { .kind = w->is_submit ? WL_EVENT_SUBMIT : WL_EVENT_QUERY };
+  WlEvent event = { .kind = w->is_submit     ? WL_EVENT_SUBMIT
+                            : w->is_evacuate ? WL_EVENT_EVACUATE
+                                             : WL_EVENT_QUERY };
   w->retry_us = wl_clock_now_us () + RETRY_US;
   if (w->is_submit)
     event.u.submit = w->submit;
+  else if (w->is_evacuate)
+    event.u.evacuate = w->evacuate;
   else
     event.u.query = w->query;
   wl_node_event (node, &event);
@@ -132,7 +136,10 @@
   WlWaitingOperator *w = take_waiting (node, reply->id);
   if (w == NULL)
     return;
-  if (w->exchange != NULL)
+  if (w->exchange != NULL && w->is_evacuate)
+    wl_json_reply (w->exchange, reply->outcome == WL_SUBMIT_ACCEPTED ? 200 : 409,
+                   json_pack ("{s:s}", "outcome", names[reply->outcome]));
+  else if (w->exchange != NULL)
     wl_json_reply (w->exchange, reply->outcome == WL_SUBMIT_ACCEPTED ? 200 : 409,
                    json_pack ("{s:s,s:I,s:o,s:I}", "outcome", names[reply->outcome], "number",
                               (json_int_t)reply->number, "digest", wl_json_digest (reply->digest),
@@ -140,6 +147,38 @@
   free_waiting (w);
 }
 
+/* ---- evacuations ---- */
+
+static int
+is_domain (const char *name)
+{
+  size_t n = strlen (name);
+  for (const char *c = name; *c != '\0'; c++)
+    if ((unsigned char)*c < ' ' || *c == 0x7f)
+      return 0;
+  return n > 0 && n < WL_LABEL_SIZE;
+}
+
+static void
+handle_evacuate (WlNode *node, WlExchange *x)
+{
+  const char *domain = wl_exchange_query (x, "domain");
+  const char *sequence = wl_exchange_query (x, "sequence");
+  if (!is_domain (domain) || sequence[0] < '0' || sequence[0] > '9')
+    {
+      wl_json_problem (x, 400, "bad request",
+                       "the query parameters domain=NAME and sequence=N are required");
+      return;
+    }
+  WlWaitingOperator *w = add_waiting (node, x);
+  w->is_evacuate = 1;
+  w->evacuate.id = w->id;
+  snprintf (w->evacuate.domain, sizeof w->evacuate.domain, "%s", domain);
+  w->evacuate.sequence = strtoull (sequence, NULL, 10);
+  w->evacuate.is_finish = strcmp (wl_exchange_query (x, "finish"), "1") == 0;
+  ask (node, w);
+}
+
 /* ---- queries ---- */
 
 static void
@@ -210,9 +249,16 @@
 void
 wl_operators_gone (WlNode *node, const WlExchange *exchange)
 {
-  for (WlWaitingOperator *w = node->operators; w != NULL; w = w->next)
-    if (w->exchange == exchange)
+  for (WlWaitingOperator *w = node->operators, *next; w != NULL; w = next)
+    {
+      next = w->next;
+      if (w->exchange != exchange)
+        continue;
       w->exchange = NULL;
+      /* An evacuation must not be repeated after its operator has gone to another node. */
+      if (w->is_evacuate)
+        free_waiting (take_waiting (node, w->id));
+    }
 }
 
 void
@@ -316,12 +362,15 @@
   int is_config = strcmp (path, "/v1/config") == 0;
   int is_status = strcmp (path, "/v1/status") == 0 && is_get;
   int is_trace = strncmp (path, "/v1/requests/", 13) == 0 && is_get;
-  if (!is_config && !is_status && !is_trace)
+  int is_evacuate = strcmp (path, "/v1/evacuations") == 0 && strcmp (method, "POST") == 0;
+  if (!is_config && !is_status && !is_trace && !is_evacuate)
     return 0;
   if (!is_operator (node, exchange))
     wl_json_problem (exchange, 401, "unauthorized", "an operator's key is required");
   else if (is_trace)
     handle_request_trace (node, exchange, path + 13);
+  else if (is_evacuate)
+    handle_evacuate (node, exchange);
   else if (is_status)
     handle_query (node, exchange, 0);
   else if (is_get)
--- a/daemon/wl_views.c
+++ b/daemon/wl_views.c
@@ -101,6 +101,12 @@
   json_t *entries = json_array ();
   json_t *voters = json_array ();
   json_t *roots = json_array ();
+  json_t *evacuations = json_array ();
+  for (uint32_t i = 0; i < q->n_evacuations; i++)
+    json_array_append_new (evacuations,
+                           json_pack ("{s:s,s:o,s:b}", "domain", q->evacuations[i].domain,
+                                      "sequence", number (q->evacuations[i].sequence), "active",
+                                      (int)q->evacuations[i].is_active));
   for (uint32_t i = 0; i < q->n_entries; i++)
     {
       const WlEntryStatus *e = &q->entries[i];
@@ -121,10 +127,11 @@
                           wl_json_hex (q->roots[i].incarnation), "sequence",
                           number (q->roots[i].sequence), "receipts", number (q->roots[i].receipts),
                           "root", wl_json_digest (q->roots[i].root)));
-  return json_pack ("{s:i,s:o,s:o,s:o,s:o,s:i,s:o,s:o,s:o}", "leader", (int)q->leader, "term",
+  return json_pack ("{s:i,s:o,s:o,s:o,s:o,s:i,s:o,s:o,s:o,s:o}", "leader", (int)q->leader, "term",
                     number (q->term), "commit", number (q->commit), "config_number",
                     number (q->config_number), "in_force", number (q->config_in_force), "claims",
-                    (int)q->n_claims, "entries", entries, "voters", voters, "receipt_roots", roots);
+                    (int)q->n_claims, "entries", entries, "voters", voters, "receipt_roots", roots,
+                    "evacuations", evacuations);
 }
 
 json_t *
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -42,6 +42,17 @@
 expect "the credit ran once" test "$(count_runs credit-1)" = 1
 expect "the key with another request is refused" bash -c "! $BUILD/bin/wisterialoft --server $(entry_list) --key demo-kiosk-piraeus send --service epistrofes-app --path /credits/confirm --idempotency-key credit-1 --prompt other"
 
+echo "evacuating attiki-b"
+not () { ! "$@"; }
+status_names () { operator status | grep -q "^evacuated: $1\$"; }
+expect "an evacuation is acknowledged" operator evacuate attiki-b
+expect "the status names it" status_names attiki-b
+expect "a prompt is answered elsewhere" kiosk send --service chartis-llm --prompt-tokens 1000
+expect "the same command is acknowledged again" operator evacuate attiki-b
+expect "its end is acknowledged" operator evacuate attiki-b --finish
+expect "the status names it no longer" not status_names attiki-b
+expect "a name of 100 bytes is refused" bash -c "! $BUILD/bin/wisterialoft --server $(entry_list) --key operator-secret evacuate $(printf 'x%.0s' $(seq 100))"
+
 echo "stopping entry 7 during a stream"
 "$BUILD/bin/wisterialoft" --server 127.0.0.1:$((BASE + 7)) --key demo-kiosk-volos send --service chartis-llm \
   --prompt-tokens 3000 --max-tokens 1500 --stream >"$WORK/stream" 2>"$WORK/stream.err" & stream=$!
--- a/testkit/wl_sim.c
+++ b/testkit/wl_sim.c
@@ -443,6 +443,19 @@
   return NULL;
 }
 
+uint32_t
+sim_evacuate (WlSim *sim, uint32_t node, const char *domain, uint64_t sequence, int is_finish)
+{
+  WlEvent event = { .kind = WL_EVENT_EVACUATE };
+  uint32_t id = sim->n_submits++ % SIM_SUBMITS;
+  event.u.evacuate.id = id;
+  event.u.evacuate.sequence = sequence;
+  event.u.evacuate.is_finish = (uint8_t)is_finish;
+  snprintf (event.u.evacuate.domain, sizeof event.u.evacuate.domain, "%s", domain);
+  sim_event (sim, node, &event);
+  return id;
+}
+
 SimRequest *
 sim_request (WlSim *sim, uint32_t node, const char *service, uint64_t prompt_tokens,
              uint64_t max_tokens, const char *key)
--- a/testkit/wl_sim.h
+++ b/testkit/wl_sim.h
@@ -190,6 +190,10 @@
 const WlSubmitReply *sim_submit_until_answered (WlSim *sim, uint32_t node, uint64_t replaces,
                                                 const char *text);
 
+/** sim_evacuate() - starts or ends an evacuation at a node; returns the index in sim->submits */
+uint32_t sim_evacuate (WlSim *sim, uint32_t node, const char *domain, uint64_t sequence,
+                       int is_finish);
+
 /** sim_request() - sends a request; returns it */
 SimRequest *sim_request (WlSim *sim, uint32_t node, const char *service, uint64_t prompt_tokens,
                          uint64_t max_tokens, const char *key);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -150,6 +150,8 @@
 start late-endpoint-not-evacuated test_fleet relay/membership/wl_fleet.c 's/e->is_evacuated = \(uint8_t\)is_evacuated \(fleet, record->domain\);//'
 start overtaken-start-applied test_evacuation core/agreement/wl_config_store.c 's/e\.sequence == r->sequence && e\.is_active == r->is_finish/e.is_active == r->is_finish/'
 start configuration-drops-evacuations test_evacuation core/agreement/wl_config_store.c 's/document->version = r->version;/document->version = r->version; document->n_evacuations = 0;/'
+start evacuated-engine-granted test_evacuation_group core/placement/wl_placement.c 's/ && !wl_placement_is_evacuated \(cell, endpoint\);/;/'
+start late-change-applied test_evacuation_group core/agreement/wl_state.c 's/if \(change->sequence != current.sequence\)/if (0)/'
 start late-reply-settles-next-step test_host_evacuation relay/wl_host_config.c 's/(r->kind = kind;\n)\s*r->id = [^\n]*\n/$1/'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
--- a/wire/wl_command.c
+++ b/wire/wl_command.c
@@ -63,6 +63,13 @@
   WL_BLOB (WlReceiptRoot, root),    WL_END,
 };
 
+const WlField wl_evacuation_fields[] = {
+  WL_TEXT (WlEvacuation, domain),
+  WL_U64 (WlEvacuation, sequence),
+  WL_U8 (WlEvacuation, is_active),
+  WL_END,
+};
+
 static const WlField accepted_fields[] = {
   WL_U64 (WlAcceptedConfig, number),
   WL_BLOB (WlAcceptedConfig, digest),
@@ -81,6 +88,7 @@
   WL_ARRAY (WlStateSnapshot, voters, n_voters, wl_replica_fields),
   WL_U64 (WlStateSnapshot, group_time_us),
   WL_U64 (WlStateSnapshot, directory_version),
+  WL_ARRAY (WlStateSnapshot, evacuations, n_evacuations, wl_evacuation_fields),
   WL_END,
 };
 
@@ -105,6 +113,8 @@
       return wl_claim_record_fields;
     case WL_COMMAND_RECEIPT_ROOT:
       return wl_receipt_root_fields;
+    case WL_COMMAND_EVACUATION:
+      return wl_evacuation_fields;
     case WL_COMMAND_NONE:
     case WL_COMMAND_KINDS:
       break;
--- a/wire/wl_command.h
+++ b/wire/wl_command.h
@@ -15,11 +15,12 @@
 
 enum
 {
-  WL_DIGEST_SIZE = 32,   /* bytes of a BLAKE2b digest */
-  WL_LABEL_SIZE = 64,    /* bytes of a name, with the terminating zero */
-  WL_ADDRESS_SIZE = 46,  /* bytes of an IP address as text, with the terminating zero */
-  WL_KEY_SIZE = 128,     /* bytes of an idempotency key, with the terminating zero */
-  WL_OUTCOME_MAX = 4096, /* bytes of a response body stored with a claim */
+  WL_DIGEST_SIZE = 32,      /* bytes of a BLAKE2b digest */
+  WL_LABEL_SIZE = 64,       /* bytes of a name, with the terminating zero */
+  WL_ADDRESS_SIZE = 46,     /* bytes of an IP address as text, with the terminating zero */
+  WL_KEY_SIZE = 128,        /* bytes of an idempotency key, with the terminating zero */
+  WL_OUTCOME_MAX = 4096,    /* bytes of a response body stored with a claim */
+  WL_EVACUATIONS_MAX = 128, /* failure domains that were evacuated at any time */
 };
 
 /**
@@ -168,6 +169,19 @@
   uint8_t root[WL_DIGEST_SIZE];
 } WlReceiptRoot;
 
+/**
+ * struct WlEvacuation - evacuation of a failure domain
+ * @domain: the failure domain
+ * @sequence: number of starts and finishes so far
+ * @is_active: whether it is evacuated
+ */
+typedef struct
+{
+  char domain[WL_LABEL_SIZE];
+  uint64_t sequence;
+  uint8_t is_active;
+} WlEvacuation;
+
 /**
  * enum WlCommandKind - kind of a log entry
  * @WL_COMMAND_NONE: no change; a new leader commits one to commit earlier entries
@@ -179,6 +193,8 @@
  * @WL_COMMAND_CLAIM: claim of a non-idempotent request
  * @WL_COMMAND_CLAIM_END: end of a claim
  * @WL_COMMAND_RECEIPT_ROOT: receipt root of one entry; sent periodically
+ * @WL_COMMAND_EVACUATION: start or end of an evacuation; has the sequence before the change, and
+ *   the state after it
  */
 typedef enum
 {
@@ -191,6 +207,7 @@
   WL_COMMAND_CLAIM,
   WL_COMMAND_CLAIM_END,
   WL_COMMAND_RECEIPT_ROOT,
+  WL_COMMAND_EVACUATION,
   WL_COMMAND_KINDS,
 } WlCommandKind;
 
@@ -211,6 +228,7 @@
     WlCellLease cell;
     WlClaimRecord claim;
     WlReceiptRoot root;
+    WlEvacuation evacuation;
   } u;
 } WlCommand;
 
@@ -237,7 +255,8 @@
  * @roots: latest receipt root of each entry
  * @voters: voters of the control group
  * @group_time_us: group time: the highest @time_us of an applied command
- * @directory_version: version of the directory, which is @members and @cells
+ * @directory_version: version of the directory, which is @members, @cells and @evacuations
+ * @evacuations: failure domains that are or were evacuated
  */
 typedef struct
 {
@@ -259,6 +278,8 @@
   uint32_t n_voters;
   uint64_t group_time_us;
   uint64_t directory_version;
+  WlEvacuation *evacuations;
+  uint32_t n_evacuations;
 } WlStateSnapshot;
 
 extern const WlField wl_replica_fields[];
@@ -268,6 +289,7 @@
 extern const WlField wl_cell_lease_fields[];
 extern const WlField wl_claim_record_fields[];
 extern const WlField wl_receipt_root_fields[];
+extern const WlField wl_evacuation_fields[];
 extern const WlField wl_state_snapshot_fields[];
 
 /**
--- a/wire/wl_message.c
+++ b/wire/wl_message.c
@@ -95,6 +95,7 @@
   WL_U8 (WlLeaseRenewalReply, has_directory),
   WL_ARRAY (WlLeaseRenewalReply, members, n_members, wl_member_fields),
   WL_ARRAY (WlLeaseRenewalReply, cells, n_cells, wl_cell_lease_fields),
+  WL_ARRAY (WlLeaseRenewalReply, evacuations, n_evacuations, wl_evacuation_fields),
   WL_END,
 };
 
@@ -148,6 +149,7 @@
   WL_U8 (WlQueryReply, has_config),
   WL_BYTES (WlQueryReply, config),
   WL_U8 (WlQueryReply, is_compressed),
+  WL_ARRAY (WlQueryReply, evacuations, n_evacuations, wl_evacuation_fields),
   WL_END,
 };
 
@@ -426,6 +428,7 @@
     [WL_REFUSAL_CLAIM_UNKNOWN] = "claim_unknown",
     [WL_REFUSAL_KEY_REUSED] = "key_reused",
     [WL_REFUSAL_OVERLOAD] = "overload",
+    [WL_REFUSAL_EVACUATED] = "evacuated",
   };
   return (unsigned)reason < WL_REFUSALS ? names[reason] : "?";
 }
--- a/wire/wl_message.h
+++ b/wire/wl_message.h
@@ -116,7 +116,11 @@
   uint8_t leaving;
 } WlLeaseRenewal;
 
-/** struct WlLeaseRenewalReply - renews the lease and carries what is newer than the entry's copy */
+/**
+ * struct WlLeaseRenewalReply - renews the lease and carries what is newer than the entry's copy
+ *
+ * With @has_directory, @evacuations are those of all failure domains.
+ */
 typedef struct
 {
   uint64_t sequence;
@@ -134,6 +138,8 @@
   uint32_t n_members;
   WlCellLease *cells;
   uint32_t n_cells;
+  WlEvacuation *evacuations;
+  uint32_t n_evacuations;
 } WlLeaseRenewalReply;
 
 /** struct WlConfigNotice - has an entry renew at once: configuration or directory changed */
@@ -182,11 +188,11 @@
 } WlSubmitReply;
 
 /**
- * struct WlEvacuate - starts or ends the evacuation of a failure domain; to a WlConfigStore
+ * struct WlEvacuate - starts or ends the evacuation of a failure domain; to the control leader
  * @id: as in WlSubmit; the reply is a WlSubmitReply
  * @node: the sender
  * @domain: the failure domain
- * @sequence: sequence of the domain, as a read of the sender has confirmed it
+ * @sequence: sequence of the domain that the sender has read
  * @is_finish: ends the evacuation instead of starting it
  */
 typedef struct
@@ -233,7 +239,9 @@
   uint32_t n_claims;
   uint8_t has_config;
   WlBytes config;
-  uint8_t is_compressed; /* @config is compressed, see wl_config_compress() */
+  uint8_t is_compressed;     /* @config is compressed, see wl_config_compress() */
+  WlEvacuation *evacuations; /* not from a WlConfigStore, whose document has them */
+  uint32_t n_evacuations;
 } WlQueryReply;
 
 /** struct WlClaim - claims an idempotency key, which lets its request run once */
@@ -347,6 +355,7 @@
  * @WL_REFUSAL_CLAIM_UNKNOWN: an earlier run under the key has an unknown outcome
  * @WL_REFUSAL_KEY_REUSED: the key was used before by a request with another digest
  * @WL_REFUSAL_OVERLOAD: the entry has too many open requests
+ * @WL_REFUSAL_EVACUATED: all usable endpoints of the cell are in evacuated failure domains
  */
 typedef enum
 {
@@ -363,6 +372,7 @@
   WL_REFUSAL_CLAIM_UNKNOWN,
   WL_REFUSAL_KEY_REUSED,
   WL_REFUSAL_OVERLOAD,
+  WL_REFUSAL_EVACUATED,
   WL_REFUSALS,
 } WlRefusalReason;
 
