--- a/cli/tests/test_explain.c
+++ b/cli/tests/test_explain.c
@@ -46,6 +46,25 @@
 }
 END_TEST
 
+/* Guards against an attempt that is withheld without the evacuation that was its cause. */
+START_TEST (an_evacuation_is_told_with_the_requests_that_it_met)
+{
+  static const char log[]
+      = "2026-12-06T06:00:01.000Z INFO node=1 WL3010 request=ff reservation=1-1 endpoint=i-1\n"
+        "2026-12-06T06:00:01.100Z INFO node=1 WL2113 zone=\"y\" sequence=1 number=7\n"
+        "2026-12-06T06:00:01.200Z INFO node=1 WL4017 request=ff route=r endpoint=i-1 "
+        "reason=evacuated\n"
+        "2026-12-06T06:00:09.000Z INFO node=1 WL2114 zone=\"y\" sequence=2 number=8\n";
+  WlStory s = { 0 };
+  wl_explain_add (&s, "ff", "a", log);
+  wl_explain_sort (&s);
+  ck_assert_uint_eq (s.n_lines, 3);
+  ck_assert_int_eq (s.lines[1].is_context, 1);
+  ck_assert_ptr_nonnull (strstr (s.lines[1].text, "WL2113"));
+  wl_explain_clear (&s);
+}
+END_TEST
+
 START_TEST (an_id_is_not_taken_for_the_beginning_of_another)
 {
   WlStory s = { 0 };
@@ -160,6 +179,7 @@
   const WlTest tests[] = {
     WL_TEST (a_request_is_followed_over_nodes_with_what_befell_its_endpoints),
     WL_TEST (a_refusal_stands_alone),
+    WL_TEST (an_evacuation_is_told_with_the_requests_that_it_met),
     WL_TEST (an_id_is_not_taken_for_the_beginning_of_another),
     WL_TEST (a_refusal_for_a_part_has_the_events_of_the_part_at_all_nodes),
     WL_TEST (a_refusal_for_limits_has_the_latest_word_on_each),
--- a/cli/wl_explain.c
+++ b/cli/wl_explain.c
@@ -174,7 +174,8 @@
 is_context (const Endpoints *endpoints, const char *line)
 {
   char name[NAME_SIZE];
-  if (strstr (line, " WL2103 ") != NULL || strstr (line, " WL1002 ") != NULL)
+  if (strstr (line, " WL2103 ") != NULL || strstr (line, " WL1002 ") != NULL
+      || strstr (line, " WL2113 ") != NULL || strstr (line, " WL2114 ") != NULL)
     return 1;
   if (strstr (line, " WL300") == NULL || !field (line, "endpoint", name, sizeof name))
     return 0;
--- a/cli/wl_explain.h
+++ b/cli/wl_explain.h
@@ -60,8 +60,8 @@
  *
  * Besides the lines with the request's id, those lines of the same log are
  * taken that tell, between the first and the last of them, about endpoints
- * that they name, and about changes of the configuration, and the latest ones before on the
- * limits of the endpoints that it could not be sent to.
+ * that they name, and about changes of the configuration and evacuations, and the latest ones
+ * before on the limits of the endpoints that it could not be sent to.
  */
 void wl_explain_add (WlStory *story, const char *request, const char *source, const char *log);
 
