A document with a changed evacuation is saved at once

After a power loss of all nodes a node uses its saved document until there is a leader, 0.6 s or more. It was saved at most once a second, so a node that had just saved sent requests to a domain whose evacuation had been acknowledged almost a second before the loss.

--- a/relay/tests/test_host_evacuation.c
+++ b/relay/tests/test_host_evacuation.c
@@ -32,6 +32,8 @@
   ANSWER_US = 1000000,  /* until a request or a change is answered */
   SPREAD_US = 1000000,  /* until all nodes know of a change: the goal for a large fleet */
   HEARTBEAT_US = 1000000,
+  SAVED_US = 300000,         /* until the document is on the disks after an evacuation */
+  UNLED_US = 100000,         /* after a start: saved documents are in use, no leader is elected */
   ACKNOWLEDGED_US = 5000000, /* the longest that an operator may wait */
   BACK_US = 3000000,         /* until a fleet that was killed as a whole has a leader again */
 };
@@ -369,6 +371,32 @@
 }
 END_TEST
 
+/*
+ * Guards against nodes that lose power soon after an evacuation and use an older saved document
+ * until a leader is elected.
+ */
+START_TEST (an_evacuation_is_in_force_after_a_power_loss_before_there_is_a_leader)
+{
+  setup ();
+  configure ();
+  ck_assert_int_eq (change (0, "y", 0), WL_HOST_DONE);
+  run (SAVED_US);
+  ck_assert_int_eq (change (0, "z", 0), WL_HOST_DONE);
+  run (SAVED_US);
+  for (uint32_t i = 0; i < NODES; i++)
+    kill_node (i);
+  for (uint32_t i = 0; i < DISKS; i++)
+    start (i, 0);
+  run (UNLED_US);
+  for (uint32_t i = 0; i < DISKS; i++)
+    {
+      ck_assert_uint_eq (wl_host_leader (f.nodes[i], wl_clock_now_us ()), 0);
+      ck_assert_uint_eq (f.nodes[i]->fleet->n_evacuated, 2);
+    }
+  teardown ();
+}
+END_TEST
+
 /* Guards against an acknowledgement that is only of use to the caller that got it. */
 START_TEST (a_repeated_change_is_acknowledged_at_any_node)
 {
@@ -527,6 +555,7 @@
   const WlTest tests[] = {
     WL_TEST (nothing_is_sent_to_an_evacuated_domain_by_any_node),
     WL_TEST (an_evacuation_survives_restarts),
+    WL_TEST (an_evacuation_is_in_force_after_a_power_loss_before_there_is_a_leader),
     WL_TEST (a_repeated_change_is_acknowledged_at_any_node),
     WL_TEST (a_node_without_the_others_does_not_acknowledge),
     WL_TEST (a_cancelled_change_is_not_submitted),
--- a/relay/wl_host_config.c
+++ b/relay/wl_host_config.c
@@ -71,6 +71,9 @@
 log_evacuation (WlHost *host, const WlEvacuation *e)
 {
   wl_relay_metrics (host->relay)->evacuations_changed++;
+  /* Saved at the next opportunity: after a power loss the saved document is in use until there is
+     a leader, and an older one would send requests to the domain again. */
+  host->config_saved_us = 0;
   wl_log_eventf (e->is_active ? WL2113_DOMAIN_EVACUATED : WL2114_DOMAIN_RETURNED,
                  "zone=\"%s\" sequence=%" PRIu64 " number=%" PRIu64, e->domain, e->sequence,
                  host->config_number);
