--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -410,6 +410,10 @@
  */
 int wl_relay_admit_attempt (WlRelayRequest *r, uint64_t now_us);
 
+/** wl_relay_refuse_evacuated() - refuses a request that only endpoints in evacuated failure domains
+ * could serve; returns 0 for others */
+int wl_relay_refuse_evacuated (WlRelayRequest *r, uint64_t now_us);
+
 /** wl_relay_note_cold() - records what the head of a response says of its endpoint's warm-up */
 void wl_relay_note_cold (WlRelayRequest *r, uint32_t status, uint64_t now_us);
 
@@ -434,10 +438,6 @@
 /** wl_relay_tick_cold() - counts the cold endpoints and logs which became cold or warm */
 void wl_relay_tick_cold (WlRelay *relay, uint64_t now_us);
 
-/** wl_relay_refuse_evacuated() - refuses a request that only endpoints in evacuated failure domains
- * could serve; returns 0 for others */
-int wl_relay_refuse_evacuated (WlRelayRequest *r, uint64_t now_us);
-
 /** wl_relay_drop_permit() - ends the ask of a request that needs no permit any more */
 void wl_relay_drop_permit (WlRelayRequest *r, uint64_t now_us);
 
--- a/relay/membership/wl_fleet.c
+++ b/relay/membership/wl_fleet.c
@@ -149,6 +149,32 @@
          || strcmp (a->domain, b->domain) != 0;
 }
 
+static int
+is_evacuated (const WlFleet *fleet, const char *domain)
+{
+  for (uint32_t i = 0; i < fleet->n_evacuated; i++)
+    if (strcmp (fleet->evacuated[i], domain) == 0)
+      return 1;
+  return 0;
+}
+
+void
+wl_fleet_set_evacuated (WlFleet *fleet, const char (*names)[WL_LABEL_SIZE], uint32_t n)
+{
+  free (fleet->evacuated);
+  fleet->evacuated = calloc (n + 1, sizeof *fleet->evacuated);
+  if (fleet->evacuated == NULL)
+    abort ();
+  if (n > 0)
+    memcpy (fleet->evacuated, names, n * sizeof *names);
+  fleet->n_evacuated = n;
+  for (uint32_t i = 0; i < fleet->n_endpoints; i++)
+    {
+      WlEndpoint *e = &fleet->endpoints[i];
+      e->is_evacuated = (uint8_t)is_evacuated (fleet, e->record.domain);
+    }
+}
+
 /*
  * Applies what a registration says of the warm-up. A repeated one can only shorten it: each copy
  * counts from its own arrival, and copies between nodes would prolong it with every round.
@@ -179,32 +205,6 @@
   return !was_cold && until_us > now_us;
 }
 
-static int
-is_evacuated (const WlFleet *fleet, const char *domain)
-{
-  for (uint32_t i = 0; i < fleet->n_evacuated; i++)
-    if (strcmp (fleet->evacuated[i], domain) == 0)
-      return 1;
-  return 0;
-}
-
-void
-wl_fleet_set_evacuated (WlFleet *fleet, const char (*names)[WL_LABEL_SIZE], uint32_t n)
-{
-  free (fleet->evacuated);
-  fleet->evacuated = calloc (n + 1, sizeof *fleet->evacuated);
-  if (fleet->evacuated == NULL)
-    abort ();
-  if (n > 0)
-    memcpy (fleet->evacuated, names, n * sizeof *names);
-  fleet->n_evacuated = n;
-  for (uint32_t i = 0; i < fleet->n_endpoints; i++)
-    {
-      WlEndpoint *e = &fleet->endpoints[i];
-      e->is_evacuated = (uint8_t)is_evacuated (fleet, e->record.domain);
-    }
-}
-
 int
 wl_fleet_apply (WlFleet *fleet, const WlEndpointRecord *record, uint64_t now_us)
 {
--- a/relay/membership/wl_fleet.h
+++ b/relay/membership/wl_fleet.h
@@ -68,13 +68,13 @@
  * @attested_by: relays that report it; bits are positions in WlView.sources
  * @current_at: of them, those to which it registers in time
  * @reported: what this node's reports say of it, by scope
+ * @is_evacuated: its failure domain is evacuated: it gets no requests
  * @first_contact_us: when this node first heard of this start
  * @cold_until_us: end of its warm-up, if @says_cold
  * @returned_us: end of the evacuation of its failure domain, 0 once a later registration counts
  * @says_cold: a registration of this start, or a response, says how long it is cold
  * @became_cold: reports have to say so
  * @cold_share: what this node may send to it while it is cold
- * @is_evacuated: its failure domain is evacuated: it gets no requests
  */
 typedef struct
 {
@@ -93,28 +93,28 @@
   uint64_t attested_by;
   uint64_t current_at;
   WlReported reported[WL_REPORT_INTRODUCTION];
+  uint8_t is_evacuated;
   uint64_t first_contact_us;
   uint64_t cold_until_us;
   uint64_t returned_us;
   uint8_t says_cold;
   uint8_t became_cold;
   WlColdShare cold_share;
-  uint8_t is_evacuated;
 } WlEndpoint;
 
 /**
  * struct WlFleet - all endpoints
  * @endpoints: the endpoints, @n_endpoints of them; a removal changes their order
- * @reports_cold: an endpoint that becomes cold is a change; set while a service has such endpoints
  * @evacuated: names of evacuated failure domains, @n_evacuated of them, on the heap
+ * @reports_cold: an endpoint that becomes cold is a change; set while a service has such endpoints
  */
 typedef struct
 {
   WlEndpoint *endpoints;
   uint32_t n_endpoints;
-  uint8_t reports_cold;
   char (*evacuated)[WL_LABEL_SIZE];
   uint32_t n_evacuated;
+  uint8_t reports_cold;
 } WlFleet;
 
 /** wl_fleet_create() - creates an empty fleet */
--- a/relay/placement/wl_choice_internal.h
+++ b/relay/placement/wl_choice_internal.h
@@ -22,8 +22,8 @@
  * @model_us: TTFT by the engine model
  * @ttft_us: TTFT with the slowdown
  * @has_room: it has a free slot and enough KV cache
- * @is_cold: it is cold: it may answer, but not help
  * @is_pooled: it is in the short pool of its failure domain, see wl_choice_mark_pools()
+ * @is_cold: it is cold: it may answer, but not help
  */
 typedef struct
 {
@@ -38,8 +38,8 @@
   uint64_t model_us;
   uint64_t ttft_us;
   uint8_t has_room;
-  uint8_t is_cold;
   uint8_t is_pooled;
+  uint8_t is_cold;
 } WlCandidate;
 
 /** wl_choice_value() - value of a request by its prompt tokens; 1 for an empty prompt */
--- a/relay/placement/wl_choice_pool.c
+++ b/relay/placement/wl_choice_pool.c
@@ -17,6 +17,8 @@
 
 static const double POOL_FILL_SHARE = 0.5; /* of the slots; the rest is for bursts */
 static const double POOL_MIN_SHARE = 0.25; /* of the engines, also without short requests */
+/* Of the engines, after a start: callers return at once, and no load is known. */
+static const double POOL_START_SHARE = 0.6;
 static const double USUAL_FILL_SHARE
     = 0.25; /* of the slots, where less is known of: after a start */
 /* Of the short requests that arrive during a long prefill: late, as the rest of the pool is too. */
@@ -71,7 +73,8 @@
   for (uint32_t i = 0; i < n; i++)
     n_short += count_short (q, &all[i]);
   uint32_t n_pool = (uint32_t)(n_short / (POOL_FILL_SHARE * q->service->engine.slots)) + 1;
-  uint32_t n_min = (uint32_t)(POOL_MIN_SHARE * n) + 1;
+  double min_share = q->is_load_partial ? POOL_START_SHARE : POOL_MIN_SHARE;
+  uint32_t n_min = (uint32_t)(min_share * n) + 1;
   if (n_pool < n_min)
     n_pool = n_min;
   if (n_pool > n)
--- a/relay/tests/test_fleet.c
+++ b/relay/tests/test_fleet.c
@@ -280,6 +280,41 @@
 }
 END_TEST
 
+/* Guards against requests to endpoints that register, start again or move during an evacuation. */
+START_TEST (endpoints_of_an_evacuated_domain_are_not_usable)
+{
+  static const char names[2][WL_LABEL_SIZE] = { "y", "zone z" };
+  WlFleet *f = wl_fleet_create ();
+  WlEndpointRecord before = record ("a", 1, 1, 1);
+  WlEndpointRecord later = record ("b", 2, 1, 1);
+  WlEndpointRecord elsewhere = record ("c", 3, 1, 1);
+  strcpy (before.domain, "y");
+  strcpy (later.domain, "zone z");
+  strcpy (elsewhere.domain, "yy");
+  wl_fleet_apply (f, &before, now_us);
+  wl_fleet_set_evacuated (f, names, 2);
+  wl_fleet_apply (f, &later, now_us);
+  wl_fleet_apply (f, &elsewhere, now_us);
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us));
+  ck_assert (wl_fleet_is_withheld (wl_fleet_find (f, "a"), now_us));
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "b"), now_us));
+  ck_assert (wl_fleet_is_usable (wl_fleet_find (f, "c"), now_us));
+  ck_assert (!wl_fleet_is_withheld (wl_fleet_find (f, "c"), now_us));
+  before.started_ms = 2;
+  wl_fleet_apply (f, &before, now_us);
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us));
+  strcpy (elsewhere.domain, "y");
+  elsewhere.sequence = 2;
+  wl_fleet_apply (f, &elsewhere, now_us);
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "c"), now_us));
+  wl_fleet_set_evacuated (f, &names[1], 1);
+  ck_assert (wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us));
+  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "b"), now_us));
+  ck_assert (!wl_fleet_is_withheld (wl_fleet_find (f, "a"), now_us));
+  wl_fleet_destroy (f);
+}
+END_TEST
+
 /* ---- cold endpoints ---- */
 
 /* Guards against a node that holds back an endpoint which is warm, or the other way round. */
@@ -346,41 +381,6 @@
 }
 END_TEST
 
-/* Guards against requests to endpoints that register, start again or move during an evacuation. */
-START_TEST (endpoints_of_an_evacuated_domain_are_not_usable)
-{
-  static const char names[2][WL_LABEL_SIZE] = { "y", "zone z" };
-  WlFleet *f = wl_fleet_create ();
-  WlEndpointRecord before = record ("a", 1, 1, 1);
-  WlEndpointRecord later = record ("b", 2, 1, 1);
-  WlEndpointRecord elsewhere = record ("c", 3, 1, 1);
-  strcpy (before.domain, "y");
-  strcpy (later.domain, "zone z");
-  strcpy (elsewhere.domain, "yy");
-  wl_fleet_apply (f, &before, now_us);
-  wl_fleet_set_evacuated (f, names, 2);
-  wl_fleet_apply (f, &later, now_us);
-  wl_fleet_apply (f, &elsewhere, now_us);
-  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us));
-  ck_assert (wl_fleet_is_withheld (wl_fleet_find (f, "a"), now_us));
-  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "b"), now_us));
-  ck_assert (wl_fleet_is_usable (wl_fleet_find (f, "c"), now_us));
-  ck_assert (!wl_fleet_is_withheld (wl_fleet_find (f, "c"), now_us));
-  before.started_ms = 2;
-  wl_fleet_apply (f, &before, now_us);
-  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us));
-  strcpy (elsewhere.domain, "y");
-  elsewhere.sequence = 2;
-  wl_fleet_apply (f, &elsewhere, now_us);
-  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "c"), now_us));
-  wl_fleet_set_evacuated (f, &names[1], 1);
-  ck_assert (wl_fleet_is_usable (wl_fleet_find (f, "a"), now_us));
-  ck_assert (!wl_fleet_is_usable (wl_fleet_find (f, "b"), now_us));
-  ck_assert (!wl_fleet_is_withheld (wl_fleet_find (f, "a"), now_us));
-  wl_fleet_destroy (f);
-}
-END_TEST
-
 int
 main (void)
 {
@@ -397,10 +397,10 @@
     WL_TEST (damaged_records_leave_only_valid_endpoints),
     WL_TEST (an_odd_registration_changes_nothing),
     WL_TEST (an_endpoint_that_is_heard_again_with_a_lower_sequence_is_usable),
+    WL_TEST (endpoints_of_an_evacuated_domain_are_not_usable),
     WL_TEST (the_latest_registration_says_how_long_an_endpoint_is_cold),
     WL_TEST (a_repeated_registration_only_shortens_the_warm_up),
     WL_TEST (an_endpoint_that_does_not_say_is_cold_from_the_first_contact_of_its_start),
-    WL_TEST (endpoints_of_an_evacuated_domain_are_not_usable),
   };
   apr_initialize ();
   return wl_test_run ("fleet", tests, sizeof tests / sizeof tests[0]);
