--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -9,7 +9,8 @@
  * Shared by the files of the relay: wl_relay.c (requests), wl_relay_answer.c
  * (attempts and their responses), wl_relay_retry.c (failed attempts),
  * wl_relay_evidence.c and wl_relay_quarantine.c (parts that end engines), wl_relay_limits.c
- * (endpoints that name a limit) and wl_relay_stop.c
+ * (endpoints that name a limit), wl_relay_cold.c (cold endpoints), wl_relay_admission.c (the last
+ * check of an attempt) and wl_relay_stop.c
  * (the exit of the node).
  */
 
@@ -425,6 +426,12 @@
  */
 int wl_relay_await_token (WlRelayRequest *r, uint64_t now_us);
 
+/** wl_relay_may_use_cold() - whether no helper of an attempt is cold, and no token is missing */
+int wl_relay_may_use_cold (const WlRelayRequest *r, uint64_t now_us);
+
+/** wl_relay_take_token() - takes the token for an attempt that is sent now, if it needs one */
+void wl_relay_take_token (WlRelayRequest *r, uint64_t now_us);
+
 /** wl_relay_adopt_cold() - begins or ends to follow cold endpoints, as the configuration says */
 void wl_relay_adopt_cold (WlRelay *relay, uint64_t now_us);
 
--- a/relay/membership/wl_fleet.c
+++ b/relay/membership/wl_fleet.c
@@ -218,7 +218,8 @@
     return -1;
   int is_restart = e != NULL && e->record.started_ms != record->started_ms;
   int is_change = e == NULL || is_different (record, &e->record);
-  int is_repeated = e != NULL && !is_restart && record->sequence == e->record.sequence;
+  int is_repeated = e != NULL && !is_restart && record->sequence == e->record.sequence
+                    && record->is_restored == e->record.is_restored;
   if (e == NULL)
     e = &fleet->endpoints[fleet->n_endpoints++];
   if (is_change && (is_restart || e->key == 0))
--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -100,8 +100,14 @@
   apr_pool_create (&pool, NULL);
   m.u.endpoints.records = apr_palloc (pool, (n_endpoints + 1) * sizeof *m.u.endpoints.records);
   for (uint32_t i = 0; i < n_endpoints; i++)
-    if (is_worth_saving (&host->fleet->endpoints[i], now_us))
-      m.u.endpoints.records[m.u.endpoints.n_records++] = host->fleet->endpoints[i].record;
+    {
+      const WlEndpoint *e = &host->fleet->endpoints[i];
+      if (!is_worth_saving (e, now_us))
+        continue;
+      WlEndpointRecord *record = &m.u.endpoints.records[m.u.endpoints.n_records++];
+      *record = e->record;
+      record->cold_left_ms = wl_fleet_cold_left_ms (e, now_us);
+    }
   wl_journal_save (host->journal, endpoints_file, wl_message_encode (&m, pool));
   apr_pool_destroy (pool);
 }
