Home regions: requests run only where their route and customer allow it

Change. wl_platform_config.c reads the lists (a restriction that cannot be read makes the configuration invalid), and wl_homes.[ch] decides from them and from the regions of failure domains in the settings. An endpoint outside is no candidate, is not asked a permit for and gets no part of a prompt; a request without an endpoint at home is refused at once, reason no_home. The directory lists, for a host with home regions, nodes of the caller's region and of these. Unknown regions are logged once for each configuration (WL2116). WlHostDomain is now WlDomainRegion of that module. The findings of a configuration named "routes[%zu]", since APR's format has no %zu; they name the index now.

--- a/relay/forwarding/wl_metrics.c
+++ b/relay/forwarding/wl_metrics.c
@@ -18,6 +18,7 @@
     [WL_REASON_DEADLINE] = "deadline",
     [WL_REASON_TIMEOUT] = "timeout",
     [WL_REASON_NO_ENDPOINT] = "no_endpoint",
+    [WL_REASON_NO_HOME] = "no_home",
     [WL_REASON_TOO_LARGE] = "too_large",
     [WL_REASON_REJECTED] = "rejected",
     [WL_REASON_UNREACHABLE] = "unreachable",
--- a/relay/forwarding/wl_metrics.h
+++ b/relay/forwarding/wl_metrics.h
@@ -21,6 +21,7 @@
   WL_REASON_DEADLINE,    /* no endpoint can respond before the deadline */
   WL_REASON_TIMEOUT,     /* the time limit has passed */
   WL_REASON_NO_ENDPOINT, /* no usable endpoint */
+  WL_REASON_NO_HOME,     /* no usable endpoint in a home region, but elsewhere; see wl_homes.h */
   WL_REASON_TOO_LARGE,   /* needs more memory than all endpoints together have */
   WL_REASON_REJECTED,    /* endpoints stated that they did not run it */
   WL_REASON_UNREACHABLE, /* connecting to the tried endpoints failed */
--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -84,6 +84,7 @@
 {
   wl_routes_release (relay->routes);
   relay->routes = routes;
+  wl_relay_log_unknown_homes (relay);
 }
 
 const WlRoutes *
@@ -324,6 +325,14 @@
                  wl_relay_limit_text (r, limits, sizeof limits));
 }
 
+/* Whether the node has just started: endpoints may not have registered yet. */
+static int
+may_register (const WlRelayRequest *r, uint64_t now_us)
+{
+  return r->attempts + r->n_connect_failures == 0
+         && now_us < r->relay->started_us + REGISTRATION_WAIT_US;
+}
+
 void
 wl_relay_place (WlRelayRequest *r, uint64_t now_us)
 {
@@ -357,12 +366,11 @@
       wl_relay_refuse (r, r->choice.wait_us, WL_REASON_DEADLINE);
       return;
     case WL_CHOICE_NO_ENDPOINT:
-      if (wl_relay_refuse_limited (r, now_us))
+      if (wl_relay_refuse_limited (r, now_us)
+          || wl_relay_refuse_homeless (r, may_register (r, now_us), now_us))
         return;
-      if (r->attempts + r->n_connect_failures == 0
-          && now_us < r->relay->started_us + REGISTRATION_WAIT_US)
+      if (may_register (r, now_us))
         {
-          /* The node has just started; endpoints may not have registered yet. */
           r->retry_us = now_us + r->choice.wait_us;
           return;
         }
@@ -433,6 +441,7 @@
     .gap_us = r->route->gap_us,
     .limits = relay->limits,
   };
+  wl_relay_set_homes (r);
   relay->metrics.requests++;
   wl_budget_earn (find_budget (relay, r->service->name));
   wl_relay_begin_parts (r, now_us);
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -151,6 +151,7 @@
  * @retry_ratio: retry budget of a service as a share of its requests
  * @retry_slack: retries allowed beyond that in @retry_window_us, over all nodes
  * @retry_window_us: window of the retry budget
+ * @regions: regions of the failure domains; the arrays and strings must outlive the relay
  * @cold_over: factor on the requests a second that a cold endpoint accepts from all nodes
  * @cold_slack: requests a second that it accepts beyond that
  * @report_work: reports a change of work to the other nodes
@@ -174,6 +175,7 @@
   double retry_ratio;
   double retry_slack;
   uint64_t retry_window_us;
+  WlRegionMap regions;
   double cold_over;
   double cold_slack;
   void (*report_work) (void *data, const WlWorkItem *item);
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -77,6 +77,7 @@
  * @denied_until_us: when a permit is to be expected, if @is_denied
  * @ask_us: no other ask before
  * @choose_us: when to try other endpoints again while an ask is in progress
+ * @homes: its home regions
  * @fetch: the HTTP request to @target, NULL when none is in progress
  * @choice_request: the input of the placement
  * @choice: the placement of the current attempt
@@ -134,6 +135,7 @@
   uint64_t denied_until_us;
   uint64_t ask_us;
   uint64_t choose_us;
+  WlHomes homes;
 
   WlFetch *fetch;
   WlChoiceRequest choice_request;
@@ -231,8 +233,9 @@
   uint32_t n_ends;
   WlRelaySuspect short_responses[WL_RELAY_ENDS_MAX]; /* that may have ended with their engine */
   uint32_t n_short_responses;
-  WlRelayStop stop;  /* @close_us is 0 until the node begins to stop */
-  uint8_t is_closed; /* wl_relay_close() was called */
+  WlRelayStop stop;      /* @close_us is 0 until the node begins to stop */
+  uint8_t is_closed;     /* wl_relay_close() was called */
+  uint64_t logged_homes; /* hash of the unknown home regions as last logged, 0 for none */
 };
 
 /** wl_relay_choose() - chooses endpoints for a request now, without starting an attempt */
@@ -467,4 +470,23 @@
  */
 int wl_relay_must_move (const WlRelayRequest *r, uint64_t now_us);
 
+/* ---- wl_relay_homes.c ---- */
+
+/** wl_relay_set_homes() - sets the home regions of a request whose route and customer are set */
+void wl_relay_set_homes (WlRelayRequest *r);
+
+/**
+ * wl_relay_refuse_homeless() - refuses a request without an endpoint because of its home regions
+ * @r: the request, for which there is no endpoint
+ * @may_register: endpoints may not have registered yet; then it is refused only if no failure
+ *   domain lies in its home regions
+ * @now_us: monotonic time
+ *
+ * Return: whether it was refused; it must not be used then.
+ */
+int wl_relay_refuse_homeless (WlRelayRequest *r, int may_register, uint64_t now_us);
+
+/** wl_relay_log_unknown_homes() - logs the home regions in which no failure domain lies */
+void wl_relay_log_unknown_homes (WlRelay *relay);
+
 #endif
--- a/relay/forwarding/wl_relay_limits.c
+++ b/relay/forwarding/wl_relay_limits.c
@@ -151,7 +151,8 @@
     {
       const WlEndpoint *e = &fleet->endpoints[(*i)++];
       if (strcmp (e->record.service, r->service->name) == 0 && wl_fleet_is_usable (e, now_us)
-          && !is_excluded (r, e->key) && wl_limits_find (r->relay->limits, e) != NULL)
+          && !is_excluded (r, e->key) && wl_homes_allow (&r->homes, e->record.domain)
+          && wl_limits_find (r->relay->limits, e) != NULL)
         return e;
     }
   return NULL;
@@ -222,6 +223,23 @@
   return wait_us < WAIT_MAX_US ? wait_us : WAIT_MAX_US;
 }
 
+/* A permit for an endpoint outside the home regions could not be used. */
+static void
+exclude_elsewhere (const WlRelayRequest *r, WlEndpointKey *out, uint32_t *n)
+{
+  const WlFleet *fleet = r->relay->options.fleet;
+  if (r->choice_request.homes == NULL)
+    return;
+  for (uint32_t i = 0; i < fleet->n_endpoints && *n < WL_PERMIT_EXCLUDED_MAX; i++)
+    {
+      const WlEndpoint *e = &fleet->endpoints[i];
+      if (strcmp (e->record.service, r->service->name) == 0
+          && !wl_homes_allow (&r->homes, e->record.domain)
+          && wl_limits_find (r->relay->limits, e) != NULL)
+        out[(*n)++].key = e->key;
+    }
+}
+
 /* Asks for a permit if the request needs one; returns 0 when it does not, or must not ask now. */
 static int
 ask (WlRelayRequest *r, uint64_t now_us, WlPermit *out)
@@ -239,6 +257,7 @@
   if (r->is_refresh)
     {
       if (r->route->kind == WL_ROUTE_NON_IDEMPOTENT || r->attempts > 0
+          || (r->choice_request.homes != NULL && !has_limited (r, now_us))
           || !wl_limits_take_refresh (relay->limits, relay->options.fleet, r->service->name,
                                       now_us))
         return 0;
@@ -249,6 +268,7 @@
     ask.max_wait_us = wait_max_us (r, now_us);
   for (uint32_t i = 0; i < r->choice_request.n_excluded && i < WL_PERMIT_EXCLUDED_MAX; i++)
     excluded[ask.n_excluded++].key = r->choice_request.excluded[i];
+  exclude_elsewhere (r, excluded, &ask.n_excluded);
   r->permit_ask = wl_permits_ask (relay->permits, &ask, now_us, out);
   return 1;
 }
--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -210,7 +210,8 @@
     {
       WlEndpoint *e = &fleet->endpoints[i];
       if (strcmp (e->record.service, q->service->name) != 0 || !wl_fleet_is_usable (e, now_us)
-          || is_excluded (q, e->key) || !may_use (q, e))
+          || is_excluded (q, e->key) || !may_use (q, e)
+          || !wl_homes_allow (q->homes, e->record.domain))
         continue;
       out[n] = (WlCandidate){ .endpoint = e, .slowdown = wl_fleet_slowdown (e, now_us) };
       out[n++].sum = wl_load_sum (load, e->key, now_us);
--- a/relay/placement/wl_choice.h
+++ b/relay/placement/wl_choice.h
@@ -2,6 +2,7 @@
 #define WL_CHOICE_H
 
 #include "wl_fleet.h"
+#include "wl_homes.h"
 #include "wl_limits.h"
 #include "wl_load.h"
 #include "wl_routes.h"
@@ -49,6 +50,7 @@
  * @excluded: keys of endpoints that were already tried, @n_excluded of them
  * @limits: endpoints with a limit, which are not considered; NULL for none
  * @permitted: key of the only endpoint that is considered, with or without a limit, 0 for all
+ * @homes: home regions, outside which no endpoint is considered; NULL for none
  */
 typedef struct
 {
@@ -64,6 +66,7 @@
   uint32_t n_excluded;
   const WlLimits *limits;
   uint64_t permitted;
+  const WlHomes *homes;
 } WlChoiceRequest;
 
 /**
--- a/relay/placement/wl_routes.h
+++ b/relay/placement/wl_routes.h
@@ -24,6 +24,13 @@
   WL_ROUTE_STREAM,
 } WlRouteKind;
 
+/** struct WlRouteRegions - names of regions, @n of them; none: no restriction */
+typedef struct
+{
+  const char **names;
+  uint32_t n;
+} WlRouteRegions;
+
 /** struct WlRouteTarget - gives the service with index @service a share of @weight */
 typedef struct
 {
@@ -47,6 +54,7 @@
  * @can_resume: a broken stream may continue at another endpoint
  * @targets: services, @n_targets of them
  * @weight_total: sum of the weights
+ * @homes: home regions, see wl_homes.h
  */
 typedef struct
 {
@@ -65,6 +73,7 @@
   WlRouteTarget *targets;
   uint32_t n_targets;
   uint32_t weight_total;
+  WlRouteRegions homes;
 } WlRoute;
 
 /**
@@ -87,12 +96,18 @@
   WlEngineModel engine;
 } WlRouteService;
 
-/** struct WlRouteCustomer - a customer; @priority replaces the route's when @has_priority */
+/**
+ * struct WlRouteCustomer - a customer
+ * @name: name
+ * @priority: replaces the route's when @has_priority
+ * @homes: home regions, see wl_homes.h
+ */
 typedef struct
 {
   const char *name;
   uint32_t priority;
   uint8_t has_priority;
+  WlRouteRegions homes;
 } WlRouteCustomer;
 
 /**
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -255,6 +255,13 @@
   return error;
 }
 
+static WlRegionMap
+region_map (const WlHost *host)
+{
+  const WlHostOptions *o = &host->options;
+  return (WlRegionMap){ o->domains, o->n_domains, o->domain, o->region };
+}
+
 static void
 create_relay (WlHost *host)
 {
@@ -270,6 +277,7 @@
     .retry_ratio = host->options.retry_ratio,
     .retry_slack = host->options.retry_slack,
     .retry_window_us = host->options.retry_window_us,
+    .regions = region_map (host),
     .cold_over = host->options.cold_over,
     .cold_slack = host->options.cold_slack,
     .report_work = wl_host_report_work,
@@ -568,15 +576,27 @@
   memcpy (host->options.seeds, seeds, host->options.n_seeds * sizeof *seeds);
 }
 
+/* Whether the nodes of a failure domain are listed, by the home regions of the host. */
+static int
+may_list (const WlHost *host, const WlHostLookup *lookup, const char *domain)
+{
+  WlRegionMap map = region_map (host);
+  const char *region
+      = lookup->region[0] != '\0' ? lookup->region : wl_homes_region (&map, lookup->domain);
+  return wl_homes_list_node (wl_relay_routes (host->relay), lookup->name, region,
+                             wl_homes_region (&map, domain));
+}
+
 uint32_t
-wl_host_addresses (WlHost *host, const char *domain, WlHostAddress *out)
+wl_host_addresses (WlHost *host, const WlHostLookup *lookup, WlHostAddress *out)
 {
+  const char *domain = lookup->domain;
   uint64_t now_us = wl_clock_now_us ();
   uint32_t n_nodes = host->roster->n_nodes;
   uint32_t n = 0;
   uint32_t n_others = 0;
   WlHostAddress others[WL_HOST_ADDRESSES_MAX];
-  if (wl_host_is_ready (host))
+  if (wl_host_is_ready (host) && may_list (host, lookup, host->options.domain))
     {
       WlHostAddress self = { host->options.node, host->options.client_port };
       if (strcmp (host->options.domain, domain) == 0)
@@ -589,7 +609,8 @@
   for (uint32_t i = 0; i < n_nodes; i++)
     {
       const WlRosterNode *node = &host->roster->nodes[(first + i) % n_nodes];
-      if (!wl_roster_accepts_requests (node, now_us))
+      if (!wl_roster_accepts_requests (node, now_us)
+          || !may_list (host, lookup, node->status.domain))
         continue;
       WlHostAddress address = { node->status.node, (uint16_t)node->status.client_port };
       if (strcmp (node->status.domain, domain) != 0)
--- a/relay/wl_host.h
+++ b/relay/wl_host.h
@@ -31,12 +31,8 @@
   WL_HOST_DOMAINS_MAX = 64,           /* failure domains of a deployment */
 };
 
-/** struct WlHostDomain - a failure domain of the deployment, and the region in which it lies */
-typedef struct
-{
-  char name[WL_LABEL_SIZE];
-  char region[WL_LABEL_SIZE];
-} WlHostDomain;
+/** WlHostDomain - a failure domain of the deployment, and the region in which it lies */
+typedef WlDomainRegion WlHostDomain;
 
 /**
  * struct WlHostOptions - validated settings of a node
@@ -194,18 +190,32 @@
   uint16_t port;
 } WlHostAddress;
 
+/**
+ * struct WlHostLookup - what callers look up
+ * @name: host of their requests, an empty string when they do not name it
+ * @domain: their failure domain
+ * @region: its region; an empty string: that of the settings
+ */
+typedef struct
+{
+  const char *name;
+  const char *domain;
+  const char *region;
+} WlHostLookup;
+
 /**
  * wl_host_addresses() - lists ready nodes for callers in a failure domain
  * @host: the node
- * @domain: the callers' failure domain
+ * @lookup: what the callers asked for
  * @out: receives up to WL_HOST_ADDRESSES_MAX addresses
  *
  * Nodes of other failure domains are listed only when the callers' own has
- * less than two.
+ * less than two. For a host with home regions only nodes of the callers' own
+ * region and of its home regions are listed, see wl_homes.h.
  *
  * Return: the number of addresses.
  */
-uint32_t wl_host_addresses (WlHost *host, const char *domain, WlHostAddress *out);
+uint32_t wl_host_addresses (WlHost *host, const WlHostLookup *lookup, WlHostAddress *out);
 
 /** wl_host_write_metrics() - appends all metrics in the Prometheus exposition format */
 void wl_host_write_metrics (WlHost *host, WlBuffer *out);
--- a/testkit/wl_relay_fixture.c
+++ b/testkit/wl_relay_fixture.c
@@ -174,6 +174,9 @@
   return (WlRelayProtocol){ read_request, is_own_field, write_fields, read_answer, write_order };
 }
 
+/* Endpoints are registered in z, and tests may move them to y. */
+static const WlDomainRegion domains[] = { { "z", "north" }, { "y", "south" } };
+
 RelayFixture *
 relay_fixture_create (void)
 {
@@ -190,6 +193,7 @@
     .load = f.load,
     .protocol = relay_fixture_protocol (),
     .domain = "z",
+    .regions = { domains, sizeof domains / sizeof *domains, NULL, NULL },
     .node = 1,
     .boot_id = 1,
     .seed = 1,
