--- a/relay/tests/test_relay_homes.c
+++ b/relay/tests/test_relay_homes.c
@@ -38,33 +38,39 @@
 }
 
 static void
-check_served_by (const char **route, const char **customer, uint32_t i)
+check_served_by (const char *request, const char **route, const char **customer, uint32_t i)
 {
-  static const char *const requests[]
-      = { RELAY_SAFE_REQUEST, RELAY_ONCE_REQUEST, RELAY_STREAM_REQUEST };
-  for (size_t k = 0; k < sizeof requests / sizeof *requests; k++)
-    {
-      Fixture f = create_with (route, customer, 0);
-      relay_fixture_occupy (f.relay, i == 0 ? "e0" : "e1");
-      raw_client_send (&f.relay->caller, requests[k]);
-      advance (&f, 0);
-      ck_assert_ptr_nonnull (strstr (f.relay->caller.answer, "HTTP/1.1 200"));
-      ck_assert_uint_eq (f.relay->endpoints[i].n_requests, 1);
-      ck_assert_uint_eq (f.relay->endpoints[1 - i].n_requests, 0);
-      destroy (&f);
-    }
+  Fixture f = create_with (route, customer, 0);
+  relay_fixture_occupy (f.relay, i == 0 ? "e0" : "e1");
+  raw_client_send (&f.relay->caller, request);
+  advance (&f, 0);
+  ck_assert_ptr_nonnull (strstr (f.relay->caller.answer, "HTTP/1.1 200"));
+  ck_assert_uint_eq (f.relay->endpoints[i].n_requests, 1);
+  ck_assert_uint_eq (f.relay->endpoints[1 - i].n_requests, 0);
+  destroy (&f);
 }
 
-START_TEST (a_request_runs_in_the_home_regions_of_its_route)
+START_TEST (an_idempotent_request_runs_in_the_home_regions_of_its_route)
+{
+  check_served_by (RELAY_SAFE_REQUEST, south, NULL, 1);
+}
+END_TEST
+
+START_TEST (a_non_idempotent_request_runs_in_the_home_regions_of_its_route)
+{
+  check_served_by (RELAY_ONCE_REQUEST, south, NULL, 1);
+}
+END_TEST
+
+START_TEST (a_stream_runs_in_the_home_regions_of_its_route)
 {
-  check_served_by (south, NULL, 1);
-  check_served_by (north, NULL, 0);
+  check_served_by (RELAY_STREAM_REQUEST, north, NULL, 0);
 }
 END_TEST
 
 START_TEST (a_request_runs_in_the_home_regions_of_its_customer)
 {
-  check_served_by (NULL, south, 1);
+  check_served_by (RELAY_SAFE_REQUEST, NULL, south, 1);
 }
 END_TEST
 
@@ -205,7 +211,9 @@
 main (void)
 {
   const WlTest tests[] = {
-    WL_TEST (a_request_runs_in_the_home_regions_of_its_route),
+    WL_TEST (an_idempotent_request_runs_in_the_home_regions_of_its_route),
+    WL_TEST (a_non_idempotent_request_runs_in_the_home_regions_of_its_route),
+    WL_TEST (a_stream_runs_in_the_home_regions_of_its_route),
     WL_TEST (a_request_runs_in_the_home_regions_of_its_customer),
     WL_TEST (a_request_that_failed_at_home_is_not_tried_elsewhere),
     WL_TEST (a_request_without_an_endpoint_at_home_is_refused_at_once),
--- a/relay/tests/test_relay_invalid.c
+++ b/relay/tests/test_relay_invalid.c
@@ -199,6 +199,13 @@
   { "HTTP/0", "HTTP/0.9 200 OK\r\n" FIELDS "Content-Length: 2\r\n\r\nno" },
 };
 
+static const Invalid other_codings[] = {
+  { "gzip", HEAD "Transfer-Encoding: gzip\r\n\r\nno" },
+  { "gzip, chunked", HEAD "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n" },
+  { "gzip, then chunked",
+    HEAD "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n" },
+};
+
 /* The only attempt ends in a 502, at once, although the endpoint keeps its connection. */
 static void
 fails_at_once (Kind kind, const Invalid *invalid)
@@ -257,6 +264,8 @@
 INVALID_TEST (a_status_of_600_or_more_fails_at_once, statuses_from_600)
 INVALID_TEST (a_status_line_without_a_status_fails_at_once, status_lines)
 INVALID_TEST (another_version_of_http_fails_at_once, other_versions)
+/* Guards against a coded body that its caller takes for the content. */
+INVALID_TEST (a_transfer_coding_besides_chunks_fails_at_once, other_codings)
 
 /* ---- responses without end ---- */
 
@@ -618,6 +627,7 @@
     WL_TEST (a_status_of_600_or_more_fails_at_once),
     WL_TEST (a_status_line_without_a_status_fails_at_once),
     WL_TEST (another_version_of_http_fails_at_once),
+    WL_TEST (a_transfer_coding_besides_chunks_fails_at_once),
     WL_TEST (interim_responses_without_end_fail),
     WL_TEST (large_interim_responses_fail_together),
     WL_TEST (some_interim_responses_are_read),
--- a/relay/transport/wl_http_reader.c
+++ b/relay/transport/wl_http_reader.c
@@ -122,13 +122,31 @@
   return status == 100 || status == 102 || status == 103;
 }
 
+/* Other transfer codings were not asked for; the field is not passed on, so none could decode them.
+ */
+static int
+has_other_coding (const WlHttpHead *head)
+{
+  static const char chunked[] = "chunked";
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    {
+      const char *value = wl_http_head_text (head, head->fields[i].value);
+      size_t size = sizeof chunked - 1;
+      if (strcasecmp (wl_http_head_text (head, head->fields[i].name), "Transfer-Encoding") == 0
+          && (strncasecmp (value, chunked, size) != 0
+              || value[size + strspn (value + size, " \t")] != '\0'))
+        return 1;
+    }
+  return 0;
+}
+
 /* Interim responses have no body: servers differ in where one with a length or chunks ends. */
 static int
 is_valid_response (const http_parser *p)
 {
   int has_body
       = p->uses_transfer_encoding || ((p->flags & F_CONTENTLENGTH) != 0 && p->content_length > 0);
-  if (p->http_major != 1)
+  if (p->http_major != 1 || has_other_coding (&((const WlHttpReader *)p->data)->head))
     return 0;
   return is_interim (p->status_code) ? !has_body : p->status_code >= 200 && p->status_code < 600;
 }
--- a/relay/transport/wl_http_reader.h
+++ b/relay/transport/wl_http_reader.h
@@ -56,7 +56,7 @@
  * enum WlHttpFault - why a message is rejected
  * @WL_HTTP_FAULT_NONE: no fault
  * @WL_HTTP_FAULT_MALFORMED: not HTTP/1, a status outside 200 to 599 that is no
- *   interim one, or ambiguous framing
+ *   interim one, ambiguous framing, or a transfer coding of a response besides chunked
  * @WL_HTTP_FAULT_HEAD_SIZE: the head exceeds the limit, alone or with the interim
  *   responses before it, or there are more than WL_HTTP_INTERIMS_MAX of them
  * @WL_HTTP_FAULT_BODY_SIZE: the body exceeds the limit
