--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -99,6 +99,12 @@
   relay->n_nodes = n_nodes;
 }
 
+void
+wl_relay_set_load_partial (WlRelay *relay, int is_partial)
+{
+  relay->is_load_partial = (uint8_t)is_partial;
+}
+
 void
 wl_relay_share_budgets (WlRelay *relay, uint32_t n_nodes, uint64_t now_us)
 {
@@ -303,6 +309,7 @@
   };
   wl_choice_set_times (&r->choice_request, r->route, &times, now_us);
   r->choice_request.visibility = load_visibility (relay);
+  r->choice_request.is_load_partial = relay->is_load_partial;
   return wl_choice_make (relay->options.fleet, relay->options.load, &r->choice_request, now_us,
                          wl_random_next (&relay->random));
 }
@@ -366,7 +373,7 @@
       wl_relay_refuse (r, r->choice.wait_us, WL_REASON_DEADLINE);
       return;
     case WL_CHOICE_NO_ENDPOINT:
-      if (wl_relay_refuse_limited (r, now_us)
+      if (wl_relay_refuse_evacuated (r, now_us) || wl_relay_refuse_limited (r, now_us)
           || wl_relay_refuse_homeless (r, may_register (r, now_us), now_us))
         return;
       if (may_register (r, now_us))
--- a/relay/tests/test_relay_homes.c
+++ b/relay/tests/test_relay_homes.c
@@ -128,6 +128,22 @@
 }
 END_TEST
 
+/* Guards against a request that waits, or is told to look elsewhere, while its home is evacuated.
+ */
+START_TEST (a_request_whose_home_is_evacuated_is_refused_at_once)
+{
+  static const char names[1][WL_LABEL_SIZE] = { "y" };
+  Fixture f = create_with (south, NULL, 0);
+  wl_fleet_set_evacuated (f.relay->fleet, names, 1);
+  raw_client_send (&f.relay->caller, RELAY_SAFE_REQUEST);
+  advance (&f, 0);
+  ck_assert_ptr_nonnull (strstr (f.relay->caller.answer, "HTTP/1.1 503"));
+  ck_assert_uint_eq (relay_fixture_n_runs (f.relay), 0);
+  ck_assert_uint_eq (wl_relay_metrics (f.relay->relay)->refused[WL_REASON_EVACUATED], 1);
+  destroy (&f);
+}
+END_TEST
+
 START_TEST (a_request_waits_for_the_registrations_at_home_after_the_start)
 {
   Fixture f = create_with (south, NULL, 0);
@@ -220,6 +236,7 @@
     WL_TEST (a_request_whose_home_regions_hold_no_failure_domain_is_refused_at_once),
     WL_TEST (a_customer_whose_home_regions_hold_no_failure_domain_is_refused_at_once),
     WL_TEST (a_request_whose_lists_have_no_region_in_common_is_refused_at_once),
+    WL_TEST (a_request_whose_home_is_evacuated_is_refused_at_once),
     WL_TEST (a_request_waits_for_the_registrations_at_home_after_the_start),
     WL_TEST (an_endpoint_with_a_limit_elsewhere_is_no_reason_to_wait),
     WL_TEST (a_permit_is_asked_for_an_endpoint_at_home),
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -2,6 +2,7 @@
 #define WL_HOST_INTERNAL_H
 
 #include "wl_host.h"
+#include "wl_load_coverage.h"
 #include "wl_recent_changes.h"
 #include "wl_load_report_batch.h"
 #include "wl_permits.h"
@@ -20,20 +21,32 @@
   WL_HOST_SAVE_INTERVAL_US = 1000000, /* shortest time between two writes of a file */
   WL_HOST_APPLY_INTERVAL_US = 150000, /* shortest time between two changes of configuration */
   WL_HOST_REPORT_US = 40000,          /* shortest time between two reports, to batch changes */
+  /* Below the second after which an operator asks another node, so that no request goes on here
+     after that. */
+  WL_HOST_EVACUATION_TIMEOUT_US = 900000,
+  WL_HOST_EVACUATION_RETRY_US = 100000, /* several tries within that time */
+  WL_HOST_EVACUATIONS_MAX = 16,         /* evacuations beyond WL_HOST_LEADER_REQUESTS_MAX */
 };
 
 /**
  * struct WlHostLeaderRequest - a request to the control leader without a response yet
- * @kind: WL_MESSAGE_SUBMIT or WL_MESSAGE_QUERY
+ * @id: in messages
+ * @handle: for wl_host_cancel(); differs from @id once an evacuation has read its sequence
+ * @kind: WL_MESSAGE_SUBMIT, WL_MESSAGE_QUERY, or for an evacuation that has read its sequence
+ *   WL_MESSAGE_EVACUATE
  * @version: version of the submitted configuration
  * @config: submitted configuration, compressed, on the heap
  * @sent_us: when it was last sent, or should have been while no leader was known
  * @n_sent: how many times it was sent
  * @created_us: start of its timeout
+ * @domain: failure domain of an evacuation, empty for other requests
+ * @sequence: sequence of the domain
+ * @is_finish: ends the evacuation
  */
 typedef struct WlHostLeaderRequest
 {
   uint64_t id;
+  uint64_t handle;
   WlMessageKind kind;
   uint64_t version;
   WlBytes config;
@@ -42,9 +55,27 @@
   uint64_t sent_us;
   uint32_t n_sent;
   uint64_t created_us;
+  char domain[WL_LABEL_SIZE];
+  uint64_t sequence;
+  uint8_t is_finish;
   struct WlHostLeaderRequest *next;
 } WlHostLeaderRequest;
 
+/**
+ * struct WlHostStart - when a node that has started reached what it needs to serve, 0 before
+ * @config_us: a configuration
+ * @endpoint_us: an endpoint
+ * @ready_us: ready for callers
+ * @is_logged: all of it, and the load of most nodes
+ */
+typedef struct
+{
+  uint64_t config_us;
+  uint64_t endpoint_us;
+  uint64_t ready_us;
+  uint8_t is_logged;
+} WlHostStart;
+
 /** struct WlHostLocalMessage - a message of this node to itself */
 typedef struct WlHostLocalMessage
 {
@@ -70,12 +101,16 @@
   WlWeb *client_server;
   WlConfigStore *config_store; /* NULL without a disk */
   WlJournal *journal;
+  WlLoadCoverage load_coverage;
+  WlHostStart start;
   WlHostLocalMessage *first_local; /* queue of messages to this node */
   WlHostLocalMessage *last_local;
 
   /* The latest configuration known here. */
-  uint64_t config_number;         /* 0 for none */
-  WlBytes config;                 /* starts with its version; on the heap */
+  uint64_t config_number;    /* 0 for none */
+  WlBytes config;            /* the document, see wl_config_document.h; on the heap */
+  WlEvacuation *evacuations; /* its evacuations, n_evacuations of them; on the heap */
+  uint32_t n_evacuations;
   WlRecentChanges recent_changes; /* the latest changes that led to it */
   WlBytes full_config;            /* config, compressed, on the heap; empty until needed */
   uint64_t config_pulled_us;      /* when a node was last asked for a newer one */
@@ -185,6 +220,24 @@
 /** wl_host_flush_work() - sends the queued work items, and batches of load reports that are due */
 void wl_host_flush_work (WlHost *host);
 
+/** wl_host_forward_reports() - sends the batches of load reports that wait, whether due or not */
+void wl_host_forward_reports (WlHost *host, uint64_t now_us);
+
+/** wl_host_start_begin() - begins to wait for full load reports */
+void wl_host_start_begin (WlHost *host);
+
+/** wl_host_start_tick() - tells the relay whether the load is complete, and asks for what is not */
+void wl_host_start_tick (WlHost *host, uint64_t now_us);
+
+/** wl_host_start_observe() - notes what a node that has started has reached, and logs it once */
+void wl_host_start_observe (WlHost *host, uint64_t now_us);
+
+/** wl_host_answer_load() - sends a node that asks the full reports of nodes of other domains */
+void wl_host_answer_load (WlHost *host, uint32_t to, uint64_t now_us);
+
+/** wl_host_write_start_metrics() - appends the metrics of the start */
+void wl_host_write_start_metrics (const WlHost *host, WlBuffer *out);
+
 /** wl_host_report_work() - queues a work item for the other nodes; callback of the relay */
 void wl_host_report_work (void *host, const WlWorkItem *item);
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -116,6 +116,11 @@
 start failed-disk-leads test_host relay/wl_host.c 's/host->config_store != NULL && !host->has_failed;/host->config_store != NULL;/'
 start failed-disk-cuts test_host relay/wl_host.c 's/wl_host_may_exit \(const WlHost \*host\)\n\{/$&\n  if (host->has_failed)\n    return 1;/'
 start endpoints-not-restored test_host relay/wl_host_files.c 's/  load_file \(host, disk, endpoints_file, restore_endpoints\);//'
+start restored-not-reported test_fleet_start relay/membership/wl_membership.c 's/(records\[i\], now_us\);\n)      wl_view_note_registration[^;]*;/$1/'
+start file-overrides test_fleet_start relay/membership/wl_fleet.c 's/if \(record->is_restored && !e->record.is_restored\)\n    return 1;//'
+start file-revives-silent test_fleet_start relay/membership/wl_membership.c 's/copy.age_us = WL_FLEET_TIMEOUT_US;//'
+start relay-revives-silent test_fleet_start relay/membership/wl_view_report.c 's/return age_us > WL_FLEET_OVERDUE_US \? age_us : WL_FLEET_OVERDUE_US;/return WL_FLEET_OVERDUE_US;/'
+start load-not-asked-for test_host_start relay/wl_host_start.c 's/  ask_for_load \(host, now_us\);//'
 start culprit-ignored test_relay_retry relay/forwarding/wl_relay_retry.c 's/if \(r->response.fault_port != 0\)/if (0)/'
 start memory-held-for-the-dead test_relay_retry relay/forwarding/wl_relay.c 's/wl_relay_abandon_attempt \(r, now_us\);/;/'
 start released-before-sync test_journal runtime/wl_journal.c 's/return keep_trying \(journal, NULL\);/return 1;/; s/if \(!b->stores\)/if (1)/'
@@ -152,6 +157,13 @@
 start returned-token-counts-whole test_issuer relay/placement/wl_buckets.c 's/b->level \+= TOKEN - refilled;/b->level += TOKEN;/; s/refilled < TOKEN && //'
 start customers-in-order-of-arrival test_issuer relay/placement/wl_issuer.c 's/best == issuer->n_queue \|\| w->customer->share < issuer->queue\[best\]\.customer->share/best == issuer->n_queue/'
 start permit-lifetime-ignored test_permits relay/placement/wl_permits.c 's/ask->state == ASK_GRANTED && now_us >= ask->valid_until_us/0/'
+start evacuated-domain-usable test_relay_evacuation relay/membership/wl_fleet.c 's/return !endpoint->is_evacuated && /return /'
+start evacuated-after-choice-sent test_relay_evacuation relay/forwarding/wl_relay_admission.c 's/if \(evacuated != NULL\)/if (0)/'
+start evacuated-helper-used test_relay_evacuation relay/forwarding/wl_relay_admission.c 's/i <= r->n_helpers/i <= 0/'
+start late-endpoint-not-evacuated test_fleet relay/membership/wl_fleet.c 's/e->is_evacuated = \(uint8_t\)is_evacuated \(fleet, record->domain\);//'
+start overtaken-start-applied test_evacuation core/agreement/wl_config_store.c 's/e\.sequence == r->sequence && e\.is_active == r->is_finish/e.is_active == r->is_finish/'
+start configuration-drops-evacuations test_evacuation core/agreement/wl_config_store.c 's/document->version = r->version;/document->version = r->version; document->n_evacuations = 0;/'
+start late-reply-settles-next-step test_host_evacuation relay/wl_host_config.c 's/(r->kind = kind;\n)\s*r->id = [^\n]*\n/$1/'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
 echo "$found passed, $((total - found)) failed"
