--- a/relay/placement/wl_choice.h
+++ b/relay/placement/wl_choice.h
@@ -6,6 +6,7 @@
 #include "wl_limits.h"
 #include "wl_load.h"
 #include "wl_routes.h"
+#include "wl_warmup.h"
 
 /*
  * Chooses the endpoint of a request. Every node decides by itself, from its own
@@ -54,6 +55,7 @@
  * @limits: endpoints with a limit, which are not considered; NULL for none
  * @permitted: key of the only endpoint that is considered, with or without a limit, 0 for all
  * @homes: home regions, outside which no endpoint is considered; NULL for none
+ * @warmup: what may be sent to cold endpoints; NULL for a service without them
  */
 typedef struct
 {
@@ -72,6 +74,7 @@
   const WlLimits *limits;
   uint64_t permitted;
   const WlHomes *homes;
+  WlWarmup *warmup;
 } WlChoiceRequest;
 
 /**
--- a/relay/placement/wl_choice_internal.h
+++ b/relay/placement/wl_choice_internal.h
@@ -23,6 +23,7 @@
  * @ttft_us: TTFT with the slowdown
  * @has_room: it has a free slot and enough KV cache
  * @is_pooled: it is in the short pool of its failure domain, see wl_choice_mark_pools()
+ * @is_cold: it is cold: it may answer, but not help
  */
 typedef struct
 {
@@ -38,6 +39,7 @@
   uint64_t ttft_us;
   uint8_t has_room;
   uint8_t is_pooled;
+  uint8_t is_cold;
 } WlCandidate;
 
 /** wl_choice_value() - value of a request by its prompt tokens; 1 for an empty prompt */
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -148,6 +148,13 @@
 start other-customers-refused test_quarantine relay/forwarding/wl_quarantine_verdict.c 's/.customer = single_customer \(&strongest\)/.customer = 0/'
 start released-part-comes-back test_quarantine_trials relay/forwarding/wl_quarantine_report.c 's/if \(s != NULL && entry.at_us < [^\n]*\n/if (0)\n/'
 start trial-repeated test_quarantine_trials relay/forwarding/wl_quarantine_report.c 's/\.trial_after_us = age_us \+ min_u64 [^\n]*\n/.trial_after_us = age_us,\n/'
+start cold-minority-sends test_warmup relay/placement/wl_warmup.c 's/return 2 \* n_alive > quorum_base \(warmup\);/return 1;/'
+start cold-no-hold-after-freeze test_warmup relay/placement/wl_warmup.c 's/if \(now_us > warmup->ticked_us \+ WL_WARMUP_FREEZE_US\)\n    wl_warmup_hold \(warmup, now_us\);//'
+start cold-token-not-taken test_relay_cold relay/forwarding/wl_relay_admission.c 's/  wl_warmup_take \(relay->warmup, r->service, e, now_us\);\n//'
+start cold-helper-sent test_relay_cold relay/forwarding/wl_relay_admission.c 's/if \(e != NULL && wl_warmup_is_cold \(r->service, e, now_us\)\)\n        return 0;//'
+start cold-helper-chosen test_choice relay/placement/wl_choice_judge.c 's/ \|\| all\[i\]\.is_cold//'
+start cold-copies-prolong test_fleet relay/membership/wl_fleet.c 's/\(e->says_cold && until_us >= e->cold_until_us\)/0/'
+start cold-not-reported test_view relay/membership/wl_view_report.c 's/if \(e->became_cold\)/if (0)/'
 start limit-order-ignored test_limits relay/placement/wl_limits.c 's/if \(!is_later && !may_lower \(known, word\)\)/if (0)/'
 start ended-limit-comes-back test_limits relay/placement/wl_limits.c 's/if \(word->heard_us <= known->sent_us\)\n    return 0;//'
 start limit-words-repeated test_limits relay/placement/wl_limits.c 's/  if \(e->limit.heard_us <= e->told_us \+ RENEWAL_US\)\n    set_news \(limits, e, 0\);\n//'
@@ -163,6 +170,8 @@
 start late-endpoint-not-evacuated test_fleet relay/membership/wl_fleet.c 's/e->is_evacuated = \(uint8_t\)is_evacuated \(fleet, record->domain\);//'
 start overtaken-start-applied test_evacuation core/agreement/wl_config_store.c 's/e\.sequence == r->sequence && e\.is_active == r->is_finish/e.is_active == r->is_finish/'
 start configuration-drops-evacuations test_evacuation core/agreement/wl_config_store.c 's/document->version = r->version;/document->version = r->version; document->n_evacuations = 0;/'
+start evacuated-engine-granted test_evacuation_group core/placement/wl_placement.c 's/ && !wl_placement_is_evacuated \(cell, endpoint\);/;/'
+start late-change-applied test_evacuation_group core/agreement/wl_state.c 's/if \(change->sequence != current.sequence\)/if (0)/'
 start late-reply-settles-next-step test_host_evacuation relay/wl_host_config.c 's/(r->kind = kind;\n)\s*r->id = [^\n]*\n/$1/'
 wait
 found=$(find "$work" -maxdepth 1 -name 'found-*' | wc -l)
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -19,6 +19,7 @@
   WL_ARRAY (WlNodeStatus, peers, n_peers, node_id_fields),
   WL_U8 (WlNodeStatus, subscription),
   WL_U64 (WlNodeStatus, age_us),
+  WL_U32 (WlNodeStatus, n_known),
   WL_END,
 };
 
@@ -35,6 +36,7 @@
   WL_U8 (WlEndpointRecord, is_draining),
   WL_U8 (WlEndpointRecord, has_left),
   WL_U8 (WlEndpointRecord, is_restored),
+  WL_U32 (WlEndpointRecord, cold_left_ms),
   WL_END,
 };
 
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -45,6 +45,7 @@
  * @peers: nodes that it believes alive, @n_peers of them; empty in a large fleet
  * @subscription: a WlSubscription
  * @age_us: in reports: time since the reporting relay received the status
+ * @n_known: nodes that it counts, lost ones included, see wl_warmup.h; 0 if it does not count
  */
 typedef struct
 {
@@ -62,6 +63,7 @@
   uint32_t n_peers;
   uint8_t subscription;
   uint64_t age_us;
+  uint32_t n_known;
 } WlNodeStatus;
 
 /**
@@ -80,6 +82,8 @@
  * @is_draining: accepts no new requests
  * @has_left: has deregistered
  * @is_restored: read from a file that a node kept across its restart; no registration since
+ * @cold_left_ms: how long it stays cold after the message was sent, 0 for warm,
+ *   WL_ENDPOINT_COLD_UNKNOWN when it does not say
  */
 typedef struct
 {
@@ -95,8 +99,11 @@
   uint8_t is_draining;
   uint8_t has_left;
   uint8_t is_restored;
+  uint32_t cold_left_ms;
 } WlEndpointRecord;
 
+#define WL_ENDPOINT_COLD_UNKNOWN UINT32_MAX
+
 /** struct WlEndpoints - registrations forwarded to other nodes */
 typedef struct
 {
