--- a/relay/forwarding/wl_relay_admission.c
+++ b/relay/forwarding/wl_relay_admission.c
@@ -57,7 +57,8 @@
   for (uint32_t i = 0; i < fleet->n_endpoints; i++)
     {
       const WlEndpoint *e = &fleet->endpoints[i];
-      if (strcmp (e->record.service, r->service->name) != 0)
+      if (strcmp (e->record.service, r->service->name) != 0
+          || !wl_homes_allow (r->choice_request.homes, e->record.domain))
         continue;
       if (wl_fleet_is_usable (e, now_us))
         return 0;
--- a/relay/forwarding/wl_relay_cold.c
+++ b/relay/forwarding/wl_relay_cold.c
@@ -156,7 +156,8 @@
     {
       WlEndpoint *e = &fleet->endpoints[i];
       if (strcmp (e->record.service, r->service->name) != 0 || !wl_fleet_is_usable (e, now_us)
-          || is_excluded (r, e->key) || !wl_warmup_is_cold (r->service, e, now_us))
+          || is_excluded (r, e->key) || !wl_homes_allow (r->choice_request.homes, e->record.domain)
+          || !wl_warmup_is_cold (r->service, e, now_us))
         continue;
       uint64_t wait_us = wl_warmup_wait_us (relay->warmup, r->service, e, now_us);
       uint64_t until_us = wl_fleet_cold_until_us (e, r->service->cold_start_us);
--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -239,7 +239,8 @@
     {
       WlEndpoint *e = &fleet->endpoints[i];
       if (strcmp (e->record.service, q->service->name) != 0 || !wl_fleet_is_usable (e, now_us)
-          || is_excluded (q, e->key) || !may_use (q, e))
+          || is_excluded (q, e->key) || !may_use (q, e)
+          || !wl_homes_allow (q->homes, e->record.domain))
         continue;
       int is_cold = q->warmup != NULL && wl_warmup_is_cold (q->service, e, now_us);
       if (is_cold && wl_warmup_wait_us (q->warmup, q->service, e, now_us) > 0)
--- a/relay/tests/test_relay_cold.c
+++ b/relay/tests/test_relay_cold.c
@@ -111,6 +111,25 @@
 }
 END_TEST
 
+/* Guards against a request that waits for a token that it could not use. */
+START_TEST (a_request_does_not_wait_for_a_cold_endpoint_outside_its_home_regions)
+{
+  static const char *south[] = { "south" };
+  Fixture f = create_cold (RATE);
+  WlRoutes *routes = relay_fixture_routes ();
+  routes->services[0].cold_start_us = COLD_START_US;
+  routes->services[0].cold_rate = RATE;
+  routes->routes[0].homes = (WlRouteRegions){ south, 1 };
+  wl_relay_set_routes (f.relay->relay, routes);
+  add (&f, 0, RELAY_WHOLE, COLD_MS);
+  send_text (&f, RELAY_SAFE_REQUEST);
+  ck_assert_ptr_nonnull (strstr (f.relay->caller.answer, " 503 "));
+  ck_assert_uint_eq (metrics (&f)->refused[WL_REASON_NO_HOME], 1);
+  ck_assert_uint_eq (metrics (&f)->cold_waited, 0);
+  destroy (&f);
+}
+END_TEST
+
 /* Guards against a request that waits although no cold endpoint can serve it in time. */
 START_TEST (a_request_is_refused_at_once_when_no_token_comes_in_time)
 {
@@ -312,6 +331,7 @@
 {
   const WlTest tests[] = {
     WL_TEST (a_cold_endpoint_gets_a_request_only_with_a_token),
+    WL_TEST (a_request_does_not_wait_for_a_cold_endpoint_outside_its_home_regions),
     WL_TEST (a_request_is_refused_at_once_when_no_token_comes_in_time),
     WL_TEST (a_request_waits_for_an_endpoint_that_is_warm_in_time),
     WL_TEST (a_warm_endpoint_serves_a_request_at_once),
