Cached prefixes: the saving is weighed against wait and loss

Cause: a hint counted in full until an engine reported the eviction, whatever its age and however full the endpoint was. Requests went to prefixes that were evicted or still being computed, and those of a session filled all slots of one endpoint.

Change: core/placement/wl_prefix_saving.[ch] multiplies the tokens of a hinted prefix by a certainty, which falls with the age of the hint, with the use of KV cache and slots, and with the endpoint's reliability as learnt from the tokens that engines had cached for each request. The result shortens the predicted wait in the score of the choice, to which the time taken from running requests is added. It takes effect in a cell once an endpoint has reported cached prefixes. Counters, WL3016 and WL3017 show it at work.

Without ageing, without the KV cache's and without the slots' part, and with hints in full, tests of it fail. test_cell, test_faults, test_entry, test_events pass.

--- a/core/placement/wl_cell.c
+++ b/core/placement/wl_cell.c
@@ -18,6 +18,7 @@
   ESTIMATE_MARGIN = 4, /* time limits refuse only if 1/4 of the prefill estimate does not fit */
   SAMPLED_CUSTOMERS_MAX = 4096,
   SAMPLED_GRANTS_MAX = 256,
+  LOG_PREFIXES_US = 10000000, /* least time between two WL3017 of a cell */
 };
 
 WlCell *
@@ -157,6 +158,7 @@
     .customer = w->customer,
     .prompt_tokens = w->place.prompt_tokens,
     .uncached_tokens = uncached,
+    .likely_tokens = choice->likely_tokens,
     .cost_us = wl_queue_cost (cell, uncached, w->place.max_tokens),
     .granted_us = now_us,
     .estimated_end_us = now_us + wl_queue_duration (cell, uncached, w->place.max_tokens, choice->n),
@@ -168,7 +170,8 @@
       g.allocations[i].endpoint = choice->endpoints[i]->id;
       g.allocations[i].kv_tokens = choice->kv_tokens;
     }
-  wl_placement_add_prefixes (choice->endpoints[0], w->place.prefixes, w->place.n_prefixes);
+  wl_prefix_hints_place (&choice->endpoints[0]->prefixes, w->place.prefixes, w->place.n_prefixes,
+                         cell->weighs_prefixes ? now_us + choice->wait_us : now_us, now_us);
   if (cell->reservation.request == g.request)
     memset (&cell->reservation, 0, sizeof cell->reservation);
   else if (cell->reservation.request != 0)
@@ -176,6 +179,8 @@
   cell->counters.granted++;
   cell->counters.gangs += choice->n > 1;
   cell->counters.cache_hits += choice->cached_tokens > 0;
+  cell->counters.prefix_chosen += choice->is_for_prefix;
+  cell->counters.prefix_outweighed += choice->is_outweighed;
   w->customer->waited_us += now_us - w->arrived_us;
   wl_queue_advance (cell, w);
   send_grant (cell, wl_accounts_grant (cell, &g), choice->priority, choice->cached_tokens,
@@ -380,6 +385,40 @@
     cell->cost.prefill_ns = 1;
 }
 
+void
+wl_cell_weigh_prefixes (WlCell *cell, const WlEndpoint *endpoint, WlEffects *fx)
+{
+  if (cell->weighs_prefixes)
+    return;
+  cell->weighs_prefixes = 1;
+  wl_effects_log (fx, WL3016_PREFIXES_WEIGHED, "service=%s shard=%u endpoint=%s",
+                  cell->lease.service, cell->lease.shard, endpoint->name);
+}
+
+/*
+ * Compares what was expected in the endpoint's cache with what its engine names. Engines that name
+ * nothing for any request teach nothing: their 0 doesn't mean that nothing was cached.
+ */
+static void
+learn_cached (WlCell *cell, const WlGrantRecord *g, const WlAttemptUpdate *u, WlEffects *fx)
+{
+  WlEndpoint *e = wl_accounts_endpoint (cell, g->allocations[0].endpoint);
+  if (g->n_allocations != 1 || e == NULL || e->incarnation != g->allocations[0].incarnation)
+    return;
+  if (u->cached_tokens > 0)
+    {
+      cell->names_cached = 1;
+      wl_cell_weigh_prefixes (cell, e, fx);
+    }
+  if (!cell->names_cached)
+    return;
+  uint64_t cached = u->cached_tokens < g->prompt_tokens ? u->cached_tokens : g->prompt_tokens;
+  wl_prefix_hints_learn (&e->prefixes, g->likely_tokens, cached);
+  cell->counters.prefix_expected_tokens += g->prompt_tokens - g->uncached_tokens;
+  cell->counters.prefix_cached_tokens += cached;
+  cell->counters.prefix_saved_us += cached * cell->cost.prefill_ns / 1000;
+}
+
 static void
 apply_end (WlCell *cell, WlGrantRecord *g, const WlAttemptUpdate *update, uint64_t now_us,
            WlEffects *fx)
@@ -389,6 +428,7 @@
   if (update->result == WL_ATTEMPT_FINISHED)
     {
       learn_prefill_cost (cell, g, update);
+      learn_cached (cell, g, update, fx);
       record_success (cell, g);
       wl_accounts_end (cell, g, now_us);
       /* Only endpoint 0, which streams, has confirmed the end; cancel the rest of a gang. */
@@ -575,6 +615,24 @@
     wl_placement_reserve (cell, w, now_us);
 }
 
+static void
+log_prefixes (WlCell *cell, uint64_t now_us, WlEffects *fx)
+{
+  const WlCellCounters *c = &cell->counters;
+  uint64_t tokens = c->prefix_expected_tokens + c->prefix_cached_tokens;
+  if (tokens == cell->prefix_tokens_logged || now_us < cell->prefixes_logged_us + LOG_PREFIXES_US)
+    return;
+  cell->prefix_tokens_logged = tokens;
+  cell->prefixes_logged_us = now_us;
+  wl_effects_log (fx, WL3017_PREFIXES_SAVED,
+                  "service=%s shard=%u granted=%lu chosen=%lu outweighed=%lu expected_tokens=%lu "
+                  "cached_tokens=%lu saved_ms=%lu",
+                  cell->lease.service, cell->lease.shard, (unsigned long)c->granted,
+                  (unsigned long)c->prefix_chosen, (unsigned long)c->prefix_outweighed,
+                  (unsigned long)c->prefix_expected_tokens, (unsigned long)c->prefix_cached_tokens,
+                  (unsigned long)(c->prefix_saved_us / 1000));
+}
+
 void
 wl_cell_tick (WlCell *cell, uint64_t now_us, WlEffects *fx)
 {
@@ -594,6 +652,7 @@
       repeat_cancels (cell, now_us, fx);
       refresh_reservation (cell, now_us);
       wl_model_loads_tick (cell, now_us, fx);
+      log_prefixes (cell, now_us, fx);
     }
   wl_cell_schedule (cell, now_us, fx);
 }
--- a/core/placement/wl_cell.h
+++ b/core/placement/wl_cell.h
@@ -3,6 +3,7 @@
 
 #include <apr_hash.h>
 #include "wl_effects.h"
+#include "wl_prefix_saving.h"
 
 /*
  * The owner's side of a cell. A cell is one shard of a service's endpoints;
@@ -38,10 +39,9 @@
   WL_CELL_REMOVE_EXPIRIES = 10,
   /* a scan of the queue ends after this many short requests that can't start */
   WL_CELL_SCAN_MAX = 32,
-  WL_CELL_SCAN_LONG_MAX = 8,   /* after this many with long prompts, a scan skips others of these */
-  WL_CELL_PREFIX_SLOTS = 1024, /* hash table slots for the cached prefixes of one endpoint */
-  WL_CELL_ORPHANS_MAX = 64,    /* orphans tracked for one endpoint */
-  WL_CELL_KV_PERCENT = 95,     /* share of an endpoint's KV cache that grants may use */
+  WL_CELL_SCAN_LONG_MAX = 8, /* after this many with long prompts, a scan skips others of these */
+  WL_CELL_ORPHANS_MAX = 64,  /* orphans tracked for one endpoint */
+  WL_CELL_KV_PERCENT = 95,   /* share of an endpoint's KV cache that grants may use */
   /* with this estimated backlog of short prompts, an endpoint gets no further one */
   WL_CELL_PREFILL_BACKLOG_MAX_US = 400000,
   WL_CELL_ORDER_TIMEOUT_US = 30000000, /* an unanswered order is repeated after this */
@@ -70,7 +70,7 @@
  * @ready: it has loaded all models of the service
  * @failures: consecutive failed attempts
  * @ejections: consecutive ejections; each doubles the next one's length
- * @cached_prefixes: prefixes expected in its cache; a colliding hash replaces the older
+ * @prefixes: prefixes expected in its cache since its start
  * @ordered_us: time of the latest order to load a model, 0 for none outstanding; set back
  *   after a refusal, so that the order is repeated sooner
  * @missing_model: index of the first model that is not loaded, UINT32_MAX for none
@@ -98,7 +98,7 @@
   uint32_t failures;
   uint32_t ejections;
   uint64_t ejected_until_us;
-  WlPrefixHash cached_prefixes[WL_CELL_PREFIX_SLOTS];
+  WlPrefixHints prefixes;
   WlOrphan orphans[WL_CELL_ORPHANS_MAX];
   uint32_t n_orphans;
   uint64_t ordered_us;
@@ -149,6 +149,7 @@
  * @id: hash of request and attempt
  * @node: the entry that holds it
  * @uncached_tokens: prompt tokens that must be computed
+ * @likely_tokens: see WlPrefixMatch
  * @cost_us: estimated engine time
  * @cancel_sent_us: time of the latest cancel to its endpoints
  * @ended: the attempt has ended; allocations are freed as endpoints confirm
@@ -163,6 +164,7 @@
   WlCellCustomer *customer;
   uint64_t prompt_tokens;
   uint64_t uncached_tokens;
+  uint64_t likely_tokens;
   uint64_t cost_us;
   uint64_t granted_us;
   uint64_t estimated_end_us;
@@ -229,6 +231,12 @@
  * struct WlCellCounters - counters of one cell since it was opened
  * @backfilled: grants given while a reservation was held for another request
  * @cache_hits: grants with a cached prefix
+ * @prefix_chosen: grants at an endpoint that was chosen only for what its prefix saves
+ * @prefix_outweighed: grants at another endpoint than the one that was expected to save most
+ * @prefix_expected_tokens: tokens expected in caches, of finished requests of which the engine
+ *   named what it had cached
+ * @prefix_cached_tokens: tokens that the engines had really cached for these
+ * @prefix_saved_us: prefill time of the latter
  */
 typedef struct
 {
@@ -239,6 +247,11 @@
   uint64_t cancels;
   uint64_t ejections;
   uint64_t cache_hits;
+  uint64_t prefix_chosen;
+  uint64_t prefix_outweighed;
+  uint64_t prefix_expected_tokens;
+  uint64_t prefix_cached_tokens;
+  uint64_t prefix_saved_us;
 } WlCellCounters;
 
 /**
@@ -250,6 +263,11 @@
  * @n_arrivals: requests queued so far
  * @round_robin: position of the next endpoint under the round-robin policy
  * @load_bucket_millionths: token bucket for model loads, in millionths of a load
+ * @weighs_prefixes: an endpoint has reported cached prefixes, so that hints are weighed; until
+ *   then, a hint from a placement counts in full
+ * @names_cached: an endpoint has named cached tokens for a request
+ * @prefixes_logged_us: time of the latest WL3017
+ * @prefix_tokens_logged: expected and cached tokens at that time
  * @last_sweep_us: time of the latest sweep, see WL_CELL_SWEEP_US
  * @delays_us: delay in microseconds that work of customer [cause] added to requests
  *   of customer [victim], indexed [victim * delays_size + cause]
@@ -277,6 +295,10 @@
   uint32_t round_robin;
   uint64_t load_bucket_millionths;
   uint64_t order_refilled_us;
+  uint8_t weighs_prefixes;
+  uint8_t names_cached;
+  uint64_t prefixes_logged_us;
+  uint64_t prefix_tokens_logged;
   uint64_t last_sweep_us;
   uint64_t *delays_us;
   uint32_t n_customers;
--- a/core/placement/wl_cell_internal.h
+++ b/core/placement/wl_cell_internal.h
@@ -19,6 +19,9 @@
 void wl_cell_apply_update (WlCell *cell, const WlAttemptUpdate *update, uint64_t now_us,
                            WlEffects *fx);
 
+/** wl_cell_weigh_prefixes() - an endpoint has reported cached prefixes: hints are weighed now */
+void wl_cell_weigh_prefixes (WlCell *cell, const WlEndpoint *endpoint, WlEffects *fx);
+
 /** wl_cell_get_holder() - finds or creates the record of an entry */
 WlHolder *wl_cell_get_holder (WlCell *cell, uint32_t node, uint64_t now_us);
 
--- a/core/placement/wl_cell_reports.c
+++ b/core/placement/wl_cell_reports.c
@@ -4,7 +4,6 @@
 #include "wl_cell_internal.h"
 #include "wl_events.h"
 #include "wl_model_loads.h"
-#include "wl_placement.h"
 #include "wl_table.h"
 
 /* Reports of endpoints: load, running attempts and cached prefixes. Orphans are cancelled. */
@@ -139,8 +138,10 @@
   e->leaving = report->leaving;
   e->last_contact_us = now_us;
   wl_model_loads_observe (cell, e, report);
-  wl_placement_add_prefixes (e, report->cached, report->n_cached);
-  wl_placement_remove_prefixes (e, report->evicted, report->n_evicted);
+  wl_prefix_hints_report (&e->prefixes, report->cached, report->n_cached, now_us);
+  wl_prefix_hints_evict (&e->prefixes, report->evicted, report->n_evicted);
+  if (report->n_cached > 0 || report->n_evicted > 0)
+    wl_cell_weigh_prefixes (cell, e, fx);
   free_absent_allocations (cell, e, report, now_us);
   track_orphans (cell, e, report, now_us, fx);
   wl_cell_schedule (cell, now_us, fx);
--- a/core/placement/wl_placement.c
+++ b/core/placement/wl_placement.c
@@ -79,35 +79,17 @@
 
 /* ---- prefixes ---- */
 
-void
-wl_placement_add_prefixes (WlEndpoint *endpoint, const WlPrefixHash *prefixes, uint32_t n)
+static WlPrefixMatch
+match_prefixes (const WlCell *cell, const WlEndpoint *e, const WlQueuedRequest *w, uint64_t now_us)
 {
-  for (uint32_t i = 0; i < n; i++)
-    endpoint->cached_prefixes[prefixes[i].hash % WL_CELL_PREFIX_SLOTS] = prefixes[i];
-}
-
-void
-wl_placement_remove_prefixes (WlEndpoint *endpoint, const WlPrefixHash *prefixes, uint32_t n)
-{
-  for (uint32_t i = 0; i < n; i++)
-    {
-      WlPrefixHash *slot = &endpoint->cached_prefixes[prefixes[i].hash % WL_CELL_PREFIX_SLOTS];
-      if (slot->hash == prefixes[i].hash)
-        *slot = (WlPrefixHash){ 0, 0 };
-    }
-}
-
-static uint64_t
-cached_tokens (const WlEndpoint *e, const WlQueuedRequest *w)
-{
-  for (uint32_t i = w->place.n_prefixes; i > 0; i--)
-    {
-      const WlPrefixHash *prefix = &w->prefixes[i - 1];
-      if (e->cached_prefixes[prefix->hash % WL_CELL_PREFIX_SLOTS].hash != prefix->hash)
-        continue;
-      return prefix->tokens < w->place.prompt_tokens ? prefix->tokens : w->place.prompt_tokens;
-    }
-  return 0;
+  WlPrefixRoom room = {
+    .kv_used = e->kv_reserved > e->kv_reported ? e->kv_reserved : e->kv_reported,
+    .kv_capacity = e->kv_capacity * WL_CELL_KV_PERCENT / 100,
+    .slots_used = e->slots_used,
+    .slots = e->slots,
+  };
+  return wl_prefix_match (&e->prefixes, w->prefixes, w->place.n_prefixes, w->place.prompt_tokens,
+                          cell->weighs_prefixes ? &room : NULL, now_us);
 }
 
 /* ---- long prompts ---- */
@@ -205,11 +187,26 @@
   return e->prefill_tokens == 0 || backlog_us < WL_CELL_PREFILL_BACKLOG_MAX_US;
 }
 
+static WlPrefixCost
+prefix_cost (const WlCell *cell, const WlQueuedRequest *w, const WlEndpoint *e, uint64_t expected)
+{
+  return (WlPrefixCost){
+    .prompt_tokens = w->place.prompt_tokens,
+    .expected_tokens = expected,
+    .backlog_tokens = e->prefill_tokens,
+    .prefill_ns = cell->cost.prefill_ns,
+    .n_running = e->slots_used,
+  };
+}
+
 static uint64_t
 predicted_cost_us (const WlCell *cell, const WlQueuedRequest *w, const WlEndpoint *e,
-                   uint64_t uncached)
+                   uint64_t expected)
 {
-  uint64_t us = (uncached + e->prefill_tokens) * cell->cost.prefill_ns / 1000;
+  WlPrefixCost cost = prefix_cost (cell, w, e, expected);
+  uint64_t us = wl_prefix_wait_us (&cost);
+  if (cell->weighs_prefixes)
+    us += wl_prefix_loss_us (&cost);
   us += (uint64_t)e->slots_used * SLOT_IN_USE_PENALTY_US;
   if (strcmp (e->domain, w->place.domain) != 0)
     us += OTHER_DOMAIN_PENALTY_US;
@@ -219,35 +216,57 @@
   return us;
 }
 
+/* Ties are broken by a hash, so that different requests choose different endpoints. */
+static int
+is_better (const WlQueuedRequest *w, const WlEndpoint *e, uint64_t us, const WlEndpoint *best,
+           uint64_t best_us)
+{
+  if (us != best_us || best == NULL)
+    return us < best_us;
+  return wl_hash_ids (e->id, w->place.request) >= wl_hash_ids (best->id, w->place.request);
+}
+
 static int
 choose_adaptive (WlCell *cell, const WlQueuedRequest *w, uint64_t now_us, WlPlacementChoice *out)
 {
   uint64_t best_us = UINT64_MAX;
+  uint64_t unsaved_best_us = UINT64_MAX;
+  uint64_t most_expected = 0;
+  const WlEndpoint *unsaved_best = NULL; /* the choice if nothing were cached */
   /* Computed before the loop: both functions iterate over the same table. */
   int may_start_long = count_long_endpoints (cell) < max_long_endpoints (cell, 1);
   for (apr_hash_index_t *i = apr_hash_first (NULL, cell->endpoints); i; i = apr_hash_next (i))
     {
       WlEndpoint *e = apr_hash_this_val (i);
-      uint64_t cached = cached_tokens (e, w);
-      uint64_t uncached = w->place.prompt_tokens - cached;
+      WlPrefixMatch match = match_prefixes (cell, e, w, now_us);
+      uint64_t uncached = w->place.prompt_tokens - match.expected_tokens;
+      if (match.expected_tokens > most_expected && wl_placement_is_usable (cell, e, now_us)
+          && !is_excluded (w, e))
+        most_expected = match.expected_tokens;
       if (is_long (&w->place, uncached) && !may_start_long)
         continue;
       if (!accepts (cell, w, e, uncached, now_us))
         continue;
-      uint64_t cost_us = predicted_cost_us (cell, w, e, uncached);
-      if (cost_us > best_us)
-        continue;
-      /* Ties are broken by a hash, so that different requests choose different endpoints. */
-      if (cost_us == best_us
-          && wl_hash_ids (e->id, w->place.request)
-                 < wl_hash_ids (out->endpoints[0]->id, w->place.request))
+      uint64_t cost_us = predicted_cost_us (cell, w, e, match.expected_tokens);
+      uint64_t unsaved_us = match.expected_tokens > 0 ? predicted_cost_us (cell, w, e, 0) : cost_us;
+      if (is_better (w, e, unsaved_us, unsaved_best, unsaved_best_us))
+        {
+          unsaved_best_us = unsaved_us;
+          unsaved_best = e;
+        }
+      if (!is_better (w, e, cost_us, out->endpoints[0], best_us))
         continue;
+      WlPrefixCost cost = prefix_cost (cell, w, e, match.expected_tokens);
       best_us = cost_us;
       out->endpoints[0] = e;
-      out->cached_tokens = cached;
+      out->cached_tokens = match.expected_tokens;
+      out->likely_tokens = match.likely_tokens;
+      out->wait_us = wl_prefix_wait_us (&cost);
       out->is_long = (uint8_t)is_long (&w->place, uncached);
     }
   out->n = best_us != UINT64_MAX;
+  out->is_for_prefix = unsaved_best != out->endpoints[0];
+  out->is_outweighed = most_expected > out->cached_tokens;
   out->kv_tokens = tokens_needed (&w->place);
   return (int)out->n;
 }
--- a/core/placement/wl_placement.h
+++ b/core/placement/wl_placement.h
@@ -10,6 +10,10 @@
  * @endpoints: the @n endpoints; the first one streams the output
  * @kv_tokens: KV cache to reserve on each
  * @cached_tokens: prompt tokens expected in the first endpoint's cache
+ * @likely_tokens: see WlPrefixMatch
+ * @wait_us: predicted time to first token; 0 for a gang and for baseline policies
+ * @is_for_prefix: without the cached tokens, another endpoint would have been chosen
+ * @is_outweighed: another usable endpoint was expected to have more of the prompt cached
  * @priority: engine priority, 0 is the highest
  * @is_long: a long prefill, always set for a gang; the adaptive and fifo policies do not
  *   count cached tokens
@@ -20,8 +24,12 @@
   uint32_t n;
   uint64_t kv_tokens;
   uint64_t cached_tokens;
+  uint64_t likely_tokens;
+  uint64_t wait_us;
   uint32_t priority;
   uint8_t is_long;
+  uint8_t is_for_prefix;
+  uint8_t is_outweighed;
 } WlPlacementChoice;
 
 /**
@@ -70,20 +78,4 @@
  */
 int wl_placement_is_usable (const WlCell *cell, const WlEndpoint *endpoint, uint64_t now_us);
 
-/**
- * wl_placement_add_prefixes() - records prompt prefixes that an endpoint has cached
- * @endpoint: the endpoint
- * @prefixes: hashes of the prefixes
- * @n: number of prefixes
- */
-void wl_placement_add_prefixes (WlEndpoint *endpoint, const WlPrefixHash *prefixes, uint32_t n);
-
-/**
- * wl_placement_remove_prefixes() - removes prompt prefixes that an endpoint has evicted
- * @endpoint: the endpoint
- * @prefixes: hashes of the prefixes
- * @n: number of prefixes
- */
-void wl_placement_remove_prefixes (WlEndpoint *endpoint, const WlPrefixHash *prefixes, uint32_t n);
-
 #endif
--- a/daemon/wl_views.c
+++ b/daemon/wl_views.c
@@ -32,13 +32,25 @@
 static json_t *
 view_endpoint (const WlEndpoint *e, uint64_t now_us)
 {
-  return json_pack ("{s:s,s:s,s:i,s:s,s:s,s:o,s:o,s:o,s:o,s:i,s:i,s:o,s:i,s:o}", "name", e->name,
-                    "address", e->address, "port", (int)e->port, "domain", e->domain, "state",
-                    endpoint_state (e, now_us), "id", wl_json_hex (e->id), "kv_capacity",
+  return json_pack ("{s:s,s:s,s:i,s:s,s:s,s:o,s:o,s:o,s:o,s:i,s:i,s:o,s:i,s:o,s:i}", "name",
+                    e->name, "address", e->address, "port", (int)e->port, "domain", e->domain,
+                    "state", endpoint_state (e, now_us), "id", wl_json_hex (e->id), "kv_capacity",
                     number (e->kv_capacity), "kv_reserved", number (e->kv_reserved), "kv_reported",
                     number (e->kv_reported), "slots", (int)e->slots, "slots_used",
                     (int)e->slots_used, "prefill_tokens", number (e->prefill_tokens),
-                    "long_prefills", (int)e->long_prefills, "granted", number (e->granted));
+                    "long_prefills", (int)e->long_prefills, "granted", number (e->granted),
+                    "prefix_unreliable_ppm", (int)e->prefixes.unreliable_ppm);
+}
+
+static json_t *
+view_prefixes (const WlCell *c)
+{
+  return json_pack ("{s:b,s:o,s:o,s:o,s:o,s:o}", "weighed", (int)c->weighs_prefixes, "chosen",
+                    number (c->counters.prefix_chosen), "outweighed",
+                    number (c->counters.prefix_outweighed), "expected_tokens",
+                    number (c->counters.prefix_expected_tokens), "cached_tokens",
+                    number (c->counters.prefix_cached_tokens), "saved_ms",
+                    number (c->counters.prefix_saved_us / 1000));
 }
 
 static json_t *
@@ -48,13 +60,13 @@
   for (apr_hash_index_t *i = apr_hash_first (NULL, c->endpoints); i; i = apr_hash_next (i))
     json_array_append_new (endpoints, view_endpoint (apr_hash_this_val (i), now_us));
   return json_pack (
-      "{s:s,s:i,s:o,s:b,s:i,s:i,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:b,s:o}", "service",
+      "{s:s,s:i,s:o,s:b,s:i,s:i,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:b,s:o}", "service",
       c->lease.service, "shard", (int)c->lease.shard, "fence", number (c->lease.fence), "ready",
       (int)c->ready, "queued", (int)c->n_queued, "grants", (int)apr_hash_count (c->grants),
       "granted", number (c->counters.granted), "refused", number (c->counters.refused), "gangs",
       number (c->counters.gangs), "backfilled", number (c->counters.backfilled), "cancels",
-      number (c->counters.cancels), "cache_hits", number (c->counters.cache_hits),
-      "prefill_ns_per_token", number (c->cost.prefill_ns), "reservation",
+      number (c->counters.cancels), "cache_hits", number (c->counters.cache_hits), "prefixes",
+      view_prefixes (c), "prefill_ns_per_token", number (c->cost.prefill_ns), "reservation",
       wl_json_hex (c->reservation.request), "accounts_match", wl_accounts_check (c), "endpoints",
       endpoints);
 }
