Emulator: engines evict prefixes, sessions as load; traces of cached tokens

Cause: emulated engines never evicted, so no experiment could show what a wrong hint costs, and no mix of wl-load had prompts with a long common beginning.

The witness log names prompt and cached tokens. A check that a grant's endpoint has the same start is gone from learn_cached (): the grant of an earlier start is freed before.

--- a/core/base/wl_trace.c
+++ b/core/base/wl_trace.c
@@ -39,6 +39,8 @@
       return "caller_gone";
     case WL_TRACE_ENDED:
       return "ended";
+    case WL_TRACE_CACHED:
+      return "cached";
     }
   return "?";
 }
--- a/core/base/wl_trace.h
+++ b/core/base/wl_trace.h
@@ -26,7 +26,8 @@
   WL_TRACE_NO_BUDGET,   /* not retried: the retry budget is empty */
   WL_TRACE_TIMED_OUT,
   WL_TRACE_CALLER_DISCONNECTED,
-  WL_TRACE_ENDED, /* a: WlOutcome, b: tokens */
+  WL_TRACE_ENDED,  /* a: WlOutcome, b: tokens */
+  WL_TRACE_CACHED, /* a: prompt tokens expected in the KV cache, b: tokens found there */
 } WlTraceKind;
 
 typedef struct
--- a/core/placement/wl_cell.c
+++ b/core/placement/wl_cell.c
@@ -403,7 +403,7 @@
 learn_cached (WlCell *cell, const WlGrantRecord *g, const WlAttemptUpdate *u, WlEffects *fx)
 {
   WlEndpoint *e = wl_accounts_endpoint (cell, g->allocations[0].endpoint);
-  if (g->n_allocations != 1 || e == NULL || e->incarnation != g->allocations[0].incarnation)
+  if (g->n_allocations != 1 || e == NULL)
     return;
   if (u->cached_tokens > 0)
     {
--- a/core/requests/wl_entry.c
+++ b/core/requests/wl_entry.c
@@ -120,6 +120,8 @@
       update.cached_tokens = end->cached_tokens;
       update.prefill_us = end->prefill_us;
       r->cached_tokens = end->cached_tokens;
+      if (r->expected_tokens > 0 || r->cached_tokens > 0)
+        wl_request_trace (entry, r->id, WL_TRACE_CACHED, r->expected_tokens, r->cached_tokens, ctx);
     }
   wl_links_add_update (wl_links_get (entry, r->service, r->shard), &update);
   WlEffect *e = wl_effects_add (ctx->fx, WL_EFFECT_CLOSE_ATTEMPT);
@@ -282,6 +284,7 @@
   r->last_progress_us = ctx->now_us;
   r->n_endpoints = g->n_endpoints < WL_GANG_MAX ? g->n_endpoints : WL_GANG_MAX;
   memcpy (r->endpoints, g->endpoints, r->n_endpoints * sizeof *r->endpoints);
+  r->expected_tokens = g->cached_tokens;
   r->dispatched++;
   WlLink *link = wl_links_get (entry, r->service, r->shard);
   if (link->next_renewal_us > ctx->now_us + WL_GRANT_RENEW_INTERVAL_US)
--- a/core/requests/wl_entry.h
+++ b/core/requests/wl_entry.h
@@ -63,6 +63,7 @@
  * @last_progress_us: latest output or keep-alive of the current attempt
  * @delivered: tokens sent to the caller
  * @dispatched: attempts of which at least one byte may have been sent
+ * @expected_tokens: prompt tokens that the current grant expects in the KV cache
  * @endpoints: endpoints of the current grant; the first one streams
  * @excluded: endpoints that failed earlier attempts
  * @plain_response: response of a non-idempotent request, stored with its claim
@@ -97,6 +98,7 @@
   uint64_t first_token_us;
   uint64_t delivered;
   uint64_t cached_tokens;
+  uint64_t expected_tokens;
   uint32_t attempt;
   uint32_t dispatched;
   WlGrantEndpoint endpoints[WL_GANG_MAX];
--- a/core/tests/test_prefix_saving.c
+++ b/core/tests/test_prefix_saving.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <apr_general.h>
 #include "wl_accounts.h"
+#include "wl_events.h"
 #include "wl_prefix.h"
 #include "wl_prefix_saving.h"
 #include "wl_sim_system.h"
@@ -475,6 +476,50 @@
 }
 END_TEST
 
+static const char *
+find_log (const WlEffects *fx, uint32_t number)
+{
+  for (uint32_t i = 0; i < fx->count; i++)
+    if (fx->items[i].kind == WL_EFFECT_LOG && fx->items[i].u.log.number == number)
+      return fx->items[i].u.log.text;
+  return NULL;
+}
+
+/* Operators could not tell savings from none, or the first would flood the log. */
+START_TEST (savings_are_logged_every_ten_seconds_while_there_are_some)
+{
+  Fixture f;
+  WlPrefixHash prefixes[WL_PREFIX_HASHES_MAX];
+  uint32_t n = session_prefixes (SESSION, SESSION_TOKENS, prefixes);
+  set_up (&f);
+  f.now_us += 10000000;
+  report (&f, 1, 1, 0, prefixes, NULL, n);
+  ck_assert_ptr_nonnull (find_log (f.fx, WL3016_PREFIXES_WEIGHED));
+  wl_effects_clear (f.fx);
+  uint32_t lines = 0;
+  for (int i = 0; i < 30; i++)
+    {
+      report (&f, 1, 1, 0, prefixes, NULL, n);
+      ck_assert_ptr_null (find_log (f.fx, WL3016_PREFIXES_WEIGHED));
+      wl_cell_tick (f.cell, f.now_us += 1000000, f.fx);
+      const char *text = find_log (f.fx, WL3017_PREFIXES_SAVED);
+      if (text != NULL)
+        {
+          lines++;
+          ck_assert_ptr_nonnull (strstr (text, " cached_tokens=4096 saved_ms=204"));
+        }
+      wl_effects_clear (f.fx);
+      if (i == 0)
+        {
+          place (&f, PROMPT_TOKENS, prefixes, n);
+          update (&f, f.request, 1, SESSION_TOKENS);
+        }
+    }
+  ck_assert_uint_eq (lines, 1); /* nothing new was saved after the first */
+  tear_down (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -494,6 +539,7 @@
     WL_TEST (a_first_burst_of_a_session_spreads),
     WL_TEST (an_endpoint_that_never_has_the_prefix_loses_its_session),
     WL_TEST (engines_that_name_no_tokens_per_request_stay_reliable),
+    WL_TEST (savings_are_logged_every_ten_seconds_while_there_are_some),
     WL_TEST (deployments_that_report_no_prefixes_place_as_before),
   };
   return wl_test_run ("prefix saving", tests, sizeof tests / sizeof tests[0]);
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -71,6 +71,8 @@
   struct arg_lit *plain = arg_lit0 (NULL, "plain", "plain service");
   struct arg_dbl *speed = arg_dbl0 (NULL, "speed", "X", "time-scale factor (1)");
   struct arg_int *kv = arg_int0 (NULL, "kv-tokens", "N", "KV memory (400000)");
+  struct arg_lit *evicts
+      = arg_lit0 (NULL, "evicts", "running requests evict the prefixes of ended ones");
   struct arg_int *slots = arg_int0 (NULL, "slots", "N", "requests at once (32)");
   struct arg_int *tps = arg_int0 (NULL, "prefill-tps", "N", "prompt tokens a second (20000)");
   struct arg_int *decode = arg_int0 (NULL, "decode-us", "N", "iteration time (12000)");
@@ -84,9 +86,9 @@
       = arg_str0 (NULL, "limit", "RATE", "names a limit of RATE requests a second");
   struct arg_str *log = arg_str0 (NULL, "witness", "FILE", "log of what ran");
   struct arg_end *end = arg_end (20);
-  void *table[] = { service, entries, key,      domains, address, port,   count,
-                    plain,   speed,   kv,       slots,   tps,     decode, service_ms,
-                    load_ms, loaded,  no_fence, ends_on, limit,   log,    end };
+  void *table[] = { service, entries,  key,     domains, address, port,   count,      plain,
+                    speed,   kv,       evicts,  slots,   tps,     decode, service_ms, load_ms,
+                    loaded,  no_fence, ends_on, limit,   log,     end };
   EngineOptions options = { .speed = 1,
                             .prefill_tps = 20000,
                             .decode_us = 12000,
@@ -123,6 +125,7 @@
     options.speed = speed->dval[0];
   if (kv->count > 0)
     options.kv_capacity = (uint64_t)kv->ival[0];
+  options.evicts = evicts->count > 0;
   if (slots->count > 0)
     options.slots = (uint32_t)slots->ival[0];
   if (tps->count > 0)
--- a/emulator/load_main.c
+++ b/emulator/load_main.c
@@ -34,6 +34,9 @@
   FILLER_BYTES = 4500000,
   LINE_SIZE = 65536,
   CALLER_TRIES = 5, /* addresses that a caller tries */
+  SESSIONS = 120,   /* of the mix "sessions" */
+  SESSION_BYTES = 20000,
+  SESSION_FIRST_TOKENS = 2048, /* sessions begin with this, twice, four or eight times as much */
 };
 
 static const double class_limit[CLASSES] = { 4096, 32768, 131072, 1000000 };
@@ -59,6 +62,8 @@
   uint64_t prompt_tokens;
   uint64_t max_tokens;
   uint64_t prompt_hash;
+  size_t offset;       /* of the text in the filler */
+  size_t shared_bytes; /* of the text, from its beginning */
   uint64_t due_us;
   uint64_t sent_us;
   uint64_t first_us;
@@ -232,6 +237,22 @@
   return c;
 }
 
+/* One of the sessions, of which few have most requests, and a question of a hundred to 600 tokens.
+ */
+static void
+draw_session (Request *r)
+{
+  double u = gsl_rng_uniform (load.rng);
+  uint32_t session = (uint32_t)(SESSIONS * u * u);
+  uint64_t shared = (uint64_t)SESSION_FIRST_TOKENS << session % 4;
+  r->prompt_tokens = shared + 100 + gsl_rng_uniform_int (load.rng, 500);
+  r->class_index = 0;
+  while ((double)r->prompt_tokens > class_limit[r->class_index])
+    r->class_index++;
+  r->offset = (size_t)session * SESSION_BYTES;
+  r->shared_bytes = shared * WL_BYTES_PER_TOKEN;
+}
+
 static void
 draw_request (Request *r, const char *mix, uint64_t due_us)
 {
@@ -243,6 +264,11 @@
   r->prompt_tokens = (uint64_t)(class_from[c] * pow (class_limit[c] / class_from[c], u));
   r->max_tokens = (uint64_t)(gsl_ran_gamma (load.rng, 4, class_tokens_out[c] / 4)) + 8;
   r->customer = (int)pick_customer ();
+  /* A prefix of a quarter of the prompt is shared by the customer's requests. */
+  r->offset = (size_t)r->customer * 97;
+  r->shared_bytes = r->prompt_tokens * WL_BYTES_PER_TOKEN / 4;
+  if (strcmp (mix, "sessions") == 0)
+    draw_session (r);
   r->due_us = due_us;
 }
 
@@ -252,7 +278,6 @@
   size_t prompt = r->prompt_tokens * WL_BYTES_PER_TOKEN;
   char head[128];
   char tail[96];
-  /* A prefix of a quarter of the prompt is shared by the customer's requests. */
   int n = snprintf (head, sizeof head,
                     "{\"model\":\"%s\",\"messages\":[{\"role\":\"user\",\"content\":\"",
                     load.service);
@@ -263,11 +288,10 @@
     abort ();
   memcpy (body, head, (size_t)n);
   char *text = body + n;
-  size_t shared = prompt / 4;
-  memcpy (text, load.filler + (size_t)r->customer * 97, prompt);
+  memcpy (text, load.filler + r->offset, prompt);
   char unique[24];
   int k = snprintf (unique, sizeof unique, "%020u", index + 1);
-  for (size_t at = shared; at + (size_t)k < prompt; at += 2000)
+  for (size_t at = r->shared_bytes; at + (size_t)k < prompt; at += 2000)
     memcpy (text + at, unique, (size_t)k);
   r->prompt_hash = wl_hash_bytes (text, prompt, 0);
   memcpy (text + prompt, tail, (size_t)m + 1);
@@ -505,7 +529,8 @@
   struct arg_dbl *speed = arg_dbl0 (NULL, "speed", "X", "time-scale factor (1)");
   struct arg_dbl *heavy = arg_dbl0 (NULL, "heavy", "X", "share of the first customer (1)");
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "seed (1)");
-  struct arg_str *mix = arg_str0 (NULL, "mix", "NAME", "mixed, only-short, only-long, short, long");
+  struct arg_str *mix
+      = arg_str0 (NULL, "mix", "NAME", "mixed, only-short, only-long, short, long, sessions");
   struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
   struct arg_end *end = arg_end (20);
   void *table[]
--- a/emulator/wl_engine.c
+++ b/emulator/wl_engine.c
@@ -52,25 +52,21 @@
   return n;
 }
 
+/* Running requests take memory from kept prefixes, where the option says so. */
 static void
-cache_store (Engine *e, const Sequence *s)
+make_room (Engine *e)
 {
-  for (uint32_t i = 0; i < s->n_marks; i++)
-    {
-      e->cache[s->marks[i].hash % ENGINE_CACHE_MARKS] = s->marks[i];
-      if (e->n_news < 64 && s->marks[i].hash % 8 != 0)
-        e->news[e->n_news++] = s->marks[i];
-    }
+  uint64_t used = engine_kv_used (e);
+  if (e->options->evicts)
+    engine_cache_evict (&e->cache,
+                        used < e->options->kv_capacity ? e->options->kv_capacity - used : 0);
 }
 
 static uint64_t
-cache_lookup (const Engine *e, const Sequence *s)
+look_up (Engine *e, const Sequence *s, uint64_t now_us)
 {
-  for (uint32_t i = s->n_marks; i > 0; i--)
-    if (e->cache[s->marks[i - 1].hash % ENGINE_CACHE_MARKS].hash == s->marks[i - 1].hash)
-      return s->marks[i - 1].tokens < s->prompt_tokens ? s->marks[i - 1].tokens
-                                                       : s->prompt_tokens - 1;
-  return 0;
+  uint64_t tokens = engine_cache_lookup (&e->cache, s->marks, s->n_marks, now_us);
+  return tokens == 0 || tokens < s->prompt_tokens ? tokens : s->prompt_tokens - 1;
 }
 
 /* ---- sequences ---- */
@@ -176,7 +172,8 @@
         if (s->prefill_left > 0)
           continue;
         s->prefilled_us = now_us;
-        cache_store (e, s);
+        engine_cache_store (&e->cache, s->marks, s->n_marks, now_us);
+        make_room (e);
       }
   return spent;
 }
@@ -317,7 +314,7 @@
 static void
 handle_generate (Engine *e, WlExchange *x)
 {
-  char detail[96];
+  char detail[160];
   uint64_t now_us = wl_clock_now_us ();
   Sequence *s = read_sequence (e, x, now_us);
   if (s == NULL)
@@ -333,14 +330,16 @@
       refuse (x, 503, "out of memory");
       return;
     }
-  s->cached_tokens = cache_lookup (e, s);
+  s->cached_tokens = look_up (e, s, now_us);
   uint64_t computed = s->prompt_tokens + s->next_token - s->cached_tokens;
   s->prefill_left = (double)computed / (s->gang > 1 ? s->gang * 0.9 : 1);
   s->cut_at = e->cut_next > 0 ? s->next_token + e->cut_next : 0;
   e->cut_next = 0;
   append_sequence (e, s);
-  snprintf (detail, sizeof detail, "request=%016lx attempt=%u rank=%u", (unsigned long)s->request,
-            s->attempt, s->rank);
+  make_room (e);
+  snprintf (detail, sizeof detail, "request=%016lx attempt=%u rank=%u prompt=%lu cached=%lu",
+            (unsigned long)s->request, s->attempt, s->rank, (unsigned long)s->prompt_tokens,
+            (unsigned long)s->cached_tokens);
   witness (e, "RUN", detail);
   wl_exchange_set_data (x, s->request);
   wl_exchange_begin (x, 200, "text/event-stream");
@@ -520,8 +519,7 @@
       free (c);
     }
   e->iteration_end_us = 0;
-  memset (e->cache, 0, sizeof e->cache);
-  e->n_news = 0;
+  memset (&e->cache, 0, sizeof e->cache);
   json_decref (e->lagged);
   e->lagged = NULL;
 }
--- a/emulator/wl_engine.h
+++ b/emulator/wl_engine.h
@@ -21,7 +21,6 @@
   ENGINE_CHUNK_ALONE_TOKENS = 2048, /* prompt chunk while nobody waits for tokens */
   ENGINE_ALIVE_US = 300000,
   ENGINE_AWAY_US = 4000000, /* from its end until it starts again */
-  ENGINE_CACHE_MARKS = 512,
   ENGINE_LABELS = 4,
 };
 
@@ -32,6 +31,7 @@
  * @prefill_tps: prompt tokens a second
  * @decode_us: duration of an iteration without prompt work
  * @kv_capacity: tokens of KV memory
+ * @evicts: whether running requests take memory from the prefixes of ended ones
  * @slots: requests that run at once
  * @load_ms: time to load a model
  * @checks_fence: whether orders with an old fencing number are refused
@@ -52,6 +52,7 @@
   double prefill_tps;
   uint64_t decode_us;
   uint64_t kv_capacity;
+  uint8_t evicts;
   uint32_t slots;
   uint64_t load_ms;
   uint8_t checks_fence;
--- a/emulator/wl_engine_internal.h
+++ b/emulator/wl_engine_internal.h
@@ -3,6 +3,7 @@
 
 #include <jansson.h>
 #include "wl_engine.h"
+#include "wl_engine_cache.h"
 
 /* State of an emulated endpoint, shared by wl_engine.c and wl_engine_report.c. */
 
@@ -79,9 +80,7 @@
   char loading_version[WL_LABEL_SIZE];
   WlLoadedModel loaded[ENGINE_LABELS];
   uint32_t n_loaded;
-  WlPrefixHash cache[ENGINE_CACHE_MARKS];
-  WlPrefixHash news[64];
-  uint32_t n_news;
+  EngineCache cache;
   json_t *lagged; /* report that is sent one interval late */
   uint64_t call_count;
   uint8_t is_leaving;
--- a/emulator/wl_engine_report.c
+++ b/emulator/wl_engine_report.c
@@ -6,14 +6,15 @@
 /* Announcements: load that lags by one interval, cache events with gaps. */
 
 static json_t *
-list_marks (Engine *e)
+list_news (EngineNews *news)
 {
   json_t *list = json_array ();
-  for (uint32_t i = 0; i < e->n_news; i++)
-    json_array_append_new (list, json_pack ("{s:o,s:i}", "hash",
-                                            json_sprintf ("%016lx", (unsigned long)e->news[i].hash),
-                                            "tokens", (int)e->news[i].tokens));
-  e->n_news = 0;
+  for (uint32_t i = 0; i < news->n; i++)
+    json_array_append_new (list,
+                           json_pack ("{s:o,s:i}", "hash",
+                                      json_sprintf ("%016lx", (unsigned long)news->marks[i].hash),
+                                      "tokens", (int)news->marks[i].tokens));
+  news->n = 0;
   return list;
 }
 
@@ -29,12 +30,13 @@
   for (uint32_t i = 0; i < e->n_loaded; i++)
     json_array_append_new (loaded, json_pack ("{s:s,s:s}", "name", e->loaded[i].name, "version",
                                               e->loaded[i].version));
-  return json_pack (
-      "{s:s,s:s,s:s,s:i,s:s,s:o,s:I,s:I,s:i,s:o,s:o,s:o}", "name", e->name, "service",
-      e->options->service, "address", e->address, "port", (int)e->port, "domain", e->domain,
-      "incarnation", json_sprintf ("%016lx", (unsigned long)e->incarnation), "kv_capacity",
-      (json_int_t)e->options->kv_capacity, "kv_used", (json_int_t)engine_kv_used (e), "slots",
-      (int)e->options->slots, "running", running, "loaded", loaded, "cached", list_marks (e));
+  return json_pack ("{s:s,s:s,s:s,s:i,s:s,s:o,s:I,s:I,s:i,s:o,s:o,s:o,s:o}", "name", e->name,
+                    "service", e->options->service, "address", e->address, "port", (int)e->port,
+                    "domain", e->domain, "incarnation",
+                    json_sprintf ("%016lx", (unsigned long)e->incarnation), "kv_capacity",
+                    (json_int_t)e->options->kv_capacity, "kv_used", (json_int_t)engine_kv_used (e),
+                    "slots", (int)e->options->slots, "running", running, "loaded", loaded, "cached",
+                    list_news (&e->cache.cached), "evicted", list_news (&e->cache.evicted));
 }
 
 void
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -19,7 +19,7 @@
 fi
 BASE=${BASE:-23000}
 WORKERS=${WORKERS:-20}
-EMULATOR_FLAGS="--speed $SPEED --loaded $MODEL:1 --kv-tokens $KV"
+EMULATOR_FLAGS="--speed $SPEED --loaded $MODEL:1 --kv-tokens $KV ${EMULATOR_EXTRA:-}"
 EXAMPLE=${EXAMPLE:-examples/$SCENARIO.yaml}
 . scripts/system.sh
 trap 'stop_system; rm -rf "$WORK"' EXIT
@@ -52,7 +52,7 @@
 sleep 6
 held=0
 for n in $(seq "$ENTRY_COUNT"); do
-  h=$(curl -s -m 2 -H 'Authorization: Bearer operator-secret' "http://127.0.0.1:$((BASE + n))/v1/status" | python3 -c '
+  h=$(curl -s -m 2 -H 'Authorization: Bearer operator-secret' "http://127.0.0.1:$((BASE + n))/v1/status" | tee "$WORK/status-$n.json" | python3 -c '
 import json, sys
 try: cells = json.load(sys.stdin)["node"]["cells"]
 except Exception: cells = []
