--- a/relay/forwarding/wl_metrics.h
+++ b/relay/forwarding/wl_metrics.h
@@ -26,12 +26,14 @@
   WL_REASON_UNREACHABLE, /* connecting to the tried endpoints failed */
   WL_REASON_NO_SOCKET,   /* no file descriptor is free */
   WL_REASON_BROKEN,      /* the connection closed before the response was complete */
+  WL_REASON_INVALID,     /* what the endpoint sent is no HTTP response, or cannot be used */
   WL_REASON_SILENT,      /* the endpoint sent nothing for longer than its load explains */
   WL_REASON_NO_SEAL,     /* a response without the endpoint's seal, see WlRelayResponseInfo */
   WL_REASON_ERROR,       /* the endpoint responded with status 5xx */
   WL_REASON_STOPPING,    /* the response cannot be complete before this node exits */
   WL_REASON_LIMIT,       /* endpoints with a limit could serve it, but not in time */
   WL_REASON_QUARANTINED, /* a part of the prompt is quarantined, see wl_quarantine.h */
+  WL_REASON_EVACUATED,   /* all usable endpoints are in evacuated failure domains */
   WL_REASONS,
 } WlReason;
 
@@ -77,6 +79,8 @@
  * @permits_denied: asks for a permit that were denied, or not answered in time
  * @permits_returned: permits that came to no use
  * @permits_answered: asks that this node has answered
+ * @evacuations_changed: starts and finishes of evacuations that this node has applied
+ * @evacuated_attempts: attempts not sent, since a failure domain was evacuated after their choice
  * @callers_disconnected: callers that disconnected before their response ended
  * @first_output: time to first output, by prompt size
  * @waiting: time from arrival to the first attempt
@@ -96,6 +100,8 @@
   uint64_t permits_denied;
   uint64_t permits_returned;
   uint64_t permits_answered;
+  uint64_t evacuations_changed;
+  uint64_t evacuated_attempts;
   uint64_t callers_disconnected;
   WlHistogram first_output[WL_PROMPT_CLASSES];
   WlHistogram waiting;
--- a/relay/forwarding/wl_relay_internal.h
+++ b/relay/forwarding/wl_relay_internal.h
@@ -212,6 +212,7 @@
   uint32_t n_active;
   uint64_t held_bytes; /* of responses: at the latest tick, and changes since */
   uint32_t n_nodes;    /* that are alive */
+  uint8_t is_load_partial;
   WlBudgetNodes budget_nodes;
   uint64_t next_number;
   uint64_t random;
@@ -403,6 +404,10 @@
  */
 int wl_relay_admit_attempt (WlRelayRequest *r, uint64_t now_us);
 
+/** wl_relay_refuse_evacuated() - refuses a request that only endpoints in evacuated failure domains
+ * could serve; returns 0 for others */
+int wl_relay_refuse_evacuated (WlRelayRequest *r, uint64_t now_us);
+
 /** wl_relay_drop_permit() - ends the ask of a request that needs no permit any more */
 void wl_relay_drop_permit (WlRelayRequest *r, uint64_t now_us);
 
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -23,12 +23,19 @@
 };
 
 static const WlField endpoint_record_fields[] = {
-  WL_TEXT (WlEndpointRecord, id),        WL_TEXT (WlEndpointRecord, service),
-  WL_TEXT (WlEndpointRecord, domain),    WL_U32 (WlEndpointRecord, address),
-  WL_U32 (WlEndpointRecord, port),       WL_U32 (WlEndpointRecord, slots),
-  WL_U64 (WlEndpointRecord, started_ms), WL_U64 (WlEndpointRecord, sequence),
-  WL_U64 (WlEndpointRecord, age_us),     WL_U8 (WlEndpointRecord, is_draining),
-  WL_U8 (WlEndpointRecord, has_left),    WL_END,
+  WL_TEXT (WlEndpointRecord, id),
+  WL_TEXT (WlEndpointRecord, service),
+  WL_TEXT (WlEndpointRecord, domain),
+  WL_U32 (WlEndpointRecord, address),
+  WL_U32 (WlEndpointRecord, port),
+  WL_U32 (WlEndpointRecord, slots),
+  WL_U64 (WlEndpointRecord, started_ms),
+  WL_U64 (WlEndpointRecord, sequence),
+  WL_U64 (WlEndpointRecord, age_us),
+  WL_U8 (WlEndpointRecord, is_draining),
+  WL_U8 (WlEndpointRecord, has_left),
+  WL_U8 (WlEndpointRecord, is_restored),
+  WL_END,
 };
 
 const WlField wl_endpoints_fields[] = {
@@ -55,6 +62,7 @@
   WL_U8 (WlLoadReport, is_full),
   WL_ARRAY (WlLoadReport, items, n_items, work_note_fields),
   WL_U32 (WlLoadReport, node),
+  WL_U8 (WlLoadReport, asks_others),
   WL_END,
 };
 
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -79,6 +79,7 @@
  *   membership reports also 0 or WL_FLEET_OVERDUE_US, see reported_age()
  * @is_draining: accepts no new requests
  * @has_left: has deregistered
+ * @is_restored: read from a file that a node kept across its restart; no registration since
  */
 typedef struct
 {
@@ -93,6 +94,7 @@
   uint64_t age_us;
   uint8_t is_draining;
   uint8_t has_left;
+  uint8_t is_restored;
 } WlEndpointRecord;
 
 /** struct WlEndpoints - registrations forwarded to other nodes */
@@ -150,6 +152,8 @@
  * @is_full: a full report: requests that it does not list have ended
  * @items: the entries, @n_items of them
  * @node: node that sent the requests; 0 for the sender of the message
+ * @asks_others: the sender, which has just started, asks for full reports of nodes of failure
+ *   domains that do not report to it
  */
 typedef struct
 {
@@ -158,6 +162,7 @@
   WlWorkItem *items;
   uint32_t n_items;
   uint32_t node;
+  uint8_t asks_others;
 } WlLoadReport;
 
 /** struct WlLoadReports - load reports of several nodes, forwarded together */
