--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -32,8 +32,8 @@
 static const double NEAR_OBJECTIVE_DISCOUNT_SHARE
     = 1.0; /* of the value: those that waited go before newer ones, and before late ones */
 
-static int
-is_excluded (const WlChoiceRequest *q, uint64_t key)
+int
+wl_choice_is_excluded (const WlChoiceRequest *q, uint64_t key)
 {
   for (uint32_t i = 0; i < q->n_excluded; i++)
     if (q->excluded[i] == key)
@@ -41,9 +41,8 @@
   return 0;
 }
 
-/* Whether limits of endpoints allow one: without a permit, only if it has none. */
-static int
-may_use (const WlChoiceRequest *q, const WlEndpoint *e)
+int
+wl_choice_may_use (const WlChoiceRequest *q, const WlEndpoint *e)
 {
   if (q->permitted != 0)
     return e->key == q->permitted;
@@ -239,7 +238,7 @@
     {
       WlEndpoint *e = &fleet->endpoints[i];
       if (strcmp (e->record.service, q->service->name) != 0 || !wl_fleet_is_usable (e, now_us)
-          || is_excluded (q, e->key) || !may_use (q, e))
+          || wl_choice_is_excluded (q, e->key) || !wl_choice_may_use (q, e))
         continue;
       out[n] = (WlCandidate){ .endpoint = e, .slowdown = wl_fleet_slowdown (e, now_us) };
       out[n++].sum = wl_load_sum (load, e->key, now_us);
--- a/relay/placement/wl_choice_internal.h
+++ b/relay/placement/wl_choice_internal.h
@@ -4,8 +4,9 @@
 #include "wl_choice.h"
 
 /*
- * Shared by wl_choice.c, which decides, wl_choice_judge.c, which scores endpoints, and
- * wl_choice_pool.c, which divides the engines of large fleets between short and long prompts.
+ * Shared by wl_choice.c, which decides, wl_choice_explain.c, which explains the decision,
+ * wl_choice_judge.c, which scores endpoints, and wl_choice_pool.c, which divides the engines of
+ * large fleets between short and long prompts.
  */
 
 /**
@@ -40,6 +41,12 @@
   uint8_t is_pooled;
 } WlCandidate;
 
+/** wl_choice_is_excluded() - whether the request was already tried at the endpoint with this key */
+int wl_choice_is_excluded (const WlChoiceRequest *q, uint64_t key);
+
+/** wl_choice_may_use() - whether limits allow an endpoint: without a permit, only if it has none */
+int wl_choice_may_use (const WlChoiceRequest *q, const WlEndpoint *e);
+
 /** wl_choice_value() - value of a request by its prompt tokens; 1 for an empty prompt */
 double wl_choice_value (uint64_t prompt);
 
