--- a/core/tests/test_entry.c
+++ b/core/tests/test_entry.c
@@ -196,6 +196,35 @@
 }
 END_TEST
 
+/* An operator who asks why a request was slow could not tell a cold cache from a queue. */
+START_TEST (the_trace_names_what_was_expected_and_found_in_the_kv_cache)
+{
+  WlSim *sim = sim_system (2, 4, 1, 0);
+  const SimRequest *r = sim_request (sim, 4, "llm", 100, 10, "");
+  sim_run (sim, 120000);
+  ck_assert_uint_gt (r->delivered, 2);
+  WlEvent event = { .kind = WL_EVENT_ENGINE_END };
+  event.u.end = (WlEndEvent){ .request = r->id,
+                              .attempt = 1,
+                              .kind = WL_END_DONE,
+                              .total_tokens = r->delivered,
+                              .cached_tokens = 64 };
+  sim_event (sim, 4, &event);
+  const WlTrace *trace = &sim->nodes[4].core->entry->trace;
+  uint32_t n = 0;
+  for (uint64_t i = 0; i < trace->count; i++)
+    if (trace->ring[i].request == r->id && trace->ring[i].kind == WL_TRACE_CACHED)
+      {
+        ck_assert_uint_eq (trace->ring[i].a, 0);
+        ck_assert_uint_eq (trace->ring[i].b, 64);
+        n++;
+      }
+  ck_assert_uint_eq (n, 1);
+  ck_assert_str_eq (wl_trace_name (WL_TRACE_CACHED), "cached");
+  sim_destroy (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -211,6 +240,7 @@
     WL_TEST (the_kv_cache_is_freed_when_the_entry_crashes),
     WL_TEST (a_draining_entry_finishes_its_streams_and_refuses_new_requests),
     WL_TEST (an_unknown_api_key_is_refused),
+    WL_TEST (the_trace_names_what_was_expected_and_found_in_the_kv_cache),
   };
   return wl_test_run ("entry", tests, sizeof tests / sizeof tests[0]);
 }
