--- a/relay/placement/wl_choice_internal.h
+++ b/relay/placement/wl_choice_internal.h
@@ -4,8 +4,9 @@
 #include "wl_choice.h"
 
 /*
- * Shared by wl_choice.c, which decides, wl_choice_judge.c, which scores endpoints, and
- * wl_choice_pool.c, which divides the engines of large fleets between short and long prompts.
+ * Shared by wl_choice.c, which decides, wl_choice_explain.c, which explains the decision,
+ * wl_choice_judge.c, which scores endpoints, and wl_choice_pool.c, which divides the engines of
+ * large fleets between short and long prompts.
  */
 
 /**
@@ -42,6 +43,12 @@
   uint8_t is_cold;
 } WlCandidate;
 
+/** wl_choice_is_excluded() - whether the request was already tried at the endpoint with this key */
+int wl_choice_is_excluded (const WlChoiceRequest *q, uint64_t key);
+
+/** wl_choice_may_use() - whether limits allow an endpoint: without a permit, only if it has none */
+int wl_choice_may_use (const WlChoiceRequest *q, const WlEndpoint *e);
+
 /** wl_choice_value() - value of a request by its prompt tokens; 1 for an empty prompt */
 double wl_choice_value (uint64_t prompt);
 
@@ -75,8 +82,8 @@
  * @n_all: number of candidates
  *
  * The pool is the first engines of the domain in the order of their keys, as many as its short
- * requests fill to a half, and at least a quarter. Every node computes nearly the same pool from
- * nearly the same load, so that short requests and long prompts of different nodes meet on few
+ * requests fill to two thirds, and at least a quarter. Every node computes nearly the same pool
+ * from nearly the same load, so that short requests and long prompts of different nodes meet on few
  * engines.
  */
 void wl_choice_mark_pools (const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all);
--- a/relay/placement/wl_choice_pool.c
+++ b/relay/placement/wl_choice_pool.c
@@ -15,8 +15,8 @@
   DRAW_OBJECTIVE_PERCENT = 70, /* of the objective: longer predicted TTFTs are not drawn */
 };
 
-static const double POOL_FILL_SHARE = 0.5; /* of the slots; the rest is for bursts */
-static const double POOL_MIN_SHARE = 0.25; /* of the engines, also without short requests */
+static const double POOL_FILL_SHARE = 0.67; /* of the slots; the rest is for bursts */
+static const double POOL_MIN_SHARE = 0.25;  /* of the engines, also without short requests */
 /* Of the engines, after a start: callers return at once, and no load is known. */
 static const double POOL_START_SHARE = 0.6;
 static const double USUAL_FILL_SHARE
