The departure of a restored endpoint counts like a registration

Cause: a node that knows an endpoint only from its file copied the record, with is_restored set, into the departure that it sends. Nodes with the registration ignore restored records, and the departure was not repeated either, so they went on using the endpoint until it timed out.

Change: wl_host_unregister () clears the mark.

--- a/relay/tests/test_host_start.c
+++ b/relay/tests/test_host_start.c
@@ -158,6 +158,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a departure that counts for less than registrations: the node that receives it
+ * knows the endpoint only from its file.
+ */
+START_TEST (the_departure_of_a_restored_endpoint_reaches_nodes_with_its_registration)
+{
+  static Fixture f;
+  WlEndpointRecord e = { .address = 1, .port = 1, .slots = 4, .started_ms = 1, .sequence = 5 };
+  strcpy (e.id, "e0");
+  strcpy (e.service, "s");
+  strcpy (e.domain, "z");
+  setup (&f);
+  run_until (&f, SOON_US);
+  for (int i = 1; i < NODES; i++)
+    wl_membership_apply_record (f.nodes[i]->membership, &e, f.now_us);
+  wl_membership_restore (f.nodes[0]->membership, &e, 1, f.now_us);
+  wl_host_unregister (f.nodes[0], "e0", 0);
+  for (int i = 0; i < 3; i++)
+    step (&f);
+  for (int i = 0; i < NODES; i++)
+    ck_assert (!wl_fleet_is_usable (wl_fleet_find (f.nodes[i]->fleet, "e0"), f.now_us));
+  teardown (&f);
+}
+END_TEST
+
 static uint64_t
 gauge (WlHost *host, const char *name)
 {
@@ -201,6 +226,7 @@
     WL_TEST (nodes_that_start_together_know_the_load_of_all),
     WL_TEST (a_node_that_starts_asks_for_the_load_of_other_domains),
     WL_TEST (an_answer_does_not_overtake_reports_that_wait),
+    WL_TEST (the_departure_of_a_restored_endpoint_reaches_nodes_with_its_registration),
     WL_TEST (the_times_of_a_start_are_in_the_metrics),
   };
   if (sodium_init () < 0)
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -352,6 +352,7 @@
     return; /* not registered, or with another start: this start gets no requests anyway */
   WlEndpointRecord record = e->record;
   record.has_left = 1;
+  record.is_restored = 0; /* the endpoint itself says so: as valid as a registration */
   record.age_us = 0;
   wl_host_register (host, &record);
 }
