A refused evacuation is read again after an interval

Cause: a node whose document is ahead of the leader's (a group founded anew) read and submitted a change again as soon as each reply arrived, for 0.9 s. At a node that is the whole group that is one exchange for each turn of its loop.

Change: after a refusal the next tick after the retry interval of 0.1 s sends the read.

Measured: the new test in test_host_evacuation counted 20,001 steps in 10,000 turns of the loop at a standing clock before; now it is within 3.

--- a/relay/tests/test_host_evacuation.c
+++ b/relay/tests/test_host_evacuation.c
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <sodium.h>
 #include "wl_clock.h"
+#include "wl_delta.h"
 #include "wl_host_internal.h"
 #include "wl_relay_fixture.h"
 #include "wl_sample_engine.h"
@@ -35,7 +36,8 @@
   SAVED_US = 300000,         /* until the document is on the disks after an evacuation */
   UNLED_US = 100000,         /* after a start: saved documents are in use, no leader is elected */
   ACKNOWLEDGED_US = 5000000, /* the longest that an operator may wait */
-  BACK_US = 3000000,         /* until a fleet that was killed as a whole has a leader again */
+  STEPS_MAX = 3,     /* of a change without time between them: read, submission, and a refusal */
+  BACK_US = 3000000, /* until a fleet that was killed as a whole has a leader again */
 };
 
 typedef struct
@@ -65,7 +67,7 @@
 }
 
 static void
-start (uint32_t i, int is_first_start)
+start_in_group (uint32_t i, int is_first_start, uint32_t n_disks)
 {
   static const char *const domains[NODES] = { "x", "y", "z", "z" };
   WlHostOptions options = {
@@ -73,9 +75,9 @@
     .key = "key",
     .peer_port = f.ports[0],
     .client_port = f.ports[1],
-    .n_seeds = DISKS,
+    .n_seeds = n_disks,
     .is_first_start = (uint8_t)is_first_start,
-    .tolerated_faults = 1,
+    .tolerated_faults = n_disks / 2,
     .retry_ratio = 0.5,
     .retry_slack = 100,
     .retry_window_us = 10000000,
@@ -84,7 +86,7 @@
     .domains = { { "far", "" } },
     .n_domains = 1,
   };
-  for (uint32_t k = 0; k < DISKS; k++)
+  for (uint32_t k = 0; k < n_disks; k++)
     options.seeds[k] = wl_test_loopback (k + 1);
   snprintf (options.domain, sizeof options.domain, "%s", domains[i]);
   if (i < DISKS)
@@ -92,6 +94,12 @@
   ck_assert_int_eq (wl_host_create (&options, &f.nodes[i]), WL_OK);
 }
 
+static void
+start (uint32_t i, int is_first_start)
+{
+  start_in_group (i, is_first_start, DISKS);
+}
+
 static void
 kill_node (uint32_t i)
 {
@@ -532,6 +540,57 @@
 }
 END_TEST
 
+/* Has node 0 learn a document with a later number than its group has, from before its disk was
+ * replaced. */
+static void
+push_old_document (void)
+{
+  apr_pool_t *pool;
+  WlEvacuation ended = { .domain = "y", .sequence = 2 };
+  const WlConfigDocument document = { .evacuations = &ended, .n_evacuations = 1 };
+  WlMessage m = { .kind = WL_MESSAGE_CONFIG_PUSH };
+  apr_pool_create (&pool, NULL);
+  wl_delta_make ((WlBytes){ NULL, 0 }, wl_config_document_encode (&document, pool), pool,
+                 &m.u.config_push.change);
+  m.u.config_push.number = 10;
+  m.u.config_push.change.number = 10;
+  wl_host_config_receive (f.nodes[0], wl_test_loopback (9), &m, wl_clock_now_us ());
+  apr_pool_destroy (pool);
+  ck_assert_uint_eq (f.nodes[0]->config_number, 10);
+}
+
+/*
+ * Guards against a node that reads and submits a change again as fast as it can: it knows a higher
+ * sequence than the group, which refuses it each time.
+ */
+START_TEST (a_sequence_of_another_group_is_submitted_at_intervals)
+{
+  memset (&f, 0, sizeof f);
+  strcpy (f.folder, "/tmp/wl-host-XXXXXX");
+  ck_assert_ptr_nonnull (mkdtemp (f.folder));
+  wl_clock_set (NOW_US);
+  wl_test_free_ports (f.ports, 2);
+  ck_assert_int_eq (wl_reactor_create (&f.reactor), WL_OK);
+  f.loop = wl_tcp_loop_create (f.reactor);
+  start_in_group (0, 1, 1);
+  run (FOUNDED_US);
+  ck_assert_uint_eq (wl_host_leader (f.nodes[0], wl_clock_now_us ()), wl_test_loopback (1));
+  push_old_document ();
+  Answer a = { 0 };
+  uint64_t before = f.nodes[0]->next_leader_request;
+  wl_host_evacuate (f.nodes[0], "y", 0, on_answer, &a);
+  for (int i = 0; i < ROUNDS_MAX; i++)
+    {
+      f.nodes[0]->next_tick_us = wl_clock_now_us ();
+      wl_host_run_once (f.nodes[0]); /* the clock stands */
+    }
+  ck_assert_uint_le (f.nodes[0]->next_leader_request - before, STEPS_MAX);
+  run (ANSWER_US);
+  ck_assert (a.is_answered && a.outcome == WL_HOST_UNKNOWN);
+  teardown ();
+}
+END_TEST
+
 START_TEST (a_domain_of_the_settings_a_node_or_an_endpoint_is_known)
 {
   setup ();
@@ -561,6 +620,7 @@
     WL_TEST (a_cancelled_change_is_not_submitted),
     WL_TEST (a_reply_settles_only_the_step_that_it_answers),
     WL_TEST (an_operator_gets_an_acknowledgement_although_the_leader_is_killed),
+    WL_TEST (a_sequence_of_another_group_is_submitted_at_intervals),
     WL_TEST (a_domain_of_the_settings_a_node_or_an_endpoint_is_known),
   };
   if (sodium_init () < 0)
--- a/relay/wl_host_config.c
+++ b/relay/wl_host_config.c
@@ -543,14 +543,17 @@
     finish_request (host, r, WL_HOST_REFUSED, (WlBytes){ NULL, 0 });
 }
 
-/* Goes on with an evacuation in another step; a response to the last step has another id. */
+/*
+ * Goes on with an evacuation in another step; a response to the last step has another id. The next
+ * tick after the retry interval sends it unless the caller does.
+ */
 static void
 begin_step (WlHost *host, WlHostLeaderRequest *r, WlMessageKind kind, uint64_t now_us)
 {
   r->kind = kind;
   r->id = host->boot_id ^ ++host->next_leader_request;
   r->n_sent = 0;
-  send_request (host, r, now_us);
+  r->sent_us = now_us;
 }
 
 static void
@@ -571,6 +574,7 @@
       on_submit_refused (host, r);
       break;
     case WL_SUBMIT_CONFLICT:
+      /* Not at once: the document here may stay ahead of the leader's, which refuses each time. */
       if (r->kind == WL_MESSAGE_EVACUATE)
         begin_step (host, r, WL_MESSAGE_QUERY, now_us);
       break;
@@ -598,6 +602,7 @@
     }
   r->sequence = e.sequence;
   begin_step (host, r, WL_MESSAGE_EVACUATE, wl_clock_now_us ());
+  send_request (host, r, r->sent_us);
 }
 
 static void
