A node that has just started does not refuse for an evacuation too early

Cause: a request found only endpoints in an evacuated domain and was refused at once, also at a node that had not heard of the others yet. After a start of all nodes without files, a node of the evacuated domain gets the registrations of its own domain first. Without any endpoint such a request waits for up to 1.8 s after the start.

Change: while the load is partial, it waits in the same way. A node that has heard most others, or runs for longer, refuses at once as before.

Measured: two new tests in test_relay_evacuation failed before (refused at once) and pass now; the others of that program, test_relay, test_relay_cold and test_host_evacuation pass.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -333,6 +333,14 @@
                  wl_relay_limit_text (r, limits, sizeof limits));
 }
 
+/* Whether a request has not been sent and the endpoints may not have registered yet. */
+static int
+awaits_registrations (const WlRelayRequest *r, uint64_t now_us)
+{
+  return r->attempts + r->n_connect_failures == 0
+         && now_us < r->relay->started_us + REGISTRATION_WAIT_US;
+}
+
 void
 wl_relay_place (WlRelayRequest *r, uint64_t now_us)
 {
@@ -368,12 +376,15 @@
       wl_relay_refuse (r, r->choice.wait_us, WL_REASON_DEADLINE);
       return;
     case WL_CHOICE_NO_ENDPOINT:
-      if (wl_relay_refuse_evacuated (r, now_us) || wl_relay_refuse_limited (r, now_us))
+      /* Soon after the start of all nodes, a node in an evacuated domain may have heard of the
+         endpoints of its own domain only. */
+      if (!(r->relay->is_load_partial && awaits_registrations (r, now_us))
+          && wl_relay_refuse_evacuated (r, now_us))
+        return;
+      if (wl_relay_refuse_limited (r, now_us))
         return;
-      if (r->attempts + r->n_connect_failures == 0
-          && now_us < r->relay->started_us + REGISTRATION_WAIT_US)
+      if (awaits_registrations (r, now_us))
         {
-          /* The node has just started; endpoints may not have registered yet. */
           r->retry_us = now_us + r->choice.wait_us;
           return;
         }
--- a/relay/tests/test_relay_evacuation.c
+++ b/relay/tests/test_relay_evacuation.c
@@ -8,7 +8,8 @@
 
 enum
 {
-  RESUME_US = 100000, /* more than the interval of tries to resume a stream */
+  RESUME_US = 100000,             /* more than the interval of tries to resume a stream */
+  REGISTRATION_WAIT_US = 1900000, /* more than a node that has started waits for endpoints */
 };
 
 #define REJECTED "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
@@ -90,6 +91,46 @@
 }
 END_TEST
 
+/*
+ * Guards against refusals after a start of all nodes: the first registrations that a node in an
+ * evacuated domain gets are those of its own domain.
+ */
+START_TEST (a_node_that_has_not_heard_most_others_waits_for_endpoints_elsewhere)
+{
+  Fixture f = create ();
+  wl_relay_set_load_partial (f.relay->relay, 1);
+  register_endpoint (&f, 0, RELAY_WHOLE, SCRIPT_KEEP);
+  evacuate (&f, "y");
+  send_text (&f, RELAY_SAFE_REQUEST);
+  ck_assert_uint_eq (metrics (&f)->refused[WL_REASON_EVACUATED], 0);
+  register_endpoint (&f, 1, RELAY_WHOLE, SCRIPT_KEEP);
+  advance (&f, RESUME_US);
+  ck_assert_uint_eq (f.relay->endpoints[1].n_requests, 1);
+  ck_assert_uint_eq (f.relay->endpoints[0].n_connections, 0);
+  destroy (&f);
+}
+END_TEST
+
+/* The wait ends as soon as most nodes are heard, or at the latest some time after the start. */
+START_TEST (a_node_that_has_heard_most_others_waits_no_longer)
+{
+  for (int is_partial = 0; is_partial <= 1; is_partial++)
+    {
+      Fixture f = create ();
+      wl_relay_set_load_partial (f.relay->relay, 1);
+      register_endpoint (&f, 0, RELAY_WHOLE, SCRIPT_KEEP);
+      evacuate (&f, "y");
+      send_text (&f, RELAY_SAFE_REQUEST);
+      ck_assert_uint_eq (metrics (&f)->refused[WL_REASON_EVACUATED], 0);
+      wl_relay_set_load_partial (f.relay->relay, is_partial);
+      advance (&f, is_partial ? REGISTRATION_WAIT_US : RESUME_US);
+      ck_assert_uint_eq (metrics (&f)->refused[WL_REASON_EVACUATED], 1);
+      ck_assert_uint_eq (wl_relay_active (f.relay->relay), 0);
+      destroy (&f);
+    }
+}
+END_TEST
+
 /* Guards against an endpoint that is forgotten after the end of an evacuation. */
 START_TEST (after_the_end_of_an_evacuation_its_endpoints_are_used)
 {
@@ -245,6 +286,8 @@
 {
   const WlTest tests[] = {
     WL_TEST (a_request_without_an_endpoint_elsewhere_is_refused_at_once),
+    WL_TEST (a_node_that_has_not_heard_most_others_waits_for_endpoints_elsewhere),
+    WL_TEST (a_node_that_has_heard_most_others_waits_no_longer),
     WL_TEST (after_the_end_of_an_evacuation_its_endpoints_are_used),
     WL_TEST (a_retry_is_not_sent_to_an_evacuated_domain),
     WL_TEST (a_stream_is_not_resumed_in_an_evacuated_domain),
