--- a/core/agreement/wl_control_requests.c
+++ b/core/agreement/wl_control_requests.c
@@ -117,7 +117,10 @@
   p->evacuation = c.u.evacuation;
 }
 
-/* Accepted if the domain is in the wanted state since the sequence of the request, or by it. */
+/*
+ * Accepted if the domain was in the wanted state already, or if this request, or a copy of it, made
+ * the latest change.
+ */
 void
 wl_control_finish_evacuate (WlControl *control, const WlPendingProposal *p, WlEffects *fx)
 {
--- a/relay/forwarding/wl_relay_admission.c
+++ b/relay/forwarding/wl_relay_admission.c
@@ -15,8 +15,8 @@
   TRY_INTERVAL_US = 20000,    /* a request that waits for a token tries other endpoints so often */
   COUNT_INTERVAL_US = 100000, /* cold endpoints are counted so often */
   RETRY_AFTER_MAX_US = 3000000, /* longest Retry-After of a request that no cold endpoint takes */
-  /* Retry-After without an endpoint outside evacuated domains: an evacuation lasts long, but its
-     end, or an endpoint elsewhere, should not find all callers waiting. */
+  /* Retry-After when all usable endpoints are in evacuated domains. Short, although evacuations
+     last long, so that callers return soon after its end or the start of an endpoint elsewhere. */
   EVACUATED_RETRY_AFTER_US = 1000000,
 };
 
--- a/relay/membership/wl_fleet.c
+++ b/relay/membership/wl_fleet.c
@@ -126,7 +126,7 @@
 }
 
 /*
- * Whether a record is worth less than the known one. A registration counts more than what a node
+ * Whether a record must not replace the known one. A registration has priority over what a node
  * has read from its file, which may be old, damaged, or of another fleet.
  */
 static int
--- a/relay/membership/wl_fleet.h
+++ b/relay/membership/wl_fleet.h
@@ -162,7 +162,7 @@
 /** wl_fleet_is_usable() - whether an endpoint may get requests now */
 int wl_fleet_is_usable (const WlEndpoint *endpoint, uint64_t now_us);
 
-/** wl_fleet_is_withheld() - whether an endpoint were usable but for its domain's evacuation */
+/** wl_fleet_is_withheld() - whether only the evacuation of its domain makes it unusable */
 int wl_fleet_is_withheld (const WlEndpoint *endpoint, uint64_t now_us);
 
 /**
--- a/relay/wl_host_config.c
+++ b/relay/wl_host_config.c
@@ -79,7 +79,7 @@
                  host->config_number);
 }
 
-/* Compares the evacuations with those of the previous document, which is at the host. */
+/* Logs and applies what differs from the previous evacuations, which @host still has. */
 static void
 note_changes (WlHost *host, const WlConfigDocument *document, int is_first)
 {
--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -78,7 +78,9 @@
 
 /* ---- endpoints ---- */
 
-/* One that is silent would be tried again after a restart of all nodes; one that has left must not.
+/*
+ * Whether an endpoint belongs in the file. A silent one would be used again after a restart of all
+ * nodes. One that drains or has left is saved so that older files do not bring it back.
  */
 static int
 is_worth_saving (const WlEndpoint *e, uint64_t now_us)
--- a/wire/wl_message.h
+++ b/wire/wl_message.h
@@ -240,7 +240,7 @@
   uint8_t has_config;
   WlBytes config;
   uint8_t is_compressed;     /* @config is compressed, see wl_config_compress() */
-  WlEvacuation *evacuations; /* not from a WlConfigStore, whose document has them */
+  WlEvacuation *evacuations; /* not set by a WlConfigStore: its document has them */
   uint32_t n_evacuations;
 } WlQueryReply;
 
