A node that cannot read the document submits no evacuation

Cause: after a document that it cannot decode (WL2106), for instance of a later version, a node kept the earlier list of evacuations and submitted its sequence. The leader takes an old sequence for a repeat and accepts it, so the operator got an acknowledgement without effect.

Change: the node remembers that the document is unreadable and answers unknown (503).

--- a/relay/tests/test_host_evacuation.c
+++ b/relay/tests/test_host_evacuation.c
@@ -540,25 +540,51 @@
 }
 END_TEST
 
-/* Has node 0 learn a document with a later number than its group has, from before its disk was
- * replaced. */
+/* Sends a node a document with a later number than its group has. */
+static void
+push_document (uint32_t node, WlBytes document, apr_pool_t *pool)
+{
+  WlMessage m = { .kind = WL_MESSAGE_CONFIG_PUSH };
+  wl_delta_make ((WlBytes){ NULL, 0 }, document, pool, &m.u.config_push.change);
+  m.u.config_push.number = 10;
+  m.u.config_push.change.number = 10;
+  wl_host_config_receive (f.nodes[node], wl_test_loopback (9), &m, wl_clock_now_us ());
+  ck_assert_uint_eq (f.nodes[node]->config_number, 10);
+}
+
+/* Has node 0 learn a document of a group that was there before its disk was replaced. */
 static void
 push_old_document (void)
 {
   apr_pool_t *pool;
   WlEvacuation ended = { .domain = "y", .sequence = 2 };
   const WlConfigDocument document = { .evacuations = &ended, .n_evacuations = 1 };
-  WlMessage m = { .kind = WL_MESSAGE_CONFIG_PUSH };
   apr_pool_create (&pool, NULL);
-  wl_delta_make ((WlBytes){ NULL, 0 }, wl_config_document_encode (&document, pool), pool,
-                 &m.u.config_push.change);
-  m.u.config_push.number = 10;
-  m.u.config_push.change.number = 10;
-  wl_host_config_receive (f.nodes[0], wl_test_loopback (9), &m, wl_clock_now_us ());
+  push_document (0, wl_config_document_encode (&document, pool), pool);
   apr_pool_destroy (pool);
-  ck_assert_uint_eq (f.nodes[0]->config_number, 10);
 }
 
+/*
+ * Guards against an acknowledgement without effect: a node that cannot read the document, for
+ * instance one of a later version, submits an old sequence, which the leader takes for a repeat.
+ */
+START_TEST (a_node_that_cannot_read_the_document_does_not_submit_a_change)
+{
+  static const uint8_t unreadable[] = { 0x80, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 1, 0xc1 };
+  apr_pool_t *pool;
+  Answer a = { 0 };
+  setup ();
+  f.only = 4;
+  apr_pool_create (&pool, NULL);
+  push_document (3, (WlBytes){ unreadable, sizeof unreadable }, pool);
+  apr_pool_destroy (pool);
+  wl_host_evacuate (f.nodes[3], "y", 0, on_answer, &a);
+  receive_read_reply (3, f.nodes[3]->leader_requests->id);
+  ck_assert (a.is_answered && a.outcome == WL_HOST_UNKNOWN);
+  teardown ();
+}
+END_TEST
+
 /*
  * Guards against a node that reads and submits a change again as fast as it can: it knows a higher
  * sequence than the group, which refuses it each time.
@@ -620,6 +646,7 @@
     WL_TEST (a_cancelled_change_is_not_submitted),
     WL_TEST (a_reply_settles_only_the_step_that_it_answers),
     WL_TEST (an_operator_gets_an_acknowledgement_although_the_leader_is_killed),
+    WL_TEST (a_node_that_cannot_read_the_document_does_not_submit_a_change),
     WL_TEST (a_sequence_of_another_group_is_submitted_at_intervals),
     WL_TEST (a_domain_of_the_settings_a_node_or_an_endpoint_is_known),
   };
--- a/relay/wl_host_config.c
+++ b/relay/wl_host_config.c
@@ -107,7 +107,8 @@
   WlConfigDocument document;
   apr_pool_t *pool;
   apr_pool_create (&pool, NULL);
-  if (wl_config_document_decode (host->config, pool, &document) != WL_OK)
+  host->is_document_unreadable = wl_config_document_decode (host->config, pool, &document) != WL_OK;
+  if (host->is_document_unreadable)
     {
       /* What is evacuated remains so. */
       wl_log_eventf (WL2106_CONFIG_UNREADABLE, "number=%" PRIu64 " reason=evacuations",
@@ -592,6 +593,12 @@
       finish_request (host, r, WL_HOST_DONE, text);
       return;
     }
+  if (host->is_document_unreadable)
+    {
+      /* The list here is older: its sequence would be acknowledged as one of a repeated change. */
+      finish_request (host, r, WL_HOST_UNKNOWN, (WlBytes){ NULL, 0 });
+      return;
+    }
   const WlConfigDocument document
       = { .evacuations = host->evacuations, .n_evacuations = host->n_evacuations };
   WlEvacuation e = wl_config_document_evacuation (&document, r->domain);
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -111,6 +111,7 @@
   WlBytes config;            /* the document, see wl_config_document.h; on the heap */
   WlEvacuation *evacuations; /* its evacuations, n_evacuations of them; on the heap */
   uint32_t n_evacuations;
+  uint8_t is_document_unreadable; /* evacuations are those of the last readable document */
   WlRecentChanges recent_changes; /* the latest changes that led to it */
   WlBytes full_config;            /* config, compressed, on the heap; empty until needed */
   uint64_t config_pulled_us;      /* when a node was last asked for a newer one */
