--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -334,9 +334,9 @@
                  wl_relay_limit_text (r, limits, sizeof limits));
 }
 
-/* Whether the node has just started: endpoints may not have registered yet. */
+/* Whether a request has not been sent and the endpoints may not have registered yet. */
 static int
-may_register (const WlRelayRequest *r, uint64_t now_us)
+awaits_registrations (const WlRelayRequest *r, uint64_t now_us)
 {
   return r->attempts + r->n_connect_failures == 0
          && now_us < r->relay->started_us + REGISTRATION_WAIT_US;
@@ -377,10 +377,15 @@
       wl_relay_refuse (r, r->choice.wait_us, WL_REASON_DEADLINE);
       return;
     case WL_CHOICE_NO_ENDPOINT:
-      if (wl_relay_refuse_evacuated (r, now_us) || wl_relay_refuse_limited (r, now_us)
-          || wl_relay_refuse_homeless (r, may_register (r, now_us), now_us))
+      /* Soon after the start of all nodes, a node in an evacuated domain may have heard of the
+         endpoints of its own domain only. */
+      if (!(r->relay->is_load_partial && awaits_registrations (r, now_us))
+          && wl_relay_refuse_evacuated (r, now_us))
         return;
-      if (may_register (r, now_us))
+      if (wl_relay_refuse_limited (r, now_us)
+          || wl_relay_refuse_homeless (r, awaits_registrations (r, now_us), now_us))
+        return;
+      if (awaits_registrations (r, now_us))
         {
           r->retry_us = now_us + r->choice.wait_us;
           return;
--- a/relay/forwarding/wl_relay_admission.c
+++ b/relay/forwarding/wl_relay_admission.c
@@ -7,8 +7,8 @@
 
 enum
 {
-  /* Retry-After without an endpoint outside evacuated domains: an evacuation lasts long, but its
-     end, or an endpoint elsewhere, should not find all callers waiting. */
+  /* Retry-After when all usable endpoints are in evacuated domains. Short, although evacuations
+     last long, so that callers return soon after its end or the start of an endpoint elsewhere. */
   EVACUATED_RETRY_AFTER_US = 1000000,
 };
 
--- a/relay/wl_host_config.c
+++ b/relay/wl_host_config.c
@@ -79,7 +79,7 @@
                  host->config_number);
 }
 
-/* Compares the evacuations with those of the previous document, which is at the host. */
+/* Logs and applies what differs from the previous evacuations, which @host still has. */
 static void
 note_changes (WlHost *host, const WlConfigDocument *document, int is_first)
 {
@@ -107,7 +107,8 @@
   WlConfigDocument document;
   apr_pool_t *pool;
   apr_pool_create (&pool, NULL);
-  if (wl_config_document_decode (host->config, pool, &document) != WL_OK)
+  host->is_document_unreadable = wl_config_document_decode (host->config, pool, &document) != WL_OK;
+  if (host->is_document_unreadable)
     {
       /* What is evacuated remains so. */
       wl_log_eventf (WL2106_CONFIG_UNREADABLE, "number=%" PRIu64 " reason=evacuations",
@@ -543,14 +544,17 @@
     finish_request (host, r, WL_HOST_REFUSED, (WlBytes){ NULL, 0 });
 }
 
-/* Goes on with an evacuation in another step; a response to the last step has another id. */
+/*
+ * Goes on with an evacuation in another step; a response to the last step has another id. The next
+ * tick after the retry interval sends it unless the caller does.
+ */
 static void
 begin_step (WlHost *host, WlHostLeaderRequest *r, WlMessageKind kind, uint64_t now_us)
 {
   r->kind = kind;
   r->id = host->boot_id ^ ++host->next_leader_request;
   r->n_sent = 0;
-  send_request (host, r, now_us);
+  r->sent_us = now_us;
 }
 
 static void
@@ -571,6 +575,7 @@
       on_submit_refused (host, r);
       break;
     case WL_SUBMIT_CONFLICT:
+      /* Not at once: the document here may stay ahead of the leader's, which refuses each time. */
       if (r->kind == WL_MESSAGE_EVACUATE)
         begin_step (host, r, WL_MESSAGE_QUERY, now_us);
       break;
@@ -588,6 +593,12 @@
       finish_request (host, r, WL_HOST_DONE, text);
       return;
     }
+  if (host->is_document_unreadable)
+    {
+      /* The list here is older: its sequence would be acknowledged as one of a repeated change. */
+      finish_request (host, r, WL_HOST_UNKNOWN, (WlBytes){ NULL, 0 });
+      return;
+    }
   const WlConfigDocument document
       = { .evacuations = host->evacuations, .n_evacuations = host->n_evacuations };
   WlEvacuation e = wl_config_document_evacuation (&document, r->domain);
@@ -598,6 +609,7 @@
     }
   r->sequence = e.sequence;
   begin_step (host, r, WL_MESSAGE_EVACUATE, wl_clock_now_us ());
+  send_request (host, r, r->sent_us);
 }
 
 static void
