The backlog of engines outside the short pools is priced against objectives of seconds

Cause: the price of a long prompt was at its highest from a mean backlog of 250 ms on, on all engines together. In a burst of long prompts, at half of the engines' capacity, prompts above 170,000 tokens were therefore held until they were late.

Change: in large fleets the backlog of pooled engines counts as before, that of the others up to 1 s.

--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -5,6 +5,8 @@
 enum
 {
   BACKLOG_PRICE_MAX_US = 250000, /* from this mean backlog on, prefill_price() is at its maximum */
+  /* The same for engines outside the short pools, where long prompts delay only each other. */
+  LONG_BACKLOG_PRICE_MAX_US = 1000000,
   /* A deadline is near within US + FACTOR * the shortest prefill time. */
   NEAR_DEADLINE_US = 1000000,
   NEAR_DEADLINE_FACTOR = 2,
@@ -62,17 +64,29 @@
 static double
 prefill_price (const WlChoiceRequest *q, const WlCandidate *all, uint32_t n_all)
 {
+  int has_pools = q->visibility == WL_CHOICE_SEES_OTHERS_DELAYED;
   double backlog_us = 0.0;
+  double long_backlog_us = 0.0;
   double items = 0.0;
+  uint32_t n = 0;
   for (uint32_t i = 0; i < n_all; i++)
     {
-      backlog_us += (double)all[i].sum.backlog_us;
       items += all[i].sum.n_items;
+      if (has_pools && !all[i].is_pooled)
+        long_backlog_us += (double)all[i].sum.backlog_us;
+      else
+        {
+          backlog_us += (double)all[i].sum.backlog_us;
+          n++;
+        }
     }
   double occupied = items / ((double)n_all * q->service->engine.slots);
-  double by_backlog = clamp (backlog_us / n_all / BACKLOG_PRICE_MAX_US);
   double by_slots = clamp ((occupied - SLOTS_LOW_SHARE) / (SLOTS_HIGH_SHARE - SLOTS_LOW_SHARE));
-  return PREFILL_PRICE_PER_S_MAX * (by_backlog > by_slots ? by_backlog : by_slots);
+  double by_backlog = n > 0 ? clamp (backlog_us / n / BACKLOG_PRICE_MAX_US) : 0.0;
+  double by_long
+      = n < n_all ? clamp (long_backlog_us / (n_all - n) / LONG_BACKLOG_PRICE_MAX_US) : 0.0;
+  double highest = by_backlog > by_slots ? by_backlog : by_slots;
+  return PREFILL_PRICE_PER_S_MAX * (highest > by_long ? highest : by_long);
 }
 
 /* Prefill time of a prompt that is split over as many endpoints as possible. */
