--- a/relay/placement/wl_choice.c
+++ b/relay/placement/wl_choice.c
@@ -131,6 +131,15 @@
   return best;
 }
 
+static int
+any_has_room (const WlCandidate *all, uint32_t n_all)
+{
+  for (uint32_t i = 0; i < n_all; i++)
+    if (all[i].has_room)
+      return 1;
+  return 0;
+}
+
 /*
  * Chooses engines and the number of helpers; a request waits when its score is
  * below the price of its prefill.
@@ -150,6 +159,8 @@
       if (helper_counts[i] >= n_all || (helper_counts[i] > 0 && prefill_us < SPLIT_MIN_PREFILL_US))
         break;
       double score = wl_choice_score_split (load, q, all, n_all, helper_counts[i], &try) - price;
+      if (i == 0 && !any_has_room (all, n_all))
+        break; /* more helpers need the same room at the answering engine */
       if (try.endpoint != NULL && best.hold == WL_CHOICE_HELD_FULL)
         best.hold = WL_CHOICE_HELD_COSTLY;
       if (try.endpoint == NULL || score <= best_score || score < 0.0)
@@ -249,6 +260,8 @@
                               .is_cold = (uint8_t)is_cold };
       out[n++].sum = wl_load_sum (load, e->key, now_us);
     }
+  if (q->visibility == WL_CHOICE_SEES_OTHERS_DELAYED && q->service->has_engine)
+    wl_choice_mark_pools (q, out, n);
   return limit_candidates (q, out, n);
 }
 
@@ -364,11 +377,10 @@
 {
   if (q->visibility != WL_CHOICE_SEES_OTHERS_DELAYED)
     return choose_split (load, q, all, n);
-  wl_choice_mark_pools (q, all, n);
   if (wl_choice_is_short (q))
     return choose_for_short (load, q, all, n, random);
   WlChoice out = choose_for_long (load, q, all, n);
-  if (out.result == WL_CHOICE_PLACED || out.hold != WL_CHOICE_HELD_FULL)
+  if (out.result == WL_CHOICE_PLACED || out.hold != WL_CHOICE_HELD_FULL || wl_choice_is_spread (q))
     return out;
   /* No engine has the memory that it needs; several together may have it. */
   WlChoiceRequest spread = *q;
--- a/relay/placement/wl_choice_internal.h
+++ b/relay/placement/wl_choice_internal.h
@@ -54,6 +54,9 @@
 /** wl_choice_needed_kv_tokens() - KV cache tokens of prompt and expected output */
 uint64_t wl_choice_needed_kv_tokens (const WlChoiceRequest *q);
 
+/** wl_choice_is_spread() - whether a request takes the KV cache of several engines */
+int wl_choice_is_spread (const WlChoiceRequest *q);
+
 /** wl_choice_is_short() - whether twice the prefill time of a prompt is below its tolerated gap */
 int wl_choice_is_short (const WlChoiceRequest *q);
 
@@ -71,7 +74,7 @@
 /**
  * wl_choice_mark_pools() - marks the short pool of each failure domain
  * @q: the request
- * @all: candidates, @n_all of them; their order changes
+ * @all: candidates, @n_all of them: all that there are, before their number is limited
  * @n_all: number of candidates
  *
  * The pool is the first engines of the domain in the order of their keys, as many as its short
--- a/relay/placement/wl_choice_judge.c
+++ b/relay/placement/wl_choice_judge.c
@@ -117,9 +117,8 @@
   return (uint64_t)q->prompt + q->output;
 }
 
-/* Whether a request takes the KV cache of several engines. */
-static int
-is_spread (const WlChoiceRequest *q)
+int
+wl_choice_is_spread (const WlChoiceRequest *q)
 {
   return q->spreads_kv
          || wl_choice_needed_kv_tokens (q)
@@ -129,7 +128,7 @@
 static int
 engine_has_room (const WlEngineModel *m, const WlChoiceRequest *q, const WlLoadSum *sum)
 {
-  uint64_t needed = is_spread (q) ? SPREAD_MIN_TOKENS : wl_choice_needed_kv_tokens (q);
+  uint64_t needed = wl_choice_is_spread (q) ? SPREAD_MIN_TOKENS : wl_choice_needed_kv_tokens (q);
   return sum->n_items < m->slots && free_kv_tokens (m, sum) >= needed;
 }
 
@@ -231,7 +230,7 @@
   uint64_t needed = wl_choice_needed_kv_tokens (q);
   uint64_t at_first = free_at_first * SPREAD_FIRST_PERCENT / 100;
   out->kv_tokens = needed;
-  if (!is_spread (q))
+  if (!wl_choice_is_spread (q))
     return 1;
   out->kv_tokens = needed < at_first ? needed : at_first;
   uint64_t left = needed - out->kv_tokens;
@@ -262,7 +261,7 @@
       if (n_helpers == 0)
         continue;
       all[i].helper_cost = cost_as_helper (load, q, &all[i], part_tokens, part_us);
-      if (is_spread (q))
+      if (wl_choice_is_spread (q))
         all[i].helper_cost
             -= SPREAD_FREE_KV_BONUS * (double)free_kv_tokens (m, &all[i].sum) / m->kv_tokens;
     }
--- a/relay/placement/wl_choice_pool.c
+++ b/relay/placement/wl_choice_pool.c
@@ -26,14 +26,11 @@
 static const double SHORT_LOSS = 1.1; /* unit of wl_choice_value(): a usual one that is late */
 
 static int
-by_domain_and_key (const void *a, const void *b)
+by_key (const void *a, const void *b)
 {
-  const WlEndpoint *x = ((const WlCandidate *)a)->endpoint;
-  const WlEndpoint *y = ((const WlCandidate *)b)->endpoint;
-  int order = strcmp (x->record.domain, y->record.domain);
-  if (order != 0)
-    return order;
-  return x->key < y->key ? -1 : x->key > y->key;
+  uint64_t x = (*(WlCandidate *const *)a)->endpoint->key;
+  uint64_t y = (*(WlCandidate *const *)b)->endpoint->key;
+  return x < y ? -1 : x > y;
 }
 
 /* Requests there that are short beside @q: the same kind as a short one, or a tighter one. */
@@ -65,13 +62,14 @@
   return SHORT_LOSS * c->short_rate * window_us / 1e6;
 }
 
+/* Marks the pool among the @n engines of one failure domain, whose order changes. */
 static void
-mark_pool (const WlChoiceRequest *q, WlCandidate *all, uint32_t n)
+mark_pool (const WlChoiceRequest *q, WlCandidate **engines, uint32_t n)
 {
   uint32_t n_short = 0;
-  int is_own = strcmp (all[0].endpoint->record.domain, q->domain) == 0;
+  int is_own = strcmp (engines[0]->endpoint->record.domain, q->domain) == 0;
   for (uint32_t i = 0; i < n; i++)
-    n_short += count_short (q, &all[i]);
+    n_short += count_short (q, engines[i]);
   uint32_t n_pool = (uint32_t)(n_short / (POOL_FILL_SHARE * q->service->engine.slots)) + 1;
   double min_share = q->is_load_partial ? POOL_START_SHARE : POOL_MIN_SHARE;
   uint32_t n_min = (uint32_t)(min_share * n) + 1;
@@ -79,85 +77,107 @@
     n_pool = n_min;
   if (n_pool > n)
     n_pool = n;
+  qsort (engines, n, sizeof *engines, by_key);
   for (uint32_t i = 0; i < n_pool; i++)
     {
-      all[i].is_pooled = 1;
+      WlCandidate *c = engines[i];
+      c->is_pooled = 1;
       if (wl_choice_is_short (q))
         continue;
-      all[i].short_rate = short_rate (q, &all[i], n_short, n_pool);
-      all[i].unseen_us = is_own ? UNSEEN_OWN_DOMAIN_US : UNSEEN_OTHER_DOMAIN_US;
+      c->short_rate = short_rate (q, c, n_short, n_pool);
+      c->unseen_us = is_own ? UNSEEN_OWN_DOMAIN_US : UNSEEN_OTHER_DOMAIN_US;
     }
 }
 
+/* Moves the candidates of the failure domain of the first one to the front; returns their number.
+ */
+static uint32_t
+gather_domain (WlCandidate **candidates, uint32_t n)
+{
+  const char *domain = candidates[0]->endpoint->record.domain;
+  uint32_t n_here = 1;
+  for (uint32_t i = 1; i < n; i++)
+    if (strcmp (candidates[i]->endpoint->record.domain, domain) == 0)
+      {
+        WlCandidate *c = candidates[n_here];
+        candidates[n_here++] = candidates[i];
+        candidates[i] = c;
+      }
+  return n_here;
+}
+
 void
 wl_choice_mark_pools (const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all)
 {
-  qsort (all, n_all, sizeof *all, by_domain_and_key);
-  for (uint32_t first = 0; first < n_all;)
+  WlCandidate **candidates = calloc (n_all + 1, sizeof *candidates);
+  if (candidates == NULL)
+    abort ();
+  for (uint32_t i = 0; i < n_all; i++)
+    candidates[i] = &all[i];
+  for (uint32_t first = 0, n; first < n_all; first += n)
     {
-      uint32_t n = 1;
-      while (first + n < n_all
-             && strcmp (all[first + n].endpoint->record.domain, all[first].endpoint->record.domain)
-                    == 0)
-        n++;
-      mark_pool (q, &all[first], n);
-      first += n;
+      n = gather_domain (&candidates[first], n_all - first);
+      mark_pool (q, &candidates[first], n);
     }
+  free (candidates);
 }
 
 static int
 may_draw (const WlChoiceRequest *q, const WlCandidate *c)
 {
-  return c->has_room && c->gap_loss == 0.0
+  return c->has_room && c->gap_loss == 0.0 && c->ttft_us < q->deadline_us
          && c->ttft_us <= q->objective_us * DRAW_OBJECTIVE_PERCENT / 100;
 }
 
-/* Of two engines drawn from a pool at random, the one with the shorter predicted TTFT. */
-static WlCandidate *
-draw_two (const WlLoad *load, const WlChoiceRequest *q, WlCandidate **pool, uint32_t n_pool,
-          uint64_t random)
+/*
+ * Collects the engines to draw from: those of the pool of the own failure domain, or of the pools
+ * of all others; returns their number.
+ */
+static uint32_t
+collect_drawable (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all,
+                  int is_own, WlCandidate **out)
 {
   uint64_t prefill_us = wl_forecast_prefill_us (&q->service->engine, q->prompt);
-  WlCandidate *drawn[2] = { NULL, NULL };
-  for (uint32_t i = 0; i < n_pool; i++)
-    wl_choice_score (load, q, pool[i], q->prompt, prefill_us);
-  for (uint32_t k = 0; k < 2 && n_pool > 0; k++)
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < n_all; i++)
     {
-      uint32_t start = (uint32_t)((random >> (32 * k)) & UINT32_MAX) % n_pool;
-      for (uint32_t i = 0; i < n_pool && drawn[k] == NULL; i++)
-        {
-          WlCandidate *c = pool[(start + i) % n_pool];
-          if (c != drawn[0] && may_draw (q, c))
-            drawn[k] = c;
-        }
+      WlCandidate *c = &all[i];
+      if (!c->is_pooled || is_own != (strcmp (c->endpoint->record.domain, q->domain) == 0))
+        continue;
+      wl_choice_score (load, q, c, q->prompt, prefill_us);
+      if (may_draw (q, c))
+        out[n++] = c;
     }
-  if (drawn[1] == NULL || drawn[0]->ttft_us <= drawn[1]->ttft_us)
-    return drawn[0];
-  return drawn[1];
+  return n;
 }
 
-/* Collects the pool of the own failure domain, or those of all others; returns its size. */
-static uint32_t
-collect_pool (const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all, int is_own,
-              WlCandidate **out)
+/* Of two engines drawn at random, the one with the shorter predicted TTFT. */
+static WlCandidate *
+draw_two (WlCandidate *const *drawable, uint32_t n, uint64_t random)
 {
-  uint32_t n = 0;
-  for (uint32_t i = 0; i < n_all; i++)
-    if (all[i].is_pooled && is_own == (strcmp (all[i].endpoint->record.domain, q->domain) == 0))
-      out[n++] = &all[i];
-  return n;
+  if (n == 0)
+    return NULL;
+  uint32_t at = (uint32_t)(random & UINT32_MAX) % n;
+  WlCandidate *drawn = drawable[at];
+  if (n == 1)
+    return drawn;
+  WlCandidate *other = drawable[(at + 1 + (uint32_t)(random >> 32) % (n - 1)) % n];
+  return other->ttft_us < drawn->ttft_us ? other : drawn;
 }
 
 WlCandidate *
 wl_choice_draw (const WlLoad *load, const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all,
                 uint64_t random)
 {
-  WlCandidate **pool = calloc (n_all + 1, sizeof *pool);
-  if (pool == NULL)
+  if (wl_choice_is_spread (q))
+    return NULL;
+  WlCandidate **drawable = calloc (n_all + 1, sizeof *drawable);
+  if (drawable == NULL)
     abort ();
-  WlCandidate *drawn = draw_two (load, q, pool, collect_pool (q, all, n_all, 1, pool), random);
-  if (drawn == NULL)
-    drawn = draw_two (load, q, pool, collect_pool (q, all, n_all, 0, pool), random);
-  free (pool);
+  uint32_t n = collect_drawable (load, q, all, n_all, 1, drawable);
+  if (n == 0)
+    n = collect_drawable (load, q, all, n_all, 0, drawable);
+  WlCandidate *drawn = draw_two (drawable, n, random);
+  free (drawable);
   return drawn;
 }
--- a/relay/tests/test_choice_pool.c
+++ b/relay/tests/test_choice_pool.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <apr_general.h>
 #include "wl_choice.h"
@@ -38,12 +39,14 @@
   return names[i % DOMAINS];
 }
 
+/* Registers the engines from @first on, in steps of @step; 1 keeps their order. */
 static Fixture
-create (void)
+create_in_order (uint32_t first, uint32_t step)
 {
   Fixture f = { wl_fleet_create (), wl_load_create (), 1 };
-  for (uint32_t i = 0; i < ENGINES; i++)
+  for (uint32_t k = 0; k < ENGINES; k++)
     {
+      uint32_t i = (first + k * step) % ENGINES;
       WlEndpointRecord r
           = { .address = i + 1, .port = 80, .slots = 16, .started_ms = 1, .sequence = 1 };
       snprintf (r.id, sizeof r.id, "llm-%02u", i);
@@ -54,6 +57,12 @@
   return f;
 }
 
+static Fixture
+create (void)
+{
+  return create_in_order (0, 1);
+}
+
 static void
 destroy (Fixture *f)
 {
@@ -290,6 +299,186 @@
 }
 END_TEST
 
+static int
+by_key (const void *a, const void *b)
+{
+  uint64_t x = (*(WlEndpoint *const *)a)->key;
+  uint64_t y = (*(WlEndpoint *const *)b)->key;
+  return x < y ? -1 : x > y;
+}
+
+/* The engines of domain z0 in the order of their keys, in which pools are filled. */
+static uint32_t
+sort_own_engines (const Fixture *f, WlEndpoint **out)
+{
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < ENGINES; i++)
+    if (strcmp (f->fleet->endpoints[i].record.domain, "z0") == 0)
+      out[n++] = &f->fleet->endpoints[i];
+  qsort (out, n, sizeof *out, by_key);
+  return n;
+}
+
+/*
+ * The first engines of the pool are full. Guards against a draw that goes on to the next engine
+ * from a full one: the first engine behind them got most of the requests.
+ */
+START_TEST (engines_behind_full_ones_are_drawn_no_more_often_than_others)
+{
+  enum
+  {
+    DRAWS = 3000,
+    FULL = 6,
+    POOL = 10, /* of 15 engines, while load is partial */
+  };
+  Fixture f = create ();
+  WlEndpoint *engines[ENGINES];
+  uint32_t counts[ENGINES] = { 0 };
+  ck_assert_uint_eq (sort_own_engines (&f, engines), ENGINES / DOMAINS);
+  for (uint32_t i = 0; i < FULL; i++)
+    for (uint32_t k = 0; k < wl_sample_engines.engine.slots; k++)
+      add_work (&f, engines[i]->key, (WlWorkItem){ .phase = WL_WORK_DECODING, .kv_tokens = 1000 });
+  for (uint32_t i = 0; i < DRAWS; i++)
+    {
+      WlChoiceRequest q = short_request (0);
+      q.is_load_partial = 1;
+      WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, random_of (i));
+      ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+      counts[c.endpoint - f.fleet->endpoints]++;
+    }
+  for (uint32_t i = FULL; i < POOL; i++)
+    {
+      uint32_t n = counts[engines[i] - f.fleet->endpoints];
+      ck_assert_uint_ge (n, DRAWS / (POOL - FULL) * 85 / 100);
+      ck_assert_uint_le (n, DRAWS / (POOL - FULL) * 115 / 100);
+    }
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against a drawn engine that answers after the deadline, though before the objective. */
+START_TEST (a_short_request_is_not_placed_where_it_misses_its_deadline)
+{
+  Fixture f = create ();
+  WlChoiceRequest q = short_request (0);
+  q.deadline_us = wl_choice_make (f.fleet, f.load, &q, now_us, 0).predicted_us;
+  ck_assert_uint_lt (q.deadline_us, q.objective_us);
+  ck_assert_int_ne (wl_choice_make (f.fleet, f.load, &q, now_us, 0).result, WL_CHOICE_PLACED);
+  destroy (&f);
+}
+END_TEST
+
+/* Guards against a long answer to a short prompt that is given to one engine without the memory. */
+START_TEST (a_short_prompt_whose_answer_exceeds_an_engine_is_not_placed_on_one)
+{
+  Fixture f = create ();
+  WlChoiceRequest q = short_request (0);
+  q.output = wl_sample_engines.engine.kv_tokens;
+  ck_assert_int_ne (wl_choice_make (f.fleet, f.load, &q, now_us, 0).result, WL_CHOICE_PLACED);
+  destroy (&f);
+}
+END_TEST
+
+/*
+ * All engines are idle and equal. Guards against nodes that all take the first one of a common
+ * order for their long prompts: each has learnt of the engines in another order.
+ */
+START_TEST (nodes_that_know_the_engines_in_another_order_break_ties_differently)
+{
+  Fixture f = create ();
+  Fixture g = create_in_order (ENGINES - 1, ENGINES - 1);
+  WlChoiceRequest q = long_request ();
+  WlChoice c = wl_choice_make (f.fleet, f.load, &q, now_us, 0);
+  WlChoice d = wl_choice_make (g.fleet, g.load, &q, now_us, 0);
+  ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+  ck_assert_int_eq (d.result, WL_CHOICE_PLACED);
+  ck_assert_uint_ne (c.endpoint->key, d.endpoint->key);
+  destroy (&f);
+  destroy (&g);
+}
+END_TEST
+
+/* A placement: position of the answering engine, bits of the positions of the helpers, TTFT. */
+typedef struct
+{
+  uint32_t prompt;
+  uint32_t endpoint;
+  uint64_t helpers;
+  uint64_t predicted_us;
+} Placement;
+
+/* A calm load: up to three short requests on each engine, a medium one on every fifth. */
+static void
+add_calm_load (Fixture *f)
+{
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      uint64_t key = f->fleet->endpoints[i].key;
+      for (uint32_t k = 0; k < (i * 7 + 3) % 4; k++)
+        add_work (f, key,
+                  (WlWorkItem){ .phase = WL_WORK_DECODING, .kv_tokens = 6360, .gap_ms = 250 });
+      if (i % 5 == 0)
+        add_work (f, key,
+                  (WlWorkItem){ .phase = WL_WORK_DECODING, .kv_tokens = 46000, .gap_ms = 600 });
+    }
+}
+
+static Placement
+place (const Fixture *f, uint32_t prompt, uint32_t node)
+{
+  WlChoiceRequest q = short_request (node);
+  q.visibility = WL_CHOICE_SEES_ALL;
+  q.prompt = prompt;
+  if (prompt > SHORT_PROMPT)
+    {
+      q.output = LONG_OUTPUT;
+      q.objective_us = prompt > 100000 ? 4000000 : 1500000;
+      q.gap_us = prompt > 100000 ? 1000000 : 600000;
+      q.deadline_us = 9000000;
+    }
+  WlChoice c = wl_choice_make (f->fleet, f->load, &q, now_us, random_of (node));
+  ck_assert_int_eq (c.result, WL_CHOICE_PLACED);
+  Placement p = { .prompt = prompt,
+                  .endpoint = (uint32_t)(c.endpoint - f->fleet->endpoints),
+                  .predicted_us = c.predicted_us };
+  for (uint32_t i = 0; i < c.n_helpers; i++)
+    p.helpers |= UINT64_C (1) << (c.helpers[i] - f->fleet->endpoints);
+  return p;
+}
+
+/*
+ * A calm fleet of 12 nodes. Guards small fleets against any change of their choice: the placements
+ * are those of commit 53461d3, from before engines were divided into pools.
+ */
+START_TEST (a_calm_fleet_of_twelve_nodes_chooses_as_before_pools)
+{
+  static const Placement expected[] = {
+    { 5000, 12, 0x0, 97655 },
+    { 45000, 7, 0x808, 120412 },
+    { 133000, 11, 0x8088880088, 234293 },
+    { 220000, 3, 0x8888cccc8c4, 338087 },
+    { 5000, 4, 0x0, 97655 },
+    { 45000, 11, 0x88, 120412 },
+    { 133000, 3, 0x8088880880, 234293 },
+    { 220000, 7, 0x8888cccc84c, 338087 },
+    { 5000, 8, 0x0, 97655 },
+    { 45000, 3, 0x880, 120412 },
+    { 133000, 7, 0x8088880808, 234293 },
+    { 220000, 11, 0x8888cccc0cc, 338087 },
+  };
+  Fixture f = create ();
+  add_calm_load (&f);
+  for (uint32_t i = 0; i < sizeof expected / sizeof *expected; i++)
+    {
+      Placement p = place (&f, expected[i].prompt, i % 12);
+      ck_assert_uint_eq (p.endpoint, expected[i].endpoint);
+      ck_assert_uint_eq (p.helpers, expected[i].helpers);
+      ck_assert_uint_eq (p.predicted_us, expected[i].predicted_us);
+    }
+  destroy (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -302,6 +491,11 @@
     WL_TEST (a_long_prompt_avoids_the_engines_of_the_short_pool),
     WL_TEST (a_long_prompt_that_can_just_be_in_time_goes_before_new_and_late_ones),
     WL_TEST (a_prompt_that_fits_no_engine_now_takes_the_memory_of_several),
+    WL_TEST (engines_behind_full_ones_are_drawn_no_more_often_than_others),
+    WL_TEST (a_short_request_is_not_placed_where_it_misses_its_deadline),
+    WL_TEST (a_short_prompt_whose_answer_exceeds_an_engine_is_not_placed_on_one),
+    WL_TEST (nodes_that_know_the_engines_in_another_order_break_ties_differently),
+    WL_TEST (a_calm_fleet_of_twelve_nodes_chooses_as_before_pools),
   };
   apr_initialize ();
   return wl_test_run ("choice_pool", tests, sizeof tests / sizeof tests[0]);
--- a/testkit/bench_relay_main.c
+++ b/testkit/bench_relay_main.c
@@ -18,7 +18,10 @@
 enum
 {
   ROUNDS = 2000,
-  ITEMS = 8, /* requests at each engine */
+  DOMAINS = 3,             /* failure domains of the endpoints */
+  ITEMS = 8,               /* requests at each engine */
+  KV_TOKENS = 6000,        /* of each request */
+  KV_TOKENS_FULL = 150000, /* of each request, so that no engine with one has memory left */
 };
 
 static const uint64_t now_us = 50000000;
@@ -37,7 +40,7 @@
   WlEndpointRecord r = { .address = i + 1, .port = 8080, .slots = 16, .started_ms = 1 };
   snprintf (r.id, sizeof r.id, "i-%08x", i * 2654435761u);
   strcpy (r.service, "llm");
-  strcpy (r.domain, "attiki-a");
+  snprintf (r.domain, sizeof r.domain, "attiki-%c", 'a' + i % DOMAINS);
   return r;
 }
 
@@ -49,9 +52,13 @@
     wl_limits_note_response (limits, &fleet->endpoints[i], 1, rate, now_us - 1, now_us);
 }
 
-/* Time of a choice among endpoints of which @n_limited, and no others, are not considered. */
+/*
+ * Time of a choice among endpoints of which @n_limited, and no others, are not considered.
+ * @visibility depends on the number of nodes; @kv_tokens are in use for each request there.
+ */
 static double
-time_choice (uint32_t n_endpoints, uint32_t n_limited, uint32_t prompt)
+time_choice (uint32_t n_endpoints, uint32_t n_limited, uint32_t prompt,
+             WlChoiceVisibility visibility, uint32_t kv_tokens)
 {
   WlFleet *fleet = wl_fleet_create ();
   WlLimits *limits = wl_limits_create ();
@@ -60,12 +67,12 @@
     {
       WlEndpointRecord r = make_record (i);
       wl_fleet_apply (fleet, &r, now_us);
-      for (uint32_t j = 0; j < i % ITEMS; j++)
+      for (uint32_t j = 0; j < (kv_tokens == KV_TOKENS_FULL ? 1 : i % ITEMS); j++)
         {
           WlWorkItem note = { .id = j,
                               .endpoint = wl_fleet_key (r.id),
                               .phase = WL_WORK_DECODING,
-                              .kv_tokens = 6000,
+                              .kv_tokens = kv_tokens,
                               .gap_ms = 250 };
           wl_load_apply (load, 1, 1, &note, now_us);
         }
@@ -78,6 +85,7 @@
                         .objective_us = 2500000,
                         .gap_us = 1000000,
                         .deadline_us = 9000000,
+                        .visibility = visibility,
                         .limits = limits };
   double began = seconds ();
   for (uint32_t i = 0; i < ROUNDS; i++)
@@ -256,14 +264,26 @@
 main (void)
 {
   static const uint32_t sizes[] = { 18, 60, 250, 1000 };
+  static const uint32_t delayed_sizes[] = { 18, 100, 1000 };
   apr_initialize ();
   for (size_t i = 0; i < sizeof sizes / sizeof *sizes; i++)
     {
       uint32_t n = sizes[i];
       printf ("%u endpoints: choice of a short %.1f us, of a long prompt %.1f us; with %u limits"
               " %.1f us, %.1f us\n",
-              n, time_choice (n, 0, 3000), time_choice (n, 0, 133000), n / 10,
-              time_choice (n, n / 10, 3000), time_choice (n, n / 10, 133000));
+              n, time_choice (n, 0, 3000, WL_CHOICE_SEES_ALL, KV_TOKENS),
+              time_choice (n, 0, 133000, WL_CHOICE_SEES_ALL, KV_TOKENS), n / 10,
+              time_choice (n, n / 10, 3000, WL_CHOICE_SEES_ALL, KV_TOKENS),
+              time_choice (n, n / 10, 133000, WL_CHOICE_SEES_ALL, KV_TOKENS));
+    }
+  for (size_t i = 0; i < sizeof delayed_sizes / sizeof *delayed_sizes; i++)
+    {
+      uint32_t n = delayed_sizes[i];
+      printf ("%u endpoints, 17 to 128 nodes: choice of a short %.1f us, of a long prompt %.1f us;"
+              " without memory for a long one %.1f us\n",
+              n, time_choice (n, 0, 3000, WL_CHOICE_SEES_OTHERS_DELAYED, KV_TOKENS),
+              time_choice (n, 0, 133000, WL_CHOICE_SEES_OTHERS_DELAYED, KV_TOKENS),
+              time_choice (n, 0, 133000, WL_CHOICE_SEES_OTHERS_DELAYED, KV_TOKENS_FULL));
     }
   for (size_t i = 0; i < sizeof sizes / sizeof *sizes; i++)
     {
