A long prompt is not refused for short requests that may come while all engines are idle

Cause: where every engine is in a pool (one engine in each failure domain, or many short requests) and answers are short, the value that short requests to come lose exceeded that of a long prompt, which was held as costly until it was refused. The test saw it held with three idle engines.

Change: at the engine that answers, this loss is at most half of the prompt's value, the discount near the deadline.

--- a/relay/placement/wl_choice_judge.c
+++ b/relay/placement/wl_choice_judge.c
@@ -25,6 +25,9 @@
 static const double FILL_BONUS_SHARE
     = 0.05; /* full engine: added for short requests, else a cost */
 static const double OTHER_DOMAIN_COST_SHARE = 0.01; /* leaving the failure domain */
+/* Most that short requests to come cost a prompt at the engine that answers: not more than its
+   discount near the deadline. Otherwise it could be refused while all engines are idle. */
+static const double SHORT_LOSS_MAX_SHARE = 0.5;
 
 /* Value units. */
 static const double HELPER_COST = 0.02;         /* of each helper */
@@ -153,7 +156,10 @@
   c->score = value * wl_choice_timeliness (q, c->ttft_us);
   c->gap_loss
       = gap_penalty (load, q, c, prefill_tokens, (uint64_t)((double)prefill_us * c->slowdown));
-  c->score -= c->gap_loss + wl_choice_short_loss (c, prefill_us);
+  double short_loss = wl_choice_short_loss (c, prefill_us);
+  if (short_loss > SHORT_LOSS_MAX_SHARE * value)
+    short_loss = SHORT_LOSS_MAX_SHARE * value;
+  c->score -= c->gap_loss + short_loss;
   if (wl_choice_is_short (q) && (c->sum.min_gap_us == 0 || c->sum.min_gap_us > q->gap_us))
     c->score -= FIRST_SHORT_COST_SHARE * value;
   c->score += FILL_BONUS_SHARE * value * (wl_choice_is_short (q) ? fill : -fill);
--- a/relay/tests/test_choice_pool.c
+++ b/relay/tests/test_choice_pool.c
@@ -299,6 +299,14 @@
 }
 END_TEST
 
+/* Leaves only the first engine of each failure domain in service. */
+static void
+drain_all_but_three (const Fixture *f)
+{
+  for (uint32_t i = DOMAINS; i < ENGINES; i++)
+    f->fleet->endpoints[i].record.is_draining = 1;
+}
+
 static int
 by_key (const void *a, const void *b)
 {
@@ -379,6 +387,27 @@
 }
 END_TEST
 
+/*
+ * Short answers, so that a pool is expected to take many requests, and one engine in each domain,
+ * so that all are in a pool. Guards against a long prompt that is held until it is refused while
+ * every engine is idle, for requests that may come.
+ */
+START_TEST (a_long_prompt_is_placed_on_an_idle_engine_although_all_are_in_pools)
+{
+  Fixture f = create ();
+  WlRouteService service = wl_sample_engines;
+  WlChoiceRequest q = long_request ();
+  service.engine.mean_output = 20;
+  q.service = &service;
+  drain_all_but_three (&f);
+  ck_assert_int_eq (wl_choice_make (f.fleet, f.load, &q, now_us, 0).result, WL_CHOICE_PLACED);
+  q.objective_us = 0;
+  q.deadline_us = 3500000;
+  ck_assert_int_eq (wl_choice_make (f.fleet, f.load, &q, now_us, 0).result, WL_CHOICE_PLACED);
+  destroy (&f);
+}
+END_TEST
+
 /*
  * All engines are idle and equal. Guards against nodes that all take the first one of a common
  * order for their long prompts: each has learnt of the engines in another order.
@@ -494,6 +523,7 @@
     WL_TEST (engines_behind_full_ones_are_drawn_no_more_often_than_others),
     WL_TEST (a_short_request_is_not_placed_where_it_misses_its_deadline),
     WL_TEST (a_short_prompt_whose_answer_exceeds_an_engine_is_not_placed_on_one),
+    WL_TEST (a_long_prompt_is_placed_on_an_idle_engine_although_all_are_in_pools),
     WL_TEST (nodes_that_know_the_engines_in_another_order_break_ties_differently),
     WL_TEST (a_calm_fleet_of_twelve_nodes_chooses_as_before_pools),
   };
