Cold endpoints: shares that were lost meanwhile begin empty; counts of others end

Causes, each with a test that failed before: - A node that was a sender, was none for some time and had no request then kept its token from before, and could send at once beside the node that had just sent in its place: one request more than the bound for each such share. A share now begins empty unless the node looked at it in the generation before. - A node that had just started and heard a count that included many lost nodes (half of a fleet replaced within 30 s) took its fleet for the smaller side of a partition for ever, sent nothing to cold endpoints and told nodes that started after it.

--- a/relay/placement/wl_warmup.c
+++ b/relay/placement/wl_warmup.c
@@ -146,16 +146,30 @@
   warmup->ticked_us = now_us;
 }
 
-/* Adds a node, or renews it; returns 1 when it is new or has another failure domain. */
-static int
-note_node (WlWarmup *warmup, const WlRosterNode *r, uint64_t now_us)
+/* Position of another node, @n_nodes when it is not known. The search begins at @likely. */
+static uint32_t
+find_node (const WlWarmup *warmup, uint32_t node, uint32_t likely)
 {
-  uint64_t domain = hash_domain (r->status.domain);
+  if (likely < warmup->n_nodes && warmup->nodes[likely].node == node)
+    return likely;
   uint32_t i = 1;
-  while (i < warmup->n_nodes && warmup->nodes[i].node != r->status.node)
+  while (i < warmup->n_nodes && warmup->nodes[i].node != node)
     i++;
+  return i;
+}
+
+/*
+ * Adds a node, or renews it. @at is the position of the previous one, then of this one: rosters
+ * keep their order. Returns 1 when the node is new or has another failure domain.
+ */
+static int
+note_node (WlWarmup *warmup, const WlRosterNode *r, uint32_t *at, uint64_t now_us)
+{
+  uint64_t domain = hash_domain (r->status.domain);
+  uint32_t i = find_node (warmup, r->status.node, *at + 1);
   if (i == NODES_MAX)
     return 0;
+  *at = i;
   int is_new = i == warmup->n_nodes || warmup->nodes[i].domain != domain;
   warmup->n_nodes += i == warmup->n_nodes;
   warmup->nodes[i] = (KnownNode){
@@ -224,6 +238,7 @@
                    uint32_t n_seeds, uint64_t now_us)
 {
   int is_changed = 0;
+  uint32_t at = 0;
   wl_warmup_tick (warmup, now_us);
   for (uint32_t i = 1; i < warmup->n_nodes; i++)
     warmup->nodes[i].is_alive = 0;
@@ -232,13 +247,15 @@
       const WlRosterNode *r = &roster->nodes[i];
       if (!wl_roster_is_alive (r, now_us))
         continue;
-      is_changed |= note_node (warmup, r, now_us);
+      is_changed |= note_node (warmup, r, &at, now_us);
       if (now_us < warmup->started_us + CLAIM_AGE_US && r->status.n_known > warmup->claim)
         warmup->claim = r->status.n_known;
     }
   warmup->n_unheard = 0;
   if (now_us < warmup->started_us + WL_WARMUP_ISOLATION_US)
     warmup->n_unheard = count_unheard (warmup, seeds, n_seeds);
+  if (now_us > warmup->started_us + WL_WARMUP_ISOLATION_US)
+    warmup->claim = 0; /* as with lost nodes: what others counted may be wrong */
   is_changed |= forget_lost (warmup, sees_majority (warmup), now_us);
   if (is_changed)
     follow_nodes (warmup, now_us);
@@ -351,7 +368,9 @@
   uint32_t n_senders = count_senders (warmup, n_requests);
   if (share->generation != warmup->generation || share->n_requests != n_requests)
     {
-      int was_sender = share->is_sender && share->n_requests == n_requests;
+      /* In a generation that was not looked at, the share may have been another node's. */
+      int was_sender = share->is_sender && share->n_requests == n_requests
+                       && share->generation + 1 == warmup->generation;
       share->generation = warmup->generation;
       share->n_requests = n_requests;
       share->is_sender = (uint8_t)is_sender (warmup, endpoint->key, n_senders);
--- a/relay/tests/test_warmup.c
+++ b/relay/tests/test_warmup.c
@@ -198,6 +198,55 @@
 }
 END_TEST
 
+/*
+ * A node starts while others still count many that have gone. Guards against a node that takes its
+ * fleet for the smaller side of a partition for ever, and tells it to those that start after it.
+ */
+START_TEST (a_node_does_not_count_what_others_counted_for_ever)
+{
+  Fixture f = create (0);
+  WlNodeStatus s = status_of (1);
+  s.n_known = 2 * NODES;
+  wl_roster_apply_status (f.roster, &s, f.now_us);
+  wl_warmup_observe (f.warmup, f.roster, NULL, 0, f.now_us);
+  run (&f, NODES, WL_WARMUP_ISOLATION_US - SECOND);
+  ck_assert (!wl_warmup_is_active (f.warmup, f.now_us));
+  run (&f, NODES, WL_WARMUP_REJOIN_US + 2 * SECOND);
+  ck_assert_uint_eq (wl_warmup_n_known (f.warmup), NODES);
+  ck_assert (wl_warmup_is_active (f.warmup, f.now_us));
+  destroy (&f);
+}
+END_TEST
+
+/*
+ * A node is a sender, then another one is in its place, then it is again; it has no requests
+ * meanwhile. Guards against a share that is taken as never lost: the other node may just have sent.
+ */
+START_TEST (a_share_that_was_lost_meanwhile_begins_empty)
+{
+  uint32_t n_tried = 0;
+  for (uint32_t self = 0; self < NODES - 4; self++)
+    {
+      Fixture f = create (self);
+      WlEndpoint seen;
+      run (&f, NODES - 4, 4 * SECOND);
+      uint64_t before_us = wait_us (&f);
+      run (&f, NODES, 4 * SECOND);
+      seen = f.endpoint; /* a look that leaves no trace */
+      int is_lost = wl_warmup_wait_us (f.warmup, &service, &seen, f.now_us) == UINT64_MAX;
+      run (&f, NODES - 4, WL_WARMUP_MEMORY_US + 10 * SECOND);
+      if (before_us != UINT64_MAX && is_lost)
+        {
+          ck_assert_uint_ne (wait_us (&f), UINT64_MAX);
+          ck_assert_uint_gt (wait_us (&f), 0);
+          n_tried++;
+        }
+      destroy (&f);
+    }
+  ck_assert_uint_gt (n_tried, 0);
+}
+END_TEST
+
 /* Guards against a node that starts alone in a partition: its settings name others. */
 START_TEST (seeds_count_until_they_are_heard)
 {
@@ -268,6 +317,8 @@
     WL_TEST (a_node_that_sees_half_of_the_others_or_fewer_sends_nothing),
     WL_TEST (lost_nodes_are_forgotten_by_a_majority_and_at_last_by_all),
     WL_TEST (a_young_node_counts_what_others_count),
+    WL_TEST (a_node_does_not_count_what_others_counted_for_ever),
+    WL_TEST (a_share_that_was_lost_meanwhile_begins_empty),
     WL_TEST (seeds_count_until_they_are_heard),
     WL_TEST (a_node_sends_nothing_after_a_freeze),
     WL_TEST (a_rate_of_nothing_is_never_cold_and_one_below_one_sends_nothing),
