A prompt that no engines can hold does not wait for a token of a cold endpoint

Cause: when cold endpoints were left out for lack of a token, or were considered and could not take a prompt, the request waited for a token until its time limit. With a token at hand it was tried again at every tick. The test saw a prompt larger than the only engine held instead of refused.

--- a/relay/forwarding/wl_relay_admission.c
+++ b/relay/forwarding/wl_relay_admission.c
@@ -163,6 +163,8 @@
           || is_excluded (r, e->key) || !wl_warmup_is_cold (r->service, e, now_us))
         continue;
       uint64_t wait_us = wl_warmup_wait_us (relay->warmup, r->service, e, now_us);
+      if (wait_us == 0)
+        continue; /* it was considered already */
       uint64_t until_us = wl_fleet_cold_until_us (e, r->service->cold_start_us);
       /* An endpoint of a returned domain registers about once a second. */
       uint64_t warm_us = until_us != UINT64_MAX ? until_us - now_us : WL_FLEET_OVERDUE_US / 2;
@@ -172,12 +174,32 @@
   return soonest_us;
 }
 
+/* Whether all engines together, cold ones included, lack the memory for a prompt. */
+static int
+is_too_large (const WlRelayRequest *r, uint64_t now_us)
+{
+  const WlFleet *fleet = r->relay->options.fleet;
+  uint64_t kv_tokens = 0;
+  if (!r->service->has_engine)
+    return 0;
+  for (uint32_t i = 0; i < fleet->n_endpoints; i++)
+    if (strcmp (fleet->endpoints[i].record.service, r->service->name) == 0
+        && wl_fleet_is_usable (&fleet->endpoints[i], now_us))
+      kv_tokens += r->service->engine.kv_tokens;
+  return kv_tokens > 0 && (uint64_t)r->choice_request.prompt + r->choice_request.output > kv_tokens;
+}
+
 int
 wl_relay_await_token (WlRelayRequest *r, uint64_t now_us)
 {
   WlChoiceResult result = r->choice.result;
   if (result == WL_CHOICE_PLACED || result == WL_CHOICE_WAIT)
     return 0;
+  if (is_too_large (r, now_us))
+    {
+      wl_relay_refuse (r, r->limit_us > now_us ? r->limit_us - now_us : 0, WL_REASON_TOO_LARGE);
+      return 1;
+    }
   uint64_t wait_us = soonest_cold_us (r, now_us);
   uint64_t prefill_us = r->service->has_engine
                             ? wl_forecast_prefill_us (&r->service->engine, r->choice_request.prompt)
--- a/relay/tests/test_relay_cold.c
+++ b/relay/tests/test_relay_cold.c
@@ -261,6 +261,26 @@
 }
 END_TEST
 
+/*
+ * The only engine is cold, without a token and with one. Guards against a prompt that no engine can
+ * hold, and that waits for tokens until its time limit instead of being refused at once.
+ */
+START_TEST (a_prompt_that_is_too_large_does_not_wait_for_a_token)
+{
+  Fixture f = create_cold (RATE);
+  relay_fixture_register_engine (f.relay, 0);
+  become_cold (&f, "engine-0");
+  send_larger_than_an_engine (&f);
+  ck_assert_uint_eq (wl_relay_active (f.relay->relay), 0);
+  ck_assert_uint_eq (metrics (&f)->refused[WL_REASON_TOO_LARGE], 1);
+  pass (&f, 600000);
+  send_larger_than_an_engine (&f);
+  ck_assert_uint_eq (wl_relay_active (f.relay->relay), 0);
+  ck_assert_uint_eq (metrics (&f)->refused[WL_REASON_TOO_LARGE], 2);
+  destroy (&f);
+}
+END_TEST
+
 /* Guards against a deployment without cold_rate that is served in another way than before. */
 START_TEST (endpoints_of_a_service_without_a_rate_are_never_cold)
 {
@@ -310,6 +330,7 @@
     WL_TEST (a_response_says_that_its_endpoint_is_cold),
     WL_TEST (a_response_of_another_endpoint_says_nothing),
     WL_TEST (an_attempt_is_not_sent_when_an_endpoint_of_it_became_cold),
+    WL_TEST (a_prompt_that_is_too_large_does_not_wait_for_a_token),
     WL_TEST (endpoints_of_a_service_without_a_rate_are_never_cold),
     WL_TEST (the_log_names_cold_endpoints),
   };
