--- a/relay/placement/wl_choice_judge.c
+++ b/relay/placement/wl_choice_judge.c
@@ -25,6 +25,9 @@
 static const double FILL_BONUS_SHARE
     = 0.05; /* full engine: added for short requests, else a cost */
 static const double OTHER_DOMAIN_COST_SHARE = 0.01; /* leaving the failure domain */
+/* Most that short requests to come cost a prompt at the engine that answers: not more than its
+   discount near the deadline. Otherwise it could be refused while all engines are idle. */
+static const double SHORT_LOSS_MAX_SHARE = 0.5;
 
 /* Value units. */
 static const double HELPER_COST = 0.02;         /* of each helper */
@@ -117,9 +120,8 @@
   return (uint64_t)q->prompt + q->output;
 }
 
-/* Whether a request takes the KV cache of several engines. */
-static int
-is_spread (const WlChoiceRequest *q)
+int
+wl_choice_is_spread (const WlChoiceRequest *q)
 {
   return q->spreads_kv
          || wl_choice_needed_kv_tokens (q)
@@ -129,7 +131,7 @@
 static int
 engine_has_room (const WlEngineModel *m, const WlChoiceRequest *q, const WlLoadSum *sum)
 {
-  uint64_t needed = is_spread (q) ? SPREAD_MIN_TOKENS : wl_choice_needed_kv_tokens (q);
+  uint64_t needed = wl_choice_is_spread (q) ? SPREAD_MIN_TOKENS : wl_choice_needed_kv_tokens (q);
   return sum->n_items < m->slots && free_kv_tokens (m, sum) >= needed;
 }
 
@@ -154,7 +156,10 @@
   c->score = value * wl_choice_timeliness (q, c->ttft_us);
   c->gap_loss
       = gap_penalty (load, q, c, prefill_tokens, (uint64_t)((double)prefill_us * c->slowdown));
-  c->score -= c->gap_loss + wl_choice_short_loss (c, prefill_us);
+  double short_loss = wl_choice_short_loss (c, prefill_us);
+  if (short_loss > SHORT_LOSS_MAX_SHARE * value)
+    short_loss = SHORT_LOSS_MAX_SHARE * value;
+  c->score -= c->gap_loss + short_loss;
   if (wl_choice_is_short (q) && (c->sum.min_gap_us == 0 || c->sum.min_gap_us > q->gap_us))
     c->score -= FIRST_SHORT_COST_SHARE * value;
   c->score += FILL_BONUS_SHARE * value * (wl_choice_is_short (q) ? fill : -fill);
@@ -231,7 +236,7 @@
   uint64_t needed = wl_choice_needed_kv_tokens (q);
   uint64_t at_first = free_at_first * SPREAD_FIRST_PERCENT / 100;
   out->kv_tokens = needed;
-  if (!is_spread (q))
+  if (!wl_choice_is_spread (q))
     return 1;
   out->kv_tokens = needed < at_first ? needed : at_first;
   uint64_t left = needed - out->kv_tokens;
@@ -262,7 +267,7 @@
       if (n_helpers == 0)
         continue;
       all[i].helper_cost = cost_as_helper (load, q, &all[i], part_tokens, part_us);
-      if (is_spread (q))
+      if (wl_choice_is_spread (q))
         all[i].helper_cost
             -= SPREAD_FREE_KV_BONUS * (double)free_kv_tokens (m, &all[i].sum) / m->kv_tokens;
     }
--- a/relay/placement/wl_warmup.c
+++ b/relay/placement/wl_warmup.c
@@ -146,21 +146,21 @@
   warmup->ticked_us = now_us;
 }
 
-/* Position of a node, or the end of the list; @hint is where it probably is. */
+/* Position of another node, @n_nodes when it is not known. The search begins at @likely. */
 static uint32_t
-find_node (const WlWarmup *warmup, uint32_t node, uint32_t hint)
+find_node (const WlWarmup *warmup, uint32_t node, uint32_t likely)
 {
+  if (likely < warmup->n_nodes && warmup->nodes[likely].node == node)
+    return likely;
   uint32_t i = 1;
-  if (hint < warmup->n_nodes && warmup->nodes[hint].node == node)
-    return hint;
   while (i < warmup->n_nodes && warmup->nodes[i].node != node)
     i++;
   return i;
 }
 
 /*
- * Adds a node, or renews it; returns 1 when it is new or has another failure domain. @at is the
- * position of the one before in the roster, whose order is mostly that of this list.
+ * Adds a node, or renews it. @at is the position of the previous one, then of this one: rosters
+ * keep their order. Returns 1 when the node is new or has another failure domain.
  */
 static int
 note_node (WlWarmup *warmup, const WlRosterNode *r, uint32_t *at, uint64_t now_us)
@@ -249,6 +249,8 @@
   warmup->n_unheard = 0;
   if (now_us < warmup->started_us + WL_WARMUP_ISOLATION_US)
     warmup->n_unheard = count_unheard (warmup, seeds, n_seeds);
+  if (now_us > warmup->started_us + WL_WARMUP_ISOLATION_US)
+    warmup->claim = 0; /* as with lost nodes: what others counted may be wrong */
   is_changed |= forget_lost (warmup, sees_majority (warmup), now_us);
   if (is_changed)
     follow_nodes (warmup, now_us);
@@ -361,7 +363,9 @@
   uint32_t n_senders = count_senders (warmup, n_requests);
   if (share->generation != warmup->generation || share->n_requests != n_requests)
     {
-      int was_sender = share->is_sender && share->n_requests == n_requests;
+      /* In a generation that was not looked at, the share may have been another node's. */
+      int was_sender = share->is_sender && share->n_requests == n_requests
+                       && share->generation + 1 == warmup->generation;
       share->generation = warmup->generation;
       share->n_requests = n_requests;
       share->is_sender = (uint8_t)is_sender (warmup, endpoint->key, n_senders);
