--- a/relay/placement/wl_warmup.c
+++ b/relay/placement/wl_warmup.c
@@ -365,12 +365,12 @@
   if (n_requests == 0 || warmup->active_us == UINT64_MAX
       || now_us > warmup->ticked_us + WL_WARMUP_FREEZE_US)
     return UINT64_MAX;
-  uint32_t n_senders = count_senders (warmup, n_requests);
   if (share->generation != warmup->generation || share->n_requests != n_requests)
     {
       /* In a generation that was not looked at, the share may have been another node's. */
       int was_sender = share->is_sender && share->n_requests == n_requests
                        && share->generation + 1 == warmup->generation;
+      uint32_t n_senders = count_senders (warmup, n_requests);
       share->generation = warmup->generation;
       share->n_requests = n_requests;
       share->is_sender = (uint8_t)is_sender (warmup, endpoint->key, n_senders);
--- a/testkit/wl_fleet_sim.h
+++ b/testkit/wl_fleet_sim.h
@@ -28,6 +28,7 @@
  * @boot: drawn at each start
  * @is_up, @is_frozen, @is_ready: its state
  * @n_known: of its status
+ * @n_parked: messages and ticks that wait until it is not frozen
  * @sent, @received: bytes of messages with their frames
  * @neighbours: 1 for each node that it has sent a message to
  */
@@ -41,6 +42,7 @@
   uint8_t is_frozen;
   uint8_t is_ready;
   uint32_t n_known;
+  uint32_t n_parked;
   uint64_t sent;
   uint64_t received;
   uint8_t neighbours[FLEET_SIM_NODES_MAX];
@@ -50,6 +52,7 @@
  * struct FleetSim - a fleet; node i is in failure domain i modulo @n_domains
  * @nodes: the nodes, @n_nodes of them; the first of each domain has a disk
  * @queue: messages and ticks to come
+ * @parked: those of frozen nodes
  * @now_us: simulated time
  * @random: state of random numbers
  * @loss_percent: messages lost
@@ -61,6 +64,7 @@
   uint32_t n_nodes;
   uint32_t n_domains;
   WlTimeQueue *queue;
+  WlTimeQueue *parked;
   uint64_t now_us;
   uint64_t random;
   uint32_t loss_percent;
