--- a/relay/placement/wl_choice_pool.c
+++ b/relay/placement/wl_choice_pool.c
@@ -17,13 +17,17 @@
 
 static const double POOL_FILL_SHARE = 0.5; /* of the slots; the rest is for bursts */
 static const double POOL_MIN_SHARE = 0.25; /* of the engines, also without short requests */
-/* Of the engines, after a start: callers return at once, and no load is known. */
+/* Of the engines, while the load of most nodes is unknown: after a start of all nodes their callers
+   return at once. */
 static const double POOL_START_SHARE = 0.6;
-static const double USUAL_FILL_SHARE
-    = 0.25; /* of the slots, where less is known of: after a start */
-/* Of the short requests that arrive during a long prefill: late, as the rest of the pool is too. */
+/* Of the slots: the least use that is assumed when the loss of short requests is estimated. The
+   load that a node sees after its start is too low. */
+static const double MIN_FILL_SHARE = 0.25;
+/* Of the short requests that arrive during a long prefill: the others are drawn elsewhere, since
+   the prefill is known by then. */
 static const double LATE_DURING_PART_SHARE = 0.25;
-static const double SHORT_LOSS = 1.1; /* unit of wl_choice_value(): a usual one that is late */
+static const double SHORT_LOSS
+    = 1.1; /* of a late short request, in the unit of wl_choice_value() */
 
 static int
 by_key (const void *a, const void *b)
@@ -33,7 +37,8 @@
   return x < y ? -1 : x > y;
 }
 
-/* Requests there that are short beside @q: the same kind as a short one, or a tighter one. */
+/* Requests at an engine that count as short: no longer gap than @q if it is short, else a shorter
+ * one. */
 static uint32_t
 count_short (const WlChoiceRequest *q, const WlCandidate *c)
 {
@@ -51,8 +56,8 @@
   uint64_t duration_us
       = wl_forecast_decode_us (m, c->sum.decodes, c->sum.decode_context, m->mean_output);
   double on_engine = (double)n_short / n_pool;
-  double usual = USUAL_FILL_SHARE * m->slots;
-  return (on_engine > usual ? on_engine : usual) * 1e6 / (double)(duration_us + 1);
+  double at_least = MIN_FILL_SHARE * m->slots;
+  return (on_engine > at_least ? on_engine : at_least) * 1e6 / (double)(duration_us + 1);
 }
 
 double
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -24,20 +24,13 @@
 };
 
 static const WlField endpoint_record_fields[] = {
-  WL_TEXT (WlEndpointRecord, id),
-  WL_TEXT (WlEndpointRecord, service),
-  WL_TEXT (WlEndpointRecord, domain),
-  WL_U32 (WlEndpointRecord, address),
-  WL_U32 (WlEndpointRecord, port),
-  WL_U32 (WlEndpointRecord, slots),
-  WL_U64 (WlEndpointRecord, started_ms),
-  WL_U64 (WlEndpointRecord, sequence),
-  WL_U64 (WlEndpointRecord, age_us),
-  WL_U8 (WlEndpointRecord, is_draining),
-  WL_U8 (WlEndpointRecord, has_left),
-  WL_U8 (WlEndpointRecord, is_restored),
-  WL_U32 (WlEndpointRecord, cold_left_ms),
-  WL_END,
+  WL_TEXT (WlEndpointRecord, id),          WL_TEXT (WlEndpointRecord, service),
+  WL_TEXT (WlEndpointRecord, domain),      WL_U32 (WlEndpointRecord, address),
+  WL_U32 (WlEndpointRecord, port),         WL_U32 (WlEndpointRecord, slots),
+  WL_U64 (WlEndpointRecord, started_ms),   WL_U64 (WlEndpointRecord, sequence),
+  WL_U64 (WlEndpointRecord, age_us),       WL_U8 (WlEndpointRecord, is_draining),
+  WL_U8 (WlEndpointRecord, has_left),      WL_U8 (WlEndpointRecord, is_restored),
+  WL_U32 (WlEndpointRecord, cold_left_ms), WL_END,
 };
 
 const WlField wl_endpoints_fields[] = {
