Lint: sizes of pointers by their type; a test's array is set

Cause: clang-tidy takes the size of a dereferenced pointer to pointers for a mistake, cppcheck an array that a function fills for unset.

Change: sizeof names the type; the array is set to NULL; the two queues of the simulation are freed by one function.

Measured: make lint without findings.

--- a/relay/placement/wl_choice_pool.c
+++ b/relay/placement/wl_choice_pool.c
@@ -82,7 +82,7 @@
     n_pool = n_min;
   if (n_pool > n)
     n_pool = n;
-  qsort (engines, n, sizeof *engines, by_key);
+  qsort (engines, n, sizeof (WlCandidate *), by_key);
   for (uint32_t i = 0; i < n_pool; i++)
     {
       WlCandidate *c = engines[i];
@@ -114,7 +114,7 @@
 void
 wl_choice_mark_pools (const WlChoiceRequest *q, WlCandidate *all, uint32_t n_all)
 {
-  WlCandidate **candidates = calloc (n_all + 1, sizeof *candidates);
+  WlCandidate **candidates = calloc (n_all + 1, sizeof (WlCandidate *));
   if (candidates == NULL)
     abort ();
   for (uint32_t i = 0; i < n_all; i++)
@@ -176,7 +176,7 @@
 {
   if (wl_choice_is_spread (q))
     return NULL;
-  WlCandidate **drawable = calloc (n_all + 1, sizeof *drawable);
+  WlCandidate **drawable = calloc (n_all + 1, sizeof (WlCandidate *));
   if (drawable == NULL)
     abort ();
   uint32_t n = collect_drawable (load, q, all, n_all, 1, drawable);
--- a/relay/tests/test_choice_pool.c
+++ b/relay/tests/test_choice_pool.c
@@ -323,7 +323,7 @@
   for (uint32_t i = 0; i < ENGINES; i++)
     if (strcmp (f->fleet->endpoints[i].record.domain, "z0") == 0)
       out[n++] = &f->fleet->endpoints[i];
-  qsort (out, n, sizeof *out, by_key);
+  qsort (out, n, sizeof (WlEndpoint *), by_key);
   return n;
 }
 
@@ -340,7 +340,7 @@
     POOL = 10, /* of 15 engines, while load is partial */
   };
   Fixture f = create ();
-  WlEndpoint *engines[ENGINES];
+  WlEndpoint *engines[ENGINES] = { NULL };
   uint32_t counts[ENGINES] = { 0 };
   ck_assert_uint_eq (sort_own_engines (&f, engines), ENGINES / DOMAINS);
   for (uint32_t i = 0; i < FULL; i++)
--- a/testkit/wl_fleet_sim.c
+++ b/testkit/wl_fleet_sim.c
@@ -254,17 +254,20 @@
   return sim;
 }
 
+static void
+destroy_queue (WlTimeQueue *queue)
+{
+  Item item;
+  while (wl_time_queue_take (queue, UINT64_MAX, &item))
+    wl_bytes_release (&item.bytes);
+  wl_time_queue_destroy (queue);
+}
+
 void
 fleet_sim_destroy (FleetSim *sim)
 {
-  WlTimeQueue *queues[] = { sim->queue, sim->parked };
-  Item item;
-  for (size_t i = 0; i < sizeof queues / sizeof *queues; i++)
-    {
-      while (wl_time_queue_take (queues[i], UINT64_MAX, &item))
-        wl_bytes_release (&item.bytes);
-      wl_time_queue_destroy (queues[i]);
-    }
+  destroy_queue (sim->queue);
+  destroy_queue (sim->parked);
   for (uint32_t i = 0; i < sim->n_nodes; i++)
     wl_membership_destroy (sim->nodes[i].m);
   free (sim);
