Test: a file brings back no endpoint that running nodes do not know

Change: a test with an endpoint that only the file of a restarting node has; the mutant leaves an empty statement.

--- a/relay/tests/test_fleet_start.c
+++ b/relay/tests/test_fleet_start.c
@@ -228,6 +228,27 @@
   fleet_sim_destroy (sim);
 }
 
+/*
+ * The file has an endpoint that the running nodes do not know, as one that they forgot long ago.
+ * Guards against requests of the whole fleet to it.
+ */
+START_TEST (a_file_brings_back_no_endpoint_that_running_nodes_do_not_know)
+{
+  FleetSim *sim = fleet_sim_create (7, NODES, DOMAINS);
+  fleet_sim_run (sim, 2 * SECOND);
+  register_for (sim, ENDPOINTS - 1, 1, 5);
+  restart_with_file (sim, ENDPOINTS, 2);
+  for (int step = 0; step < 20; step++)
+    {
+      if (step % 12 == 0)
+        fleet_sim_register_all (sim, ENDPOINTS - 1, 10 + (uint64_t)step);
+      fleet_sim_run (sim, 100 * MS);
+      ck_assert_uint_le (fleet_sim_count_usable (sim, "endpoint-53"), 1);
+    }
+  fleet_sim_destroy (sim);
+}
+END_TEST
+
 START_TEST (a_file_brings_back_no_endpoint_that_has_left)
 {
   check_left (NODES);
@@ -332,6 +353,7 @@
     WL_TEST (a_restored_endpoint_that_does_not_register_times_out_everywhere),
     WL_TEST (restored_endpoints_that_register_stay_usable),
     WL_TEST (a_file_brings_back_no_endpoint_that_is_silent),
+    WL_TEST (a_file_brings_back_no_endpoint_that_running_nodes_do_not_know),
     WL_TEST (a_file_brings_back_no_endpoint_that_has_left),
     WL_TEST (a_stale_file_of_one_node_does_not_override),
     WL_TEST (a_registration_replaces_a_restored_endpoint_with_any_sequence),
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -123,7 +123,7 @@
 start endpoints-not-restored test_host relay/wl_host_files.c 's/  load_file \(host, disk, endpoints_file, restore_endpoints\);//'
 start restored-not-reported test_fleet_start relay/membership/wl_membership.c 's/(records\[i\], now_us\);\n)      wl_view_note_registration[^;]*;/$1/'
 start file-overrides test_fleet_start relay/membership/wl_fleet.c 's/if \(record->is_restored && !e->record.is_restored\)\n    return 1;//'
-start file-revives-silent test_fleet_start relay/membership/wl_membership.c 's/copy.age_us = WL_FLEET_TIMEOUT_US;//'
+start file-revives-silent test_fleet_start relay/membership/wl_membership.c 's/copy.age_us = WL_FLEET_TIMEOUT_US;/;/'
 start relay-revives-silent test_fleet_start relay/membership/wl_view_report.c 's/return age_us > WL_FLEET_OVERDUE_US \? age_us : WL_FLEET_OVERDUE_US;/return WL_FLEET_OVERDUE_US;/'
 start load-not-asked-for test_host_start relay/wl_host_start.c 's/  ask_for_load \(host, now_us\);//'
 start culprit-ignored test_relay_retry relay/forwarding/wl_relay_retry.c 's/if \(r->response.fault_port != 0\)/if (0)/'
