--- a/review/kit-2.c
+++ b/review/kit-2.c
@@ -27,6 +27,8 @@
   ANSWER_LIMIT_MS = 30000,
 };
 
+int kit_n_disks = 3;
+int kit_tolerated = 1;
 KitNode kit_nodes[KIT_NODES_MAX];
 int kit_n_nodes;
 KitWorker kit_workers[KIT_WORKERS_MAX];
@@ -377,7 +379,7 @@
 write_settings (const KitNode *node, int bootstrap)
 {
   FILE *f = fopen (node->settings, "w");
-  int has_disk = node->index < 3;
+  int has_disk = node->index < kit_n_disks;
   if (f == NULL)
     kit_fail ("settings");
   fprintf (f,
@@ -397,18 +399,20 @@
               "  link_mbps: 1000.0\n  disk_mb: 64\n");
   if (has_disk)
     fprintf (f, "data_dir: \"%s/data-%d\"\n", folder, node->index);
-  fprintf (f, "discovery: \"registration\"\nentry: \"directory\"\nheartbeat_ms: 1200\n"
-              "contracts: [\"base\", \"drain\", \"config\", \"cost\", \"retry\", \"recover\", "
-              "\"engine\", \"stream\", \"tenants\", \"spans\"]\n"
-              "fault_tolerance:\n  machines: 1\n  zones: 0\n  regions: 0\n"
-              "bounds:\n  seed_lag_s: 3\n  addr_reuse_s: 2\n  stable_window_ms: 3000\n"
-              "  ack_ms: 4000\n  catch_up_s: 4\n  drain_ms: 2000\n  grace_s: 8\n"
-              "  loss_slack_ms: 200\n  config_apply_ms: 2000\n  rollback_slack_ms: 250\n"
-              "  skew_max_ms: 5000\n  revoke_strict: false\n  revoke_ms: 5000\n"
-              "  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  retry_budget_slack: 112\n"
-              "  recover_s: 12\n  pass_ms: 120\n  retry_after_s: 0\n  stall_ms: 1500\n"
-              "  hold_max_ms: 20000\n  free_ms: 4000\n  idle_max_ms: 9000\n  ttl_max_s: 5\n"
-              "config_mode: \"highest\"\n");
+  fprintf (f,
+           "discovery: \"registration\"\nentry: \"directory\"\nheartbeat_ms: 1200\n"
+           "contracts: [\"base\", \"drain\", \"config\", \"cost\", \"retry\", \"recover\", "
+           "\"engine\", \"stream\", \"tenants\", \"spans\"]\n"
+           "fault_tolerance:\n  machines: %d\n  zones: 0\n  regions: 0\n"
+           "bounds:\n  seed_lag_s: 3\n  addr_reuse_s: 2\n  stable_window_ms: 3000\n"
+           "  ack_ms: 4000\n  catch_up_s: 4\n  drain_ms: 2000\n  grace_s: 8\n"
+           "  loss_slack_ms: 200\n  config_apply_ms: 2000\n  rollback_slack_ms: 250\n"
+           "  skew_max_ms: 5000\n  revoke_strict: false\n  revoke_ms: 5000\n"
+           "  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  retry_budget_slack: 112\n"
+           "  recover_s: 12\n  pass_ms: 120\n  retry_after_s: 0\n  stall_ms: 1500\n"
+           "  hold_max_ms: 20000\n  free_ms: 4000\n  idle_max_ms: 9000\n  ttl_max_s: 5\n"
+           "config_mode: \"highest\"\n",
+           kit_tolerated);
   fclose (f);
 }
 
@@ -438,7 +442,7 @@
 }
 
 void
-kit_start_nodes (int n)
+kit_prepare_nodes (int n)
 {
   char path[600];
   kit_n_nodes = n;
@@ -449,24 +453,46 @@
       snprintf (node->ip, sizeof node->ip, "%s.%d", net, i + 1);
       snprintf (node->settings, sizeof node->settings, "%s/node-%d.yaml", folder, i);
       snprintf (path, sizeof path, "%s/data-%d", folder, i);
-      if (i < 3 && mkdir (path, 0700) != 0)
+      if (i < kit_n_disks && mkdir (path, 0700) != 0)
         kit_fail ("data folder");
     }
+}
+
+void
+kit_start_nodes (int n)
+{
+  kit_prepare_nodes (n);
   for (int i = 0; i < n; i++)
     kit_start_node (&kit_nodes[i]);
 }
 
+void
+kit_signal_node (const KitNode *node, int signal)
+{
+  kill (node->pid, signal);
+  kit_log ("node %d: signal %d", node->index, signal);
+}
+
 void
 kit_kill_node (KitNode *node, int signal)
 {
   kill (node->pid, signal);
-  if (signal != SIGKILL && signal != SIGTERM)
-    return;
   waitpid (node->pid, NULL, 0);
   node->pid = 0;
   kit_log ("node %d: ended by signal %d", node->index, signal);
 }
 
+void
+kit_wipe_node (const KitNode *node)
+{
+  char command[600];
+  snprintf (command, sizeof command, "rm -r '%s/data-%d' && mkdir -m 700 '%s/data-%d'", folder,
+            node->index, folder, node->index);
+  if (system (command) != 0)
+    kit_fail ("a disk cannot be emptied");
+  kit_log ("node %d: its disk is lost", node->index);
+}
+
 /* Sends a call to an address, and returns the status of its answer. */
 static int
 call (const char *ip, int port, const char *method, const char *path, const char *body,
--- a/review/kit-2.h
+++ b/review/kit-2.h
@@ -115,6 +115,8 @@
   int expected_version; /* of the weights, 0 for none */
 } KitRequest;
 
+/** kit_n_disks, kit_tolerated - machines with a disk, and how many may be lost at once: 3 and 1 */
+extern int kit_n_disks, kit_tolerated;
 extern KitNode kit_nodes[KIT_NODES_MAX];
 extern int kit_n_nodes;
 extern KitWorker kit_workers[KIT_WORKERS_MAX];
@@ -134,10 +136,21 @@
 /** kit_log() - writes a line to the record, with its time */
 void kit_log (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
 
-/** kit_start_nodes() - starts @n nodes, of which the first three have a disk */
+/** kit_start_nodes() - starts @n nodes, of which the first kit_n_disks have a disk */
 void kit_start_nodes (int n);
+
+/** kit_prepare_nodes() - the same, but for the start of each */
+void kit_prepare_nodes (int n);
 void kit_start_node (KitNode *node);
+
+/** kit_signal_node() - stops a node for a while, or lets it go on */
+void kit_signal_node (const KitNode *node, int signal);
+
+/** kit_kill_node() - ends a node by a signal, and waits for it */
 void kit_kill_node (KitNode *node, int signal);
+
+/** kit_wipe_node() - empties the disk of a node that does not run */
+void kit_wipe_node (const KitNode *node);
 int kit_wait_ready (int limit_ms);
 
 KitWorker *kit_add_worker (const char *service, int slots, int events, int gap_ms, int work_ms);
--- a/review/parts-2.c
+++ b/review/parts-2.c
@@ -19,18 +19,26 @@
       "\"report_lag_ms\":200.0,\"loads_per_s\":0.0,\"loads_at_once\":8,\"delays\":[],"
       "\"usual\":{\"prompt\":650,\"answer\":20},\"hop_ms\":0.075}";
 
+/* Number in the name of a route's service; the first one has none. */
+static int
+service_number (int route, int n_services)
+{
+  int service = route < n_services ? route : n_services - 1;
+  return service > 0 ? service + 1 : 0;
+}
+
 void
-parts_manifest (char *out, size_t size, int version, int n_services)
+parts_manifest (char *out, size_t size, int version, int n_routes, int n_services)
 {
   size_t n = (size_t)snprintf (out, size, "{\"version\":%d,\"routes\":[", version);
-  for (int i = 0; i < n_services; i++)
+  for (int i = 0; i < n_routes; i++)
     n += (size_t)snprintf (
         out + n, size - n,
         "%s{\"name\":\"r%d\",\"hostname\":\"review.example\",\"path_prefix\":\"/%c/\","
         "\"kind\":\"streaming\",\"timeout_ms\":10000,\"slo_ms\":1000,\"priority\":1,"
         "\"service\":\"llm%.0d\",\"attempts\":2,\"auth_exempt\":false,"
         "\"session_affinity\":true,\"stream_resume\":true,\"gap_slo_ms\":500}",
-        i > 0 ? "," : "", i, 'a' + i, i > 0 ? i + 1 : 0);
+        i > 0 ? "," : "", i, 'a' + i, service_number (i, n_services));
   n += (size_t)snprintf (out + n, size - n, "],\"services\":[");
   for (int i = 0; i < n_services; i++)
     n += (size_t)snprintf (out + n, size - n, "%s{\"name\":\"llm%.0d\",%s}", i > 0 ? "," : "",
--- a/review/parts-2.h
+++ b/review/parts-2.h
@@ -10,10 +10,10 @@
  */
 
 /**
- * parts_manifest() - writes a manifest of @version with @n_services services, llm, llm2, ..., of
- * engines, and for each a streaming route: /a/, /b/, ...
+ * parts_manifest() - writes a manifest of @version with @n_services services of engines, llm, llm2,
+ * ..., and @n_routes streaming routes, /a/, /b/, ...: one for each service, the rest for the last
  */
-void parts_manifest (char *out, size_t size, int version, int n_services);
+void parts_manifest (char *out, size_t size, int version, int n_routes, int n_services);
 
 /** parts_begin() - @bad: the part; arrivals and crashes are counted from now on */
 void parts_begin (const char *bad);
