--- a/review/kit-2.c
+++ b/review/kit-2.c
@@ -375,11 +375,23 @@
 
 /* ---- nodes ---- */
 
+/* Bounds in which the sheets differ. */
+typedef struct
+{
+  int stable_window_ms, ack_ms, catch_up_s, drain_ms, config_apply_ms, skew_max_ms;
+  int retry_budget_slack, recover_s, pass_ms;
+} Bounds;
+
+static const Bounds small = { 3000, 4000, 4, 2000, 2000, 5000, 112, 12, 120 }; /* trevino-loft */
+static const Bounds grown
+    = { 4000, 5000, 6, 2500, 2500, 6000, 226, 15, 200 }; /* epistrofes-ath-grown */
+
 static void
 write_settings (const KitNode *node, int bootstrap)
 {
   FILE *f = fopen (node->settings, "w");
   int has_disk = node->index < kit_n_disks;
+  const Bounds *b = kit_tolerated == 1 ? &small : &grown;
   if (f == NULL)
     kit_fail ("settings");
   fprintf (f,
@@ -404,15 +416,16 @@
            "contracts: [\"base\", \"drain\", \"config\", \"cost\", \"retry\", \"recover\", "
            "\"engine\", \"stream\", \"tenants\", \"spans\"]\n"
            "fault_tolerance:\n  machines: %d\n  zones: 0\n  regions: 0\n"
-           "bounds:\n  seed_lag_s: 3\n  addr_reuse_s: 2\n  stable_window_ms: 3000\n"
-           "  ack_ms: 4000\n  catch_up_s: 4\n  drain_ms: 2000\n  grace_s: 8\n"
-           "  loss_slack_ms: 200\n  config_apply_ms: 2000\n  rollback_slack_ms: 250\n"
-           "  skew_max_ms: 5000\n  revoke_strict: false\n  revoke_ms: 5000\n"
-           "  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  retry_budget_slack: 112\n"
-           "  recover_s: 12\n  pass_ms: 120\n  retry_after_s: 0\n  stall_ms: 1500\n"
+           "bounds:\n  seed_lag_s: 3\n  addr_reuse_s: 2\n  stable_window_ms: %d\n"
+           "  ack_ms: %d\n  catch_up_s: %d\n  drain_ms: %d\n  grace_s: 8\n"
+           "  loss_slack_ms: 200\n  config_apply_ms: %d\n  rollback_slack_ms: 250\n"
+           "  skew_max_ms: %d\n  revoke_strict: false\n  revoke_ms: 5000\n"
+           "  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  retry_budget_slack: %d\n"
+           "  recover_s: %d\n  pass_ms: %d\n  retry_after_s: 0\n  stall_ms: 1500\n"
            "  hold_max_ms: 20000\n  free_ms: 4000\n  idle_max_ms: 9000\n  ttl_max_s: 5\n"
            "config_mode: \"highest\"\n",
-           kit_tolerated);
+           kit_tolerated, b->stable_window_ms, b->ack_ms, b->catch_up_s, b->drain_ms,
+           b->config_apply_ms, b->skew_max_ms, b->retry_budget_slack, b->recover_s, b->pass_ms);
   fclose (f);
 }
 
--- a/review/kit-2.h
+++ b/review/kit-2.h
@@ -115,7 +115,10 @@
   int expected_version; /* of the weights, 0 for none */
 } KitRequest;
 
-/** kit_n_disks, kit_tolerated - machines with a disk, and how many may be lost at once: 3 and 1 */
+/**
+ * kit_n_disks, kit_tolerated - machines with a disk, and how many may be lost at once: 3 and 1.
+ * With 1 the settings have the bounds of trevino-loft, else those of epistrofes-ath-grown.
+ */
 extern int kit_n_disks, kit_tolerated;
 extern KitNode kit_nodes[KIT_NODES_MAX];
 extern int kit_n_nodes;
