Config store: a first configuration with version 0 is stored

Callers saw: an operator whose first configuration has version 0 got 200 for it.

Cause: the leader acknowledges a submission that is not above the stored version. A document without a configuration decodes to version 0, so that "none stored" and "0 stored" were one value.

Evidence: no WL2101 after the acknowledgement; the store's tests, which run without the operators' interface, fail in the same way.

Why this works: whether there is a configuration is asked of its text, which all readers of the document did already; the version is compared only then. Stored bytes and messages keep their form.

--- a/core/agreement/wl_config_document.c
+++ b/core/agreement/wl_config_document.c
@@ -105,6 +105,12 @@
   return WL_OK;
 }
 
+int
+wl_config_document_has_config (const WlConfigDocument *document)
+{
+  return document->text.size > 0;
+}
+
 static WlEvacuation *
 find (const WlConfigDocument *document, const char *domain)
 {
--- a/core/agreement/wl_config_document.h
+++ b/core/agreement/wl_config_document.h
@@ -25,7 +25,7 @@
 
 /**
  * struct WlConfigDocument - the replicated document
- * @version: the operators' version of the text, 0 for none
+ * @version: the operators' version of the text; may be 0, see wl_config_document_has_config()
  * @evacuations: the evacuations, @n_evacuations of them
  * @text: the configuration, empty for none
  */
@@ -56,6 +56,16 @@
  */
 WlError wl_config_document_decode (WlBytes bytes, apr_pool_t *pool, WlConfigDocument *out);
 
+/**
+ * wl_config_document_has_config() - whether operators have submitted a configuration
+ * @document: the document
+ *
+ * The version does not tell, since operators may number their first configuration 0.
+ *
+ * Return: 1, or 0 for a document that is empty or has evacuations only.
+ */
+int wl_config_document_has_config (const WlConfigDocument *document);
+
 /** wl_config_document_evacuation() - state of a failure domain; sequence 0 when never evacuated */
 WlEvacuation wl_config_document_evacuation (const WlConfigDocument *document, const char *domain);
 
@@ -77,7 +87,7 @@
 /**
  * wl_config_split_version() - finds the configuration in a document
  * @document: an encoded document, or empty
- * @version: receives the version, 0 for an empty or damaged document
+ * @version: receives the version; 0, too, for an empty or damaged document
  *
  * Return: the configuration, pointing into @document.
  */
--- a/core/agreement/wl_config_store.c
+++ b/core/agreement/wl_config_store.c
@@ -233,16 +233,19 @@
   return 1;
 }
 
-/* Proposes a submission. Returns 0 when its configuration cannot be decompressed. */
+/* Proposes a submission. Returns 0 when its configuration is empty or cannot be decompressed. */
 static int
 propose_config (WlConfigStore *cs, const QueuedRequest *r, WlConfigDocument *document,
                 WlEffects *fx)
 {
   WlBytes config = r->config;
-  if (r->is_compressed && wl_config_decompress (r->config, fx->pool, &config) != WL_OK)
+  int is_readable
+      = !r->is_compressed || wl_config_decompress (r->config, fx->pool, &config) == WL_OK;
+  /* A document with an empty configuration would be one without a configuration. */
+  if (!is_readable || config.size == 0)
     {
-      wl_effects_log (fx, WL2106_CONFIG_UNREADABLE, "version=%lu peer=%u reason=compression",
-                      (unsigned long)r->version, r->node);
+      wl_effects_log (fx, WL2106_CONFIG_UNREADABLE, "version=%lu peer=%u reason=%s",
+                      (unsigned long)r->version, r->node, is_readable ? "empty" : "compression");
       return 0;
     }
   document->version = r->version;
@@ -294,7 +297,7 @@
   switch (r->kind)
     {
     case REQUEST_SUBMIT:
-      if (r->version > document->version)
+      if (!wl_config_document_has_config (document) || r->version > document->version)
         return 0;
       reply_submit (cs, r, WL_SUBMIT_ACCEPTED, fx);
       return 1;
--- a/core/tests/test_config_store.c
+++ b/core/tests/test_config_store.c
@@ -49,6 +49,72 @@
 }
 END_TEST
 
+/*
+ * Guards against a first configuration that is acknowledged and not stored: operators may number it
+ * 0, which is also the version of a document without a configuration.
+ */
+START_TEST (a_first_configuration_with_version_0_is_stored)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      config_sim_create (seed);
+      config_sim_start_three ();
+      config_sim_submit (0, "zero");
+      config_sim_submit (0, "other zero");
+      config_sim_assert_config (0, "zero");
+      for (uint32_t i = 1; i <= 3; i++)
+        config_sim_crash (i);
+      for (uint32_t i = 1; i <= 3; i++)
+        config_sim_start (i, config_sim_initial, 3);
+      config_sim_assert_config (0, "zero");
+      uint32_t lost = (uint32_t)(seed % 3) + 1;
+      config_sim_wipe (lost);
+      config_sim_start (lost, NULL, 0);
+      config_sim_run (3000000);
+      config_sim_wipe (lost % 3 + 1);
+      config_sim_assert_config (0, "zero");
+      config_sim_submit (1, "one");
+      config_sim_submit (0, "zero");
+      config_sim_assert_config (1, "one");
+      config_sim_destroy ();
+    }
+}
+END_TEST
+
+/* Guards against the same when an evacuation has made the document before the configuration. */
+START_TEST (version_0_is_stored_beside_an_evacuation)
+{
+  config_sim_create (41);
+  config_sim_start_three ();
+  config_sim_evacuate ("y", 0);
+  config_sim_submit (0, "zero");
+  config_sim_assert_config (0, "zero");
+  config_sim_evacuate ("y", 1);
+  config_sim_submit (0, "other zero");
+  config_sim_assert_config (0, "zero");
+  ck_assert_uint_eq (config_sim_evacuation ("y").sequence, 2);
+  config_sim_destroy ();
+}
+END_TEST
+
+/* Guards against proposals without end: an empty configuration would never count as stored. */
+START_TEST (an_empty_configuration_is_not_proposed)
+{
+  uint64_t number;
+  config_sim_create (43);
+  config_sim_start_three ();
+  uint32_t leader = config_sim_leader ();
+  uint64_t id = config_sim_send (leader, leader, WL_MESSAGE_SUBMIT, 5, "");
+  config_sim_run (WL_CONFIG_STORE_REQUEST_TIMEOUT_US + 200000);
+  ck_assert_ptr_null (config_sim_answer (id));
+  wl_config_store_latest (config_sim.nodes[leader].store, &number);
+  ck_assert_uint_eq (number, 0);
+  config_sim_submit (0, "zero");
+  config_sim_assert_config (0, "zero");
+  config_sim_destroy ();
+}
+END_TEST
+
 /*
  * Guards against a configuration that changes under its version: two operators submit different
  * ones with the same version, and the leader crashes in between.
@@ -405,6 +471,9 @@
   const WlTest tests[] = {
     WL_TEST (one_group_is_bootstrapped_in_any_order_of_starts_and_crashes),
     WL_TEST (the_highest_version_wins_and_lower_ones_change_nothing),
+    WL_TEST (a_first_configuration_with_version_0_is_stored),
+    WL_TEST (version_0_is_stored_beside_an_evacuation),
+    WL_TEST (an_empty_configuration_is_not_proposed),
     WL_TEST (of_two_configurations_with_one_version_one_is_kept),
     WL_TEST (acknowledged_configurations_survive_a_power_loss_of_all_replicas),
     WL_TEST (a_wiped_replica_rejoins_and_then_another_may_be_lost),
