Quarantine: parts that end engines are known after a kill of all processes

Callers saw: a part of prompts had ended five engines and was refused at all nodes. The same when all are killed after every second end: no verdict is ever reached.

Cause: verdicts, and the ends that lead to them, lived as long as the processes, and nodes kept them alive by telling each other. The last process took them with it.

Evidence: nodes that restart one by one keep the part, nothing releases it after the kill, and no file of the data folder has it.

Why this works: each node with a disk keeps verdicts and ends in a file of bounded size, restores them at its start and tells nodes that join. Restored ends count only together with a new one. Restored verdicts yield to any node that knows the part as sound, since their age leaves out the time in which the process did not run; restarts do not put a trial off.

--- a/relay/forwarding/wl_quarantine.c
+++ b/relay/forwarding/wl_quarantine.c
@@ -23,6 +23,12 @@
   return quarantine->generation;
 }
 
+uint64_t
+wl_quarantine_revision (const WlQuarantine *quarantine)
+{
+  return quarantine->revision;
+}
+
 uint32_t
 wl_quarantine_n_entries (const WlQuarantine *quarantine)
 {
@@ -47,11 +53,17 @@
   return entry->customer == 0 || entry->customer == customer;
 }
 
+uint64_t
+wl_quarantine_elapsed_us (int64_t at_us, uint64_t now_us)
+{
+  int64_t elapsed_us = (int64_t)now_us - at_us;
+  return elapsed_us > 0 ? (uint64_t)elapsed_us : 0;
+}
+
 uint64_t
 wl_quarantine_age_us (const WlQuarantineEntry *entry, uint64_t now_us)
 {
-  int64_t age_us = (int64_t)now_us - entry->at_us;
-  return age_us > 0 ? (uint64_t)age_us : 0;
+  return wl_quarantine_elapsed_us (entry->at_us, now_us);
 }
 
 uint64_t
@@ -90,6 +102,7 @@
   *e = *entry;
   quarantine->has_news |= e->is_news;
   quarantine->generation++;
+  quarantine->revision++;
   return e;
 }
 
@@ -97,6 +110,7 @@
 wl_quarantine_remove (WlQuarantine *quarantine, WlQuarantineEntry *entry)
 {
   *entry = quarantine->entries[--quarantine->n_entries];
+  quarantine->revision++;
 }
 
 void
@@ -104,6 +118,7 @@
 {
   entry->customer = 0;
   quarantine->generation++;
+  quarantine->revision++;
 }
 
 void
@@ -173,5 +188,6 @@
           = wl_quarantine_age_us (e, now_us) + wl_quarantine_interval_us (e->n_trials);
       e->is_news = 1;
       quarantine->has_news = 1;
+      quarantine->revision++;
     }
 }
--- a/relay/forwarding/wl_quarantine.h
+++ b/relay/forwarding/wl_quarantine.h
@@ -19,6 +19,9 @@
  * The last part of a prompt belongs to one request or session and is never
  * quarantined, and neither is a part that all requests of a route share.
  *
+ * Verdicts and the ends that count are kept on disk, so that a restart of all nodes
+ * does not forget them: see wl_quarantine_save_report().
+ *
  * There is no I/O here. All times are monotonic and passed in; ages in reports
  * are relative to the time of sending.
  */
@@ -166,6 +169,34 @@
  */
 void wl_quarantine_begin_trial (WlQuarantine *quarantine, const WlPartUse *use, uint64_t now_us);
 
+/**
+ * wl_quarantine_save_report() - lists what is to be kept across a restart of all nodes
+ * @quarantine: the quarantine
+ * @now_us: monotonic time
+ * @out: receives all quarantined parts, and the ends that still speak against a part; its arrays
+ *   belong to the quarantine until the next call that changes it
+ */
+void wl_quarantine_save_report (WlQuarantine *quarantine, uint64_t now_us, WlPartReport *out);
+
+/**
+ * wl_quarantine_restore() - takes over what was kept before a restart
+ * @quarantine: the quarantine, empty
+ * @report: as listed by wl_quarantine_save_report(); may hold any values
+ * @unsaved_us: longest time between two lists while a part is quarantined
+ * @now_us: monotonic time
+ *
+ * Times go on where they were when the list was made. The next trial is @unsaved_us earlier, so
+ * that restarts do not put it off. The time in which this node did not run is not known, so that
+ * what is restored may be older than it seems: a node that does not have such a part as
+ * quarantined, and knows it as sound, releases it. Restored ends decide nothing by themselves, only
+ * together with a new one.
+ */
+void wl_quarantine_restore (WlQuarantine *quarantine, const WlPartReport *report,
+                            uint64_t unsaved_us, uint64_t now_us);
+
+/** wl_quarantine_revision() - increases when what is to be kept changes, except for times */
+uint64_t wl_quarantine_revision (const WlQuarantine *quarantine);
+
 /** wl_quarantine_generation() - increases when a part is quarantined or its scope grows */
 uint64_t wl_quarantine_generation (const WlQuarantine *quarantine);
 
@@ -207,6 +238,15 @@
  */
 int wl_quarantine_full_report (WlQuarantine *quarantine, uint64_t now_us, WlPartReport *out);
 
+/**
+ * wl_quarantine_join_report() - lists all quarantined parts and all restored ends
+ *
+ * For a node that joins: the others have been told new ends, restored ones are told nobody.
+ *
+ * Return: 1, or 0 when there are none.
+ */
+int wl_quarantine_join_report (WlQuarantine *quarantine, uint64_t now_us, WlPartReport *out);
+
 /**
  * wl_quarantine_apply() - applies a report of another node
  * @quarantine: the quarantine
@@ -214,7 +254,8 @@
  * @now_us: monotonic time
  *
  * A part that was sound here within WL_QUARANTINE_SOUND_FOR_US before it was quarantined
- * elsewhere is not quarantined here, and the others are told so. A report of a sound part
+ * elsewhere, or at any time before a restored entry that is not one here, is not quarantined here,
+ * and the others are told so. A report of a sound part
  * releases it likewise.
  */
 void wl_quarantine_apply (WlQuarantine *quarantine, const WlPartReport *report, uint64_t now_us);
--- a/relay/forwarding/wl_quarantine_evidence.c
+++ b/relay/forwarding/wl_quarantine_evidence.c
@@ -120,9 +120,9 @@
 }
 
 int
-wl_quarantine_is_void (const WlSoundRecord *record, uint64_t at_us)
+wl_quarantine_is_void (const WlSoundRecord *record, int64_t at_us)
 {
-  return record != NULL && at_us < record->at_us + WL_QUARANTINE_SOUND_FOR_US;
+  return record != NULL && at_us < (int64_t)record->at_us + WL_QUARANTINE_SOUND_FOR_US;
 }
 
 /* The record of a part that is sound, maybe a new one in place of the one not sound for longest. */
@@ -183,14 +183,18 @@
   int was_doubted = 0;
   if (at_us > s->at_us)
     s->at_us = at_us;
-  if (e != NULL && e->at_us < (int64_t)(s->at_us + WL_QUARANTINE_SOUND_FOR_US))
+  if (e != NULL && (e->is_restored || wl_quarantine_is_void (s, e->at_us)))
     {
       release (quarantine, e);
       was_doubted = 1;
     }
   for (uint32_t i = 0; i < quarantine->n_ends; i++)
-    if (wl_quarantine_is_void (s, quarantine->ends[i].at_us))
-      was_doubted |= remove_suspect (&quarantine->ends[i], part, service);
+    if ((quarantine->ends[i].is_restored || wl_quarantine_is_void (s, quarantine->ends[i].at_us))
+        && remove_suspect (&quarantine->ends[i], part, service))
+      {
+        was_doubted = 1;
+        quarantine->revision++;
+      }
   if (is_own && was_doubted)
     s->n_owed = WL_QUARANTINE_SOUND_REPEATS;
   if (is_own && s->n_owed > 0)
@@ -227,7 +231,7 @@
   for (uint32_t i = 0; i < quarantine->n_ends;)
     {
       const WlEndRecord *end = &quarantine->ends[i];
-      if (now_us > end->at_us + WL_QUARANTINE_WINDOW_US)
+      if ((int64_t)now_us > end->at_us + WL_QUARANTINE_WINDOW_US)
         quarantine->ends[i] = quarantine->ends[--quarantine->n_ends];
       else
         i++;
@@ -243,20 +247,14 @@
   return a->at_us < b->at_us;
 }
 
-WlEndRecord *
-wl_quarantine_end_record (WlQuarantine *quarantine, uint64_t endpoint, uint64_t at_us)
+/* A new record of an end, maybe in place of the least needed one; NULL when all are needed more. */
+static WlEndRecord *
+add_end (WlQuarantine *quarantine, uint64_t endpoint, int64_t at_us)
 {
   WlEndRecord *oldest = &quarantine->ends[0];
   for (uint32_t i = 0; i < quarantine->n_ends; i++)
     {
       WlEndRecord *e = &quarantine->ends[i];
-      uint64_t apart_us = e->at_us > at_us ? e->at_us - at_us : at_us - e->at_us;
-      if (e->endpoint == endpoint && apart_us <= WL_QUARANTINE_SAME_END_US)
-        {
-          if (at_us < e->at_us)
-            e->at_us = at_us;
-          return e;
-        }
       if (is_less_needed (e, oldest))
         oldest = e;
     }
@@ -268,10 +266,39 @@
   oldest->at_us = at_us;
   oldest->n_suspects = 0;
   oldest->is_news = 0;
+  oldest->is_restored = 0;
   return oldest;
 }
 
-void
+WlEndRecord *
+wl_quarantine_end_record (WlQuarantine *quarantine, uint64_t endpoint, int64_t at_us)
+{
+  for (uint32_t i = 0; i < quarantine->n_ends; i++)
+    {
+      WlEndRecord *e = &quarantine->ends[i];
+      int64_t apart_us = e->at_us > at_us ? e->at_us - at_us : at_us - e->at_us;
+      if (e->endpoint != endpoint || apart_us > WL_QUARANTINE_SAME_END_US)
+        continue;
+      if (at_us < e->at_us)
+        e->at_us = at_us;
+      return e;
+    }
+  return add_end (quarantine, endpoint, at_us);
+}
+
+WlEndRecord *
+wl_quarantine_restored_end_record (WlQuarantine *quarantine, uint64_t endpoint, int64_t at_us)
+{
+  for (uint32_t i = 0; i < quarantine->n_ends; i++)
+    if (quarantine->ends[i].endpoint == endpoint)
+      return &quarantine->ends[i];
+  WlEndRecord *e = add_end (quarantine, endpoint, at_us);
+  if (e != NULL)
+    e->is_restored = 1;
+  return e;
+}
+
+int
 wl_quarantine_add_suspect (WlEndRecord *end, const WlPartSuspect *suspect, int is_own,
                            uint32_t *next)
 {
@@ -282,10 +309,10 @@
         end->is_news |= is_own && !end->is_own[i];
         end->is_own[i] |= (uint8_t)is_own;
         *next = i + 1;
-        return;
+        return 0;
       }
   if (end->n_suspects == WL_QUARANTINE_SUSPECTS_MAX)
-    return;
+    return 0;
   uint32_t n_after = end->n_suspects++ - *next;
   memmove (&end->suspects[*next + 1], &end->suspects[*next], n_after * sizeof *end->suspects);
   memmove (&end->is_own[*next + 1], &end->is_own[*next], n_after);
@@ -293,6 +320,7 @@
   end->is_own[*next] = (uint8_t)is_own;
   end->is_news |= (uint8_t)is_own;
   ++*next;
+  return 1;
 }
 
 void
@@ -301,14 +329,14 @@
 {
   uint32_t next = 0;
   wl_quarantine_forget_ends (quarantine, now_us);
-  WlEndRecord *end = wl_quarantine_end_record (quarantine, endpoint, now_us);
+  WlEndRecord *end = wl_quarantine_end_record (quarantine, endpoint, (int64_t)now_us);
   for (uint32_t i = 0; end != NULL && i < use->parts->n; i++)
     {
       WlPartSuspect suspect = { use->parts->ids[i], use->service, use->customer };
       WlSoundRecord *s = wl_quarantine_sound_record (quarantine, suspect.part, suspect.service);
-      if (suspect.part != 0 && !wl_quarantine_is_void (s, now_us)
+      if (suspect.part != 0 && !wl_quarantine_is_void (s, (int64_t)now_us)
           && wl_quarantine_commonality (quarantine, suspect.part, now_us) != WL_COMMON_TO_ROUTE)
-        wl_quarantine_add_suspect (end, &suspect, 1, &next);
+        quarantine->revision += (uint64_t)wl_quarantine_add_suspect (end, &suspect, 1, &next);
     }
   quarantine->has_news |= end != NULL && end->is_news;
   wl_quarantine_decide (quarantine, now_us);
--- a/relay/forwarding/wl_quarantine_internal.h
+++ b/relay/forwarding/wl_quarantine_internal.h
@@ -26,19 +26,21 @@
 /**
  * struct WlEndRecord - an endpoint that ended
  * @endpoint: key of the endpoint
- * @at_us: when, by the node that noted it first
+ * @at_us: when, by the node that noted it first; negative when that was before this machine's start
  * @suspects: parts that it speaks against, @n_suspects of them; those of one prompt in its order
  * @is_own: by suspect: a request of this node had it
  * @is_news: it has suspects of this node that the others have not been told
+ * @is_restored: from before a restart, see wl_quarantine_restore()
  */
 typedef struct
 {
   uint64_t endpoint;
-  uint64_t at_us;
+  int64_t at_us;
   WlPartSuspect suspects[WL_QUARANTINE_SUSPECTS_MAX];
   uint32_t n_suspects;
   uint8_t is_own[WL_QUARANTINE_SUSPECTS_MAX];
   uint8_t is_news;
+  uint8_t is_restored;
 } WlEndRecord;
 
 /**
@@ -71,6 +73,7 @@
  * @trial_after_us: time from then to the next trial
  * @used_after_us: time from then to the latest request with it
  * @is_news: the others are to be told
+ * @is_restored: from before a restart, so that it may be older than @at_us
  *
  * The other times are relative to @at_us because differences do not change as
  * nodes tell each other, whereas a time grows with each delay.
@@ -86,6 +89,7 @@
   uint64_t trial_after_us;
   uint64_t used_after_us;
   uint8_t is_news;
+  uint8_t is_restored;
 } WlQuarantineEntry;
 
 /**
@@ -125,6 +129,7 @@
  * @sound: parts that were sound
  * @routes: routes that had requests
  * @generation: see wl_quarantine_generation()
+ * @revision: see wl_quarantine_revision()
  * @has_news: entries, ends or sound parts may have to be told
  * @told_ends: ends of the latest report
  * @told_suspects: their suspects
@@ -140,6 +145,7 @@
   WlSoundRecord sound[WL_QUARANTINE_SOUND_MAX];
   WlRouteRecord routes[WL_QUARANTINE_ROUTES_MAX];
   uint64_t generation;
+  uint64_t revision;
   uint8_t has_news;
   WlPartEnd told_ends[WL_QUARANTINE_ENDS_MAX];
   WlPartSuspect told_suspects[WL_QUARANTINE_ENDS_MAX][WL_QUARANTINE_SUSPECTS_MAX];
@@ -153,6 +159,9 @@
 /** wl_quarantine_covers() - whether an entry's scope has the requests of a customer */
 int wl_quarantine_covers (const WlQuarantineEntry *entry, uint64_t customer);
 
+/** wl_quarantine_elapsed_us() - time since @at_us, 0 for a time to come */
+uint64_t wl_quarantine_elapsed_us (int64_t at_us, uint64_t now_us);
+
 /** wl_quarantine_age_us() - time since a part was quarantined */
 uint64_t wl_quarantine_age_us (const WlQuarantineEntry *entry, uint64_t now_us);
 
@@ -174,7 +183,7 @@
                                            uint64_t service);
 
 /** wl_quarantine_is_void() - whether an end at @at_us does not speak against a part */
-int wl_quarantine_is_void (const WlSoundRecord *record, uint64_t at_us);
+int wl_quarantine_is_void (const WlSoundRecord *record, int64_t at_us);
 
 /**
  * wl_quarantine_mark_sound() - records that a part was sound at a time
@@ -203,7 +212,15 @@
  * Return: that of an end within WL_QUARANTINE_SAME_END_US of it, else a new one, maybe in place of
  * the oldest; NULL when all are used by later ones.
  */
-WlEndRecord *wl_quarantine_end_record (WlQuarantine *quarantine, uint64_t endpoint, uint64_t at_us);
+WlEndRecord *wl_quarantine_end_record (WlQuarantine *quarantine, uint64_t endpoint, int64_t at_us);
+
+/**
+ * wl_quarantine_restored_end_record() - the same for an end from before a restart
+ *
+ * Several nodes tell of it with different times, so that any end of the endpoint is taken for it.
+ */
+WlEndRecord *wl_quarantine_restored_end_record (WlQuarantine *quarantine, uint64_t endpoint,
+                                                int64_t at_us);
 
 /**
  * wl_quarantine_add_suspect() - adds a suspect to an end
@@ -211,9 +228,11 @@
  * @suspect: the suspect
  * @is_own: a request of this node had it
  * @next: place after the suspect that precedes it in the prompt; moved on
+ *
+ * Return: 1 when it was not one before, otherwise 0.
  */
-void wl_quarantine_add_suspect (WlEndRecord *end, const WlPartSuspect *suspect, int is_own,
-                                uint32_t *next);
+int wl_quarantine_add_suspect (WlEndRecord *end, const WlPartSuspect *suspect, int is_own,
+                               uint32_t *next);
 
 /** wl_quarantine_forget_ends() - removes ends out of the window */
 void wl_quarantine_forget_ends (WlQuarantine *quarantine, uint64_t now_us);
--- a/relay/forwarding/wl_quarantine_report.c
+++ b/relay/forwarding/wl_quarantine_report.c
@@ -12,29 +12,48 @@
   return a < b ? a : b;
 }
 
+/* Lists an end, unless it has no suspects: all of them or those of this node. */
+static void
+report_end (WlQuarantine *quarantine, const WlEndRecord *end, int is_own, uint64_t now_us,
+            WlPartReport *out)
+{
+  WlPartEnd *told = &quarantine->told_ends[out->n_ends];
+  *told = (WlPartEnd){ .endpoint = end->endpoint,
+                       .age_us = wl_quarantine_elapsed_us (end->at_us, now_us),
+                       .suspects = quarantine->told_suspects[out->n_ends],
+                       .is_restored = end->is_restored };
+  for (uint32_t i = 0; i < end->n_suspects; i++)
+    if (!is_own || end->is_own[i])
+      told->suspects[told->n_suspects++] = end->suspects[i];
+  if (told->n_suspects > 0)
+    out->n_ends++;
+}
+
 /* Lists the ends with news, each with all suspects of this node. */
 static void
-report_ends (WlQuarantine *quarantine, uint64_t now_us, WlPartReport *out)
+report_new_ends (WlQuarantine *quarantine, uint64_t now_us, WlPartReport *out)
 {
   out->ends = quarantine->told_ends;
   for (uint32_t i = 0; i < quarantine->n_ends; i++)
     {
       WlEndRecord *e = &quarantine->ends[i];
-      WlPartEnd *told = &quarantine->told_ends[out->n_ends];
       if (!e->is_news)
         continue;
       e->is_news = 0;
-      *told = (WlPartEnd){ .endpoint = e->endpoint,
-                           .age_us = before (now_us, e->at_us),
-                           .suspects = quarantine->told_suspects[out->n_ends] };
-      for (uint32_t k = 0; k < e->n_suspects; k++)
-        if (e->is_own[k])
-          told->suspects[told->n_suspects++] = e->suspects[k];
-      if (told->n_suspects > 0)
-        out->n_ends++;
+      report_end (quarantine, e, 1, now_us, out);
     }
 }
 
+/* Lists the ends with all their suspects, all or those from before a restart. */
+static void
+report_known_ends (WlQuarantine *quarantine, int is_restored, uint64_t now_us, WlPartReport *out)
+{
+  out->ends = quarantine->told_ends;
+  for (uint32_t i = 0; i < quarantine->n_ends; i++)
+    if (!is_restored || quarantine->ends[i].is_restored)
+      report_end (quarantine, &quarantine->ends[i], 0, now_us, out);
+}
+
 /* Lists the sound parts that are due. Return: 1 when more of them are to be told later. */
 static int
 report_sound (WlQuarantine *quarantine, uint64_t now_us, WlPartReport *out)
@@ -83,7 +102,8 @@
                                  .n_trials = e->n_trials,
                                  .age_us = age_us,
                                  .trial_us = before (e->trial_after_us, age_us),
-                                 .unused_us = before (age_us, e->used_after_us) };
+                                 .unused_us = before (age_us, e->used_after_us),
+                                 .is_restored = e->is_restored };
     }
 }
 
@@ -93,7 +113,7 @@
   *out = (WlPartReport){ 0 };
   if (!quarantine->has_news)
     return 0;
-  report_ends (quarantine, now_us, out);
+  report_new_ends (quarantine, now_us, out);
   report_entries (quarantine, now_us, 0, out);
   quarantine->has_news = (uint8_t)report_sound (quarantine, now_us, out);
   return out->n_ends + out->n_sound + out->n_quarantined > 0;
@@ -107,15 +127,36 @@
   return out->n_quarantined > 0;
 }
 
+int
+wl_quarantine_join_report (WlQuarantine *quarantine, uint64_t now_us, WlPartReport *out)
+{
+  *out = (WlPartReport){ 0 };
+  report_entries (quarantine, now_us, 1, out);
+  report_known_ends (quarantine, 1, now_us, out);
+  return out->n_quarantined + out->n_ends > 0;
+}
+
+void
+wl_quarantine_save_report (WlQuarantine *quarantine, uint64_t now_us, WlPartReport *out)
+{
+  *out = (WlPartReport){ 0 };
+  report_entries (quarantine, now_us, 1, out);
+  report_known_ends (quarantine, 0, now_us, out);
+}
+
 /* Merges what another node says of a part that is quarantined here. */
 static void
 merge_entry (WlQuarantine *quarantine, WlQuarantineEntry *entry, const WlQuarantineEntry *other,
              int has_trial_time)
 {
+  entry->is_restored &= other->is_restored;
   if (other->at_us < entry->at_us)
     entry->at_us = other->at_us;
   if (other->n_trials > entry->n_trials)
-    entry->n_trials = other->n_trials;
+    {
+      entry->n_trials = other->n_trials;
+      quarantine->revision++;
+    }
   if (other->n_ends > entry->n_ends)
     entry->n_ends = other->n_ends;
   if (has_trial_time && other->trial_after_us > entry->trial_after_us)
@@ -142,10 +183,14 @@
           .n_trials = (uint32_t)min_u64 (part->n_trials, WL_QUARANTINE_TRIALS_MAX),
           .at_us = (int64_t)now_us - (int64_t)age_us,
           .trial_after_us = age_us + min_u64 (part->trial_us, interval_us),
-          .used_after_us = age_us - unused_us };
+          .used_after_us = age_us - unused_us,
+          .is_restored = part->is_restored != 0 };
   WlSoundRecord *s = wl_quarantine_sound_record (quarantine, entry.part, entry.service);
   WlQuarantineEntry *known = wl_quarantine_find (quarantine, entry.part, entry.service);
-  if (s != NULL && entry.at_us < (int64_t)(s->at_us + WL_QUARANTINE_SOUND_FOR_US))
+  int is_older
+      = s != NULL
+        && ((known == NULL && entry.is_restored) || wl_quarantine_is_void (s, entry.at_us));
+  if (is_older)
     wl_quarantine_contradict (quarantine, s);
   else if (known == NULL)
     wl_quarantine_add (quarantine, &entry, now_us);
@@ -156,21 +201,23 @@
 static void
 apply_end (WlQuarantine *quarantine, const WlPartEnd *part_end, uint64_t now_us)
 {
-  uint64_t at_us = before (now_us, part_end->age_us);
   uint32_t next = 0;
   if (part_end->endpoint == 0 || part_end->age_us > WL_QUARANTINE_WINDOW_US)
     return;
-  WlEndRecord *end = wl_quarantine_end_record (quarantine, part_end->endpoint, at_us);
+  int64_t at_us = (int64_t)now_us - (int64_t)part_end->age_us;
+  WlEndRecord *end = part_end->is_restored
+                         ? wl_quarantine_restored_end_record (quarantine, part_end->endpoint, at_us)
+                         : wl_quarantine_end_record (quarantine, part_end->endpoint, at_us);
   for (uint32_t i = 0; end != NULL && i < part_end->n_suspects; i++)
     {
       const WlPartSuspect *suspect = &part_end->suspects[i];
       WlSoundRecord *s = wl_quarantine_sound_record (quarantine, suspect->part, suspect->service);
       if (suspect->part == 0 || suspect->service == 0)
         continue;
-      if (wl_quarantine_is_void (s, at_us))
+      if (wl_quarantine_is_void (s, at_us) || (s != NULL && part_end->is_restored))
         wl_quarantine_contradict (quarantine, s);
       else
-        wl_quarantine_add_suspect (end, suspect, 0, &next);
+        quarantine->revision += (uint64_t)wl_quarantine_add_suspect (end, suspect, 0, &next);
     }
 }
 
@@ -191,6 +238,25 @@
   wl_quarantine_decide (quarantine, now_us);
 }
 
+void
+wl_quarantine_restore (WlQuarantine *quarantine, const WlPartReport *report, uint64_t unsaved_us,
+                       uint64_t now_us)
+{
+  for (uint32_t i = 0; i < report->n_quarantined; i++)
+    {
+      WlQuarantinedPart part = report->quarantined[i];
+      part.trial_us = before (part.trial_us, unsaved_us);
+      part.is_restored = 1;
+      apply_entry (quarantine, &part, now_us);
+    }
+  for (uint32_t i = 0; i < report->n_ends; i++)
+    {
+      WlPartEnd end = report->ends[i];
+      end.is_restored = 1;
+      apply_end (quarantine, &end, now_us);
+    }
+}
+
 uint32_t
 wl_quarantine_list_endpoints (const WlQuarantine *quarantine, uint64_t part, uint64_t service,
                               uint64_t *out, uint32_t max)
--- a/relay/forwarding/wl_quarantine_verdict.c
+++ b/relay/forwarding/wl_quarantine_verdict.c
@@ -170,13 +170,13 @@
 /* How many times there are ends, from @before_us before the first one that counts against a part.
  */
 static uint32_t
-count_times (const Evidence *ev, const Verdict *v, uint64_t before_us)
+count_times (const Evidence *ev, const Verdict *v, int64_t before_us)
 {
-  uint64_t last_us = 0;
+  int64_t last_us = 0;
   uint32_t n = 0;
   for (uint32_t i = 0; i < ev->n_ends; i++)
     {
-      uint64_t at_us = ev->ends[i]->at_us;
+      int64_t at_us = ev->ends[i]->at_us;
       if (at_us + before_us < v->counted[0]->at_us
           || (n > 0 && at_us < last_us + WL_QUARANTINE_END_GAP_US))
         continue;
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -265,6 +265,11 @@
 /** wl_relay_quarantine() - quarantined parts and the evidence, owned by the relay; for reports */
 WlQuarantine *wl_relay_quarantine (WlRelay *relay);
 
+/** wl_relay_restore_parts() - wl_quarantine_restore(), with a log event for each quarantined part
+ */
+void wl_relay_restore_parts (WlRelay *relay, const WlPartReport *report, uint64_t unsaved_us,
+                             uint64_t now_us);
+
 /**
  * wl_relay_apply_part_report() - applies another node's evidence on parts
  * @relay: the relay
--- a/relay/forwarding/wl_relay_evidence.c
+++ b/relay/forwarding/wl_relay_evidence.c
@@ -158,7 +158,8 @@
 wl_relay_note_reported_ends (WlRelay *relay, const WlPartReport *report, uint64_t now_us)
 {
   for (uint32_t i = 0; i < report->n_ends; i++)
-    if (report->ends[i].age_us < SAME_END_US && report->ends[i].endpoint != 0)
+    if (report->ends[i].age_us < SAME_END_US && report->ends[i].endpoint != 0
+        && !report->ends[i].is_restored)
       note_engine_end (relay, report->ends[i].endpoint, now_us - report->ends[i].age_us, now_us);
 }
 
--- a/relay/forwarding/wl_relay_quarantine.c
+++ b/relay/forwarding/wl_relay_quarantine.c
@@ -252,6 +252,14 @@
   wl_relay_end_quarantined (relay, now_us);
 }
 
+void
+wl_relay_restore_parts (WlRelay *relay, const WlPartReport *report, uint64_t unsaved_us,
+                        uint64_t now_us)
+{
+  wl_quarantine_restore (relay->quarantine, report, unsaved_us, now_us);
+  wl_relay_log_parts (relay, "reason=restored", now_us);
+}
+
 void
 wl_relay_expire_parts (WlRelay *relay, uint64_t now_us)
 {
--- a/relay/tests/test_quarantine_reports.c
+++ b/relay/tests/test_quarantine_reports.c
@@ -212,9 +212,10 @@
 START_TEST (entries_of_one_part_are_merged)
 {
   WlQuarantine *q = create_with_traffic ();
-  WlQuarantinedPart first = { BAD, SERVICE, 1, 3, 1, 100 * SECOND_US, 50 * SECOND_US, SECOND_US };
+  WlQuarantinedPart first
+      = { BAD, SERVICE, 1, 3, 1, 100 * SECOND_US, 50 * SECOND_US, SECOND_US, 0 };
   WlQuarantinedPart second
-      = { BAD, SERVICE, 2, 5, 0, 90 * SECOND_US, 10 * SECOND_US, 2 * SECOND_US };
+      = { BAD, SERVICE, 2, 5, 0, 90 * SECOND_US, 10 * SECOND_US, 2 * SECOND_US, 0 };
   WlPartReport report = { .quarantined = &first, .n_quarantined = 1 };
   WlPartReport out;
   wl_quarantine_apply (q, &report, start_us);
@@ -284,13 +285,18 @@
       for (uint32_t k = 0; k < 2; k++)
         {
           uint32_t n_suspects = (uint32_t)odd_number (&random) % (ODD_SUSPECTS + 1);
-          ends[k] = (WlPartEnd){ odd_number (&random), odd_number (&random), suspects, n_suspects };
+          ends[k] = (WlPartEnd){ odd_number (&random), odd_number (&random), suspects, n_suspects,
+                                 (uint8_t)(i & 1) };
           sound[k] = (WlSoundPart){ odd_number (&random), SERVICE, odd_number (&random) };
-          parts[k]
-              = (WlQuarantinedPart){ odd_number (&random),           SERVICE,
-                                     odd_number (&random),           (uint32_t)odd_number (&random),
-                                     (uint32_t)odd_number (&random), odd_number (&random),
-                                     odd_number (&random),           odd_number (&random) };
+          parts[k] = (WlQuarantinedPart){ odd_number (&random),
+                                          SERVICE,
+                                          odd_number (&random),
+                                          (uint32_t)odd_number (&random),
+                                          (uint32_t)odd_number (&random),
+                                          odd_number (&random),
+                                          odd_number (&random),
+                                          odd_number (&random),
+                                          (uint8_t)(i & 1) };
         }
       wl_quarantine_apply (q, &report, now_us);
       wl_quarantine_take_report (q, now_us, &report);
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -510,6 +510,7 @@
   wl_membership_flush (host->membership, now_us);
   wl_host_flush_work (host);
   wl_host_flush_parts (host, now_us);
+  wl_host_save_parts (host, now_us);
   wl_host_start_observe (host, now_us);
   wl_peers_flush (host->peers);
   wl_tcp_flush (host->loop);
--- a/relay/wl_host_files.c
+++ b/relay/wl_host_files.c
@@ -9,7 +9,8 @@
  * Files that a node with a disk keeps in addition to the replicated log. After
  * a power loss of all nodes no other node has this information. Without the
  * endpoints and the configuration the restart only takes longer; without the
- * founders the node cannot found the control group.
+ * evidence on parts of prompts, a part that ends engines has to end some more;
+ * without the founders the node cannot found the control group.
  */
 
 typedef struct
@@ -32,6 +33,7 @@
 static const char founders_file[] = "founders";
 static const char endpoints_file[] = "endpoints";
 static const char config_file[] = "text";
+static const char parts_file[] = "parts";
 
 /* ---- founders of the control group ---- */
 
@@ -162,7 +164,39 @@
   return error;
 }
 
-/* ---- endpoints and configuration ---- */
+/* ---- evidence on parts of prompts ---- */
+
+void
+wl_host_save_parts (WlHost *host, uint64_t now_us)
+{
+  WlMessage m = { .kind = WL_MESSAGE_PART_REPORT };
+  apr_pool_t *pool;
+  WlQuarantine *q = wl_relay_quarantine (host->relay);
+  uint64_t revision = wl_quarantine_revision (q);
+  uint64_t interval_us
+      = revision != host->parts_saved_revision ? WL_HOST_SAVE_PARTS_US : WL_HOST_RESAVE_PARTS_US;
+  int has_changed = revision != host->parts_saved_revision || wl_quarantine_n_entries (q) > 0;
+  if (host->journal == NULL || !has_changed || now_us < host->parts_saved_us + interval_us)
+    return;
+  host->parts_saved_us = now_us;
+  host->parts_saved_revision = revision;
+  wl_quarantine_save_report (q, now_us, &m.u.part_report);
+  apr_pool_create (&pool, NULL);
+  wl_journal_save (host->journal, parts_file, wl_message_encode (&m, pool));
+  apr_pool_destroy (pool);
+}
+
+static WlError
+restore_parts (WlHost *host, const WlMessage *m)
+{
+  if (m->kind != WL_MESSAGE_PART_REPORT)
+    return WL_ERROR_CORRUPT;
+  wl_relay_restore_parts (host->relay, &m->u.part_report, WL_HOST_RESAVE_PARTS_US,
+                          wl_clock_now_us ());
+  return WL_OK;
+}
+
+/* ---- endpoints, configuration, parts ---- */
 
 static void
 load_file (WlHost *host, WlDisk *disk, const char *name,
@@ -187,6 +221,7 @@
 {
   load_file (host, disk, endpoints_file, restore_endpoints);
   load_file (host, disk, config_file, restore_config);
+  load_file (host, disk, parts_file, restore_parts);
 }
 
 void
--- a/relay/wl_host_gossip.c
+++ b/relay/wl_host_gossip.c
@@ -209,7 +209,7 @@
     return;
   host->full_report_us = now_us;
   send_full_report (host, 0);
-  wl_host_send_quarantined (host, 0, now_us);
+  wl_host_broadcast_quarantined (host, now_us);
   wl_host_send_limits (host, 0, now_us);
 }
 
@@ -250,7 +250,7 @@
   if (wl_membership_is_load_peer (host->membership, node))
     {
       send_full_report (host, s->node);
-      wl_host_send_quarantined (host, s->node, now_us);
+      wl_host_send_parts (host, s->node, now_us);
       wl_host_send_limits (host, s->node, now_us);
     }
 }
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -19,6 +19,8 @@
   WL_HOST_INBOUND_DELAY_US = 25000,   /* batches load reports from other failure domains */
   WL_HOST_FULL_REPORT_US = 2500000,   /* interval of full load reports */
   WL_HOST_SAVE_INTERVAL_US = 1000000, /* shortest time between two writes of a file */
+  WL_HOST_SAVE_PARTS_US = 200000,     /* the same for the evidence on parts of prompts */
+  WL_HOST_RESAVE_PARTS_US = 5000000,  /* between two writes while a part is quarantined */
   WL_HOST_APPLY_INTERVAL_US = 150000, /* shortest time between two changes of configuration */
   WL_HOST_REPORT_US = 40000,          /* shortest time between two reports, to batch changes */
   /* Below the second after which an operator asks another node, so that no request goes on here
@@ -133,6 +135,8 @@
   uint64_t full_report_us;            /* when the last full load report was sent */
   uint64_t endpoints_saved_us;        /* when the endpoints were last saved */
   uint8_t has_new_endpoints;          /* since then */
+  uint64_t parts_saved_us;            /* when the evidence on parts was last saved */
+  uint64_t parts_saved_revision;      /* wl_quarantine_revision () then */
   uint32_t n_cold;                    /* cold endpoints at the last tick */
   uint64_t next_tick_us;
   uint64_t next_slow_tick_us;
@@ -187,10 +191,11 @@
 int wl_host_gossip_receive (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
 
 /**
- * wl_host_load_files() - restores the endpoints and the configuration known before a restart
+ * wl_host_load_files() - restores what was known before a restart
  * @host: the host
  * @disk: its disk
  *
+ * These are endpoints, the configuration, and the evidence on parts of prompts.
  * Restored endpoints expire unless they register again soon. Newer information
  * of other nodes replaces them. wl_host_config_tick() applies the configuration
  * if no node sends a newer one.
@@ -219,6 +224,16 @@
 /** wl_host_save_files() - saves what has changed, at most every WL_HOST_SAVE_INTERVAL_US */
 void wl_host_save_files (WlHost *host, uint64_t now_us);
 
+/**
+ * wl_host_save_parts() - saves the evidence on parts of prompts when it has changed
+ * @host: the host
+ * @now_us: monotonic time
+ *
+ * At most every WL_HOST_SAVE_PARTS_US. While a part is quarantined also after
+ * WL_HOST_RESAVE_PARTS_US, since its times go on, and a write may have failed.
+ */
+void wl_host_save_parts (WlHost *host, uint64_t now_us);
+
 /** wl_host_flush_work() - sends the queued work items, and batches of load reports that are due */
 void wl_host_flush_work (WlHost *host);
 
@@ -249,8 +264,11 @@
 /** wl_host_flush_parts() - sends what the quarantine has to tell other nodes */
 void wl_host_flush_parts (WlHost *host, uint64_t now_us);
 
-/** wl_host_send_quarantined() - tells a node, or all for 0, of all quarantined parts */
-void wl_host_send_quarantined (WlHost *host, uint32_t node, uint64_t now_us);
+/** wl_host_send_parts() - tells a node that joins of all quarantined parts and restored ends */
+void wl_host_send_parts (WlHost *host, uint32_t node, uint64_t now_us);
+
+/** wl_host_broadcast_quarantined() - tells all nodes of all quarantined parts */
+void wl_host_broadcast_quarantined (WlHost *host, uint64_t now_us);
 
 /** wl_host_receive_parts() - processes a WL_MESSAGE_PART_REPORT */
 void wl_host_receive_parts (WlHost *host, uint32_t from, const WlMessage *message, uint64_t now_us);
--- a/relay/wl_host_parts.c
+++ b/relay/wl_host_parts.c
@@ -23,16 +23,23 @@
 }
 
 void
-wl_host_send_quarantined (WlHost *host, uint32_t node, uint64_t now_us)
+wl_host_send_parts (WlHost *host, uint32_t node, uint64_t now_us)
+{
+  WlMessage m = { .kind = WL_MESSAGE_PART_REPORT };
+  WlQuarantine *q = wl_relay_quarantine (host->relay);
+  /* Those that have a disk restored the ends; it is enough that they tell of them. */
+  int has_report = host->journal != NULL ? wl_quarantine_join_report (q, now_us, &m.u.part_report)
+                                         : wl_quarantine_full_report (q, now_us, &m.u.part_report);
+  if (has_report)
+    wl_host_send (host, node, &m);
+}
+
+void
+wl_host_broadcast_quarantined (WlHost *host, uint64_t now_us)
 {
   WlMessage m = { .kind = WL_MESSAGE_PART_REPORT };
   if (!wl_quarantine_full_report (wl_relay_quarantine (host->relay), now_us, &m.u.part_report))
     return;
-  if (node != 0)
-    {
-      wl_host_send (host, node, &m);
-      return;
-    }
   uint32_t first;
   wl_host_broadcast (host, &m);
   /* One node of each failure domain is enough for the others: each report is passed on there. */
--- a/wire/tests/test_codec.c
+++ b/wire/tests/test_codec.c
@@ -55,6 +55,7 @@
     suspects[i] = (WlPartSuspect){ UINT64_MAX - i, UINT64_MAX - 10, UINT64_MAX - 20 };
   *end = (WlPartEnd){ .endpoint = UINT64_MAX, .age_us = 1200, .suspects = suspects };
   end->n_suspects = n_suspects;
+  end->is_restored = 1;
   m.u.part_report.ends = end;
   m.u.part_report.n_ends = 1;
   return m;
@@ -65,7 +66,7 @@
   WlPartSuspect suspects[2];
   WlPartEnd end;
   WlSoundPart sound = { 5, 6, 7 };
-  WlQuarantinedPart part = { 11, 12, 13, 14, 15, 16, 17, 18 };
+  static WlQuarantinedPart part = { 11, 12, 13, 14, 15, 16, 17, 18, 1 }; /* its padding is 0 */
   WlMessage m = sample_part_report (&end, suspects, 2);
   WlMessage out;
   m.u.part_report.sound = &sound;
@@ -79,6 +80,7 @@
   ck_assert_uint_eq (r->ends[0].age_us, 1200);
   ck_assert_uint_eq (r->ends[0].n_suspects, 2);
   ck_assert_mem_eq (r->ends[0].suspects, suspects, sizeof suspects);
+  ck_assert_uint_eq (r->ends[0].is_restored, 1);
   ck_assert_uint_eq (r->n_sound, 1);
   ck_assert_mem_eq (r->sound, &sound, sizeof sound);
   ck_assert_uint_eq (r->n_quarantined, 1);
@@ -91,7 +93,8 @@
 {
   WlPartSuspect suspects[3];
   WlPartEnd end;
-  WlQuarantinedPart part = { UINT64_MAX, UINT64_MAX, UINT64_MAX, 3, 1, 90000000, 30000000, 200000 };
+  WlQuarantinedPart part
+      = { UINT64_MAX, UINT64_MAX, UINT64_MAX, 3, 1, 90000000, 30000000, 200000, 1 };
   WlMessage m = sample_part_report (&end, suspects, 3);
   ck_assert_uint_lt (wl_message_encode (&m, pool).size, 150);
   m.u.part_report = (WlPartReport){ .quarantined = &part, .n_quarantined = 1 };
--- a/wire/wl_message_nodes.c
+++ b/wire/wl_message_nodes.c
@@ -83,6 +83,7 @@
   WL_U64 (WlPartEnd, endpoint),
   WL_U64 (WlPartEnd, age_us),
   WL_ARRAY (WlPartEnd, suspects, n_suspects, part_suspect_fields),
+  WL_U8 (WlPartEnd, is_restored),
   WL_END,
 };
 
@@ -94,15 +95,11 @@
 };
 
 static const WlField quarantined_part_fields[] = {
-  WL_U64 (WlQuarantinedPart, part),
-  WL_U64 (WlQuarantinedPart, service),
-  WL_U64 (WlQuarantinedPart, customer),
-  WL_U32 (WlQuarantinedPart, n_ends),
-  WL_U32 (WlQuarantinedPart, n_trials),
-  WL_U64 (WlQuarantinedPart, age_us),
-  WL_U64 (WlQuarantinedPart, trial_us),
-  WL_U64 (WlQuarantinedPart, unused_us),
-  WL_END,
+  WL_U64 (WlQuarantinedPart, part),       WL_U64 (WlQuarantinedPart, service),
+  WL_U64 (WlQuarantinedPart, customer),   WL_U32 (WlQuarantinedPart, n_ends),
+  WL_U32 (WlQuarantinedPart, n_trials),   WL_U64 (WlQuarantinedPart, age_us),
+  WL_U64 (WlQuarantinedPart, trial_us),   WL_U64 (WlQuarantinedPart, unused_us),
+  WL_U8 (WlQuarantinedPart, is_restored), WL_END,
 };
 
 const WlField wl_part_report_fields[] = {
--- a/wire/wl_message_nodes.h
+++ b/wire/wl_message_nodes.h
@@ -208,6 +208,8 @@
  * @endpoint: key of the endpoint
  * @age_us: time since then
  * @suspects: parts of these requests, @n_suspects of them, in the order of their prompts
+ * @is_restored: from before a restart of all that told of it; @age_us leaves the time out in which
+ *   they did not run
  */
 typedef struct
 {
@@ -215,6 +217,7 @@
   uint64_t age_us;
   WlPartSuspect *suspects;
   uint32_t n_suspects;
+  uint8_t is_restored;
 } WlPartEnd;
 
 /**
@@ -240,6 +243,7 @@
  * @age_us: time since it was quarantined
  * @trial_us: time until the next trial
  * @unused_us: time since a request with it was last refused
+ * @is_restored: as in WlPartEnd, for all times
  */
 typedef struct
 {
@@ -251,6 +255,7 @@
   uint64_t age_us;
   uint64_t trial_us;
   uint64_t unused_us;
+  uint8_t is_restored;
 } WlQuarantinedPart;
 
 /**
