Tests: a restored end that nodes list with different ages counts once

The mutant restored-end-counts-by-time was missed: with one end the distinct endpoints hid it. With two the duplicates are taken for ends for other reasons, and the part is not found. The mutant is found out now.

--- a/relay/tests/test_quarantine_restore.c
+++ b/relay/tests/test_quarantine_restore.c
@@ -120,25 +120,42 @@
 }
 END_TEST
 
-/* Guards against one end that counts as several since the nodes' lists differ in its age. */
-START_TEST (a_restored_end_that_several_nodes_tell_of_counts_once)
+/* A node that joins after a restart of three, whose lists of the same @n ends differ in age. */
+static WlQuarantine *
+join_after_ends (uint64_t n, uint64_t now_us)
 {
   WlPromptParts parts = parts_of (SHARED, BAD, 0);
   WlQuarantine *joined = create_with_traffic ();
-  uint64_t now_us = start_us + 20 * SECOND_US;
   for (uint64_t i = 0; i < 3; i++)
     {
       WlQuarantine *q = create_with_traffic ();
-      end_endpoints (q, 1, 1, &parts, 1, start_us);
-      q = restart (q, start_us + i * 3 * SECOND_US, now_us);
+      end_endpoints (q, 1, n, &parts, 1, start_us);
+      q = restart (q, start_us + (1 + i * 3) * SECOND_US, now_us);
       tell_joined (q, joined, now_us);
       wl_quarantine_destroy (q);
     }
-  note_end (joined, 2, &parts, 1, now_us + SECOND_US);
-  ck_assert_uint_eq (wl_quarantine_n_entries (joined), 0);
-  note_end (joined, 3, &parts, 1, now_us + 2 * SECOND_US);
-  ck_assert_uint_eq (wl_quarantine_n_entries (joined), 1);
-  wl_quarantine_destroy (joined);
+  return joined;
+}
+
+/*
+ * Guards against one end that counts as several: for the part, or as ends for other reasons, of
+ * which those under the part would be too few.
+ */
+START_TEST (a_restored_end_that_several_nodes_tell_of_counts_once)
+{
+  WlPromptParts parts = parts_of (SHARED, BAD, 0);
+  uint64_t now_us = start_us + 20 * SECOND_US;
+  for (uint64_t n = 1; n <= 2; n++)
+    {
+      WlQuarantine *joined = join_after_ends (n, now_us);
+      for (uint64_t i = n; i < WL_QUARANTINE_ENDPOINTS; i++)
+        {
+          ck_assert_uint_eq (wl_quarantine_n_entries (joined), 0);
+          note_end (joined, 1 + i, &parts, 1, now_us + i * SECOND_US);
+        }
+      ck_assert_uint_eq (wl_quarantine_n_entries (joined), 1);
+      wl_quarantine_destroy (joined);
+    }
 }
 END_TEST
 
