--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = $(shell grep -v '^\#' packages.txt)
 SOURCES = $(filter-out scripts/cppcheck-macros.h,$(shell git ls-files --cached --others --exclude-standard '*.c' '*.h'))
 
-.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short soak-parts soak-press soak-limits soak-fleet
+.PHONY: all setup build asan check demo demo-heavy mutants format format-check lint unit model bench clean soak soak-short soak-parts soak-restart soak-press soak-limits soak-fleet
 
 all: build
 
@@ -49,6 +49,12 @@
 	@BUILD=$(BUILD) scripts/known-red.sh soak-parts scripts/soak.sh --seed 1 --seconds 26 --callers 36 \
 	  --engines 6 --plain 2 --series 0 --traits 0 --prompt-max 4000 --bad 1
 
+# The same with a kill of all nodes after the part was found, and a first configuration with version 0.
+soak-restart: build
+	@BUILD=$(BUILD) scripts/known-red.sh soak-restart scripts/soak.sh --seed 1 --seconds 34 --nodes 6 \
+	  --callers 36 --engines 6 --plain 2 --series 0 --traits 0 --prompt-max 4000 --bad 1 \
+	  --kill-all-at 14 --first-version 0
+
 # The same under callers that stay with a stopping node, with endpoints slower than their figures.
 soak-press: build
 	@BUILD=$(BUILD) scripts/known-red.sh soak-press scripts/soak.sh --seed 1 --seconds 30 --callers 36 \
@@ -78,7 +84,7 @@
 mutants: setup
 	@tests/mutants.sh
 
-check: build format-check lint unit soak-short soak-press soak-parts soak-limits soak-fleet asan model mutants
+check: build format-check lint unit soak-short soak-press soak-parts soak-restart soak-limits soak-fleet asan model mutants
 	@scripts/check-symbols.sh $(BUILD)
 	@echo "make check: all parts passed"
 
--- a/soak/soak_main.c
+++ b/soak/soak_main.c
@@ -276,6 +276,8 @@
   { "bad", offsetof (WlSoakOptions, n_bad), 0 },
   { "bad-one-in", offsetof (WlSoakOptions, bad_one_in), 9 },
   { "bad-until", offsetof (WlSoakOptions, bad_until_s), 0 },
+  { "kill-all-at", offsetof (WlSoakOptions, kill_all_at_s), 0 },
+  { "first-version", offsetof (WlSoakOptions, first_version), 1 },
   { "bad-customers", offsetof (WlSoakOptions, n_bad_customers), 2 },
   { "series", offsetof (WlSoakOptions, series), WL_SOAK_ALL_SERIES },
   { "beside", offsetof (WlSoakOptions, beside), 0 },
--- a/soak/wl_soak.h
+++ b/soak/wl_soak.h
@@ -76,6 +76,8 @@
  * @n_bad: bad parts of prompts, see wl_soak_parts.h
  * @bad_one_in: one request in so many has one
  * @bad_until_s: the second of the run from which engines no longer end by them, 0 for never
+ * @kill_all_at_s: the second of the run in which all nodes are killed at once, 0 for none
+ * @first_version: version of the first configuration
  * @n_bad_customers: of the two, whose requests have them
  * @stays: per cent of the callers that press and stay (WL_SOAK_PRESSES, WL_SOAK_STAYS)
  * @slow: endpoints take so many times as long to write, and plain ones to answer, as planned
@@ -120,6 +122,8 @@
   uint32_t n_bad;
   uint32_t bad_one_in;
   uint32_t bad_until_s;
+  uint32_t kill_all_at_s;
+  uint32_t first_version;
   uint32_t n_bad_customers;
   uint32_t stays;
   uint32_t slow;
--- a/soak/wl_soak_nodes.c
+++ b/soak/wl_soak_nodes.c
@@ -261,6 +261,8 @@
   wipe_us = begin_us + options->wipe_every_ms * UINT64_C (1000);
   add_us = begin_us + options->add_every_ms * UINT64_C (1000);
   config_data = data;
+  if (options->kill_all_at_s != 0)
+    add_kill (WL_SOAK_KILL_ALL, 0, begin_us + (uint64_t)options->kill_all_at_s * 1000000);
   while (at_us < end_us && options->series != 0)
     {
       uint32_t series = 1u << wl_soak_between (&random, 0, last);
--- a/soak/wl_soak_operator.c
+++ b/soak/wl_soak_operator.c
@@ -37,7 +37,7 @@
 } Question;
 
 static const WlSoak *run;
-static uint64_t version = 1;
+static uint64_t version;
 static uint64_t submitted; /* latest version that was sent */
 static uint64_t asked_us;  /* when the newest version was sent first, 0 before */
 static uint64_t change_us;
@@ -59,6 +59,7 @@
 wl_soak_operator_open (const WlSoak *soak)
 {
   run = soak;
+  version = soak->options.first_version;
   n_routes = soak->options.n_routes;
   random_state = soak->options.seed;
 }
--- a/soak/wl_soak_parts.c
+++ b/soak/wl_soak_parts.c
@@ -64,6 +64,15 @@
   return o->bad_until_s != 0 && now_us >= run->begin_us + (uint64_t)o->bad_until_s * 1000000;
 }
 
+/* Whether the nodes may not be calm yet after the kill of all, so that no rule counts arrivals. */
+static int
+is_paused (uint64_t now_us)
+{
+  uint64_t kill_us = run->begin_us + (uint64_t)run->options.kill_all_at_s * 1000000;
+  return run->options.kill_all_at_s != 0 && now_us >= kill_us
+         && now_us < kill_us + WL_SOAK_BAD_PAUSE_US;
+}
+
 /* ---- requests ---- */
 
 void
@@ -83,7 +92,7 @@
     return;
   if (o->prompt_max != 0 && r->prompt_tokens > o->prompt_max)
     r->prompt_tokens = wl_soak_between (&random_state, PROMPT_MIN_TOKENS, o->prompt_max);
-  if (o->n_bad == 0 || now_us < run->begin_us + WL_SOAK_BAD_FROM_US
+  if (o->n_bad == 0 || now_us < run->begin_us + WL_SOAK_BAD_FROM_US || is_paused (now_us)
       || customer >= o->n_bad_customers || wl_soak_between (&random_state, 1, o->bad_one_in) != 1)
     return;
   r->bad = (uint8_t)wl_soak_between (&random_state, 1, o->n_bad);
