Relay: a request whose caller waits no longer is refused at once

With 0 the request was sent to an endpoint with its route's whole timeout.

Cause: one value, 0, for "not said" and for "no time left".

Evidence: a_request_without_time_left_is_refused_at_once failed before the fix (no 503, the request was answered).

Why this works: a flag of its own tells whether the caller says how long; a request without time is refused as one whose time limit has passed, 503, not run.

--- a/relay/forwarding/wl_relay.c
+++ b/relay/forwarding/wl_relay.c
@@ -444,7 +444,7 @@
 {
   WlRelay *relay = r->relay;
   uint64_t left_us = r->route->timeout_us;
-  if (r->info.remaining_us > 0 && r->info.remaining_us < left_us)
+  if (r->info.has_remaining && r->info.remaining_us < left_us)
     left_us = r->info.remaining_us;
   r->arrived_us = now_us;
   r->limit_us = now_us + left_us;
@@ -462,7 +462,10 @@
   relay->metrics.requests++;
   wl_budget_earn (find_budget (relay, r->service->name));
   wl_relay_begin_parts (r, now_us);
-  wl_relay_place (r, now_us);
+  if (left_us > 0)
+    wl_relay_place (r, now_us);
+  else
+    wl_relay_refuse (r, TIMEOUT_RETRY_AFTER_US, WL_REASON_TIMEOUT);
 }
 
 /* Refuses a request whose route was not looked up. */
--- a/relay/forwarding/wl_relay.h
+++ b/relay/forwarding/wl_relay.h
@@ -26,7 +26,8 @@
  * struct WlRelayRequestInfo - values of a caller's header fields
  * @id: id of the caller's attempt, NULL when missing
  * @key: the customer's key, NULL when missing
- * @remaining_us: how long the caller waits for the response, 0 when missing
+ * @remaining_us: how long the caller waits for the response, if it says so; may be 0
+ * @has_remaining: it says so
  * @prompt: prompt tokens, 0 for requests without a prompt
  * @output: limit of output tokens, 0 for none
  * @output_hint: the caller's estimate of output tokens, 0 when missing
@@ -40,6 +41,7 @@
   const char *id;
   const char *key;
   uint64_t remaining_us;
+  uint8_t has_remaining;
   uint32_t prompt;
   uint32_t output;
   uint32_t output_hint;
--- a/relay/tests/test_relay.c
+++ b/relay/tests/test_relay.c
@@ -82,6 +82,21 @@
 }
 END_TEST
 
+/* Guards against a request of a caller that waits no longer being sent with its route's timeout. */
+START_TEST (a_request_without_time_left_is_refused_at_once)
+{
+  RelayFixture *f = relay_fixture_create ();
+  relay_fixture_all_answer (f, RELAY_WHOLE, SCRIPT_KEEP);
+  raw_client_send (&f->caller, "GET /safe/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k1\r\n"
+                               "X-Left: 0\r\n\r\n");
+  relay_fixture_run (f, 60);
+  ck_assert_ptr_nonnull (strstr (f->caller.answer, " 503 "));
+  ck_assert_uint_eq (relay_fixture_n_runs (f), 0);
+  ck_assert_uint_eq (wl_relay_active (f->relay), 0);
+  relay_fixture_destroy (f);
+}
+END_TEST
+
 START_TEST (a_request_ends_at_its_time_limit)
 {
   RelayFixture *f = relay_fixture_create ();
@@ -160,6 +175,7 @@
     WL_TEST (a_request_and_its_response_are_forwarded_unchanged),
     WL_TEST (a_success_without_a_seal_is_not_forwarded),
     WL_TEST (a_disconnected_caller_has_its_endpoint_connection_closed),
+    WL_TEST (a_request_without_time_left_is_refused_at_once),
     WL_TEST (a_request_ends_at_its_time_limit),
     WL_TEST (a_node_that_has_just_started_parks_requests_until_it_has_a_configuration),
     WL_TEST (a_choice_is_told_whether_the_load_is_partial),
--- a/testkit/wl_relay_fixture.c
+++ b/testkit/wl_relay_fixture.c
@@ -22,6 +22,7 @@
   memset (out, 0, sizeof *out);
   out->id = wl_http_head_field (head, "X-Id");
   out->key = wl_http_head_field (head, "X-Key");
+  out->has_remaining = left_ms != NULL;
   out->remaining_us = left_ms != NULL ? strtoull (left_ms, NULL, 10) * 1000 : 0;
   out->has_last_event = wl_http_head_field (head, "X-Last") != NULL;
   const char *prompt = wl_http_head_field (head, "X-Prompt");
