--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -87,7 +87,7 @@
 start response-dropped-at-half-close test_web relay/transport/wl_web.c 's/if \(end == WL_TCP_END_CLOSED\)/if (0)/'
 start close-not-announced test_web relay/transport/wl_web.c 's/if \(c->is_closing\)\n    \{\n      finish/if (c->is_closing || c->web->is_draining)\n    {\n      finish/'
 start read-without-quorum test_config_store core/agreement/wl_config_store.c 's/if \(r->round > wl_raft_confirmed_round \(&cs->raft\)\)/if (0)/'
-start lower-version-proposed test_config_store core/agreement/wl_config_store.c 's/if \(r->version > document->version\)/if (r->version != document->version)/'
+start lower-version-proposed test_config_store core/agreement/wl_config_store.c 's/\|\| r->version > document->version\)/|| r->version != document->version)/'
 start no-replacement test_config_store core/agreement/wl_raft_group.c 's/\|\| \(raft->n_voters == raft->max_voters && unresponsive != NULL\)/|| 0/'
 start work-not-told-to-new-nodes test_host_gossip relay/wl_host_gossip.c 's/      send_full_report \(host, s->node\);\n//'
 start named-nodes-met-later test_host_gossip relay/membership/wl_membership.c 's/  if \(membership->roster->n_nodes > n_before && wl_view_is_mesh[^;]*;//'
