Tests: the clock stands while files beside the log are written

Cause: the test, not the product. Its clock is meant to stand while a disk is written, since the writing thread does not know that clock. is_storing () asked for wl_journal_queued_bytes (), which counts the batches of the log and not the files of wl_journal_save (). The 300 ms of the test's clock in which the document has to be saved passed in a few real milliseconds, and a node that was ended before its thread had begun the file kept the one before.

wl_journal_is_idle () tells whether a batch or a file waits or is written, and the two test programs whose clock stands ask for that. Bounds are unchanged.

--- a/relay/tests/test_host_founding.c
+++ b/relay/tests/test_host_founding.c
@@ -104,8 +104,7 @@
 is_storing (const Fixture *f)
 {
   for (int i = 0; i < NODES; i++)
-    if (f->nodes[i] != NULL && f->nodes[i]->journal != NULL
-        && wl_journal_queued_bytes (f->nodes[i]->journal) > 0)
+    if (f->nodes[i] != NULL && !wl_journal_is_idle (f->nodes[i]->journal))
       return 1;
   return 0;
 }
--- a/runtime/tests/test_journal.c
+++ b/runtime/tests/test_journal.c
@@ -11,6 +11,7 @@
 enum
 {
   BATCHES = 50,
+  FILES = 200,
 };
 
 typedef struct
@@ -184,6 +185,36 @@
 }
 END_TEST
 
+/* Guards against a node that is taken for idle, and ended, before its files are written. */
+START_TEST (a_journal_is_idle_once_its_files_are_saved)
+{
+  static Fixture f;
+  for (uint32_t i = 0; i < FILES; i++)
+    {
+      apr_pool_t *pool;
+      WlBytes read = { NULL, 0 };
+      create (&f);
+      ck_assert_int_eq (wl_journal_is_idle (f.journal), 1);
+      submit (&f, 1, 1);
+      ck_assert_int_eq (wl_journal_is_idle (f.journal), 0);
+      run (&f, 1, 5000000);
+      ck_assert_int_eq (wl_journal_is_idle (f.journal), 1);
+      wl_journal_save (f.journal, "hints", (WlBytes){ (const uint8_t *)&i, sizeof i });
+      while (!wl_journal_is_idle (f.journal))
+        ;
+      memory_folder_crash (&f.folder);
+      apr_pool_create (&pool, NULL);
+      WlDisk *disk = memory_disk_open (&f.folder);
+      ck_assert_int_eq (wl_disk_load (disk, "hints", pool, &read), WL_OK);
+      ck_assert_uint_eq (read.size, sizeof i);
+      ck_assert_mem_eq (read.data, &i, sizeof i);
+      disk->destroy (disk);
+      apr_pool_destroy (pool);
+      destroy (&f);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -192,6 +223,7 @@
     WL_TEST (nothing_is_released_while_the_disk_is_full),
     WL_TEST (a_saved_file_lasts_and_the_latest_counts),
     WL_TEST (files_of_two_names_are_both_saved),
+    WL_TEST (a_journal_is_idle_once_its_files_are_saved),
     WL_TEST (without_a_disk_batches_pass_at_once),
   };
   apr_initialize ();
--- a/runtime/wl_journal.c
+++ b/runtime/wl_journal.c
@@ -45,6 +45,7 @@
   uint32_t n_retries;                    /* failed writes, under the mutex */
   uint32_t n_logged;
   uint8_t is_written; /* the thread is done with writing */
+  uint8_t is_saving;  /* the thread writes a file, under the mutex */
   uint8_t has_failed; /* the latest write cannot be completed */
   uint8_t is_stopping;
   uint8_t has_thread;
@@ -150,10 +151,12 @@
 {
   WlBytes bytes = file->bytes;
   file->bytes = (WlBytes){ NULL, 0 };
+  journal->is_saving = 1;
   pthread_mutex_unlock (&journal->mutex);
   WlError error = wl_disk_save (wl_storage_disk (journal->storage), file->name, bytes);
   wl_bytes_release (&bytes);
   pthread_mutex_lock (&journal->mutex);
+  journal->is_saving = 0;
   if (error != WL_OK)
     journal->n_retries++;
 }
@@ -342,6 +345,17 @@
   return bytes;
 }
 
+int
+wl_journal_is_idle (WlJournal *journal)
+{
+  if (journal == NULL)
+    return 1;
+  pthread_mutex_lock (&journal->mutex);
+  int is_saving = journal->is_saving || next_to_save (journal) != NULL;
+  pthread_mutex_unlock (&journal->mutex);
+  return journal->writing == NULL && journal->waiting.first == NULL && !is_saving;
+}
+
 /* The place of a file; a name keeps its place. */
 static SavedFile *
 find_saved (WlJournal *journal, const char *name)
--- a/runtime/wl_journal.h
+++ b/runtime/wl_journal.h
@@ -52,6 +52,15 @@
 /** wl_journal_queued_bytes() - bytes of effects that wait for the disk, or for those before them */
 uint64_t wl_journal_queued_bytes (const WlJournal *journal);
 
+/**
+ * wl_journal_is_idle() - whether nothing waits for the disk
+ * @journal: the journal, or NULL
+ *
+ * Return: 1 when each batch is released, and each file of wl_journal_save()
+ * written or given up.
+ */
+int wl_journal_is_idle (WlJournal *journal);
+
 /**
  * wl_journal_save() - replaces a file beside the storage
  * @journal: the journal; without a disk nothing happens
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -130,6 +130,7 @@
 start culprit-ignored test_relay_retry relay/forwarding/wl_relay_retry.c 's/if \(r->response.fault_port != 0\)/if (0)/'
 start memory-held-for-the-dead test_relay_retry relay/forwarding/wl_relay.c 's/wl_relay_abandon_attempt \(r, now_us\);/;/'
 start released-before-sync test_journal runtime/wl_journal.c 's/return keep_trying \(journal, NULL\);/return 1;/; s/if \(!b->stores\)/if (1)/'
+start idle-beside-files test_journal runtime/wl_journal.c 's/int is_saving = [^;]*;/int is_saving = 0;/'
 start small-fleet-for-ever test_membership relay/membership/wl_view.c 's/return !view->is_large && /return /'
 start silent-relay-vouches-on test_view relay/membership/wl_view_apply.c 's/if \(!wl_view_is_fresh \(s, now_us\) && !report->is_full\)/if (0)/'
 start one-relay-evicts test_membership relay/membership/wl_view_apply.c 's/if \(\(r->attested_by & \(uint64_t\)1 << i\) != 0 && /if (0 \&\& /'
