Configuration: used only once the disk of the replica has it

What callers saw: an operator's version 8 was acknowledged and the node stayed with version 7, which had never been acknowledged. Before that, version 7 was in force although its write to the log had failed: a caller got 431 by its limits (a_request_is_answered_although_the_disk_fails, in KNOWN-RED.txt).

Cause: a leader counts its own copy of an entry before it is synced. If the copy is lost with the process, the next configuration gets the same number and is taken for known.

Evidence: a trace of system calls of the listed test with slow syncs: fdatasync of the log fails, "text.tmp" is opened 0.4 ms later. The new test a_configuration_that_is_not_stored_is_not_used (test_host) failed in 3 of 3 runs ("config_number" 1, expected 0), and without that line in 3 of 3 with version 7 where 8 had been acknowledged.

So it takes effect with the sync on which its acknowledgement waits.

At 1.5 s the_committed_ configuration_is_restored_without_a_quorum gets no acknowledgement in time, before and after. Mutant unstored-configuration-used: found out.

--- a/relay/tests/test_host.c
+++ b/relay/tests/test_host.c
@@ -377,6 +377,39 @@
 }
 END_TEST
 
+/*
+ * Guards against a configuration that is in use although it was not stored. Its number is given to
+ * the next one after a restart, which the node then takes for known.
+ */
+START_TEST (a_configuration_that_is_not_stored_is_not_used)
+{
+  static Fixture f;
+  uint64_t version;
+  int is_done = 0;
+  create (&f);
+  f.options.parse = wl_test_parse_any;
+  f.options.seeds[0] = f.options.node;
+  f.options.n_seeds = 1;
+  start (&f);
+  run_until_leading (&f);
+  fail_disk (&f, &is_done);
+  run (&f, 200000); /* files beside the log can still be written */
+  ck_assert_uint_eq (gauge (&f, "config_number"), 0);
+  wl_host_destroy (f.host);
+  f.options.is_first_start = 0;
+  start (&f);
+  run_until_leading (&f);
+  wl_host_submit_config (f.host, 8, (WlBytes){ (const uint8_t *)"next", 4 }, on_submitted,
+                         &is_done);
+  for (int i = 0; i < 100 && !is_done;)
+    i += run_beside_disk (&f, 50000);
+  ck_assert_int_eq (is_done, 1);
+  wl_config_split_version (f.host->config, &version);
+  ck_assert_uint_eq (version, 8);
+  destroy (&f);
+}
+END_TEST
+
 /* Starts a node that cannot start. Returns its log. */
 static const char *
 log_of_start (const WlHostOptions *options)
@@ -445,6 +478,7 @@
     WL_TEST (a_node_starts_with_a_damaged_file_of_endpoints),
     WL_TEST (a_request_is_answered_although_the_disk_fails),
     WL_TEST (a_node_whose_disk_has_failed_is_no_replica),
+    WL_TEST (a_configuration_that_is_not_stored_is_not_used),
     WL_TEST (a_node_whose_port_is_in_use_logs_the_cause),
     WL_TEST (a_node_without_a_data_folder_logs_the_cause),
   };
--- a/relay/wl_host.c
+++ b/relay/wl_host.c
@@ -111,6 +111,7 @@
       wl_host_stop (host);
       return;
     }
+  wl_host_adopt_committed (host); /* before an acknowledgement is sent */
   for (uint32_t i = 0; i < effects->count; i++)
     {
       const WlEffect *e = &effects->items[i];
@@ -363,6 +364,7 @@
   wl_bytes_release (&host->config);
   free (host->evacuations);
   wl_bytes_release (&host->saved_config);
+  wl_bytes_release (&host->unstored_config);
   wl_tcp_loop_destroy (host->loop);
   wl_reactor_destroy (host->reactor);
   free (host);
--- a/relay/wl_host_config.c
+++ b/relay/wl_host_config.c
@@ -293,31 +293,61 @@
   return wl_recent_changes_cover (&host->recent_changes, before, number);
 }
 
-void
-wl_host_adopt_committed (WlHost *host)
+/*
+ * Takes the latest committed configuration that is not in use. A leader counts its own copy for the
+ * majority before it is synced: if the copy is lost with the process, another configuration gets
+ * its number, and a node that uses the lost one takes the other for known. Returns whether one
+ * waits.
+ */
+static int
+hold_committed (WlHost *host)
 {
   uint64_t number;
+  WlBytes config = wl_config_store_latest (host->config_store, &number);
+  if (host->unstored_number == 0 && number > host->config_number)
+    {
+      host->unstored_number = number;
+      host->unstored_config = wl_bytes_dup (config);
+      host->unstored_until_batch = wl_journal_n_submitted (host->journal);
+    }
+  return host->unstored_number != 0;
+}
+
+static void
+adopt_stored (WlHost *host)
+{
   uint64_t before = host->config_number;
+  uint64_t number = host->unstored_number;
+  WlBytes config = host->unstored_config;
   WlConfigChange full;
-  if (!wl_host_is_replica (host))
-    return;
-  WlBytes config = wl_config_store_latest (host->config_store, &number);
-  if (number <= before)
-    return;
-  int has_changes = record_committed_changes (host, before, number);
-  adopt_config (host, number, config);
-  if (wl_config_store_leader (host->config_store) == host->options.node
-      || !wl_view_is_mesh (host->membership->view))
+  host->unstored_number = 0;
+  host->unstored_config = (WlBytes){ NULL, 0 };
+  if (number > before)
     {
-      for (uint64_t n = before + 1; has_changes && n <= number; n++)
-        forward_change (host, wl_recent_changes_find (&host->recent_changes, n));
-      if (!has_changes)
+      int has_changes = record_committed_changes (host, before, number);
+      adopt_config (host, number, config);
+      if (wl_config_store_leader (host->config_store) == host->options.node
+          || !wl_view_is_mesh (host->membership->view))
         {
-          wl_host_full_config (host, &full);
-          forward_change (host, &full);
+          for (uint64_t n = before + 1; has_changes && n <= number; n++)
+            forward_change (host, wl_recent_changes_find (&host->recent_changes, n));
+          if (!has_changes)
+            {
+              wl_host_full_config (host, &full);
+              forward_change (host, &full);
+            }
         }
+      apply_when_due (host, wl_clock_now_us ());
     }
-  apply_when_due (host, wl_clock_now_us ());
+  wl_bytes_release (&config);
+}
+
+void
+wl_host_adopt_committed (WlHost *host)
+{
+  while (wl_host_is_replica (host) && hold_committed (host)
+         && wl_journal_n_released (host->journal) >= host->unstored_until_batch)
+    adopt_stored (host);
 }
 
 void
--- a/relay/wl_host_internal.h
+++ b/relay/wl_host_internal.h
@@ -120,6 +120,11 @@
   uint64_t config_applied_us;     /* when a configuration was last applied */
   uint8_t is_config_pending;      /* not applied yet */
 
+  /* The next committed configuration, until the disk of this replica has it. */
+  uint64_t unstored_number;      /* 0 for none */
+  WlBytes unstored_config;       /* on the heap */
+  uint64_t unstored_until_batch; /* of the journal */
+
   /* The configuration on disk. */
   uint64_t saved_config_number; /* 0 for none */
   WlBytes saved_config;         /* as read at the start, on the heap; then empty */
--- a/runtime/wl_journal.c
+++ b/runtime/wl_journal.c
@@ -34,7 +34,9 @@
   WlStorage *storage;
   void (*release) (void *data, WlEffects *effects);
   void *data;
-  Queue waiting;  /* on the event loop's thread */
+  Queue waiting; /* on the event loop's thread, like the two counts */
+  uint64_t n_submitted;
+  uint64_t n_released;
   Batch *writing; /* given to the thread */
   pthread_t thread;
   pthread_mutex_t mutex;
@@ -184,6 +186,7 @@
 static void
 release_batch (WlJournal *journal, Batch *b)
 {
+  journal->n_released++;
   journal->release (journal->data, b->effects);
   wl_effects_destroy (b->effects);
   free (b);
@@ -315,10 +318,23 @@
     abort ();
   b->effects = effects;
   b->stores = has_stores (effects);
+  journal->n_submitted++;
   push (&journal->waiting, b);
   advance (journal);
 }
 
+uint64_t
+wl_journal_n_submitted (const WlJournal *journal)
+{
+  return journal->n_submitted;
+}
+
+uint64_t
+wl_journal_n_released (const WlJournal *journal)
+{
+  return journal->n_released;
+}
+
 static uint64_t
 effects_bytes (const WlEffects *effects)
 {
--- a/runtime/wl_journal.h
+++ b/runtime/wl_journal.h
@@ -49,6 +49,12 @@
  */
 void wl_journal_submit (WlJournal *journal, WlEffects *effects);
 
+/** wl_journal_n_submitted() - number of batches that were submitted */
+uint64_t wl_journal_n_submitted (const WlJournal *journal);
+
+/** wl_journal_n_released() - number of batches that were released, the current one included */
+uint64_t wl_journal_n_released (const WlJournal *journal);
+
 /** wl_journal_queued_bytes() - bytes of effects that wait for the disk, or for those before them */
 uint64_t wl_journal_queued_bytes (const WlJournal *journal);
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -92,6 +92,7 @@
 start work-not-told-to-new-nodes test_host_gossip relay/wl_host_gossip.c 's/      send_full_report \(host, s->node\);\n//'
 start named-nodes-met-later test_host_gossip relay/membership/wl_membership.c 's/  if \(membership->roster->n_nodes > n_before && wl_view_is_mesh[^;]*;//'
 start saved-text-before-neighbours test_host relay/wl_host_config.c 's/ \|\| now_us < host->started_us \+ SAVED_CONFIG_DELAY_US//'
+start unstored-configuration-used test_host relay/wl_host_config.c 's/\s*&& wl_journal_n_released \(host->journal\) >= host->unstored_until_batch//'
 start any-call-on-any-port test_platform_path platform/wl_platform_api.c 's/\s*\|\| !\(server->purposes & call->purpose\)//'
 start repeats-after-break test_relay_retry relay/forwarding/wl_relay.c 's/if \(r->may_have_run\)\n        return 0;\n      break;\n    case WL_ROUTE_STREAM/break;\n    case WL_ROUTE_STREAM/; s/if \(r->attempts >= r->route->attempts \|\| now_us >= r->limit_us\)\n    return 0;//'
 start half-events-passed test_event_stream relay/transport/wl_event_stream.c 's/return \(WlBytes\)\{ all.data, complete \};/return all;/'
