Entry: a request whose caller waits no longer is refused at once

Wisterialoft-Time-Limit-Ms says how long the caller waits. With 0 the request got its service's whole time limit; below 0 too.

Cause: one value, 0, for "not said" and for "no time left".

Evidence: a_request_without_time_left_is_refused_at_once (test_entry) failed before the fix (no end of the request).

Why this works: a flag of its own tells whether the caller sets a limit; a request without time is refused with time_limit, not run, without Retry-After. What is no number still counts as nothing said, and a very large value no longer wraps around.

--- a/core/base/wisterialoft.h
+++ b/core/base/wisterialoft.h
@@ -151,7 +151,8 @@
  * @digest: BLAKE2b of the request
  * @prompt_tokens: length of the prompt in tokens
  * @max_tokens: limit of output tokens
- * @time_limit_us: time limit set by the caller, 0 for the service's own
+ * @time_limit_us: time limit set by the caller, with @has_time_limit; else the service's own holds
+ * @has_time_limit: the caller sets a time limit
  * @non_idempotent: the caller marks the request as non-idempotent
  * @prefixes: hashes of prompt prefixes, @n_prefixes of them, shortest first
  */
@@ -166,6 +167,7 @@
   uint64_t prompt_tokens;
   uint64_t max_tokens;
   uint64_t time_limit_us;
+  uint8_t has_time_limit;
   uint8_t non_idempotent;
   WlPrefixHash *prefixes;
   uint32_t n_prefixes;
--- a/core/requests/wl_entry.c
+++ b/core/requests/wl_entry.c
@@ -241,11 +241,14 @@
     result->outcome = WL_OUTCOME_KEY_REQUIRED;
   else if (e->prompt_tokens > service->max_prompt_tokens)
     result->reason = WL_REFUSAL_TOO_LARGE;
+  else if (e->has_time_limit && e->time_limit_us == 0)
+    result->reason = WL_REFUSAL_TIME_LIMIT;
   else if (apr_hash_count (entry->requests) >= WL_ENTRY_REQUESTS_MAX)
     result->reason = WL_REFUSAL_OVERLOAD;
   else
     return 1;
-  if (result->reason == WL_REFUSAL_TOO_LARGE || result->reason == WL_REFUSAL_NONE)
+  if (result->reason == WL_REFUSAL_TOO_LARGE || result->reason == WL_REFUSAL_TIME_LIMIT
+      || result->reason == WL_REFUSAL_NONE)
     result->retry_after_us = 0;
   return 0;
 }
--- a/core/requests/wl_request.c
+++ b/core/requests/wl_request.c
@@ -26,7 +26,7 @@
   if (r == NULL)
     abort ();
   uint64_t limit_us = service->time_limit_ms * 1000;
-  if (event->time_limit_us > 0 && event->time_limit_us < limit_us)
+  if (event->has_time_limit && event->time_limit_us < limit_us)
     limit_us = event->time_limit_us;
   r->id = event->id;
   strcpy (r->customer, customer->name);
--- a/core/tests/test_entry.c
+++ b/core/tests/test_entry.c
@@ -196,6 +196,31 @@
 }
 END_TEST
 
+/* Guards against a request whose caller waits no longer, and that gets its service's whole time. */
+START_TEST (a_request_without_time_left_is_refused_at_once)
+{
+  WlSim *sim = sim_system (11, 4, 1, 0);
+  WlEvent event = { .kind = WL_EVENT_REQUEST };
+  SimRequest *r = &sim->requests[sim->n_requests++];
+  r->id = (uint64_t)4 << 52 | sim->n_requests;
+  event.u.request.id = r->id;
+  event.u.request.api_key = "a";
+  event.u.request.service = "llm";
+  event.u.request.path = "";
+  event.u.request.key = "";
+  event.u.request.prompt_tokens = 100;
+  event.u.request.max_tokens = 5;
+  event.u.request.has_time_limit = 1;
+  sim_event (sim, 4, &event);
+  ck_assert_uint_eq (r->ends, 1);
+  ck_assert_int_eq (r->end.outcome, WL_OUTCOME_REFUSED);
+  ck_assert_int_eq (r->end.reason, WL_REFUSAL_TIME_LIMIT);
+  ck_assert_int_eq (r->end.run, WL_RUN_NOT_RUN);
+  ck_assert_uint_eq (r->end.retry_after_us, 0);
+  sim_finish (sim);
+}
+END_TEST
+
 /* An operator who asks why a request was slow could not tell a cold cache from a queue. */
 START_TEST (the_trace_names_what_was_expected_and_found_in_the_kv_cache)
 {
@@ -240,6 +265,7 @@
     WL_TEST (the_kv_cache_is_freed_when_the_entry_crashes),
     WL_TEST (a_draining_entry_finishes_its_streams_and_refuses_new_requests),
     WL_TEST (an_unknown_api_key_is_refused),
+    WL_TEST (a_request_without_time_left_is_refused_at_once),
     WL_TEST (the_trace_names_what_was_expected_and_found_in_the_kv_cache),
   };
   return wl_test_run ("entry", tests, sizeof tests / sizeof tests[0]);
--- a/daemon/wl_callers.c
+++ b/daemon/wl_callers.c
@@ -13,6 +13,7 @@
   DEFAULT_MAX_TOKENS = 256,
   MAX_TOKENS_LIMIT = 65536,
   PLAIN_KV_TOKENS = 1,
+  TIME_LIMIT_MAX_MS = 1000000000, /* above the limit of any service */
   NODE_SHIFT = 52,
   INCARNATION_SHIFT = 32,
   INCARNATION_MASK = 0xfffff,
@@ -80,17 +81,27 @@
   crypto_generichash_final (&hash, out, WL_DIGEST_SIZE);
 }
 
+void
+wl_callers_read_time_limit (const char *text, WlRequestEvent *out)
+{
+  char *end;
+  long long ms = strtoll (text, &end, 10);
+  out->has_time_limit = end != text;
+  out->time_limit_us = 0;
+  if (ms > 0)
+    out->time_limit_us = (uint64_t)(ms < TIME_LIMIT_MAX_MS ? ms : TIME_LIMIT_MAX_MS) * 1000;
+}
+
 static void
 submit_request (WlNode *node, WlOpenRequest *r, const char *key, WlRequestEvent *request)
 {
   WlEvent event = { .kind = WL_EVENT_REQUEST };
   const WlExchange *x = r->exchange;
-  const char *limit = wl_exchange_header (x, "Wisterialoft-Time-Limit-Ms");
   request->id = r->id;
   request->api_key = key;
   request->path = r->path;
   request->key = r->key;
-  request->time_limit_us = strtoull (limit, NULL, 10) * 1000;
+  wl_callers_read_time_limit (wl_exchange_header (x, "Wisterialoft-Time-Limit-Ms"), request);
   request->non_idempotent
       = strcmp (wl_exchange_header (x, "Wisterialoft-Idempotent"), "false") == 0;
   digest_request (r, request->service, request->digest);
--- a/daemon/wl_callers.h
+++ b/daemon/wl_callers.h
@@ -14,6 +14,13 @@
  */
 int wl_callers_handle (WlNode *node, WlExchange *exchange);
 
+/**
+ * wl_callers_read_time_limit() - reads a caller's Wisterialoft-Time-Limit-Ms
+ * @text: the field's value, empty without the field
+ * @out: receives the time limit; less than 0 is 0, and what is no number counts as none
+ */
+void wl_callers_read_time_limit (const char *text, WlRequestEvent *out);
+
 /**
  * wl_callers_chunk() - sends output to the caller
  * @node: the node
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -57,6 +57,7 @@
 start repeated-output-delivered test_entry core/requests/wl_entry.c 's/if \(output->offset \+ output->tokens <= r->delivered\)/if (0)/; s/if \(output->offset != r->delivered\)/if (0)/'
 start cut-stream-called-whole test_entry core/requests/wl_entry.c 's/if \(end->total_tokens == r->delivered\)/if (1)/; s/r->may_have_run = 1;\n      handle_failed_attempt \(entry, r, WL_ATTEMPT_FAILED, end, ctx\);/finish_done (entry, r, end, ctx);/'
 start no-time-limit test_entry core/requests/wl_entry.c 's/if \(ctx->now_us >= r->deadline_us\)/if (0)/'
+start no-time-left-admitted test_entry core/requests/wl_entry.c 's/e->has_time_limit && e->time_limit_us == 0/0/'
 start no-cancel test_entry core/placement/wl_cell.c 's/(cancel_attempt \(const WlCell[^\{]*\{)/$1 return;/'
 start leaving-endpoint-used test_cell core/placement/wl_placement.c 's/ && !endpoint->leaving//'
 start memory-not-reserved test_cell core/placement/wl_accounts.c 's/e->kv_reserved \+= g->allocations\[i\].kv_tokens;//'
