--- a/relay/forwarding/wl_quarantine.h
+++ b/relay/forwarding/wl_quarantine.h
@@ -241,7 +241,8 @@
 /**
  * wl_quarantine_join_report() - lists all quarantined parts and all restored ends
  *
- * For a node that joins: the others have been told new ends, restored ones are told nobody.
+ * For a node that joins. Nodes are told restored ends by no other report, since
+ * wl_quarantine_take_report() has only new ones.
  *
  * Return: 1, or 0 when there are none.
  */
@@ -253,10 +254,10 @@
  * @report: the report; may hold any values
  * @now_us: monotonic time
  *
- * A part that was sound here within WL_QUARANTINE_SOUND_FOR_US before it was quarantined
- * elsewhere, or at any time before a restored entry that is not one here, is not quarantined here,
- * and the others are told so. A report of a sound part
- * releases it likewise.
+ * A part is not quarantined here, and the others are told so, when it was sound here within
+ * WL_QUARANTINE_SOUND_FOR_US before it was quarantined elsewhere. If the entry was restored, and
+ * there is none here, it is enough that the part was sound here at any time. A report of a sound
+ * part releases it likewise.
  */
 void wl_quarantine_apply (WlQuarantine *quarantine, const WlPartReport *report, uint64_t now_us);
 
--- a/relay/wl_host_config.c
+++ b/relay/wl_host_config.c
@@ -294,10 +294,11 @@
 }
 
 /*
- * Takes the latest committed configuration that is not in use. A leader counts its own copy for the
- * majority before it is synced: if the copy is lost with the process, another configuration gets
- * its number, and a node that uses the lost one takes the other for known. Returns whether one
- * waits.
+ * Holds the latest committed configuration that is not in use. Returns whether one is held.
+ *
+ * A leader counts its own copy for the majority before it is synced. If that copy is lost with the
+ * process, the next configuration gets the same number, and a node that already uses the lost one
+ * ignores it.
  */
 static int
 hold_committed (WlHost *host)
--- a/relay/wl_host_parts.c
+++ b/relay/wl_host_parts.c
@@ -27,7 +27,7 @@
 {
   WlMessage m = { .kind = WL_MESSAGE_PART_REPORT };
   WlQuarantine *q = wl_relay_quarantine (host->relay);
-  /* Those that have a disk restored the ends; it is enough that they tell of them. */
+  /* Ends are restored from a disk: a node without one only repeats what the others report. */
   int has_report = host->journal != NULL ? wl_quarantine_join_report (q, now_us, &m.u.part_report)
                                          : wl_quarantine_full_report (q, now_us, &m.u.part_report);
   if (has_report)
--- a/soak/wl_soak_parts.c
+++ b/soak/wl_soak_parts.c
@@ -64,7 +64,7 @@
   return o->bad_until_s != 0 && now_us >= run->begin_us + (uint64_t)o->bad_until_s * 1000000;
 }
 
-/* Whether the nodes may not be calm yet after the kill of all, so that no rule counts arrivals. */
+/* Whether the kill of all is so recent that rule BUDGET does not count arrivals again yet. */
 static int
 is_paused (uint64_t now_us)
 {
--- a/soak/wl_soak_parts.h
+++ b/soak/wl_soak_parts.h
@@ -15,7 +15,7 @@
 {
   WL_SOAK_BAD_MAX = 2,
   WL_SOAK_BAD_FROM_US = 8000000, /* of the run */
-  /* No bad parts come from the kill of all (--kill-all-at) until all nodes are back and calm. */
+  /* After --kill-all-at no request has a bad part, until all nodes are back. */
   WL_SOAK_BAD_PAUSE_US = 10000000,
   WL_SOAK_PARTS_SIZE = 96,
 };
