--- a/core/tests/test_config_store.c
+++ b/core/tests/test_config_store.c
@@ -97,6 +97,33 @@
 }
 END_TEST
 
+/* Guards against a configuration of version 0 that replicas do not find in a snapshot. */
+START_TEST (version_0_is_kept_in_snapshots)
+{
+  WlConfigStoreMemory memory;
+  config_sim_create (42);
+  config_sim_start_three ();
+  config_sim_submit (0, "zero");
+  for (int i = 0; i < WL_RAFT_COMPACT_ENTRIES + 100; i++)
+    config_sim_evacuate ("y", i % 2);
+  wl_config_store_memory (config_sim.nodes[1].store, &memory);
+  ck_assert_uint_gt (memory.snapshot, 0);
+  config_sim_wipe (1);
+  config_sim_start (1, NULL, 0);
+  config_sim_run (3000000);
+  config_sim_wipe (2);
+  config_sim_assert_config (0, "zero");
+  config_sim_start (2, NULL, 0);
+  config_sim_run (3000000);
+  for (uint32_t i = 1; i <= 3; i++)
+    config_sim_crash (i);
+  for (uint32_t i = 1; i <= 3; i++)
+    config_sim_start (i, config_sim_initial, 3);
+  config_sim_assert_config (0, "zero");
+  config_sim_destroy ();
+}
+END_TEST
+
 /* Guards against proposals without end: an empty configuration would never count as stored. */
 START_TEST (an_empty_configuration_is_not_proposed)
 {
@@ -473,6 +500,7 @@
     WL_TEST (the_highest_version_wins_and_lower_ones_change_nothing),
     WL_TEST (a_first_configuration_with_version_0_is_stored),
     WL_TEST (version_0_is_stored_beside_an_evacuation),
+    WL_TEST (version_0_is_kept_in_snapshots),
     WL_TEST (an_empty_configuration_is_not_proposed),
     WL_TEST (of_two_configurations_with_one_version_one_is_kept),
     WL_TEST (acknowledged_configurations_survive_a_power_loss_of_all_replicas),
